--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/AttemptId.java
@@ -0,0 +1,22 @@
+package org.limpetgate;
+
+/**
+ * The id of one attempt to run a task at an upstream.
+ * <p>
+ * It is unique within one incarnation of the host. An answer that carries the id of an
+ * ended attempt is late and must be dropped.
+ *
+ * @param value a number that the host assigns in rising order
+ */
+public record AttemptId(long value) {
+
+	/**
+	 * Returns the id with the given number.
+	 * @param value the number
+	 * @return the id, not null
+	 */
+	public static AttemptId of(long value) {
+		return new AttemptId(value);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/Outcome.java
@@ -0,0 +1,61 @@
+package org.limpetgate;
+
+/**
+ * What is known about the execution of a task or a request.
+ * <p>
+ * The four outcomes are kept apart everywhere. After the first byte of a request may have
+ * left the host, {@link #NOT_RUN} needs a proof from the upstream.
+ */
+public enum Outcome {
+
+	/** It ran and its whole answer is at hand. */
+	COMPLETE("complete"),
+
+	/** It ran, or began to run, and failed. */
+	FAILED("failed"),
+
+	/** It was proved not to have started. */
+	NOT_RUN("not-run"),
+
+	/** It may have run. */
+	UNKNOWN("unknown");
+
+	private final String text;
+
+	Outcome(String text) {
+		this.text = text;
+	}
+
+	/**
+	 * Returns the form used in headers and JSON.
+	 * @return the text, not null
+	 */
+	public String text() {
+		return this.text;
+	}
+
+	/**
+	 * Parses the form used in headers and JSON.
+	 * @param text the text
+	 * @return the outcome, not null
+	 * @throws IllegalArgumentException if no outcome has this text
+	 */
+	public static Outcome parse(String text) {
+		for (Outcome outcome : values()) {
+			if (outcome.text.equals(text)) {
+				return outcome;
+			}
+		}
+		throw new IllegalArgumentException("'" + text + "' is not one of complete, failed, not-run, unknown");
+	}
+
+	/**
+	 * Tests whether a task with this outcome may be started once more.
+	 * @param idempotent whether running the task twice has the same effect as once
+	 * @return true if the task provably did not run, or is idempotent and not complete
+	 */
+	public boolean isRetryable(boolean idempotent) {
+		return this == NOT_RUN || (idempotent && this != COMPLETE);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/Resources.java
@@ -0,0 +1,41 @@
+package org.limpetgate;
+
+/**
+ * An amount of a worker's resources.
+ *
+ * @param cores processor cores, at least 0
+ * @param memoryMb memory in MB, at least 0
+ * @param accelerators number of accelerators, at least 0
+ */
+public record Resources(double cores, long memoryMb, int accelerators) {
+
+	/** No resources. */
+	public static final Resources NONE = new Resources(0, 0, 0);
+
+	public Resources {
+		if (!(cores >= 0) || memoryMb < 0 || accelerators < 0) {
+			throw new IllegalArgumentException("resources must not be negative; use 0 or more");
+		}
+	}
+
+	/**
+	 * Returns the sum of both amounts.
+	 * @param other the amount to add, not null
+	 * @return the sum, not null
+	 */
+	public Resources plus(Resources other) {
+		return new Resources(this.cores + other.cores, this.memoryMb + other.memoryMb,
+				this.accelerators + other.accelerators);
+	}
+
+	/**
+	 * Tests whether this amount is available within a capacity.
+	 * @param capacity the capacity, not null
+	 * @return true if no component exceeds the capacity's
+	 */
+	public boolean isWithin(Resources capacity) {
+		return this.cores <= capacity.cores && this.memoryMb <= capacity.memoryMb
+				&& this.accelerators <= capacity.accelerators;
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/SubmissionKey.java
@@ -0,0 +1,24 @@
+package org.limpetgate;
+
+/**
+ * The key that a caller gives to a submission, unique for that caller until its expiry.
+ * <p>
+ * Immutable and thread-safe.
+ */
+public final class SubmissionKey extends StringId {
+
+	private SubmissionKey(String value) {
+		super(value);
+	}
+
+	/**
+	 * Returns the id with the given string value.
+	 * @param value 1 to 128 letters, digits and the characters {@code . _ : / -}
+	 * @return the id, not null
+	 * @throws IllegalArgumentException if the value is null or has another form
+	 */
+	public static SubmissionKey of(String value) {
+		return new SubmissionKey(value);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/Pool.java
@@ -0,0 +1,53 @@
+package org.limpetgate.config;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.limpetgate.PoolName;
+
+/**
+ * A row of the pools table.
+ *
+ * @param name the name, by which routes refer to the pool
+ * @param kind whether the upstreams are runners or workers
+ * @param upstreams the upstreams, in the order of the table
+ * @param connectionsPerUpstream the most connections that an entry host opens to one
+ * upstream, at least 1
+ * @param queueTasks the most tasks that wait at one entry host, at least 1
+ * @param queueBytes the most bytes of bodies that wait at one entry host, at least 1
+ * @param retryPercent retries and hedges allowed, in percent of the first attempts
+ */
+public record Pool(PoolName name, PoolKind kind, List<Upstream> upstreams, int connectionsPerUpstream, int queueTasks,
+		long queueBytes, int retryPercent) {
+
+	/** Default bound on connections to one upstream from one entry host. */
+	public static final int DEFAULT_CONNECTIONS = 60;
+
+	/** Default bound on waiting tasks. */
+	public static final int DEFAULT_QUEUE_TASKS = 20_000;
+
+	/** Default bound on the bytes of waiting bodies. */
+	public static final long DEFAULT_QUEUE_BYTES = 64L * 1024 * 1024;
+
+	/** Default retry budget, in percent of the first attempts. */
+	public static final int DEFAULT_RETRY_PERCENT = 10;
+
+	public Pool {
+		Objects.requireNonNull(name, "name");
+		Objects.requireNonNull(kind, "kind");
+		upstreams = List.copyOf(upstreams);
+	}
+
+	/**
+	 * Returns a pool with default limits.
+	 * @param name the name, not null
+	 * @param kind the kind, not null
+	 * @param upstreams the upstreams, not null
+	 * @return the pool, not null
+	 */
+	public static Pool of(PoolName name, PoolKind kind, List<Upstream> upstreams) {
+		return new Pool(name, kind, upstreams, DEFAULT_CONNECTIONS, DEFAULT_QUEUE_TASKS, DEFAULT_QUEUE_BYTES,
+				DEFAULT_RETRY_PERCENT);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' two tables, routes and pools, and the rules for editing them.
+ */
+package org.limpetgate.config;
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/Admission.java
@@ -0,0 +1,81 @@
+package org.limpetgate.dispatch;
+
+import java.util.Objects;
+
+import org.limpetgate.ErrorKind;
+
+/**
+ * The answer to an offered task.
+ * <p>
+ * A refused task was not run and is forgotten by the dispatcher. An accepted task ends
+ * with exactly one {@link DispatchEffect.TaskEnded}. Immutable and thread-safe.
+ */
+public final class Admission {
+
+	private static final Admission ACCEPTED = new Admission(null, "", 0);
+
+	private final ErrorKind error;
+
+	private final String detail;
+
+	private final long retryAfterNanos;
+
+	private Admission(ErrorKind error, String detail, long retryAfterNanos) {
+		this.error = error;
+		this.detail = detail;
+		this.retryAfterNanos = retryAfterNanos;
+	}
+
+	/**
+	 * Returns an acceptance.
+	 * @return the admission, not null
+	 */
+	public static Admission accepted() {
+		return ACCEPTED;
+	}
+
+	/**
+	 * Returns a refusal.
+	 * @param error the reason, not null
+	 * @param detail what was exceeded or missing, not null
+	 * @param retryAfterNanos the time to wait before the next try in nanoseconds, 0 if a
+	 * retry cannot succeed
+	 * @return the admission, not null
+	 */
+	public static Admission refused(ErrorKind error, String detail, long retryAfterNanos) {
+		return new Admission(Objects.requireNonNull(error, "error"), detail, retryAfterNanos);
+	}
+
+	/**
+	 * Tests whether the task was accepted.
+	 * @return true if accepted
+	 */
+	public boolean isAccepted() {
+		return this.error == null;
+	}
+
+	/**
+	 * Returns the reason of a refusal.
+	 * @return the reason, null if accepted
+	 */
+	public ErrorKind error() {
+		return this.error;
+	}
+
+	/**
+	 * Returns what was exceeded or missing.
+	 * @return the detail, empty if accepted
+	 */
+	public String detail() {
+		return this.detail;
+	}
+
+	/**
+	 * Returns the time to wait before the next try.
+	 * @return the time in nanoseconds, 0 if there is none
+	 */
+	public long retryAfterNanos() {
+		return this.retryAfterNanos;
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/Dispatcher.java
@@ -0,0 +1,91 @@
+package org.limpetgate.dispatch;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.limpetgate.AttemptId;
+import org.limpetgate.PoolName;
+import org.limpetgate.TaskId;
+import org.limpetgate.UpstreamId;
+import org.limpetgate.config.Configuration;
+
+/**
+ * Orders, limits, places and retries the tasks of one entry host.
+ * <p>
+ * A dispatcher does no I/O. Its host calls it with what happened and carries out the
+ * effects that {@link #tick} emits. All times are nanoseconds since the Unix epoch and do
+ * not decrease from call to call.
+ * <p>
+ * Not thread-safe: it belongs to the control thread.
+ */
+public interface Dispatcher {
+
+	/**
+	 * Sets the tables. Attempts in flight go on; an upstream that is no longer listed
+	 * gets no new attempts.
+	 * @param configuration the tables, not null
+	 * @param nowNanos the present time
+	 */
+	void configure(Configuration configuration, long nowNanos);
+
+	/**
+	 * Sets the loads of all live peers, which replace the earlier ones.
+	 * @param peers the loads, not null
+	 * @param nowNanos the present time
+	 */
+	void peerLoads(List<PeerLoad> peers, long nowNanos);
+
+	/**
+	 * Marks an upstream as leaving: it gets no new attempts.
+	 * @param upstream the upstream, not null
+	 * @param nowNanos the present time
+	 */
+	void upstreamLeaving(UpstreamId upstream, long nowNanos);
+
+	/**
+	 * Accepts or refuses a task.
+	 * @param task the task, not null
+	 * @param nowNanos the present time
+	 * @return the admission, not null
+	 */
+	Admission offer(TaskRequest task, long nowNanos);
+
+	/**
+	 * Reports the end of an attempt. Reports of attempts that are not in flight are
+	 * dropped.
+	 * @param attempt the attempt, not null
+	 * @param result its result, not null
+	 * @param nowNanos the present time
+	 */
+	void attemptEnded(AttemptId attempt, AttemptResult result, long nowNanos);
+
+	/**
+	 * Cancels a task in O(1). The task ends with {@link org.limpetgate.Outcome#NOT_RUN}
+	 * if no attempt was started.
+	 * @param task the task, not null
+	 * @param nowNanos the present time
+	 * @return false if the task is not known or has ended
+	 */
+	boolean cancel(TaskId task, long nowNanos);
+
+	/**
+	 * Emits the effects that are due.
+	 * @param nowNanos the present time
+	 * @param effects takes each effect, not null
+	 */
+	void tick(long nowNanos, Consumer<? super DispatchEffect> effects);
+
+	/**
+	 * Returns when the next tick is due if nothing else happens.
+	 * @return the time, {@link Long#MAX_VALUE} for none
+	 */
+	long nextWakeNanos();
+
+	/**
+	 * Returns the demand by pool, for the heartbeat.
+	 * @return the demand, not null
+	 */
+	Map<PoolName, PeerLoad.Demand> demand();
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Ordering, limiting, placing and retrying tasks.
+ */
+package org.limpetgate.dispatch;
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Interfaces to the services of the platform.
+ */
+package org.limpetgate.platform;
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Keyed jobs, their claims, tickets and results.
+ */
+package org.limpetgate.submission;
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpReply.java
@@ -0,0 +1,28 @@
+package org.limpetgate.net.http;
+
+import java.util.Map;
+
+/**
+ * A whole HTTP answer.
+ *
+ * @param status the status
+ * @param headers the headers, names in lower case, without those that concern the
+ * connection
+ * @param body the body, possibly empty; not to be modified
+ */
+public record HttpReply(int status, Map<String, String> headers, byte[] body) {
+
+	public HttpReply {
+		headers = Map.copyOf(headers);
+	}
+
+	/**
+	 * Returns a header.
+	 * @param name the name in lower case
+	 * @return the value, empty if the header is missing
+	 */
+	public String header(String name) {
+		return this.headers.getOrDefault(name, "");
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP/1.1 server and client over Netty.
+ */
+package org.limpetgate.net.http;
