--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/membership/DataCentreDigest.java
@@ -0,0 +1,33 @@
+package org.limpetgate.membership;
+
+import java.util.Map;
+import java.util.Objects;
+
+import org.limpetgate.DataCentreId;
+import org.limpetgate.Incarnation;
+import org.limpetgate.PoolName;
+import org.limpetgate.dispatch.PeerLoad;
+
+/**
+ * The summary of one data centre that the others receive.
+ * <p>
+ * Its size grows with the hosts of that data centre only; upstreams and tasks stay out of
+ * it. Immutable and thread-safe.
+ *
+ * @param dataCentre the data centre
+ * @param sentNanos when its sender made it, by the sender's clock, in nanoseconds since
+ * the Unix epoch; a digest with a smaller time is older
+ * @param lowestVersion the lowest version of the tables in force at a live host
+ * @param demand the sum of the demand by pool
+ * @param members the live hosts with their addresses
+ */
+public record DataCentreDigest(DataCentreId dataCentre, long sentNanos, long lowestVersion,
+		Map<PoolName, PeerLoad.Demand> demand, Map<Incarnation, MemberAddress> members) {
+
+	public DataCentreDigest {
+		Objects.requireNonNull(dataCentre, "dataCentre");
+		demand = Map.copyOf(demand);
+		members = Map.copyOf(members);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/membership/Heartbeat.java
@@ -0,0 +1,60 @@
+package org.limpetgate.membership;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import org.limpetgate.HostId;
+import org.limpetgate.Incarnation;
+import org.limpetgate.PoolName;
+import org.limpetgate.UpstreamId;
+import org.limpetgate.dispatch.PeerLoad;
+
+/**
+ * What an entry host tells the others of its data centre at each interval.
+ *
+ * @param incarnation the sender
+ * @param address where the sender accepts connections of its peers
+ * @param sequence a number that rises with each heartbeat of the incarnation
+ * @param configurationVersion the version of the tables in force at the sender
+ * @param size the relative size of the sender, at least 1
+ * @param leaving whether the sender is leaving
+ * @param demand the sender's demand by pool
+ * @param seen the newest heartbeat that the sender has received from each peer
+ * @param leavingUpstreams upstreams that announced to the sender that they are leaving
+ */
+public record Heartbeat(Incarnation incarnation, MemberAddress address, long sequence, long configurationVersion,
+		int size, boolean leaving, Map<PoolName, PeerLoad.Demand> demand, Map<HostId, Seen> seen,
+		List<UpstreamId> leavingUpstreams) {
+
+	public Heartbeat {
+		Objects.requireNonNull(incarnation, "incarnation");
+		Objects.requireNonNull(address, "address");
+		demand = Map.copyOf(demand);
+		seen = Map.copyOf(seen);
+		leavingUpstreams = List.copyOf(leavingUpstreams);
+	}
+
+	/**
+	 * The newest heartbeat received from a peer.
+	 *
+	 * @param incarnation the incarnation that sent it
+	 * @param sequence its sequence number
+	 */
+	public record Seen(Incarnation incarnation, long sequence) {
+
+		/**
+		 * Tests whether this is newer than another heartbeat of the same host.
+		 * @param other the other, null for none
+		 * @return true if it is newer
+		 */
+		public boolean isNewerThan(Seen other) {
+			if (other == null || this.incarnation.isLaterThan(other.incarnation)) {
+				return true;
+			}
+			return this.incarnation.equals(other.incarnation) && this.sequence > other.sequence;
+		}
+
+	}
+
+}
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/DataCentreDigest.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/DataCentreDigest.java
@@ -30,6 +30,7 @@
   private DataCentreDigest() {
     dataCentre_ = "";
     demand_ = java.util.Collections.emptyList();
+    members_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -163,6 +164,67 @@
     return sentAtNanos_;
   }
 
+  public static final int MEMBERS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.limpetgate.proto.DigestMember> members_;
+  /**
+   * <pre>
+   * The live hosts with the addresses at which they accept peer connections.
+   * </pre>
+   *
+   * <code>repeated .limpetgate.DigestMember members = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.limpetgate.proto.DigestMember> getMembersList() {
+    return members_;
+  }
+  /**
+   * <pre>
+   * The live hosts with the addresses at which they accept peer connections.
+   * </pre>
+   *
+   * <code>repeated .limpetgate.DigestMember members = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.limpetgate.proto.DigestMemberOrBuilder> 
+      getMembersOrBuilderList() {
+    return members_;
+  }
+  /**
+   * <pre>
+   * The live hosts with the addresses at which they accept peer connections.
+   * </pre>
+   *
+   * <code>repeated .limpetgate.DigestMember members = 6;</code>
+   */
+  @java.lang.Override
+  public int getMembersCount() {
+    return members_.size();
+  }
+  /**
+   * <pre>
+   * The live hosts with the addresses at which they accept peer connections.
+   * </pre>
+   *
+   * <code>repeated .limpetgate.DigestMember members = 6;</code>
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.DigestMember getMembers(int index) {
+    return members_.get(index);
+  }
+  /**
+   * <pre>
+   * The live hosts with the addresses at which they accept peer connections.
+   * </pre>
+   *
+   * <code>repeated .limpetgate.DigestMember members = 6;</code>
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.DigestMemberOrBuilder getMembersOrBuilder(
+      int index) {
+    return members_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -192,6 +254,9 @@
     if (sentAtNanos_ != 0L) {
       output.writeFixed64(5, sentAtNanos_);
     }
+    for (int i = 0; i < members_.size(); i++) {
+      output.writeMessage(6, members_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -220,6 +285,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(5, sentAtNanos_);
     }
+
+        {
+          final int count = members_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(members_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -254,6 +328,8 @@
         .equals(other.getDemandList())) return false;
     if (getSentAtNanos()
         != other.getSentAtNanos()) return false;
+    if (!getMembersList()
+        .equals(other.getMembersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -279,6 +355,10 @@
     hash = (37 * hash) + SENT_AT_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getSentAtNanos());
+    if (getMembersCount() > 0) {
+      hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
+      hash = (53 * hash) + getMembersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -421,6 +501,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000008);
       sentAtNanos_ = 0L;
+      if (membersBuilder_ == null) {
+        members_ = java.util.Collections.emptyList();
+      } else {
+        members_ = null;
+        membersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -463,6 +550,15 @@
       } else {
         result.demand_ = demandBuilder_.build();
       }
+      if (membersBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          members_ = java.util.Collections.unmodifiableList(members_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.members_ = members_;
+      } else {
+        result.members_ = membersBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.limpetgate.proto.DataCentreDigest result) {
@@ -533,6 +629,32 @@
       if (other.getSentAtNanos() != 0L) {
         setSentAtNanos(other.getSentAtNanos());
       }
+      if (membersBuilder_ == null) {
+        if (!other.members_.isEmpty()) {
+          if (members_.isEmpty()) {
+            members_ = other.members_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureMembersIsMutable();
+            members_.addAll(other.members_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.members_.isEmpty()) {
+          if (membersBuilder_.isEmpty()) {
+            membersBuilder_.dispose();
+            membersBuilder_ = null;
+            members_ = other.members_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            membersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetMembersFieldBuilder() : null;
+          } else {
+            membersBuilder_.addAllMessages(other.members_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -590,6 +712,19 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 41
+            case 50: {
+              org.limpetgate.proto.DigestMember m =
+                  input.readMessage(
+                      org.limpetgate.proto.DigestMember.parser(),
+                      extensionRegistry);
+              if (membersBuilder_ == null) {
+                ensureMembersIsMutable();
+                members_.add(m);
+              } else {
+                membersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1009,6 +1144,312 @@
       return this;
     }
 
+    private java.util.List<org.limpetgate.proto.DigestMember> members_ =
+      java.util.Collections.emptyList();
+    private void ensureMembersIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        members_ = new java.util.ArrayList<org.limpetgate.proto.DigestMember>(members_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.limpetgate.proto.DigestMember, org.limpetgate.proto.DigestMember.Builder, org.limpetgate.proto.DigestMemberOrBuilder> membersBuilder_;
+
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public java.util.List<org.limpetgate.proto.DigestMember> getMembersList() {
+      if (membersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(members_);
+      } else {
+        return membersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public int getMembersCount() {
+      if (membersBuilder_ == null) {
+        return members_.size();
+      } else {
+        return membersBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public org.limpetgate.proto.DigestMember getMembers(int index) {
+      if (membersBuilder_ == null) {
+        return members_.get(index);
+      } else {
+        return membersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public Builder setMembers(
+        int index, org.limpetgate.proto.DigestMember value) {
+      if (membersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureMembersIsMutable();
+        members_.set(index, value);
+        onChanged();
+      } else {
+        membersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public Builder setMembers(
+        int index, org.limpetgate.proto.DigestMember.Builder builderForValue) {
+      if (membersBuilder_ == null) {
+        ensureMembersIsMutable();
+        members_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        membersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public Builder addMembers(org.limpetgate.proto.DigestMember value) {
+      if (membersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureMembersIsMutable();
+        members_.add(value);
+        onChanged();
+      } else {
+        membersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public Builder addMembers(
+        int index, org.limpetgate.proto.DigestMember value) {
+      if (membersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureMembersIsMutable();
+        members_.add(index, value);
+        onChanged();
+      } else {
+        membersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public Builder addMembers(
+        org.limpetgate.proto.DigestMember.Builder builderForValue) {
+      if (membersBuilder_ == null) {
+        ensureMembersIsMutable();
+        members_.add(builderForValue.build());
+        onChanged();
+      } else {
+        membersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public Builder addMembers(
+        int index, org.limpetgate.proto.DigestMember.Builder builderForValue) {
+      if (membersBuilder_ == null) {
+        ensureMembersIsMutable();
+        members_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        membersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public Builder addAllMembers(
+        java.lang.Iterable<? extends org.limpetgate.proto.DigestMember> values) {
+      if (membersBuilder_ == null) {
+        ensureMembersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, members_);
+        onChanged();
+      } else {
+        membersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public Builder clearMembers() {
+      if (membersBuilder_ == null) {
+        members_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        membersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public Builder removeMembers(int index) {
+      if (membersBuilder_ == null) {
+        ensureMembersIsMutable();
+        members_.remove(index);
+        onChanged();
+      } else {
+        membersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public org.limpetgate.proto.DigestMember.Builder getMembersBuilder(
+        int index) {
+      return internalGetMembersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public org.limpetgate.proto.DigestMemberOrBuilder getMembersOrBuilder(
+        int index) {
+      if (membersBuilder_ == null) {
+        return members_.get(index);  } else {
+        return membersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public java.util.List<? extends org.limpetgate.proto.DigestMemberOrBuilder> 
+         getMembersOrBuilderList() {
+      if (membersBuilder_ != null) {
+        return membersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(members_);
+      }
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public org.limpetgate.proto.DigestMember.Builder addMembersBuilder() {
+      return internalGetMembersFieldBuilder().addBuilder(
+          org.limpetgate.proto.DigestMember.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public org.limpetgate.proto.DigestMember.Builder addMembersBuilder(
+        int index) {
+      return internalGetMembersFieldBuilder().addBuilder(
+          index, org.limpetgate.proto.DigestMember.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The live hosts with the addresses at which they accept peer connections.
+     * </pre>
+     *
+     * <code>repeated .limpetgate.DigestMember members = 6;</code>
+     */
+    public java.util.List<org.limpetgate.proto.DigestMember.Builder> 
+         getMembersBuilderList() {
+      return internalGetMembersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.limpetgate.proto.DigestMember, org.limpetgate.proto.DigestMember.Builder, org.limpetgate.proto.DigestMemberOrBuilder> 
+        internalGetMembersFieldBuilder() {
+      if (membersBuilder_ == null) {
+        membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.limpetgate.proto.DigestMember, org.limpetgate.proto.DigestMember.Builder, org.limpetgate.proto.DigestMemberOrBuilder>(
+                members_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        members_ = null;
+      }
+      return membersBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.DataCentreDigest)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/DataCentreDigestOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/DataCentreDigestOrBuilder.java
@@ -63,4 +63,48 @@
    * @return The sentAtNanos.
    */
   long getSentAtNanos();
+
+  /**
+   * <pre>
+   * The live hosts with the addresses at which they accept peer connections.
+   * </pre>
+   *
+   * <code>repeated .limpetgate.DigestMember members = 6;</code>
+   */
+  java.util.List<org.limpetgate.proto.DigestMember> 
+      getMembersList();
+  /**
+   * <pre>
+   * The live hosts with the addresses at which they accept peer connections.
+   * </pre>
+   *
+   * <code>repeated .limpetgate.DigestMember members = 6;</code>
+   */
+  org.limpetgate.proto.DigestMember getMembers(int index);
+  /**
+   * <pre>
+   * The live hosts with the addresses at which they accept peer connections.
+   * </pre>
+   *
+   * <code>repeated .limpetgate.DigestMember members = 6;</code>
+   */
+  int getMembersCount();
+  /**
+   * <pre>
+   * The live hosts with the addresses at which they accept peer connections.
+   * </pre>
+   *
+   * <code>repeated .limpetgate.DigestMember members = 6;</code>
+   */
+  java.util.List<? extends org.limpetgate.proto.DigestMemberOrBuilder> 
+      getMembersOrBuilderList();
+  /**
+   * <pre>
+   * The live hosts with the addresses at which they accept peer connections.
+   * </pre>
+   *
+   * <code>repeated .limpetgate.DigestMember members = 6;</code>
+   */
+  org.limpetgate.proto.DigestMemberOrBuilder getMembersOrBuilder(
+      int index);
 }
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Heartbeat.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Heartbeat.java
@@ -32,6 +32,8 @@
     seen_ = java.util.Collections.emptyList();
     leavingUpstreams_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    address_ = "";
+    dataCentre_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -282,6 +284,103 @@
     return leavingUpstreams_.getByteString(index);
   }
 
+  public static final int ADDRESS_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object address_ = "";
+  /**
+   * <pre>
+   * Where the sender accepts peer connections.
+   * </pre>
+   *
+   * <code>string address = 9;</code>
+   * @return The address.
+   */
+  @java.lang.Override
+  public java.lang.String getAddress() {
+    java.lang.Object ref = address_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      address_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Where the sender accepts peer connections.
+   * </pre>
+   *
+   * <code>string address = 9;</code>
+   * @return The bytes for address.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAddressBytes() {
+    java.lang.Object ref = address_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      address_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int PORT_FIELD_NUMBER = 10;
+  private int port_ = 0;
+  /**
+   * <code>uint32 port = 10;</code>
+   * @return The port.
+   */
+  @java.lang.Override
+  public int getPort() {
+    return port_;
+  }
+
+  public static final int DATA_CENTRE_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object dataCentre_ = "";
+  /**
+   * <code>string data_centre = 11;</code>
+   * @return The dataCentre.
+   */
+  @java.lang.Override
+  public java.lang.String getDataCentre() {
+    java.lang.Object ref = dataCentre_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      dataCentre_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string data_centre = 11;</code>
+   * @return The bytes for dataCentre.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDataCentreBytes() {
+    java.lang.Object ref = dataCentre_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      dataCentre_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -320,6 +419,15 @@
     for (int i = 0; i < leavingUpstreams_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 8, leavingUpstreams_.getRaw(i));
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 9, address_);
+    }
+    if (port_ != 0) {
+      output.writeUInt32(10, port_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 11, dataCentre_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -370,6 +478,16 @@
       size += dataSize;
       size += 1 * getLeavingUpstreamsList().size();
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(9, address_);
+    }
+    if (port_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(10, port_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(11, dataCentre_);
+    }
     return size;
   }
   @java.lang.Override
@@ -413,6 +531,12 @@
         .equals(other.getSeenList())) return false;
     if (!getLeavingUpstreamsList()
         .equals(other.getLeavingUpstreamsList())) return false;
+    if (!getAddress()
+        .equals(other.getAddress())) return false;
+    if (getPort()
+        != other.getPort()) return false;
+    if (!getDataCentre()
+        .equals(other.getDataCentre())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -451,6 +575,12 @@
       hash = (37 * hash) + LEAVING_UPSTREAMS_FIELD_NUMBER;
       hash = (53 * hash) + getLeavingUpstreamsList().hashCode();
     }
+    hash = (37 * hash) + ADDRESS_FIELD_NUMBER;
+    hash = (53 * hash) + getAddress().hashCode();
+    hash = (37 * hash) + PORT_FIELD_NUMBER;
+    hash = (53 * hash) + getPort();
+    hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
+    hash = (53 * hash) + getDataCentre().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -615,6 +745,9 @@
       bitField0_ = (bitField0_ & ~0x00000040);
       leavingUpstreams_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      address_ = "";
+      port_ = 0;
+      dataCentre_ = "";
       return this;
     }
 
@@ -693,6 +826,15 @@
         leavingUpstreams_.makeImmutable();
         result.leavingUpstreams_ = leavingUpstreams_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.address_ = address_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.port_ = port_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.dataCentre_ = dataCentre_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -785,6 +927,19 @@
         }
         onChanged();
       }
+      if (!other.getAddress().isEmpty()) {
+        address_ = other.address_;
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
+      if (other.getPort() != 0) {
+        setPort(other.getPort());
+      }
+      if (!other.getDataCentre().isEmpty()) {
+        dataCentre_ = other.dataCentre_;
+        bitField0_ |= 0x00000400;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -867,6 +1022,21 @@
               leavingUpstreams_.add(input.readStringRequireUtf8());
               break;
             } // case 66
+            case 74: {
+              address_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
+            case 80: {
+              port_ = input.readUInt32();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 90: {
+              dataCentre_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1830,6 +2000,202 @@
       return this;
     }
 
+    private java.lang.Object address_ = "";
+    /**
+     * <pre>
+     * Where the sender accepts peer connections.
+     * </pre>
+     *
+     * <code>string address = 9;</code>
+     * @return The address.
+     */
+    public java.lang.String getAddress() {
+      java.lang.Object ref = address_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        address_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Where the sender accepts peer connections.
+     * </pre>
+     *
+     * <code>string address = 9;</code>
+     * @return The bytes for address.
+     */
+    public com.google.protobuf.ByteString
+        getAddressBytes() {
+      java.lang.Object ref = address_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        address_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Where the sender accepts peer connections.
+     * </pre>
+     *
+     * <code>string address = 9;</code>
+     * @param value The address to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAddress(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      address_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Where the sender accepts peer connections.
+     * </pre>
+     *
+     * <code>string address = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAddress() {
+      address_ = getDefaultInstance().getAddress();
+      bitField0_ = (bitField0_ & ~0x00000100);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Where the sender accepts peer connections.
+     * </pre>
+     *
+     * <code>string address = 9;</code>
+     * @param value The bytes for address to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAddressBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      address_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+
+    private int port_ ;
+    /**
+     * <code>uint32 port = 10;</code>
+     * @return The port.
+     */
+    @java.lang.Override
+    public int getPort() {
+      return port_;
+    }
+    /**
+     * <code>uint32 port = 10;</code>
+     * @param value The port to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPort(int value) {
+
+      port_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint32 port = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPort() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      port_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object dataCentre_ = "";
+    /**
+     * <code>string data_centre = 11;</code>
+     * @return The dataCentre.
+     */
+    public java.lang.String getDataCentre() {
+      java.lang.Object ref = dataCentre_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        dataCentre_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string data_centre = 11;</code>
+     * @return The bytes for dataCentre.
+     */
+    public com.google.protobuf.ByteString
+        getDataCentreBytes() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        dataCentre_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string data_centre = 11;</code>
+     * @param value The dataCentre to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentre(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      dataCentre_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string data_centre = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDataCentre() {
+      dataCentre_ = getDefaultInstance().getDataCentre();
+      bitField0_ = (bitField0_ & ~0x00000400);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string data_centre = 11;</code>
+     * @param value The bytes for dataCentre to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentreBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      dataCentre_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.Heartbeat)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/HeartbeatOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/HeartbeatOrBuilder.java
@@ -161,4 +161,42 @@
    */
   com.google.protobuf.ByteString
       getLeavingUpstreamsBytes(int index);
+
+  /**
+   * <pre>
+   * Where the sender accepts peer connections.
+   * </pre>
+   *
+   * <code>string address = 9;</code>
+   * @return The address.
+   */
+  java.lang.String getAddress();
+  /**
+   * <pre>
+   * Where the sender accepts peer connections.
+   * </pre>
+   *
+   * <code>string address = 9;</code>
+   * @return The bytes for address.
+   */
+  com.google.protobuf.ByteString
+      getAddressBytes();
+
+  /**
+   * <code>uint32 port = 10;</code>
+   * @return The port.
+   */
+  int getPort();
+
+  /**
+   * <code>string data_centre = 11;</code>
+   * @return The dataCentre.
+   */
+  java.lang.String getDataCentre();
+  /**
+   * <code>string data_centre = 11;</code>
+   * @return The bytes for dataCentre.
+   */
+  com.google.protobuf.ByteString
+      getDataCentreBytes();
 }
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -111,11 +111,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_limpetgate_ConfigurationOffer_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetgate_Digests_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_limpetgate_Digests_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_limpetgate_DataCentreDigest_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_limpetgate_DataCentreDigest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetgate_DigestMember_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_limpetgate_DigestMember_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_limpetgate_ClaimBatch_descriptor;
   static final 
@@ -160,7 +170,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\020limpetgate.proto\022\nlimpetgate\"\272\005\n\tPeerF" +
+      "\n\020limpetgate.proto\022\nlimpetgate\"\262\005\n\tPeerF" +
       "rame\022\030\n\020protocol_version\030\001 \001(\r\022\026\n\016correl" +
       "ation_id\030\002 \001(\004\022\"\n\005hello\030\003 \001(\0132\021.limpetga" +
       "te.HelloH\000\022*\n\theartbeat\030\004 \001(\0132\025.limpetga" +
@@ -174,51 +184,57 @@
       "limpetgate.ConfigurationOfferH\000\022A\n\025confi" +
       "guration_request\030\n \001(\0132 .limpetgate.Conf" +
       "igurationRequestH\000\022&\n\007refusal\030\013 \001(\0132\023.li" +
-      "mpetgate.RefusalH\000\022.\n\006digest\030\014 \001(\0132\034.lim" +
-      "petgate.DataCentreDigestH\000\022/\n\014forward_ta" +
-      "sk\030\r \001(\0132\027.limpetgate.ForwardTaskH\000\022+\n\nt" +
-      "ask_reply\030\016 \001(\0132\025.limpetgate.TaskReplyH\000" +
-      "B\t\n\007message\"-\n\rIncarnationId\022\014\n\004host\030\001 \001" +
-      "(\t\022\016\n\006number\030\002 \001(\006\"x\n\005Hello\022.\n\013incarnati" +
-      "on\030\001 \001(\0132\031.limpetgate.IncarnationId\022\023\n\013d" +
-      "ata_centre\030\002 \001(\t\022\r\n\005nonce\030\003 \001(\014\022\013\n\003mac\030\004" +
-      " \001(\014\022\016\n\006key_id\030\005 \001(\t\")\n\007Refusal\022\r\n\005error" +
-      "\030\001 \001(\t\022\017\n\007message\030\002 \001(\t\"\362\001\n\tHeartbeat\022.\n" +
-      "\013incarnation\030\001 \001(\0132\031.limpetgate.Incarnat" +
-      "ionId\022\020\n\010sequence\030\002 \001(\004\022\035\n\025configuration" +
-      "_version\030\003 \001(\003\022\014\n\004size\030\004 \001(\r\022\017\n\007leaving\030" +
-      "\005 \001(\010\022&\n\006demand\030\006 \003(\0132\026.limpetgate.PoolD" +
-      "emand\022\"\n\004seen\030\007 \003(\0132\024.limpetgate.PeerSee" +
-      "n\022\031\n\021leaving_upstreams\030\010 \003(\t\"=\n\nPoolDema" +
-      "nd\022\014\n\004pool\030\001 \001(\t\022\016\n\006queued\030\002 \001(\r\022\021\n\tin_f" +
-      "light\030\003 \001(\r\"L\n\010PeerSeen\022.\n\013incarnation\030\001" +
-      " \001(\0132\031.limpetgate.IncarnationId\022\020\n\010seque" +
-      "nce\030\002 \001(\004\"L\n\021ForwardSubmission\022\016\n\006caller" +
-      "\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\014\n\004hop" +
-      "s\030\004 \001(\r\"<\n\017QuerySubmission\022\016\n\006caller\030\001 \001" +
-      "(\t\022\013\n\003key\030\002 \001(\t\022\014\n\004hops\030\003 \001(\r\"=\n\020CancelS" +
-      "ubmission\022\016\n\006caller\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\014" +
-      "\n\004hops\030\003 \001(\r\"o\n\017SubmissionReply\022\023\n\013http_" +
-      "status\030\001 \001(\r\022\017\n\007outcome\030\002 \001(\t\022\r\n\005error\030\003" +
-      " \001(\t\022\031\n\021retry_after_nanos\030\004 \001(\004\022\014\n\004body\030" +
-      "\005 \001(\014\"\312\001\n\013ForwardTask\022\016\n\006caller\030\001 \001(\t\022\016\n" +
-      "\006method\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\0225\n\007headers" +
-      "\030\004 \003(\0132$.limpetgate.ForwardTask.HeadersE" +
-      "ntry\022\014\n\004body\030\005 \001(\014\022\026\n\016deadline_nanos\030\006 \001" +
-      "(\006\032.\n\014HeadersEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value" +
-      "\030\002 \001(\t:\0028\001\"\316\001\n\tTaskReply\022\023\n\013http_status\030" +
-      "\001 \001(\r\0223\n\007headers\030\002 \003(\0132\".limpetgate.Task" +
-      "Reply.HeadersEntry\022\014\n\004body\030\003 \001(\014\022\017\n\007outc" +
-      "ome\030\004 \001(\t\022\r\n\005error\030\005 \001(\t\022\031\n\021retry_after_" +
-      "nanos\030\006 \001(\004\032.\n\014HeadersEntry\022\013\n\003key\030\001 \001(\t" +
-      "\022\r\n\005value\030\002 \001(\t:\0028\001\"*\n\024ConfigurationRequ" +
-      "est\022\022\n\nnewer_than\030\001 \001(\003\"I\n\022Configuration" +
-      "Offer\0223\n\010snapshot\030\001 \001(\0132!.limpetgate.Con" +
-      "figurationSnapshot\"\240\001\n\020DataCentreDigest\022" +
-      "\023\n\013data_centre\030\001 \001(\t\022\022\n\nlive_hosts\030\002 \001(\r" +
-      "\022$\n\034lowest_configuration_version\030\003 \001(\003\022&" +
-      "\n\006demand\030\004 \003(\0132\026.limpetgate.PoolDemand\022\025" +
-      "\n\rsent_at_nanos\030\005 \001(\006\"Z\n\nClaimBatch\022)\n\006h" +
+      "mpetgate.RefusalH\000\022&\n\007digests\030\014 \001(\0132\023.li" +
+      "mpetgate.DigestsH\000\022/\n\014forward_task\030\r \001(\013" +
+      "2\027.limpetgate.ForwardTaskH\000\022+\n\ntask_repl" +
+      "y\030\016 \001(\0132\025.limpetgate.TaskReplyH\000B\t\n\007mess" +
+      "age\"-\n\rIncarnationId\022\014\n\004host\030\001 \001(\t\022\016\n\006nu" +
+      "mber\030\002 \001(\006\"x\n\005Hello\022.\n\013incarnation\030\001 \001(\013" +
+      "2\031.limpetgate.IncarnationId\022\023\n\013data_cent" +
+      "re\030\002 \001(\t\022\r\n\005nonce\030\003 \001(\014\022\013\n\003mac\030\004 \001(\014\022\016\n\006" +
+      "key_id\030\005 \001(\t\")\n\007Refusal\022\r\n\005error\030\001 \001(\t\022\017" +
+      "\n\007message\030\002 \001(\t\"\246\002\n\tHeartbeat\022.\n\013incarna" +
+      "tion\030\001 \001(\0132\031.limpetgate.IncarnationId\022\020\n" +
+      "\010sequence\030\002 \001(\004\022\035\n\025configuration_version" +
+      "\030\003 \001(\003\022\014\n\004size\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022&\n" +
+      "\006demand\030\006 \003(\0132\026.limpetgate.PoolDemand\022\"\n" +
+      "\004seen\030\007 \003(\0132\024.limpetgate.PeerSeen\022\031\n\021lea" +
+      "ving_upstreams\030\010 \003(\t\022\017\n\007address\030\t \001(\t\022\014\n" +
+      "\004port\030\n \001(\r\022\023\n\013data_centre\030\013 \001(\t\"=\n\nPool" +
+      "Demand\022\014\n\004pool\030\001 \001(\t\022\016\n\006queued\030\002 \001(\r\022\021\n\t" +
+      "in_flight\030\003 \001(\r\"L\n\010PeerSeen\022.\n\013incarnati" +
+      "on\030\001 \001(\0132\031.limpetgate.IncarnationId\022\020\n\010s" +
+      "equence\030\002 \001(\004\"L\n\021ForwardSubmission\022\016\n\006ca" +
+      "ller\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\014\n" +
+      "\004hops\030\004 \001(\r\"<\n\017QuerySubmission\022\016\n\006caller" +
+      "\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\014\n\004hops\030\003 \001(\r\"=\n\020Can" +
+      "celSubmission\022\016\n\006caller\030\001 \001(\t\022\013\n\003key\030\002 \001" +
+      "(\t\022\014\n\004hops\030\003 \001(\r\"o\n\017SubmissionReply\022\023\n\013h" +
+      "ttp_status\030\001 \001(\r\022\017\n\007outcome\030\002 \001(\t\022\r\n\005err" +
+      "or\030\003 \001(\t\022\031\n\021retry_after_nanos\030\004 \001(\004\022\014\n\004b" +
+      "ody\030\005 \001(\014\"\312\001\n\013ForwardTask\022\016\n\006caller\030\001 \001(" +
+      "\t\022\016\n\006method\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\0225\n\007hea" +
+      "ders\030\004 \003(\0132$.limpetgate.ForwardTask.Head" +
+      "ersEntry\022\014\n\004body\030\005 \001(\014\022\026\n\016deadline_nanos" +
+      "\030\006 \001(\006\032.\n\014HeadersEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005v" +
+      "alue\030\002 \001(\t:\0028\001\"\316\001\n\tTaskReply\022\023\n\013http_sta" +
+      "tus\030\001 \001(\r\0223\n\007headers\030\002 \003(\0132\".limpetgate." +
+      "TaskReply.HeadersEntry\022\014\n\004body\030\003 \001(\014\022\017\n\007" +
+      "outcome\030\004 \001(\t\022\r\n\005error\030\005 \001(\t\022\031\n\021retry_af" +
+      "ter_nanos\030\006 \001(\004\032.\n\014HeadersEntry\022\013\n\003key\030\001" +
+      " \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"*\n\024Configuration" +
+      "Request\022\022\n\nnewer_than\030\001 \001(\003\"I\n\022Configura" +
+      "tionOffer\0223\n\010snapshot\030\001 \001(\0132!.limpetgate" +
+      ".ConfigurationSnapshot\"8\n\007Digests\022-\n\007dig" +
+      "ests\030\001 \003(\0132\034.limpetgate.DataCentreDigest" +
+      "\"\313\001\n\020DataCentreDigest\022\023\n\013data_centre\030\001 \001" +
+      "(\t\022\022\n\nlive_hosts\030\002 \001(\r\022$\n\034lowest_configu" +
+      "ration_version\030\003 \001(\003\022&\n\006demand\030\004 \003(\0132\026.l" +
+      "impetgate.PoolDemand\022\025\n\rsent_at_nanos\030\005 " +
+      "\001(\006\022)\n\007members\030\006 \003(\0132\030.limpetgate.Digest" +
+      "Member\"]\n\014DigestMember\022.\n\013incarnation\030\001 " +
+      "\001(\0132\031.limpetgate.IncarnationId\022\017\n\007addres" +
+      "s\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\"Z\n\nClaimBatch\022)\n\006h" +
       "older\030\001 \001(\0132\031.limpetgate.IncarnationId\022!" +
       "\n\006claims\030\002 \003(\0132\021.limpetgate.Claim\"X\n\005Cla" +
       "im\022\020\n\010key_hash\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(" +
@@ -248,7 +264,7 @@
     internal_static_limpetgate_PeerFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_PeerFrame_descriptor,
-        new java.lang.String[] { "ProtocolVersion", "CorrelationId", "Hello", "Heartbeat", "ForwardSubmission", "SubmissionReply", "QuerySubmission", "CancelSubmission", "ConfigurationOffer", "ConfigurationRequest", "Refusal", "Digest", "ForwardTask", "TaskReply", "Message", });
+        new java.lang.String[] { "ProtocolVersion", "CorrelationId", "Hello", "Heartbeat", "ForwardSubmission", "SubmissionReply", "QuerySubmission", "CancelSubmission", "ConfigurationOffer", "ConfigurationRequest", "Refusal", "Digests", "ForwardTask", "TaskReply", "Message", });
     internal_static_limpetgate_IncarnationId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_limpetgate_IncarnationId_fieldAccessorTable = new
@@ -272,7 +288,7 @@
     internal_static_limpetgate_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_Heartbeat_descriptor,
-        new java.lang.String[] { "Incarnation", "Sequence", "ConfigurationVersion", "Size", "Leaving", "Demand", "Seen", "LeavingUpstreams", });
+        new java.lang.String[] { "Incarnation", "Sequence", "ConfigurationVersion", "Size", "Leaving", "Demand", "Seen", "LeavingUpstreams", "Address", "Port", "DataCentre", });
     internal_static_limpetgate_PoolDemand_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_limpetgate_PoolDemand_fieldAccessorTable = new
@@ -345,50 +361,62 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_ConfigurationOffer_descriptor,
         new java.lang.String[] { "Snapshot", });
-    internal_static_limpetgate_DataCentreDigest_descriptor =
+    internal_static_limpetgate_Digests_descriptor =
       getDescriptor().getMessageType(15);
+    internal_static_limpetgate_Digests_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_limpetgate_Digests_descriptor,
+        new java.lang.String[] { "Digests", });
+    internal_static_limpetgate_DataCentreDigest_descriptor =
+      getDescriptor().getMessageType(16);
     internal_static_limpetgate_DataCentreDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_DataCentreDigest_descriptor,
-        new java.lang.String[] { "DataCentre", "LiveHosts", "LowestConfigurationVersion", "Demand", "SentAtNanos", });
+        new java.lang.String[] { "DataCentre", "LiveHosts", "LowestConfigurationVersion", "Demand", "SentAtNanos", "Members", });
+    internal_static_limpetgate_DigestMember_descriptor =
+      getDescriptor().getMessageType(17);
+    internal_static_limpetgate_DigestMember_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_limpetgate_DigestMember_descriptor,
+        new java.lang.String[] { "Incarnation", "Address", "Port", });
     internal_static_limpetgate_ClaimBatch_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_limpetgate_ClaimBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_ClaimBatch_descriptor,
         new java.lang.String[] { "Holder", "Claims", });
     internal_static_limpetgate_Claim_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_limpetgate_Claim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_Claim_descriptor,
         new java.lang.String[] { "KeyHash", "Fingerprint", "ExpiryNanos", "Generation", });
     internal_static_limpetgate_ConfigurationRecord_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_limpetgate_ConfigurationRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_ConfigurationRecord_descriptor,
         new java.lang.String[] { "Edit", "Snapshot", "Record", });
     internal_static_limpetgate_Edit_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_limpetgate_Edit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_Edit_descriptor,
         new java.lang.String[] { "EditId", "Operator", "IssuedAtNanos", "Table", "Name", "BaseVersion", "Row", });
     internal_static_limpetgate_ConfigurationSnapshot_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_limpetgate_ConfigurationSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_ConfigurationSnapshot_descriptor,
         new java.lang.String[] { "Version", "Rows", "Recent", });
     internal_static_limpetgate_VersionedRow_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(23);
     internal_static_limpetgate_VersionedRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_VersionedRow_descriptor,
         new java.lang.String[] { "Table", "Name", "Version", "Row", });
     internal_static_limpetgate_EditResult_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(24);
     internal_static_limpetgate_EditResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_EditResult_descriptor,
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrame.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrame.java
@@ -67,7 +67,7 @@
     CONFIGURATION_OFFER(9),
     CONFIGURATION_REQUEST(10),
     REFUSAL(11),
-    DIGEST(12),
+    DIGESTS(12),
     FORWARD_TASK(13),
     TASK_REPLY(14),
     MESSAGE_NOT_SET(0);
@@ -96,7 +96,7 @@
         case 9: return CONFIGURATION_OFFER;
         case 10: return CONFIGURATION_REQUEST;
         case 11: return REFUSAL;
-        case 12: return DIGEST;
+        case 12: return DIGESTS;
         case 13: return FORWARD_TASK;
         case 14: return TASK_REPLY;
         case 0: return MESSAGE_NOT_SET;
@@ -419,35 +419,35 @@
     return org.limpetgate.proto.Refusal.getDefaultInstance();
   }
 
-  public static final int DIGEST_FIELD_NUMBER = 12;
+  public static final int DIGESTS_FIELD_NUMBER = 12;
   /**
-   * <code>.limpetgate.DataCentreDigest digest = 12;</code>
-   * @return Whether the digest field is set.
+   * <code>.limpetgate.Digests digests = 12;</code>
+   * @return Whether the digests field is set.
    */
   @java.lang.Override
-  public boolean hasDigest() {
+  public boolean hasDigests() {
     return messageCase_ == 12;
   }
   /**
-   * <code>.limpetgate.DataCentreDigest digest = 12;</code>
-   * @return The digest.
+   * <code>.limpetgate.Digests digests = 12;</code>
+   * @return The digests.
    */
   @java.lang.Override
-  public org.limpetgate.proto.DataCentreDigest getDigest() {
+  public org.limpetgate.proto.Digests getDigests() {
     if (messageCase_ == 12) {
-       return (org.limpetgate.proto.DataCentreDigest) message_;
+       return (org.limpetgate.proto.Digests) message_;
     }
-    return org.limpetgate.proto.DataCentreDigest.getDefaultInstance();
+    return org.limpetgate.proto.Digests.getDefaultInstance();
   }
   /**
-   * <code>.limpetgate.DataCentreDigest digest = 12;</code>
+   * <code>.limpetgate.Digests digests = 12;</code>
    */
   @java.lang.Override
-  public org.limpetgate.proto.DataCentreDigestOrBuilder getDigestOrBuilder() {
+  public org.limpetgate.proto.DigestsOrBuilder getDigestsOrBuilder() {
     if (messageCase_ == 12) {
-       return (org.limpetgate.proto.DataCentreDigest) message_;
+       return (org.limpetgate.proto.Digests) message_;
     }
-    return org.limpetgate.proto.DataCentreDigest.getDefaultInstance();
+    return org.limpetgate.proto.Digests.getDefaultInstance();
   }
 
   public static final int FORWARD_TASK_FIELD_NUMBER = 13;
@@ -560,7 +560,7 @@
       output.writeMessage(11, (org.limpetgate.proto.Refusal) message_);
     }
     if (messageCase_ == 12) {
-      output.writeMessage(12, (org.limpetgate.proto.DataCentreDigest) message_);
+      output.writeMessage(12, (org.limpetgate.proto.Digests) message_);
     }
     if (messageCase_ == 13) {
       output.writeMessage(13, (org.limpetgate.proto.ForwardTask) message_);
@@ -618,7 +618,7 @@
     }
     if (messageCase_ == 12) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(12, (org.limpetgate.proto.DataCentreDigest) message_);
+        .computeMessageSize(12, (org.limpetgate.proto.Digests) message_);
     }
     if (messageCase_ == 13) {
       size += com.google.protobuf.CodedOutputStream
@@ -695,8 +695,8 @@
             .equals(other.getRefusal())) return false;
         break;
       case 12:
-        if (!getDigest()
-            .equals(other.getDigest())) return false;
+        if (!getDigests()
+            .equals(other.getDigests())) return false;
         break;
       case 13:
         if (!getForwardTask()
@@ -763,8 +763,8 @@
         hash = (53 * hash) + getRefusal().hashCode();
         break;
       case 12:
-        hash = (37 * hash) + DIGEST_FIELD_NUMBER;
-        hash = (53 * hash) + getDigest().hashCode();
+        hash = (37 * hash) + DIGESTS_FIELD_NUMBER;
+        hash = (53 * hash) + getDigests().hashCode();
         break;
       case 13:
         hash = (37 * hash) + FORWARD_TASK_FIELD_NUMBER;
@@ -941,8 +941,8 @@
       if (refusalBuilder_ != null) {
         refusalBuilder_.clear();
       }
-      if (digestBuilder_ != null) {
-        digestBuilder_.clear();
+      if (digestsBuilder_ != null) {
+        digestsBuilder_.clear();
       }
       if (forwardTaskBuilder_ != null) {
         forwardTaskBuilder_.clear();
@@ -1034,8 +1034,8 @@
         result.message_ = refusalBuilder_.build();
       }
       if (messageCase_ == 12 &&
-          digestBuilder_ != null) {
-        result.message_ = digestBuilder_.build();
+          digestsBuilder_ != null) {
+        result.message_ = digestsBuilder_.build();
       }
       if (messageCase_ == 13 &&
           forwardTaskBuilder_ != null) {
@@ -1102,8 +1102,8 @@
           mergeRefusal(other.getRefusal());
           break;
         }
-        case DIGEST: {
-          mergeDigest(other.getDigest());
+        case DIGESTS: {
+          mergeDigests(other.getDigests());
           break;
         }
         case FORWARD_TASK: {
@@ -1217,7 +1217,7 @@
             } // case 90
             case 98: {
               input.readMessage(
-                  internalGetDigestFieldBuilder().getBuilder(),
+                  internalGetDigestsFieldBuilder().getBuilder(),
                   extensionRegistry);
               messageCase_ = 12;
               break;
@@ -2605,69 +2605,69 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.limpetgate.proto.DataCentreDigest, org.limpetgate.proto.DataCentreDigest.Builder, org.limpetgate.proto.DataCentreDigestOrBuilder> digestBuilder_;
+        org.limpetgate.proto.Digests, org.limpetgate.proto.Digests.Builder, org.limpetgate.proto.DigestsOrBuilder> digestsBuilder_;
     /**
-     * <code>.limpetgate.DataCentreDigest digest = 12;</code>
-     * @return Whether the digest field is set.
+     * <code>.limpetgate.Digests digests = 12;</code>
+     * @return Whether the digests field is set.
      */
     @java.lang.Override
-    public boolean hasDigest() {
+    public boolean hasDigests() {
       return messageCase_ == 12;
     }
     /**
-     * <code>.limpetgate.DataCentreDigest digest = 12;</code>
-     * @return The digest.
+     * <code>.limpetgate.Digests digests = 12;</code>
+     * @return The digests.
      */
     @java.lang.Override
-    public org.limpetgate.proto.DataCentreDigest getDigest() {
-      if (digestBuilder_ == null) {
+    public org.limpetgate.proto.Digests getDigests() {
+      if (digestsBuilder_ == null) {
         if (messageCase_ == 12) {
-          return (org.limpetgate.proto.DataCentreDigest) message_;
+          return (org.limpetgate.proto.Digests) message_;
         }
-        return org.limpetgate.proto.DataCentreDigest.getDefaultInstance();
+        return org.limpetgate.proto.Digests.getDefaultInstance();
       } else {
         if (messageCase_ == 12) {
-          return digestBuilder_.getMessage();
+          return digestsBuilder_.getMessage();
         }
-        return org.limpetgate.proto.DataCentreDigest.getDefaultInstance();
+        return org.limpetgate.proto.Digests.getDefaultInstance();
       }
     }
     /**
-     * <code>.limpetgate.DataCentreDigest digest = 12;</code>
+     * <code>.limpetgate.Digests digests = 12;</code>
      */
-    public Builder setDigest(org.limpetgate.proto.DataCentreDigest value) {
-      if (digestBuilder_ == null) {
+    public Builder setDigests(org.limpetgate.proto.Digests value) {
+      if (digestsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         message_ = value;
         onChanged();
       } else {
-        digestBuilder_.setMessage(value);
+        digestsBuilder_.setMessage(value);
       }
       messageCase_ = 12;
       return this;
     }
     /**
-     * <code>.limpetgate.DataCentreDigest digest = 12;</code>
+     * <code>.limpetgate.Digests digests = 12;</code>
      */
-    public Builder setDigest(
-        org.limpetgate.proto.DataCentreDigest.Builder builderForValue) {
-      if (digestBuilder_ == null) {
+    public Builder setDigests(
+        org.limpetgate.proto.Digests.Builder builderForValue) {
+      if (digestsBuilder_ == null) {
         message_ = builderForValue.build();
         onChanged();
       } else {
-        digestBuilder_.setMessage(builderForValue.build());
+        digestsBuilder_.setMessage(builderForValue.build());
       }
       messageCase_ = 12;
       return this;
     }
     /**
-     * <code>.limpetgate.DataCentreDigest digest = 12;</code>
+     * <code>.limpetgate.Digests digests = 12;</code>
      */
-    public Builder mergeDigest(org.limpetgate.proto.DataCentreDigest value) {
-      if (digestBuilder_ == null) {
+    public Builder mergeDigests(org.limpetgate.proto.Digests value) {
+      if (digestsBuilder_ == null) {
         if (messageCase_ == 12 &&
-            message_ != org.limpetgate.proto.DataCentreDigest.getDefaultInstance()) {
-          message_ = org.limpetgate.proto.DataCentreDigest.newBuilder((org.limpetgate.proto.DataCentreDigest) message_)
+            message_ != org.limpetgate.proto.Digests.getDefaultInstance()) {
+          message_ = org.limpetgate.proto.Digests.newBuilder((org.limpetgate.proto.Digests) message_)
               .mergeFrom(value).buildPartial();
         } else {
           message_ = value;
@@ -2675,19 +2675,19 @@
         onChanged();
       } else {
         if (messageCase_ == 12) {
-          digestBuilder_.mergeFrom(value);
+          digestsBuilder_.mergeFrom(value);
         } else {
-          digestBuilder_.setMessage(value);
+          digestsBuilder_.setMessage(value);
         }
       }
       messageCase_ = 12;
       return this;
     }
     /**
-     * <code>.limpetgate.DataCentreDigest digest = 12;</code>
+     * <code>.limpetgate.Digests digests = 12;</code>
      */
-    public Builder clearDigest() {
-      if (digestBuilder_ == null) {
+    public Builder clearDigests() {
+      if (digestsBuilder_ == null) {
         if (messageCase_ == 12) {
           messageCase_ = 0;
           message_ = null;
@@ -2698,50 +2698,50 @@
           messageCase_ = 0;
           message_ = null;
         }
-        digestBuilder_.clear();
+        digestsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.limpetgate.DataCentreDigest digest = 12;</code>
+     * <code>.limpetgate.Digests digests = 12;</code>
      */
-    public org.limpetgate.proto.DataCentreDigest.Builder getDigestBuilder() {
-      return internalGetDigestFieldBuilder().getBuilder();
+    public org.limpetgate.proto.Digests.Builder getDigestsBuilder() {
+      return internalGetDigestsFieldBuilder().getBuilder();
     }
     /**
-     * <code>.limpetgate.DataCentreDigest digest = 12;</code>
+     * <code>.limpetgate.Digests digests = 12;</code>
      */
     @java.lang.Override
-    public org.limpetgate.proto.DataCentreDigestOrBuilder getDigestOrBuilder() {
-      if ((messageCase_ == 12) && (digestBuilder_ != null)) {
-        return digestBuilder_.getMessageOrBuilder();
+    public org.limpetgate.proto.DigestsOrBuilder getDigestsOrBuilder() {
+      if ((messageCase_ == 12) && (digestsBuilder_ != null)) {
+        return digestsBuilder_.getMessageOrBuilder();
       } else {
         if (messageCase_ == 12) {
-          return (org.limpetgate.proto.DataCentreDigest) message_;
+          return (org.limpetgate.proto.Digests) message_;
         }
-        return org.limpetgate.proto.DataCentreDigest.getDefaultInstance();
+        return org.limpetgate.proto.Digests.getDefaultInstance();
       }
     }
     /**
-     * <code>.limpetgate.DataCentreDigest digest = 12;</code>
+     * <code>.limpetgate.Digests digests = 12;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.limpetgate.proto.DataCentreDigest, org.limpetgate.proto.DataCentreDigest.Builder, org.limpetgate.proto.DataCentreDigestOrBuilder> 
-        internalGetDigestFieldBuilder() {
-      if (digestBuilder_ == null) {
+        org.limpetgate.proto.Digests, org.limpetgate.proto.Digests.Builder, org.limpetgate.proto.DigestsOrBuilder> 
+        internalGetDigestsFieldBuilder() {
+      if (digestsBuilder_ == null) {
         if (!(messageCase_ == 12)) {
-          message_ = org.limpetgate.proto.DataCentreDigest.getDefaultInstance();
+          message_ = org.limpetgate.proto.Digests.getDefaultInstance();
         }
-        digestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.limpetgate.proto.DataCentreDigest, org.limpetgate.proto.DataCentreDigest.Builder, org.limpetgate.proto.DataCentreDigestOrBuilder>(
-                (org.limpetgate.proto.DataCentreDigest) message_,
+        digestsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.limpetgate.proto.Digests, org.limpetgate.proto.Digests.Builder, org.limpetgate.proto.DigestsOrBuilder>(
+                (org.limpetgate.proto.Digests) message_,
                 getParentForChildren(),
                 isClean());
         message_ = null;
       }
       messageCase_ = 12;
       onChanged();
-      return digestBuilder_;
+      return digestsBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrameOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrameOrBuilder.java
@@ -162,19 +162,19 @@
   org.limpetgate.proto.RefusalOrBuilder getRefusalOrBuilder();
 
   /**
-   * <code>.limpetgate.DataCentreDigest digest = 12;</code>
-   * @return Whether the digest field is set.
+   * <code>.limpetgate.Digests digests = 12;</code>
+   * @return Whether the digests field is set.
    */
-  boolean hasDigest();
+  boolean hasDigests();
   /**
-   * <code>.limpetgate.DataCentreDigest digest = 12;</code>
-   * @return The digest.
+   * <code>.limpetgate.Digests digests = 12;</code>
+   * @return The digests.
    */
-  org.limpetgate.proto.DataCentreDigest getDigest();
+  org.limpetgate.proto.Digests getDigests();
   /**
-   * <code>.limpetgate.DataCentreDigest digest = 12;</code>
+   * <code>.limpetgate.Digests digests = 12;</code>
    */
-  org.limpetgate.proto.DataCentreDigestOrBuilder getDigestOrBuilder();
+  org.limpetgate.proto.DigestsOrBuilder getDigestsOrBuilder();
 
   /**
    * <code>.limpetgate.ForwardTask forward_task = 13;</code>
