--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/ControlLoop.java
@@ -0,0 +1,138 @@
+package org.limpetgate.host;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import com.google.common.flogger.FluentLogger;
+
+/**
+ * The control thread: the only thread that touches the state of the decision library.
+ * <p>
+ * It sleeps until a message arrives or the earliest wake time of a system is reached,
+ * runs all waiting messages as one batch and then ticks every system once. There is no
+ * fixed interval, so a tick adds no delay to a message that arrives alone.
+ * <p>
+ * {@link #execute} is thread-safe; systems are added before {@link #start}.
+ */
+public final class ControlLoop implements Executor, AutoCloseable {
+
+	/** Bounds the time that a batch keeps the systems from ticking. */
+	private static final int MAX_BATCH = 1024;
+
+	private static final long MAX_SLEEP_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final LinkedBlockingQueue<Runnable> messages = new LinkedBlockingQueue<>();
+
+	private final List<TickedSystem> systems = new ArrayList<>();
+
+	private final LongSupplier clock;
+
+	private final Thread thread;
+
+	private volatile boolean closed;
+
+	/**
+	 * Creates a loop that is not running yet.
+	 * @param name the name of the thread, not null
+	 * @param clock gives the present time in nanoseconds since the Unix epoch, not null
+	 */
+	public ControlLoop(String name, LongSupplier clock) {
+		this.clock = clock;
+		this.thread = new Thread(this::run, name);
+		this.thread.setDaemon(true);
+	}
+
+	/**
+	 * Adds a system that is ticked after each batch.
+	 * @param system the system, not null
+	 */
+	public void add(TickedSystem system) {
+		this.systems.add(system);
+	}
+
+	/**
+	 * Starts the thread.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	/**
+	 * Runs a message on the control thread.
+	 * @param message the message, not null
+	 */
+	@Override
+	public void execute(Runnable message) {
+		this.messages.add(message);
+	}
+
+	/**
+	 * Returns the number of messages that wait.
+	 * @return the number, at least 0
+	 */
+	public int waiting() {
+		return this.messages.size();
+	}
+
+	private void run() {
+		List<Runnable> batch = new ArrayList<>(MAX_BATCH);
+		while (!this.closed) {
+			try {
+				awaitBatch(batch);
+				batch.forEach(this::runSafely);
+				batch.clear();
+				tickAll();
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+		}
+	}
+
+	private void awaitBatch(List<Runnable> batch) throws InterruptedException {
+		long sleep = Math.min(nextWake() - this.clock.getAsLong(), MAX_SLEEP_NANOS);
+		Runnable first = (sleep > 0) ? this.messages.poll(sleep, TimeUnit.NANOSECONDS) : this.messages.poll();
+		if (first != null) {
+			batch.add(first);
+			this.messages.drainTo(batch, MAX_BATCH - 1);
+		}
+	}
+
+	private long nextWake() {
+		long wake = Long.MAX_VALUE;
+		for (TickedSystem system : this.systems) {
+			wake = Math.min(wake, system.nextWakeNanos());
+		}
+		return wake;
+	}
+
+	private void tickAll() {
+		long now = this.clock.getAsLong();
+		for (TickedSystem system : this.systems) {
+			runSafely(() -> system.tick(now));
+		}
+	}
+
+	// A fault in one message must not end the thread that serves all others.
+	private void runSafely(Runnable message) {
+		try {
+			message.run();
+		}
+		catch (RuntimeException ex) {
+			logger.atSevere().withCause(ex).log("%s", LogEvent.INTERNAL_FAULT.prefix());
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.thread.interrupt();
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EpochClock.java
@@ -0,0 +1,41 @@
+package org.limpetgate.host;
+
+import java.util.function.LongSupplier;
+
+/**
+ * The time of one process, in nanoseconds since the Unix epoch.
+ * <p>
+ * It starts at the wall clock and runs with the monotonic clock, so it never decreases,
+ * even when the wall clock is set back. Thread-safe.
+ */
+public final class EpochClock implements LongSupplier {
+
+	private static final long NANOS_PER_MILLI = 1_000_000L;
+
+	private final long startNanos;
+
+	private final long startMonotonic;
+
+	private EpochClock(long startNanos, long startMonotonic) {
+		this.startNanos = startNanos;
+		this.startMonotonic = startMonotonic;
+	}
+
+	/**
+	 * Returns a clock that starts at the present wall time.
+	 * @return the clock, not null
+	 */
+	public static EpochClock system() {
+		return new EpochClock(System.currentTimeMillis() * NANOS_PER_MILLI, System.nanoTime());
+	}
+
+	/**
+	 * Returns the present time.
+	 * @return nanoseconds since the Unix epoch
+	 */
+	@Override
+	public long getAsLong() {
+		return this.startNanos + (System.nanoTime() - this.startMonotonic);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/TaskRunner.java
@@ -0,0 +1,313 @@
+package org.limpetgate.host;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+
+import com.google.common.flogger.FluentLogger;
+import org.limpetgate.AttemptId;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+import org.limpetgate.TaskId;
+import org.limpetgate.UpstreamId;
+import org.limpetgate.config.Configuration;
+import org.limpetgate.config.Pool;
+import org.limpetgate.config.PoolKind;
+import org.limpetgate.config.Upstream;
+import org.limpetgate.dispatch.Admission;
+import org.limpetgate.dispatch.AttemptResult;
+import org.limpetgate.dispatch.DispatchEffect;
+import org.limpetgate.dispatch.Dispatcher;
+import org.limpetgate.dispatch.TaskRequest;
+import org.limpetgate.net.http.HttpCall;
+import org.limpetgate.net.http.HttpReply;
+
+/**
+ * Runs tasks: carries out the effects of the {@link Dispatcher} through the gateways and
+ * reports the ends of attempts back.
+ * <p>
+ * Each accepted task ends with exactly one call of its listener. A second start of a task
+ * that is not idempotent, without proof that the first did not run, is an internal fault
+ * and is suppressed. Not thread-safe: it belongs to the control thread.
+ */
+public final class TaskRunner implements TickedSystem {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final Dispatcher dispatcher;
+
+	private final Map<PoolKind, UpstreamGateway> gateways;
+
+	private final Executor control;
+
+	private final LongSupplier clock;
+
+	private final EventLog events;
+
+	private final Map<TaskId, RunningTask> tasks = new HashMap<>();
+
+	private final Map<AttemptId, RunningAttempt> attempts = new HashMap<>();
+
+	private final Map<UpstreamId, KnownUpstream> upstreams = new HashMap<>();
+
+	private LeavingListener leavingListener = (upstream) -> {
+	};
+
+	private long lastTask;
+
+	/**
+	 * Creates a runner without tables.
+	 * @param dispatcher decides, not null
+	 * @param gateways a gateway for each kind of pool, not null
+	 * @param control runs messages on the control thread, not null
+	 * @param clock gives the present time in nanoseconds since the Unix epoch, not null
+	 * @param events takes a line for each decision, not null
+	 */
+	public TaskRunner(Dispatcher dispatcher, Map<PoolKind, UpstreamGateway> gateways, Executor control,
+			LongSupplier clock, EventLog events) {
+		this.dispatcher = dispatcher;
+		this.gateways = Map.copyOf(gateways);
+		this.control = control;
+		this.clock = clock;
+		this.events = events;
+	}
+
+	/**
+	 * Sets who learns that an upstream announced that it is leaving.
+	 * @param listener the listener, not null
+	 */
+	public void onLeaving(LeavingListener listener) {
+		this.leavingListener = listener;
+	}
+
+	/**
+	 * Sets the tables. Attempts in flight go on, also at upstreams that are no longer
+	 * listed.
+	 * @param configuration the tables, not null
+	 * @param nowNanos the present time
+	 */
+	public void configure(Configuration configuration, long nowNanos) {
+		this.upstreams.clear();
+		for (Pool pool : configuration.pools()) {
+			pool.upstreams()
+				.forEach((upstream) -> this.upstreams.put(upstream.id(), new KnownUpstream(upstream, pool.kind())));
+		}
+		this.dispatcher.configure(configuration, nowNanos);
+	}
+
+	/**
+	 * Returns an id for a new task.
+	 * @return the id, not used before
+	 */
+	public TaskId nextTaskId() {
+		return TaskId.of(++this.lastTask);
+	}
+
+	/**
+	 * Offers a task.
+	 * @param request the task, with an id from {@link #nextTaskId()}, not null
+	 * @param call what to send, not null
+	 * @param listener learns the end if the task is accepted, not null
+	 * @param nowNanos the present time
+	 * @return the admission, not null
+	 */
+	public Admission offer(TaskRequest request, HttpCall call, TaskListener listener, long nowNanos) {
+		Admission admission = this.dispatcher.offer(request, nowNanos);
+		if (admission.isAccepted()) {
+			this.tasks.put(request.id(), new RunningTask(request, call, listener));
+		}
+		else {
+			this.events.write(LogEvent.REFUSED, request.id().value(), request.pool(), admission.error(),
+					admission.detail());
+		}
+		return admission;
+	}
+
+	/**
+	 * Cancels a task. Its listener is still called.
+	 * @param task the task, not null
+	 * @param nowNanos the present time
+	 * @return false if the task has ended
+	 */
+	public boolean cancel(TaskId task, long nowNanos) {
+		return this.dispatcher.cancel(task, nowNanos);
+	}
+
+	/**
+	 * Returns the number of tasks that have not ended.
+	 * @return the number, at least 0
+	 */
+	public int unfinished() {
+		return this.tasks.size();
+	}
+
+	@Override
+	public void tick(long nowNanos) {
+		this.dispatcher.tick(nowNanos, (effect) -> apply(effect, nowNanos));
+	}
+
+	@Override
+	public long nextWakeNanos() {
+		return this.dispatcher.nextWakeNanos();
+	}
+
+	private void apply(DispatchEffect effect, long nowNanos) {
+		if (effect instanceof DispatchEffect.StartAttempt start) {
+			startAttempt(start, nowNanos);
+		}
+		else if (effect instanceof DispatchEffect.CancelAttempt cancel) {
+			cancelAttempt(cancel.attempt());
+		}
+		else if (effect instanceof DispatchEffect.TaskEnded ended) {
+			endTask(ended);
+		}
+	}
+
+	private void startAttempt(DispatchEffect.StartAttempt start, long nowNanos) {
+		RunningTask task = this.tasks.get(start.task());
+		KnownUpstream known = this.upstreams.get(start.upstream());
+		if (task == null || known == null) {
+			reportEnd(start.attempt(), Outcome.NOT_RUN, "upstream is no longer listed");
+			return;
+		}
+		if (!task.mayStart()) {
+			logger.atSevere()
+				.log("%s second start of task %s suppressed; it is not idempotent and may have run",
+						LogEvent.INTERNAL_FAULT.prefix(), start.task().value());
+			reportEnd(start.attempt(), Outcome.UNKNOWN, "second start suppressed");
+			return;
+		}
+		task.started++;
+		LogEvent event = (known.kind() == PoolKind.RUNNERS) ? LogEvent.RUNNER_CHOSEN : LogEvent.WORKER_CHOSEN;
+		this.events.write(event, start.attempt().value(), start.task().value(), start.number(), start.upstream(),
+				start.reason());
+		long timeout = Math.max(1, task.request.deadlineNanos() - nowNanos);
+		UpstreamGateway.Exchange exchange = this.gateways.get(known.kind())
+			.start(known.upstream(), new UpstreamGateway.Work(task.request, task.call, timeout));
+		this.attempts.put(start.attempt(), new RunningAttempt(task, start.upstream(), exchange, nowNanos));
+		exchange.answer()
+			.whenComplete(
+					(answer, failure) -> this.control.execute(() -> attemptEnded(start.attempt(), answer, failure)));
+	}
+
+	private void reportEnd(AttemptId attempt, Outcome outcome, String detail) {
+		this.control.execute(() -> this.dispatcher.attemptEnded(attempt, new AttemptResult(outcome, 0, false, detail),
+				this.clock.getAsLong()));
+	}
+
+	private void cancelAttempt(AttemptId id) {
+		RunningAttempt attempt = this.attempts.get(id);
+		if (attempt != null) {
+			attempt.exchange().cancel();
+		}
+	}
+
+	private void attemptEnded(AttemptId id, UpstreamAnswer answer, Throwable failure) {
+		long now = this.clock.getAsLong();
+		RunningAttempt attempt = this.attempts.remove(id);
+		AttemptResult result = (failure != null) ? failed(failure, now - attempt.startNanos())
+				: answered(answer, now - attempt.startNanos());
+		attempt.task().attemptEnded(id, result.outcome(), answer);
+		if (result.leaving()) {
+			this.leavingListener.upstreamLeaving(attempt.upstream());
+		}
+		this.dispatcher.attemptEnded(id, result, now);
+	}
+
+	private static AttemptResult answered(UpstreamAnswer answer, long runNanos) {
+		Outcome outcome = answer.isFailure() ? Outcome.FAILED : Outcome.COMPLETE;
+		String detail = answer.isFailure() ? "upstream answered with status " + answer.reply().status() : "";
+		return new AttemptResult(outcome, runNanos, answer.leaving(), detail);
+	}
+
+	private static AttemptResult failed(Throwable failure, long runNanos) {
+		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		if (cause instanceof DispatchException known) {
+			boolean leaving = known.kind() == ErrorKind.SHUTTING_DOWN;
+			return new AttemptResult(known.outcome(), runNanos, leaving, known.getMessage());
+		}
+		return new AttemptResult(Outcome.UNKNOWN, runNanos, false, String.valueOf(cause));
+	}
+
+	private void endTask(DispatchEffect.TaskEnded ended) {
+		RunningTask task = this.tasks.remove(ended.task());
+		if (task == null) {
+			throw new IllegalStateException("task " + ended.task().value() + " ended twice");
+		}
+		if (ended.outcome() != Outcome.COMPLETE) {
+			this.events.write(LogEvent.TASK_NOT_COMPLETE, ended.task().value(), ended.outcome(), ended.error(),
+					ended.detail());
+		}
+		task.listener.ended(ended, task.reply(ended));
+	}
+
+	/**
+	 * Learns that an upstream announced that it is leaving.
+	 */
+	@FunctionalInterface
+	public interface LeavingListener {
+
+		/**
+		 * Takes the upstream that is leaving.
+		 * @param upstream the upstream, not null
+		 */
+		void upstreamLeaving(UpstreamId upstream);
+
+	}
+
+	private record KnownUpstream(Upstream upstream, PoolKind kind) {
+	}
+
+	private record RunningAttempt(RunningTask task, UpstreamId upstream, UpstreamGateway.Exchange exchange,
+			long startNanos) {
+	}
+
+	private static final class RunningTask {
+
+		private final TaskRequest request;
+
+		private final HttpCall call;
+
+		private final TaskListener listener;
+
+		private final Map<AttemptId, HttpReply> replies = new HashMap<>();
+
+		private int started;
+
+		private int provedNotRun;
+
+		private HttpReply lastReply;
+
+		RunningTask(TaskRequest request, HttpCall call, TaskListener listener) {
+			this.request = request;
+			this.call = call;
+			this.listener = listener;
+		}
+
+		boolean mayStart() {
+			return this.request.idempotent() || this.started == this.provedNotRun;
+		}
+
+		void attemptEnded(AttemptId id, Outcome outcome, UpstreamAnswer answer) {
+			if (outcome == Outcome.NOT_RUN) {
+				this.provedNotRun++;
+			}
+			if (answer != null) {
+				this.replies.put(id, answer.reply());
+				this.lastReply = answer.reply();
+			}
+		}
+
+		HttpReply reply(DispatchEffect.TaskEnded ended) {
+			if (ended.winner() != null) {
+				return this.replies.get(ended.winner());
+			}
+			return (ended.outcome() == Outcome.FAILED) ? this.lastReply : null;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/UpstreamGateway.java
@@ -0,0 +1,52 @@
+package org.limpetgate.host;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.limpetgate.config.Upstream;
+import org.limpetgate.net.http.HttpCall;
+
+/**
+ * Carries an attempt to an upstream of one kind.
+ * <p>
+ * Implementations are thread-safe.
+ */
+public interface UpstreamGateway {
+
+	/**
+	 * Starts an attempt.
+	 * @param upstream the upstream, not null
+	 * @param work what to run, not null
+	 * @return the running attempt, not null
+	 */
+	Exchange start(Upstream upstream, Work work);
+
+	/**
+	 * What an attempt runs.
+	 *
+	 * @param task the task
+	 * @param call the request
+	 * @param timeoutNanos the time allowed, in nanoseconds
+	 */
+	record Work(org.limpetgate.dispatch.TaskRequest task, HttpCall call, long timeoutNanos) {
+	}
+
+	/**
+	 * A running attempt.
+	 */
+	interface Exchange {
+
+		/**
+		 * Returns the answer. A failure is a {@link org.limpetgate.DispatchException}
+		 * that tells the outcome.
+		 * @return the answer, not null
+		 */
+		CompletableFuture<UpstreamAnswer> answer();
+
+		/**
+		 * Aborts the attempt; its answer then fails.
+		 */
+		void cancel();
+
+	}
+
+}
