Add a simple dispatcher within shares of slots

The life of tasks and attempts is in AbstractDispatcher; SimpleDispatcher adds one bounded queue per pool and three plain rules of choice. The interface Dispatcher gains upstreamReturned and usageReported as default methods, Resources gains minus.

--- a/limpetgate-core/src/main/java/org/limpetgate/Resources.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/Resources.java
@@ -28,6 +28,16 @@
 				this.accelerators + other.accelerators);
 	}
 
+	/**
+	 * Returns the difference of both amounts.
+	 * @param other the amount to take away, not null
+	 * @return the difference, no component of which is below 0, not null
+	 */
+	public Resources minus(Resources other) {
+		return new Resources(Math.max(0, this.cores - other.cores), Math.max(0, this.memoryMb - other.memoryMb),
+				Math.max(0, this.accelerators - other.accelerators));
+	}
+
 	/**
 	 * Tests whether this amount is available within a capacity.
 	 * @param capacity the capacity, not null
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AbstractDispatcher.java
@@ -0,0 +1,327 @@
+package org.limpetgate.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Consumer;
+
+import org.limpetgate.AttemptId;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+import org.limpetgate.PoolName;
+import org.limpetgate.TaskId;
+import org.limpetgate.UpstreamId;
+import org.limpetgate.config.Configuration;
+import org.limpetgate.config.Pool;
+
+/**
+ * The life of tasks and attempts, which is the same under every policy.
+ * <p>
+ * This class alone decides when a task ends and whether it may be attempted again; the
+ * subclasses decide on order, admission and choice. A task that is not idempotent is
+ * attempted again only after an attempt that was proved not to have run.
+ */
+abstract class AbstractDispatcher implements Dispatcher {
+
+	/** More attempts than this show that the task, not the upstream, is at fault. */
+	static final int MAX_ATTEMPTS = 4;
+
+	final DispatchSettings settings;
+
+	final Timers timers = new Timers();
+
+	final Map<PoolName, PoolEntity> pools = new LinkedHashMap<>();
+
+	List<PeerLoad> peers = List.of();
+
+	private final Map<TaskId, TaskEntity> tasks = new HashMap<>();
+
+	private final Map<AttemptId, AttemptEntity> attempts = new HashMap<>();
+
+	private final List<DispatchEffect> effects = new ArrayList<>();
+
+	private long lastAttempt;
+
+	AbstractDispatcher(DispatchSettings settings) {
+		this.settings = Objects.requireNonNull(settings, "settings");
+	}
+
+	@Override
+	public void configure(Configuration configuration, long nowNanos) {
+		this.pools.values().forEach((pool) -> pool.configured = false);
+		for (Pool row : configuration.pools()) {
+			PoolEntity pool = this.pools.computeIfAbsent(row.name(), (name) -> new PoolEntity(row));
+			pool.configured = true;
+			pool.configure(row, this.settings);
+		}
+		for (PoolEntity pool : this.pools.values()) {
+			if (!pool.configured) {
+				pool.upstreams.forEach((upstream) -> upstream.listed = false);
+				pool.upstreams.clear();
+			}
+		}
+		this.pools.values().removeIf((pool) -> !pool.configured && pool.inFlight == 0 && pool.queuedTasks == 0);
+		sharesChanged(nowNanos);
+	}
+
+	@Override
+	public void peerLoads(List<PeerLoad> newPeers, long nowNanos) {
+		this.peers = newPeers.stream()
+			.filter((peer) -> !peer.host().equals(this.settings.host()))
+			.sorted((left, right) -> left.host().compareTo(right.host()))
+			.toList();
+		sharesChanged(nowNanos);
+	}
+
+	@Override
+	public void upstreamLeaving(UpstreamId id, long nowNanos) {
+		for (PoolEntity pool : this.pools.values()) {
+			UpstreamEntity upstream = pool.byId.get(id);
+			if (upstream != null) {
+				upstream.leaving = true;
+				upstreamChanged(pool, upstream, nowNanos);
+			}
+		}
+	}
+
+	@Override
+	public void upstreamReturned(UpstreamId id, long nowNanos) {
+		for (PoolEntity pool : this.pools.values()) {
+			UpstreamEntity upstream = pool.byId.get(id);
+			if (upstream != null) {
+				upstream.leaving = false;
+				upstreamChanged(pool, upstream, nowNanos);
+			}
+		}
+	}
+
+	@Override
+	public Admission offer(TaskRequest request, long nowNanos) {
+		PoolEntity pool = this.pools.get(request.pool());
+		if (pool == null || !pool.configured) {
+			return Admission.refused(ErrorKind.NO_UPSTREAM, "pool '" + request.pool() + "' is not configured", 0);
+		}
+		if (request.deadlineNanos() <= nowNanos) {
+			return Admission.refused(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed before the task arrived", 0);
+		}
+		if (this.tasks.containsKey(request.id())) {
+			return Admission.refused(ErrorKind.INTERNAL, "task id " + request.id().value() + " is in use", 0);
+		}
+		TaskEntity task = new TaskEntity(request, pool, nowNanos);
+		Admission admission = admit(task, nowNanos);
+		if (admission.isAccepted()) {
+			this.tasks.put(request.id(), task);
+			task.deadlineTimer = this.timers.schedule(request.deadlineNanos(), (now) -> deadlinePassed(task, now));
+			putInQueue(task, nowNanos);
+		}
+		return admission;
+	}
+
+	@Override
+	public void attemptEnded(AttemptId id, AttemptResult result, long nowNanos) {
+		AttemptEntity attempt = this.attempts.remove(id);
+		if (attempt == null) {
+			return;
+		}
+		TaskEntity task = attempt.task;
+		this.timers.cancel(attempt.hedgeTimer);
+		attempt.upstream.inFlight--;
+		task.pool.inFlight--;
+		task.running.remove(attempt);
+		released(attempt, result, nowNanos);
+		if (result.leaving()) {
+			upstreamLeaving(attempt.upstream.id, nowNanos);
+		}
+		else {
+			upstreamChanged(task.pool, attempt.upstream, nowNanos);
+		}
+		if (!task.ended) {
+			resolve(attempt, result, nowNanos);
+		}
+		forgetUnlisted(task.pool, attempt.upstream);
+	}
+
+	private void forgetUnlisted(PoolEntity pool, UpstreamEntity upstream) {
+		if (!upstream.listed && upstream.inFlight == 0) {
+			pool.byId.remove(upstream.id, upstream);
+		}
+	}
+
+	private void resolve(AttemptEntity attempt, AttemptResult result, long nowNanos) {
+		TaskEntity task = attempt.task;
+		if (result.outcome() == Outcome.COMPLETE) {
+			end(task, Outcome.COMPLETE, null, "", 0, attempt.id);
+			return;
+		}
+		task.join(result.outcome());
+		task.detail = "attempt " + task.attempts + " at '" + attempt.upstream.id + "': " + result.detail();
+		task.avoid = attempt.upstream;
+		if (!task.running.isEmpty()) {
+			return;
+		}
+		long delay = mayRetry(task) ? retryDelay(task, result, nowNanos) : -1;
+		if (delay < 0 || nowNanos + delay >= task.request.deadlineNanos()) {
+			end(task, task.soFar, ErrorKind.UPSTREAM_FAILED, task.detail, 0, null);
+		}
+		else if (delay == 0) {
+			putInQueue(task, nowNanos);
+		}
+		else {
+			task.retryTimer = this.timers.schedule(nowNanos + delay, (now) -> putInQueue(task, now));
+		}
+	}
+
+	private static boolean mayRetry(TaskEntity task) {
+		return task.soFar.isRetryable(task.request.idempotent()) && task.attempts < MAX_ATTEMPTS;
+	}
+
+	@Override
+	public boolean cancel(TaskId id, long nowNanos) {
+		TaskEntity task = this.tasks.get(id);
+		if (task == null) {
+			return false;
+		}
+		end(task, task.outcomeIfGivenUp(), ErrorKind.CANCELLED, "the task was cancelled", 0, null);
+		return true;
+	}
+
+	@Override
+	public void tick(long nowNanos, Consumer<? super DispatchEffect> sink) {
+		this.timers.run(nowNanos);
+		dispatch(nowNanos);
+		while (!this.effects.isEmpty()) {
+			List<DispatchEffect> batch = List.copyOf(this.effects);
+			this.effects.clear();
+			batch.forEach(sink);
+		}
+	}
+
+	@Override
+	public long nextWakeNanos() {
+		return this.effects.isEmpty() ? this.timers.nextDueNanos() : Long.MIN_VALUE;
+	}
+
+	@Override
+	public Map<PoolName, PeerLoad.Demand> demand() {
+		Map<PoolName, PeerLoad.Demand> demand = new HashMap<>();
+		this.pools.forEach((name, pool) -> demand.put(name, new PeerLoad.Demand(pool.queuedTasks, pool.inFlight)));
+		return demand;
+	}
+
+	private void deadlinePassed(TaskEntity task, long nowNanos) {
+		String where = task.running.isEmpty() ? "while the task waited"
+				: "while the task ran at '" + task.running.get(0).upstream.id + "'";
+		end(task, task.outcomeIfGivenUp(), ErrorKind.DEADLINE_EXCEEDED, "the deadline passed " + where, 0, null);
+	}
+
+	final void end(TaskEntity task, Outcome outcome, ErrorKind error, String detail, long retryAfterNanos,
+			AttemptId winner) {
+		task.ended = true;
+		this.tasks.remove(task.request.id());
+		this.timers.cancel(task.deadlineTimer);
+		this.timers.cancel(task.retryTimer);
+		takeFromQueue(task);
+		for (AttemptEntity attempt : task.running) {
+			this.timers.cancel(attempt.hedgeTimer);
+			this.effects.add(new DispatchEffect.CancelAttempt(attempt.id));
+		}
+		ended(task);
+		this.effects
+			.add(new DispatchEffect.TaskEnded(task.request.id(), outcome, error, detail, retryAfterNanos, winner));
+	}
+
+	final AttemptEntity start(TaskEntity task, UpstreamEntity upstream, boolean hedge, String reason, long nowNanos) {
+		takeFromQueue(task);
+		AttemptEntity attempt = new AttemptEntity(AttemptId.of(++this.lastAttempt), task, upstream, nowNanos, hedge);
+		this.attempts.put(attempt.id, attempt);
+		task.attempts++;
+		task.running.add(attempt);
+		if (task.attempts == 1) {
+			task.pool.budget.earn(task.pool.row.retryPercent());
+		}
+		upstream.inFlight++;
+		task.pool.inFlight++;
+		this.effects
+			.add(new DispatchEffect.StartAttempt(attempt.id, task.request.id(), upstream.id, task.attempts, reason));
+		return attempt;
+	}
+
+	private void putInQueue(TaskEntity task, long nowNanos) {
+		task.pool.queuedTasks++;
+		task.pool.queuedBytes += task.request.bytes();
+		task.queuedAt = nowNanos;
+		enqueue(task, nowNanos);
+	}
+
+	private void takeFromQueue(TaskEntity task) {
+		if (task.queue != null) {
+			task.pool.queuedTasks--;
+			task.pool.queuedBytes -= task.request.bytes();
+			dequeued(task);
+			task.queue.remove(task);
+		}
+	}
+
+	final Admission refusedByBounds(TaskEntity task, long retryAfterNanos) {
+		Pool row = task.pool.row;
+		if (task.pool.queuedTasks >= row.queueTasks()) {
+			return Admission.refused(ErrorKind.OVERLOADED,
+					"pool '" + row.name() + "' has " + row.queueTasks() + " waiting tasks", retryAfterNanos);
+		}
+		if (task.pool.queuedBytes + task.request.bytes() > row.queueBytes()) {
+			return Admission.refused(ErrorKind.OVERLOADED,
+					"pool '" + row.name() + "' has " + task.pool.queuedBytes + " bytes waiting", retryAfterNanos);
+		}
+		return null;
+	}
+
+	abstract Admission admit(TaskEntity task, long nowNanos);
+
+	/**
+	 * Adds a task to a queue of the policy.
+	 * @param task the task
+	 * @param nowNanos the present time
+	 */
+	abstract void enqueue(TaskEntity task, long nowNanos);
+
+	/**
+	 * Tells the policy that a task is about to be removed from its queue.
+	 * @param task the task
+	 */
+	void dequeued(TaskEntity task) {
+	}
+
+	/**
+	 * Tells the policy that an accepted task has ended.
+	 * @param task the task
+	 */
+	void ended(TaskEntity task) {
+	}
+
+	/**
+	 * Starts the attempts that may start now.
+	 * @param nowNanos the present time
+	 */
+	abstract void dispatch(long nowNanos);
+
+	/**
+	 * Decides on a retry that the guarantees allow.
+	 * @param task the task
+	 * @param result the result of its last attempt
+	 * @param nowNanos the present time
+	 * @return the delay before the retry in nanoseconds, negative for no retry
+	 */
+	abstract long retryDelay(TaskEntity task, AttemptResult result, long nowNanos);
+
+	void released(AttemptEntity attempt, AttemptResult result, long nowNanos) {
+	}
+
+	void upstreamChanged(PoolEntity pool, UpstreamEntity upstream, long nowNanos) {
+	}
+
+	abstract void sharesChanged(long nowNanos);
+
+}
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/Dispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/Dispatcher.java
@@ -6,6 +6,7 @@
 
 import org.limpetgate.AttemptId;
 import org.limpetgate.PoolName;
+import org.limpetgate.Resources;
 import org.limpetgate.TaskId;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.config.Configuration;
@@ -43,6 +44,25 @@
 	 */
 	void upstreamLeaving(UpstreamId upstream, long nowNanos);
 
+	/**
+	 * Takes back the mark of {@link #upstreamLeaving}. The mark also ends when the
+	 * configuration lists the upstream with another row.
+	 * @param upstream the upstream, not null
+	 * @param nowNanos the present time
+	 */
+	default void upstreamReturned(UpstreamId upstream, long nowNanos) {
+	}
+
+	/**
+	 * Reports what a worker's tasks use.
+	 * @param upstream the worker, not null
+	 * @param used the resources in use by all its tasks, not null
+	 * @param sampledNanos the time at which the usage was measured
+	 * @param nowNanos the present time
+	 */
+	default void usageReported(UpstreamId upstream, Resources used, long sampledNanos, long nowNanos) {
+	}
+
 	/**
 	 * Accepts or refuses a task.
 	 * @param task the task, not null
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/SimpleDispatcher.java
@@ -0,0 +1,172 @@
+package org.limpetgate.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Resources;
+import org.limpetgate.config.PoolKind;
+import org.limpetgate.config.Upstream;
+
+/**
+ * A dispatcher with one first-in first-out queue per pool and a plain choice of upstream.
+ * <p>
+ * It is the baseline of the experiments. Without shares it sends as much to an upstream
+ * as the connection limit allows, as an ordinary load balancer does, and work waits at
+ * the upstreams.
+ */
+public final class SimpleDispatcher extends AbstractDispatcher {
+
+	private static final long RETRY_AFTER_NANOS = 1_000_000_000L;
+
+	private static final long FIRST_BACKOFF_NANOS = 10_000_000L;
+
+	private final ChoiceRule rule;
+
+	private final boolean shares;
+
+	private final RandomGenerator random;
+
+	private final List<UpstreamEntity> open = new ArrayList<>();
+
+	private SimpleDispatcher(DispatchSettings settings, ChoiceRule rule, boolean shares, RandomGenerator random) {
+		super(settings);
+		this.rule = Objects.requireNonNull(rule, "rule");
+		this.shares = shares;
+		this.random = Objects.requireNonNull(random, "random");
+	}
+
+	/**
+	 * Returns a dispatcher that keeps within the host's share of each upstream's slots.
+	 * @param settings the settings, not null
+	 * @param rule the rule of choice, not null
+	 * @param random the source of random choices, not null
+	 * @return the dispatcher, not null
+	 */
+	public static SimpleDispatcher withinShares(DispatchSettings settings, ChoiceRule rule, RandomGenerator random) {
+		return new SimpleDispatcher(settings, rule, true, random);
+	}
+
+	/**
+	 * Returns a dispatcher that is limited by connections only.
+	 * @param settings the settings, not null
+	 * @param rule the rule of choice, not null
+	 * @param random the source of random choices, not null
+	 * @return the dispatcher, not null
+	 */
+	public static SimpleDispatcher withinConnections(DispatchSettings settings, ChoiceRule rule,
+			RandomGenerator random) {
+		return new SimpleDispatcher(settings, rule, false, random);
+	}
+
+	@Override
+	Admission admit(TaskEntity task, long nowNanos) {
+		Resources needed = task.request.resources();
+		boolean possible = task.pool.row.upstreams()
+			.stream()
+			.anyMatch((upstream) -> upstream.slots() > 0 || needed.isWithin(upstream.resources()));
+		if (!possible) {
+			return Admission.refused(ErrorKind.IMPOSSIBLE, "no upstream of pool '" + task.pool.row.name() + "' has "
+					+ needed.cores() + " cores, " + needed.memoryMb() + " MB, " + needed.accelerators(), 0);
+		}
+		Admission refusal = refusedByBounds(task, RETRY_AFTER_NANOS);
+		return (refusal != null) ? refusal : Admission.accepted();
+	}
+
+	@Override
+	void enqueue(TaskEntity task, long nowNanos) {
+		task.pool.queue.addLast(task);
+	}
+
+	@Override
+	void dispatch(long nowNanos) {
+		for (PoolEntity pool : this.pools.values()) {
+			while (pool.queue.peek() != null) {
+				TaskEntity task = pool.queue.peek();
+				UpstreamEntity upstream = choose(task);
+				if (upstream == null) {
+					break;
+				}
+				AttemptEntity attempt = start(task, upstream, false, this.rule.name(), nowNanos);
+				attempt.booked = task.request.resources();
+				upstream.booked = upstream.booked.plus(attempt.booked);
+			}
+		}
+	}
+
+	@Override
+	void released(AttemptEntity attempt, AttemptResult result, long nowNanos) {
+		attempt.upstream.booked = attempt.upstream.booked.minus(attempt.booked);
+	}
+
+	private UpstreamEntity choose(TaskEntity task) {
+		this.open.clear();
+		for (UpstreamEntity upstream : task.pool.upstreams) {
+			if (upstream.isOpen() && fits(task, upstream)) {
+				this.open.add(upstream);
+			}
+		}
+		if (this.open.size() > 1) {
+			this.open.remove(task.avoid);
+		}
+		if (this.open.isEmpty()) {
+			return null;
+		}
+		UpstreamEntity first = this.open.get(this.random.nextInt(this.open.size()));
+		return switch (this.rule) {
+			case RANDOM -> first;
+			case POWER_OF_TWO -> lessLoaded(first, this.open.get(this.random.nextInt(this.open.size())));
+			case LEAST_IN_FLIGHT -> this.open.stream().reduce(first, SimpleDispatcher::lessLoaded);
+		};
+	}
+
+	private static boolean fits(TaskEntity task, UpstreamEntity upstream) {
+		return upstream.row.slots() > 0
+				|| task.request.resources().plus(upstream.booked).isWithin(upstream.row.resources());
+	}
+
+	private static UpstreamEntity lessLoaded(UpstreamEntity left, UpstreamEntity right) {
+		return (right.inFlight < left.inFlight) ? right : left;
+	}
+
+	@Override
+	long retryDelay(TaskEntity task, AttemptResult result, long nowNanos) {
+		if (!task.pool.budget.take(0)) {
+			return -1;
+		}
+		long backoff = FIRST_BACKOFF_NANOS << (task.attempts - 1);
+		return backoff / 2 + this.random.nextLong(backoff);
+	}
+
+	@Override
+	void sharesChanged(long nowNanos) {
+		double[] weights = new double[this.peers.size() + 1];
+		int own = 0;
+		while (own < this.peers.size() && this.peers.get(own).host().compareTo(this.settings.host()) < 0) {
+			own++;
+		}
+		for (int i = 0; i < weights.length; i++) {
+			weights[i] = (i == own) ? this.settings.size() : this.peers.get((i < own) ? i : i - 1).size();
+		}
+		for (PoolEntity pool : this.pools.values()) {
+			for (int i = 0; i < pool.upstreams.size(); i++) {
+				UpstreamEntity upstream = pool.upstreams.get(i);
+				upstream.limit = limit(pool, upstream.row, weights, own, i);
+			}
+		}
+	}
+
+	private int limit(PoolEntity pool, Upstream row, double[] weights, int own, int index) {
+		int connections = pool.row.connectionsPerUpstream();
+		if (!this.shares) {
+			return connections;
+		}
+		if (pool.row.kind() == PoolKind.WORKERS) {
+			return SlotShares.share(1, weights, own, index) * connections;
+		}
+		return Math.min(connections, SlotShares.share(row.slots(), weights, own, index));
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/TaskEntity.java
@@ -0,0 +1,79 @@
+package org.limpetgate.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.limpetgate.Outcome;
+
+/**
+ * An accepted task that has not ended.
+ */
+final class TaskEntity {
+
+	final TaskRequest request;
+
+	final PoolEntity pool;
+
+	final long acceptedAt;
+
+	/** Attempts in flight; at most two, the second being a hedge. */
+	final List<AttemptEntity> running = new ArrayList<>(2);
+
+	/** Links of the {@link TaskQueue} that holds the task. */
+	TaskEntity previous;
+
+	TaskEntity next;
+
+	TaskQueue queue;
+
+	/** The number of attempts started. */
+	int attempts;
+
+	/** What the ended attempts together prove. */
+	Outcome soFar = Outcome.NOT_RUN;
+
+	String detail = "";
+
+	/** The upstream of the last failed attempt, which a retry avoids. */
+	UpstreamEntity avoid;
+
+	boolean ended;
+
+	Timers.Timer deadlineTimer;
+
+	Timers.Timer retryTimer;
+
+	RouteEntity route;
+
+	CallerEntity caller;
+
+	JobEntity job;
+
+	/** The time at which the task was put in its queue. */
+	long queuedAt;
+
+	/** The run time that was expected when the task was put in its queue. */
+	long queuedCost;
+
+	TaskEntity(TaskRequest request, PoolEntity pool, long acceptedAt) {
+		this.request = request;
+		this.pool = pool;
+		this.acceptedAt = acceptedAt;
+	}
+
+	/**
+	 * Adds what one more ended attempt proves. An attempt that may have run outweighs one
+	 * that failed, which outweighs one that did not run.
+	 * @param outcome the outcome of the attempt
+	 */
+	void join(Outcome outcome) {
+		if (outcome == Outcome.UNKNOWN || this.soFar == Outcome.NOT_RUN) {
+			this.soFar = outcome;
+		}
+	}
+
+	Outcome outcomeIfGivenUp() {
+		return this.running.isEmpty() ? this.soFar : Outcome.UNKNOWN;
+	}
+
+}
