--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/HostMetrics.java
@@ -0,0 +1,77 @@
+package org.limpetgate.host;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.limpetgate.Outcome;
+import org.limpetgate.PoolName;
+
+/**
+ * The metrics of one entry host.
+ * <p>
+ * Labels are bounded: pools, outcomes and states, never callers or tasks. Thread-safe.
+ */
+public final class HostMetrics {
+
+	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+	/**
+	 * Counts a task that ended.
+	 * @param pool the pool, not null
+	 * @param outcome the outcome, not null
+	 * @param nanos the time from acceptance to the end, in nanoseconds
+	 */
+	public void taskEnded(PoolName pool, Outcome outcome, long nanos) {
+		Timer.builder("limpetgate.task.time")
+			.description("Time from acceptance to the end of a task")
+			.tag("pool", pool.value())
+			.tag("outcome", outcome.text())
+			.publishPercentileHistogram()
+			.register(this.registry)
+			.record(nanos, TimeUnit.NANOSECONDS);
+	}
+
+	/**
+	 * Counts an attempt that was started at an upstream.
+	 * @param pool the pool, not null
+	 */
+	public void attemptStarted(PoolName pool) {
+		counter("limpetgate.attempts", "Attempts started at upstreams", pool.value()).increment();
+	}
+
+	/**
+	 * Counts a refused task.
+	 * @param pool the pool, not null
+	 */
+	public void refused(PoolName pool) {
+		counter("limpetgate.refused", "Tasks refused before their start", pool.value()).increment();
+	}
+
+	private Counter counter(String name, String description, String pool) {
+		return Counter.builder(name).description(description).tag("pool", pool).register(this.registry);
+	}
+
+	/**
+	 * Adds a value that is read at each scrape.
+	 * @param name the name, not null
+	 * @param description what it tells, with its unit, not null
+	 * @param value gives the value; thread-safe, not null
+	 */
+	public void gauge(String name, String description, Supplier<Number> value) {
+		Gauge.builder(name, value).description(description).register(this.registry);
+	}
+
+	/**
+	 * Returns all metrics in the Prometheus text format.
+	 * @return the text, not null
+	 */
+	public String scrape() {
+		return this.registry.scrape();
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/RunnerGateway.java
@@ -0,0 +1,46 @@
+package org.limpetgate.host;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+
+import org.limpetgate.config.Upstream;
+import org.limpetgate.net.http.HttpClient;
+import org.limpetgate.net.http.HttpExchange;
+
+/**
+ * Sends attempts to runners over HTTP/1.1. Thread-safe.
+ */
+public final class RunnerGateway implements UpstreamGateway {
+
+	private final HttpClient client;
+
+	/**
+	 * Creates a gateway.
+	 * @param client carries the exchanges, not null
+	 */
+	public RunnerGateway(HttpClient client) {
+		this.client = client;
+	}
+
+	@Override
+	public Exchange start(Upstream upstream, Work work) {
+		InetSocketAddress address = new InetSocketAddress(upstream.host(), upstream.port());
+		return new RunnerExchange(this.client.exchange(address, work.call(), work.timeoutNanos()));
+	}
+
+	private record RunnerExchange(HttpExchange exchange) implements Exchange {
+
+		@Override
+		public CompletableFuture<UpstreamAnswer> answer() {
+			return this.exchange.reply()
+				.thenApply((reply) -> new UpstreamAnswer(reply, this.exchange.isUpstreamLeaving()));
+		}
+
+		@Override
+		public void cancel() {
+			this.exchange.cancel();
+		}
+
+	}
+
+}
