Fold the configuration stream and read tables strictly

Operators' edits need one answer that is the same on every host, and a faulty row or file must be refused with the place of the fault.

--- a/limpetgate-core/src/main/java/org/limpetgate/config/Configuration.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/Configuration.java
@@ -1,7 +1,9 @@
 package org.limpetgate.config;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +11,7 @@
 
 import org.limpetgate.PoolName;
 import org.limpetgate.RouteName;
+import org.limpetgate.UpstreamId;
 
 /**
  * Both tables at one version.
@@ -41,11 +44,13 @@
 
 	/**
 	 * Returns a configuration.
-	 * @param version the log offset of the last edit in it, -1 for none
+	 * @param version the log offset up to which the stream is folded in, inclusive, -1
+	 * for none
 	 * @param routes the routes, not null
 	 * @param pools the pools, not null
 	 * @return the configuration, not null
-	 * @throws IllegalArgumentException if a route refers to a pool that does not exist
+	 * @throws IllegalArgumentException if a route refers to a pool that does not exist,
+	 * or an upstream is in two pools
 	 */
 	public static Configuration of(long version, Collection<Route> routes, Collection<Pool> pools) {
 		return new Configuration(version, routes, pools);
@@ -53,7 +58,7 @@
 
 	/**
 	 * Returns the version.
-	 * @return the log offset of the last edit, -1 for none
+	 * @return the log offset up to which the stream is folded in, inclusive, -1 for none
 	 */
 	public long version() {
 		return this.version;
@@ -64,7 +69,7 @@
 	 * @return the routes, not null, not modifiable
 	 */
 	public Collection<Route> routes() {
-		return java.util.Collections.unmodifiableCollection(this.routes.values());
+		return Collections.unmodifiableCollection(this.routes.values());
 	}
 
 	/**
@@ -72,7 +77,7 @@
 	 * @return the pools, not null, not modifiable
 	 */
 	public Collection<Pool> pools() {
-		return java.util.Collections.unmodifiableCollection(this.pools.values());
+		return Collections.unmodifiableCollection(this.pools.values());
 	}
 
 	/**
@@ -136,6 +141,16 @@
 	}
 
 	private void checkReferences() {
+		Map<UpstreamId, PoolName> owners = new HashMap<>();
+		for (Pool pool : this.pools.values()) {
+			for (Upstream upstream : pool.upstreams()) {
+				PoolName owner = owners.putIfAbsent(upstream.id(), pool.name());
+				if (owner != null) {
+					throw new IllegalArgumentException("upstream '" + upstream.id() + "' is in pool '" + owner
+							+ "' and pool '" + pool.name() + "'; use ids that are unique among all pools");
+				}
+			}
+		}
 		for (Route route : this.routes.values()) {
 			if (!this.pools.containsKey(route.pool())) {
 				throw new IllegalArgumentException("route '" + route.name() + "' names pool '" + route.pool()
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
@@ -0,0 +1,454 @@
+package org.limpetgate.config;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+import org.limpetgate.PoolName;
+import org.limpetgate.RouteName;
+import org.limpetgate.UpstreamId;
+import org.limpetgate.json.JsonResult;
+
+/**
+ * Folds the configuration stream into the two tables.
+ * <p>
+ * The rule depends on nothing but the records and their offsets, so that every host
+ * accepts and rejects the same edits and reaches the same tables at the same version. The
+ * version is the offset of the last folded record; it never falls.
+ * <p>
+ * After a trimmed gap the table keeps its state but folds no edits, since the missing
+ * records may have changed any row. A snapshot that covers the gap, read from the stream
+ * or taken from a peer, ends it.
+ * <p>
+ * Not thread-safe: it belongs to the control thread.
+ */
+public final class ConfigurationTable {
+
+	/** The version of a row that does not exist and of a table without records. */
+	public static final long NO_VERSION = -1;
+
+	/**
+	 * The number of edits whose results are kept. A repeated edit is recognised while its
+	 * id is among them. Hosts re-append an edit for a few seconds only, and the busiest
+	 * systems take some thousand edits a day.
+	 */
+	public static final int MAX_RESULTS = 1024;
+
+	/** The number of history entries that are kept. */
+	public static final int MAX_HISTORY = 1024;
+
+	private final Map<RouteName, Versioned<Route>> routes = new TreeMap<>();
+
+	private final Map<PoolName, Versioned<Pool>> pools = new TreeMap<>();
+
+	/** Results by edit id in offset order. */
+	private final LinkedHashMap<String, EditResult> results = new LinkedHashMap<>();
+
+	private final Deque<HistoryEntry> history = new ArrayDeque<>();
+
+	private long version = NO_VERSION;
+
+	/** The next offset to read; above {@code version + 1} only while in a gap. */
+	private long nextOffset = NO_VERSION + 1;
+
+	/** The first offset after the gap, or {@link #NO_VERSION} if there is none. */
+	private long gapEnd = NO_VERSION;
+
+	private long unreadableRecords;
+
+	private long divergentSnapshots;
+
+	private Configuration configuration = Configuration.EMPTY;
+
+	/**
+	 * Returns the tables at the present version.
+	 * @return the tables, not null
+	 */
+	public Configuration configuration() {
+		if (this.configuration.version() != this.version) {
+			this.configuration = Configuration.of(this.version,
+					this.routes.values().stream().map(Versioned::row).toList(),
+					this.pools.values().stream().map(Versioned::row).toList());
+		}
+		return this.configuration;
+	}
+
+	/**
+	 * Returns the offset of the last folded record.
+	 * @return the version, {@link #NO_VERSION} if nothing was folded
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns the offset from which the stream is to be read next.
+	 * @return the offset, at least 0; it falls when a snapshot ends a gap, since the
+	 * records after the snapshot's version must then be read again
+	 */
+	public long nextOffset() {
+		return this.nextOffset;
+	}
+
+	/**
+	 * Tests whether records are missing between the state and the next offset.
+	 * @return true until a snapshot or the state of a peer covers the missing records
+	 */
+	public boolean isInGap() {
+		return this.gapEnd != NO_VERSION;
+	}
+
+	/**
+	 * Returns the number of records that could not be decoded.
+	 * @return the number
+	 */
+	public long unreadableRecords() {
+		return this.unreadableRecords;
+	}
+
+	/**
+	 * Returns the number of snapshots that differed from the state at the same version or
+	 * claimed to include later records. A number above 0 shows a fault of this program or
+	 * of the writer of the snapshot.
+	 * @return the number
+	 */
+	public long divergentSnapshots() {
+		return this.divergentSnapshots;
+	}
+
+	/**
+	 * Returns the result of a recent edit.
+	 * @param editId the id of the edit, not null
+	 * @return the result, empty if the edit is not among the last {@link #MAX_RESULTS}
+	 */
+	public Optional<EditResult> result(String editId) {
+		return Optional.ofNullable(this.results.get(editId));
+	}
+
+	/**
+	 * Returns the history of edits, the latest first. After a restore from a snapshot it
+	 * begins at the version of the snapshot.
+	 * @return the entries, not null
+	 */
+	public List<HistoryEntry> history() {
+		return List.copyOf(this.history);
+	}
+
+	/**
+	 * Returns a row with its version.
+	 * @param table the table, not null
+	 * @param name the name of the row, not null
+	 * @return the row, empty if there is none
+	 */
+	public Optional<VersionedRow> row(TableName table, String name) {
+		return rows(table).stream().filter((row) -> row.name().equals(name)).findFirst();
+	}
+
+	/**
+	 * Returns the rows of a table by name.
+	 * @param table the table, not null
+	 * @return the rows, not null
+	 */
+	public List<VersionedRow> rows(TableName table) {
+		List<VersionedRow> rows = new ArrayList<>();
+		if (table == TableName.ROUTES) {
+			this.routes.forEach((name, route) -> rows
+				.add(new VersionedRow(table, name.value(), route.version, TableJson.write(route.row))));
+		}
+		else {
+			this.pools.forEach((name, pool) -> rows
+				.add(new VersionedRow(table, name.value(), pool.version, TableJson.write(pool.row))));
+		}
+		return rows;
+	}
+
+	/**
+	 * Returns the whole state, for the stream or a peer.
+	 * @return the snapshot, not null
+	 */
+	public ConfigurationSnapshot toSnapshot() {
+		List<VersionedRow> rows = new ArrayList<>(rows(TableName.POOLS));
+		rows.addAll(rows(TableName.ROUTES));
+		return new ConfigurationSnapshot(this.version, rows, List.copyOf(this.results.values()));
+	}
+
+	/**
+	 * Notes that the stream begins at a later offset than the next one.
+	 * @param firstRetainedOffset the offset of the first record that can still be read
+	 */
+	public void trimmedTo(long firstRetainedOffset) {
+		if (firstRetainedOffset > this.nextOffset) {
+			this.gapEnd = Math.max(this.gapEnd, firstRetainedOffset);
+			this.nextOffset = firstRetainedOffset;
+		}
+	}
+
+	/**
+	 * Folds the record at the next offset.
+	 * @param offset the offset of the record
+	 * @param appendTimeNanos when the platform stored the record
+	 * @param record the record, empty if it cannot be decoded, not null
+	 * @throws IllegalStateException if the offset is not the next one
+	 */
+	public void fold(long offset, long appendTimeNanos, Optional<? extends ConfigurationRecord> record) {
+		if (offset != this.nextOffset) {
+			throw new IllegalStateException("record " + offset + " was read, " + this.nextOffset + " is next");
+		}
+		this.nextOffset = offset + 1;
+		if (record.isEmpty()) {
+			this.unreadableRecords++;
+		}
+		if (record.isPresent() && record.get() instanceof ConfigurationSnapshot snapshot) {
+			foldSnapshot(offset, snapshot);
+		}
+		else if (!isInGap() && record.isPresent() && record.get() instanceof Edit edit) {
+			foldEdit(offset, appendTimeNanos, edit);
+		}
+		if (!isInGap() && this.nextOffset == offset + 1) {
+			raiseVersion(offset);
+		}
+	}
+
+	/**
+	 * Takes a state if it is newer.
+	 * @param snapshot the state, from a peer or the stream, not null
+	 * @return false if the state is not newer than the present one, or malformed; nothing
+	 * was changed then
+	 */
+	public boolean restore(ConfigurationSnapshot snapshot) {
+		if (snapshot.version() <= this.version) {
+			return false;
+		}
+		Map<RouteName, Versioned<Route>> newRoutes = new TreeMap<>();
+		Map<PoolName, Versioned<Pool>> newPools = new TreeMap<>();
+		try {
+			for (VersionedRow row : snapshot.rows()) {
+				readRow(row, newRoutes, newPools);
+			}
+			Configuration.of(snapshot.version(), newRoutes.values().stream().map(Versioned::row).toList(),
+					newPools.values().stream().map(Versioned::row).toList());
+		}
+		catch (IllegalArgumentException | DispatchException ex) {
+			this.unreadableRecords++;
+			return false;
+		}
+		this.routes.clear();
+		this.routes.putAll(newRoutes);
+		this.pools.clear();
+		this.pools.putAll(newPools);
+		this.results.clear();
+		snapshot.recent().forEach((result) -> this.results.put(result.editId(), result));
+		raiseVersion(snapshot.version());
+		endGapIfCovered();
+		return true;
+	}
+
+	private void readRow(VersionedRow row, Map<RouteName, Versioned<Route>> newRoutes,
+			Map<PoolName, Versioned<Pool>> newPools) {
+		byte[] json = row.row().getBytes(StandardCharsets.UTF_8);
+		if (row.table() == TableName.ROUTES) {
+			Route route = TableJson.readRoute(row.name(), json).orThrow(ErrorKind.INVALID_EDIT);
+			newRoutes.put(route.name(), new Versioned<>(row.version(), route));
+		}
+		else {
+			Pool pool = TableJson.readPool(row.name(), json).orThrow(ErrorKind.INVALID_EDIT);
+			newPools.put(pool.name(), new Versioned<>(row.version(), pool));
+		}
+	}
+
+	private void foldSnapshot(long offset, ConfigurationSnapshot snapshot) {
+		if (snapshot.version() >= offset) {
+			this.divergentSnapshots++;
+			return;
+		}
+		if (isInGap() && snapshot.version() >= this.gapEnd - 1) {
+			restore(snapshot);
+		}
+		else if (!isInGap() && snapshot.version() == this.version && !snapshot.equals(toSnapshot())) {
+			this.divergentSnapshots++;
+		}
+	}
+
+	/**
+	 * Ends the gap if the state includes all missing records, and steps over records that
+	 * the state includes already.
+	 */
+	private void endGapIfCovered() {
+		if (isInGap() && this.version + 1 >= this.gapEnd) {
+			this.gapEnd = NO_VERSION;
+			this.nextOffset = this.version + 1;
+		}
+		else if (!isInGap()) {
+			this.nextOffset = Math.max(this.nextOffset, this.version + 1);
+		}
+	}
+
+	private void raiseVersion(long newVersion) {
+		if (newVersion <= this.version) {
+			throw new IllegalStateException("version " + newVersion + " does not follow " + this.version);
+		}
+		this.version = newVersion;
+	}
+
+	private void foldEdit(long offset, long appendTimeNanos, Edit edit) {
+		if (this.results.containsKey(edit.editId())) {
+			return;
+		}
+		EditResult result;
+		try {
+			apply(offset, edit);
+			result = EditResult.accepted(edit.editId(), offset);
+		}
+		catch (DispatchException ex) {
+			result = EditResult.rejected(edit.editId(), offset, ex.kind(), ex.getMessage());
+		}
+		this.results.put(edit.editId(), result);
+		if (this.results.size() > MAX_RESULTS) {
+			this.results.remove(this.results.keySet().iterator().next());
+		}
+		this.history.addFirst(new HistoryEntry(result, edit.operator(), edit.issuedAtNanos(), appendTimeNanos,
+				edit.table(), edit.name(), edit.baseVersion(), edit.isRemoval()));
+		if (this.history.size() > MAX_HISTORY) {
+			this.history.removeLast();
+		}
+	}
+
+	/**
+	 * Applies an edit, or throws the reason for rejecting it and changes nothing.
+	 * @param offset the offset of the edit, which becomes the version of the row
+	 * @param edit the edit
+	 */
+	private void apply(long offset, Edit edit) {
+		if (edit.table() == TableName.ROUTES) {
+			applyTo(this.routes, name(edit, RouteName::of), offset, edit, this::readRoute, this::checkRouteRemoval);
+		}
+		else {
+			applyTo(this.pools, name(edit, PoolName::of), offset, edit, this::readPool, this::checkPoolRemoval);
+		}
+	}
+
+	private <N, R> void applyTo(Map<N, Versioned<R>> table, N name, long offset, Edit edit,
+			BiFunction<N, Edit, R> reader, Consumer<N> removalCheck) {
+		Versioned<R> present = table.get(name);
+		checkBase(edit, (present != null) ? present.version : NO_VERSION);
+		if (!edit.isRemoval()) {
+			table.put(name, new Versioned<>(offset, reader.apply(name, edit)));
+			return;
+		}
+		if (present == null) {
+			throw invalid(describe(edit) + " does not exist and cannot be removed");
+		}
+		removalCheck.accept(name);
+		table.remove(name);
+	}
+
+	private static <N> N name(Edit edit, Function<String, N> parser) {
+		try {
+			return parser.apply(edit.name());
+		}
+		catch (IllegalArgumentException ex) {
+			throw invalid(ex.getMessage());
+		}
+	}
+
+	private static void checkBase(Edit edit, long present) {
+		if (edit.baseVersion() == present) {
+			return;
+		}
+		String state = (present == NO_VERSION) ? "does not exist" : "is at version " + present;
+		String base = (edit.baseVersion() == NO_VERSION) ? "for a row that does not exist"
+				: "from version " + edit.baseVersion();
+		throw DispatchException.of(ErrorKind.VERSION_CONFLICT, Outcome.NOT_RUN,
+				describe(edit) + " " + state + ", the edit was made " + base);
+	}
+
+	private Route readRoute(RouteName name, Edit edit) {
+		Route route = read(TableJson.readRoute(describe(edit), bytes(edit)));
+		checkName(edit, route.name().equals(name));
+		if (!this.pools.containsKey(route.pool())) {
+			throw invalid(describe(edit) + ": $.pool: names pool '" + route.pool()
+					+ "', which does not exist; add the pool or correct the name");
+		}
+		return route;
+	}
+
+	private Pool readPool(PoolName name, Edit edit) {
+		Pool pool = read(TableJson.readPool(describe(edit), bytes(edit)));
+		checkName(edit, pool.name().equals(name));
+		for (Versioned<Pool> other : this.pools.values()) {
+			if (!other.row.name().equals(name)) {
+				checkDistinct(edit, pool, other.row);
+			}
+		}
+		return pool;
+	}
+
+	private static void checkDistinct(Edit edit, Pool pool, Pool other) {
+		Set<UpstreamId> ids = new HashSet<>();
+		other.upstreams().forEach((upstream) -> ids.add(upstream.id()));
+		for (int index = 0; index < pool.upstreams().size(); index++) {
+			if (ids.contains(pool.upstreams().get(index).id())) {
+				throw invalid(describe(edit) + ": $.upstreams[" + index + "].id: '" + pool.upstreams().get(index).id()
+						+ "' is also in pool '" + other.name() + "'; remove it there first");
+			}
+		}
+	}
+
+	private void checkRouteRemoval(RouteName name) {
+		// Nothing refers to routes.
+	}
+
+	private void checkPoolRemoval(PoolName name) {
+		for (Versioned<Route> route : this.routes.values()) {
+			if (route.row.pool().equals(name)) {
+				throw invalid("pools '" + name + "' is named by route '" + route.row.name()
+						+ "'; change or remove the route first");
+			}
+		}
+	}
+
+	private static <R> R read(JsonResult<R> result) {
+		return result.orThrow(ErrorKind.INVALID_EDIT);
+	}
+
+	private static void checkName(Edit edit, boolean same) {
+		if (!same) {
+			throw invalid(describe(edit) + ": $.name: differs from the name of the edited row");
+		}
+	}
+
+	private static byte[] bytes(Edit edit) {
+		return edit.row().getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static String describe(Edit edit) {
+		return edit.table().text() + " '" + edit.name() + "'";
+	}
+
+	private static DispatchException invalid(String detail) {
+		return DispatchException.of(ErrorKind.INVALID_EDIT, Outcome.NOT_RUN, detail);
+	}
+
+	/**
+	 * A row with the offset of the edit that made it.
+	 *
+	 * @param <R> the type of the row
+	 */
+	private record Versioned<R>(long version, R row) {
+	}
+
+}
--- a/limpetgate-core/src/main/java/org/limpetgate/config/Route.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/Route.java
@@ -22,9 +22,10 @@
  * @param idempotent whether all requests of the route are idempotent, or
  * {@link Idempotence#BY_METHOD}
  * @param deadlineMillis the time allowed for one request, in milliseconds, at least 1
+ * @param priority the priority class of the requests
  */
 public record Route(RouteName name, String caller, String method, String host, String pathPrefix,
-		Map<String, String> headers, PoolName pool, Idempotence idempotent, int deadlineMillis) {
+		Map<String, String> headers, PoolName pool, Idempotence idempotent, int deadlineMillis, Priority priority) {
 
 	/** Default time allowed for one request, in milliseconds. */
 	public static final int DEFAULT_DEADLINE_MILLIS = 10_000;
@@ -45,13 +46,47 @@
 
 	}
 
+	/**
+	 * The priority classes of requests.
+	 */
+	public enum Priority {
+
+		/** Requests that people wait for. */
+		HIGH,
+
+		/** Requests without special urgency. */
+		NORMAL,
+
+		/** Requests that may wait, such as those of nightly jobs. */
+		LOW
+
+	}
+
 	public Route {
 		Objects.requireNonNull(name, "name");
 		Objects.requireNonNull(pool, "pool");
 		Objects.requireNonNull(idempotent, "idempotent");
+		Objects.requireNonNull(priority, "priority");
 		headers = Map.copyOf(headers);
 	}
 
+	/**
+	 * Creates a route of normal priority.
+	 * @param name the name
+	 * @param caller the caller to match, or empty
+	 * @param method the HTTP method to match, or empty
+	 * @param host the host name to match, or empty
+	 * @param pathPrefix the prefix of the path to match, or empty
+	 * @param headers headers that must be present
+	 * @param pool the pool that serves the requests
+	 * @param idempotent how idempotence is told
+	 * @param deadlineMillis the time allowed for one request, in milliseconds
+	 */
+	public Route(RouteName name, String caller, String method, String host, String pathPrefix,
+			Map<String, String> headers, PoolName pool, Idempotence idempotent, int deadlineMillis) {
+		this(name, caller, method, host, pathPrefix, headers, pool, idempotent, deadlineMillis, Priority.NORMAL);
+	}
+
 	/**
 	 * Returns a route that matches a path prefix and has defaults elsewhere.
 	 * @param name the name, not null
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/json/JsonObject.java
@@ -0,0 +1,436 @@
+package org.limpetgate.json;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+/**
+ * A reader of one JSON object that accepts exactly the fields it is asked for.
+ * <p>
+ * A missing, unknown, repeated or wrongly typed field is a problem. Accessors record the
+ * problem and return a placeholder, so that one pass finds all problems of a document;
+ * {@link #build} gives a value only if there were none.
+ * <p>
+ * Not thread-safe; used by one thread while a document is read.
+ */
+public final class JsonObject {
+
+	private static final JsonMapper MAPPER = JsonMapper.builder()
+		.enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+		.build();
+
+	private final String source;
+
+	private final String path;
+
+	private final JsonNode node;
+
+	private final List<JsonProblem> problems;
+
+	private final int problemsBefore;
+
+	private final Set<String> known = new LinkedHashSet<>();
+
+	private JsonObject(String source, String path, JsonNode node, List<JsonProblem> problems) {
+		this.source = source;
+		this.path = path;
+		this.node = node;
+		this.problems = problems;
+		this.problemsBefore = problems.size();
+	}
+
+	/**
+	 * Reads a document whose root is an object.
+	 * @param <T> the type of the value
+	 * @param source the file or other origin, named in problems, not null
+	 * @param json the document in UTF-8, not null
+	 * @param reader reads the root object and returns the result of {@link #build}
+	 * @return the value or the problems, not null
+	 */
+	public static <T> JsonResult<T> read(String source, byte[] json, Function<JsonObject, T> reader) {
+		List<JsonProblem> problems = new ArrayList<>();
+		T value = null;
+		try {
+			JsonNode root = MAPPER.readTree(json);
+			value = readObject(source, "$", root, problems, reader);
+		}
+		catch (JsonProcessingException ex) {
+			problems.add(syntaxProblem(source, ex));
+		}
+		catch (IOException ex) {
+			problems.add(new JsonProblem(source, "$", "cannot be read: " + ex.getMessage(), "use JSON in UTF-8"));
+		}
+		return JsonResult.of(value, problems);
+	}
+
+	private static <T> T readObject(String source, String path, JsonNode node, List<JsonProblem> problems,
+			Function<JsonObject, T> reader) {
+		if (!node.isObject()) {
+			problems.add(new JsonProblem(source, path, "is " + describe(node) + ", not an object",
+					"use an object in braces"));
+			return null;
+		}
+		return reader.apply(new JsonObject(source, path, node, problems));
+	}
+
+	private static JsonProblem syntaxProblem(String source, JsonProcessingException ex) {
+		String path = "$";
+		if (ex.getProcessor() instanceof JsonParser parser) {
+			path += parser.getParsingContext()
+				.pathAsPointer()
+				.toString()
+				.replaceAll("/(\\d+)", "[$1]")
+				.replace('/', '.');
+		}
+		String place = (ex.getLocation() != null)
+				? "line " + ex.getLocation().getLineNr() + ", column " + ex.getLocation().getColumnNr() + ": " : "";
+		return new JsonProblem(source, path, place + ex.getOriginalMessage(),
+				"correct the JSON; a name may appear once in an object");
+	}
+
+	/**
+	 * Returns the JSON path of this object.
+	 * @return the path, not null
+	 */
+	public String path() {
+		return this.path;
+	}
+
+	/**
+	 * Tests whether a field is present.
+	 * @param field the name of the field, not null
+	 * @return true if it is present
+	 */
+	public boolean has(String field) {
+		this.known.add(field);
+		return this.node.has(field);
+	}
+
+	/**
+	 * Records a problem of a field.
+	 * @param field the name of the field, empty for the object itself
+	 * @param message what is wrong, not null
+	 * @param remedy what to do about it, not null
+	 */
+	public void problem(String field, String message, String remedy) {
+		String where = field.isEmpty() ? this.path : this.path + "." + field;
+		this.problems.add(new JsonProblem(this.source, where, message, remedy));
+	}
+
+	/**
+	 * Reads a string that must be present.
+	 * @param field the name of the field, not null
+	 * @return the string, empty if there is a problem
+	 */
+	public String string(String field) {
+		JsonNode value = required(field);
+		return (value != null) ? text(field, value, "") : "";
+	}
+
+	/**
+	 * Reads a string.
+	 * @param field the name of the field, not null
+	 * @param fallback the value of a missing field
+	 * @return the string, or the fallback
+	 */
+	public String string(String field, String fallback) {
+		JsonNode value = optional(field);
+		return (value != null) ? text(field, value, fallback) : fallback;
+	}
+
+	/**
+	 * Reads a string that must be present and has a form of its own.
+	 * @param <T> the type of the value
+	 * @param field the name of the field, not null
+	 * @param parser parses the string and throws IllegalArgumentException with the remedy
+	 * @return the value, null if there is a problem
+	 */
+	public <T> T parsed(String field, Function<String, T> parser) {
+		JsonNode value = required(field);
+		return (value != null) ? parse(field, value, parser) : null;
+	}
+
+	/**
+	 * Reads a string that has a form of its own.
+	 * @param <T> the type of the value
+	 * @param field the name of the field, not null
+	 * @param parser parses the string and throws IllegalArgumentException with the remedy
+	 * @param fallback the value of a missing field
+	 * @return the value, the fallback, or null if there is a problem
+	 */
+	public <T> T parsed(String field, Function<String, T> parser, T fallback) {
+		JsonNode value = optional(field);
+		return (value != null) ? parse(field, value, parser) : fallback;
+	}
+
+	/**
+	 * Reads an integer that must be present.
+	 * @param field the name of the field, not null
+	 * @param min the smallest value allowed
+	 * @param max the largest value allowed
+	 * @return the number, {@code min} if there is a problem
+	 */
+	public long integer(String field, long min, long max) {
+		JsonNode value = required(field);
+		return (value != null) ? integer(field, value, min, max) : min;
+	}
+
+	/**
+	 * Reads an integer.
+	 * @param field the name of the field, not null
+	 * @param min the smallest value allowed
+	 * @param max the largest value allowed
+	 * @param fallback the value of a missing field
+	 * @return the number, or the fallback
+	 */
+	public long integer(String field, long min, long max, long fallback) {
+		JsonNode value = optional(field);
+		return (value != null) ? integer(field, value, min, max) : fallback;
+	}
+
+	/**
+	 * Reads a number that must be present.
+	 * @param field the name of the field, not null
+	 * @param min the smallest value allowed
+	 * @param max the largest value allowed
+	 * @return the number, {@code min} if there is a problem
+	 */
+	public double decimal(String field, double min, double max) {
+		JsonNode value = required(field);
+		if (value == null) {
+			return min;
+		}
+		if (!value.isNumber()) {
+			wrongType(field, value, "a number");
+			return min;
+		}
+		double number = value.doubleValue();
+		if (!(number >= min && number <= max)) {
+			outOfRange(field, value, min, max);
+			return min;
+		}
+		return number;
+	}
+
+	/**
+	 * Reads an object whose values are strings.
+	 * @param field the name of the field, not null
+	 * @return the strings by name, empty if the field is missing
+	 */
+	public Map<String, String> strings(String field) {
+		Map<String, String> strings = new LinkedHashMap<>();
+		JsonNode value = optional(field);
+		if (value != null && !value.isObject()) {
+			wrongType(field, value, "an object");
+		}
+		else if (value != null) {
+			value.properties()
+				.forEach((entry) -> strings.put(entry.getKey(),
+						text(field + "." + entry.getKey(), entry.getValue(), "")));
+		}
+		return strings;
+	}
+
+	/**
+	 * Reads an array of strings that have a form of their own.
+	 * @param <T> the type of a value
+	 * @param field the name of the field, not null
+	 * @param parser parses a string and throws IllegalArgumentException with the remedy
+	 * @return the values without faulty ones, empty if the field is missing
+	 */
+	public <T> List<T> parsedList(String field, Function<String, T> parser) {
+		List<T> values = new ArrayList<>();
+		forEachElement(field, (name, element) -> {
+			T value = parse(name, element, parser);
+			if (value != null) {
+				values.add(value);
+			}
+		});
+		return values;
+	}
+
+	/**
+	 * Reads an array of objects.
+	 * @param <T> the type of a value
+	 * @param field the name of the field, not null
+	 * @param reader reads an object and returns the result of {@link #build}
+	 * @return the values without faulty ones, empty if the field is missing
+	 */
+	public <T> List<T> objects(String field, Function<JsonObject, T> reader) {
+		List<T> values = new ArrayList<>();
+		forEachElement(field, (name, element) -> {
+			T value = readObject(this.source, this.path + "." + name, element, this.problems, reader);
+			if (value != null) {
+				values.add(value);
+			}
+		});
+		return values;
+	}
+
+	/**
+	 * Reads an object within this one. A missing field is read as an empty object, so
+	 * that the defaults of its fields apply.
+	 * @param <T> the type of the value
+	 * @param field the name of the field, not null
+	 * @param reader reads the object and returns the result of {@link #build}
+	 * @return the value, null if there is a problem
+	 */
+	public <T> T object(String field, Function<JsonObject, T> reader) {
+		JsonNode value = optional(field);
+		JsonNode object = (value != null) ? value : MAPPER.createObjectNode();
+		return readObject(this.source, this.path + "." + field, object, this.problems, reader);
+	}
+
+	/**
+	 * Ends the reading of this object: any field that was not asked for is a problem.
+	 * @param <T> the type of the value
+	 * @param constructor makes the value; called only if this object and those within it
+	 * have no problems
+	 * @return the value, null if there is a problem
+	 */
+	public <T> T build(Supplier<T> constructor) {
+		for (Iterator<String> names = this.node.fieldNames(); names.hasNext();) {
+			String name = names.next();
+			if (!this.known.contains(name)) {
+				problem(name, "is not a known field", "remove it or use one of " + String.join(", ", this.known));
+			}
+		}
+		if (this.problems.size() > this.problemsBefore) {
+			return null;
+		}
+		try {
+			return constructor.get();
+		}
+		catch (IllegalArgumentException ex) {
+			problem("", ex.getMessage(), "correct the value");
+			return null;
+		}
+	}
+
+	/**
+	 * Returns a parser for the constants of an enumeration, written in lower case with
+	 * hyphens.
+	 * @param <E> the enumeration
+	 * @param type the enumeration, not null
+	 * @return the parser, not null
+	 */
+	public static <E extends Enum<E>> Function<String, E> constants(Class<E> type) {
+		return (text) -> Stream.of(type.getEnumConstants())
+			.filter((constant) -> textOf(constant).equals(text))
+			.findFirst()
+			.orElseThrow(() -> new IllegalArgumentException("'" + text + "' is not one of "
+					+ Stream.of(type.getEnumConstants()).map(JsonObject::textOf).collect(Collectors.joining(", "))));
+	}
+
+	/**
+	 * Returns the form of a constant that {@link #constants} parses.
+	 * @param constant the constant, not null
+	 * @return the text in lower case with hyphens, not null
+	 */
+	public static String textOf(Enum<?> constant) {
+		return constant.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+	}
+
+	private JsonNode required(String field) {
+		JsonNode value = optional(field);
+		if (value == null) {
+			problem(field, "is missing", "add it");
+		}
+		return value;
+	}
+
+	private JsonNode optional(String field) {
+		this.known.add(field);
+		return this.node.get(field);
+	}
+
+	private String text(String field, JsonNode value, String fallback) {
+		if (!value.isTextual()) {
+			wrongType(field, value, "a string");
+			return fallback;
+		}
+		return value.textValue();
+	}
+
+	private <T> T parse(String field, JsonNode value, Function<String, T> parser) {
+		if (!value.isTextual()) {
+			wrongType(field, value, "a string");
+			return null;
+		}
+		try {
+			return parser.apply(value.textValue());
+		}
+		catch (IllegalArgumentException ex) {
+			problem(field, ex.getMessage(), "correct the value");
+			return null;
+		}
+	}
+
+	private long integer(String field, JsonNode value, long min, long max) {
+		if (!value.isIntegralNumber()) {
+			wrongType(field, value, "an integer");
+			return min;
+		}
+		if (!value.canConvertToLong() || value.longValue() < min || value.longValue() > max) {
+			outOfRange(field, value, min, max);
+			return min;
+		}
+		return value.longValue();
+	}
+
+	private void forEachElement(String field, java.util.function.BiConsumer<String, JsonNode> action) {
+		JsonNode value = optional(field);
+		if (value == null) {
+			return;
+		}
+		if (!value.isArray()) {
+			wrongType(field, value, "an array");
+			return;
+		}
+		for (int index = 0; index < value.size(); index++) {
+			action.accept(field + "[" + index + "]", value.get(index));
+		}
+	}
+
+	private void wrongType(String field, JsonNode value, String wanted) {
+		problem(field, "is " + describe(value) + ", not " + wanted, "use " + wanted);
+	}
+
+	private void outOfRange(String field, JsonNode value, Object min, Object max) {
+		problem(field, "is " + describe(value) + ", which is out of range", "use a number from " + min + " to " + max);
+	}
+
+	private static String describe(JsonNode node) {
+		return switch (node.getNodeType()) {
+			case NUMBER -> "the number " + shorten(node.asText());
+			case STRING -> "the string '" + shorten(node.textValue()) + "'";
+			case BOOLEAN -> "the truth value " + node.asText();
+			case ARRAY -> "an array";
+			case OBJECT -> "an object";
+			case NULL -> "null";
+			default -> "empty";
+		};
+	}
+
+	private static String shorten(String text) {
+		return (text.length() <= 40) ? text : text.substring(0, 40) + "...";
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/json/JsonResult.java
@@ -0,0 +1,70 @@
+package org.limpetgate.json;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+
+/**
+ * The value of a JSON document, or all of its problems.
+ * <p>
+ * There is a value exactly if there are no problems, so that a faulty document is never
+ * used in part. Immutable and thread-safe if the value is.
+ *
+ * @param <T> the type of the value
+ */
+public final class JsonResult<T> {
+
+	private final T value;
+
+	private final List<JsonProblem> problems;
+
+	private JsonResult(T value, List<JsonProblem> problems) {
+		this.value = value;
+		this.problems = List.copyOf(problems);
+	}
+
+	static <T> JsonResult<T> of(T value, List<JsonProblem> problems) {
+		return new JsonResult<>(problems.isEmpty() ? value : null, problems);
+	}
+
+	/**
+	 * Returns the problems in the order of the document.
+	 * @return the problems, empty if there is a value
+	 */
+	public List<JsonProblem> problems() {
+		return this.problems;
+	}
+
+	/**
+	 * Tests whether there is a value.
+	 * @return true if there are no problems
+	 */
+	public boolean isValid() {
+		return this.problems.isEmpty();
+	}
+
+	/**
+	 * Returns the problems, one a line.
+	 * @return the text, empty if there are none
+	 */
+	public String problemText() {
+		return this.problems.stream().map(JsonProblem::toString).collect(Collectors.joining("\n"));
+	}
+
+	/**
+	 * Returns the value.
+	 * @param kind the kind of the error that is thrown for a faulty document, not null
+	 * @return the value, not null
+	 * @throws DispatchException if there are problems; the message lists all of them
+	 */
+	public T orThrow(ErrorKind kind) {
+		if (!isValid()) {
+			throw DispatchException.of(kind, Outcome.NOT_RUN, problemText());
+		}
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/config/ConfigurationTableTests.java
@@ -0,0 +1,152 @@
+package org.limpetgate.config;
+
+import java.util.List;
+import java.util.Optional;
+
+import net.jqwik.api.Example;
+import org.limpetgate.ErrorKind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Tests for {@link ConfigurationTable}.
+ */
+class ConfigurationTableTests {
+
+	private static final String POOL = "{\"name\":\"p\",\"kind\":\"runners\",\"upstreams\":[{\"id\":\"u1\","
+			+ "\"dataCentre\":\"oviedo\",\"address\":\"127.0.0.1\",\"port\":80,\"slots\":8}]}";
+
+	private static final String ROUTE = "{\"name\":\"r\",\"match\":{\"pathPrefix\":\"/a\"},\"pool\":\"p\"}";
+
+	private final ConfigurationTable table = new ConfigurationTable();
+
+	private long sequence;
+
+	private void fold(ConfigurationRecord record) {
+		this.table.fold(this.table.nextOffset(), 0, Optional.of(record));
+	}
+
+	private EditResult edit(TableName name, String row, long base, String json) {
+		Edit edit = new Edit("e" + this.sequence++, "ana", 0, name, row, base, json);
+		fold(edit);
+		return this.table.result(edit.editId()).orElseThrow();
+	}
+
+	/**
+	 * Each case is an edit against pool p at version 0 and route r at version 1, with the
+	 * error kind that every host must give. Guards against edits that overwrite the edit
+	 * of another operator or leave a route without a pool.
+	 */
+	@Example
+	void rejectsByTheSameRuleWithoutAnyEffect() {
+		record Case(TableName name, String row, long base, String json, ErrorKind error, String text) {
+		}
+		List<Case> cases = List.of(
+				new Case(TableName.POOLS, "p", -1, POOL, ErrorKind.VERSION_CONFLICT, "is at version 0"),
+				new Case(TableName.POOLS, "p", 1, POOL, ErrorKind.VERSION_CONFLICT, "is at version 0"),
+				new Case(TableName.POOLS, "q", 0, POOL, ErrorKind.VERSION_CONFLICT, "does not exist"),
+				new Case(TableName.POOLS, "p", 0, "", ErrorKind.INVALID_EDIT, "named by route 'r'"),
+				new Case(TableName.POOLS, "q", -1, "", ErrorKind.INVALID_EDIT, "cannot be removed"),
+				new Case(TableName.POOLS, "q", -1, POOL, ErrorKind.INVALID_EDIT, "$.name"),
+				new Case(TableName.POOLS, "q", -1, POOL.replace("\"p\"", "\"q\""), ErrorKind.INVALID_EDIT,
+						"$.upstreams[0].id: 'u1' is also in pool 'p'"),
+				new Case(TableName.POOLS, "a b", -1, POOL, ErrorKind.INVALID_EDIT, "not valid"),
+				new Case(TableName.ROUTES, "r", 1, ROUTE.replace("\"p\"", "\"x\""), ErrorKind.INVALID_EDIT,
+						"$.pool: names pool 'x', which does not exist"),
+				new Case(TableName.ROUTES, "r", 1, "{", ErrorKind.INVALID_EDIT, "line 1"));
+		edit(TableName.POOLS, "p", -1, POOL);
+		edit(TableName.ROUTES, "r", -1, ROUTE);
+		List<VersionedRow> before = this.table.toSnapshot().rows();
+		for (Case expected : cases) {
+			EditResult result = edit(expected.name, expected.row, expected.base, expected.json);
+			assertThat(result.error()).as(expected.toString()).contains(expected.error);
+			assertThat(result.detail()).contains(expected.text);
+			assertThat(this.table.toSnapshot().rows()).isEqualTo(before);
+			assertThat(this.table.version()).isEqualTo(result.offset());
+		}
+		assertThat(this.table.history()).hasSize(2 + cases.size());
+		assertThat(edit(TableName.ROUTES, "r", 1, "").isAccepted()).isTrue();
+		assertThat(edit(TableName.POOLS, "p", 0, "").isAccepted()).isTrue();
+		assertThat(this.table.toSnapshot().rows()).isEmpty();
+	}
+
+	/**
+	 * Guards against a re-appended edit that takes effect again after a later removal.
+	 */
+	@Example
+	void repeatedEditHasNoEffect() {
+		Edit add = new Edit("same", "ana", 0, TableName.POOLS, "p", -1, POOL);
+		fold(add);
+		edit(TableName.POOLS, "p", 0, "");
+		fold(add);
+		assertThat(this.table.configuration().pools()).isEmpty();
+		assertThat(this.table.result("same").orElseThrow().offset()).isZero();
+		assertThat(this.table.version()).isEqualTo(2);
+	}
+
+	/**
+	 * Guards against edits that are folded onto a state that lacks trimmed records, and
+	 * against snapshots that do not reach the gap's end.
+	 */
+	@Example
+	void gapEndsOnlyWithStateThatCoversIt() {
+		ConfigurationTable other = new ConfigurationTable();
+		other.fold(0, 0, Optional.of(new Edit("a", "ana", 0, TableName.POOLS, "p", -1, POOL)));
+		ConfigurationSnapshot old = other.toSnapshot();
+		other.fold(1, 0, Optional.of(new Edit("b", "ana", 0, TableName.ROUTES, "r", -1, ROUTE)));
+		other.fold(2, 0, Optional.empty());
+		ConfigurationSnapshot covering = other.toSnapshot();
+		other.fold(3, 0, Optional.of(new Edit("c", "ana", 0, TableName.ROUTES, "r", 1, "")));
+
+		this.table.trimmedTo(3);
+		this.table.fold(3, 0, Optional.of(new Edit("c", "ana", 0, TableName.ROUTES, "r", 1, "")));
+		assertThat(this.table.result("c")).isEmpty();
+		this.table.fold(4, 0, Optional.of(old));
+		assertThat(this.table.isInGap()).isTrue();
+		assertThat(this.table.version()).isEqualTo(-1);
+		this.table.fold(5, 0, Optional.of(covering));
+		assertThat(this.table.isInGap()).isFalse();
+		assertThat(this.table.nextOffset()).isEqualTo(3);
+		this.table.fold(3, 0, Optional.of(new Edit("c", "ana", 0, TableName.ROUTES, "r", 1, "")));
+		assertThat(this.table.toSnapshot()).isEqualTo(other.toSnapshot());
+	}
+
+	/**
+	 * Guards against a peer whose older, malformed or contradictory state replaces the
+	 * present one.
+	 */
+	@Example
+	void olderOrMalformedStateNeverWins() {
+		edit(TableName.POOLS, "p", -1, POOL);
+		ConfigurationSnapshot older = this.table.toSnapshot();
+		edit(TableName.ROUTES, "r", -1, ROUTE);
+		ConfigurationSnapshot present = this.table.toSnapshot();
+		List<ConfigurationSnapshot> refused = List.of(older, present,
+				new ConfigurationSnapshot(-1, List.of(), List.of()),
+				new ConfigurationSnapshot(9, List.of(new VersionedRow(TableName.ROUTES, "r", 1, ROUTE)), List.of()),
+				new ConfigurationSnapshot(9, List.of(new VersionedRow(TableName.POOLS, "p", 1, "[]")), List.of()));
+		for (ConfigurationSnapshot snapshot : refused) {
+			assertThat(this.table.restore(snapshot)).isFalse();
+			assertThat(this.table.toSnapshot()).isEqualTo(present);
+		}
+		fold(new ConfigurationSnapshot(1, List.of(), List.of()));
+		fold(new ConfigurationSnapshot(99, List.of(), List.of()));
+		assertThat(this.table.divergentSnapshots()).isEqualTo(2);
+		assertThat(this.table.configuration().routes()).hasSize(1);
+		assertThatThrownBy(() -> this.table.fold(9, 0, Optional.empty())).isInstanceOf(IllegalStateException.class);
+	}
+
+	/**
+	 * Guards against memory that grows with the number of edits.
+	 */
+	@Example
+	void keepsABoundedNumberOfResults() {
+		for (int count = 0; count < ConfigurationTable.MAX_RESULTS + 10; count++) {
+			edit(TableName.POOLS, "p", 7, POOL);
+		}
+		assertThat(this.table.toSnapshot().recent()).hasSize(ConfigurationTable.MAX_RESULTS);
+		assertThat(this.table.history()).hasSize(ConfigurationTable.MAX_HISTORY);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/config/TableJsonTests.java
@@ -0,0 +1,107 @@
+package org.limpetgate.config;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import net.jqwik.api.Example;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.json.JsonProblem;
+import org.limpetgate.json.JsonResult;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Tests for {@link TableJson}.
+ */
+class TableJsonTests {
+
+	private static final String UPSTREAM = "{'id':'u','dataCentre':'d','address':'10.0.0.1','port':80,'slots':8}";
+
+	private static final String WORKER = "{'id':'w','dataCentre':'d','address':'fd00::1','port':80,'cores':16,"
+			+ "'memoryMb':32000,'rack':'r1'}";
+
+	private static final String TABLES = "{'pools':[{'name':'p','kind':'runners','upstreams':[" + UPSTREAM + "]},"
+			+ "{'name':'w','kind':'workers','upstreams':[" + WORKER + "]}],"
+			+ "'routes':[{'name':'r','match':{'method':'GET','headers':{'x-a':'1'}},'pool':'p'}]}";
+
+	private static JsonResult<Configuration> read(String json) {
+		return TableJson.readTables("tables.json", json.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Example
+	void readsWhatItWrites() {
+		Configuration tables = read(TABLES).orThrow(ErrorKind.INVALID_EDIT);
+		String written = TableJson.write(tables);
+		Configuration again = read(written).orThrow(ErrorKind.INVALID_EDIT);
+		assertThat(again.routes()).containsExactlyElementsOf(tables.routes());
+		assertThat(again.pools()).containsExactlyElementsOf(tables.pools());
+		assertThat(TableJson.write(again)).isEqualTo(written);
+	}
+
+	/**
+	 * Each case replaces a part of a valid file; the fault must be found at the path.
+	 * Guards against edits that take effect other than the operator meant.
+	 */
+	@Example
+	void namesThePathOfEachFault() {
+		record Case(String part, String replacement, String path) {
+		}
+		List<Case> cases = List.of(new Case("'kind':'runners'", "'kind':'runners','color':1", "$.pools[0].color"),
+				new Case("'kind':'runners',", "", "$.pools[0].kind"),
+				new Case("'kind':'workers'", "'kind':'robots'", "$.pools[1].kind"),
+				new Case("'slots':8", "'slots':0", "$.pools[0].upstreams[0].slots"),
+				new Case("'slots':8", "'slots':8.5", "$.pools[0].upstreams[0].slots"),
+				new Case("'slots':8", "'slots':'8'", "$.pools[0].upstreams[0].slots"),
+				new Case("'slots':8", "'slots':null", "$.pools[0].upstreams[0].slots"),
+				new Case("'slots':8", "'slots':99999999999999999999", "$.pools[0].upstreams[0].slots"),
+				new Case("'slots':8", "'slots':8,'slots':9", "$.pools[0].upstreams[0].slots"),
+				new Case("'cores':16", "'cores':0", "$.pools[1].upstreams[0].cores"),
+				new Case("'cores':16", "'cores':1e999", "$.pools[1].upstreams[0].cores"),
+				new Case("'cores':16", "'cores':16,'slots':8", "$.pools[1].upstreams[0].slots"),
+				new Case("'port':80", "'port':65536", "$.pools[0].upstreams[0].port"),
+				new Case("10.0.0.1", "localhost", "$.pools[0].upstreams[0].address"),
+				new Case("10.0.0.1", "10.0.0.256", "$.pools[0].upstreams[0].address"),
+				new Case("fd00::1", "1:2:3", "$.pools[1].upstreams[0].address"),
+				new Case("'id':'w'", "'id':'u'", "$.pools[1].upstreams[0].id"),
+				new Case(UPSTREAM, UPSTREAM + "," + UPSTREAM, "$.pools[0].upstreams[1].id"),
+				new Case("'name':'w'", "'name':'p'", "$.pools[1].name"),
+				new Case("'name':'r'", "'name':'r r'", "$.routes[0].name"),
+				new Case("'pool':'p'", "'pool':'nowhere'", "$.routes[0].pool"),
+				new Case("'pool':'p'", "'pool':'p','deadlineMillis':0", "$.routes[0].deadlineMillis"),
+				new Case("'pool':'p'", "'pool':'p','idempotent':true", "$.routes[0].idempotent"),
+				new Case("'pool':'p'", "'pool':'p','priority':'urgent'", "$.routes[0].priority"),
+				new Case("'GET'", "'get'", "$.routes[0].match.method"),
+				new Case("'method':'GET'", "'pathPrefix':'a'", "$.routes[0].match.pathPrefix"),
+				new Case("'x-a'", "'X-A'", "$.routes[0].match.headers.X-A"),
+				new Case("'x-a':'1'", "'x-a':1", "$.routes[0].match.headers.x-a"),
+				new Case("'routes':[", "'route':[", "$.route"));
+		for (Case fault : cases) {
+			assertThat(TABLES).contains(fault.part);
+			List<JsonProblem> problems = read(TABLES.replace(fault.part, fault.replacement)).problems();
+			assertThat(problems).as(fault.toString()).extracting(JsonProblem::path).contains(fault.path);
+			assertThat(problems).allSatisfy((problem) -> assertThat(problem.remedy()).isNotBlank());
+		}
+		for (String json : List.of("", "[]", "{", TABLES + "x", "nul", "{'pools':{}}")) {
+			assertThat(read(json).isValid()).as(json).isFalse();
+		}
+	}
+
+	/**
+	 * Guards against operators who must repeat a check once for each fault.
+	 */
+	@Example
+	void reportsAllFaultsAtOnce() {
+		String json = TABLES.replace("'slots':8", "'slots':-1")
+			.replace("'kind':'workers'", "'kind':'x'")
+			.replace("'pool':'p'", "'pool':'q','deadlineMillis':'1','x':1");
+		assertThat(read(json).problems()).extracting(JsonProblem::path)
+			.contains("$.pools[0].upstreams[0].slots", "$.pools[1].kind", "$.routes[0].deadlineMillis",
+					"$.routes[0].x");
+		assertThatThrownBy(() -> read(json).orThrow(ErrorKind.INVALID_EDIT)).isInstanceOf(DispatchException.class)
+			.hasMessageContaining("tables.json: $.pools[0].upstreams[0].slots")
+			.hasMessageContaining("tables.json: $.routes[0].x");
+	}
+
+}
--- /dev/null
+++ b/limpetgate-proto/src/main/java/org/limpetgate/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Conversion between the core's values and the protobuf messages.
+ */
+package org.limpetgate.wire;
