Keep a host's tables in step with the log and the peers

A host needs the newest accepted tables within 4 s, also when the log does not answer it or has trimmed what it missed, and operators need a truthful answer to each edit.

Reads ask for an answer at once until the end of the stream is known: with a waiting read, the first run of the tests showed that a host on a quiet stream became ready only after the wait of 1 s.

--- a/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
@@ -155,7 +155,23 @@
 	 * @return the row, empty if there is none
 	 */
 	public Optional<VersionedRow> row(TableName table, String name) {
-		return rows(table).stream().filter((row) -> row.name().equals(name)).findFirst();
+		try {
+			return (table == TableName.ROUTES) ? toRow(RouteName.of(name)) : toRow(PoolName.of(name));
+		}
+		catch (IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private Optional<VersionedRow> toRow(RouteName name) {
+		return Optional.ofNullable(this.routes.get(name))
+			.map((route) -> new VersionedRow(TableName.ROUTES, name.value(), route.version,
+					TableJson.write(route.row)));
+	}
+
+	private Optional<VersionedRow> toRow(PoolName name) {
+		return Optional.ofNullable(this.pools.get(name))
+			.map((pool) -> new VersionedRow(TableName.POOLS, name.value(), pool.version, TableJson.write(pool.row)));
 	}
 
 	/**
@@ -166,12 +182,10 @@
 	public List<VersionedRow> rows(TableName table) {
 		List<VersionedRow> rows = new ArrayList<>();
 		if (table == TableName.ROUTES) {
-			this.routes.forEach((name, route) -> rows
-				.add(new VersionedRow(table, name.value(), route.version, TableJson.write(route.row))));
+			this.routes.keySet().forEach((name) -> rows.add(toRow(name).orElseThrow()));
 		}
 		else {
-			this.pools.forEach((name, pool) -> rows
-				.add(new VersionedRow(table, name.value(), pool.version, TableJson.write(pool.row))));
+			this.pools.keySet().forEach((name) -> rows.add(toRow(name).orElseThrow()));
 		}
 		return rows;
 	}
@@ -186,6 +200,36 @@
 		return new ConfigurationSnapshot(this.version, rows, List.copyOf(this.results.values()));
 	}
 
+	/**
+	 * Checks what needs no record that is not folded yet: the form of the row, and that
+	 * the row has not changed since the base version. An edit that fails here would be
+	 * rejected by the fold as well, since the versions of rows only rise.
+	 * @param edit the edit, not null
+	 * @throws DispatchException with the reason for rejecting the edit
+	 */
+	public void check(Edit edit) {
+		long present = row(edit.table(), edit.name()).map(VersionedRow::version).orElse(NO_VERSION);
+		if (edit.baseVersion() < present) {
+			checkBase(edit, present);
+		}
+		if (edit.table() == TableName.ROUTES) {
+			RouteName name = name(edit, RouteName::of);
+			checkName(edit, edit.isRemoval() || routeOf(edit).name().equals(name));
+		}
+		else {
+			PoolName name = name(edit, PoolName::of);
+			checkName(edit, edit.isRemoval() || poolOf(edit).name().equals(name));
+		}
+	}
+
+	private static Route routeOf(Edit edit) {
+		return read(TableJson.readRoute(describe(edit), bytes(edit)));
+	}
+
+	private static Pool poolOf(Edit edit) {
+		return read(TableJson.readPool(describe(edit), bytes(edit)));
+	}
+
 	/**
 	 * Notes that the stream begins at a later offset than the next one.
 	 * @param firstRetainedOffset the offset of the first record that can still be read
@@ -314,7 +358,7 @@
 			result = EditResult.accepted(edit.editId(), offset);
 		}
 		catch (DispatchException ex) {
-			result = EditResult.rejected(edit.editId(), offset, ex.kind(), ex.getMessage());
+			result = EditResult.rejected(edit.editId(), offset, ex.kind(), withoutRemedy(ex));
 		}
 		this.results.put(edit.editId(), result);
 		if (this.results.size() > MAX_RESULTS) {
@@ -377,7 +421,7 @@
 	}
 
 	private Route readRoute(RouteName name, Edit edit) {
-		Route route = read(TableJson.readRoute(describe(edit), bytes(edit)));
+		Route route = routeOf(edit);
 		checkName(edit, route.name().equals(name));
 		if (!this.pools.containsKey(route.pool())) {
 			throw invalid(describe(edit) + ": $.pool: names pool '" + route.pool()
@@ -387,7 +431,7 @@
 	}
 
 	private Pool readPool(PoolName name, Edit edit) {
-		Pool pool = read(TableJson.readPool(describe(edit), bytes(edit)));
+		Pool pool = poolOf(edit);
 		checkName(edit, pool.name().equals(name));
 		for (Versioned<Pool> other : this.pools.values()) {
 			if (!other.row.name().equals(name)) {
@@ -439,6 +483,18 @@
 		return edit.table().text() + " '" + edit.name() + "'";
 	}
 
+	/**
+	 * Returns the detail of an error. The remedy is left out of kept results, since the
+	 * answer to the operator adds it again.
+	 * @param error the error
+	 * @return the message without the remedy of its kind
+	 */
+	private static String withoutRemedy(DispatchException error) {
+		String remedy = "; " + error.kind().remedy();
+		String message = error.getMessage();
+		return message.endsWith(remedy) ? message.substring(0, message.length() - remedy.length()) : message;
+	}
+
 	private static DispatchException invalid(String detail) {
 		return DispatchException.of(ErrorKind.INVALID_EDIT, Outcome.NOT_RUN, detail);
 	}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/ConfigurationService.java
@@ -0,0 +1,322 @@
+package org.limpetgate.host.configuration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+import com.google.common.flogger.FluentLogger;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.HostId;
+import org.limpetgate.Outcome;
+import org.limpetgate.config.Configuration;
+import org.limpetgate.config.ConfigurationSnapshot;
+import org.limpetgate.config.ConfigurationTable;
+import org.limpetgate.config.Edit;
+import org.limpetgate.config.EditResult;
+import org.limpetgate.platform.LogService;
+
+/**
+ * The configuration of one entry host.
+ * <p>
+ * It tails the stream {@value #STREAM}, takes newer states from peers when the log does
+ * not deliver them, appends edits and writes snapshots. A configuration is put into force
+ * once it may be trusted: when the end of the stream was reached, or, while the log gives
+ * no answer, when a peer handed over its state. From then on a host serves with the
+ * newest configuration it knows, also while it is cut off or waits for the end of a
+ * trimmed gap. The version in force never falls.
+ * <p>
+ * Thread-safe: the state belongs to the control thread, and calls from other threads are
+ * passed to it.
+ */
+public final class ConfigurationService implements AutoCloseable {
+
+	/** The stream of the platform's log that carries the configuration. */
+	public static final String STREAM = "config";
+
+	/**
+	 * Default age of a snapshot at which the next one is due: a third of the 15 min that
+	 * the log retains at least.
+	 */
+	public static final Duration DEFAULT_SNAPSHOT_INTERVAL = Duration.ofMinutes(5);
+
+	/**
+	 * Time without an answer from the log after which a starting host trusts the state of
+	 * a peer: enough for the first heartbeats, so that the newest state is known.
+	 */
+	static final long CUT_OFF_NANOS = Duration.ofMillis(1500).toNanos();
+
+	/**
+	 * Time without an answer from the log after which a starting host no longer waits for
+	 * a peer that has a newer state but does not hand it over.
+	 */
+	static final long PEER_SILENT_NANOS = Duration.ofSeconds(6).toNanos();
+
+	private static final Duration NOT_READY_RETRY = Duration.ofSeconds(1);
+
+	private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+	private final Control control;
+
+	private final ConfigurationTable table = new ConfigurationTable();
+
+	private final LogTail tail;
+
+	private final PeerCatchUp catchUp;
+
+	private final PendingEdits edits;
+
+	private final SnapshotWriter snapshots;
+
+	private final List<Consumer<Configuration>> listeners = new ArrayList<>();
+
+	private final CompletableFuture<Configuration> ready = new CompletableFuture<>();
+
+	private volatile Configuration inForce = Configuration.EMPTY;
+
+	private boolean peerStateTaken;
+
+	private long refusedOffers;
+
+	/**
+	 * Creates the service of a host. It does nothing before {@link #start()}.
+	 * @param self the host, not null
+	 * @param log the platform's log, not null
+	 * @param peers the other entry hosts, not null
+	 * @param controlThread runs tasks one after the other, not null
+	 * @param timer the clock and timer, not null
+	 * @param random for jitter and the choice of peers, not null
+	 * @param snapshotInterval the age of a snapshot at which the next one is due, not
+	 * null
+	 */
+	public ConfigurationService(HostId self, LogService log, PeerConfigurations peers, Executor controlThread,
+			Timer timer, RandomGenerator random, Duration snapshotInterval) {
+		Objects.requireNonNull(self, "self");
+		this.control = new Control(controlThread, timer);
+		this.tail = new LogTail(this.control, log, this.table, this::stateChanged);
+		this.catchUp = new PeerCatchUp(this.control, peers, this.table, random, this::take);
+		this.edits = new PendingEdits(this.control, log, this.table, random);
+		this.snapshots = new SnapshotWriter(this.control, self, log, this.table, this.tail, peers,
+				snapshotInterval.toNanos());
+	}
+
+	/** Starts reading the stream and the versions of the peers. */
+	public void start() {
+		this.control.execute(() -> {
+			this.tail.start();
+			this.control.repeat(PeerCatchUp.PERIOD_NANOS, this::lookAtPeers);
+			this.control.repeat(SnapshotWriter.PERIOD_NANOS, this::lookAtSnapshots);
+		});
+	}
+
+	/** Stops all activity. Edits without an answer stay unanswered. */
+	@Override
+	public void close() {
+		this.control.end();
+	}
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration, {@link Configuration#EMPTY} until {@link #isReady()}
+	 */
+	public Configuration configuration() {
+		return this.inForce;
+	}
+
+	/**
+	 * Tests whether the configuration in force may be trusted.
+	 * @return true from the first trusted configuration on
+	 */
+	public boolean isReady() {
+		return this.ready.isDone();
+	}
+
+	/**
+	 * Returns the future of the first trusted configuration.
+	 * @return the future, completed on the control thread
+	 */
+	public CompletableFuture<Configuration> ready() {
+		return this.ready.copy();
+	}
+
+	/**
+	 * Adds a listener for each new configuration, beginning with the present one if it
+	 * may be trusted.
+	 * @param listener called on the control thread, not null
+	 */
+	public void addListener(Consumer<Configuration> listener) {
+		Objects.requireNonNull(listener, "listener");
+		this.control.execute(() -> {
+			this.listeners.add(listener);
+			if (isReady()) {
+				notify(listener, this.inForce);
+			}
+		});
+	}
+
+	/**
+	 * Appends an edit and answers after its result was read back. An edit id whose result
+	 * is known is answered with it.
+	 * @param edit the edit, not null
+	 * @return the result of an accepted edit, or a failure:
+	 * {@link ErrorKind#VERSION_CONFLICT} or {@link ErrorKind#INVALID_EDIT} for a rejected
+	 * edit, {@link ErrorKind#EDIT_UNKNOWN} if it may take effect yet,
+	 * {@link ErrorKind#LOG_UNAVAILABLE} or {@link ErrorKind#NOT_READY} if it will not
+	 */
+	public CompletableFuture<EditResult> edit(Edit edit) {
+		Objects.requireNonNull(edit, "edit");
+		CompletableFuture<EditResult> answer = new CompletableFuture<>();
+		this.control.execute(() -> submit(edit).whenComplete((result, failure) -> {
+			if (failure != null) {
+				answer.completeExceptionally(failure);
+			}
+			else {
+				answer.complete(result);
+			}
+		}));
+		return answer;
+	}
+
+	/**
+	 * Reads from the table on the control thread.
+	 * @param <T> the type of the answer
+	 * @param reader reads the table and keeps no reference to it, not null
+	 * @return the answer
+	 */
+	public <T> CompletableFuture<T> read(Function<ConfigurationTable, T> reader) {
+		return CompletableFuture.supplyAsync(() -> reader.apply(this.table), this.control);
+	}
+
+	/**
+	 * Reads the condition of the service.
+	 * @return the condition
+	 */
+	public CompletableFuture<Condition> condition() {
+		return CompletableFuture.supplyAsync(
+				() -> new Condition(isReady(), this.inForce.version(), this.tail.isFailingFor(0), this.table.isInGap(),
+						this.table.unreadableRecords(), this.table.divergentSnapshots(), this.refusedOffers),
+				this.control);
+	}
+
+	/**
+	 * Tests whether an edit waits for its result at this host.
+	 * @param editId the id of the edit, not null
+	 * @return whether the edit was appended and is not answered yet
+	 */
+	public CompletableFuture<Boolean> isPending(String editId) {
+		return CompletableFuture.supplyAsync(() -> this.edits.isPending(editId), this.control);
+	}
+
+	/**
+	 * Returns the state for a peer.
+	 * @param version the version that the state must exceed
+	 * @return the state, empty if it is not newer or may not be trusted
+	 */
+	public CompletableFuture<Optional<ConfigurationSnapshot>> snapshotNewerThan(long version) {
+		return CompletableFuture.supplyAsync(() -> (isReady() && this.table.version() > version)
+				? Optional.of(this.table.toSnapshot()) : Optional.empty(), this.control);
+	}
+
+	/**
+	 * Takes a state that a peer sent, if it is newer than the present one.
+	 * @param snapshot the state, not null
+	 */
+	public void offer(ConfigurationSnapshot snapshot) {
+		Objects.requireNonNull(snapshot, "snapshot");
+		this.control.execute(() -> take(snapshot));
+	}
+
+	private CompletableFuture<EditResult> submit(Edit edit) {
+		if (!isReady()) {
+			return CompletableFuture.failedFuture(DispatchException.retryLater(ErrorKind.NOT_READY, Outcome.NOT_RUN,
+					"the configuration is not known yet", NOT_READY_RETRY.toNanos()));
+		}
+		return this.edits.submit(edit);
+	}
+
+	private void take(ConfigurationSnapshot snapshot) {
+		boolean same = snapshot.version() == this.table.version();
+		if (!same && !this.table.restore(snapshot)) {
+			this.refusedOffers++;
+			return;
+		}
+		this.peerStateTaken = true;
+		stateChanged();
+	}
+
+	private void lookAtPeers() {
+		boolean confirming = !isReady() && this.tail.isFailingFor(0) && !this.peerStateTaken;
+		this.catchUp.look(this.table.isInGap(), confirming);
+		stateChanged();
+	}
+
+	private void lookAtSnapshots() {
+		if (isReady()) {
+			this.snapshots.look();
+		}
+	}
+
+	private void stateChanged() {
+		if (isReady() || this.tail.isCaughtUp() || isTrustedFromPeers()) {
+			putIntoForce();
+		}
+		this.edits.answerKnown();
+	}
+
+	private boolean isTrustedFromPeers() {
+		boolean newest = !this.catchUp.isBehind() || this.tail.isFailingFor(PEER_SILENT_NANOS);
+		return this.peerStateTaken && newest && this.tail.isFailingFor(CUT_OFF_NANOS);
+	}
+
+	private void putIntoForce() {
+		Configuration newest = this.table.configuration();
+		if (newest.version() < this.inForce.version()) {
+			throw new IllegalStateException(
+					"version would fall from " + this.inForce.version() + " to " + newest.version());
+		}
+		boolean first = !isReady();
+		if (!first && newest.version() == this.inForce.version()) {
+			return;
+		}
+		this.inForce = newest;
+		log.atInfo().log("LG2007 configuration version %d is in force", newest.version());
+		if (first) {
+			this.ready.complete(newest);
+		}
+		this.listeners.forEach((listener) -> notify(listener, newest));
+	}
+
+	private static void notify(Consumer<Configuration> listener, Configuration configuration) {
+		try {
+			listener.accept(configuration);
+		}
+		catch (RuntimeException ex) {
+			log.atSevere()
+				.withCause(ex)
+				.log("LG2009 listener failed on configuration version %d", configuration.version());
+		}
+	}
+
+	/**
+	 * The condition of the service.
+	 *
+	 * @param ready whether a trusted configuration is in force
+	 * @param version the version in force
+	 * @param logFailing whether the latest read of the stream failed
+	 * @param inGap whether trimmed records are missing
+	 * @param unreadableRecords the number of records that could not be decoded
+	 * @param divergentSnapshots the number of snapshots that contradict the state
+	 * @param refusedOffers the number of states of peers that were not newer or malformed
+	 */
+	public record Condition(boolean ready, long version, boolean logFailing, boolean inGap, long unreadableRecords,
+			long divergentSnapshots, long refusedOffers) {
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/Control.java
@@ -0,0 +1,79 @@
+package org.limpetgate.host.configuration;
+
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
+
+import com.google.common.flogger.FluentLogger;
+
+/**
+ * The control thread with its clock. Tasks that are due after the end are dropped.
+ */
+final class Control implements Executor {
+
+	private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+	private final Executor thread;
+
+	private final Timer timer;
+
+	private volatile boolean ended;
+
+	Control(Executor thread, Timer timer) {
+		this.thread = Objects.requireNonNull(thread, "thread");
+		this.timer = Objects.requireNonNull(timer, "timer");
+	}
+
+	long nowNanos() {
+		return this.timer.nowNanos();
+	}
+
+	@Override
+	public void execute(Runnable task) {
+		this.thread.execute(() -> {
+			if (!this.ended) {
+				run(task);
+			}
+		});
+	}
+
+	/**
+	 * Runs an action on the control thread when a future has ended. Unlike an action that
+	 * is given to the future, one that throws shows on the control thread.
+	 * @param <T> the type of the value
+	 * @param future the future
+	 * @param action takes the value or the failure
+	 */
+	<T> void whenEnded(CompletableFuture<T> future, BiConsumer<T, Throwable> action) {
+		future.whenComplete((value, failure) -> execute(() -> action.accept(value, failure)));
+	}
+
+	private static void run(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException ex) {
+			log.atSevere().withCause(ex).log("LG2008 fault in the configuration service");
+			throw ex;
+		}
+	}
+
+	void schedule(long delayNanos, Runnable task) {
+		if (!this.ended) {
+			this.timer.schedule(delayNanos, () -> execute(task));
+		}
+	}
+
+	void repeat(long periodNanos, Runnable task) {
+		schedule(periodNanos, () -> {
+			repeat(periodNanos, task);
+			task.run();
+		});
+	}
+
+	void end() {
+		this.ended = true;
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
@@ -0,0 +1,222 @@
+package org.limpetgate.host.configuration;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
+import org.limpetgate.config.ConfigurationRecord;
+import org.limpetgate.config.ConfigurationSnapshot;
+import org.limpetgate.config.ConfigurationTable;
+import org.limpetgate.platform.LogBatch;
+import org.limpetgate.platform.LogRecord;
+import org.limpetgate.platform.LogService;
+import org.limpetgate.wire.ConfigurationCodec;
+
+/**
+ * Reads the configuration stream without end and folds it into the table.
+ * <p>
+ * Belongs to the control thread.
+ */
+final class LogTail {
+
+	/** Longest wait of one read for a record; short, so that an outage is seen soon. */
+	static final Duration MAX_WAIT = Duration.ofSeconds(1);
+
+	/** Time after which an unanswered read is repeated. */
+	static final long READ_TIMEOUT_NANOS = Duration.ofMillis(2500).toNanos();
+
+	/** First wait after a failed read. */
+	static final long MIN_BACKOFF_NANOS = Duration.ofMillis(100).toNanos();
+
+	/**
+	 * Longest wait after a failed read; well below the 4 s in which a change must be in
+	 * force.
+	 */
+	static final long MAX_BACKOFF_NANOS = Duration.ofMillis(800).toNanos();
+
+	private static final int MAX_RECORDS = 500;
+
+	private static final long NEVER = Long.MIN_VALUE;
+
+	private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+	private final Control control;
+
+	private final LogService service;
+
+	private final ConfigurationTable table;
+
+	private final Runnable afterBatch;
+
+	private long readNumber;
+
+	private long backoffNanos = MIN_BACKOFF_NANOS;
+
+	private long failingSinceNanos;
+
+	private long firstRetainedOffset;
+
+	private long endOffset;
+
+	private boolean atEnd;
+
+	private boolean wasInGap;
+
+	private SnapshotSeen snapshotSeen = new SnapshotSeen(ConfigurationTable.NO_VERSION, ConfigurationTable.NO_VERSION,
+			NEVER);
+
+	private long firstRecordTimeNanos = NEVER;
+
+	LogTail(Control control, LogService service, ConfigurationTable table, Runnable afterBatch) {
+		this.control = control;
+		this.service = service;
+		this.table = table;
+		this.afterBatch = afterBatch;
+		this.failingSinceNanos = control.nowNanos();
+	}
+
+	void start() {
+		read();
+	}
+
+	/**
+	 * Tests whether the log has given no answer since the given span.
+	 * @param nanos the span
+	 * @return true if the latest read failed, and all others in that span
+	 */
+	boolean isFailingFor(long nanos) {
+		return this.failingSinceNanos != NEVER && this.control.nowNanos() - this.failingSinceNanos >= nanos;
+	}
+
+	/**
+	 * Tests whether the state reached the end of the stream at the latest read.
+	 * @return true if no records are missing
+	 */
+	boolean isCaughtUp() {
+		return this.atEnd && this.failingSinceNanos == NEVER && !this.table.isInGap();
+	}
+
+	long firstRetainedOffset() {
+		return this.firstRetainedOffset;
+	}
+
+	SnapshotSeen snapshotSeen() {
+		return this.snapshotSeen;
+	}
+
+	/**
+	 * Returns when the oldest record that this host folded was stored.
+	 * @return the time, in the far past if there was none
+	 */
+	long firstRecordTimeNanos() {
+		return this.firstRecordTimeNanos;
+	}
+
+	private void read() {
+		long number = ++this.readNumber;
+		long from = this.table.nextOffset();
+		// Only at the end of the stream is there anything to wait for. Before, an answer
+		// is
+		// needed at once, as it tells where the end is.
+		Duration maxWait = this.atEnd ? MAX_WAIT : Duration.ZERO;
+		this.control.schedule(READ_TIMEOUT_NANOS, () -> readTimedOut(number));
+		this.control.whenEnded(this.service.read(ConfigurationService.STREAM, from, MAX_RECORDS, maxWait),
+				(batch, failure) -> readEnded(number, from, batch, failure));
+	}
+
+	private void readTimedOut(long number) {
+		if (number == this.readNumber) {
+			failed("no answer within " + Duration.ofNanos(READ_TIMEOUT_NANOS).toMillis() + " ms");
+			read();
+		}
+	}
+
+	// Late answers are taken as well: a log whose answers all take longer than the
+	// timeout
+	// must not stop the fold.
+	private void readEnded(long number, long from, LogBatch batch, Throwable failure) {
+		if (failure == null) {
+			this.failingSinceNanos = NEVER;
+			this.backoffNanos = MIN_BACKOFF_NANOS;
+			fold(from, batch);
+			this.afterBatch.run();
+		}
+		if (number != this.readNumber) {
+			return;
+		}
+		if (failure == null) {
+			read();
+			return;
+		}
+		failed(failure.getMessage());
+		this.readNumber++;
+		this.control.schedule(this.backoffNanos, this::read);
+		this.backoffNanos = Math.min(2 * this.backoffNanos, MAX_BACKOFF_NANOS);
+	}
+
+	private void failed(String reason) {
+		this.atEnd = false;
+		if (this.failingSinceNanos == NEVER) {
+			this.failingSinceNanos = this.control.nowNanos();
+			log.atWarning()
+				.log("LG2001 configuration stream cannot be read: %s; the tables stay at version %d", reason,
+						this.table.version());
+		}
+	}
+
+	private void fold(long from, LogBatch batch) {
+		if (from > this.table.nextOffset()) {
+			// The read began in a gap that has ended since; the records are read again.
+			return;
+		}
+		this.endOffset = Math.max(this.endOffset, batch.endOffset());
+		this.firstRetainedOffset = Math.max(this.firstRetainedOffset, batch.firstRetainedOffset());
+		long firstAvailable = batch.records().isEmpty() ? batch.firstRetainedOffset() : batch.records().get(0).offset();
+		if (firstAvailable > from) {
+			this.table.trimmedTo(firstAvailable);
+		}
+		for (LogRecord record : batch.records()) {
+			if (record.offset() == this.table.nextOffset()) {
+				foldRecord(record);
+			}
+		}
+		this.atEnd = this.table.nextOffset() >= this.endOffset;
+		reportGap();
+	}
+
+	private void foldRecord(LogRecord record) {
+		Optional<ConfigurationRecord> content = ConfigurationCodec.decode(record.payload());
+		this.table.fold(record.offset(), record.appendTimeNanos(), content);
+		if (this.firstRecordTimeNanos == NEVER) {
+			this.firstRecordTimeNanos = record.appendTimeNanos();
+		}
+		if (content.isEmpty()) {
+			log.atWarning()
+				.log("LG2002 record %d of the configuration stream cannot be decoded; it is skipped", record.offset());
+		}
+		else if (content.get() instanceof ConfigurationSnapshot snapshot
+				&& snapshot.version() >= this.snapshotSeen.version) {
+			this.snapshotSeen = new SnapshotSeen(record.offset(), snapshot.version(), record.appendTimeNanos());
+		}
+	}
+
+	private void reportGap() {
+		if (this.table.isInGap() && !this.wasInGap) {
+			log.atWarning()
+				.log("LG2003 records of the configuration stream after version %d were trimmed; waiting for a "
+						+ "snapshot or a peer", this.table.version());
+		}
+		this.wasInGap = this.table.isInGap();
+	}
+
+	/**
+	 * The snapshot of the latest state that was read from the stream.
+	 *
+	 * @param offset the offset of the record
+	 * @param version the version of the state
+	 * @param timeNanos when the platform stored it
+	 */
+	record SnapshotSeen(long offset, long version, long timeNanos) {
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/PeerConfigurations.java
@@ -0,0 +1,56 @@
+package org.limpetgate.host.configuration;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.limpetgate.HostId;
+import org.limpetgate.config.ConfigurationSnapshot;
+
+/**
+ * Access to the configurations of other entry hosts.
+ * <p>
+ * Called on the control thread. Implementations do not block.
+ */
+public interface PeerConfigurations {
+
+	/** No peers. */
+	PeerConfigurations NONE = new PeerConfigurations() {
+
+		@Override
+		public List<PeerVersion> versions() {
+			return List.of();
+		}
+
+		@Override
+		public CompletableFuture<Optional<ConfigurationSnapshot>> fetch(HostId peer, long newerThan) {
+			return CompletableFuture.completedFuture(Optional.empty());
+		}
+
+	};
+
+	/**
+	 * Returns the peers that are joined, with the versions from their latest heartbeats.
+	 * @return the peers, not null
+	 */
+	List<PeerVersion> versions();
+
+	/**
+	 * Asks a peer for its state. The peer answers with
+	 * {@link ConfigurationService#snapshotNewerThan}.
+	 * @param peer the peer, not null
+	 * @param newerThan the version that the state must exceed
+	 * @return the state, empty if the peer has none that is newer, or a failure
+	 */
+	CompletableFuture<Optional<ConfigurationSnapshot>> fetch(HostId peer, long newerThan);
+
+	/**
+	 * The version that a peer has in force.
+	 *
+	 * @param host the peer
+	 * @param version the version from its latest heartbeat
+	 */
+	record PeerVersion(HostId host, long version) {
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/configuration/ConfigurationServiceTests.java
@@ -0,0 +1,211 @@
+package org.limpetgate.host.configuration;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+
+import net.jqwik.api.Example;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+import org.limpetgate.config.ConfigurationSnapshot;
+import org.limpetgate.config.Edit;
+import org.limpetgate.config.EditResult;
+import org.limpetgate.config.TableName;
+import org.limpetgate.wire.ConfigurationCodec;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ConfigurationService} with single faults.
+ */
+class ConfigurationServiceTests {
+
+	private static final Duration INTERVAL = Duration.ofMinutes(5);
+
+	private final Cluster cluster = new Cluster(1, 3, INTERVAL);
+
+	private int edits;
+
+	private static String pool(String name, int slots) {
+		return "{\"name\":\"" + name + "\",\"kind\":\"runners\",\"upstreams\":[{\"id\":\"" + name
+				+ "-u\",\"dataCentre\":\"d\",\"address\":\"127.0.0.1\",\"port\":80,\"slots\":" + slots + "}]}";
+	}
+
+	private Edit newPool(String name) {
+		return new Edit("e" + this.edits++, "ana", this.cluster.time.nowNanos(), TableName.POOLS, name, -1,
+				pool(name, 8));
+	}
+
+	private void start(int... nodes) {
+		for (int node : nodes) {
+			this.cluster.node(node).start();
+		}
+		this.cluster.runFor(Duration.ofSeconds(1));
+	}
+
+	private EditResult accepted(int node, Edit edit) {
+		CompletableFuture<EditResult> answer = this.cluster.node(node).service.edit(edit);
+		this.cluster.runFor(Duration.ofSeconds(4));
+		return answer.join();
+	}
+
+	private static DispatchException failure(CompletableFuture<?> answer) {
+		assertThat(answer).isCompletedExceptionally();
+		return (DispatchException) answer
+			.handle((value, failure) -> (failure instanceof CompletionException) ? failure.getCause() : failure)
+			.join();
+	}
+
+	/**
+	 * Each case is a fault of the log during an edit, with the answer that must be given.
+	 * Guards against an edit that takes effect although it was reported as rejected.
+	 */
+	@Example
+	void answersEachEditTruthfully() {
+		record Case(String fault, Consumer<FakeLog.Access> cause, ErrorKind error, Outcome outcome) {
+		}
+		List<Case> cases = List.of(new Case("none", (access) -> {
+		}, null, null),
+				new Case("half of the appends lose their answer", (access) -> access.lostAppendPercent = 50, null,
+						null),
+				new Case("log is out", (access) -> access.out = true, ErrorKind.EDIT_UNKNOWN, Outcome.UNKNOWN),
+				new Case("log does not answer", (access) -> {
+					access.out = true;
+					access.unansweredPercent = 100;
+				}, ErrorKind.EDIT_UNKNOWN, Outcome.UNKNOWN), new Case("reads fail",
+						(access) -> access.failedReadPercent = 100, ErrorKind.EDIT_UNKNOWN, Outcome.UNKNOWN));
+		for (Case fault : cases) {
+			Cluster single = new Cluster(3, 1, INTERVAL);
+			single.node(0).start();
+			single.runFor(Duration.ofSeconds(1));
+			fault.cause.accept(single.node(0).access);
+			CompletableFuture<EditResult> answer = single.node(0).service.edit(newPool("p"));
+			single.runFor(Duration.ofSeconds(6));
+			if (fault.error == null) {
+				assertThat(answer).as(fault.fault).isCompletedWithValueMatching(EditResult::isAccepted);
+			}
+			else {
+				assertThat(failure(answer).kind()).as(fault.fault).isEqualTo(fault.error);
+				assertThat(failure(answer).outcome()).as(fault.fault).isEqualTo(fault.outcome);
+				assertThat(failure(answer)).hasMessageContaining("edit 'e");
+			}
+		}
+	}
+
+	/**
+	 * Guards against operators who overwrite each other, and against an edit that is
+	 * applied once more when its client repeats it.
+	 */
+	@Example
+	void racingAndRepeatedEdits() {
+		start(0, 1);
+		Edit first = newPool("p");
+		Edit second = newPool("p");
+		CompletableFuture<EditResult> one = this.cluster.node(0).service.edit(first);
+		CompletableFuture<EditResult> repeated = this.cluster.node(1).service.edit(first);
+		CompletableFuture<EditResult> other = this.cluster.node(1).service.edit(second);
+		this.cluster.runFor(Duration.ofSeconds(4));
+		assertThat(List.of(one, other)).filteredOn(CompletableFuture::isCompletedExceptionally).hasSize(1);
+		assertThat(repeated.isCompletedExceptionally()).isEqualTo(one.isCompletedExceptionally());
+		int records = this.cluster.log.records.size();
+		CompletableFuture<EditResult> late = this.cluster.node(0).service.edit(second);
+		this.cluster.runFor(Duration.ofSeconds(4));
+		assertThat(late.isCompletedExceptionally()).isEqualTo(other.isCompletedExceptionally());
+		CompletableFuture<EditResult> invalid = this.cluster.node(0).service
+			.edit(new Edit("bad", "ana", 0, TableName.POOLS, "q", -1, pool("q", 0)));
+		CompletableFuture<EditResult> outdated = this.cluster.node(0).service.edit(newPool("p"));
+		this.cluster.runFor(Duration.ofMillis(1));
+		assertThat(failure(invalid).kind()).isEqualTo(ErrorKind.INVALID_EDIT);
+		assertThat(failure(outdated).kind()).isEqualTo(ErrorKind.VERSION_CONFLICT);
+		assertThat(this.cluster.log.records).as("rejected without an append").hasSize(records);
+	}
+
+	/**
+	 * Guards against a host that serves with no or an old configuration because it cannot
+	 * tell which one to trust.
+	 */
+	@Example
+	void readyOnlyWithATrustedConfiguration() {
+		Cluster.Node cutOff = this.cluster.node(2);
+		cutOff.access.out = true;
+		cutOff.group = 1;
+		start(0, 1, 2);
+		accepted(0, newPool("p"));
+		assertThat(cutOff.service.isReady()).isFalse();
+		CompletableFuture<EditResult> refused = cutOff.service.edit(newPool("x"));
+		CompletableFuture<Optional<ConfigurationSnapshot>> state = cutOff.service.snapshotNewerThan(-5);
+		this.cluster.runFor(Duration.ZERO);
+		assertThat(failure(refused).kind()).isEqualTo(ErrorKind.NOT_READY);
+		assertThat(state.join()).isEmpty();
+		cutOff.group = 0;
+		this.cluster.runFor(Duration.ofSeconds(4));
+		assertThat(cutOff.service.isReady()).isTrue();
+		assertThat(cutOff.service.configuration().version()).isZero();
+		cutOff.restart();
+		this.cluster.runFor(Duration.ofSeconds(4));
+		assertThat(cutOff.service.configuration().pools()).hasSize(1);
+	}
+
+	/**
+	 * Guards against an older state of a peer that replaces a newer one.
+	 */
+	@Example
+	void olderStateOfPeerNeverWins() {
+		start(0);
+		ConfigurationService service = this.cluster.node(0).service;
+		accepted(0, newPool("p"));
+		CompletableFuture<Optional<ConfigurationSnapshot>> old = service.snapshotNewerThan(-1);
+		this.cluster.runFor(Duration.ZERO);
+		accepted(0, newPool("q"));
+		service.offer(old.join().orElseThrow());
+		service.offer(new ConfigurationSnapshot(-1, List.of(), List.of()));
+		CompletableFuture<ConfigurationService.Condition> condition = service.condition();
+		this.cluster.runFor(Duration.ofSeconds(1));
+		assertThat(condition.join().refusedOffers()).isEqualTo(2);
+		assertThat(service.configuration().pools()).hasSize(2);
+	}
+
+	/**
+	 * Guards against the loss of the tables when retention passes, and against every host
+	 * writing the same snapshot.
+	 */
+	@Example
+	void snapshotsOutliveRetention() {
+		start(0, 1, 2);
+		accepted(0, newPool("p"));
+		for (int minute = 0; minute < 60; minute++) {
+			this.cluster.runFor(Duration.ofMinutes(1));
+			this.cluster.log.trimOlderThan(Duration.ofMinutes(15));
+		}
+		assertThat(this.cluster.log.records).hasSizeBetween(11, 16);
+		this.cluster.nodes.forEach(Cluster.Node::restart);
+		this.cluster.runFor(Duration.ofSeconds(2));
+		assertThat(this.cluster.nodes)
+			.allSatisfy((node) -> assertThat(node.service.configuration().pools()).hasSize(1));
+	}
+
+	/**
+	 * Guards against edits folded onto a state that lacks trimmed records, when neither a
+	 * snapshot nor a peer covers them.
+	 */
+	@Example
+	void trimmedGapWaitsForAPeer() {
+		start(0);
+		accepted(0, newPool("p"));
+		this.cluster.log.trimTo(1);
+		Cluster.Node late = this.cluster.node(1);
+		late.group = 1;
+		late.start();
+		this.cluster.log.store(ConfigurationCodec.encode(newPool("q")));
+		this.cluster.runFor(Duration.ofMillis(500));
+		assertThat(late.service.isReady()).isFalse();
+		late.group = 0;
+		this.cluster.runFor(Duration.ofSeconds(2));
+		assertThat(late.service.configuration().pools()).hasSize(2);
+	}
+
+}
