Add the log client with stand-ins for the platform and runners

The core needs a log to develop against, with the faults that must not harm it: answers lost after the record was stored, stale reads, trimmed gaps and outages.

Adds a client over Netty's HTTP codec that writes each append once and reports it as not run only before it was written or with the platform's proof, the log part of PlatformStandIn, and RunnerStandIn, which counts starts by request id. Contract tests run the client against the stand-in with a table of faults.

--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/platform/PlatformReplies.java
@@ -0,0 +1,93 @@
+package org.limpetgate.net.platform;
+
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+import org.limpetgate.net.http.HttpReply;
+
+/**
+ * Reading of the platform's answers.
+ */
+final class PlatformReplies {
+
+	static final ObjectMapper JSON = new ObjectMapper();
+
+	private static final int STATUS_OK = 200;
+
+	private static final String OUTCOME_HEADER = "limpetgate-outcome";
+
+	private static final int MAX_MESSAGE_CHARS = 200;
+
+	private PlatformReplies() {
+	}
+
+	/**
+	 * Reads an answer with status 200 and turns all others into errors.
+	 * @param <T> the type of the content
+	 * @param reply the answer
+	 * @param errorKind the kind of errors
+	 * @param reader reads the answer, or throws if it is malformed
+	 * @return the content
+	 */
+	static <T> T read(HttpReply reply, ErrorKind errorKind, ReplyReader<T> reader) {
+		if (reply.status() != STATUS_OK) {
+			throw error(reply, errorKind);
+		}
+		try {
+			return reader.read(reply);
+		}
+		catch (IOException | RuntimeException ex) {
+			throw DispatchException.of(errorKind, Outcome.UNKNOWN,
+					"malformed answer of the platform: " + ex.getMessage());
+		}
+	}
+
+	private static DispatchException error(HttpReply reply, ErrorKind errorKind) {
+		Outcome outcome = reply.header(OUTCOME_HEADER).equals(Outcome.NOT_RUN.text()) ? Outcome.NOT_RUN
+				: Outcome.UNKNOWN;
+		JsonNode body = errorBody(reply);
+		String message = body.path("message").asText("");
+		String detail = "the platform answered with status " + reply.status()
+				+ (message.isEmpty() ? "" : ": " + message.substring(0, Math.min(MAX_MESSAGE_CHARS, message.length())));
+		long retryAfterMillis = body.path("retryAfterMillis").asLong(0);
+		if (retryAfterMillis > 0) {
+			return DispatchException.retryLater(errorKind, outcome, detail,
+					TimeUnit.MILLISECONDS.toNanos(retryAfterMillis));
+		}
+		return DispatchException.of(errorKind, outcome, detail);
+	}
+
+	private static JsonNode errorBody(HttpReply reply) {
+		try {
+			return JSON.readTree(reply.body());
+		}
+		catch (IOException ex) {
+			// The status is enough; an error page of a proxy has no JSON body.
+			return JSON.createObjectNode();
+		}
+	}
+
+	static String encode(String segment) {
+		return URLEncoder.encode(segment, StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Reads an answer with status 200.
+	 *
+	 * @param <T> the type of the content
+	 */
+	@FunctionalInterface
+	interface ReplyReader<T> {
+
+		T read(HttpReply reply) throws IOException;
+
+	}
+
+}
--- /dev/null
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInServer.java
@@ -0,0 +1,231 @@
+package org.limpetgate.standin;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import org.limpetgate.net.http.HttpCall;
+import org.limpetgate.net.http.HttpReply;
+
+/**
+ * HTTP/1.1 server of a stand-in. It can cut answers short, which a proper server never
+ * does.
+ * <p>
+ * Connections beyond the limit are closed when they are accepted. Requests of one
+ * connection are answered in order. Thread-safe.
+ */
+final class StandInServer implements AutoCloseable {
+
+	private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+	private static final int MAX_PIPELINED = 16;
+
+	private final StandInHandler handler;
+
+	private final int maxConnections;
+
+	private final AtomicInteger connections = new AtomicInteger();
+
+	private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+
+	private Channel listener;
+
+	private StandInServer(StandInHandler handler, int maxConnections) {
+		this.handler = handler;
+		this.maxConnections = maxConnections;
+	}
+
+	static StandInServer start(EventLoopGroup group, InetSocketAddress bind, int maxConnections,
+			StandInHandler handler) {
+		StandInServer server = new StandInServer(handler, maxConnections);
+		server.listener = new ServerBootstrap().group(group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.option(ChannelOption.SO_BACKLOG, 1024)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(server.new Initializer())
+			.bind(bind)
+			.syncUninterruptibly()
+			.channel();
+		server.channels.add(server.listener);
+		return server;
+	}
+
+	InetSocketAddress address() {
+		return (InetSocketAddress) this.listener.localAddress();
+	}
+
+	/**
+	 * Closes the listener and all connections, as the death of the process would.
+	 */
+	@Override
+	public void close() {
+		this.channels.close().syncUninterruptibly();
+	}
+
+	private final class Initializer extends ChannelInitializer<SocketChannel> {
+
+		@Override
+		protected void initChannel(SocketChannel channel) {
+			StandInServer server = StandInServer.this;
+			channel.closeFuture().addListener((closed) -> server.connections.decrementAndGet());
+			if (server.connections.incrementAndGet() > server.maxConnections) {
+				channel.close();
+				return;
+			}
+			server.channels.add(channel);
+			channel.pipeline()
+				.addLast(new HttpServerCodec())
+				.addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+				.addLast(new CallHandler());
+		}
+
+	}
+
+	private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+		private final Queue<Pending> waiting = new ArrayDeque<>();
+
+		private final CompletableFuture<Void> closed = new CompletableFuture<>();
+
+		private boolean busy;
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+			if (request.decoderResult().isFailure() || this.waiting.size() >= MAX_PIPELINED) {
+				context.close();
+				return;
+			}
+			this.waiting.add(new Pending(toCall(request), HttpUtil.isKeepAlive(request)));
+			next(context);
+		}
+
+		private void next(ChannelHandlerContext context) {
+			Pending pending = this.busy ? null : this.waiting.poll();
+			if (pending == null) {
+				return;
+			}
+			this.busy = true;
+			CompletableFuture<StandInAnswer> answer;
+			try {
+				answer = StandInServer.this.handler.handle(pending.call, this.closed);
+			}
+			catch (IllegalArgumentException ex) {
+				answer = CompletableFuture.completedFuture(StandInAnswer.badRequest(ex.getMessage()));
+			}
+			catch (RuntimeException ex) {
+				answer = CompletableFuture.failedFuture(ex);
+			}
+			answer.exceptionally(StandInAnswer::error)
+				.thenAccept((whole) -> context.executor().execute(() -> send(context, pending, whole)));
+		}
+
+		private void send(ChannelHandlerContext context, Pending pending, StandInAnswer answer) {
+			switch (answer.delivery()) {
+				case WHOLE -> {
+					sendWhole(context, pending.keepAlive, answer.reply());
+					this.busy = false;
+					next(context);
+				}
+				case TRUNCATED -> sendTruncated(context, answer.reply());
+				case CLOSE -> context.close();
+				case NEVER -> {
+				}
+			}
+		}
+
+		private void sendWhole(ChannelHandlerContext context, boolean keepAlive, HttpReply reply) {
+			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+					HttpResponseStatus.valueOf(reply.status()), Unpooled.wrappedBuffer(reply.body()));
+			setHeaders(response, reply);
+			if (keepAlive) {
+				context.writeAndFlush(response);
+			}
+			else {
+				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+				context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+			}
+		}
+
+		private void sendTruncated(ChannelHandlerContext context, HttpReply reply) {
+			HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
+					HttpResponseStatus.valueOf(reply.status()));
+			setHeaders(head, reply);
+			ByteBuf half = Unpooled.wrappedBuffer(reply.body(), 0, reply.body().length / 2);
+			if (reply.body().length == 0) {
+				head.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 1);
+			}
+			context.write(head);
+			context.writeAndFlush(new DefaultHttpContent(half)).addListener(ChannelFutureListener.CLOSE);
+		}
+
+		private void setHeaders(HttpResponse response, HttpReply reply) {
+			reply.headers().forEach((name, value) -> response.headers().set(name, value));
+			response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+		}
+
+		private HttpCall toCall(FullHttpRequest request) {
+			Map<String, String> headers = new LinkedHashMap<>();
+			request.headers()
+				.forEach((entry) -> headers.merge(entry.getKey().toLowerCase(Locale.ROOT), entry.getValue(),
+						(first, second) -> first + "," + second));
+			return new HttpCall(request.method().name(), request.uri(), headers,
+					ByteBufUtil.getBytes(request.content()));
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			this.waiting.clear();
+			this.closed.complete(null);
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			context.close();
+		}
+
+	}
+
+	/**
+	 * A request that waits for its turn.
+	 *
+	 * @param call the request
+	 * @param keepAlive whether the connection stays open after the answer
+	 */
+	private record Pending(HttpCall call, boolean keepAlive) {
+	}
+
+}
--- /dev/null
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/StandIns.java
@@ -0,0 +1,85 @@
+package org.limpetgate.standin;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.EventExecutor;
+
+/**
+ * What all stand-ins share: event loops, addresses and the clock.
+ */
+public final class StandIns {
+
+	private StandIns() {
+	}
+
+	/**
+	 * Returns event loops that many stand-ins and clients can share.
+	 * @param threads the number of threads, at least 1
+	 * @return the event loops, which the caller shuts down, not null
+	 */
+	public static EventLoopGroup newEventLoops(int threads) {
+		return new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+	}
+
+	/**
+	 * Returns the loopback address with a port that the system chooses.
+	 * @return the address, not null
+	 */
+	public static InetSocketAddress ephemeral() {
+		return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+	}
+
+	static long epochNanos() {
+		return TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
+	}
+
+	static <T> T parse(byte[] body, Class<T> type) {
+		try {
+			return StandInAnswer.JSON.readValue(body, type);
+		}
+		catch (IOException ex) {
+			throw new IllegalArgumentException("the body is no " + type.getSimpleName() + ": " + ex.getMessage(), ex);
+		}
+	}
+
+	static void runOn(EventExecutor loop, Runnable action) {
+		if (loop.inEventLoop()) {
+			action.run();
+			return;
+		}
+		loop.submit(action).syncUninterruptibly();
+	}
+
+	static CompletableFuture<StandInAnswer> callOn(EventExecutor loop,
+			Callable<CompletableFuture<StandInAnswer>> action) {
+		CompletableFuture<StandInAnswer> answer = new CompletableFuture<>();
+		loop.execute(() -> {
+			try {
+				action.call().whenComplete((value, error) -> {
+					if (error != null) {
+						answer.completeExceptionally(error);
+					}
+					else {
+						answer.complete(value);
+					}
+				});
+			}
+			catch (IllegalArgumentException ex) {
+				answer.complete(StandInAnswer.badRequest(ex.getMessage()));
+			}
+			catch (Exception ex) {
+				answer.completeExceptionally(ex);
+			}
+		});
+		return answer;
+	}
+
+}
