Add the host list, worker leases and their stand-ins

Dispatch to workers needs leases that start a task at most once, and a proof that a task did not run when its lease is given up.

Adds HostList and WorkerService with their network clients, a lagging host list in PlatformStandIn, WorkerStandIn, and the commands that run the stand-ins as processes. Lease ids contain their time of issue, so that a worker which restarted or forgot old leases does not claim a proof that it does not have. Contract tests run the clients against the stand-ins; the lease table is also run at random in virtual time.

--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/platform/ListedUpstream.java
@@ -0,0 +1,25 @@
+package org.limpetgate.platform;
+
+import java.util.Objects;
+
+import org.limpetgate.DataCentreId;
+import org.limpetgate.UpstreamId;
+
+/**
+ * An upstream in the platform's host list.
+ *
+ * @param id the id
+ * @param dataCentre the data centre in which it runs
+ * @param address the IP address
+ * @param port the TCP port
+ * @param leaving whether the platform is about to end it
+ */
+public record ListedUpstream(UpstreamId id, DataCentreId dataCentre, String address, int port, boolean leaving) {
+
+	public ListedUpstream {
+		Objects.requireNonNull(id, "id");
+		Objects.requireNonNull(dataCentre, "dataCentre");
+		Objects.requireNonNull(address, "address");
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/platform/WorkerTask.java
@@ -0,0 +1,45 @@
+package org.limpetgate.platform;
+
+import java.util.Objects;
+
+import org.limpetgate.Resources;
+
+/**
+ * A task as a worker receives it.
+ *
+ * @param body the input; not to be modified
+ * @param resources what the worker sets aside for it
+ * @param deadlineNanos the time at which the worker stops it, in nanoseconds since the
+ * Unix epoch; a start that arrives later is refused
+ * @param resumeFrom the name of the checkpoint to go on from, empty to begin anew
+ */
+public record WorkerTask(byte[] body, Resources resources, long deadlineNanos, String resumeFrom) {
+
+	public WorkerTask {
+		Objects.requireNonNull(body, "body");
+		Objects.requireNonNull(resources, "resources");
+		Objects.requireNonNull(resumeFrom, "resumeFrom");
+	}
+
+	/**
+	 * Returns a task that begins anew.
+	 * @param body the input, not null
+	 * @param resources what the worker sets aside for it, not null
+	 * @param deadlineNanos the time at which the worker stops it, in nanoseconds since
+	 * the Unix epoch
+	 * @return the task, not null
+	 */
+	public static WorkerTask of(byte[] body, Resources resources, long deadlineNanos) {
+		return new WorkerTask(body, resources, deadlineNanos, "");
+	}
+
+	/**
+	 * Returns a copy that goes on from a checkpoint.
+	 * @param checkpoint the name that {@link WorkerService#checkpoint} gave, not null
+	 * @return the task, not null
+	 */
+	public WorkerTask withResumeFrom(String checkpoint) {
+		return new WorkerTask(this.body, this.resources, this.deadlineNanos, checkpoint);
+	}
+
+}
--- a/limpetgate-net/src/main/java/org/limpetgate/net/platform/PlatformReplies.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/platform/PlatformReplies.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.EnumSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -19,6 +21,9 @@
 
 	static final ObjectMapper JSON = new ObjectMapper();
 
+	private static final Set<ErrorKind> REFUSALS = EnumSet.of(ErrorKind.IMPOSSIBLE, ErrorKind.OVERLOADED,
+			ErrorKind.SHUTTING_DOWN, ErrorKind.DEADLINE_EXCEEDED);
+
 	private static final int STATUS_OK = 200;
 
 	private static final String OUTCOME_HEADER = "limpetgate-outcome";
@@ -57,11 +62,21 @@
 		String detail = "the platform answered with status " + reply.status()
 				+ (message.isEmpty() ? "" : ": " + message.substring(0, Math.min(MAX_MESSAGE_CHARS, message.length())));
 		long retryAfterMillis = body.path("retryAfterMillis").asLong(0);
+		ErrorKind kind = kind(body.path("error").asText(""), errorKind);
 		if (retryAfterMillis > 0) {
-			return DispatchException.retryLater(errorKind, outcome, detail,
-					TimeUnit.MILLISECONDS.toNanos(retryAfterMillis));
+			return DispatchException.retryLater(kind, outcome, detail, TimeUnit.MILLISECONDS.toNanos(retryAfterMillis));
+		}
+		return DispatchException.of(kind, outcome, detail);
+	}
+
+	// A worker gives the reason of its refusal; the choice of the next upstream depends
+	// on
+	// it. Errors of the log have one kind only.
+	private static ErrorKind kind(String name, ErrorKind errorKind) {
+		if (errorKind == ErrorKind.LOG_UNAVAILABLE) {
+			return errorKind;
 		}
-		return DispatchException.of(errorKind, outcome, detail);
+		return REFUSALS.stream().filter((kind) -> kind.name().equals(name)).findFirst().orElse(errorKind);
 	}
 
 	private static JsonNode errorBody(HttpReply reply) {
--- /dev/null
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/HostListEndpoint.java
@@ -0,0 +1,77 @@
+package org.limpetgate.standin;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+
+import org.limpetgate.net.platform.HostListCodec;
+import org.limpetgate.platform.HostListView;
+import org.limpetgate.platform.ListedHost;
+import org.limpetgate.platform.ListedUpstream;
+
+/**
+ * The host list of a {@link PlatformStandIn}, which shows each change after a lag.
+ * <p>
+ * Not thread-safe: belongs to the event loop of the stand-in.
+ */
+final class HostListEndpoint {
+
+	private static final int MAX_VERSIONS = 1_000;
+
+	private final long lagNanos;
+
+	private final Deque<Version> versions = new ArrayDeque<>();
+
+	private long frozenNanos = Long.MAX_VALUE;
+
+	HostListEndpoint(Duration lag) {
+		this.lagNanos = lag.toNanos();
+		this.versions.add(new Version(Long.MIN_VALUE, List.of(), List.of()));
+	}
+
+	void set(HostListView list, long nowNanos) {
+		if (this.versions.size() >= MAX_VERSIONS) {
+			this.versions.removeFirst();
+		}
+		this.versions.addLast(new Version(nowNanos, list.hosts(), list.upstreams()));
+	}
+
+	void freeze(boolean frozen, long nowNanos) {
+		if (!frozen) {
+			this.frozenNanos = Long.MAX_VALUE;
+		}
+		else if (this.frozenNanos == Long.MAX_VALUE) {
+			this.frozenNanos = nowNanos;
+		}
+	}
+
+	StandInAnswer read(long nowNanos) {
+		long asOfNanos = Math.min(nowNanos, this.frozenNanos) - this.lagNanos;
+		while (this.versions.size() > 1 && second().nanos <= asOfNanos) {
+			this.versions.removeFirst();
+		}
+		Version version = this.versions.getFirst();
+		HostListView view = new HostListView(version.hosts, version.upstreams, nowNanos - asOfNanos);
+		return StandInAnswer.whole(200, Map.of("content-type", "application/json"), HostListCodec.encode(view));
+	}
+
+	private Version second() {
+		Version first = this.versions.removeFirst();
+		Version second = this.versions.getFirst();
+		this.versions.addFirst(first);
+		return second;
+	}
+
+	/**
+	 * The list from a time on.
+	 *
+	 * @param nanos the time
+	 * @param hosts the entry hosts
+	 * @param upstreams the upstreams
+	 */
+	private record Version(long nanos, List<ListedHost> hosts, List<ListedUpstream> upstreams) {
+	}
+
+}
--- /dev/null
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/LeaseTable.java
@@ -0,0 +1,425 @@
+package org.limpetgate.standin;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+import org.limpetgate.Resources;
+import org.limpetgate.platform.LeaseId;
+import org.limpetgate.platform.LeaseState;
+import org.limpetgate.platform.LeaseStatus;
+import org.limpetgate.platform.WorkerTask;
+import org.limpetgate.platform.WorkerUsage;
+
+/**
+ * The leases of a {@link WorkerStandIn}.
+ * <p>
+ * A lease is remembered at least as long as a start with its id would be accepted, so
+ * that a start never runs twice and a tombstone never expires too early. Leases issued
+ * before the worker's process could have seen them all are neither started nor proved.
+ * {@code docs/decisions/worker-leases.md} gives the reasons.
+ * <p>
+ * Not thread-safe. Times are nanoseconds since the Unix epoch.
+ */
+final class LeaseTable {
+
+	/** How old a lease may be when it is started. */
+	static final Duration MAX_START_AGE = Duration.ofSeconds(60);
+
+	private static final int MAX_LEASES = 200_000;
+
+	private static final long MAX_ANSWER_BYTES = 64L * 1024 * 1024;
+
+	private static final long BUSY_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+	private static final String CHECKPOINT_PREFIX = "done-nanos-";
+
+	private static final byte[] EMPTY = {};
+
+	private final WorkerSettings settings;
+
+	private final long firstProvableNanos;
+
+	private final Map<LeaseId, Lease> leases = new LinkedHashMap<>();
+
+	private final Set<Lease> running = new HashSet<>();
+
+	private final Deque<Lease> answered = new ArrayDeque<>();
+
+	private final Deque<UsageSample> samples = new ArrayDeque<>();
+
+	private Resources used = Resources.NONE;
+
+	private long answerBytes;
+
+	private boolean leaving;
+
+	LeaseTable(WorkerSettings settings, long startNanos) {
+		this.settings = settings;
+		this.firstProvableNanos = settings.firstIncarnation() ? Long.MIN_VALUE
+				: startNanos + settings.clockSkew().toNanos();
+		this.samples.add(new UsageSample(startNanos, Resources.NONE, 0));
+	}
+
+	void setLeaving(boolean leaving) {
+		this.leaving = leaving;
+	}
+
+	boolean isSeen(LeaseId id) {
+		return this.leases.containsKey(id);
+	}
+
+	boolean isEnded(LeaseId id) {
+		Lease lease = this.leases.get(id);
+		return lease != null && lease.state.isEnded();
+	}
+
+	/**
+	 * Starts a task unless the lease has been seen.
+	 * @param id the lease
+	 * @param task the task
+	 * @param program what the task does
+	 * @param leaseNanos the duration of the lease
+	 * @param nowNanos the present time
+	 * @return the state
+	 * @throws DispatchException if the start is refused
+	 */
+	LeaseStatus start(LeaseId id, WorkerTask task, Program program, long leaseNanos, long nowNanos) {
+		tick(nowNanos);
+		Lease seen = this.leases.get(id);
+		if (seen != null) {
+			return status(seen, nowNanos);
+		}
+		if (!isProvable(id, nowNanos)) {
+			throw DispatchException.of(ErrorKind.PLATFORM_UNAVAILABLE, Outcome.UNKNOWN,
+					"lease " + id + " was issued before this worker started or too long ago");
+		}
+		if (this.leases.size() >= MAX_LEASES) {
+			throw DispatchException.of(ErrorKind.PLATFORM_UNAVAILABLE, Outcome.UNKNOWN,
+					"the worker remembers " + MAX_LEASES + " leases already");
+		}
+		refuseUnlessStartable(id, task, nowNanos);
+		Lease lease = new Lease(id, task, program, nowNanos);
+		lease.leaseEndNanos = nowNanos + leaseNanos;
+		lease.doneNanos = done(task.resumeFrom());
+		this.leases.put(id, lease);
+		this.running.add(lease);
+		setUsed(this.used.plus(task.resources()), nowNanos);
+		tick(nowNanos);
+		return status(lease, nowNanos);
+	}
+
+	private void refuseUnlessStartable(LeaseId id, WorkerTask task, long nowNanos) {
+		if (this.leaving) {
+			throw refusal(id, ErrorKind.SHUTTING_DOWN, "the worker is leaving", 0, nowNanos);
+		}
+		if (id.issuedNanos() > nowNanos + this.settings.clockSkew().toNanos()) {
+			throw refusal(id, ErrorKind.PLATFORM_UNAVAILABLE, "the lease was issued in the future", 0, nowNanos);
+		}
+		if (task.deadlineNanos() <= nowNanos) {
+			throw refusal(id, ErrorKind.DEADLINE_EXCEEDED, "the deadline has passed", 0, nowNanos);
+		}
+		if (!task.resources().isWithin(this.settings.capacity())) {
+			throw refusal(id, ErrorKind.IMPOSSIBLE, "the task needs " + task.resources(), 0, nowNanos);
+		}
+		if (!this.used.plus(task.resources()).isWithin(this.settings.capacity())) {
+			throw refusal(id, ErrorKind.OVERLOADED, "the worker is full", BUSY_RETRY_NANOS, nowNanos);
+		}
+	}
+
+	// The tombstone makes the refusal hold for delayed requests with the same lease id.
+	private DispatchException refusal(LeaseId id, ErrorKind kind, String detail, long retryNanos, long nowNanos) {
+		bury(id, nowNanos);
+		if (retryNanos > 0) {
+			return DispatchException.retryLater(kind, Outcome.NOT_RUN, detail, retryNanos);
+		}
+		return DispatchException.of(kind, Outcome.NOT_RUN, detail);
+	}
+
+	private void bury(LeaseId id, long nowNanos) {
+		Lease tombstone = new Lease(id, null, null, nowNanos);
+		tombstone.state = LeaseState.TOMBSTONE;
+		tombstone.progressNanos = nowNanos;
+		this.leases.put(id, tombstone);
+	}
+
+	private boolean isProvable(LeaseId id, long nowNanos) {
+		return id.issuedNanos() > this.firstProvableNanos && nowNanos - id.issuedNanos() <= MAX_START_AGE.toNanos();
+	}
+
+	private static long done(String checkpoint) {
+		if (checkpoint.isEmpty()) {
+			return 0;
+		}
+		if (!checkpoint.startsWith(CHECKPOINT_PREFIX)) {
+			throw new IllegalArgumentException("'" + checkpoint + "' is not a checkpoint of the platform");
+		}
+		return Long.parseLong(checkpoint.substring(CHECKPOINT_PREFIX.length()));
+	}
+
+	LeaseStatus renew(LeaseId id, long leaseNanos, long nowNanos) {
+		tick(nowNanos);
+		Lease lease = this.leases.get(id);
+		if (lease != null && lease.state == LeaseState.RUNNING) {
+			lease.leaseEndNanos = nowNanos + leaseNanos;
+		}
+		return status(lease, nowNanos);
+	}
+
+	LeaseStatus stop(LeaseId id, long nowNanos) {
+		tick(nowNanos);
+		Lease lease = this.leases.get(id);
+		if (lease != null) {
+			if (lease.state == LeaseState.RUNNING) {
+				end(lease, LeaseState.STOPPED, nowNanos);
+			}
+			return status(lease, nowNanos);
+		}
+		if (isProvable(id, nowNanos) && this.leases.size() < MAX_LEASES) {
+			bury(id, nowNanos);
+		}
+		return status(this.leases.get(id), nowNanos);
+	}
+
+	/**
+	 * Reads the state of a lease.
+	 * @param id the lease
+	 * @param nowNanos the present time
+	 * @return the state
+	 */
+	LeaseStatus status(LeaseId id, long nowNanos) {
+		tick(nowNanos);
+		return status(this.leases.get(id), nowNanos);
+	}
+
+	LeaseStatus throttle(LeaseId id, double share, long nowNanos) {
+		if (!(share > 0 && share <= 1)) {
+			throw new IllegalArgumentException("share must be above 0 and at most 1");
+		}
+		tick(nowNanos);
+		Lease lease = this.leases.get(id);
+		if (lease != null && lease.state == LeaseState.RUNNING) {
+			lease.advance(nowNanos);
+			lease.share = share;
+		}
+		return status(lease, nowNanos);
+	}
+
+	String checkpoint(LeaseId id, long nowNanos) {
+		tick(nowNanos);
+		Lease lease = this.leases.get(id);
+		if (lease == null || lease.state != LeaseState.RUNNING) {
+			throw new IllegalArgumentException("the task of lease " + id + " is not running");
+		}
+		lease.advance(nowNanos);
+		return CHECKPOINT_PREFIX + lease.doneNanos;
+	}
+
+	WorkerUsage usage(long nowNanos) {
+		tick(nowNanos);
+		UsageSample sample = this.samples.getFirst();
+		long ageNanos = Math.max(0, Math.min(this.settings.usageLag().toNanos(), nowNanos - sample.nanos));
+		return new WorkerUsage(this.settings.capacity(), sample.used, sample.running, ageNanos);
+	}
+
+	/**
+	 * Ends the tasks that are finished, past their deadline or without a lease, and
+	 * forgets leases.
+	 * @param nowNanos the present time
+	 */
+	void tick(long nowNanos) {
+		for (Lease lease : List.copyOf(this.running)) {
+			if (lease.nextNanos() <= nowNanos) {
+				end(lease, lease.nextState(), lease.nextNanos());
+			}
+		}
+		forget(nowNanos);
+		dropSamples(nowNanos);
+	}
+
+	/**
+	 * Returns when the next task ends.
+	 * @return the time, {@link Long#MAX_VALUE} for none
+	 */
+	long nextWakeNanos() {
+		return this.running.stream().mapToLong(Lease::nextNanos).min().orElse(Long.MAX_VALUE);
+	}
+
+	private void end(Lease lease, LeaseState state, long nanos) {
+		lease.advance(nanos);
+		lease.state = state;
+		this.running.remove(lease);
+		Resources left = minus(this.used, lease.task.resources());
+		setUsed(this.running.isEmpty() ? Resources.NONE : left, nanos);
+		if (state == LeaseState.COMPLETE) {
+			lease.answer = lease.task.body();
+			this.answered.add(lease);
+			this.answerBytes += lease.answer.length;
+		}
+		while (this.answerBytes > MAX_ANSWER_BYTES) {
+			dropAnswer(this.answered.remove());
+		}
+		lease.task = null;
+	}
+
+	private void dropAnswer(Lease lease) {
+		this.answerBytes -= lease.answer.length;
+		lease.answer = null;
+	}
+
+	private static Resources minus(Resources from, Resources amount) {
+		return new Resources(Math.max(0, from.cores() - amount.cores()), from.memoryMb() - amount.memoryMb(),
+				from.accelerators() - amount.accelerators());
+	}
+
+	private void setUsed(Resources used, long nanos) {
+		this.used = used;
+		this.samples.addLast(new UsageSample(nanos, used, this.running.size()));
+	}
+
+	private void dropSamples(long nowNanos) {
+		long lagged = nowNanos - this.settings.usageLag().toNanos();
+		while (this.samples.size() > 1) {
+			UsageSample first = this.samples.removeFirst();
+			if (this.samples.getFirst().nanos > lagged) {
+				this.samples.addFirst(first);
+				return;
+			}
+		}
+	}
+
+	// Leases are in the order of their first sight. One that must be kept longer moves to
+	// the end, so that it does not hold up the others.
+	private void forget(long nowNanos) {
+		Iterator<Lease> oldest = this.leases.values().iterator();
+		while (oldest.hasNext()) {
+			Lease lease = oldest.next();
+			if (nowNanos - lease.seenNanos <= MAX_START_AGE.toNanos()) {
+				return;
+			}
+			oldest.remove();
+			boolean kept = lease.state == LeaseState.RUNNING || isRecent(lease, nowNanos);
+			if (kept) {
+				lease.seenNanos = nowNanos;
+				this.leases.put(lease.id, lease);
+				return;
+			}
+			if (this.answered.remove(lease)) {
+				dropAnswer(lease);
+			}
+		}
+	}
+
+	private boolean isRecent(Lease lease, long nowNanos) {
+		return nowNanos - lease.id.issuedNanos() <= MAX_START_AGE.toNanos()
+				|| nowNanos - lease.progressNanos <= MAX_START_AGE.toNanos();
+	}
+
+	private LeaseStatus status(Lease lease, long nowNanos) {
+		if (lease == null) {
+			return new LeaseStatus(LeaseState.UNSEEN, EMPTY, 0, 0, this.leaving);
+		}
+		if (lease.answer == null) {
+			throw DispatchException.of(ErrorKind.PLATFORM_UNAVAILABLE, Outcome.UNKNOWN,
+					"the answer of lease " + lease.id + " is not kept any more");
+		}
+		boolean isRunning = lease.state == LeaseState.RUNNING;
+		long runNanos = (isRunning ? nowNanos : lease.progressNanos) - lease.startNanos;
+		return new LeaseStatus(lease.state, lease.answer, runNanos, isRunning ? lease.leaseEndNanos - nowNanos : 0,
+				this.leaving);
+	}
+
+	/**
+	 * What a task does.
+	 *
+	 * @param workNanos the work at speed 1 with all cores; {@link Long#MAX_VALUE} for a
+	 * task that hangs
+	 * @param fail whether it fails at its end
+	 */
+	record Program(long workNanos, boolean fail) {
+	}
+
+	/**
+	 * The use from a time on.
+	 *
+	 * @param nanos the time
+	 * @param used the resources set aside
+	 * @param running the number of running tasks
+	 */
+	private record UsageSample(long nanos, Resources used, int running) {
+	}
+
+	private final class Lease {
+
+		private final LeaseId id;
+
+		private final Program program;
+
+		private final long startNanos;
+
+		private WorkerTask task;
+
+		private LeaseState state = LeaseState.RUNNING;
+
+		private byte[] answer = EMPTY;
+
+		private long seenNanos;
+
+		private long leaseEndNanos;
+
+		private double share = 1;
+
+		private long doneNanos;
+
+		private long progressNanos;
+
+		private Lease(LeaseId id, WorkerTask task, Program program, long nowNanos) {
+			this.id = id;
+			this.task = task;
+			this.program = program;
+			this.startNanos = nowNanos;
+			this.seenNanos = nowNanos;
+			this.progressNanos = nowNanos;
+		}
+
+		private double rate() {
+			return this.share * LeaseTable.this.settings.speed();
+		}
+
+		private void advance(long nowNanos) {
+			this.doneNanos += (long) ((nowNanos - this.progressNanos) * rate());
+			this.progressNanos = nowNanos;
+		}
+
+		private long finishNanos() {
+			if (this.program.workNanos == Long.MAX_VALUE) {
+				return Long.MAX_VALUE;
+			}
+			return this.progressNanos + (long) (Math.max(0, this.program.workNanos - this.doneNanos) / rate());
+		}
+
+		private long nextNanos() {
+			return Math.min(finishNanos(), Math.min(this.leaseEndNanos, this.task.deadlineNanos()));
+		}
+
+		private LeaseState nextState() {
+			long next = nextNanos();
+			if (next == finishNanos()) {
+				return this.program.fail ? LeaseState.FAILED : LeaseState.COMPLETE;
+			}
+			return (next == this.leaseEndNanos) ? LeaseState.LAPSED : LeaseState.STOPPED;
+		}
+
+	}
+
+}
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/PlatformStandIn.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/PlatformStandIn.java
@@ -1,18 +1,25 @@
 package org.limpetgate.standin;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.EventExecutor;
-import org.limpetgate.Outcome;
 import org.limpetgate.net.http.HttpCall;
+import org.limpetgate.net.platform.HostListCodec;
+import org.limpetgate.platform.HostListView;
+import org.limpetgate.platform.ListedHost;
+import org.limpetgate.platform.ListedUpstream;
 
 /**
- * Stand-in for the platform: the log, with faults that can be set by method call or with
- * {@code POST /faults}.
+ * Stand-in for the platform: the log, the host list and the workers that were added to
+ * it, with faults that can be set by method call or with {@code POST /faults}. The host
+ * list can also be set with {@code PUT /v1/hosts}.
  * <p>
  * Its state lives in memory and ends with it. Thread-safe: the state belongs to one event
  * loop, on which all requests are handled.
@@ -23,14 +30,23 @@
 
 	private final EventExecutor loop;
 
+	private final LongSupplier clock;
+
 	private final LogEndpoint log;
 
+	private final HostListEndpoint hostList;
+
+	private final Map<String, WorkerEndpoint> workers = new ConcurrentHashMap<>();
+
 	private final StandInServer server;
 
 	private volatile PlatformFaults faults = PlatformFaults.NONE;
 
-	private PlatformStandIn(EventLoopGroup group, InetSocketAddress bind, LogLimits limits, LongSupplier clock) {
+	private PlatformStandIn(EventLoopGroup group, InetSocketAddress bind, LogLimits limits, Duration hostListLag,
+			LongSupplier clock) {
 		this.loop = group.next();
+		this.clock = clock;
+		this.hostList = new HostListEndpoint(hostListLag);
 		this.log = new LogEndpoint(this.loop, clock, limits);
 		this.server = StandInServer.start(group, bind, MAX_CONNECTIONS, this::handle);
 	}
@@ -42,7 +58,7 @@
 	 * @return the stand-in, not null
 	 */
 	public static PlatformStandIn start(EventLoopGroup group, LogLimits limits) {
-		return start(group, StandIns.ephemeral(), limits);
+		return start(group, StandIns.ephemeral(), limits, Duration.ZERO);
 	}
 
 	/**
@@ -50,10 +66,12 @@
 	 * @param group the event loops, which stay open when the stand-in is closed, not null
 	 * @param bind the address to listen on, not null
 	 * @param limits the limits of the log, not null
+	 * @param hostListLag how far the host list lags behind, not null
 	 * @return the stand-in, not null
 	 */
-	public static PlatformStandIn start(EventLoopGroup group, InetSocketAddress bind, LogLimits limits) {
-		return new PlatformStandIn(group, bind, limits, StandIns::epochNanos);
+	public static PlatformStandIn start(EventLoopGroup group, InetSocketAddress bind, LogLimits limits,
+			Duration hostListLag) {
+		return new PlatformStandIn(group, bind, limits, hostListLag, StandIns::epochNanos);
 	}
 
 	/**
@@ -81,13 +99,37 @@
 		StandIns.runOn(this.loop, () -> this.log.trim(stream, beforeOffset));
 	}
 
+	/**
+	 * Replaces the host list, which readers see after the lag.
+	 * @param hosts the entry hosts, not null
+	 * @param upstreams the upstreams, not null
+	 */
+	public void setHosts(List<ListedHost> hosts, List<ListedUpstream> upstreams) {
+		HostListView list = new HostListView(hosts, upstreams, 0);
+		StandIns.runOn(this.loop, () -> this.hostList.set(list, this.clock.getAsLong()));
+	}
+
+	/**
+	 * Makes a worker reachable at the address of the platform too.
+	 * @param worker the worker, not null
+	 */
+	public void addWorker(WorkerStandIn worker) {
+		this.workers.put(worker.endpoint().settings().id().value(), worker.endpoint());
+	}
+
 	private void apply(PlatformFaults faults) {
 		this.faults = faults;
 		this.log.setFaults(faults);
+		this.hostList.freeze(faults.hostListFrozen(), this.clock.getAsLong());
 	}
 
 	private CompletableFuture<StandInAnswer> handle(HttpCall call, CompletableFuture<Void> closed) {
 		Query query = Query.of(call);
+		if (query.startsWith("v1", "workers")) {
+			WorkerEndpoint worker = this.workers.get(query.segment(2));
+			return (worker != null) ? worker.handle(call, query)
+					: CompletableFuture.completedFuture(StandInAnswer.notFound(call.path()));
+		}
 		return StandIns.callOn(this.loop, () -> route(call, query));
 	}
 
@@ -98,7 +140,21 @@
 		return CompletableFuture.completedFuture(control(call, query));
 	}
 
+	private StandInAnswer hosts(HttpCall call) {
+		if (this.faults.hostListDown()) {
+			return StandInAnswer.bare(503);
+		}
+		if (call.method().equals("PUT")) {
+			this.hostList.set(HostListCodec.decode(call.body()), this.clock.getAsLong());
+			return StandInAnswer.json(200, Map.of());
+		}
+		return this.hostList.read(this.clock.getAsLong());
+	}
+
 	private StandInAnswer control(HttpCall call, Query query) {
+		if (query.startsWith("v1", "hosts")) {
+			return hosts(call);
+		}
 		if (query.startsWith("faults")) {
 			if (call.method().equals("POST")) {
 				apply(StandIns.parse(call.body(), PlatformFaults.class));
@@ -110,7 +166,7 @@
 			this.log.trim(query.text("stream"), beforeOffset);
 			return StandInAnswer.json(200, Map.of("before", beforeOffset));
 		}
-		return StandInAnswer.error(404, Outcome.NOT_RUN, "no such path: " + call.path(), 0);
+		return StandInAnswer.notFound(call.path());
 	}
 
 	@Override
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/RunnerStandIn.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/RunnerStandIn.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Random;
@@ -46,7 +45,7 @@
 
 	private volatile int peakRunning;
 
-	private volatile RunnerFaults faults = RunnerFaults.NONE;
+	private volatile UpstreamFaults faults = UpstreamFaults.NONE;
 
 	private RunnerStandIn(EventLoopGroup group, InetSocketAddress bind, RunnerSettings settings, StartCounter starts) {
 		this.settings = settings;
@@ -100,7 +99,7 @@
 	 * Replaces all faults. The call returns when they are in force.
 	 * @param faults the faults, not null
 	 */
-	public void setFaults(RunnerFaults faults) {
+	public void setFaults(UpstreamFaults faults) {
 		StandIns.runOn(this.loop, () -> this.faults = faults);
 	}
 
@@ -118,14 +117,13 @@
 
 	private StandInAnswer control(HttpCall call) {
 		if (call.method().equals("POST")) {
-			this.faults = StandIns.parse(call.body(), RunnerFaults.class);
+			this.faults = StandIns.parse(call.body(), UpstreamFaults.class);
 		}
 		return StandInAnswer.json(200, this.faults);
 	}
 
 	private StandInAnswer counts() {
-		return StandInAnswer.json(200, new Counts(this.starts.total(), this.starts.untracked(),
-				this.starts.startedTwice(), this.running, this.peakRunning));
+		return StandInAnswer.json(200, StartCounts.of(this.starts));
 	}
 
 	private CompletableFuture<StandInAnswer> accept(HttpCall call, CompletableFuture<Void> closed) {
@@ -161,8 +159,8 @@
 		this.running++;
 		this.peakRunning = Math.max(this.peakRunning, this.running);
 		this.starts.started(run.call.header("x-request-id"));
-		RunnerFaults.Fault fault = (this.random.nextDouble() < this.faults.share()) ? this.faults.fault()
-				: RunnerFaults.Fault.NONE;
+		UpstreamFaults.Fault fault = (this.random.nextDouble() < this.faults.share()) ? this.faults.fault()
+				: UpstreamFaults.Fault.NONE;
 		switch (fault) {
 			case FAIL -> {
 				run.answer.complete(StandInAnswer.whole(500, headers(Map.of()), new byte[0]));
@@ -254,16 +252,4 @@
 			CompletableFuture<StandInAnswer> answer) {
 	}
 
-	/**
-	 * The answer to {@code GET /starts}.
-	 *
-	 * @param total the number of starts
-	 * @param untracked the number of starts whose id was missing or not remembered
-	 * @param startedTwice the ids that were started more than once
-	 * @param running the number of requests that run now
-	 * @param peakRunning the largest number that ran at the same time
-	 */
-	private record Counts(long total, long untracked, List<String> startedTwice, int running, int peakRunning) {
-	}
-
 }
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInAnswer.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInAnswer.java
@@ -52,14 +52,22 @@
 	}
 
 	static StandInAnswer error(int status, Outcome outcome, String message, long retryAfterMillis) {
-		ErrorBody body = new ErrorBody(outcome.text(), ErrorKind.PLATFORM_UNAVAILABLE.name(), message,
-				retryAfterMillis);
-		return json(status, Map.of(OUTCOME_HEADER, outcome.text()), body);
+		return error(status, ErrorKind.PLATFORM_UNAVAILABLE, outcome, message, retryAfterMillis);
+	}
+
+	private static StandInAnswer error(int status, ErrorKind kind, Outcome outcome, String message,
+			long retryAfterMillis) {
+		return json(status, Map.of(OUTCOME_HEADER, outcome.text()),
+				new ErrorBody(outcome.text(), kind.name(), message, retryAfterMillis));
+	}
+
+	static StandInAnswer notFound(String path) {
+		return error(404, Outcome.NOT_RUN, "no such path: " + path, 0);
 	}
 
 	static StandInAnswer error(Throwable error) {
 		if (error instanceof DispatchException known) {
-			return error(known.kind().httpStatus(), known.outcome(), known.getMessage(),
+			return error(known.kind().httpStatus(), known.kind(), known.outcome(), known.getMessage(),
 					TimeUnit.NANOSECONDS.toMillis(known.retryAfterNanos()));
 		}
 		return error(500, Outcome.UNKNOWN, String.valueOf(error), 0);
--- /dev/null
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInCommand.java
@@ -0,0 +1,91 @@
+package org.limpetgate.standin;
+
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import picocli.CommandLine;
+
+/**
+ * Base of the commands that run a stand-in as a process of its own.
+ * <p>
+ * The process listens on the loopback address only. It ends on SIGTERM, and on its own
+ * after a time, so that a forgotten one does not stay.
+ */
+abstract class StandInCommand implements Callable<Integer> {
+
+	@CommandLine.Option(names = "--port", defaultValue = "0",
+			description = "TCP port on the loopback address; 0 lets the system choose (default: ${DEFAULT-VALUE})")
+	private int port;
+
+	@CommandLine.Option(names = "--threads", defaultValue = "2",
+			description = "number of event loop threads (default: ${DEFAULT-VALUE})")
+	private int threads;
+
+	@CommandLine.Option(names = "--max-seconds", defaultValue = "3600",
+			description = "time after which the process ends on its own (default: ${DEFAULT-VALUE})")
+	private long maxSeconds;
+
+	@CommandLine.Spec
+	private CommandLine.Model.CommandSpec spec;
+
+	/**
+	 * Starts the stand-in.
+	 * @param group the event loops
+	 * @param bind the address to listen on
+	 * @return the stand-in and its address
+	 * @throws InterruptedException if the process is to end
+	 */
+	abstract Running start(EventLoopGroup group, InetSocketAddress bind) throws InterruptedException;
+
+	@Override
+	public final Integer call() throws Exception {
+		EventLoopGroup group = StandIns.newEventLoops(this.threads);
+		CountDownLatch ending = new CountDownLatch(1);
+		CountDownLatch ended = new CountDownLatch(1);
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> awaitEnd(ending, ended), "standin-shutdown"));
+		try {
+			Running running = start(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), this.port));
+			try (AutoCloseable standIn = running.standIn) {
+				announce(running.address);
+				ending.await(this.maxSeconds, TimeUnit.SECONDS);
+			}
+		}
+		finally {
+			group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+			ended.countDown();
+		}
+		return 0;
+	}
+
+	private static void awaitEnd(CountDownLatch ending, CountDownLatch ended) {
+		ending.countDown();
+		try {
+			ended.await(5, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	// Scripts read the port from this line.
+	private void announce(InetSocketAddress address) {
+		PrintStream out = System.out;
+		out.println(this.spec.name() + " listening on " + address.getHostString() + ":" + address.getPort());
+		out.flush();
+	}
+
+	/**
+	 * A stand-in that was started.
+	 *
+	 * @param standIn the stand-in
+	 * @param address the address it listens on
+	 */
+	record Running(AutoCloseable standIn, InetSocketAddress address) {
+	}
+
+}
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/StandIns.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/StandIns.java
@@ -17,6 +17,9 @@
  */
 public final class StandIns {
 
+	private static final long CLOCK_OFFSET_NANOS = TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis())
+			- System.nanoTime();
+
 	private StandIns() {
 	}
 
@@ -38,7 +41,7 @@
 	}
 
 	static long epochNanos() {
-		return TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
+		return CLOCK_OFFSET_NANOS + System.nanoTime();
 	}
 
 	static <T> T parse(byte[] body, Class<T> type) {
--- /dev/null
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/TaskProgram.java
@@ -0,0 +1,40 @@
+package org.limpetgate.standin;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * What the stand-in does for a task. A body that is a JSON object may have the fields
+ * {@code id}, {@code runMillis} and {@code fail}; other bodies run for the default time.
+ *
+ * @param id the id for which the start is counted, empty for none
+ * @param runMillis the run time at speed 1 with all cores
+ * @param fail whether the task fails at its end
+ */
+record TaskProgram(String id, long runMillis, boolean fail) {
+
+	private static final long MAX_RUN_MILLIS = 3_600_000;
+
+	static TaskProgram parse(byte[] body, long defaultRunMillis) {
+		JsonNode root = read(body);
+		long runMillis = root.path("runMillis").asLong(defaultRunMillis);
+		if (runMillis < 0 || runMillis > MAX_RUN_MILLIS) {
+			throw new IllegalArgumentException("runMillis must be from 0 to " + MAX_RUN_MILLIS);
+		}
+		return new TaskProgram(root.path("id").asText(""), runMillis, root.path("fail").asBoolean(false));
+	}
+
+	private static JsonNode read(byte[] body) {
+		if (body.length == 0 || body[0] != '{') {
+			return StandInAnswer.JSON.createObjectNode();
+		}
+		try {
+			return StandInAnswer.JSON.readTree(body);
+		}
+		catch (IOException ex) {
+			return StandInAnswer.JSON.createObjectNode();
+		}
+	}
+
+}
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/RunnerFaults.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/UpstreamFaults.java
@@ -3,21 +3,21 @@
 import java.util.Objects;
 
 /**
- * The faults of a {@link RunnerStandIn}. In the JSON of the control path, {@code fault}
- * is required; {@code share} defaults to 0.
+ * The faults of a {@link RunnerStandIn} or a {@link WorkerStandIn}. In the JSON of the
+ * control path, {@code fault} is required; {@code share} defaults to 0.
  *
  * @param fault the fault of the requests that are hit
  * @param share the share of requests that are hit, 0 to 1
  * @param delayMillis the delay of {@link Fault#LATE} and {@link Fault#SLOW}
- * @param leaving whether the runner announces that it is leaving and refuses all requests
- * as not run
+ * @param leaving whether the upstream announces that it is leaving and refuses all
+ * requests as not run
  */
-public record RunnerFaults(Fault fault, double share, long delayMillis, boolean leaving) {
+public record UpstreamFaults(Fault fault, double share, long delayMillis, boolean leaving) {
 
 	/** No faults. */
-	public static final RunnerFaults NONE = new RunnerFaults(Fault.NONE, 0, 0, false);
+	public static final UpstreamFaults NONE = new UpstreamFaults(Fault.NONE, 0, 0, false);
 
-	public RunnerFaults {
+	public UpstreamFaults {
 		Objects.requireNonNull(fault, "fault");
 		if (!(share >= 0 && share <= 1) || delayMillis < 0) {
 			throw new IllegalArgumentException("share must be from 0 to 1 and delayMillis at least 0");
@@ -29,8 +29,8 @@
 	 * @param fault the fault, not null
 	 * @return the faults, not null
 	 */
-	public static RunnerFaults always(Fault fault) {
-		return new RunnerFaults(fault, 1, 0, false);
+	public static UpstreamFaults always(Fault fault) {
+		return new UpstreamFaults(fault, 1, 0, false);
 	}
 
 	/**
@@ -38,8 +38,8 @@
 	 * @param share the share, 0 to 1
 	 * @return the faults, not null
 	 */
-	public RunnerFaults withShare(double share) {
-		return new RunnerFaults(this.fault, share, this.delayMillis, this.leaving);
+	public UpstreamFaults withShare(double share) {
+		return new UpstreamFaults(this.fault, share, this.delayMillis, this.leaving);
 	}
 
 	/**
@@ -47,8 +47,8 @@
 	 * @param delayMillis the delay in milliseconds, at least 0
 	 * @return the faults, not null
 	 */
-	public RunnerFaults withDelayMillis(long delayMillis) {
-		return new RunnerFaults(this.fault, this.share, delayMillis, this.leaving);
+	public UpstreamFaults withDelayMillis(long delayMillis) {
+		return new UpstreamFaults(this.fault, this.share, delayMillis, this.leaving);
 	}
 
 	/**
@@ -56,8 +56,8 @@
 	 * @param leaving whether it is leaving
 	 * @return the faults, not null
 	 */
-	public RunnerFaults withLeaving(boolean leaving) {
-		return new RunnerFaults(this.fault, this.share, this.delayMillis, leaving);
+	public UpstreamFaults withLeaving(boolean leaving) {
+		return new UpstreamFaults(this.fault, this.share, this.delayMillis, leaving);
 	}
 
 	/**
@@ -72,7 +72,8 @@
 		FAIL,
 
 		/**
-		 * It starts, keeps its slot and is never answered while the connection is open.
+		 * It starts and never ends; a runner answers nothing, a worker reports it as
+		 * running.
 		 */
 		HANG,
 
