--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/BodyBuffer.java
@@ -0,0 +1,92 @@
+package org.limpetgate.net.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Collects a body within the bound for one message and the bound for all messages.
+ * <p>
+ * Belongs to one connection; not thread-safe.
+ */
+final class BodyBuffer {
+
+	private final BufferBudget budget;
+
+	private final long maxBytes;
+
+	private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(0);
+
+	private long reserved;
+
+	BodyBuffer(BufferBudget budget, long maxBytes) {
+		this.budget = budget;
+		this.maxBytes = maxBytes;
+	}
+
+	/**
+	 * Reserves bytes other than those of the body, such as the head.
+	 * @param count the number of bytes
+	 * @return false if the bound for all messages is reached
+	 */
+	boolean reserve(long count) {
+		if (!this.budget.tryReserve(count)) {
+			return false;
+		}
+		this.reserved += count;
+		return true;
+	}
+
+	Result append(ByteBuf content) {
+		int count = content.readableBytes();
+		if (this.bytes.size() + (long) count > this.maxBytes) {
+			return Result.BODY_TOO_LARGE;
+		}
+		if (!reserve(count)) {
+			return Result.BUDGET_EXHAUSTED;
+		}
+		try {
+			content.readBytes(this.bytes, count);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return Result.APPENDED;
+	}
+
+	int size() {
+		return this.bytes.size();
+	}
+
+	byte[] toByteArray() {
+		return this.bytes.toByteArray();
+	}
+
+	// The caller of this method must release the returned bytes.
+	long takeReserved() {
+		long taken = this.reserved;
+		this.reserved = 0;
+		return taken;
+	}
+
+	void release() {
+		this.budget.release(takeReserved());
+	}
+
+	/** The result of appending to the body. */
+	enum Result {
+
+		/** The content was appended. */
+		APPENDED,
+
+		/** The body would exceed the bound for one message. */
+		BODY_TOO_LARGE,
+
+		/** The body would exceed the bound for all messages. */
+		BUDGET_EXHAUSTED
+
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ClientConnection.java
@@ -0,0 +1,359 @@
+package org.limpetgate.net.http;
+
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+
+/**
+ * One connection of a {@link ConnectionPool}.
+ * <p>
+ * All state belongs to the event loop of the pool.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+
+	private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+	/** Informational answers before the final one; more are taken for a fault. */
+	private static final int MAX_INFORMATIONAL = 8;
+
+	/** A time to come back above this is a fault of the upstream. */
+	private static final long MAX_RETRY_AFTER_SECONDS = 3600;
+
+	private final ConnectionPool pool;
+
+	private final StrictResponseDecoder decoder;
+
+	private ChannelHandlerContext context;
+
+	/** The exchange in flight, null while the connection is unused. */
+	private PendingExchange exchange;
+
+	private HttpResponse response;
+
+	private BodyBuffer body;
+
+	private int informational;
+
+	private boolean requestSent;
+
+	/** Whether the answer is whole and the connection waits for the end of the read. */
+	private boolean reusable;
+
+	private boolean reused;
+
+	private ScheduledFuture<?> idleTimer;
+
+	ClientConnection(ConnectionPool pool, StrictResponseDecoder decoder) {
+		this.pool = pool;
+		this.decoder = decoder;
+	}
+
+	void install(ChannelPipeline pipeline) {
+		pipeline.addLast(new WriteProgress(this::writeProgressed), this.decoder, new HttpRequestEncoder(), this);
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext ctx) {
+		this.context = ctx;
+	}
+
+	boolean isUsable() {
+		return this.context.channel().isActive() && this.decoder.bufferedBytes() == 0;
+	}
+
+	void close() {
+		this.context.close();
+	}
+
+	/**
+	 * Sends the request of an exchange.
+	 * @param next the exchange
+	 */
+	void send(PendingExchange next) {
+		if (next.isDecided()) {
+			giveBack();
+			return;
+		}
+		cancelIdleTimer();
+		FullHttpRequest request = toRequest(next);
+		if (request == null) {
+			giveBack();
+			return;
+		}
+		this.exchange = next;
+		this.requestSent = false;
+		this.informational = 0;
+		this.decoder.expectAnswerTo(next.call().method());
+		next.attach(this);
+		this.context.writeAndFlush(request).addListener((sent) -> {
+			if (sent.isSuccess()) {
+				this.requestSent = true;
+			}
+			else {
+				abandon("the request cannot be sent: " + sent.cause().getMessage());
+			}
+		});
+	}
+
+	private FullHttpRequest toRequest(PendingExchange next) {
+		try {
+			return toRequestUnchecked(next.call(), next.number());
+		}
+		catch (RuntimeException ex) {
+			next.fail(DispatchException.of(ErrorKind.INTERNAL, Outcome.NOT_RUN,
+					"the request cannot be encoded: " + ex.getMessage()));
+			return null;
+		}
+	}
+
+	private FullHttpRequest toRequestUnchecked(HttpCall call, long number) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method()),
+				call.target(), Unpooled.wrappedBuffer(call.body()));
+		Headers.addAll(call.headers(), request.headers());
+		if (!request.headers().contains(HttpHeaderNames.HOST)) {
+			request.headers()
+				.set(HttpHeaderNames.HOST,
+						HttpUtil.formatHostnameForHttp(this.pool.address()) + ":" + this.pool.address().getPort());
+		}
+		request.headers().set(HeaderNames.EXCHANGE, number);
+		if (call.body().length > 0 || !(call.method().equals("GET") || call.method().equals("HEAD"))) {
+			request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+		}
+		return request;
+	}
+
+	private void writeProgressed() {
+		if (this.exchange != null) {
+			this.exchange.markWritten();
+		}
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		try {
+			receive(message);
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void receive(Object message) {
+		if (this.exchange == null) {
+			// Input without a request would be taken for the next answer.
+			this.reusable = false;
+			close();
+			return;
+		}
+		if (message instanceof HeadInspector.Verdict verdict) {
+			abandon("the answer is malformed: " + verdict.detail());
+			return;
+		}
+		if (message instanceof HttpResponse head && this.response == null) {
+			begin(head);
+		}
+		if (message instanceof HttpContent content && this.response != null) {
+			append(content);
+		}
+	}
+
+	private void begin(HttpResponse head) {
+		String fault = headFault(head);
+		if (fault != null) {
+			abandon("the answer is malformed: " + fault);
+			return;
+		}
+		this.response = head;
+		if (isInformational()) {
+			return;
+		}
+		if ("true".equalsIgnoreCase(head.headers().get(HeaderNames.LEAVING))) {
+			this.exchange.markUpstreamLeaving();
+		}
+		this.body = new BodyBuffer(this.pool.budget(), this.pool.limits().maxBodyBytes());
+	}
+
+	private String headFault(HttpResponse head) {
+		if (head.decoderResult().isFailure()) {
+			return head.decoderResult().cause().getMessage();
+		}
+		String framing = Headers.framingFault(head.headers());
+		if (framing != null) {
+			return framing;
+		}
+		String number = head.headers().get(HeaderNames.EXCHANGE);
+		if (number != null && !number.equals(Long.toString(this.exchange.number()))) {
+			return "it belongs to another exchange";
+		}
+		int status = head.status().code();
+		if (status < 200) {
+			this.informational++;
+			return (status == 101 || this.informational > MAX_INFORMATIONAL) ? "it has an unexpected status " + status
+					: null;
+		}
+		boolean noBody = status == 204 || status == 304 || this.exchange.call().method().equals("HEAD");
+		boolean framed = HttpUtil.isTransferEncodingChunked(head) || Headers.contentLength(head.headers()) >= 0;
+		// An answer that ends with the connection cannot be told from a truncated one.
+		return (noBody || framed) ? null : "it has neither Content-Length nor Transfer-Encoding";
+	}
+
+	private boolean isInformational() {
+		return this.response.status().code() < 200;
+	}
+
+	private void append(HttpContent content) {
+		if (isInformational()) {
+			if (content instanceof LastHttpContent) {
+				this.response = null;
+			}
+			return;
+		}
+		if (content.decoderResult().isFailure()) {
+			abandon("the answer is malformed: " + content.decoderResult().cause().getMessage());
+			return;
+		}
+		switch (this.body.append(content.content())) {
+			case BODY_TOO_LARGE ->
+				abandon("the body of the answer has more than " + this.pool.limits().maxBodyBytes() + " bytes");
+			case BUDGET_EXHAUSTED -> abandon("the host has no memory left for answers");
+			case APPENDED -> {
+				if (content instanceof LastHttpContent) {
+					finish();
+				}
+			}
+		}
+	}
+
+	private void finish() {
+		long announced = Headers.contentLength(this.response.headers());
+		boolean noBody = this.body.size() == 0
+				&& (this.response.status().code() == 304 || this.exchange.call().method().equals("HEAD"));
+		if (announced >= 0 && announced != this.body.size() && !noBody) {
+			abandon("the answer ended after " + this.body.size() + " of " + announced + " bytes");
+			return;
+		}
+		PendingExchange ended = this.exchange;
+		HttpReply reply = new HttpReply(this.response.status().code(), Headers.toMap(this.response.headers()),
+				this.body.toByteArray());
+		this.reusable = this.requestSent && this.response.protocolVersion().equals(HttpVersion.HTTP_1_1)
+				&& !Headers.hasConnectionOption(this.response.headers(), "close");
+		clear();
+		if (!this.reusable) {
+			close();
+		}
+		decide(ended, reply);
+	}
+
+	private void decide(PendingExchange ended, HttpReply reply) {
+		if (reply.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+				&& reply.header(HeaderNames.OUTCOME).equals(Outcome.NOT_RUN.text())) {
+			ended.fail(refusal(reply));
+		}
+		else {
+			ended.complete(reply);
+		}
+	}
+
+	private DispatchException refusal(HttpReply reply) {
+		String detail = "the upstream " + this.pool.address() + " refused the request";
+		String retryAfter = reply.header("retry-after");
+		if (!retryAfter.matches("[0-9]{1,9}")) {
+			return DispatchException.of(ErrorKind.OVERLOADED, Outcome.NOT_RUN, detail);
+		}
+		long seconds = Math.min(Long.parseLong(retryAfter), MAX_RETRY_AFTER_SECONDS);
+		return DispatchException.retryLater(ErrorKind.OVERLOADED, Outcome.NOT_RUN, detail,
+				TimeUnit.SECONDS.toNanos(seconds));
+	}
+
+	/**
+	 * Returns the connection to the pool, but only after everything that arrived together
+	 * with the answer was seen, since further input would belong to no request.
+	 */
+	@Override
+	public void channelReadComplete(ChannelHandlerContext ctx) {
+		if (this.exchange == null && this.decoder.bufferedBytes() > 0) {
+			close();
+		}
+		else if (this.reusable) {
+			this.reusable = false;
+			giveBack();
+		}
+	}
+
+	private void giveBack() {
+		if (!isUsable()) {
+			return;
+		}
+		this.reused = true;
+		this.idleTimer = this.context.executor()
+			.schedule(this::close, this.pool.limits().idleNanos(), TimeUnit.NANOSECONDS);
+		this.pool.giveBack(this);
+	}
+
+	private void cancelIdleTimer() {
+		if (this.idleTimer != null) {
+			this.idleTimer.cancel(false);
+			this.idleTimer = null;
+		}
+	}
+
+	// Closes the connection and fails the exchange.
+	private void abandon(String detail) {
+		PendingExchange failed = this.exchange;
+		clear();
+		close();
+		if (failed == null) {
+			return;
+		}
+		if (this.reused && !failed.isWritten() && !failed.isDecided()) {
+			// The upstream had closed the unused connection; no byte has left.
+			failed.serveAgain();
+			return;
+		}
+		failed.fail(ErrorKind.UPSTREAM_FAILED, "the exchange with " + this.pool.address() + " failed: " + detail);
+	}
+
+	private void clear() {
+		if (this.body != null) {
+			this.body.release();
+		}
+		this.exchange = null;
+		this.response = null;
+		this.body = null;
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) {
+		cancelIdleTimer();
+		this.reusable = false;
+		this.pool.remove(this);
+		abandon("the upstream closed the connection before the whole answer");
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		LOG.atFine().withCause(cause).log("N104 connection to %s failed", this.pool.address());
+		abandon(cause.getMessage());
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClient.java
@@ -0,0 +1,104 @@
+package org.limpetgate.net.http;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.channel.EventLoopGroup;
+
+/**
+ * An HTTP/1.1 client for upstreams that sends whole requests and waits for whole answers.
+ * <p>
+ * A connection carries one exchange at a time and is used again only after a whole,
+ * well-formed answer. Every failure tells whether the request may have run:
+ * {@link org.limpetgate.Outcome#NOT_RUN} if no byte of it was handed to the operating
+ * system or the upstream declared so, else {@link org.limpetgate.Outcome#UNKNOWN}.
+ * <p>
+ * The connections to one address share one event loop. Thread-safe.
+ */
+public final class HttpClient {
+
+	private final EventLoopGroup group;
+
+	private final HttpClientLimits limits;
+
+	private final HttpClientMetrics metrics;
+
+	private final BufferBudget budget;
+
+	private final ConcurrentMap<InetSocketAddress, ConnectionPool> pools = new ConcurrentHashMap<>();
+
+	private final AtomicLong nextExchange = new AtomicLong(1);
+
+	private HttpClient(EventLoopGroup group, HttpClientLimits limits, HttpClientMetrics metrics) {
+		this.group = group;
+		this.limits = limits;
+		this.metrics = metrics;
+		this.budget = new BufferBudget(limits.maxBufferedBytes());
+	}
+
+	/**
+	 * Returns a client without metrics.
+	 * @param group the threads, not shut down by the client
+	 * @param limits the bounds, not null
+	 * @return the client, not null
+	 */
+	public static HttpClient of(EventLoopGroup group, HttpClientLimits limits) {
+		return of(group, limits, HttpClientMetrics.NONE);
+	}
+
+	/**
+	 * Returns a client.
+	 * @param group the threads, not shut down by the client
+	 * @param limits the bounds, not null
+	 * @param metrics the receiver of counts, not null
+	 * @return the client, not null
+	 */
+	public static HttpClient of(EventLoopGroup group, HttpClientLimits limits, HttpClientMetrics metrics) {
+		return new HttpClient(group, limits, metrics);
+	}
+
+	/**
+	 * Sends a request.
+	 * @param address the resolved address of the upstream, not null
+	 * @param call the request, not null; {@code host} is set to the address if missing
+	 * @param timeoutNanos the time until the whole answer must be there, in nanoseconds
+	 * @return the exchange, not null; it fails with
+	 * {@link org.limpetgate.ErrorKind#OVERLOADED} if all connections to the address are
+	 * in use
+	 */
+	public HttpExchange exchange(InetSocketAddress address, HttpCall call, long timeoutNanos) {
+		ConnectionPool pool = this.pools.computeIfAbsent(address,
+				(key) -> new ConnectionPool(key, this.group.next(), this.limits, this.metrics, this.budget));
+		PendingExchange exchange = new PendingExchange(pool, call, this.nextExchange.getAndIncrement());
+		exchange.start(timeoutNanos);
+		return exchange;
+	}
+
+	/**
+	 * Closes the unused connections to an address that is no longer an upstream, and the
+	 * others once their exchange has ended.
+	 * @param address the address, not null
+	 */
+	public void forget(InetSocketAddress address) {
+		ConnectionPool pool = this.pools.remove(address);
+		if (pool != null) {
+			pool.retire();
+		}
+	}
+
+	/** Closes all unused connections, and the others once their exchange has ended. */
+	public void close() {
+		this.pools.keySet().forEach(this::forget);
+	}
+
+	/**
+	 * Returns the bytes held for answers that are not whole yet.
+	 * @return the number of bytes
+	 */
+	public long bufferedBytes() {
+		return this.budget.used();
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClientLimits.java
@@ -0,0 +1,60 @@
+package org.limpetgate.net.http;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The bounds of an {@link HttpClient}.
+ *
+ * @param maxHeadBytes the largest head of an answer, in bytes
+ * @param maxBodyBytes the largest body of an answer, in bytes
+ * @param maxBufferedBytes the largest sum of answer bytes that are held at the same time
+ * @param maxConnections the largest number of connections per address
+ * @param connectNanos the time to open a connection, in nanoseconds
+ * @param idleNanos the time after which an unused connection is closed, in nanoseconds
+ */
+public record HttpClientLimits(int maxHeadBytes, int maxBodyBytes, long maxBufferedBytes, int maxConnections,
+		long connectNanos, long idleNanos) {
+
+	/**
+	 * Returns the usual limits.
+	 * @return limits for hosts with at least 256 MB of heap
+	 */
+	public static HttpClientLimits defaults() {
+		return new HttpClientLimits(16 * 1024, 4 * 1024 * 1024, 64L * 1024 * 1024, 60, TimeUnit.SECONDS.toNanos(1),
+				TimeUnit.SECONDS.toNanos(10));
+	}
+
+	/**
+	 * Returns a copy with other bounds of an answer.
+	 * @param maxHeadBytes the largest head, in bytes
+	 * @param maxBodyBytes the largest body, in bytes
+	 * @return the copy, not null
+	 */
+	public HttpClientLimits withAnswerBytes(int maxHeadBytes, int maxBodyBytes) {
+		return new HttpClientLimits(maxHeadBytes, maxBodyBytes, this.maxBufferedBytes, this.maxConnections,
+				this.connectNanos, this.idleNanos);
+	}
+
+	/**
+	 * Returns a copy with another number of connections.
+	 * @param maxConnections the largest number of connections per address
+	 * @return the copy, not null
+	 */
+	public HttpClientLimits withMaxConnections(int maxConnections) {
+		return new HttpClientLimits(this.maxHeadBytes, this.maxBodyBytes, this.maxBufferedBytes, maxConnections,
+				this.connectNanos, this.idleNanos);
+	}
+
+	/**
+	 * Returns a copy with other times.
+	 * @param connectNanos the time to open a connection, in nanoseconds
+	 * @param idleNanos the time after which an unused connection is closed, in
+	 * nanoseconds
+	 * @return the copy, not null
+	 */
+	public HttpClientLimits withTimes(long connectNanos, long idleNanos) {
+		return new HttpClientLimits(this.maxHeadBytes, this.maxBodyBytes, this.maxBufferedBytes, this.maxConnections,
+				connectNanos, idleNanos);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClientMetrics.java
@@ -0,0 +1,41 @@
+package org.limpetgate.net.http;
+
+import java.net.InetSocketAddress;
+
+import org.limpetgate.Outcome;
+
+/**
+ * Receives the counts of an {@link HttpClient}.
+ * <p>
+ * Called on traffic threads; implementations are thread-safe and do not block.
+ */
+public interface HttpClientMetrics {
+
+	/** Ignores all counts. */
+	HttpClientMetrics NONE = new HttpClientMetrics() {
+	};
+
+	/**
+	 * Counts a connection that was opened.
+	 * @param address the address of the upstream
+	 */
+	default void connectionOpened(InetSocketAddress address) {
+	}
+
+	/**
+	 * Counts a connection that was closed.
+	 * @param address the address of the upstream
+	 */
+	default void connectionClosed(InetSocketAddress address) {
+	}
+
+	/**
+	 * Counts an exchange that ended.
+	 * @param address the address of the upstream
+	 * @param outcome {@link Outcome#COMPLETE} for a whole answer, else the outcome of the
+	 * failure
+	 */
+	default void exchangeEnded(InetSocketAddress address, Outcome outcome) {
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpServer.java
@@ -0,0 +1,200 @@
+package org.limpetgate.net.http;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+
+/**
+ * An HTTP/1.1 server that takes whole requests and sends whole answers.
+ * <p>
+ * Requests on one connection are answered in the order in which they arrived, one at a
+ * time. A request that is malformed, too large or too slow is answered by the server with
+ * outcome {@link org.limpetgate.Outcome#NOT_RUN}, since the handler has not seen it; the
+ * connection is then closed, because its framing can no longer be trusted. When a caller
+ * closes its connection before the answer, the future of the handler is cancelled.
+ * <p>
+ * Thread-safe.
+ */
+public final class HttpServer {
+
+	private final HttpServerLimits limits;
+
+	private final HttpHandler handler;
+
+	private final HttpServerMetrics metrics;
+
+	private final BufferBudget budget;
+
+	private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
+
+	private final CompletableFuture<Void> drained = new CompletableFuture<>();
+
+	private volatile boolean draining;
+
+	private Channel listener;
+
+	private HttpServer(HttpServerLimits limits, HttpHandler handler, HttpServerMetrics metrics) {
+		this.limits = limits;
+		this.handler = handler;
+		this.metrics = metrics;
+		this.budget = new BufferBudget(limits.maxBufferedBytes());
+	}
+
+	/**
+	 * Starts a server without metrics.
+	 * @param group the threads, not shut down by the server
+	 * @param address the address to listen on; port 0 chooses a free port
+	 * @param limits the bounds, not null
+	 * @param handler the handler, not null
+	 * @return the listening server, not null
+	 * @throws UncheckedIOException if the address cannot be used
+	 */
+	public static HttpServer start(EventLoopGroup group, InetSocketAddress address, HttpServerLimits limits,
+			HttpHandler handler) {
+		return start(group, address, limits, handler, HttpServerMetrics.NONE);
+	}
+
+	/**
+	 * Starts a server.
+	 * @param group the threads, not shut down by the server
+	 * @param address the address to listen on; port 0 chooses a free port
+	 * @param limits the bounds, not null
+	 * @param handler the handler, not null
+	 * @param metrics the receiver of counts, not null
+	 * @return the listening server, not null
+	 * @throws UncheckedIOException if the address cannot be used
+	 */
+	public static HttpServer start(EventLoopGroup group, InetSocketAddress address, HttpServerLimits limits,
+			HttpHandler handler, HttpServerMetrics metrics) {
+		HttpServer server = new HttpServer(limits, handler, metrics);
+		ChannelFuture bound = new ServerBootstrap().group(group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_BACKLOG, 1024)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					server.accept(channel);
+				}
+			})
+			.bind(address)
+			.awaitUninterruptibly();
+		if (!bound.isSuccess()) {
+			throw new UncheckedIOException(new IOException(
+					"cannot listen on " + address + "; choose a free local address and port", bound.cause()));
+		}
+		server.listener = bound.channel();
+		return server;
+	}
+
+	private void accept(SocketChannel channel) {
+		int open = this.connections.size();
+		int max = this.limits.maxConnections();
+		// Some connections over the limit are kept open just for sending the refusal.
+		if (open >= max + max / 8 + 16) {
+			channel.close();
+			return;
+		}
+		StrictRequestDecoder decoder = new StrictRequestDecoder(this.limits.maxHeadBytes());
+		ServerConnection connection = new ServerConnection(this, decoder, open >= max);
+		this.connections.add(connection);
+		this.metrics.connectionOpened();
+		channel.closeFuture().addListener((future) -> closed(connection));
+		channel.pipeline().addLast(decoder, new HttpResponseEncoder(), connection);
+	}
+
+	private void closed(ServerConnection connection) {
+		this.connections.remove(connection);
+		this.metrics.connectionClosed();
+		completeDrain();
+	}
+
+	private void completeDrain() {
+		if (this.draining && !this.listener.isOpen() && this.connections.isEmpty()) {
+			this.drained.complete(null);
+		}
+	}
+
+	/**
+	 * Returns the address that the server listens on.
+	 * @return the address with the port in use, not null
+	 */
+	public InetSocketAddress address() {
+		return (InetSocketAddress) this.listener.localAddress();
+	}
+
+	/**
+	 * Returns the bytes held for requests and answers.
+	 * @return the number of bytes
+	 */
+	public long bufferedBytes() {
+		return this.budget.used();
+	}
+
+	/**
+	 * Returns the number of open connections.
+	 * @return the number of connections
+	 */
+	public int openConnections() {
+		return this.connections.size();
+	}
+
+	/**
+	 * Stops accepting connections and answers every request that is in flight or arrives
+	 * on an open connection, each with {@code Connection: close}. Connections without a
+	 * request are closed after the grace time of the limits.
+	 * @return completes when the last connection is closed, not null
+	 */
+	public CompletableFuture<Void> drain() {
+		this.draining = true;
+		this.listener.close().addListener((future) -> completeDrain());
+		this.listener.eventLoop()
+			.schedule(() -> this.connections.forEach(ServerConnection::closeIfIdle), this.limits.drainGraceNanos(),
+					TimeUnit.NANOSECONDS);
+		return this.drained;
+	}
+
+	/** Closes the listener and all connections at once; callers get no answers. */
+	public void close() {
+		this.draining = true;
+		this.listener.close().awaitUninterruptibly();
+		this.connections.forEach(ServerConnection::close);
+		completeDrain();
+	}
+
+	HttpServerLimits limits() {
+		return this.limits;
+	}
+
+	HttpHandler handler() {
+		return this.handler;
+	}
+
+	HttpServerMetrics metrics() {
+		return this.metrics;
+	}
+
+	BufferBudget budget() {
+		return this.budget;
+	}
+
+	boolean isDraining() {
+		return this.draining;
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/StrictRequestDecoder.java
@@ -0,0 +1,51 @@
+package org.limpetgate.net.http;
+
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/**
+ * Decodes requests whose head a {@link HeadInspector} has found well-formed.
+ * <p>
+ * A fault is passed on as a {@link HeadInspector.Verdict}; input after it is discarded.
+ */
+final class StrictRequestDecoder extends HttpRequestDecoder {
+
+	private final MessageGate gate;
+
+	StrictRequestDecoder(int maxHeadBytes) {
+		super(MessageGate.config(maxHeadBytes));
+		this.gate = new MessageGate(new HeadInspector(true, maxHeadBytes));
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+		if (this.gate.admit(buffer, out)) {
+			int from = out.size();
+			super.decode(ctx, buffer, out);
+			this.gate.decoded(out, from);
+		}
+	}
+
+	@Override
+	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+		// Keeps both headers, so that Headers.framingFault can refuse the message.
+	}
+
+	/** Ignores all further input. */
+	void discardInput() {
+		this.gate.discardInput();
+	}
+
+	/**
+	 * Returns the number of bytes that were received and not yet decoded.
+	 * @return the number of bytes
+	 */
+	int bufferedBytes() {
+		return actualReadableBytes();
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpClientTests.java
@@ -0,0 +1,262 @@
+package org.limpetgate.net.http;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Contract tests for {@link HttpClient} against scripted upstreams.
+ */
+class HttpClientTests {
+
+	private static final long LONG_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+	private static final long SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private static final int MAX_BODY = 1000;
+
+	private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+	private static final String HEAD = "HTTP/1.1 200 OK\r\n";
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+
+	private final HttpClient client = HttpClient.of(this.group,
+			HttpClientLimits.defaults().withAnswerBytes(1000, MAX_BODY).withMaxConnections(2));
+
+	@AfterTry
+	void stop() {
+		this.client.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+	}
+
+	private static HttpCall call(String method, int bodyBytes) {
+		return new HttpCall(method, "/t", Map.of("connection", "x-hop", "x-hop", "1"), new byte[bodyBytes]);
+	}
+
+	private HttpExchange exchange(StubUpstream upstream, long timeoutNanos) {
+		return this.client.exchange(upstream.address(), call("POST", 3), timeoutNanos);
+	}
+
+	/**
+	 * Waits for an answer.
+	 * @param exchange the exchange
+	 * @return the body of the answer, or outcome and kind of the failure
+	 * @throws InterruptedException if interrupted
+	 */
+	private static String result(HttpExchange exchange) throws InterruptedException {
+		try {
+			return new String(exchange.reply().get().body(), StandardCharsets.UTF_8);
+		}
+		catch (ExecutionException ex) {
+			DispatchException error = (DispatchException) ex.getCause();
+			return error.outcome() + " " + error.kind();
+		}
+	}
+
+	/**
+	 * Guards against short, crossed or malformed answers that pass as whole, against
+	 * refusals that are taken for a start, and against a connection that is used again
+	 * after such an answer.
+	 */
+	@Example
+	void answersOfFaultyUpstreams() throws Exception {
+		record Case(String name, String answer, String expected) {
+		}
+		String failed = Outcome.UNKNOWN + " " + ErrorKind.UPSTREAM_FAILED;
+		String refused = Outcome.NOT_RUN + " " + ErrorKind.OVERLOADED;
+		List<Case> cases = List.of(new Case("whole", OK, "ok"),
+				new Case("chunked", HEAD + "Transfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n", "ok"),
+				new Case("informational", "HTTP/1.1 102 P\r\n\r\n" + OK, "ok"),
+				new Case("answered twice", OK + OK, "ok"),
+				new Case("answered more than once", OK + "HTTP/1.1 200", "ok"),
+				new Case("closed without answer", "", failed),
+				new Case("cut head", "HTTP/1.1 200 OK\r\nContent-Le", failed),
+				new Case("cut body", HEAD + "Content-Length: 3\r\n\r\nok", failed),
+				new Case("no body", HEAD + "Content-Length: 3\r\n\r\n", failed),
+				new Case("cut chunk", HEAD + "Transfer-Encoding: chunked\r\n\r\n3\r\nok", failed),
+				new Case("no last chunk", HEAD + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", failed),
+				new Case("no length", HEAD + "\r\nok", failed),
+				new Case("two lengths", HEAD + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nokk", failed),
+				new Case("length and encoding",
+						HEAD + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", failed),
+				new Case("folding", HEAD + "Content-Length: 2\r\na: b\r\n c\r\n\r\nok", failed),
+				new Case("no HTTP", "hello\r\n\r\n", failed), new Case("upgrade", "HTTP/1.1 101 S\r\n\r\n", failed),
+				new Case("another exchange", HEAD + "Limpetgate-Exchange: 0\r\nContent-Length: 2\r\n\r\nok", failed),
+				new Case("large head", HEAD + "a: " + "b".repeat(1000) + "\r\n\r\n", failed),
+				new Case("large body", HEAD + "Content-Length: 1001\r\n\r\n" + "a".repeat(1001), failed),
+				new Case("refused", "HTTP/1.1 503 S\r\nLimpetgate-Outcome: not-run\r\nContent-Length: 0\r\n\r\n",
+						refused),
+				new Case("failed", "HTTP/1.1 503 S\r\nContent-Length: 2\r\n\r\nno", "no"), new Case("not a refusal",
+						"HTTP/1.1 500 S\r\nLimpetgate-Outcome: not-run\r\nContent-Length: 2\r\n\r\nno", "no"));
+		for (Case c : cases) {
+			try (StubUpstream upstream = new StubUpstream(StubUpstream.once(c.answer()), StubUpstream.always(OK))) {
+				assertThat(result(exchange(upstream, LONG_NANOS))).as(c.name()).isEqualTo(c.expected());
+				assertThat(result(exchange(upstream, LONG_NANOS))).as("after " + c.name()).isEqualTo("ok");
+				assertThat(upstream.requests()).as(c.name()).isEqualTo(2);
+			}
+		}
+		assertThat(this.client.bufferedBytes()).isZero();
+	}
+
+	/**
+	 * Guards against a late answer that is given to the next request, and against
+	 * outcomes that claim more than is known when an exchange is given up.
+	 */
+	@Example
+	void timeoutsAndCancelsEndTheConnection() throws Exception {
+		for (boolean cancel : List.of(true, false)) {
+			CountDownLatch received = new CountDownLatch(1);
+			CountDownLatch release = new CountDownLatch(1);
+			StubUpstream.Script late = (connection, stub) -> {
+				stub.read(connection);
+				received.countDown();
+				release.await();
+				connection.send(OK.replace("ok", "no"));
+			};
+			try (StubUpstream upstream = new StubUpstream(late, StubUpstream.always(OK))) {
+				HttpExchange exchange = exchange(upstream, cancel ? LONG_NANOS : SHORT_NANOS);
+				received.await();
+				if (cancel) {
+					exchange.cancel();
+				}
+				assertThat(result(exchange))
+					.isEqualTo(Outcome.UNKNOWN + " " + (cancel ? ErrorKind.CANCELLED : ErrorKind.DEADLINE_EXCEEDED));
+				release.countDown();
+				assertThat(result(exchange(upstream, LONG_NANOS))).isEqualTo("ok");
+				assertThat(upstream.connections()).isEqualTo(2);
+			}
+		}
+	}
+
+	/**
+	 * Guards against work that is reported as possibly run although no byte of it left.
+	 */
+	@Example
+	void whatWasNotWrittenDidNotRun() throws Exception {
+		StubUpstream closed = new StubUpstream(StubUpstream.always(OK));
+		closed.close();
+		assertThat(result(exchange(closed, LONG_NANOS))).isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.UPSTREAM_FAILED);
+		StubUpstream.Script hang = (connection, stub) -> {
+			stub.read(connection);
+			connection.isAtEnd();
+		};
+		try (StubUpstream upstream = new StubUpstream(hang)) {
+			List<HttpExchange> inFlight = List.of(exchange(upstream, LONG_NANOS), exchange(upstream, LONG_NANOS));
+			assertThat(result(exchange(upstream, LONG_NANOS))).isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.OVERLOADED);
+			inFlight.forEach(HttpExchange::cancel);
+			HttpExchange cancelled = exchange(upstream, LONG_NANOS);
+			cancelled.cancel();
+			assertThat(result(cancelled)).isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.CANCELLED);
+			HttpCall split = new HttpCall("GET", "/", Map.of("a", "b\r\nc: d"), new byte[0]);
+			assertThat(result(this.client.exchange(upstream.address(), split, LONG_NANOS)))
+				.isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.INTERNAL);
+		}
+	}
+
+	/**
+	 * Guards against an unused connection that the upstream closed or wrote to being used
+	 * for the next request.
+	 */
+	@Example
+	void unusedConnectionsAreChecked() throws Exception {
+		for (String unsolicited : List.of("", OK, "HTTP/1.1 2")) {
+			CountDownLatch go = new CountDownLatch(1);
+			CountDownLatch gone = new CountDownLatch(1);
+			StubUpstream.Script first = (connection, stub) -> {
+				stub.read(connection);
+				connection.send(OK);
+				go.await();
+				connection.send(unsolicited);
+				connection.socket().shutdownOutput();
+				connection.isAtEnd();
+				gone.countDown();
+			};
+			try (StubUpstream upstream = new StubUpstream(first, StubUpstream.always(OK))) {
+				assertThat(result(exchange(upstream, LONG_NANOS))).isEqualTo("ok");
+				go.countDown();
+				gone.await();
+				assertThat(result(exchange(upstream, LONG_NANOS))).isEqualTo("ok");
+				assertThat(upstream.requests()).isEqualTo(2);
+			}
+		}
+	}
+
+	/**
+	 * Guards against a request that is sent twice or to no one when the upstream closes
+	 * its idle connections just as they are used: each exchange is answered, proved not
+	 * run, or unknown, and no request without proof is repeated.
+	 */
+	@Example
+	void idleCloseRacesKeepTheOutcomeTrue() throws Exception {
+		try (StubUpstream upstream = new StubUpstream(StubUpstream.once(OK))) {
+			int answered = 0;
+			int unknown = 0;
+			for (int i = 0; i < 300; i++) {
+				String result = result(exchange(upstream, LONG_NANOS));
+				answered += result.equals("ok") ? 1 : 0;
+				unknown += result.startsWith(Outcome.UNKNOWN.toString()) ? 1 : 0;
+			}
+			assertThat(upstream.requests()).isBetween(answered, answered + unknown);
+			assertThat(answered).isPositive();
+		}
+	}
+
+	/**
+	 * Guards against more than one exchange on a connection at a time, a leaving upstream
+	 * that goes unnoticed, and headers of one connection on the next.
+	 */
+	@Example
+	void connectionsAreKeptAndExclusive() throws Exception {
+		List<RawConnection.Message> seen = new CopyOnWriteArrayList<>();
+		StubUpstream.Script record = (connection, stub) -> {
+			while (true) {
+				seen.add(stub.read(connection));
+				connection.send("HTTP/1.1 200 OK\r\nLimpetgate-Leaving: true\r\nConnection: x-hop\r\nX-Hop: 1\r\n"
+						+ "X: 2\r\nContent-Length: 0\r\n\r\n");
+			}
+		};
+		try (StubUpstream upstream = new StubUpstream(record)) {
+			for (String method : List.of("GET", "POST", "HEAD")) {
+				HttpExchange exchange = this.client.exchange(upstream.address(), call(method, 0), LONG_NANOS);
+				assertThat(exchange.reply().get().headers()).isEqualTo(Map.of("limpetgate-leaving", "true", "x", "2"));
+				assertThat(exchange.isUpstreamLeaving()).isTrue();
+			}
+			assertThat(upstream.connections()).isEqualTo(1);
+		}
+		assertThat(seen).hasSize(3)
+			.allSatisfy((request) -> assertThat(request.headers()).containsKey("host")
+				.containsKey("limpetgate-exchange")
+				.doesNotContainKeys("x-hop", "connection"));
+	}
+
+	/**
+	 * Guards against a part of a large request that left before the connection broke
+	 * being reported as not run.
+	 */
+	@Example
+	void partlyWrittenRequestsAreUnknown() throws IOException, InterruptedException {
+		StubUpstream.Script stall = (connection, stub) -> connection.socket().getInputStream().read();
+		try (StubUpstream upstream = new StubUpstream(stall)) {
+			HttpExchange exchange = this.client.exchange(upstream.address(), call("POST", 20_000_000), LONG_NANOS);
+			assertThat(result(exchange)).isEqualTo(Outcome.UNKNOWN + " " + ErrorKind.UPSTREAM_FAILED);
+		}
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpServerTests.java
@@ -0,0 +1,337 @@
+package org.limpetgate.net.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Contract tests for {@link HttpServer} over raw connections.
+ */
+class HttpServerTests {
+
+	private static final int MAX_HEAD = 1000;
+
+	private static final int MAX_BODY = 100;
+
+	private static final String GET = "GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n";
+
+	private static final String HEAD = "GET / HTTP/1.1\r\nHost: h\r\n";
+
+	private static final String POST = "POST / HTTP/1.1\r\nHost: h\r\n";
+
+	private static final long SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+	private static final long LONG_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+
+	private final List<HttpCall> calls = Collections.synchronizedList(new ArrayList<>());
+
+	private final BlockingQueue<CompletableFuture<HttpReply>> held = new LinkedBlockingQueue<>();
+
+	private HttpServer server;
+
+	@AfterTry
+	void stop() {
+		this.server.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+	}
+
+	private static HttpServerLimits limits() {
+		return HttpServerLimits.defaults()
+			.withRequestBytes(MAX_HEAD, MAX_BODY)
+			.withRequestTimes(LONG_NANOS, LONG_NANOS)
+			.withClosingTimes(LONG_NANOS, SHORT_NANOS, SHORT_NANOS);
+	}
+
+	private void start(HttpServerLimits limits) {
+		this.server = HttpServer.start(this.group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), limits,
+				this::handle);
+	}
+
+	private CompletableFuture<HttpReply> handle(HttpCall call) {
+		this.calls.add(call);
+		return switch (call.path()) {
+			case "/held" -> {
+				CompletableFuture<HttpReply> future = new CompletableFuture<>();
+				this.held.add(future);
+				yield future;
+			}
+			case "/late" -> CompletableFuture.failedFuture(
+					DispatchException.retryLater(ErrorKind.OVERLOADED, Outcome.NOT_RUN, "full", 1_000_000_001L));
+			case "/lost" ->
+				CompletableFuture.failedFuture(DispatchException.of(ErrorKind.UPSTREAM_FAILED, Outcome.UNKNOWN, "cut"));
+			case "/fault" -> throw new IllegalStateException("fault");
+			case "/null" -> CompletableFuture.completedFuture(null);
+			case "/split" -> CompletableFuture.completedFuture(reply("x", Map.of("a", "b\r\nc: d")));
+			case "/hop" -> CompletableFuture
+				.completedFuture(reply("x", Map.of("connection", "x-a", "x-a", "1", "transfer-encoding", "chunked")));
+			default -> CompletableFuture
+				.completedFuture(reply(call.target() + new String(call.body(), StandardCharsets.UTF_8), Map.of()));
+		};
+	}
+
+	private static HttpReply reply(String body, Map<String, String> headers) {
+		return new HttpReply(200, headers, body.getBytes(StandardCharsets.UTF_8));
+	}
+
+	private RawConnection.Message once(String request) throws IOException {
+		try (RawConnection connection = RawConnection.open(this.server.address())) {
+			return connection.send(request).read();
+		}
+	}
+
+	/**
+	 * Guards against input that two HTTP implementations read differently, and against
+	 * refusals that leave the caller without outcome or remedy.
+	 */
+	@Example
+	void badInputIsRefusedAndTheNextRequestServed() throws IOException {
+		start(limits());
+		record Case(String name, String input, ErrorKind error) {
+		}
+		ErrorKind malformed = ErrorKind.MALFORMED_REQUEST;
+		List<Case> cases = List.of(new Case("no HTTP", "hello\r\n\r\n", malformed),
+				new Case("version", "GET / HTTP/1.0\r\nHost: h\r\n\r\n", malformed),
+				new Case("version 2", "GET / HTTP/2.0\r\nHost: h\r\n\r\n", malformed),
+				new Case("two spaces", "GET  / HTTP/1.1\r\nHost: h\r\n\r\n", malformed),
+				new Case("method", "G@T / HTTP/1.1\r\nHost: h\r\n\r\n", malformed),
+				new Case("target", "GET a HTTP/1.1\r\nHost: h\r\n\r\n", malformed),
+				new Case("non-ASCII target", "GET /\u00e9 HTTP/1.1\r\nHost: h\r\n\r\n", malformed),
+				new Case("bare line feeds", "GET / HTTP/1.1\nHost: h\n\n", malformed),
+				new Case("bare carriage return", HEAD + "a: b\rc: d\r\n\r\n", malformed),
+				new Case("no Host", "GET / HTTP/1.1\r\n\r\n", malformed),
+				new Case("two Hosts", HEAD + "Host: i\r\n\r\n", malformed),
+				new Case("bad Host", "GET / HTTP/1.1\r\nHost: a b\r\n\r\n", malformed),
+				new Case("folding", HEAD + "a: b\r\n c\r\n\r\n", malformed),
+				new Case("space before colon", HEAD + "a : b\r\n\r\n", malformed),
+				new Case("no colon", HEAD + "abc\r\n\r\n", malformed),
+				new Case("no name", HEAD + ": b\r\n\r\n", malformed),
+				new Case("control character", HEAD + "a: b\u0001\r\n\r\n", malformed),
+				new Case("null character", HEAD + "a: b\u0000c\r\n\r\n", malformed),
+				new Case("expectation", HEAD + "Expect: more\r\n\r\n", malformed),
+				new Case("conflicting lengths", POST + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", malformed),
+				new Case("equal lengths", POST + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na", malformed),
+				new Case("list of lengths", POST + "Content-Length: 1, 1\r\n\r\na", malformed),
+				new Case("signed length", POST + "Content-Length: +1\r\n\r\na", malformed),
+				new Case("negative length", POST + "Content-Length: -1\r\n\r\n", malformed),
+				new Case("huge length", POST + "Content-Length: 99999999999999999999\r\n\r\n", malformed),
+				new Case("length and encoding",
+						POST + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", malformed),
+				new Case("unknown encoding", POST + "Transfer-Encoding: gzip, chunked\r\n\r\n", malformed),
+				new Case("two encodings", POST + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+						malformed),
+				new Case("bad chunk size", POST + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n", malformed),
+				new Case("bad chunk end", POST + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n0\r\n\r\n", malformed),
+				new Case("large head", HEAD + "a: " + "b".repeat(MAX_HEAD) + "\r\n\r\n", ErrorKind.HEAD_TOO_LARGE),
+				new Case("endless head", "GET /" + "a".repeat(4 * MAX_HEAD), ErrorKind.HEAD_TOO_LARGE),
+				new Case("many headers", HEAD + "a:\r\n".repeat(300) + "\r\n", ErrorKind.HEAD_TOO_LARGE),
+				new Case("large body", POST + "Content-Length: 101\r\n\r\n", ErrorKind.BODY_TOO_LARGE),
+				new Case("large chunks", POST + "Transfer-Encoding: chunked\r\n\r\n65\r\n" + "a".repeat(101),
+						ErrorKind.BODY_TOO_LARGE));
+		for (Case c : cases) {
+			try (RawConnection connection = RawConnection.open(this.server.address())) {
+				assertRefused(c.name(), connection.send(c.input()).read(), c.error());
+				assertThat(connection.isAtEnd()).as(c.name()).isTrue();
+			}
+			assertThat(once(GET).body()).as(c.name()).isEqualTo("/a?b=c");
+		}
+		assertThat(this.calls).hasSize(cases.size());
+		assertThat(this.server.bufferedBytes()).isZero();
+	}
+
+	private static void assertRefused(String name, RawConnection.Message answer, ErrorKind error) throws IOException {
+		JsonNode body = new ObjectMapper().readTree(answer.body());
+		assertThat(answer.status()).as(name).isEqualTo(error.httpStatus());
+		assertThat(answer.header("limpetgate-outcome")).as(name).isEqualTo("not-run");
+		assertThat(body.path("error").asText()).as(name).isEqualTo(error.name());
+		assertThat(body.path("outcome").asText()).as(name).isEqualTo("not-run");
+		assertThat(body.path("message").asText()).as(name).endsWith(error.remedy());
+	}
+
+	/**
+	 * Guards against senders that hold memory and connections by sending slowly.
+	 */
+	@Example
+	void slowSendersAreRefused() throws IOException {
+		start(limits().withRequestTimes(SHORT_NANOS, LONG_NANOS));
+		for (String part : List.of("G", HEAD, POST + "Content-Length: 5\r\n\r\nab",
+				POST + "Transfer-Encoding: chunked\r\n\r\n1\r\na")) {
+			try (RawConnection connection = RawConnection.open(this.server.address())) {
+				assertRefused(part, connection.send(part).read(), ErrorKind.REQUEST_TIMEOUT);
+			}
+		}
+		assertThat(this.server.bufferedBytes()).isZero();
+		assertThat(this.calls).isEmpty();
+	}
+
+	/**
+	 * Guards against memory and connections without bound, and against bytes that stay
+	 * counted after the request ended.
+	 */
+	@Example
+	void totalsAreBounded() throws IOException {
+		start(limits().withTotals(1, 1000));
+		try (RawConnection first = RawConnection.open(this.server.address())) {
+			first.send(POST.replace("/", "/held").replace("HTTP/held", "HTTP/") + "Content-Length: 90\r\n\r\n"
+					+ "a".repeat(90));
+			CompletableFuture<HttpReply> pending = takeHeld();
+			assertRefused("connections", once(GET), ErrorKind.OVERLOADED);
+			first.send(POST + "x: " + "y".repeat(500) + "\r\nContent-Length: 0\r\n\r\n");
+			pending.complete(reply("done", Map.of()));
+			assertThat(first.read().body()).isEqualTo("done");
+			RawConnection.Message refused = first.read();
+			assertRefused("bytes", refused, ErrorKind.OVERLOADED);
+			assertThat(refused.header("retry-after")).isEqualTo("1");
+			assertThat(first.isAtEnd()).isTrue();
+		}
+		assertThat(this.server.bufferedBytes()).isZero();
+	}
+
+	private CompletableFuture<HttpReply> takeHeld() {
+		try {
+			return this.held.poll(20, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	/**
+	 * Guards against answers in another order than the requests, and against a pipelined
+	 * refusal that overtakes an earlier answer.
+	 */
+	@Example
+	void pipelinedRequestsAreAnsweredInOrder() throws IOException {
+		start(limits());
+		try (RawConnection connection = RawConnection.open(this.server.address())) {
+			StringBuilder input = new StringBuilder("\r\n" + GET.replace("/a", "/held"));
+			for (int i = 0; i < 40; i++) {
+				input.append(GET.replace("/a", "/" + i));
+			}
+			connection.send(input + "bad\r\n\r\n");
+			takeHeld().complete(reply("first", Map.of()));
+			assertThat(connection.read().body()).isEqualTo("first");
+			for (int i = 0; i < 40; i++) {
+				assertThat(connection.read().body()).isEqualTo("/" + i + "?b=c");
+			}
+			assertRefused("last", connection.read(), ErrorKind.MALFORMED_REQUEST);
+			assertThat(connection.isAtEnd()).isTrue();
+		}
+	}
+
+	/**
+	 * Guards against bodies and headers that reach the handler altered.
+	 */
+	@Example
+	void wellFormedRequestsReachTheHandler() throws IOException {
+		start(limits());
+		assertThat(once(POST + "Content-Length: 3\r\n\r\nabc").body()).isEqualTo("/abc");
+		assertThat(once(POST + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n2\r\nbc\r\n0\r\nt: u\r\n\r\n").body())
+			.isEqualTo("/abc");
+		assertThat(once("GET http://other:1/p?q HTTP/1.1\r\nHost: h\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\n"
+				+ "TE: trailers\r\nCookie: a\r\nCookie: b\r\nX: 1\r\nX: 2\r\n\r\n")
+			.header("connection")).isEqualTo("close");
+		HttpCall call = this.calls.get(2);
+		assertThat(call.target()).isEqualTo("/p?q");
+		assertThat(call.headers()).isEqualTo(Map.of("host", "other:1", "cookie", "a; b", "x", "1, 2"));
+		RawConnection.Message head = once("HEAD /abc HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+		assertThat(head.header("content-length")).isEqualTo("4");
+		try (RawConnection connection = RawConnection.open(this.server.address())) {
+			connection.send(POST + "Expect: 100-continue\r\nContent-Length: 1\r\n\r\n");
+			assertThat(connection.read().status()).isEqualTo(100);
+			assertThat(connection.send("a").read().body()).isEqualTo("/a");
+		}
+	}
+
+	/**
+	 * Guards against failures of the handler that lose outcome or time to come back.
+	 */
+	@Example
+	void failuresOfTheHandlerAreRendered() throws IOException {
+		start(limits());
+		record Case(String path, int status, String outcome, String retryAfter) {
+		}
+		for (Case c : List.of(new Case("/late", 503, "not-run", "2"), new Case("/lost", 502, "unknown", ""),
+				new Case("/fault", 500, "unknown", ""), new Case("/null", 500, "unknown", ""),
+				new Case("/split", 500, "unknown", ""), new Case("/hop", 200, "complete", ""))) {
+			RawConnection.Message answer = once(GET.replace("/a", c.path()));
+			assertThat(answer.status()).as(c.path()).isEqualTo(c.status());
+			assertThat(answer.header("limpetgate-outcome")).as(c.path()).isEqualTo(c.outcome());
+			assertThat(answer.header("retry-after")).as(c.path()).isEqualTo(c.retryAfter());
+			assertThat(answer.headers()).as(c.path()).doesNotContainKeys("c", "x-a", "transfer-encoding");
+		}
+		assertThat(once(GET.replace("/a", "/late")).body()).contains("\"retryAfterMillis\":1001");
+	}
+
+	/**
+	 * Guards against a shutdown that cuts off requests in flight or on open connections.
+	 */
+	@Example
+	void drainAnswersWhatIsInFlight() throws Exception {
+		start(limits().withClosingTimes(LONG_NANOS, LONG_NANOS, LONG_NANOS));
+		try (RawConnection busy = RawConnection.open(this.server.address());
+				RawConnection partial = RawConnection.open(this.server.address());
+				RawConnection idle = RawConnection.open(this.server.address())) {
+			busy.send(GET.replace("/a", "/held"));
+			CompletableFuture<HttpReply> pending = takeHeld();
+			idle.send(GET).read();
+			partial.send(GET).read();
+			partial.send(POST + "Content-Length: 2\r\n\r\na");
+			CompletableFuture<Void> drained = this.server.drain();
+			assertThat(idle.send(GET).read().header("connection")).isEqualTo("close");
+			assertThat(idle.isAtEnd()).isTrue();
+			assertThat(partial.send("b").read().body()).isEqualTo("/ab");
+			assertThat(drained).isNotDone();
+			pending.complete(reply("done", Map.of()));
+			assertThat(busy.read().body()).isEqualTo("done");
+			assertThat(busy.isAtEnd()).isTrue();
+			idle.close();
+			partial.close();
+			busy.close();
+			drained.get(20, TimeUnit.SECONDS);
+		}
+	}
+
+	/**
+	 * Guards against connections that keep a drain from ending, and against work for a
+	 * caller who has gone.
+	 */
+	@Example
+	void idleAndAbandonedConnectionsEnd() throws Exception {
+		start(limits());
+		try (RawConnection idle = RawConnection.open(this.server.address())) {
+			idle.send(GET).read();
+			RawConnection gone = RawConnection.open(this.server.address()).send(GET.replace("/a", "/held"));
+			CompletableFuture<HttpReply> pending = takeHeld();
+			gone.close();
+			assertThat(pending.handle((reply, failure) -> failure).get(20, TimeUnit.SECONDS)).isNotNull();
+			this.server.drain().get(20, TimeUnit.SECONDS);
+			assertThat(idle.isAtEnd()).isTrue();
+			assertThat(this.server.bufferedBytes()).isZero();
+		}
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/StubUpstream.java
@@ -0,0 +1,120 @@
+package org.limpetgate.net.http;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * An upstream that answers by a script, one script per connection in order of arrival;
+ * the last script serves all further connections.
+ */
+final class StubUpstream implements Closeable {
+
+	private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+
+	private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+	private final AtomicInteger requests = new AtomicInteger();
+
+	private final Script[] scripts;
+
+	StubUpstream(Script... scripts) throws IOException {
+		this.scripts = scripts;
+		Thread acceptor = new Thread(this::acceptAll, "stub-upstream");
+		acceptor.setDaemon(true);
+		acceptor.start();
+	}
+
+	private void acceptAll() {
+		try {
+			while (true) {
+				Socket socket = this.listener.accept();
+				Script script = this.scripts[Math.min(this.sockets.size(), this.scripts.length - 1)];
+				this.sockets.add(socket);
+				Thread server = new Thread(() -> serve(socket, script), "stub-connection");
+				server.setDaemon(true);
+				server.start();
+			}
+		}
+		catch (IOException ex) {
+			// The listener was closed at the end of the test.
+		}
+	}
+
+	private void serve(Socket socket, Script script) {
+		try (RawConnection connection = RawConnection.of(socket)) {
+			script.run(connection, this);
+		}
+		catch (IOException | InterruptedException ex) {
+			// The client closed the connection, as most fault cases require.
+		}
+	}
+
+	/**
+	 * Returns a script that answers each request with the same text.
+	 * @param answer the whole answer
+	 * @return the script
+	 */
+	static Script always(String answer) {
+		return (connection, stub) -> {
+			while (true) {
+				stub.read(connection);
+				connection.send(answer);
+			}
+		};
+	}
+
+	/**
+	 * Returns a script that answers one request and closes the connection.
+	 * @param answer the answer
+	 * @return the script
+	 */
+	static Script once(String answer) {
+		return (connection, stub) -> {
+			stub.read(connection);
+			connection.send(answer);
+		};
+	}
+
+	RawConnection.Message read(RawConnection connection) throws IOException {
+		RawConnection.Message request = connection.read();
+		this.requests.incrementAndGet();
+		return request;
+	}
+
+	InetSocketAddress address() {
+		return (InetSocketAddress) this.listener.getLocalSocketAddress();
+	}
+
+	int requests() {
+		return this.requests.get();
+	}
+
+	int connections() {
+		return this.sockets.size();
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.listener.close();
+		for (Socket socket : this.sockets) {
+			socket.close();
+		}
+	}
+
+	/**
+	 * Serves one connection; it is closed when the script returns.
+	 */
+	interface Script {
+
+		void run(RawConnection connection, StubUpstream stub) throws IOException, InterruptedException;
+
+	}
+
+}
