--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/DataCentres.java
@@ -0,0 +1,80 @@
+package org.limpetgate.submission;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.List;
+
+import org.limpetgate.DataCentreId;
+
+/**
+ * The configured data centres, among which each key has its home.
+ * <p>
+ * All hosts must be configured with the same data centres: two hosts with different lists
+ * could claim one key in two streams. Immutable and thread-safe.
+ */
+public final class DataCentres {
+
+	private final DataCentreId own;
+
+	private final List<DataCentreId> all;
+
+	private final long[] seeds;
+
+	private DataCentres(DataCentreId own, Collection<DataCentreId> all) {
+		this.own = own;
+		this.all = all.stream().distinct().sorted().toList();
+		if (!this.all.contains(own)) {
+			throw new IllegalArgumentException("the data centres do not contain '" + own + "'; add it to the list");
+		}
+		this.seeds = this.all.stream().mapToLong(DataCentres::seed).toArray();
+	}
+
+	/**
+	 * Returns the data centres.
+	 * @param own the data centre of this host, not null
+	 * @param all all data centres, not null
+	 * @return the data centres, not null
+	 * @throws IllegalArgumentException if the own one is missing
+	 */
+	public static DataCentres of(DataCentreId own, Collection<DataCentreId> all) {
+		return new DataCentres(own, all);
+	}
+
+	/**
+	 * Returns the data centre of this host.
+	 * @return the data centre, not null
+	 */
+	public DataCentreId own() {
+		return this.own;
+	}
+
+	/**
+	 * Returns the home of a key by rendezvous hashing.
+	 * @param key the key, not null
+	 * @return the data centre whose hosts claim the key, not null
+	 */
+	public DataCentreId homeOf(KeyHash key) {
+		int best = 0;
+		long bestWeight = Long.MIN_VALUE;
+		for (int i = 0; i < this.seeds.length; i++) {
+			long weight = mix(mix(key.high() ^ this.seeds[i]) ^ key.low());
+			if (weight > bestWeight) {
+				best = i;
+				bestWeight = weight;
+			}
+		}
+		return this.all.get(best);
+	}
+
+	private static long seed(DataCentreId id) {
+		return KeyHash.ofBytes(KeyHash.sha256().digest(id.value().getBytes(StandardCharsets.US_ASCII))).high();
+	}
+
+	// The finalizer of SplitMix64.
+	private static long mix(long value) {
+		long z = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+		z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+		return z ^ (z >>> 31);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/JobTable.java
@@ -0,0 +1,135 @@
+package org.limpetgate.submission;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The jobs held at this host, with results in bounded time and memory.
+ * <p>
+ * A job is remembered at least until its expiry plus the skew bound, so that it cannot be
+ * started again. Its result may be dropped earlier when results take too much memory,
+ * oldest first. Not thread-safe.
+ */
+final class JobTable {
+
+	private static final long RECHECK_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+	private final SubmissionSettings settings;
+
+	private final Map<KeyHash, Job> jobs = new HashMap<>();
+
+	private final Map<Long, Job> running = new HashMap<>();
+
+	private final PriorityQueue<Drop> drops = new PriorityQueue<>(Comparator.comparingLong(Drop::atNanos));
+
+	private final Deque<Job> kept = new ArrayDeque<>();
+
+	private long keptBytes;
+
+	private long lastNumber;
+
+	JobTable(SubmissionSettings settings) {
+		this.settings = settings;
+	}
+
+	Job find(KeyHash key) {
+		return this.jobs.get(key);
+	}
+
+	Job findRunning(long number) {
+		return this.running.get(number);
+	}
+
+	Collection<Job> all() {
+		return this.jobs.values();
+	}
+
+	int size() {
+		return this.jobs.size();
+	}
+
+	int runningCount() {
+		return this.running.size();
+	}
+
+	long keptBytes() {
+		return this.keptBytes;
+	}
+
+	void add(Job job) {
+		this.jobs.put(job.key, job);
+		this.drops.add(new Drop(job.keepUntilNanos, job));
+	}
+
+	void remove(Job job) {
+		this.jobs.remove(job.key, job);
+	}
+
+	// Begins a run of a job and gives it a number that was not used before.
+	void start(Job job) {
+		int tasks = job.submission.tasks().size();
+		job.state = Job.State.RUNNING;
+		job.number = ++this.lastNumber;
+		job.results = new TaskResult[tasks];
+		job.open = tasks;
+		job.failing = false;
+		this.running.put(job.number, job);
+	}
+
+	// Ends a run whose tasks were all proved not run, so that the job can start later.
+	void hold(Job job) {
+		this.running.remove(job.number);
+		job.state = Job.State.HELD;
+		job.results = null;
+		job.submission = null;
+	}
+
+	void finish(Job job, Answer answer, long nowNanos) {
+		this.running.remove(job.number);
+		job.state = Job.State.DONE;
+		job.results = null;
+		job.submission = null;
+		job.answer = answer;
+		job.outcome = answer.outcome();
+		job.endedNanos = nowNanos;
+		this.kept.add(job);
+		this.keptBytes += answer.sizeBytes();
+		dropResults(nowNanos);
+	}
+
+	void expire(long nowNanos) {
+		dropResults(nowNanos);
+		while (!this.drops.isEmpty() && this.drops.peek().atNanos() <= nowNanos) {
+			Job job = this.drops.poll().job();
+			if (this.jobs.get(job.key) != job) {
+				continue;
+			}
+			boolean inUse = job.state == Job.State.RUNNING || !job.waiters.isEmpty() || job.answer != null;
+			if (inUse) {
+				this.drops.add(new Drop(nowNanos + RECHECK_NANOS, job));
+			}
+			else {
+				this.jobs.remove(job.key);
+			}
+		}
+	}
+
+	private void dropResults(long nowNanos) {
+		while (!this.kept.isEmpty() && (this.keptBytes > this.settings.maxResultBytes()
+				|| this.kept.peek().endedNanos + this.settings.resultKeepNanos() < nowNanos)) {
+			Job oldest = this.kept.poll();
+			this.keptBytes -= oldest.answer.sizeBytes();
+			oldest.answer = null;
+		}
+	}
+
+	private record Drop(long atNanos, Job job) {
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/Submission.java
@@ -0,0 +1,227 @@
+package org.limpetgate.submission;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.limpetgate.CallerId;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+import org.limpetgate.SubmissionKey;
+
+/**
+ * A job of 1 to 610 tasks with the caller's key and an absolute expiry.
+ * <p>
+ * Two submissions are the same if caller, key and fingerprint are equal. The fingerprint
+ * covers tasks and expiry, not the attempt or the wish to wait, which change from request
+ * to request. Immutable and thread-safe.
+ */
+public final class Submission {
+
+	/** The most tasks in a job. */
+	public static final int MAX_TASKS = 610;
+
+	/** The value of {@link #attempt()} if the caller declared none. */
+	public static final int ATTEMPT_UNDECLARED = 0;
+
+	private final CallerId caller;
+
+	private final SubmissionKey key;
+
+	private final KeyHash keyHash;
+
+	private final long expiryNanos;
+
+	private final int attempt;
+
+	private final boolean waiting;
+
+	private final List<SubmittedTask> tasks;
+
+	private final long fingerprint;
+
+	private final boolean idempotent;
+
+	private Submission(CallerId caller, SubmissionKey key, long expiryNanos, int attempt, boolean waiting,
+			List<SubmittedTask> tasks) {
+		this.caller = Objects.requireNonNull(caller, "caller");
+		this.key = Objects.requireNonNull(key, "key");
+		this.keyHash = KeyHash.of(caller, key);
+		this.expiryNanos = expiryNanos;
+		this.attempt = attempt;
+		this.waiting = waiting;
+		this.tasks = List.copyOf(tasks);
+		checkTasks();
+		this.fingerprint = computeFingerprint();
+		this.idempotent = this.tasks.stream().allMatch(SubmittedTask::idempotent);
+	}
+
+	/**
+	 * Returns a submission.
+	 * @param caller the caller, not null
+	 * @param key the caller's key, not null
+	 * @param expiryNanos the time after which no task may start, in nanoseconds since the
+	 * Unix epoch
+	 * @param attempt 1 if the caller never sent this key before, above 1 for
+	 * resubmissions, {@link #ATTEMPT_UNDECLARED} if not declared
+	 * @param waiting whether the answer is wanted when the job has ended, not when it has
+	 * been started
+	 * @param tasks the tasks, not null
+	 * @return the submission, not null
+	 * @throws DispatchException with {@link ErrorKind#TOO_MANY_TASKS} or
+	 * {@link ErrorKind#INVALID_SUBMISSION}
+	 */
+	public static Submission of(CallerId caller, SubmissionKey key, long expiryNanos, int attempt, boolean waiting,
+			List<SubmittedTask> tasks) {
+		return new Submission(caller, key, expiryNanos, attempt, waiting, tasks);
+	}
+
+	private void checkTasks() {
+		if (this.tasks.size() > MAX_TASKS) {
+			throw invalid(ErrorKind.TOO_MANY_TASKS, "the job has " + this.tasks.size() + " tasks");
+		}
+		if (this.tasks.isEmpty()) {
+			throw invalid(ErrorKind.INVALID_SUBMISSION, "the job has no tasks");
+		}
+		Set<String> ids = new HashSet<>();
+		for (SubmittedTask task : this.tasks) {
+			if (!ids.add(task.id())) {
+				throw invalid(ErrorKind.INVALID_SUBMISSION, "the task id '" + task.id() + "' occurs twice");
+			}
+		}
+	}
+
+	private DispatchException invalid(ErrorKind kind, String detail) {
+		return DispatchException.of(kind, isFirstAttempt() ? Outcome.NOT_RUN : Outcome.UNKNOWN, detail);
+	}
+
+	private long computeFingerprint() {
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		try (DataOutputStream out = new DataOutputStream(bytes)) {
+			out.writeLong(this.expiryNanos);
+			for (SubmittedTask task : this.tasks) {
+				write(task, out);
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return ByteBuffer.wrap(KeyHash.sha256().digest(bytes.toByteArray())).getLong();
+	}
+
+	private static void write(SubmittedTask task, DataOutputStream out) throws IOException {
+		write(task.id(), out);
+		write(task.method(), out);
+		write(task.path(), out);
+		out.writeInt(task.headers().size());
+		for (Map.Entry<String, String> header : new TreeMap<>(task.headers()).entrySet()) {
+			write(header.getKey(), out);
+			write(header.getValue(), out);
+		}
+		out.writeInt(task.body().length);
+		out.write(task.body());
+		write((task.pool() == null) ? "" : task.pool().value(), out);
+		out.writeBoolean(task.idempotent());
+		out.writeDouble(task.resources().cores());
+		out.writeLong(task.resources().memoryMb());
+		out.writeInt(task.resources().accelerators());
+		out.writeLong(task.runNanos());
+	}
+
+	private static void write(String text, DataOutputStream out) throws IOException {
+		byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+		out.writeInt(bytes.length);
+		out.write(bytes);
+	}
+
+	/**
+	 * Returns the caller.
+	 * @return the caller, not null
+	 */
+	public CallerId caller() {
+		return this.caller;
+	}
+
+	/**
+	 * Returns the caller's key.
+	 * @return the key, not null
+	 */
+	public SubmissionKey key() {
+		return this.key;
+	}
+
+	/**
+	 * Returns the hash of caller and key.
+	 * @return the hash, not null
+	 */
+	public KeyHash keyHash() {
+		return this.keyHash;
+	}
+
+	/**
+	 * Returns the time after which no task may start.
+	 * @return the time in nanoseconds since the Unix epoch
+	 */
+	public long expiryNanos() {
+		return this.expiryNanos;
+	}
+
+	/**
+	 * Returns the attempt that the caller declared.
+	 * @return the attempt, {@link #ATTEMPT_UNDECLARED} if not declared
+	 */
+	public int attempt() {
+		return this.attempt;
+	}
+
+	/**
+	 * Tests whether the caller declared that it never sent this key before.
+	 * @return true if the declared attempt is 1
+	 */
+	public boolean isFirstAttempt() {
+		return this.attempt == 1;
+	}
+
+	/**
+	 * Tests whether the answer is wanted when the job has ended.
+	 * @return false if it is wanted when the job has been started
+	 */
+	public boolean isWaiting() {
+		return this.waiting;
+	}
+
+	/**
+	 * Returns the tasks.
+	 * @return the tasks, 1 to 610, not modifiable
+	 */
+	public List<SubmittedTask> tasks() {
+		return this.tasks;
+	}
+
+	/**
+	 * Returns the first 8 bytes of SHA-256 over tasks and expiry.
+	 * @return the fingerprint
+	 */
+	public long fingerprint() {
+		return this.fingerprint;
+	}
+
+	/**
+	 * Tests whether all tasks are idempotent.
+	 * @return true if the whole job may be run again
+	 */
+	public boolean isIdempotent() {
+		return this.idempotent;
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -0,0 +1,1032 @@
+package org.limpetgate.submission;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import org.limpetgate.CallerId;
+import org.limpetgate.DataCentreId;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.HostId;
+import org.limpetgate.Incarnation;
+import org.limpetgate.Outcome;
+import org.limpetgate.SubmissionKey;
+
+/**
+ * Decides which submissions this entry host starts, and answers them.
+ * <p>
+ * No task of a submission starts twice: a job starts only if this incarnation holds the
+ * first claim of its key and has read it back, if its key is a ticket of this
+ * incarnation, or if all its tasks are idempotent. A refusal says "not run" only if this
+ * host holds the key exclusively and has not started it, or if the caller declared its
+ * first attempt and the request was not passed on. A job is answered when every task has
+ * ended.
+ * <p>
+ * The system does no I/O. Its host reports events with a non-decreasing time and carries
+ * out the effects that {@link #tick} emits. Records of the claims stream are read by one
+ * reader, one read at a time, from {@link #nextClaimOffset}. Each request number is used
+ * once. Not thread-safe: it belongs to the control thread.
+ */
+public final class SubmissionSystem {
+
+	/** Caller's host, host of the home data centre, holder, and one outdated view. */
+	private static final int MAX_HOPS = 3;
+
+	private static final long RETRY_BASE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private static final long RETRY_SPREAD_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	private static final String COLLECT = "the job is accepted; collect its result with GET /v1/submissions/";
+
+	private final Incarnation self;
+
+	private final DataCentres dataCentres;
+
+	private final SubmissionSettings settings;
+
+	private final TicketAuthority tickets;
+
+	private final JobCheck check;
+
+	private final RandomGenerator random;
+
+	private final SubmissionRules rules;
+
+	private final ClaimTable claims;
+
+	private final JobTable jobs;
+
+	private final ClaimAppender appender;
+
+	private final List<SubmissionEffect> effects = new ArrayList<>();
+
+	private final Set<Long> openRequests = new HashSet<>();
+
+	private final Deque<ClaimWait> claimWaits = new ArrayDeque<>();
+
+	private final Map<Long, Relay> relays = new HashMap<>();
+
+	private final TreeSet<Relay> relaysByDeadline = new TreeSet<>(
+			Comparator.comparingLong(Relay::deadlineNanos).thenComparingLong((relay) -> relay.waiter.request()));
+
+	/** Incarnations of a host up to this number are dead. */
+	private final Map<HostId, Long> deadUpTo = new HashMap<>();
+
+	private long now;
+
+	private boolean draining;
+
+	private long brokenInvariants;
+
+	private long droppedEvents;
+
+	/**
+	 * Creates a system that knows no claims and no jobs.
+	 * @param self this incarnation, not null
+	 * @param dataCentres the configured data centres, not null
+	 * @param settings the settings, not null
+	 * @param tickets issues and checks tickets, not null
+	 * @param check tells which jobs can never run, not null
+	 * @param random spreads the times to come back, not null
+	 */
+	public SubmissionSystem(Incarnation self, DataCentres dataCentres, SubmissionSettings settings,
+			TicketAuthority tickets, JobCheck check, RandomGenerator random) {
+		this(self, dataCentres, settings, tickets, check, random, new SubmissionRules());
+	}
+
+	SubmissionSystem(Incarnation self, DataCentres dataCentres, SubmissionSettings settings, TicketAuthority tickets,
+			JobCheck check, RandomGenerator random, SubmissionRules rules) {
+		this.self = self;
+		this.dataCentres = dataCentres;
+		this.settings = settings;
+		this.tickets = tickets;
+		this.check = check;
+		this.random = random;
+		this.rules = rules;
+		this.claims = new ClaimTable(settings, rules);
+		this.jobs = new JobTable(settings);
+		this.appender = new ClaimAppender(settings);
+	}
+
+	/**
+	 * Takes a submission from a caller or a peer.
+	 * @param request the number of the request, not used before
+	 * @param submission the submission, not null
+	 * @param hops the number of hosts that have passed it on, 0 from a caller
+	 * @param nowNanos the present time
+	 */
+	public void submit(long request, Submission submission, int hops, long nowNanos) {
+		advance(nowNanos);
+		this.openRequests.add(request);
+		route(Waiter.of(request, submission, hops));
+	}
+
+	private void route(Waiter waiter) {
+		Submission submission = waiter.submission();
+		Job job = this.jobs.find(submission.keyHash());
+		if (job != null) {
+			attach(job, waiter);
+		}
+		else if (Ticket.isTicket(submission.key())) {
+			routeTicket(waiter);
+		}
+		else if (!this.dataCentres.homeOf(submission.keyHash()).equals(this.dataCentres.own())) {
+			routeElsewhere(waiter);
+		}
+		else {
+			routeByClaim(waiter);
+		}
+	}
+
+	private void routeTicket(Waiter waiter) {
+		Submission submission = waiter.submission();
+		Ticket ticket = this.tickets.check(submission.caller(), submission.key());
+		if (ticket == null) {
+			// No host starts a forged ticket, so this outcome needs no other proof.
+			refuse(waiter, Outcome.NOT_RUN, ErrorKind.INVALID_TICKET, "the ticket is not genuine for this caller");
+		}
+		else if (isDead(ticket.issuer())) {
+			refuse(waiter, Outcome.UNKNOWN, ErrorKind.HOLDER_LOST,
+					"the issuer " + ticket.issuer() + " of the ticket has ended");
+		}
+		else if (!ticket.issuer().equals(this.self)) {
+			forward(waiter, ticket.issuer());
+		}
+		else if (ticket.expiryNanos() <= this.now) {
+			refuse(waiter, ErrorKind.EXPIRED, "the ticket has expired");
+		}
+		else if (isAcceptable(waiter)) {
+			long keepUntil = Math.max(ticket.expiryNanos(), keepUntil(submission));
+			Job job = new Job(submission, Job.Right.TICKET, Job.State.HELD, 0, keepUntil);
+			this.jobs.add(job);
+			startHeld(job, waiter);
+		}
+	}
+
+	private void routeElsewhere(Waiter waiter) {
+		DataCentreId home = this.dataCentres.homeOf(waiter.submission().keyHash());
+		if (waiter.hops() > 0) {
+			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
+					"the hosts disagree about the home data centre of the key; check their data centre settings");
+		}
+		else if (isAcceptable(waiter)) {
+			addRelay(waiter, null, home);
+			this.effects.add(new SubmissionEffect.ForwardToDataCentre(waiter.request(), home,
+					new PeerRequest.Submit(waiter.submission(), waiter.hops() + 1)));
+		}
+	}
+
+	private void routeByClaim(Waiter waiter) {
+		Submission submission = waiter.submission();
+		Claim claim = this.claims.find(submission.keyHash());
+		if (claim == null) {
+			claim(waiter, 0);
+		}
+		else if (claim.fingerprint() != submission.fingerprint()) {
+			refuse(waiter, Outcome.UNKNOWN, ErrorKind.KEY_REUSED, "the key was used with another body or expiry");
+		}
+		else if (claim.holder().equals(this.self)) {
+			routeToForgotten(waiter);
+		}
+		else if (!isDead(claim.holder())) {
+			forward(waiter.withoutProof(), claim.holder());
+		}
+		else if (submission.isIdempotent()) {
+			claim(waiter.withoutProof(), claim.generation() + 1);
+		}
+		else {
+			refuse(waiter, Outcome.UNKNOWN, ErrorKind.HOLDER_LOST, "the holder " + claim.holder() + " has ended");
+		}
+	}
+
+	// A key that this incarnation holds but whose job has been dropped after expiry.
+	private void routeToForgotten(Waiter waiter) {
+		if (waiter.submission().expiryNanos() > this.now) {
+			broken("the job of held key " + waiter.submission().key() + " was dropped before its expiry");
+		}
+		refuse(waiter, Outcome.UNKNOWN, ErrorKind.EXPIRED, "the submission has expired");
+	}
+
+	private void claim(Waiter waiter, int generation) {
+		Submission submission = waiter.submission();
+		if (!isAcceptable(waiter)) {
+			return;
+		}
+		boolean unavailable = !this.claims.isHistoryEnough(this.now);
+		if (submission.isIdempotent() && (unavailable || this.appender.isFailing())) {
+			runWithoutClaim(waiter);
+			return;
+		}
+		if (unavailable) {
+			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
+					"this host has not read enough of the claims to rule out an earlier start");
+			return;
+		}
+		if (this.claimWaits.size() >= this.settings.maxPendingClaims()) {
+			refuseLater(waiter, ErrorKind.OVERLOADED, "too many submissions wait for their claims");
+			return;
+		}
+		Job job = new Job(submission, Job.Right.CLAIM, Job.State.PENDING, generation, keepUntil(submission));
+		this.jobs.add(job);
+		awaitClaim(job, waiter);
+	}
+
+	private void awaitClaim(Job job, Waiter waiter) {
+		job.submission = waiter.submission();
+		job.waiters.add(waiter);
+		this.claimWaits.add(new ClaimWait(this.now + this.settings.claimWaitNanos(), job, waiter));
+		if (!job.claimStored && !this.appender.contains(job.key)) {
+			this.appender.add(new Claim(job.key, job.fingerprint, this.self, job.expiryNanos, job.generation),
+					this.now);
+		}
+	}
+
+	// Starts an idempotent job while the claims cannot be consulted.
+	private void runWithoutClaim(Waiter waiter) {
+		Submission submission = waiter.submission();
+		Job job = new Job(submission, Job.Right.IDEMPOTENCE, Job.State.HELD, 0, keepUntil(submission));
+		this.jobs.add(job);
+		startHeld(job, waiter);
+	}
+
+	private void startPendingWithoutClaim(Job job) {
+		this.appender.remove(job.key);
+		job.right = Job.Right.IDEMPOTENCE;
+		job.state = Job.State.HELD;
+		start(job);
+	}
+
+	private void attach(Job job, Waiter waiter) {
+		if (job.fingerprint != waiter.submission().fingerprint()) {
+			boolean unstarted = job.state == Job.State.HELD && job.isExclusive();
+			refuse(waiter, unstarted ? Outcome.NOT_RUN : Outcome.UNKNOWN, ErrorKind.KEY_REUSED,
+					"the key was used with another body or expiry");
+			return;
+		}
+		switch (job.state) {
+			case PENDING -> attachToPending(job, waiter);
+			case HELD -> startHeld(job, waiter);
+			case RUNNING -> attachToRunning(job, waiter);
+			case DONE -> reply(waiter.request(), finalAnswer(job));
+		}
+	}
+
+	private void attachToPending(Job job, Waiter waiter) {
+		if (job.cancelled) {
+			refuse(waiter, ErrorKind.CANCELLED, "the job was cancelled");
+		}
+		else if (job.expiryNanos <= this.now) {
+			refuse(waiter, ErrorKind.EXPIRED, "the submission has expired");
+		}
+		else if (!job.unproved) {
+			awaitClaim(job, waiter);
+		}
+		else if (job.idempotent) {
+			job.submission = waiter.submission();
+			job.waiters.add(waiter);
+			startPendingWithoutClaim(job);
+		}
+		else {
+			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
+					"records of the claims were trimmed before this host had read them");
+		}
+	}
+
+	private void attachToRunning(Job job, Waiter waiter) {
+		if (waiter.submission().isWaiting()) {
+			job.waiters.add(waiter);
+		}
+		else {
+			reply(waiter.request(), Answer.accepted(COLLECT + waiter.submission().key()));
+		}
+	}
+
+	private Answer finalAnswer(Job job) {
+		if (job.answer != null) {
+			return job.answer;
+		}
+		return Answer.error(Outcome.UNKNOWN, ErrorKind.UNKNOWN_SUBMISSION, "the job ended with outcome "
+				+ job.outcome.text() + ", but its result is no longer kept; collect results earlier", 0, List.of());
+	}
+
+	private void startHeld(Job job, Waiter waiter) {
+		DispatchException impossible = this.check.whyImpossible(waiter.submission());
+		if (job.expiryNanos <= this.now) {
+			refuse(waiter, job.refusalOutcome(waiter), ErrorKind.EXPIRED, "the submission has expired");
+		}
+		else if (impossible != null) {
+			reply(waiter.request(), Answer.error(job.refusalOutcome(waiter), impossible.kind(), impossible.getMessage(),
+					impossible.retryAfterNanos(), List.of()));
+		}
+		else {
+			job.submission = waiter.submission();
+			job.waiters.add(waiter);
+			start(job);
+		}
+	}
+
+	private void start(Job job) {
+		String violation = whyNotStartable(job);
+		if (violation != null) {
+			broken(violation);
+			Answer internal = Answer.refusal(Outcome.UNKNOWN, ErrorKind.INTERNAL, violation, 0);
+			this.jobs.finish(job, internal, this.now);
+			job.takeWaiters().forEach((waiter) -> reply(waiter.request(), internal));
+			return;
+		}
+		this.jobs.start(job);
+		this.effects.add(new SubmissionEffect.StartTasks(job.number, job.submission));
+		List<Waiter> waiters = job.takeWaiters();
+		for (Waiter waiter : waiters) {
+			attachToRunning(job, waiter);
+		}
+	}
+
+	// The invariants of a start. Returns null if all hold.
+	private String whyNotStartable(Job job) {
+		if (job.state != Job.State.HELD || job.cancelled) {
+			return "job " + job.key + " would start in state " + job.state;
+		}
+		if (job.expiryNanos <= this.now) {
+			return "job " + job.key + " would start after its expiry";
+		}
+		return switch (job.right) {
+			case IDEMPOTENCE -> job.idempotent ? null : "job " + job.key + " would start without a claim";
+			case TICKET -> {
+				Ticket ticket = this.tickets.check(job.submission.caller(), job.submission.key());
+				yield (ticket != null && ticket.issuer().equals(this.self)) ? null
+						: "job " + job.key + " would start with the ticket of another incarnation";
+			}
+			case CLAIM -> {
+				boolean first = this.claims.isHeldBy(job.key, this.self, job.generation, job.fingerprint);
+				boolean mayStart = first && (job.generation == 0 || job.idempotent) && !job.unproved;
+				yield (mayStart || !this.rules.needsReadBack()) ? null
+						: "job " + job.key + " would start without the first claim";
+			}
+		};
+	}
+
+	/**
+	 * Reports that an append was stored.
+	 * @param append the number of the append
+	 * @param nowNanos the present time
+	 */
+	public void claimsAppended(long append, long nowNanos) {
+		advance(nowNanos);
+		for (Claim claim : this.appender.succeeded(append)) {
+			Job job = this.jobs.find(claim.key());
+			if (job != null && job.state == Job.State.PENDING) {
+				job.claimStored = true;
+				if (!this.rules.needsReadBack()) {
+					claimWon(job);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Reports that an append failed or that its answer was lost.
+	 * @param append the number of the append
+	 * @param nowNanos the present time
+	 */
+	public void appendFailed(long append, long nowNanos) {
+		advance(nowNanos);
+		this.appender.failed(append, this.now, this::isWanted);
+	}
+
+	private boolean isWanted(Claim claim) {
+		Job job = this.jobs.find(claim.key());
+		return job != null && job.state == Job.State.PENDING && !job.unproved && !job.claimStored
+				&& (job.cancelled || !job.waiters.isEmpty());
+	}
+
+	/**
+	 * Takes the answer to a read of the claims stream.
+	 * @param records the records in offset order, possibly empty
+	 * @param firstRetainedOffset the smallest offset that the platform still keeps
+	 * @param endOffset the offset that the next appended record will get
+	 * @param nowNanos the present time
+	 */
+	public void claimsRead(List<ClaimRecord> records, long firstRetainedOffset, long endOffset, long nowNanos) {
+		advance(nowNanos);
+		if (this.claims.beginRead(records, firstRetainedOffset, endOffset, this.now)) {
+			giveUpPending();
+		}
+		for (ClaimRecord record : records) {
+			if (this.claims.apply(record)) {
+				record.claims().forEach((claim) -> decidePending(claim.key()));
+			}
+		}
+	}
+
+	// Claims in a gap may have come before those of the jobs that wait.
+	private void giveUpPending() {
+		for (Job job : List.copyOf(this.jobs.all())) {
+			if (job.state == Job.State.PENDING) {
+				giveUp(job);
+			}
+		}
+	}
+
+	private void giveUp(Job job) {
+		job.unproved = true;
+		if (job.idempotent && !job.cancelled && !job.waiters.isEmpty() && job.expiryNanos > this.now) {
+			startPendingWithoutClaim(job);
+			return;
+		}
+		for (Waiter waiter : job.takeWaiters()) {
+			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
+					"records of the claims were trimmed before this host had read them");
+		}
+	}
+
+	private void decidePending(KeyHash key) {
+		Job job = this.jobs.find(key);
+		if (job == null || job.right != Job.Right.CLAIM) {
+			return;
+		}
+		Claim winner = this.claims.find(key);
+		boolean own = this.claims.isHeldBy(key, this.self, job.generation, job.fingerprint);
+		if (job.state == Job.State.HELD && !own) {
+			this.jobs.remove(job);
+		}
+		if (job.state != Job.State.PENDING || job.unproved) {
+			return;
+		}
+		if (!own) {
+			if (winner != null && winner.generation() >= job.generation) {
+				claimLost(job);
+			}
+		}
+		else if (this.claims.isHistoryEnough(this.now)) {
+			claimWon(job);
+		}
+		else {
+			giveUp(job);
+		}
+	}
+
+	private void claimWon(Job job) {
+		this.appender.remove(job.key);
+		job.state = Job.State.HELD;
+		if (job.cancelled) {
+			finishCancelled(job);
+		}
+		else if (job.expiryNanos <= this.now) {
+			for (Waiter waiter : job.takeWaiters()) {
+				refuse(waiter, job.refusalOutcome(waiter), ErrorKind.EXPIRED, "the submission has expired");
+			}
+		}
+		else if (!job.waiters.isEmpty()) {
+			start(job);
+		}
+		else {
+			job.submission = null;
+		}
+	}
+
+	private void claimLost(Job job) {
+		this.appender.remove(job.key);
+		this.jobs.remove(job);
+		for (Waiter waiter : job.takeWaiters()) {
+			route(waiter.withoutProof());
+		}
+	}
+
+	/**
+	 * Reports the end of a task. Reports of unknown or ended tasks are dropped.
+	 * @param number the number of the job
+	 * @param index the position of the task in the submission
+	 * @param result how it ended, not null
+	 * @param nowNanos the present time
+	 */
+	public void taskEnded(long number, int index, TaskResult result, long nowNanos) {
+		advance(nowNanos);
+		Job job = this.jobs.findRunning(number);
+		if (job == null || index >= job.results.length || job.results[index] != null) {
+			this.droppedEvents++;
+			return;
+		}
+		job.results[index] = result;
+		job.open--;
+		if (job.open == 0) {
+			finish(job);
+		}
+		else if (result.outcome() != Outcome.COMPLETE && !job.failing) {
+			cancelOpenTasks(job);
+		}
+	}
+
+	private void cancelOpenTasks(Job job) {
+		job.failing = true;
+		for (int i = 0; i < job.results.length; i++) {
+			if (job.results[i] == null) {
+				this.effects.add(new SubmissionEffect.CancelTask(job.number, i));
+			}
+		}
+	}
+
+	private void finish(Job job) {
+		Outcome outcome = job.joinOutcomes();
+		if (outcome == Outcome.COMPLETE) {
+			finish(job, Answer.complete(job.taskAnswers()));
+			return;
+		}
+		int cause = job.firstFailure();
+		if (this.rules.isProvedNotRun(outcome)) {
+			finishNotRun(job, job.results[cause]);
+			return;
+		}
+		ErrorKind error = job.cancelled ? ErrorKind.CANCELLED : ErrorKind.TASK_FAILED;
+		TaskResult result = job.results[cause];
+		String message = "task '" + job.submission.tasks().get(cause).id() + "' ended with outcome "
+				+ result.outcome().text() + ": " + result.detail() + "; " + error.remedy();
+		finish(job, Answer.error(outcome, error, message, 0, job.taskAnswers()));
+	}
+
+	private void finish(Job job, Answer answer) {
+		this.jobs.finish(job, answer, this.now);
+		job.takeWaiters().forEach((waiter) -> reply(waiter.request(), answer));
+	}
+
+	// No task ran: the key stays held, so that a resubmission can start the job.
+	private void finishNotRun(Job job, TaskResult cause) {
+		this.jobs.hold(job);
+		if (job.cancelled) {
+			finishCancelled(job);
+			return;
+		}
+		for (Waiter waiter : job.takeWaiters()) {
+			Answer answer = Answer.error(job.refusalOutcome(waiter), cause.error(), cause.detail(),
+					cause.retryAfterNanos(), List.of());
+			reply(waiter.request(), answer);
+		}
+	}
+
+	private void finishCancelled(Job job) {
+		Outcome outcome = job.isExclusive() ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+		Answer answer = Answer.refusal(outcome, ErrorKind.CANCELLED, "the job was cancelled before it started", 0);
+		finish(job, answer);
+	}
+
+	/**
+	 * Cancels a submission in O(1) for each task. A job that has started is answered when
+	 * its tasks have ended.
+	 * @param request the number of the request, not used before
+	 * @param caller the caller, not null
+	 * @param key the caller's key, not null
+	 * @param hops the number of hosts that have passed the request on, 0 from a caller
+	 * @param nowNanos the present time
+	 */
+	public void cancel(long request, CallerId caller, SubmissionKey key, int hops, long nowNanos) {
+		advance(nowNanos);
+		this.openRequests.add(request);
+		Waiter waiter = new Waiter(request, null, hops, false);
+		Job job = this.jobs.find(KeyHash.of(caller, key));
+		if (job == null) {
+			lookUp(waiter, new PeerRequest.Cancel(caller, key, hops + 1));
+			return;
+		}
+		switch (job.state) {
+			case PENDING -> cancelPending(job, waiter);
+			case HELD -> {
+				job.cancelled = true;
+				job.waiters.add(waiter);
+				finishCancelled(job);
+			}
+			case RUNNING -> {
+				job.cancelled = true;
+				job.waiters.add(waiter);
+				if (!job.failing) {
+					cancelOpenTasks(job);
+				}
+			}
+			case DONE -> reply(request, finalAnswer(job));
+		}
+	}
+
+	// The claim is still appended, so that the cancellation holds at every host.
+	private void cancelPending(Job job, Waiter canceller) {
+		job.cancelled = true;
+		for (Waiter waiter : job.takeWaiters()) {
+			refuse(waiter, ErrorKind.CANCELLED, "the job was cancelled before it started");
+		}
+		refuse(canceller, ErrorKind.CANCELLED, "the job is cancelled unless another host has started it");
+	}
+
+	/**
+	 * Asks for the state of a submission.
+	 * @param request the number of the request, not used before
+	 * @param caller the caller, not null
+	 * @param key the caller's key, not null
+	 * @param hops the number of hosts that have passed the request on, 0 from a caller
+	 * @param nowNanos the present time
+	 */
+	public void query(long request, CallerId caller, SubmissionKey key, int hops, long nowNanos) {
+		advance(nowNanos);
+		this.openRequests.add(request);
+		Job job = this.jobs.find(KeyHash.of(caller, key));
+		if (job == null) {
+			lookUp(new Waiter(request, null, hops, false), new PeerRequest.Query(caller, key, hops + 1));
+			return;
+		}
+		switch (job.state) {
+			case PENDING, RUNNING -> reply(request, Answer.accepted(COLLECT + key));
+			case HELD -> reply(request, Answer.refusal(job.isExclusive() ? Outcome.NOT_RUN : Outcome.UNKNOWN,
+					ErrorKind.UNKNOWN_SUBMISSION, "the job has not been started", 0));
+			case DONE -> reply(request, finalAnswer(job));
+		}
+	}
+
+	// Finds the host that knows a submission for a query or a cancellation.
+	private void lookUp(Waiter waiter, PeerRequest message) {
+		if (Ticket.isTicket(message.key())) {
+			Ticket ticket = this.tickets.check(message.caller(), message.key());
+			lookUpAt((ticket != null) ? ticket.issuer() : null, waiter, message);
+			return;
+		}
+		KeyHash key = KeyHash.of(message.caller(), message.key());
+		DataCentreId home = this.dataCentres.homeOf(key);
+		if (home.equals(this.dataCentres.own())) {
+			Claim claim = this.claims.find(key);
+			lookUpAt((claim != null) ? claim.holder() : null, waiter, message);
+		}
+		else if (waiter.hops() > 0) {
+			refuse(waiter, ErrorKind.UNKNOWN_SUBMISSION, "this host does not know the submission");
+		}
+		else {
+			addRelay(waiter, null, home);
+			this.effects.add(new SubmissionEffect.ForwardToDataCentre(waiter.request(), home, message));
+		}
+	}
+
+	private void lookUpAt(Incarnation holder, Waiter waiter, PeerRequest message) {
+		if (holder == null || holder.equals(this.self) || waiter.hops() >= MAX_HOPS) {
+			refuse(waiter, ErrorKind.UNKNOWN_SUBMISSION, "this host does not know the submission");
+		}
+		else if (isDead(holder)) {
+			refuse(waiter, ErrorKind.HOLDER_LOST, "the holder " + holder + " has ended");
+		}
+		else {
+			addRelay(waiter, holder, null);
+			this.effects.add(new SubmissionEffect.ForwardToHost(waiter.request(), holder, message));
+		}
+	}
+
+	private void forward(Waiter waiter, Incarnation target) {
+		if (waiter.hops() >= MAX_HOPS) {
+			refuseLater(waiter, ErrorKind.HOLDER_UNREACHABLE, "the hosts disagree about the holder");
+			return;
+		}
+		addRelay(waiter, target, null);
+		this.effects.add(new SubmissionEffect.ForwardToHost(waiter.request(), target,
+				new PeerRequest.Submit(waiter.submission(), waiter.hops() + 1)));
+	}
+
+	private void addRelay(Waiter waiter, Incarnation target, DataCentreId home) {
+		long deadline = this.now + this.settings.claimWaitNanos();
+		if (waiter.submission() != null) {
+			deadline = Math.max(deadline, waiter.submission().expiryNanos() + this.settings.skewNanos());
+		}
+		Relay relay = new Relay(waiter, target, home, deadline);
+		this.relays.put(waiter.request(), relay);
+		this.relaysByDeadline.add(relay);
+	}
+
+	private Relay removeRelay(long request) {
+		Relay relay = this.relays.remove(request);
+		if (relay == null) {
+			this.droppedEvents++;
+			return null;
+		}
+		this.relaysByDeadline.remove(relay);
+		return relay;
+	}
+
+	/**
+	 * Takes the answer of a peer. Late answers are dropped.
+	 * @param request the number of the request that was passed on
+	 * @param answer the answer, not null
+	 * @param nowNanos the present time
+	 */
+	public void peerReplied(long request, Answer answer, long nowNanos) {
+		advance(nowNanos);
+		if (removeRelay(request) != null) {
+			reply(request, answer);
+		}
+	}
+
+	/**
+	 * Reports that a request to a peer failed.
+	 * @param request the number of the request that was passed on
+	 * @param sent false only if certainly no byte of it was sent
+	 * @param nowNanos the present time
+	 */
+	public void peerFailed(long request, boolean sent, long nowNanos) {
+		advance(nowNanos);
+		Relay relay = removeRelay(request);
+		if (relay != null) {
+			failRelay(relay, sent);
+		}
+	}
+
+	private void failRelay(Relay relay, boolean sent) {
+		Waiter waiter = sent ? relay.waiter.withoutProof() : relay.waiter;
+		if (relay.target != null) {
+			refuseLater(waiter, ErrorKind.HOLDER_UNREACHABLE, "the holder " + relay.target + " does not answer");
+			return;
+		}
+		if (waiter.isCancellation() || !waiter.submission().isIdempotent()
+				|| waiter.submission().expiryNanos() <= this.now) {
+			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
+					"the home data centre " + relay.home + " of the key does not answer");
+			return;
+		}
+		Job job = this.jobs.find(waiter.submission().keyHash());
+		if (job != null) {
+			attach(job, waiter);
+		}
+		else {
+			runWithoutClaim(waiter);
+		}
+	}
+
+	/**
+	 * Reports that an incarnation is alive. Earlier incarnations of its host are dead.
+	 * @param incarnation the incarnation, not null
+	 * @param nowNanos the present time
+	 */
+	public void incarnationAlive(Incarnation incarnation, long nowNanos) {
+		advance(nowNanos);
+		Long dead = this.deadUpTo.put(incarnation.host(), incarnation.number() - 1);
+		if (dead == null || dead < incarnation.number() - 1) {
+			rerouteRelaysToDead();
+		}
+	}
+
+	/**
+	 * Reports that an incarnation is dead. This changes answers only; it never allows a
+	 * second start of a job that is not idempotent.
+	 * @param incarnation the incarnation, not null
+	 * @param nowNanos the present time
+	 */
+	public void incarnationDead(Incarnation incarnation, long nowNanos) {
+		advance(nowNanos);
+		this.deadUpTo.merge(incarnation.host(), incarnation.number(), Math::max);
+		rerouteRelaysToDead();
+	}
+
+	private void rerouteRelaysToDead() {
+		List<Relay> lost = this.relays.values()
+			.stream()
+			.filter((relay) -> relay.target != null && isDead(relay.target))
+			.toList();
+		for (Relay relay : lost) {
+			removeRelay(relay.waiter.request());
+			if (relay.waiter.isCancellation()) {
+				refuse(relay.waiter, ErrorKind.HOLDER_LOST, "the holder " + relay.target + " has ended");
+			}
+			else {
+				route(relay.waiter.withoutProof());
+			}
+		}
+	}
+
+	private boolean isDead(Incarnation incarnation) {
+		if (incarnation.host().equals(this.self.host())) {
+			return !incarnation.equals(this.self);
+		}
+		Long dead = this.deadUpTo.get(incarnation.host());
+		return dead != null && incarnation.number() <= dead;
+	}
+
+	/**
+	 * Forgets a request whose caller has gone away. It is not answered, and a job that
+	 * waits for its claim on behalf of this request alone is not started.
+	 * @param request the number of the request
+	 * @param nowNanos the present time
+	 */
+	public void abandon(long request, long nowNanos) {
+		advance(nowNanos);
+		if (!this.openRequests.remove(request)) {
+			return;
+		}
+		if (this.relays.containsKey(request)) {
+			removeRelay(request);
+			return;
+		}
+		for (ClaimWait wait : this.claimWaits) {
+			if (wait.waiter.request() == request) {
+				wait.job.waiters.remove(wait.waiter);
+				return;
+			}
+		}
+	}
+
+	/**
+	 * Stops accepting jobs that are not known here, because the host is leaving. Jobs
+	 * that it holds go on.
+	 */
+	public void drain() {
+		this.draining = true;
+	}
+
+	/**
+	 * Issues a block of tickets.
+	 * @param caller the caller that may use them, not null
+	 * @param count the number, 1 to 1000
+	 * @param nowNanos the present time
+	 * @return the tickets, valid for the furthest expiry that is accepted, not null
+	 * @throws DispatchException if the number is out of range or the host is leaving
+	 */
+	public List<Ticket> issueTickets(CallerId caller, int count, long nowNanos) {
+		advance(nowNanos);
+		if (this.draining) {
+			throw DispatchException.of(ErrorKind.SHUTTING_DOWN, Outcome.NOT_RUN, "this host is leaving");
+		}
+		return this.tickets.issue(caller, count, this.now + this.settings.maxExpiryAheadNanos());
+	}
+
+	/**
+	 * Emits the effects that are due.
+	 * @param nowNanos the present time
+	 * @param consumer takes each effect, not null
+	 */
+	public void tick(long nowNanos, Consumer<? super SubmissionEffect> consumer) {
+		advance(nowNanos);
+		this.claims.expire(this.now);
+		this.jobs.expire(this.now);
+		endClaimWaits();
+		endRelays();
+		appendClaims();
+		List<SubmissionEffect> due = List.copyOf(this.effects);
+		this.effects.clear();
+		due.forEach(consumer);
+	}
+
+	private void endClaimWaits() {
+		while (!this.claimWaits.isEmpty() && this.claimWaits.peek().deadlineNanos <= this.now) {
+			ClaimWait wait = this.claimWaits.poll();
+			Job job = wait.job;
+			if (job.state != Job.State.PENDING || !job.waiters.contains(wait.waiter)) {
+				continue;
+			}
+			if (job.idempotent && job.expiryNanos > this.now) {
+				startPendingWithoutClaim(job);
+				continue;
+			}
+			job.waiters.remove(wait.waiter);
+			refuseLater(wait.waiter, ErrorKind.HISTORY_UNAVAILABLE, "the claim could not be confirmed in time");
+			forgetUnsent(job);
+		}
+	}
+
+	private void forgetUnsent(Job job) {
+		if (job.waiters.isEmpty() && !job.cancelled && !job.claimSent) {
+			this.appender.remove(job.key);
+			this.jobs.remove(job);
+		}
+	}
+
+	private void endRelays() {
+		while (!this.relaysByDeadline.isEmpty() && this.relaysByDeadline.first().deadlineNanos <= this.now) {
+			Relay relay = removeRelay(this.relaysByDeadline.first().waiter.request());
+			failRelay(relay, true);
+		}
+	}
+
+	private void appendClaims() {
+		boolean quiet = this.claims.lastAppendTimeNanos() + this.settings.markerIntervalNanos() < this.now;
+		if (quiet && this.claims.isHistoryEnough(this.now)) {
+			this.appender.wantMarker();
+		}
+		SubmissionEffect.AppendClaims append = this.appender.next(this.now, this::isWanted);
+		if (append != null) {
+			append.claims().forEach((claim) -> {
+				Job job = this.jobs.find(claim.key());
+				if (job != null) {
+					job.claimSent = true;
+				}
+			});
+			this.effects.add(append);
+		}
+	}
+
+	/**
+	 * Returns when the next tick is due if nothing else happens.
+	 * @return the time, {@link Long#MAX_VALUE} for none
+	 */
+	public long nextWakeNanos() {
+		if (!this.effects.isEmpty()) {
+			return this.now;
+		}
+		long wake = this.appender.nextWakeNanos();
+		if (!this.claimWaits.isEmpty()) {
+			wake = Math.min(wake, this.claimWaits.peek().deadlineNanos);
+		}
+		if (!this.relaysByDeadline.isEmpty()) {
+			wake = Math.min(wake, this.relaysByDeadline.first().deadlineNanos);
+		}
+		return wake;
+	}
+
+	/**
+	 * Returns the offset of the claims stream from which to read next.
+	 * @return the offset
+	 */
+	public long nextClaimOffset() {
+		return this.claims.nextOffset();
+	}
+
+	/**
+	 * Returns the size of the state, for metrics.
+	 * @return the counts, not null
+	 */
+	public SubmissionCounts counts() {
+		return new SubmissionCounts(this.claims.size(), this.jobs.size(), this.jobs.runningCount(),
+				this.jobs.keptBytes(), this.relays.size(), this.openRequests.size(), this.brokenInvariants,
+				this.droppedEvents);
+	}
+
+	private boolean isAcceptable(Waiter waiter) {
+		Submission submission = waiter.submission();
+		// A peer has applied the limits on the expiry; its clock may be ahead.
+		long tolerance = (waiter.hops() > 0) ? this.settings.skewNanos() : 0;
+		long ahead = submission.expiryNanos() - this.now;
+		if (ahead <= 0 || (waiter.hops() == 0 && ahead < this.settings.minExpiryAheadNanos())) {
+			refuse(waiter, ErrorKind.EXPIRED, "the expiry is not at least "
+					+ TimeUnit.NANOSECONDS.toMillis(this.settings.minExpiryAheadNanos()) + " ms ahead");
+			return false;
+		}
+		if (ahead > this.settings.maxExpiryAheadNanos() + tolerance) {
+			refuse(waiter, ErrorKind.EXPIRY_TOO_FAR, "the expiry is more than "
+					+ TimeUnit.NANOSECONDS.toSeconds(this.settings.maxExpiryAheadNanos()) + " s ahead");
+			return false;
+		}
+		if (this.draining) {
+			refuseLater(waiter, ErrorKind.SHUTTING_DOWN, "this host is leaving");
+			return false;
+		}
+		DispatchException impossible = this.check.whyImpossible(submission);
+		if (impossible != null) {
+			reply(waiter.request(), Answer.error(outcomeOfRefusal(waiter), impossible.kind(), impossible.getMessage(),
+					impossible.retryAfterNanos(), List.of()));
+			return false;
+		}
+		return true;
+	}
+
+	private static Outcome outcomeOfRefusal(Waiter waiter) {
+		return waiter.provable() ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+	}
+
+	private void refuse(Waiter waiter, ErrorKind error, String detail) {
+		refuse(waiter, outcomeOfRefusal(waiter), error, detail);
+	}
+
+	private void refuse(Waiter waiter, Outcome outcome, ErrorKind error, String detail) {
+		reply(waiter.request(), Answer.refusal(outcome, error, detail, 0));
+	}
+
+	private void refuseLater(Waiter waiter, ErrorKind error, String detail) {
+		long retryAfter = RETRY_BASE_NANOS + this.random.nextLong(RETRY_SPREAD_NANOS);
+		reply(waiter.request(), Answer.refusal(outcomeOfRefusal(waiter), error, detail, retryAfter));
+	}
+
+	private void reply(long request, Answer answer) {
+		if (this.openRequests.remove(request)) {
+			this.effects.add(new SubmissionEffect.Reply(request, answer));
+		}
+	}
+
+	private long keepUntil(Submission submission) {
+		return submission.expiryNanos() + this.settings.skewNanos();
+	}
+
+	private void broken(String message) {
+		this.brokenInvariants++;
+		this.effects.add(new SubmissionEffect.InvariantBroken(message));
+	}
+
+	private void advance(long nowNanos) {
+		this.now = Math.max(this.now, nowNanos);
+	}
+
+	private record ClaimWait(long deadlineNanos, Job job, Waiter waiter) {
+	}
+
+	private record Relay(Waiter waiter, Incarnation target, DataCentreId home, long deadlineNanos) {
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/submission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The JSON form of submissions and their answers.
+ */
+package org.limpetgate.host.submission;
