--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AbstractDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AbstractDispatcher.java
@@ -114,7 +114,7 @@
 		Admission admission = admit(task, nowNanos);
 		if (admission.isAccepted()) {
 			this.tasks.put(request.id(), task);
-			task.deadlineTimer = this.timers.schedule(request.deadlineNanos(), (now) -> deadlinePassed(task, now));
+			task.deadlineTimer = this.timers.schedule(firstCheckNanos(task), (now) -> deadlineNear(task, now));
 			putInQueue(task, nowNanos);
 		}
 		return admission;
@@ -211,10 +211,21 @@
 		return demand;
 	}
 
-	private void deadlinePassed(TaskEntity task, long nowNanos) {
+	private void deadlineNear(TaskEntity task, long nowNanos) {
+		long deadline = task.request.deadlineNanos();
+		if (nowNanos < deadline && task.queue == null) {
+			task.deadlineTimer = this.timers.schedule(deadline, (now) -> deadlinePassed(task));
+		}
+		else {
+			deadlinePassed(task);
+		}
+	}
+
+	private void deadlinePassed(TaskEntity task) {
 		String where = task.running.isEmpty() ? "while the task waited"
 				: "while the task ran at '" + task.running.get(0).upstream.id + "'";
-		end(task, task.outcomeIfGivenUp(), ErrorKind.DEADLINE_EXCEEDED, "the deadline passed " + where, 0, null);
+		end(task, task.outcomeIfGivenUp(), ErrorKind.DEADLINE_EXCEEDED,
+				"the deadline passed or could not be met " + where, 0, null);
 	}
 
 	final void end(TaskEntity task, Outcome outcome, ErrorKind error, String detail, long retryAfterNanos,
@@ -278,6 +289,15 @@
 		return null;
 	}
 
+	/**
+	 * Returns when a task that still waits has too little time left to be done.
+	 * @param task the task
+	 * @return the time, at most the deadline
+	 */
+	long firstCheckNanos(TaskEntity task) {
+		return task.request.deadlineNanos();
+	}
+
 	abstract Admission admit(TaskEntity task, long nowNanos);
 
 	/**
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdmissionControl.java
@@ -0,0 +1,100 @@
+package org.limpetgate.dispatch;
+
+import java.util.random.RandomGenerator;
+
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Resources;
+
+/**
+ * Refuses at once what cannot be done in time.
+ * <p>
+ * A task is refused if its expected wait and a run time that few exceed do not fit before
+ * its deadline. A queue may exceed its delay target for a short time, so that jobs and
+ * bursts are taken whole; once it has stood above the target for an interval, tasks that
+ * would wait longer than the target are refused too. This bounds what remains to be
+ * worked off after a crest.
+ */
+final class AdmissionControl {
+
+	/** How long a queue may stand above its target; longer than a usual burst. */
+	private static final long STANDING_NANOS = 200_000_000L;
+
+	private static final long MIN_RETRY_AFTER_NANOS = 100_000_000L;
+
+	private static final long MAX_RETRY_AFTER_NANOS = 15_000_000_000L;
+
+	private final DispatchSettings settings;
+
+	private final FairQueue order;
+
+	private final RandomGenerator random;
+
+	AdmissionControl(DispatchSettings settings, FairQueue order, RandomGenerator random) {
+		this.settings = settings;
+		this.order = order;
+		this.random = random;
+	}
+
+	Admission refusal(TaskEntity task, long nowNanos) {
+		PoolEntity pool = task.pool;
+		Resources needed = task.request.resources();
+		if (pool.isWorkers() && pool.largest.stream().noneMatch(needed::isWithin)) {
+			return Admission
+				.refused(
+						ErrorKind.IMPOSSIBLE, "no worker of pool '" + pool.row.name() + "' has " + needed.cores()
+								+ " cores, " + needed.memoryMb() + " MB and " + needed.accelerators() + " accelerators",
+						0);
+		}
+		if (pool.upstreams.stream().noneMatch(UpstreamEntity::isListed)) {
+			return refuse(task, ErrorKind.NO_UPSTREAM, "no upstream of pool '" + pool.row.name() + "' is live here",
+					nowNanos);
+		}
+		if (task.caller.queued >= task.caller.quota.queueTasks()) {
+			return refuse(task, ErrorKind.QUOTA_EXCEEDED, "caller '" + task.caller.id + "' has " + task.caller.queued
+					+ " waiting tasks in pool '" + pool.row.name() + "'", nowNanos);
+		}
+		return refusalByLoad(task, nowNanos);
+	}
+
+	private Admission refusalByLoad(TaskEntity task, long nowNanos) {
+		PoolEntity pool = task.pool;
+		double wait = this.order.expectedWait(pool, task.caller, task.route);
+		if (nowNanos + wait + task.route.tail() > task.request.deadlineNanos() && wait > 0) {
+			return refuse(task, ErrorKind.OVERLOADED, "the task would miss its deadline", nowNanos);
+		}
+		if (pool.expectedWait() <= this.settings.queueDelayTarget()) {
+			pool.calmAt = nowNanos;
+		}
+		boolean standing = nowNanos - pool.calmAt > STANDING_NANOS;
+		boolean sameJob = task.request.job() != 0 && task.request.job() == pool.acceptedJob;
+		if (standing && !sameJob && wait > this.settings.queueDelayTarget()) {
+			return refuse(task, ErrorKind.OVERLOADED, "the queue of pool '" + pool.row.name() + "' is too long",
+					nowNanos);
+		}
+		pool.acceptedJob = task.request.job();
+		return null;
+	}
+
+	private Admission refuse(TaskEntity task, ErrorKind kind, String detail, long nowNanos) {
+		task.pool.refused++;
+		return Admission.refused(kind, detail, retryAfter(task.pool, nowNanos));
+	}
+
+	/**
+	 * Gives each refused caller a place in a sequence of returns that the pool can serve:
+	 * the places are as far apart as tasks are worked off.
+	 * @param pool the pool
+	 * @param nowNanos the present time
+	 * @return the time to wait in nanoseconds
+	 */
+	long retryAfter(PoolEntity pool, long nowNanos) {
+		long earliest = nowNanos + MIN_RETRY_AFTER_NANOS + (long) pool.expectedWait();
+		long place = Math.max(pool.returnsUntil, earliest);
+		if (place - nowNanos > MAX_RETRY_AFTER_NANOS) {
+			return MAX_RETRY_AFTER_NANOS / 2 + this.random.nextLong(MAX_RETRY_AFTER_NANOS / 2);
+		}
+		pool.returnsUntil = place + (long) (pool.meanCost / Math.max(1, pool.capacity));
+		return place - nowNanos;
+	}
+
+}
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/CallerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/CallerEntity.java
@@ -1,5 +1,8 @@
 package org.limpetgate.dispatch;
 
+import java.util.ArrayList;
+import java.util.List;
+
 import org.limpetgate.CallerId;
 
 /**
@@ -11,13 +14,57 @@
 
 	final CallerQuota quota;
 
+	/** One queue per route that the caller has used. */
+	final List<RouteQueue> routes = new ArrayList<>();
+
 	int queued;
 
+	/** The expected slot time of the waiting tasks, in nanoseconds. */
+	double queuedCost;
+
 	int inFlight;
 
+	/** The slot time used so far divided by the weight, as fair queueing counts it. */
+	double virtualTime;
+
+	/** Position among the active callers of the pool, -1 while nothing waits. */
+	int activeIndex = -1;
+
+	/** The dispatch round in which the caller has no more tasks to place. */
+	long blockedRound;
+
 	CallerEntity(CallerId id, CallerQuota quota) {
 		this.id = id;
 		this.quota = quota;
 	}
 
+	RouteQueue routeQueue(RouteEntity route) {
+		for (RouteQueue queue : this.routes) {
+			if (queue.route == route) {
+				return queue;
+			}
+		}
+		RouteQueue queue = new RouteQueue(route);
+		this.routes.add(queue);
+		return queue;
+	}
+
+	/**
+	 * The waiting tasks of one caller and route, in order of arrival.
+	 */
+	static final class RouteQueue extends TaskQueue {
+
+		final RouteEntity route;
+
+		double cost;
+
+		/** The dispatch round in which the head could not be placed. */
+		long blockedRound;
+
+		RouteQueue(RouteEntity route) {
+			this.route = route;
+		}
+
+	}
+
 }
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/Choice.java
@@ -0,0 +1,166 @@
+package org.limpetgate.dispatch;
+
+import java.util.random.RandomGenerator;
+
+import org.limpetgate.Resources;
+
+/**
+ * The choice of an upstream for a task: the shortest expected run time out of a sample of
+ * the upstreams that may take an attempt.
+ * <p>
+ * The sample has a fixed size, so the cost of a choice does not grow with the pool.
+ */
+final class Choice {
+
+	/** Enough to find one of the fastest fifth with a probability of five sixths. */
+	private static final int SAMPLE = 8;
+
+	/** Workers can be too full for a task, so more of them are looked at. */
+	private static final int WORKER_SAMPLE = 24;
+
+	/** Run time relative to the pool up to which an upstream is used without waiting. */
+	private static final double ACCEPTED_SLOWNESS = 2;
+
+	private static final double LOAD_PENALTY = 0.3;
+
+	private static final double RACK_PENALTY = 1.5;
+
+	private static final double ACCELERATOR_PENALTY = 3;
+
+	/** A probe is tried on a task that cannot be attempted again after this time. */
+	private static final long PROBE_WAIT_NANOS = 2_000_000_000L;
+
+	private final RandomGenerator random;
+
+	Choice(RandomGenerator random) {
+		this.random = random;
+	}
+
+	/**
+	 * Chooses an upstream.
+	 * @param task the task
+	 * @param other an upstream that must not be chosen, null for none
+	 * @param nowNanos the present time
+	 * @return the upstream, null if the task should wait
+	 */
+	UpstreamEntity choose(TaskEntity task, UpstreamEntity other, long nowNanos) {
+		PoolEntity pool = task.pool;
+		int open = pool.open.size();
+		if (open == 0) {
+			return null;
+		}
+		int sample = Math.min(open, pool.isWorkers() ? WORKER_SAMPLE : SAMPLE);
+		int from = this.random.nextInt(open);
+		int step = (sample == open) ? 1 : 1 + this.random.nextInt(open / sample);
+		UpstreamEntity best = null;
+		double bestScore = Double.POSITIVE_INFINITY;
+		for (int i = 0; i < sample; i++) {
+			UpstreamEntity upstream = pool.open.get((from + i * step) % open);
+			double score = (upstream != other) ? score(task, upstream, nowNanos) : Double.POSITIVE_INFINITY;
+			if (score < bestScore) {
+				best = upstream;
+				bestScore = score;
+			}
+		}
+		return best;
+	}
+
+	private double score(TaskEntity task, UpstreamEntity upstream, long nowNanos) {
+		if (upstream.health == UpstreamEntity.Health.PROBATION) {
+			return probeScore(task, upstream, nowNanos);
+		}
+		if (task.pool.isWorkers() && !fits(task, upstream)) {
+			return Double.POSITIVE_INFINITY;
+		}
+		double slowness = upstream.slowness(task.route);
+		if (slowness > ACCEPTED_SLOWNESS && !isWorthIt(task, slowness, nowNanos)) {
+			return Double.POSITIVE_INFINITY;
+		}
+		double score = slowness * (1 + LOAD_PENALTY * load(task.pool, upstream) + upstream.failureRate);
+		if (upstream == task.avoid) {
+			score = 1000 * score;
+		}
+		return task.pool.isWorkers() ? score * placementPenalty(task, upstream) : score;
+	}
+
+	private static double probeScore(TaskEntity task, UpstreamEntity upstream, long nowNanos) {
+		boolean harmless = task.request.idempotent() && task.attempts == 0;
+		boolean late = nowNanos - upstream.healthChangesAt > PROBE_WAIT_NANOS;
+		boolean fits = !task.pool.isWorkers() || fits(task, upstream);
+		return (fits && (harmless || late)) ? 0 : Double.POSITIVE_INFINITY;
+	}
+
+	/**
+	 * Tests whether running at a slow upstream now is faster than waiting for a usual
+	 * one.
+	 * @param task the task
+	 * @param slowness the run time relative to the pool
+	 * @param nowNanos the present time
+	 * @return true if the task has waited, or would wait, as long as it loses by running
+	 */
+	private static boolean isWorthIt(TaskEntity task, double slowness, long nowNanos) {
+		double loss = (slowness - 1) * task.route.mean();
+		return loss <= Math.max(nowNanos - task.queuedAt, task.pool.expectedWait());
+	}
+
+	private static double load(PoolEntity pool, UpstreamEntity upstream) {
+		if (!pool.isWorkers()) {
+			return (double) upstream.inFlight / Math.max(1, upstream.limit);
+		}
+		return dominant(upstream.booked.plus(upstream.excess), upstream.row.resources());
+	}
+
+	private static double placementPenalty(TaskEntity task, UpstreamEntity upstream) {
+		double penalty = 1;
+		if (task.avoid != null && task.avoid.row.rack().equals(upstream.row.rack())) {
+			penalty *= RACK_PENALTY;
+		}
+		if (task.request.resources().accelerators() == 0 && upstream.row.resources().accelerators() > 0) {
+			penalty *= ACCELERATOR_PENALTY;
+		}
+		return penalty;
+	}
+
+	static boolean fits(TaskEntity task, UpstreamEntity upstream) {
+		PoolEntity pool = task.pool;
+		if (pool.reserved == upstream && pool.reservedFor != task) {
+			return false;
+		}
+		Resources capacity = upstream.row.resources();
+		if (upstream.inFlight == 0) {
+			return task.request.resources().isWithin(capacity);
+		}
+		Resources used = upstream.booked.plus(upstream.excess);
+		return booking(task, upstream).plus(used).isWithin(capacity);
+	}
+
+	/**
+	 * Returns what a task is expected to use: the declared size corrected by what the
+	 * route's tasks used before, and no more than the worker has.
+	 * @param task the task
+	 * @param upstream the worker
+	 * @return the resources to book
+	 */
+	static Resources booking(TaskEntity task, UpstreamEntity upstream) {
+		Resources declared = task.request.resources();
+		Resources capacity = upstream.row.resources();
+		return new Resources(Math.min(capacity.cores(), declared.cores() * task.route.coresRatio),
+				Math.min(capacity.memoryMb(), Math.round(declared.memoryMb() * task.route.memoryRatio)),
+				declared.accelerators());
+	}
+
+	/**
+	 * Returns the largest part of a capacity that an amount takes.
+	 * @param amount the amount
+	 * @param capacity the capacity
+	 * @return the part, 0 if the capacity is empty
+	 */
+	static double dominant(Resources amount, Resources capacity) {
+		double cores = (capacity.cores() > 0) ? amount.cores() / capacity.cores() : 0;
+		double memory = (capacity.memoryMb() > 0) ? (double) amount.memoryMb() / capacity.memoryMb() : 0;
+		double accelerators = (capacity.accelerators() > 0) ? (double) amount.accelerators() / capacity.accelerators()
+				: 0;
+		return Math.max(cores, Math.max(memory, accelerators));
+	}
+
+}
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/Dispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/Dispatcher.java
@@ -97,15 +97,37 @@
 	void tick(long nowNanos, Consumer<? super DispatchEffect> effects);
 
 	/**
-	 * Returns when the next tick is due if nothing else happens.
+	 * Returns when the next tick is due if nothing else happens. After an offer, a
+	 * cancellation or the end of an attempt, a tick is due at once.
 	 * @return the time, {@link Long#MAX_VALUE} for none
 	 */
 	long nextWakeNanos();
 
 	/**
-	 * Returns the demand by pool, for the heartbeat.
+	 * Returns the demand by pool, for the heartbeat. What it returns must be sent to the
+	 * peers, since hosts divide the upstreams by what they have told each other.
 	 * @return the demand, not null
 	 */
 	Map<PoolName, PeerLoad.Demand> demand();
 
+	/**
+	 * Returns how long a task of a pool would wait, for the digests to other data centres
+	 * and for {@link SpillPolicy}.
+	 * @param pool the pool, not null
+	 * @param nowNanos the present time
+	 * @return the time in nanoseconds, 0 if it is not known
+	 */
+	default long expectedWaitNanos(PoolName pool, long nowNanos) {
+		return 0;
+	}
+
+	/**
+	 * Returns the state of all pools, for operators.
+	 * @param nowNanos the present time
+	 * @return the state, not null
+	 */
+	default List<PoolStatus> status(long nowNanos) {
+		return List.of();
+	}
+
 }
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
@@ -0,0 +1,175 @@
+package org.limpetgate.dispatch;
+
+/**
+ * The order of the waiting tasks of a pool: weighted fair queueing over callers by the
+ * slot time that they use, and within a caller the shorter learned run time first.
+ * <p>
+ * A caller that was idle gets no credit for the past, so the others use its idle share.
+ * The time that the head of a route has waited counts against its run time, so long work
+ * does not starve within its caller.
+ */
+final class FairQueue {
+
+	private final DispatchSettings settings;
+
+	FairQueue(DispatchSettings settings) {
+		this.settings = settings;
+	}
+
+	void add(TaskEntity task) {
+		PoolEntity pool = task.pool;
+		CallerEntity caller = task.caller;
+		if (caller.activeIndex < 0) {
+			caller.activeIndex = pool.active.size();
+			pool.active.add(caller);
+			caller.virtualTime = Math.max(caller.virtualTime, pool.virtualTime);
+		}
+		CallerEntity.RouteQueue queue = caller.routeQueue(task.route);
+		task.queuedCost = task.route.mean() * task.size;
+		queue.addLast(task);
+		queue.cost += task.queuedCost;
+		caller.queued++;
+		caller.queuedCost += task.queuedCost;
+		pool.queuedCost += task.queuedCost;
+	}
+
+	/**
+	 * Updates the sums for a task that is about to leave its queue.
+	 * @param task the task
+	 */
+	void removing(TaskEntity task) {
+		PoolEntity pool = task.pool;
+		CallerEntity caller = task.caller;
+		CallerEntity.RouteQueue queue = (CallerEntity.RouteQueue) task.queue;
+		boolean last = queue.size() == 1;
+		queue.cost = last ? 0 : queue.cost - task.queuedCost;
+		caller.queued--;
+		caller.queuedCost = (caller.queued == 0) ? 0 : caller.queuedCost - task.queuedCost;
+		pool.queuedCost = (pool.queuedTasks == 0) ? 0 : pool.queuedCost - task.queuedCost;
+		if (caller.queued == 0) {
+			CallerEntity moved = pool.active.remove(pool.active.size() - 1);
+			if (moved != caller) {
+				pool.active.set(caller.activeIndex, moved);
+				moved.activeIndex = caller.activeIndex;
+			}
+			caller.activeIndex = -1;
+		}
+	}
+
+	/**
+	 * Returns the task that is next in turn.
+	 * @param pool the pool
+	 * @param nowNanos the present time
+	 * @return the task, null if no caller that is not blocked in this round has one that
+	 * is within the limits
+	 */
+	TaskEntity next(PoolEntity pool, long nowNanos) {
+		boolean longAllowed = pool.longInFlight < longLimit(pool);
+		while (true) {
+			CallerEntity caller = nextCaller(pool);
+			if (caller == null) {
+				return null;
+			}
+			TaskEntity task = nextOf(caller, longAllowed, nowNanos);
+			if (task != null) {
+				return task;
+			}
+			caller.blockedRound = pool.round;
+		}
+	}
+
+	private static CallerEntity nextCaller(PoolEntity pool) {
+		CallerEntity best = null;
+		for (int i = 0; i < pool.active.size(); i++) {
+			CallerEntity caller = pool.active.get(i);
+			if (caller.blockedRound != pool.round && caller.inFlight < caller.quota.inFlight()
+					&& (best == null || caller.virtualTime < best.virtualTime)) {
+				best = caller;
+			}
+		}
+		return best;
+	}
+
+	private TaskEntity nextOf(CallerEntity caller, boolean longAllowed, long nowNanos) {
+		TaskEntity best = null;
+		double bestScore = Double.POSITIVE_INFINITY;
+		for (int i = 0; i < caller.routes.size(); i++) {
+			CallerEntity.RouteQueue queue = caller.routes.get(i);
+			TaskEntity head = queue.peek();
+			if (head == null || queue.blockedRound == head.pool.round
+					|| queue.route.inFlight >= this.settings.routeLimit(queue.route.name)
+					|| (!longAllowed && isLong(queue.route))) {
+				continue;
+			}
+			double score = queue.route.mean() - (nowNanos - head.queuedAt);
+			if (score < bestScore) {
+				best = head;
+				bestScore = score;
+			}
+		}
+		return best;
+	}
+
+	boolean isLong(RouteEntity route) {
+		return route.mean() >= this.settings.longRun();
+	}
+
+	/**
+	 * Returns how much of the capacity long work may hold: its fixed part, or what short
+	 * work leaves with a margin for its swings, whichever is more.
+	 * @param pool the pool
+	 * @return the most long attempts in flight
+	 */
+	private double longLimit(PoolEntity pool) {
+		double fixed = pool.capacity * this.settings.longPercent() / 100.0;
+		double left = pool.capacity * 0.9 - 1.5 * pool.shortDemand;
+		return Math.max(1, Math.max(fixed, left));
+	}
+
+	void started(AttemptEntity attempt) {
+		TaskEntity task = attempt.task;
+		task.pool.virtualTime = Math.max(task.pool.virtualTime, task.caller.virtualTime);
+		charge(task, attempt.expected);
+	}
+
+	/**
+	 * Replaces the expected slot time by the actual one.
+	 * @param attempt the attempt that ended
+	 * @param runNanos its run time
+	 */
+	void ended(AttemptEntity attempt, long runNanos) {
+		charge(attempt.task, runNanos - attempt.expected);
+	}
+
+	private static void charge(TaskEntity task, double runNanos) {
+		task.caller.virtualTime += runNanos * task.size / task.caller.quota.weight();
+	}
+
+	/**
+	 * Returns how long a task would wait if it were queued now: for the work of its own
+	 * caller that goes first, at the caller's fair part of the capacity.
+	 * @param pool the pool
+	 * @param caller the caller of the task
+	 * @param route the route of the task
+	 * @return the time in nanoseconds
+	 */
+	double expectedWait(PoolEntity pool, CallerEntity caller, RouteEntity route) {
+		double ahead = 0;
+		for (CallerEntity.RouteQueue queue : caller.routes) {
+			if (queue.route == route || queue.route.mean() <= route.mean()) {
+				ahead += queue.cost;
+			}
+		}
+		double weights = (caller.activeIndex < 0) ? caller.quota.weight() : 0;
+		double others = 0;
+		for (int i = 0; i < pool.active.size(); i++) {
+			CallerEntity other = pool.active.get(i);
+			weights += other.quota.weight();
+			others += (other != caller) ? other.queuedCost : 0;
+		}
+		double fairPart = ahead * weights / caller.quota.weight();
+		double work = Math.min(fairPart, ahead + others);
+		return pool.waitBias * work / Math.max(1, pool.capacity);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/FasterSpillPolicy.java
@@ -0,0 +1,79 @@
+package org.limpetgate.dispatch;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.limpetgate.DataCentreId;
+
+/**
+ * Forwards a task when the wait elsewhere, the round trip and a margin are shorter than
+ * the wait here.
+ * <p>
+ * A digest is up to some hundred milliseconds old. So that a burst does not all go to the
+ * data centre that was idle, the tasks forwarded since its digest are counted as waiting
+ * there.
+ */
+public final class FasterSpillPolicy implements SpillPolicy {
+
+	private static final int MAX_HOPS = 1;
+
+	/** Digests older than this tell nothing; the link or the data centre may be down. */
+	private static final long MAX_AGE_NANOS = 2_000_000_000L;
+
+	/** The least gain that pays for the messages of the hop. */
+	private static final long MARGIN_NANOS = 20_000_000L;
+
+	private final Map<DataCentreId, Forwarded> forwarded = new HashMap<>();
+
+	@Override
+	public Optional<DataCentreId> destination(TaskRequest task, int hops, long localWaitNanos, List<RemotePool> remotes,
+			long nowNanos) {
+		if (hops >= MAX_HOPS) {
+			return Optional.empty();
+		}
+		RemotePool best = null;
+		double bestWait = localWaitNanos;
+		for (RemotePool remote : remotes) {
+			boolean usable = remote.pool().equals(task.pool()) && remote.tasksPerSecond() > 0
+					&& nowNanos - remote.measuredNanos() <= MAX_AGE_NANOS;
+			double wait = usable ? waitAt(remote) : Double.POSITIVE_INFINITY;
+			if (wait < bestWait) {
+				best = remote;
+				bestWait = wait;
+			}
+		}
+		if (best == null) {
+			return Optional.empty();
+		}
+		forwardedTo(best).count++;
+		return Optional.of(best.dataCentre());
+	}
+
+	private double waitAt(RemotePool remote) {
+		double ahead = forwardedTo(remote).count / remote.tasksPerSecond() * 1e9;
+		return remote.waitNanos() + ahead + 2 * remote.oneWayNanos() + MARGIN_NANOS;
+	}
+
+	private Forwarded forwardedTo(RemotePool remote) {
+		Forwarded state = this.forwarded.computeIfAbsent(remote.dataCentre(), (key) -> new Forwarded());
+		if (state.digestAt != remote.measuredNanos()) {
+			state.digestAt = remote.measuredNanos();
+			state.count = 0;
+		}
+		return state;
+	}
+
+	/**
+	 * The tasks forwarded to a data centre since its last digest.
+	 */
+	private static final class Forwarded {
+
+		private long digestAt = Long.MIN_VALUE;
+
+		private int count;
+
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/HealthSystem.java
@@ -0,0 +1,163 @@
+package org.limpetgate.dispatch;
+
+import java.util.random.RandomGenerator;
+
+import org.limpetgate.Outcome;
+
+/**
+ * Ejects upstreams that fail, hang or are far slower than the pool, and takes them back
+ * by probation.
+ * <p>
+ * A failure counts against an upstream only as far as its job has not failed elsewhere. A
+ * part of the pool is never ejected: when most upstreams fail, the cause is likely to be
+ * the work or the network, and the rest could not carry the load.
+ */
+final class HealthSystem {
+
+	/** Failures in a row that eject; one or two happen by chance in a healthy pool. */
+	private static final double MAX_STREAK = 3;
+
+	private static final double MAX_FAILURE_RATE = 0.4;
+
+	private static final int MIN_ATTEMPTS = 10;
+
+	private static final double RATE_SMOOTHING = 0.1;
+
+	/** Run time relative to the pool from which an upstream is ejected. */
+	private static final double MAX_SLOWNESS = 4;
+
+	private static final int STALLED_ATTEMPTS = 2;
+
+	private static final int PROBES = 3;
+
+	private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
+
+	private static final int MAX_DOUBLINGS = 5;
+
+	/** After this time without an ejection, the next one is a first one again. */
+	private static final long FORGIVEN_AFTER_NANOS = 60_000_000_000L;
+
+	private final DispatchSettings settings;
+
+	private final RandomGenerator random;
+
+	HealthSystem(DispatchSettings settings, RandomGenerator random) {
+		this.settings = settings;
+		this.random = random;
+	}
+
+	void completed(PoolEntity pool, AttemptEntity attempt, long nowNanos) {
+		UpstreamEntity upstream = attempt.upstream;
+		upstream.lastCompletedAt = nowNanos;
+		upstream.failureStreak = 0;
+		count(upstream, 0);
+		attempt.task.job.succeeded();
+		if (upstream.health == UpstreamEntity.Health.PROBATION && attempt.probe) {
+			upstream.probesPassed++;
+			if (upstream.probesPassed >= PROBES) {
+				restore(pool, upstream, nowNanos);
+			}
+		}
+		else if (upstream.health == UpstreamEntity.Health.GOOD && upstream.samples() >= MIN_ATTEMPTS
+				&& upstream.slowness() > MAX_SLOWNESS) {
+			eject(pool, upstream, nowNanos);
+		}
+	}
+
+	/**
+	 * Counts an attempt that did not complete.
+	 * @param pool the pool
+	 * @param attempt the attempt
+	 * @param result its result
+	 * @param nowNanos the present time
+	 */
+	void failed(PoolEntity pool, AttemptEntity attempt, AttemptResult result, long nowNanos) {
+		UpstreamEntity upstream = attempt.upstream;
+		boolean notWanted = attempt.task.ended && !attempt.overdue;
+		boolean older = upstream.health != UpstreamEntity.Health.GOOD && !attempt.probe;
+		if (result.leaving() || notWanted || older) {
+			return;
+		}
+		boolean refused = result.outcome() == Outcome.NOT_RUN;
+		double blame = refused ? 1 : attempt.task.job.failed(upstream, nowNanos);
+		upstream.lastFailedAt = nowNanos;
+		upstream.failureStreak += attempt.task.ended ? blame / 2 : blame;
+		count(upstream, blame);
+		boolean bad = upstream.failureStreak >= MAX_STREAK
+				|| (upstream.attemptsSeen >= MIN_ATTEMPTS && upstream.failureRate > MAX_FAILURE_RATE);
+		if (upstream.health == UpstreamEntity.Health.PROBATION || bad) {
+			eject(pool, upstream, nowNanos);
+		}
+	}
+
+	/**
+	 * Ejects an upstream that has several overdue attempts and has completed nothing
+	 * since they started.
+	 * @param pool the pool
+	 * @param attempt an attempt that has become overdue
+	 * @param nowNanos the present time
+	 */
+	void overdue(PoolEntity pool, AttemptEntity attempt, long nowNanos) {
+		UpstreamEntity upstream = attempt.upstream;
+		if (upstream.overdue >= STALLED_ATTEMPTS && upstream.lastCompletedAt < attempt.startedAt) {
+			eject(pool, upstream, nowNanos);
+		}
+	}
+
+	private static void count(UpstreamEntity upstream, double failure) {
+		upstream.attemptsSeen++;
+		upstream.failureRate += RATE_SMOOTHING * (failure - upstream.failureRate);
+	}
+
+	private void eject(PoolEntity pool, UpstreamEntity upstream, long nowNanos) {
+		boolean again = upstream.health == UpstreamEntity.Health.PROBATION;
+		if (upstream.health == UpstreamEntity.Health.EJECTED || (!again && !mayEject(pool))) {
+			return;
+		}
+		if (!again && nowNanos - upstream.healthChangesAt > FORGIVEN_AFTER_NANOS) {
+			upstream.ejections = 0;
+		}
+		pool.ejected += again ? 0 : 1;
+		upstream.health = UpstreamEntity.Health.EJECTED;
+		long duration = FIRST_EJECTION_NANOS << Math.min(MAX_DOUBLINGS, upstream.ejections);
+		upstream.ejections++;
+		upstream.healthChangesAt = nowNanos + duration + this.random.nextLong(duration / 4);
+		pool.updateOpen(upstream);
+		pool.countCapacity();
+	}
+
+	private boolean mayEject(PoolEntity pool) {
+		int listed = 0;
+		int ejected = 0;
+		for (UpstreamEntity upstream : pool.upstreams) {
+			if (upstream.isListed()) {
+				listed++;
+				ejected += (upstream.health != UpstreamEntity.Health.GOOD) ? 1 : 0;
+			}
+		}
+		return (listed - ejected - 1) * 100 >= listed * this.settings.remainingPercent();
+	}
+
+	private static void restore(PoolEntity pool, UpstreamEntity upstream, long nowNanos) {
+		upstream.health = UpstreamEntity.Health.GOOD;
+		upstream.healthChangesAt = nowNanos;
+		upstream.failureStreak = 0;
+		upstream.failureRate = 0;
+		upstream.attemptsSeen = 0;
+		pool.ejected--;
+		pool.updateOpen(upstream);
+		pool.countCapacity();
+	}
+
+	void run(PoolEntity pool, long nowNanos) {
+		for (UpstreamEntity upstream : pool.upstreams) {
+			if (upstream.health == UpstreamEntity.Health.EJECTED && nowNanos >= upstream.healthChangesAt) {
+				upstream.health = UpstreamEntity.Health.PROBATION;
+				upstream.probesPassed = 0;
+				upstream.forgetSpeed();
+				pool.updateOpen(upstream);
+			}
+		}
+	}
+
+}
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
@@ -2,12 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 import org.limpetgate.CallerId;
+import org.limpetgate.Resources;
+import org.limpetgate.RouteName;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.config.Pool;
+import org.limpetgate.config.PoolKind;
 import org.limpetgate.config.Upstream;
 
 /**
@@ -15,15 +19,42 @@
  */
 final class PoolEntity {
 
+	private static final int MAX_JOBS = 4096;
+
 	final Map<UpstreamId, UpstreamEntity> byId = new HashMap<>();
 
 	final Map<CallerId, CallerEntity> callers = new HashMap<>();
 
+	final Map<RouteName, RouteEntity> routes = new HashMap<>();
+
+	final Map<RouteName, JobEntity> routesAsJobs = new HashMap<>();
+
+	/** The recent jobs; the oldest are forgotten. */
+	final Map<Long, JobEntity> jobs = new LinkedHashMap<>() {
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<Long, JobEntity> eldest) {
+			return size() > MAX_JOBS;
+		}
+
+	};
+
 	/** The listed upstreams, in the order of the table. */
 	final List<UpstreamEntity> upstreams = new ArrayList<>();
 
+	/** The upstreams that may take an attempt now, in no order. */
+	final List<UpstreamEntity> open = new ArrayList<>();
+
+	/** The callers with waiting tasks, in no order. */
+	final List<CallerEntity> active = new ArrayList<>();
+
+	/** The largest capacities of the workers in any data centre. */
+	final List<Resources> largest = new ArrayList<>();
+
 	final TaskQueue queue = new TaskQueue();
 
+	final RetryBudget budget = new RetryBudget();
+
 	Pool row;
 
 	/** Whether the configuration has the pool. */
@@ -35,12 +66,60 @@
 
 	int inFlight;
 
-	final RetryBudget budget = new RetryBudget();
+	/** The expected slot time of the waiting tasks, in nanoseconds. */
+	double queuedCost;
+
+	/** The slots, or workers, that this host may use and that are not ejected. */
+	int capacity;
+
+	/** The mean slot time of recent attempts, in nanoseconds. */
+	double meanCost = 300_000_000;
+
+	/** The virtual time of the last task that was started. */
+	double virtualTime;
+
+	long round;
+
+	int longInFlight;
+
+	/** The slots that short work uses or waits for, smoothed. */
+	double shortDemand;
+
+	/** Actual over expected waiting times. */
+	double waitBias = 1;
+
+	/** The last time at which the expected wait was within its target. */
+	long calmAt;
+
+	/** The time up to which refused callers have been told to return. */
+	long returnsUntil;
+
+	/** The job whose first task was accepted last. */
+	long acceptedJob;
+
+	/** The worker that is kept for a large task, null for none. */
+	UpstreamEntity reserved;
+
+	TaskEntity reservedFor;
+
+	int ejected;
+
+	/** The mean size of tasks. */
+	double unitsPerTask = 0.1;
+
+	/** The demand that the peers were told of. */
+	double publishedDemand;
+
+	long refused;
 
 	PoolEntity(Pool row) {
 		this.row = row;
 	}
 
+	boolean isWorkers() {
+		return this.row.kind() == PoolKind.WORKERS;
+	}
+
 	/**
 	 * Replaces the row. An upstream whose row changed counts as a new one and loses its
 	 * leaving mark.
@@ -50,12 +129,15 @@
 	void configure(Pool newRow, DispatchSettings settings) {
 		this.row = newRow;
 		this.upstreams.clear();
+		this.largest.clear();
 		this.byId.values().forEach((upstream) -> upstream.listed = false);
 		for (Upstream upstream : newRow.upstreams()) {
+			addLargest(upstream.resources());
 			if (upstream.dataCentre().equals(settings.dataCentre())) {
 				list(upstream);
 			}
 		}
+		this.byId.values().forEach(this::updateOpen);
 		this.byId.values().removeIf((upstream) -> !upstream.listed && upstream.inFlight == 0);
 	}
 
@@ -64,9 +146,65 @@
 		if (!entity.row.equals(newRow)) {
 			entity.row = newRow;
 			entity.leaving = false;
+			entity.forgetSpeed();
 		}
 		entity.listed = true;
 		this.upstreams.add(entity);
 	}
 
+	private void addLargest(Resources resources) {
+		if (this.largest.stream().noneMatch(resources::isWithin)) {
+			this.largest.removeIf((smaller) -> smaller.isWithin(resources));
+			this.largest.add(resources);
+		}
+	}
+
+	/**
+	 * Puts an upstream into the list of open ones or takes it out, in O(1).
+	 * @param upstream the upstream, whose state has changed
+	 */
+	void updateOpen(UpstreamEntity upstream) {
+		boolean isOpen = upstream.isOpen();
+		if (isOpen && upstream.openIndex < 0) {
+			upstream.openIndex = this.open.size();
+			this.open.add(upstream);
+		}
+		else if (!isOpen && upstream.openIndex >= 0) {
+			UpstreamEntity last = this.open.remove(this.open.size() - 1);
+			if (last != upstream) {
+				this.open.set(upstream.openIndex, last);
+				last.openIndex = upstream.openIndex;
+			}
+			upstream.openIndex = -1;
+		}
+	}
+
+	void countCapacity() {
+		this.capacity = 0;
+		for (UpstreamEntity upstream : this.upstreams) {
+			if (upstream.isListed() && upstream.health == UpstreamEntity.Health.GOOD) {
+				this.capacity += isWorkers() ? Math.min(1, upstream.limit) : upstream.limit;
+			}
+		}
+	}
+
+	RouteEntity route(RouteName name) {
+		return this.routes.computeIfAbsent(name, (key) -> new RouteEntity(key, this.routes.size()));
+	}
+
+	JobEntity job(TaskRequest request) {
+		if (request.job() == 0) {
+			return this.routesAsJobs.computeIfAbsent(request.route(), (key) -> new JobEntity());
+		}
+		return this.jobs.computeIfAbsent(request.job(), (key) -> new JobEntity());
+	}
+
+	/**
+	 * Returns the time that all waiting work takes with the present capacity.
+	 * @return the time in nanoseconds
+	 */
+	double expectedWait() {
+		return this.waitBias * this.queuedCost / Math.max(1, this.capacity);
+	}
+
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/RetryBudget.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/RetryBudget.java
@@ -18,8 +18,8 @@
 		this.tokens = Math.min(MAX_TOKENS, this.tokens + percent / 100.0);
 	}
 
-	boolean isEmpty() {
-		return this.tokens < 1;
+	double tokens() {
+		return this.tokens;
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/RouteEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/RouteEntity.java
@@ -3,14 +3,62 @@
 import org.limpetgate.RouteName;
 
 /**
- * What is learned about a route within a pool.
+ * What is learned about a route within a pool. Times are in nanoseconds.
  */
 final class RouteEntity {
 
+	/** Expected before the first sample; a middle value of the usual 50 ms to 1 s. */
+	private static final double UNKNOWN_RUN = 300_000_000;
+
+	/** A sample counts as at most this many means, so that stragglers do not set them. */
+	private static final double CLIP = 8;
+
+	private static final int SAMPLES_BEFORE_CLIP = 8;
+
+	private static final double SMOOTHING = 0.02;
+
 	final RouteName name;
 
-	RouteEntity(RouteName name) {
+	/** Position in the per-route arrays of the pool's upstreams. */
+	final int index;
+
+	int inFlight;
+
+	/** Used over declared resources, learned from the usage that workers report. */
+	double coresRatio = 1;
+
+	double memoryRatio = 1;
+
+	private double mean = UNKNOWN_RUN;
+
+	private double deviation = UNKNOWN_RUN;
+
+	private int samples;
+
+	RouteEntity(RouteName name, int index) {
 		this.name = name;
+		this.index = index;
+	}
+
+	void learn(double run) {
+		double sample = (this.samples < SAMPLES_BEFORE_CLIP) ? run : Math.min(run, CLIP * this.mean);
+		this.samples++;
+		double weight = Math.max(SMOOTHING, 1.0 / this.samples);
+		double error = sample - this.mean;
+		this.mean += weight * error;
+		this.deviation += weight * (Math.abs(error) - this.deviation);
+	}
+
+	double mean() {
+		return this.mean;
+	}
+
+	/**
+	 * Returns a run time that few tasks exceed, stragglers aside.
+	 * @return the run time
+	 */
+	double tail() {
+		return this.mean + 3 * this.deviation;
 	}
 
 }
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/ShareSystem.java
@@ -0,0 +1,110 @@
+package org.limpetgate.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.limpetgate.PoolName;
+
+/**
+ * Divides the slots of each upstream, or the workers of a pool, among the entry hosts of
+ * the data centre.
+ * <p>
+ * Each host computes the division from the published demand of all hosts, its own
+ * included, so that hosts with the same view use each slot once. A host gets its demand
+ * up to its part by size first; what is left goes to the hosts that want more, by size,
+ * and the rest to all by size.
+ */
+final class ShareSystem {
+
+	/** The part of its size that each host keeps, for the first tasks of a burst. */
+	private static final double KEPT = 0.1;
+
+	private final DispatchSettings settings;
+
+	private Map<PoolName, PeerLoad.Demand> published = Map.of();
+
+	ShareSystem(DispatchSettings settings) {
+		this.settings = settings;
+	}
+
+	void publish(Map<PoolName, PeerLoad.Demand> demand) {
+		this.published = Map.copyOf(demand);
+	}
+
+	/**
+	 * Sets the limit of each upstream of a pool.
+	 * @param pool the pool
+	 * @param peers the peers in the order of their ids
+	 */
+	void divide(PoolEntity pool, List<PeerLoad> peers) {
+		List<PeerLoad> hosts = new ArrayList<>(peers);
+		PeerLoad self = new PeerLoad(this.settings.host(), this.settings.size(), this.published);
+		int own = 0;
+		while (own < hosts.size() && hosts.get(own).host().compareTo(self.host()) < 0) {
+			own++;
+		}
+		hosts.add(own, self);
+		double[] weights = allocate(pool, hosts, units(pool));
+		for (int i = 0; i < pool.upstreams.size(); i++) {
+			UpstreamEntity upstream = pool.upstreams.get(i);
+			int connections = pool.row.connectionsPerUpstream();
+			upstream.limit = pool.isWorkers() ? SlotShares.share(1, weights, own, i) * connections
+					: Math.min(connections, SlotShares.share(upstream.row.slots(), weights, own, i));
+			pool.updateOpen(upstream);
+		}
+		pool.countCapacity();
+	}
+
+	private static int units(PoolEntity pool) {
+		int units = 0;
+		for (UpstreamEntity upstream : pool.upstreams) {
+			units += pool.isWorkers() ? 1 : upstream.row.slots();
+		}
+		return units;
+	}
+
+	private double[] allocate(PoolEntity pool, List<PeerLoad> hosts, int units) {
+		double sizes = hosts.stream().mapToInt(PeerLoad::size).sum();
+		double[] wanted = new double[hosts.size()];
+		double[] given = new double[hosts.size()];
+		for (int i = 0; i < wanted.length; i++) {
+			double kept = KEPT * units * hosts.get(i).size() / sizes;
+			wanted[i] = Math.max(kept, demand(pool, hosts.get(i)));
+		}
+		double left = units;
+		for (int round = 0; round < wanted.length && left > 0; round++) {
+			left -= fill(hosts, wanted, given, left);
+		}
+		for (int i = 0; i < given.length; i++) {
+			given[i] += Math.max(0, left) * hosts.get(i).size() / sizes;
+		}
+		return given;
+	}
+
+	private static double fill(List<PeerLoad> hosts, double[] wanted, double[] given, double left) {
+		double sizes = 0;
+		for (int i = 0; i < given.length; i++) {
+			sizes += (given[i] < wanted[i]) ? hosts.get(i).size() : 0;
+		}
+		double used = 0;
+		for (int i = 0; i < given.length && sizes > 0; i++) {
+			if (given[i] < wanted[i]) {
+				double more = Math.min(wanted[i] - given[i], left * hosts.get(i).size() / sizes);
+				given[i] += more;
+				used += more;
+			}
+		}
+		return used;
+	}
+
+	private static double demand(PoolEntity pool, PeerLoad host) {
+		PeerLoad.Demand demand = host.demand().get(pool.row.name());
+		if (demand == null) {
+			return 0;
+		}
+		int tasks = demand.queued() + demand.inFlight();
+		return pool.isWorkers() ? tasks * pool.unitsPerTask : tasks;
+	}
+
+}
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/TaskEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/TaskEntity.java
@@ -52,8 +52,14 @@
 	/** The time at which the task was put in its queue. */
 	long queuedAt;
 
-	/** The run time that was expected when the task was put in its queue. */
-	long queuedCost;
+	/** The slot time that was expected when the task was put in its queue. */
+	double queuedCost;
+
+	/** The wait that was expected then. */
+	double expectedWait;
+
+	/** The slots, or the part of a worker, that the task takes. */
+	double size = 1;
 
 	TaskEntity(TaskRequest request, PoolEntity pool, long acceptedAt) {
 		this.request = request;
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/TaskQueue.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/TaskQueue.java
@@ -3,7 +3,7 @@
 /**
  * A first-in first-out queue of tasks with removal from any place in O(1).
  */
-final class TaskQueue {
+class TaskQueue {
 
 	private TaskEntity head;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/UpstreamEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/UpstreamEntity.java
@@ -1,14 +1,25 @@
 package org.limpetgate.dispatch;
 
+import java.util.Arrays;
+
 import org.limpetgate.Resources;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.config.Upstream;
 
 /**
- * An upstream of the own data centre.
+ * An upstream of the own data centre. Times are in nanoseconds.
  */
 final class UpstreamEntity {
 
+	private static final double CLIP_LOG_RATIO = Math.log(8);
+
+	private static final double SMOOTHING = 0.1;
+
+	/** The weight of the upstream's own factor against the one by route, in samples. */
+	private static final int ROUTE_PRIOR = 5;
+
+	private static final int MAX_ROUTE_SAMPLES = 50;
+
 	final UpstreamId id;
 
 	Upstream row;
@@ -21,18 +32,163 @@
 	/** What the attempts in flight hold at a worker. */
 	Resources booked = Resources.NONE;
 
+	/** How much more a worker's reports show in use than is booked. */
+	Resources excess = Resources.NONE;
+
+	/** What the attempts in flight were declared to need, by route index. */
+	Resources[] declared = new Resources[0];
+
 	boolean leaving;
 
 	/** Whether the configuration lists the upstream. */
 	boolean listed;
 
+	/** Position in the pool's list of open upstreams, -1 if it is not in it. */
+	int openIndex = -1;
+
+	Health health = Health.GOOD;
+
+	/** Failures since the last success, weighted by the upstream's part in them. */
+	double failureStreak;
+
+	/** The part of recent attempts that failed, between 0 and 1. */
+	double failureRate;
+
+	int attemptsSeen;
+
+	/** Successes in probation. */
+	int probesPassed;
+
+	/** Ejections in a row; each doubles the next one's duration. */
+	int ejections;
+
+	long healthChangesAt;
+
+	long lastCompletedAt;
+
+	long lastFailedAt;
+
+	/** Attempts in flight that run far longer than expected. */
+	int overdue;
+
+	private double logSlowness;
+
+	private int samples;
+
+	private boolean sampledSinceDecay;
+
+	private double[] routeLog = new double[0];
+
+	private int[] routeSamples = new int[0];
+
 	UpstreamEntity(Upstream row) {
 		this.id = row.id();
 		this.row = row;
 	}
 
+	boolean isListed() {
+		return this.listed && !this.leaving;
+	}
+
 	boolean isOpen() {
-		return this.listed && !this.leaving && this.inFlight < this.limit;
+		return isListed() && this.inFlight < allowed();
+	}
+
+	/**
+	 * Returns the limit after a failure: it is halved for each failure in a row, so that
+	 * an upstream that fails at once does not draw much work before it is ejected.
+	 * @return the most attempts in flight
+	 */
+	int allowed() {
+		return switch (this.health) {
+			case EJECTED -> 0;
+			case PROBATION -> Math.min(1, this.limit);
+			case GOOD -> (this.failureStreak < 1) ? this.limit
+					: Math.min(this.limit, Math.max(1, this.limit >> (int) this.failureStreak));
+		};
+	}
+
+	void learn(RouteEntity route, double ratio) {
+		double log = Math.max(-CLIP_LOG_RATIO, Math.min(CLIP_LOG_RATIO, Math.log(ratio)));
+		this.samples++;
+		this.sampledSinceDecay = true;
+		this.logSlowness += Math.max(SMOOTHING, 1.0 / (this.samples + 2)) * (log - this.logSlowness);
+		if (route.index >= this.routeLog.length) {
+			this.routeLog = Arrays.copyOf(this.routeLog, route.index + 4);
+			this.routeSamples = Arrays.copyOf(this.routeSamples, route.index + 4);
+		}
+		int count = Math.min(MAX_ROUTE_SAMPLES, this.routeSamples[route.index] + 1);
+		this.routeSamples[route.index] = count;
+		this.routeLog[route.index] += Math.max(SMOOTHING, 1.0 / count) * (log - this.routeLog[route.index]);
+	}
+
+	/**
+	 * Moves the learned factor towards 1 if there was no sample since the last call, so
+	 * that an upstream that is avoided as slow is tried again.
+	 * @param factor the part that remains
+	 */
+	void decay(double factor) {
+		if (!this.sampledSinceDecay) {
+			this.logSlowness *= factor;
+			for (int i = 0; i < this.routeLog.length; i++) {
+				this.routeLog[i] *= factor;
+			}
+		}
+		this.sampledSinceDecay = false;
+	}
+
+	/**
+	 * Returns the run time here relative to the mean of the pool.
+	 * @param route the route
+	 * @return the factor, 1 if nothing is known
+	 */
+	double slowness(RouteEntity route) {
+		if (route.index >= this.routeLog.length) {
+			return Math.exp(this.logSlowness);
+		}
+		int count = this.routeSamples[route.index];
+		return Math.exp((count * this.routeLog[route.index] + ROUTE_PRIOR * this.logSlowness) / (count + ROUTE_PRIOR));
+	}
+
+	double slowness() {
+		return Math.exp(this.logSlowness);
+	}
+
+	int samples() {
+		return this.samples;
+	}
+
+	void forgetSpeed() {
+		this.logSlowness = 0;
+		this.samples = 0;
+		this.routeLog = new double[0];
+		this.routeSamples = new int[0];
+	}
+
+	void declare(RouteEntity route, Resources resources, boolean started) {
+		if (route.index >= this.declared.length) {
+			int known = this.declared.length;
+			this.declared = Arrays.copyOf(this.declared, route.index + 4);
+			Arrays.fill(this.declared, known, this.declared.length, Resources.NONE);
+		}
+		Resources before = this.declared[route.index];
+		this.declared[route.index] = started ? before.plus(resources) : before.minus(resources);
+	}
+
+	/**
+	 * The stages of outlier ejection.
+	 */
+	enum Health {
+
+		/** Takes work. */
+		GOOD,
+
+		/** Takes no work. */
+		EJECTED,
+
+		/** Takes one attempt at a time, to see whether it has recovered. */
+		PROBATION
+
 	}
 
 }
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/UsageSystem.java
@@ -0,0 +1,63 @@
+package org.limpetgate.dispatch;
+
+import org.limpetgate.Resources;
+
+/**
+ * Learns from usage reports how far declared sizes are off.
+ * <p>
+ * A report covers all tasks of a worker and is late, so it does not tell the size of one
+ * task. Each report moves the factors of the routes that run there a small step in the
+ * direction that would have explained it; what the factors don't explain is kept per
+ * worker as an excess.
+ */
+final class UsageSystem {
+
+	private static final double STEP = 0.05;
+
+	private static final double MIN_RATIO = 0.1;
+
+	private static final double MAX_RATIO = 10;
+
+	private static final double EXCESS_SMOOTHING = 0.3;
+
+	void reported(PoolEntity pool, UpstreamEntity worker, Resources used) {
+		double cores = 0;
+		double memory = 0;
+		double coresSquare = 0;
+		double memorySquare = 0;
+		for (RouteEntity route : pool.routes.values()) {
+			Resources declared = declared(worker, route);
+			cores += declared.cores() * route.coresRatio;
+			memory += declared.memoryMb() * route.memoryRatio;
+			coresSquare += declared.cores() * declared.cores();
+			memorySquare += (double) declared.memoryMb() * declared.memoryMb();
+		}
+		for (RouteEntity route : pool.routes.values()) {
+			Resources declared = declared(worker, route);
+			if (declared.cores() > 0) {
+				double step = STEP * (used.cores() - cores) * declared.cores() / coresSquare;
+				route.coresRatio = bounded(route.coresRatio + step);
+			}
+			if (declared.memoryMb() > 0) {
+				double step = STEP * (used.memoryMb() - memory) * declared.memoryMb() / memorySquare;
+				route.memoryRatio = bounded(route.memoryRatio + step);
+			}
+		}
+		worker.excess = blend(worker.excess, used.minus(worker.booked));
+	}
+
+	private static Resources declared(UpstreamEntity worker, RouteEntity route) {
+		return (route.index < worker.declared.length) ? worker.declared[route.index] : Resources.NONE;
+	}
+
+	private static double bounded(double ratio) {
+		return Math.max(MIN_RATIO, Math.min(MAX_RATIO, ratio));
+	}
+
+	private static Resources blend(Resources before, Resources now) {
+		double keep = 1 - EXCESS_SMOOTHING;
+		return new Resources(keep * before.cores() + EXCESS_SMOOTHING * now.cores(),
+				Math.round(keep * before.memoryMb() + EXCESS_SMOOTHING * now.memoryMb()), 0);
+	}
+
+}
