--- /dev/null
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/FakeUpstream.java
@@ -0,0 +1,181 @@
+package org.limpetgate.bench.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import org.limpetgate.Outcome;
+import org.limpetgate.Resources;
+import org.limpetgate.config.Upstream;
+import org.limpetgate.dispatch.AttemptResult;
+
+/**
+ * A runner that queues what exceeds its slots, or a worker whose tasks slow down when
+ * they need more cores than there are and fail when they need more memory.
+ */
+final class FakeUpstream {
+
+	static final double STRAGGLER_PROBABILITY = 0.004;
+
+	static final double STRAGGLER_FACTOR = 30;
+
+	private static final double SLOW_FACTOR = 10;
+
+	private static final long INSTANT = VirtualTime.MILLI;
+
+	final Upstream row;
+
+	final double slowness;
+
+	private final VirtualTime time;
+
+	private final RandomGenerator random;
+
+	private final Deque<Execution> waiting = new ArrayDeque<>();
+
+	private Fault fault = Fault.NONE;
+
+	private int running;
+
+	private Resources used = Resources.NONE;
+
+	/** Attempts that arrived while all slots were taken. */
+	long overbooked;
+
+	long arrived;
+
+	FakeUpstream(Upstream row, double slowness, VirtualTime time, RandomGenerator random) {
+		this.row = row;
+		this.slowness = slowness;
+		this.time = time;
+		this.random = random;
+	}
+
+	/**
+	 * The ways in which an upstream can misbehave.
+	 */
+	enum Fault {
+
+		NONE, FAILS, HANGS, SLOW, FLAPS, LEAVES
+
+	}
+
+	void setFault(Fault newFault) {
+		this.fault = newFault;
+	}
+
+	Fault fault() {
+		return this.fault;
+	}
+
+	Resources used() {
+		return this.used;
+	}
+
+	Execution execute(SimulatedTask task, Consumer<AttemptResult> answer) {
+		Execution execution = new Execution(task, answer);
+		this.arrived++;
+		boolean failing = this.fault == Fault.FAILS
+				|| (this.fault == Fault.FLAPS && this.time.now() / VirtualTime.SECOND % 2 == 0);
+		if (failing) {
+			this.time.after(INSTANT, () -> execution.answer(Outcome.FAILED, false));
+		}
+		else if (this.fault == Fault.LEAVES) {
+			execution.answer(Outcome.NOT_RUN, true);
+		}
+		else if (this.row.slots() == 0 || this.running < this.row.slots()) {
+			begin(execution);
+		}
+		else {
+			this.overbooked++;
+			this.waiting.add(execution);
+		}
+		return execution;
+	}
+
+	private void begin(Execution execution) {
+		this.running++;
+		execution.running = true;
+		this.used = this.used.plus(execution.task.actual);
+		if (this.fault == Fault.HANGS) {
+			return;
+		}
+		if (this.row.slots() == 0 && this.used.memoryMb() > this.row.resources().memoryMb()) {
+			this.overbooked++;
+			this.time.after(INSTANT, () -> execution.finish(Outcome.FAILED));
+			return;
+		}
+		Outcome outcome = execution.task.bad ? Outcome.FAILED : Outcome.COMPLETE;
+		this.time.after(runTime(execution.task), () -> execution.finish(outcome));
+	}
+
+	private long runTime(SimulatedTask task) {
+		double factor = this.slowness;
+		if (this.random.nextDouble() < STRAGGLER_PROBABILITY) {
+			factor *= STRAGGLER_FACTOR;
+		}
+		if (this.fault == Fault.SLOW) {
+			factor *= SLOW_FACTOR;
+		}
+		if (this.row.slots() == 0) {
+			factor *= Math.max(1, this.used.cores() / this.row.resources().cores());
+		}
+		return (long) (task.work * factor);
+	}
+
+	/**
+	 * An attempt at this upstream.
+	 */
+	final class Execution {
+
+		private final SimulatedTask task;
+
+		private final Consumer<AttemptResult> answer;
+
+		private boolean running;
+
+		private boolean ended;
+
+		private Execution(SimulatedTask task, Consumer<AttemptResult> answer) {
+			this.task = task;
+			this.answer = answer;
+		}
+
+		private void finish(Outcome outcome) {
+			if (!this.ended) {
+				free();
+				answer(outcome, false);
+			}
+		}
+
+		private void answer(Outcome outcome, boolean leaving) {
+			if (!this.ended) {
+				this.ended = true;
+				this.answer.accept(new AttemptResult(outcome, 0, leaving, (outcome != Outcome.COMPLETE) ? "fake" : ""));
+			}
+		}
+
+		void abort() {
+			if (!this.ended) {
+				this.ended = true;
+				free();
+				FakeUpstream.this.waiting.remove(this);
+			}
+		}
+
+		private void free() {
+			if (this.running) {
+				this.running = false;
+				FakeUpstream.this.running--;
+				FakeUpstream.this.used = FakeUpstream.this.used.minus(this.task.actual);
+				Execution next = FakeUpstream.this.waiting.poll();
+				if (next != null) {
+					begin(next);
+				}
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Measurements.java
@@ -0,0 +1,202 @@
+package org.limpetgate.bench.dispatch;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+import org.HdrHistogram.Histogram;
+import org.limpetgate.PoolName;
+
+/**
+ * What is measured in one or more runs with the same scenario and policy.
+ */
+final class Measurements {
+
+	/** Histograms hold integers; slowdown is kept with three decimals. */
+	private static final double SCALE = 1_000;
+
+	private static final long MAX_VALUE = 100_000_000;
+
+	private static final long WINDOW = 200 * VirtualTime.MILLI;
+
+	private final Map<WorkClass, Histogram> slowdown = new EnumMap<>(WorkClass.class);
+
+	private final Histogram shortWait = new Histogram(MAX_VALUE, 3);
+
+	private final List<List<Double>> windows = new ArrayList<>();
+
+	long accepted;
+
+	long inTime;
+
+	long refused;
+
+	long offered;
+
+	long wastedMessages;
+
+	long idempotentAccepted;
+
+	long idempotentLost;
+
+	long otherAccepted;
+
+	long otherLost;
+
+	long attempts;
+
+	long badAttempts;
+
+	long badTasks;
+
+	/** Attempts that found an upstream full. */
+	long overbooked;
+
+	/** Completed work in slot or core time within the measured part, by pool. */
+	double usefulWork;
+
+	/** The work that the upstreams can do in that time. */
+	double capacityWork;
+
+	Measurements() {
+		for (WorkClass workClass : WorkClass.values()) {
+			this.slowdown.put(workClass, new Histogram(MAX_VALUE, 3));
+		}
+	}
+
+	/**
+	 * The classes of work that are told apart.
+	 */
+	enum WorkClass {
+
+		SHORT_RUNNER, LONG_RUNNER, SHORT_WORKER, LONG_WORKER;
+
+		static WorkClass of(PoolName pool, boolean isLong) {
+			if (pool.equals(Workload.WORKERS)) {
+				return isLong ? LONG_WORKER : SHORT_WORKER;
+			}
+			return isLong ? LONG_RUNNER : SHORT_RUNNER;
+		}
+
+	}
+
+	void answered(SimulatedTask task, double value) {
+		this.slowdown.get(WorkClass.of(task.request.pool(), task.isLong))
+			.recordValue(Math.min(MAX_VALUE, (long) (value * SCALE)));
+		if (!task.isLong) {
+			int window = (int) (task.arrivedAt / WINDOW);
+			while (this.windows.size() <= window) {
+				this.windows.add(new ArrayList<>());
+			}
+			this.windows.get(window).add(value);
+			this.shortWait.recordValue(Math.min(MAX_VALUE, (task.startedAt - task.arrivedAt) / VirtualTime.MICRO));
+		}
+	}
+
+	void add(Measurements other) {
+		other.slowdown.forEach((workClass, histogram) -> this.slowdown.get(workClass).add(histogram));
+		this.shortWait.add(other.shortWait);
+		for (int i = 0; i < other.windows.size(); i++) {
+			if (i >= this.windows.size()) {
+				this.windows.add(new ArrayList<>());
+			}
+			this.windows.get(i).addAll(other.windows.get(i));
+		}
+		this.accepted += other.accepted;
+		this.inTime += other.inTime;
+		this.refused += other.refused;
+		this.offered += other.offered;
+		this.wastedMessages += other.wastedMessages;
+		this.idempotentAccepted += other.idempotentAccepted;
+		this.idempotentLost += other.idempotentLost;
+		this.otherAccepted += other.otherAccepted;
+		this.otherLost += other.otherLost;
+		this.attempts += other.attempts;
+		this.badAttempts += other.badAttempts;
+		this.badTasks += other.badTasks;
+		this.overbooked += other.overbooked;
+		this.usefulWork += other.usefulWork;
+		this.capacityWork += other.capacityWork;
+	}
+
+	double slowdown(WorkClass workClass, double percentile) {
+		return this.slowdown.get(workClass).getValueAtPercentile(percentile) / SCALE;
+	}
+
+	double shortWaitMillis(double percentile) {
+		return this.shortWait.getValueAtPercentile(percentile) / 1_000.0;
+	}
+
+	double wastedPer100() {
+		return 100.0 * this.wastedMessages / Math.max(1, this.accepted);
+	}
+
+	double inTimePart() {
+		return (double) this.inTime / Math.max(1, this.accepted);
+	}
+
+	double goodput() {
+		return this.usefulWork / this.capacityWork;
+	}
+
+	double idempotentLostPercent() {
+		return 100.0 * this.idempotentLost / Math.max(1, this.idempotentAccepted);
+	}
+
+	double otherLostPercent() {
+		return 100.0 * this.otherLost / Math.max(1, this.otherAccepted);
+	}
+
+	double overbookedPercent() {
+		return 100.0 * this.overbooked / Math.max(1, this.attempts);
+	}
+
+	double attemptsPerBadTask() {
+		return (double) this.badAttempts / Math.max(1, this.badTasks);
+	}
+
+	/**
+	 * Returns the 90th percentile of the slowdown of short work by time of arrival.
+	 * @return one value for each window of 200 ms, 0 for an empty one
+	 */
+	double[] series() {
+		double[] series = new double[this.windows.size()];
+		for (int i = 0; i < series.length; i++) {
+			double[] values = this.windows.get(i).stream().mapToDouble(Double::doubleValue).sorted().toArray();
+			series[i] = (values.length != 0) ? values[(int) (values.length * 0.9)] : 0;
+		}
+		return series;
+	}
+
+	static double windowSeconds() {
+		return (double) WINDOW / VirtualTime.SECOND;
+	}
+
+	/**
+	 * Returns the time from the end of the crest until the slowdown of short work stays
+	 * within 1.5 times its median before the crest for a second.
+	 * @return the time in seconds, infinite if it never does
+	 */
+	double recoverySeconds() {
+		double[] series = series();
+		int from = (int) (Scenario.WARM_UP / WINDOW);
+		double[] before = Arrays.copyOfRange(series, from, (int) (Scenario.CHANGE / WINDOW));
+		Arrays.sort(before);
+		double normal = 1.5 * before[before.length / 2];
+		int end = (int) (Scenario.CREST_END / WINDOW);
+		int stay = (int) (VirtualTime.SECOND / WINDOW);
+		for (int i = end; i + stay <= series.length; i++) {
+			boolean all = true;
+			for (int j = i; j < i + stay; j++) {
+				all &= series[j] <= normal;
+			}
+			if (all) {
+				return (i - end) * windowSeconds();
+			}
+		}
+		return Double.POSITIVE_INFINITY;
+	}
+
+}
--- /dev/null
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Scenario.java
@@ -0,0 +1,61 @@
+package org.limpetgate.bench.dispatch;
+
+/**
+ * The conditions of a run.
+ */
+enum Scenario {
+
+	/** 70% load with stragglers and swings within each second. */
+	STEADY(0.7, 0.7, FakeUpstream.Fault.NONE),
+
+	/** 200% of the capacity throughout. */
+	OVERLOAD(2, 2, FakeUpstream.Fault.NONE),
+
+	/** 70% with a crest of 200%. */
+	CREST(0.7, 2, FakeUpstream.Fault.NONE),
+
+	/** A tenth of the upstreams answers every attempt at once with a failure. */
+	FAILING(0.7, 0.7, FakeUpstream.Fault.FAILS),
+
+	/** A tenth never answers. */
+	HANGING(0.7, 0.7, FakeUpstream.Fault.HANGS),
+
+	/** A tenth runs ten times slower. */
+	SLOW(0.7, 0.7, FakeUpstream.Fault.SLOW),
+
+	/** A tenth fails every other second. */
+	FLAPPING(0.7, 0.7, FakeUpstream.Fault.FLAPS),
+
+	/** A tenth refuses new attempts because it leaves. */
+	LEAVING(0.7, 0.7, FakeUpstream.Fault.LEAVES),
+
+	/** One caller sends jobs of long tasks on top of a load of 50%. */
+	LONG_JOBS(0.5, 0.5, FakeUpstream.Fault.NONE),
+
+	/** One caller sends jobs that fail wherever they run. */
+	BAD_JOBS(0.6, 0.6, FakeUpstream.Fault.NONE);
+
+	static final long WARM_UP = 5 * VirtualTime.SECOND;
+
+	/** The crest begins, or the upstreams begin to fail. */
+	static final long CHANGE = 10 * VirtualTime.SECOND;
+
+	static final long CREST_END = 13 * VirtualTime.SECOND;
+
+	final double load;
+
+	final double crestLoad;
+
+	final FakeUpstream.Fault fault;
+
+	Scenario(double load, double crestLoad, FakeUpstream.Fault fault) {
+		this.load = load;
+		this.crestLoad = crestLoad;
+		this.fault = fault;
+	}
+
+	double load(long time) {
+		return (time >= CHANGE && time < CREST_END) ? this.crestLoad : this.load;
+	}
+
+}
--- /dev/null
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The experiment that measures the dispatch policy in virtual time.
+ */
+package org.limpetgate.bench.dispatch;
