Divide cores and memory of each worker instead of whole workers

Cause: with 10 workers and 2 hosts, whole workers follow demand in steps of a tenth of the pool, and short work on workers waited behind them. Change: each host gets whole cores of each worker; tasks larger than any share go to workers on which one host places them.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
@@ -395,9 +395,10 @@
 	@Override
 	public List<PoolStatus> status(long nowNanos) {
 		List<PoolStatus> status = new ArrayList<>();
-		this.pools
-			.forEach((name, pool) -> status.add(new PoolStatus(name, pool.queuedTasks, pool.queuedBytes, pool.inFlight,
-					pool.capacity, pool.ejected, (long) pool.expectedWait(), pool.budget.tokens(), pool.refused)));
+		this.pools.forEach((name,
+				pool) -> status.add(new PoolStatus(name, pool.queuedTasks, pool.queuedBytes, pool.inFlight,
+						(int) Math.ceil(pool.capacity), pool.ejected, (long) pool.expectedWait(), pool.budget.tokens(),
+						pool.refused)));
 		return status;
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdmissionControl.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdmissionControl.java
@@ -93,7 +93,7 @@
 		if (place - nowNanos > MAX_RETRY_AFTER_NANOS) {
 			return MAX_RETRY_AFTER_NANOS / 2 + this.random.nextLong(MAX_RETRY_AFTER_NANOS / 2);
 		}
-		pool.returnsUntil = place + (long) (pool.meanCost / Math.max(1, pool.capacity));
+		pool.returnsUntil = place + (long) (pool.meanCost / Math.max(PoolEntity.MIN_CAPACITY, pool.capacity));
 		return place - nowNanos;
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/Choice.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/Choice.java
@@ -107,7 +107,7 @@
 		if (!pool.isWorkers()) {
 			return (double) upstream.inFlight / Math.max(1, upstream.limit);
 		}
-		return dominant(upstream.booked.plus(upstream.excess), upstream.row.resources());
+		return dominant(upstream.booked.plus(upstream.excess), upstream.share);
 	}
 
 	private static double placementPenalty(TaskEntity task, UpstreamEntity upstream) {
@@ -126,12 +126,14 @@
 		if (pool.reserved == upstream && pool.reservedFor != task) {
 			return false;
 		}
-		Resources capacity = upstream.row.resources();
-		if (upstream.inFlight == 0) {
-			return task.request.resources().isWithin(capacity);
-		}
+		Resources booking = booking(task, upstream);
 		Resources used = upstream.booked.plus(upstream.excess);
-		return booking(task, upstream).plus(used).isWithin(capacity);
+		if (booking.plus(used).isWithin(upstream.share)) {
+			return true;
+		}
+		boolean isLarge = !booking.isWithin(upstream.share);
+		return isLarge && upstream.takesLarge && upstream.inFlight == 0
+				&& task.request.resources().isWithin(upstream.row.resources());
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
@@ -122,8 +122,9 @@
 	 */
 	private double longLimit(PoolEntity pool) {
 		double fixed = pool.capacity * this.settings.longPercent() / 100.0;
-		double left = pool.capacity * 0.9 - 1.5 * pool.shortDemand;
-		return Math.max(1, Math.max(fixed, left));
+		double units = pool.isWorkers() ? pool.unitsPerTask : 1;
+		double left = pool.capacity * 0.9 - 1.5 * pool.shortDemand * units;
+		return Math.max(1, Math.max(fixed, left) / units);
 	}
 
 	void started(AttemptEntity attempt) {
@@ -169,7 +170,7 @@
 		}
 		double fairPart = ahead * weights / caller.quota.weight();
 		double work = Math.min(fairPart, ahead + others);
-		return pool.waitBias * work / Math.max(1, pool.capacity);
+		return pool.waitBias * work / Math.max(PoolEntity.MIN_CAPACITY, pool.capacity);
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
@@ -19,6 +19,9 @@
  */
 final class PoolEntity {
 
+	/** Keeps estimates finite while the host has no share. */
+	static final double MIN_CAPACITY = 0.1;
+
 	private static final int MAX_JOBS = 4096;
 
 	final Map<UpstreamId, UpstreamEntity> byId = new HashMap<>();
@@ -70,7 +73,7 @@
 	double queuedCost;
 
 	/** The slots, or workers, that this host may use and that are not ejected. */
-	int capacity;
+	double capacity;
 
 	/** The mean slot time of recent attempts, in nanoseconds. */
 	double meanCost = 300_000_000;
@@ -104,6 +107,9 @@
 
 	int ejected;
 
+	/** The own part of the attempts of all hosts, by the last heartbeats. */
+	double ownPart = 1;
+
 	/** The mean size of tasks. */
 	double unitsPerTask = 0.1;
 
@@ -180,12 +186,13 @@
 	}
 
 	void countCapacity() {
-		this.capacity = 0;
+		double units = 0;
 		for (UpstreamEntity upstream : this.upstreams) {
 			if (upstream.isListed() && upstream.health == UpstreamEntity.Health.GOOD) {
-				this.capacity += isWorkers() ? Math.min(1, upstream.limit) : upstream.limit;
+				units += isWorkers() ? Choice.dominant(upstream.share, upstream.row.resources()) : upstream.limit;
 			}
 		}
+		this.capacity = units;
 	}
 
 	RouteEntity route(RouteName name) {
@@ -204,7 +211,7 @@
 	 * @return the time in nanoseconds
 	 */
 	double expectedWait() {
-		return this.waitBias * this.queuedCost / Math.max(1, this.capacity);
+		return this.waitBias * this.queuedCost / Math.max(MIN_CAPACITY, this.capacity);
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/ShareSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/ShareSystem.java
@@ -5,10 +5,11 @@
 import java.util.Map;
 
 import org.limpetgate.PoolName;
+import org.limpetgate.Resources;
 
 /**
- * Divides the slots of each upstream, or the workers of a pool, among the entry hosts of
- * the data centre.
+ * Divides the slots of each upstream, or the cores and memory of each worker, among the
+ * entry hosts of the data centre.
  * <p>
  * Each host computes the division from the published demand of all hosts, its own
  * included, so that hosts with the same view use each slot once. A host gets its demand
@@ -45,17 +46,42 @@
 			own++;
 		}
 		hosts.add(own, self);
+		pool.ownPart = ownPart(pool, hosts, own);
 		double[] weights = allocate(pool, hosts, units(pool));
 		for (int i = 0; i < pool.upstreams.size(); i++) {
 			UpstreamEntity upstream = pool.upstreams.get(i);
-			int connections = pool.row.connectionsPerUpstream();
-			upstream.limit = pool.isWorkers() ? SlotShares.share(1, weights, own, i) * connections
-					: Math.min(connections, SlotShares.share(upstream.row.slots(), weights, own, i));
+			if (pool.isWorkers()) {
+				divideWorker(pool, upstream, weights, own, i);
+			}
+			else {
+				int slots = SlotShares.share(upstream.row.slots(), weights, own, i);
+				upstream.limit = Math.min(pool.row.connectionsPerUpstream(), slots);
+			}
 			pool.updateOpen(upstream);
 		}
 		pool.countCapacity();
 	}
 
+	/**
+	 * Gives the host whole cores of a worker, memory in the same proportion, and the
+	 * accelerators of the workers on which it places large tasks. A task that exceeds
+	 * every share would never start otherwise.
+	 * @param pool the pool
+	 * @param upstream the worker
+	 * @param weights the weights of all hosts
+	 * @param own the index of the own host
+	 * @param index the index of the worker
+	 */
+	private static void divideWorker(PoolEntity pool, UpstreamEntity upstream, double[] weights, int own, int index) {
+		Resources all = upstream.row.resources();
+		int wholeCores = (int) Math.max(1, all.cores());
+		double part = (double) SlotShares.share(wholeCores, weights, own, index) / wholeCores;
+		upstream.takesLarge = SlotShares.share(1, weights, own, index) > 0;
+		upstream.share = new Resources(all.cores() * part, (long) (all.memoryMb() * part),
+				upstream.takesLarge ? all.accelerators() : 0);
+		upstream.limit = (part > 0 || upstream.takesLarge) ? pool.row.connectionsPerUpstream() : 0;
+	}
+
 	private static int units(PoolEntity pool) {
 		int units = 0;
 		for (UpstreamEntity upstream : pool.upstreams) {
@@ -98,6 +124,18 @@
 		return used;
 	}
 
+	private static double ownPart(PoolEntity pool, List<PeerLoad> hosts, int own) {
+		double ownAttempts = 1;
+		double allAttempts = 1;
+		for (int i = 0; i < hosts.size(); i++) {
+			PeerLoad.Demand demand = hosts.get(i).demand().get(pool.row.name());
+			int attempts = (demand != null) ? demand.inFlight() : 0;
+			allAttempts += attempts;
+			ownAttempts += (i == own) ? attempts : 0;
+		}
+		return ownAttempts / allAttempts;
+	}
+
 	private static double demand(PoolEntity pool, PeerLoad host) {
 		PeerLoad.Demand demand = host.demand().get(pool.row.name());
 		if (demand == null) {
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/UpstreamEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/UpstreamEntity.java
@@ -29,6 +29,12 @@
 
 	int inFlight;
 
+	/** What this host may use of a worker. */
+	Resources share = Resources.NONE;
+
+	/** Whether this host places the tasks that are larger than any share. */
+	boolean takesLarge;
+
 	/** What the attempts in flight hold at a worker. */
 	Resources booked = Resources.NONE;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/UsageSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/UsageSystem.java
@@ -21,6 +21,7 @@
 	private static final double EXCESS_SMOOTHING = 0.3;
 
 	void reported(PoolEntity pool, UpstreamEntity worker, Resources used) {
+		Resources own = ownPart(pool, used);
 		double cores = 0;
 		double memory = 0;
 		double coresSquare = 0;
@@ -35,15 +36,26 @@
 		for (RouteEntity route : pool.routes.values()) {
 			Resources declared = declared(worker, route);
 			if (declared.cores() > 0) {
-				double step = STEP * (used.cores() - cores) * declared.cores() / coresSquare;
+				double step = STEP * (own.cores() - cores) * declared.cores() / coresSquare;
 				route.coresRatio = bounded(route.coresRatio + step);
 			}
 			if (declared.memoryMb() > 0) {
-				double step = STEP * (used.memoryMb() - memory) * declared.memoryMb() / memorySquare;
+				double step = STEP * (own.memoryMb() - memory) * declared.memoryMb() / memorySquare;
 				route.memoryRatio = bounded(route.memoryRatio + step);
 			}
 		}
-		worker.excess = blend(worker.excess, used.minus(worker.booked));
+		worker.excess = blend(worker.excess, own.minus(worker.booked));
+	}
+
+	/**
+	 * Returns the part of a worker's usage that the own tasks are likely to cause: a
+	 * report covers the tasks of all hosts.
+	 * @param pool the pool
+	 * @param used what all tasks of the worker use
+	 * @return the own part
+	 */
+	private static Resources ownPart(PoolEntity pool, Resources used) {
+		return new Resources(used.cores() * pool.ownPart, Math.round(used.memoryMb() * pool.ownPart), 0);
 	}
 
 	private static Resources declared(UpstreamEntity worker, RouteEntity route) {
