--- a/limpetgate-host/src/main/java/org/limpetgate/host/TaskListener.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/TaskListener.java
@@ -13,7 +13,8 @@
 	 * Takes the end of the task.
 	 * @param ended the outcome, not null
 	 * @param reply the upstream's whole answer; null if there is none
+	 * @param nowNanos the present time
 	 */
-	void ended(DispatchEffect.TaskEnded ended, HttpReply reply);
+	void ended(DispatchEffect.TaskEnded ended, HttpReply reply, long nowNanos);
 
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/TaskRunner.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/TaskRunner.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 
@@ -162,7 +161,7 @@
 			cancelAttempt(cancel.attempt());
 		}
 		else if (effect instanceof DispatchEffect.TaskEnded ended) {
-			endTask(ended);
+			endTask(ended, nowNanos);
 		}
 	}
 
@@ -186,7 +185,7 @@
 				start.reason());
 		long timeout = Math.max(1, task.request.deadlineNanos() - nowNanos);
 		UpstreamGateway.Exchange exchange = this.gateways.get(known.kind())
-			.start(known.upstream(), new UpstreamGateway.Work(task.request, task.call, timeout));
+			.start(known.upstream(), new UpstreamGateway.Work(start.attempt(), task.request, task.call, timeout));
 		this.attempts.put(start.attempt(), new RunningAttempt(task, start.upstream(), exchange, nowNanos));
 		exchange.answer()
 			.whenComplete(
@@ -224,15 +223,12 @@
 	}
 
 	private static AttemptResult failed(Throwable failure, long runNanos) {
-		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
-		if (cause instanceof DispatchException known) {
-			boolean leaving = known.kind() == ErrorKind.SHUTTING_DOWN;
-			return new AttemptResult(known.outcome(), runNanos, leaving, known.getMessage());
-		}
-		return new AttemptResult(Outcome.UNKNOWN, runNanos, false, String.valueOf(cause));
+		DispatchException error = Failures.toDispatchException(failure);
+		boolean leaving = error.kind() == ErrorKind.SHUTTING_DOWN;
+		return new AttemptResult(error.outcome(), runNanos, leaving, error.getMessage());
 	}
 
-	private void endTask(DispatchEffect.TaskEnded ended) {
+	private void endTask(DispatchEffect.TaskEnded ended, long nowNanos) {
 		RunningTask task = this.tasks.remove(ended.task());
 		if (task == null) {
 			throw new IllegalStateException("task " + ended.task().value() + " ended twice");
@@ -241,7 +237,7 @@
 			this.events.write(LogEvent.TASK_NOT_COMPLETE, ended.task().value(), ended.outcome(), ended.error(),
 					ended.detail());
 		}
-		task.listener.ended(ended, task.reply(ended));
+		task.listener.ended(ended, task.reply(ended), nowNanos);
 	}
 
 	/**
--- a/limpetgate-host/src/main/java/org/limpetgate/host/UpstreamGateway.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/UpstreamGateway.java
@@ -2,7 +2,9 @@
 
 import java.util.concurrent.CompletableFuture;
 
+import org.limpetgate.AttemptId;
 import org.limpetgate.config.Upstream;
+import org.limpetgate.dispatch.TaskRequest;
 import org.limpetgate.net.http.HttpCall;
 
 /**
@@ -23,11 +25,12 @@
 	/**
 	 * What an attempt runs.
 	 *
+	 * @param attempt the attempt
 	 * @param task the task
 	 * @param call the request
 	 * @param timeoutNanos the time allowed, in nanoseconds
 	 */
-	record Work(org.limpetgate.dispatch.TaskRequest task, HttpCall call, long timeoutNanos) {
+	record Work(AttemptId attempt, TaskRequest task, HttpCall call, long timeoutNanos) {
 	}
 
 	/**
