Refuse standing queues later and spread returns over spare capacity

Cause: refused callers were told to return as fast as the pool works at full capacity, so that after a crest returns and new work together exceeded it; jobs queued without bound. Change: returns get 15% of the capacity, the rest of a begun job may exceed the delay target twice, the wait is counted with a margin of 2, the delay target is 100 ms, and a queue counts as standing after 500 ms. Goodput is now measured by pool against the capacity without straggling.

--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Measurements.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Measurements.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -55,10 +56,10 @@
 	long overbooked;
 
 	/** Completed work in slot or core time within the measured part, by pool. */
-	double usefulWork;
+	private final Map<PoolName, Double> usefulWork = new HashMap<>();
 
-	/** The work that the upstreams can do in that time. */
-	double capacityWork;
+	/** The work that the upstreams can do in that time, by pool. */
+	private final Map<PoolName, Double> capacityWork = new HashMap<>();
 
 	Measurements() {
 		for (WorkClass workClass : WorkClass.values()) {
@@ -117,8 +118,8 @@
 		this.badAttempts += other.badAttempts;
 		this.badTasks += other.badTasks;
 		this.overbooked += other.overbooked;
-		this.usefulWork += other.usefulWork;
-		this.capacityWork += other.capacityWork;
+		other.usefulWork.forEach(this::addUsefulWork);
+		other.capacityWork.forEach(this::addCapacity);
 	}
 
 	double slowdown(WorkClass workClass, double percentile) {
@@ -137,8 +138,16 @@
 		return (double) this.inTime / Math.max(1, this.accepted);
 	}
 
-	double goodput() {
-		return this.usefulWork / this.capacityWork;
+	void addUsefulWork(PoolName pool, double work) {
+		this.usefulWork.merge(pool, work, Double::sum);
+	}
+
+	void addCapacity(PoolName pool, double work) {
+		this.capacityWork.merge(pool, work, Double::sum);
+	}
+
+	double goodput(PoolName pool) {
+		return this.usefulWork.getOrDefault(pool, 0.0) / this.capacityWork.get(pool);
 	}
 
 	double idempotentLostPercent() {
--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Report.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Report.java
@@ -41,7 +41,8 @@
 		}
 		columns.add(new Column("short_wait_ms_p99", (measurements) -> measurements.shortWaitMillis(99)));
 		columns.add(new Column("wasted_per_100", Measurements::wastedPer100));
-		columns.add(new Column("goodput", Measurements::goodput));
+		columns.add(new Column("goodput_runners", (measurements) -> measurements.goodput(Workload.RUNNERS)));
+		columns.add(new Column("goodput_workers", (measurements) -> measurements.goodput(Workload.WORKERS)));
 		columns.add(new Column("in_time", Measurements::inTimePart));
 		columns.add(new Column("refused", (measurements) -> measurements.refused));
 		columns.add(new Column("recovery_s", Measurements::recoverySeconds));
--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/SimulatedDataCentre.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/SimulatedDataCentre.java
@@ -131,7 +131,8 @@
 		this.time.runUntil(this.end);
 		this.upstreams.values().forEach((upstream) -> this.measurements.overbooked += upstream.overbooked);
 		double seconds = this.end - Scenario.WARM_UP;
-		this.capacity.values().forEach((units) -> this.measurements.capacityWork += units * seconds);
+		this.capacity.forEach(
+				(pool, units) -> this.measurements.addCapacity(pool, units * seconds / Workload.stragglerFactor()));
 		return this.measurements;
 	}
 
@@ -377,7 +378,7 @@
 
 		private void complete(SimulatedTask task, long answeredAt) {
 			double units = task.request.pool().equals(Workload.WORKERS) ? task.actual.cores() : 1;
-			measured().usefulWork += task.work * units;
+			measured().addUsefulWork(task.request.pool(), task.work * units);
 			measured().inTime += (task.request.deadlineNanos() <= SimulatedDataCentre.this.end) ? 1 : 0;
 			long ideal = task.work + 2 * ONE_WAY + 2 * CLIENT_ONE_WAY;
 			measured().answered(task, (double) (answeredAt - task.arrivedAt) / ideal);
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdmissionControl.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdmissionControl.java
@@ -17,11 +17,20 @@
 final class AdmissionControl {
 
 	/** How long a queue may stand above its target; longer than a usual burst. */
-	private static final long STANDING_NANOS = 200_000_000L;
+	private static final long STANDING_NANOS = 500_000_000L;
+
+	/** The wait is off by up to this when the demand of other callers rises. */
+	private static final double WAIT_MARGIN = 2;
+
+	/** How far the rest of a job that was begun may exceed the delay target. */
+	private static final double JOB_ALLOWANCE = 2;
+
+	/** The part of the capacity that returns may take; a usual load leaves some 30%. */
+	private static final double RETURNS_PART = 0.15;
 
 	private static final long MIN_RETRY_AFTER_NANOS = 100_000_000L;
 
-	private static final long MAX_RETRY_AFTER_NANOS = 15_000_000_000L;
+	private static final long MAX_RETRY_AFTER_NANOS = 30_000_000_000L;
 
 	private final DispatchSettings settings;
 
@@ -59,14 +68,16 @@
 	private Admission refusalByLoad(TaskEntity task, long nowNanos) {
 		PoolEntity pool = task.pool;
 		double wait = this.order.expectedWait(pool, task.caller, task.route);
-		if (nowNanos + wait + task.route.tail() > task.request.deadlineNanos() && wait > 0) {
+		double slack = task.request.deadlineNanos() - nowNanos - task.route.tail();
+		if (wait > 0 && wait * WAIT_MARGIN > slack) {
 			return refuse(task, ErrorKind.OVERLOADED, "the task would miss its deadline", nowNanos);
 		}
 		if (pool.expectedWait() <= this.settings.queueDelayTarget()) {
 			pool.calmAt = nowNanos;
 		}
 		boolean standing = nowNanos - pool.calmAt > STANDING_NANOS;
-		boolean sameJob = task.request.job() != 0 && task.request.job() == pool.acceptedJob;
+		boolean sameJob = task.request.job() != 0 && task.request.job() == pool.acceptedJob
+				&& pool.expectedWait() <= JOB_ALLOWANCE * this.settings.queueDelayTarget();
 		if (standing && !sameJob && wait > this.settings.queueDelayTarget()) {
 			return refuse(task, ErrorKind.OVERLOADED, "the queue of pool '" + pool.row.name() + "' is too long",
 					nowNanos);
@@ -82,7 +93,8 @@
 
 	/**
 	 * Gives each refused caller a place in a sequence of returns that the pool can serve:
-	 * the places are as far apart as tasks are worked off.
+	 * the places are so far apart that returns take only a part of the capacity and leave
+	 * the rest to new work.
 	 * @param pool the pool
 	 * @param nowNanos the present time
 	 * @return the time to wait in nanoseconds
@@ -93,7 +105,8 @@
 		if (place - nowNanos > MAX_RETRY_AFTER_NANOS) {
 			return MAX_RETRY_AFTER_NANOS / 2 + this.random.nextLong(MAX_RETRY_AFTER_NANOS / 2);
 		}
-		pool.returnsUntil = place + (long) (pool.meanCost / Math.max(PoolEntity.MIN_CAPACITY, pool.capacity));
+		pool.returnsUntil = place
+				+ (long) (pool.meanCost / RETURNS_PART / Math.max(PoolEntity.MIN_CAPACITY, pool.capacity));
 		return place - nowNanos;
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/DispatchSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/DispatchSettings.java
@@ -29,7 +29,7 @@
 		Map<RouteName, Integer> routeLimits, long queueDelayTarget, long longRun, int longPercent, double hedgeFactor,
 		int remainingPercent) {
 
-	private static final long DEFAULT_QUEUE_DELAY_TARGET = 200_000_000L;
+	private static final long DEFAULT_QUEUE_DELAY_TARGET = 100_000_000L;
 
 	private static final long DEFAULT_LONG_RUN = 1_500_000_000L;
 
