Test the platform client with raw answers

The answer without a length and the early forgetting of leases could be broken without a failing test (trial on a scratch change: both mutants survived). Adds a table of raw answers, and lets the random lease run repeat requests for new leases more often. Both mutants now fail.

--- /dev/null
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/platform/HttpLogServiceTests.java
@@ -0,0 +1,99 @@
+package org.limpetgate.net.platform;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.limpetgate.DispatchException;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link HttpLogService} with answers byte by byte, among them those that no
+ * proper server sends.
+ */
+class HttpLogServiceTests {
+
+	private static final List<Row> ROWS = List.of(
+			new Row("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"offset\":7}", "7"),
+			new Row("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\n{\"offset\":7}\r\n0\r\n\r\n", "7"),
+			new Row("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\n{\"offset\":7}\r\n", "UNKNOWN"),
+			new Row("HTTP/1.1 200 OK\r\n\r\n{\"offset\":7}", "UNKNOWN"),
+			new Row("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"offset\":7}", "UNKNOWN"),
+			new Row("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"offset\":-7}", "UNKNOWN"),
+			new Row("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"offset\":7.5}", "UNKNOWN"),
+			new Row("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "UNKNOWN"),
+			new Row("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "UNKNOWN"),
+			new Row("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", "UNKNOWN"),
+			new Row("HTTP/1.1 503 Down\r\nContent-Length: 6\r\n\r\n<html>", "UNKNOWN"),
+			new Row("HTTP/1.1 503 Down\r\nLimpetgate-Outcome: failed\r\nContent-Length: 0\r\n\r\n", "UNKNOWN"),
+			new Row("HTTP/1.1 429 Wait\r\nLimpetgate-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", "NOT_RUN"),
+			new Row("220 mail.example ESMTP\r\n\r\n", "UNKNOWN"), new Row("", "UNKNOWN"));
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	@AfterTry
+	void close() {
+		this.group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Guards against an answer that is taken for a stored record, or for proof that
+	 * nothing was stored, without being that.
+	 * @throws Exception if the test cannot listen on the loopback address
+	 */
+	@Example
+	void onlyWholeWellFormedAnswersCount() throws Exception {
+		for (Row row : ROWS) {
+			try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+				CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serve(server, row.answer));
+				HttpLogService log = HttpLogService.of(this.group, (InetSocketAddress) server.getLocalSocketAddress(),
+						PlatformClientSettings.DEFAULT);
+				String result = log.append("s", List.of(new byte[1]))
+					.handle((offset, error) -> (error != null) ? ((DispatchException) error).outcome().name()
+							: offset.toString())
+					.get(30, TimeUnit.SECONDS);
+				assertThat(result).as(row.answer).isEqualTo(row.result);
+				log.close();
+				served.get(30, TimeUnit.SECONDS);
+			}
+		}
+	}
+
+	private static void serve(ServerSocket server, String answer) {
+		try (Socket socket = server.accept(); OutputStream out = socket.getOutputStream()) {
+			String request = "";
+			while (!request.contains("\r\n\r\n")) {
+				request += (char) socket.getInputStream().read();
+			}
+			socket.getInputStream().readNBytes(2 * Integer.BYTES + 1);
+			out.write(answer.getBytes(StandardCharsets.UTF_8));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * A row of the table of answers.
+	 *
+	 * @param answer the answer, after which the connection is closed
+	 * @param result the offset or the outcome of the failure
+	 */
+	private record Row(String answer, String result) {
+	}
+
+}
--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/LeaseTableTests.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/LeaseTableTests.java
@@ -35,6 +35,11 @@
 
 	private static final Resources CORE = new Resources(1, 1, 0);
 
+	private static final int NEW_LEASES = 2;
+
+	/** Reaches back further than a worker remembers leases. */
+	private static final int DELAYED_LEASES = 100;
+
 	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
 	/**
@@ -56,7 +61,8 @@
 				long skew = (long) ((random.nextDouble() * 2 - 1) * SETTINGS.clockSkew().toNanos());
 				leases.add(new LeaseId(Incarnation.of(HostId.of("e"), 1), AttemptId.of(step), now + skew));
 			}
-			LeaseId lease = leases.get(leases.size() - 1 - random.nextInt(Math.min(leases.size(), 100)));
+			int reach = random.nextBoolean() ? NEW_LEASES : DELAYED_LEASES;
+			LeaseId lease = leases.get(leases.size() - 1 - random.nextInt(Math.min(leases.size(), reach)));
 			if (random.nextInt(300) == 0) {
 				table = new LeaseTable(SETTINGS.restarted(), now);
 			}
