Add a randomised test of submissions in virtual time

The guarantees of submissions hold only under combinations of faults that no table of cases lists. SubmissionSimulation runs 9 hosts in 3 data centres with crashes, pauses, partitions, log outages, lost append answers, trimmed records, clock skew up to 2 s and callers that resubmit through any host. SubmissionChecker compares what upstreams started with what callers were told.

Each of the three broken rules is found within 100,000 steps by one of the seeds 1 to 8; without a broken rule those seeds find no violation.

--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -35,8 +35,9 @@
  * <p>
  * The system does no I/O. Its host reports events with a non-decreasing time and carries
  * out the effects that {@link #tick} emits. Records of the claims stream are read by one
- * reader, one read at a time, from {@link #nextClaimOffset}. Each request number is used
- * once. Not thread-safe: it belongs to the control thread.
+ * reader, one read at a time, from {@link #nextClaimOffset}; the first read must not wait
+ * for records, since no claim is made before it. Each request number is used once. Not
+ * thread-safe: it belongs to the control thread.
  */
 public final class SubmissionSystem {
 
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSimulation.java
@@ -0,0 +1,781 @@
+package org.limpetgate.submission;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Consumer;
+
+import org.limpetgate.CallerId;
+import org.limpetgate.DataCentreId;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.HostId;
+import org.limpetgate.Incarnation;
+import org.limpetgate.Outcome;
+import org.limpetgate.SubmissionKey;
+
+/**
+ * Runs the submission systems of several hosts in virtual time against fakes of log,
+ * links and upstreams that fail at random, under the eyes of a {@link SubmissionChecker}.
+ * <p>
+ * A step is one event. The same seed gives the same run. Horizon and expiry are shortened
+ * to 30 s and 20 s so that retention, expiry and reuse happen often.
+ */
+public final class SubmissionSimulation {
+
+	/**
+	 * A rule to break on purpose, to show that the checker finds it.
+	 */
+	enum Mutation {
+
+		NONE, NO_READ_BACK, RETRY_AFTER_SENT, SHORT_HORIZON
+
+	}
+
+	private static final long MS = 1_000_000;
+
+	private static final long SECOND = 1000 * MS;
+
+	private static final int DATA_CENTRES = 3;
+
+	private static final int HOSTS_PER_DATA_CENTRE = 3;
+
+	private static final SubmissionSettings SETTINGS = SubmissionSettings.DEFAULT
+		.withHorizon(Duration.ofSeconds(30), Duration.ofSeconds(20), Duration.ofSeconds(3))
+		.withBounds(Duration.ofSeconds(10), 20_000, 500);
+
+	private static final long RETENTION = SETTINGS.horizonNanos() + SETTINGS.skewNanos() + 5 * SECOND;
+
+	private static final byte[] SECRET = "sixteen bytes or more".getBytes(StandardCharsets.US_ASCII);
+
+	private final Random random;
+
+	private final SubmissionRules rules;
+
+	private final SubmissionChecker checker = new SubmissionChecker();
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::at).thenComparingLong(Event::sequence));
+
+	private final List<DataCentreId> dataCentres = new ArrayList<>();
+
+	private final List<SimLog> logs = new ArrayList<>();
+
+	private final List<SimHost> hosts = new ArrayList<>();
+
+	private final Map<String, Long> cutUntil = new HashMap<>();
+
+	private final List<ForgetKey> forgetQueue = new ArrayList<>();
+
+	private long now = 1_700_000_000L * SECOND;
+
+	private long sequence;
+
+	private long nextRequest;
+
+	private long nextKey;
+
+	private boolean quiet;
+
+	SubmissionSimulation(long seed, Mutation mutation) {
+		this.random = new Random(seed);
+		this.rules = rules(mutation);
+		for (int i = 0; i < DATA_CENTRES; i++) {
+			this.dataCentres.add(DataCentreId.of("dc" + i));
+			this.logs.add(new SimLog());
+		}
+		for (int i = 0; i < DATA_CENTRES * HOSTS_PER_DATA_CENTRE; i++) {
+			SimHost host = new SimHost(i);
+			this.hosts.add(host);
+			host.boot();
+		}
+		later(null, 0, this::arrival);
+		later(null, 0, this::disturb);
+		later(null, 0, this::heartbeats);
+	}
+
+	private static SubmissionRules rules(Mutation mutation) {
+		return new SubmissionRules() {
+			@Override
+			boolean needsReadBack() {
+				return mutation != Mutation.NO_READ_BACK;
+			}
+
+			@Override
+			boolean isProvedNotRun(Outcome outcome) {
+				return super.isProvedNotRun(outcome) || mutation == Mutation.RETRY_AFTER_SENT;
+			}
+
+			@Override
+			long historyNanos(SubmissionSettings settings) {
+				return (mutation == Mutation.SHORT_HORIZON) ? SECOND : super.historyNanos(settings);
+			}
+		};
+	}
+
+	// Runs until a violation or the given number of steps, then lets all timers run out.
+	long run(long steps) {
+		for (long step = 1; step <= steps; step++) {
+			step();
+			if (this.checker.violation() != null) {
+				return step;
+			}
+		}
+		return steps;
+	}
+
+	// Stops arrivals and faults and checks that the state returns to nothing.
+	void runOut() {
+		this.quiet = true;
+		this.cutUntil.clear();
+		this.logs.forEach((log) -> log.downUntil = 0);
+		long end = this.now + SETTINGS.horizonNanos() + SETTINGS.maxExpiryAheadNanos() + 10 * SECOND;
+		while (this.now < end && this.checker.violation() == null) {
+			step();
+		}
+		for (SimHost host : this.hosts) {
+			if (host.system != null) {
+				SubmissionCounts counts = host.system.counts();
+				if (counts.jobs() + counts.claims() + counts.relays() + counts.openRequests()
+						+ counts.resultBytes() > 0) {
+					this.checker.fail("state remains at " + host.incarnation + ": " + counts);
+				}
+			}
+		}
+	}
+
+	String violation() {
+		return this.checker.violation();
+	}
+
+	String summary() {
+		return this.nextKey + " keys, " + this.checker.starts + " task starts, " + this.checker.answers + " answers "
+				+ this.checker.answersByKind;
+	}
+
+	private void step() {
+		Event event = this.events.poll();
+		this.now = Math.max(this.now, event.at);
+		SimHost host = event.host;
+		if (host == null) {
+			event.action.run();
+		}
+		else if (host.system != null && event.boot == host.boots) {
+			if (host.pausedUntil > this.now) {
+				this.events.add(new Event(host.pausedUntil, this.sequence++, host, event.boot, event.action));
+			}
+			else {
+				event.action.run();
+				host.tick();
+			}
+		}
+	}
+
+	private void later(SimHost host, long delay, Runnable action) {
+		int boot = (host != null) ? host.boots : 0;
+		this.events.add(new Event(this.now + delay, this.sequence++, host, boot, action));
+	}
+
+	private boolean chance(double probability) {
+		return this.random.nextDouble() < probability;
+	}
+
+	private long between(long from, long to) {
+		return from + (long) (this.random.nextDouble() * (to - from));
+	}
+
+	private <T> T any(List<T> list) {
+		return list.get(this.random.nextInt(list.size()));
+	}
+
+	// Callers
+
+	private void arrival() {
+		if (this.quiet) {
+			return;
+		}
+		later(null, between(MS, 40 * MS), this::arrival);
+		while (!this.forgetQueue.isEmpty() && this.forgetQueue.get(0).at < this.now) {
+			this.checker.forget(this.forgetQueue.remove(0).key);
+		}
+		Client client = new Client();
+		client.caller = CallerId.of("caller" + this.random.nextInt(3));
+		SimHost issuer = any(this.hosts);
+		if (chance(0.25) && issuer.system != null && issuer.pausedUntil < this.now) {
+			client.key = issuer.system.issueTickets(client.caller, 1, issuer.clock()).get(0).toKey();
+		}
+		else {
+			client.key = SubmissionKey.of("key" + this.nextKey);
+		}
+		this.nextKey++;
+		client.expiry = this.now + between(3 * SECOND, SETTINGS.maxExpiryAheadNanos() - 2 * SECOND);
+		client.idempotent = chance(0.25);
+		client.tasks = 1 + this.random.nextInt(4);
+		this.forgetQueue.add(
+				new ForgetKey(this.now + SETTINGS.horizonNanos() + 60 * SECOND, KeyHash.of(client.caller, client.key)));
+		client.send();
+	}
+
+	// Faults
+
+	private void disturb() {
+		if (this.quiet) {
+			return;
+		}
+		later(null, between(100 * MS, 5 * SECOND), this::disturb);
+		SimHost host = any(this.hosts);
+		SimLog log = any(this.logs);
+		switch (this.random.nextInt(9)) {
+			case 0 -> host.crash();
+			case 1 -> {
+				host.log.downUntil = this.now + between(100 * MS, 3 * SECOND);
+				host.crash();
+			}
+			case 2 -> {
+				host.log.trim(host.log.end());
+				host.crash();
+			}
+			case 3 -> {
+				host.pausedUntil = this.now + between(100 * MS, 15 * SECOND);
+			}
+			case 4 -> {
+				log.downUntil = this.now + between(100 * MS, 12 * SECOND);
+			}
+			case 5 -> {
+				log.slowUntil = this.now + between(SECOND, 10 * SECOND);
+			}
+			case 6 -> log.trim(chance(0.2) ? log.end() : log.first + this.random.nextInt(20));
+			case 7 -> cut(any(this.dataCentres).value(), any(this.dataCentres).value());
+			default -> cut(host.id.value(), any(this.hosts).id.value());
+		}
+	}
+
+	private void cut(String one, String other) {
+		this.cutUntil.put(one + "," + other, this.now + between(100 * MS, 15 * SECOND));
+	}
+
+	private boolean isCut(String one, String other) {
+		return this.cutUntil.getOrDefault(one + "," + other, 0L) > this.now
+				|| this.cutUntil.getOrDefault(other + "," + one, 0L) > this.now;
+	}
+
+	private boolean isCut(SimHost one, SimHost other) {
+		return isCut(one.id.value(), other.id.value()) || isCut(one.dataCentre.value(), other.dataCentre.value());
+	}
+
+	private void heartbeats() {
+		later(null, 500 * MS, this::heartbeats);
+		for (SimLog log : this.logs) {
+			log.retain();
+		}
+		SimHost host = any(this.hosts);
+		for (SimHost peer : this.hosts) {
+			// A long pause is taken for a death, wrongly.
+			boolean dead = peer.system == null || peer.pausedUntil > this.now + 2 * SECOND;
+			if (peer == host || isCut(host, peer)) {
+				continue;
+			}
+			Incarnation incarnation = peer.incarnation;
+			later(host, between(MS, 50 * MS), () -> {
+				if (dead) {
+					host.system.incarnationDead(incarnation, host.clock());
+				}
+				else {
+					host.system.incarnationAlive(incarnation, host.clock());
+				}
+			});
+		}
+	}
+
+	/**
+	 * Runs seeds until each has made the given number of steps or a violation.
+	 * @param args first seed, number of seeds, steps for each, mutation
+	 */
+	public static void main(String[] args) {
+		long first = Long.parseLong(args[0]);
+		long seeds = Long.parseLong(args[1]);
+		long steps = Long.parseLong(args[2]);
+		Mutation mutation = (args.length > 3) ? Mutation.valueOf(args[3]) : Mutation.NONE;
+		int violations = 0;
+		for (long seed = first; seed < first + seeds; seed++) {
+			SubmissionSimulation simulation = new SubmissionSimulation(seed, mutation);
+			long made = simulation.run(steps);
+			if (simulation.violation() == null) {
+				simulation.runOut();
+			}
+			System.out.println("seed " + seed + ": " + made + " steps, " + simulation.summary());
+			if (simulation.violation() != null) {
+				violations++;
+				System.out.println("VIOLATION: " + simulation.violation() + "; repeat with: "
+						+ SubmissionSimulation.class.getName() + " " + seed + " 1 " + steps + " " + mutation);
+			}
+		}
+		if (violations > 0) {
+			System.exit(1);
+		}
+	}
+
+	/**
+	 * A caller that resubmits through any host until it believes that it knows the
+	 * outcome, and sometimes beyond.
+	 */
+	private final class Client {
+
+		private CallerId caller;
+
+		private SubmissionKey key;
+
+		private long expiry;
+
+		private boolean idempotent;
+
+		private int tasks;
+
+		private int attempts;
+
+		private void send() {
+			if (this.attempts == 6 || SubmissionSimulation.this.now > this.expiry + 10 * SECOND) {
+				return;
+			}
+			SimHost host = any(SubmissionSimulation.this.hosts);
+			boolean otherBody = this.attempts > 0 && chance(0.03);
+			Submission submission = submission(otherBody);
+			long id = ++SubmissionSimulation.this.nextRequest;
+			SubmissionSimulation.this.checker.sent(id, submission, SubmissionSimulation.this.now);
+			boolean[] seen = new boolean[1];
+			later(host, between(MS, 5 * MS), () -> host.take(id, submission, (answer) -> {
+				SubmissionSimulation.this.checker.answered(id, answer, SubmissionSimulation.this.now);
+				if (!chance(0.05)) {
+					seen[0] = true;
+					react(answer);
+				}
+			}));
+			later(null, between(SECOND, 8 * SECOND), () -> {
+				if (!seen[0]) {
+					if (host.system != null && chance(0.3)) {
+						later(host, MS, () -> host.system.abandon(id, host.clock()));
+					}
+					send();
+				}
+			});
+			if (chance(0.05)) {
+				later(null, between(0, 2 * SECOND), this::send);
+			}
+			if (chance(0.05)) {
+				later(null, between(0, 5 * SECOND), this::cancelOrQuery);
+			}
+		}
+
+		private Submission submission(boolean otherBody) {
+			List<SubmittedTask> list = new ArrayList<>();
+			for (int i = 0; i < this.tasks; i++) {
+				byte[] body = (this.key + "/" + i + otherBody).getBytes(StandardCharsets.US_ASCII);
+				list.add(SubmittedTask.of("task" + i, "POST", "/work", body, this.idempotent));
+			}
+			int attempt = ++this.attempts;
+			return Submission.of(this.caller, this.key, this.expiry,
+					chance(0.1) ? Submission.ATTEMPT_UNDECLARED : attempt, chance(0.8), list);
+		}
+
+		private void react(Answer answer) {
+			boolean done = answer.outcome() == Outcome.COMPLETE || answer.outcome() == Outcome.FAILED;
+			if (!done || chance(0.2)) {
+				later(null, between(MS, done ? 10 * SECOND : 3 * SECOND), this::send);
+			}
+		}
+
+		private void cancelOrQuery() {
+			SimHost host = any(SubmissionSimulation.this.hosts);
+			boolean cancel = chance(0.5);
+			later(host, MS, () -> {
+				long id = ++SubmissionSimulation.this.nextRequest;
+				host.replies.put(id, (answer) -> {
+				});
+				if (cancel) {
+					host.system.cancel(id, this.caller, this.key, 0, host.clock());
+				}
+				else {
+					host.system.query(id, this.caller, this.key, 0, host.clock());
+				}
+			});
+		}
+
+	}
+
+	private record Event(long at, long sequence, SimHost host, int boot, Runnable action) {
+	}
+
+	private record ForgetKey(long at, KeyHash key) {
+	}
+
+	/**
+	 * The claims stream of a data centre.
+	 */
+	private final class SimLog {
+
+		private final List<ClaimRecord> records = new ArrayList<>();
+
+		private final List<Runnable> readers = new ArrayList<>();
+
+		private final long skew = between(-SECOND, SECOND);
+
+		private long first;
+
+		private long downUntil;
+
+		private long slowUntil;
+
+		private long end() {
+			return this.first + this.records.size();
+		}
+
+		private boolean isDown() {
+			return this.downUntil > SubmissionSimulation.this.now;
+		}
+
+		private long latency() {
+			boolean slow = this.slowUntil > SubmissionSimulation.this.now;
+			return slow ? between(50 * MS, 4 * SECOND) : between(2 * MS, 8 * MS);
+		}
+
+		private void store(List<Claim> claims) {
+			this.records.add(new ClaimRecord(end(), SubmissionSimulation.this.now + this.skew, claims));
+			List<Runnable> waiting = List.copyOf(this.readers);
+			this.readers.clear();
+			waiting.forEach(Runnable::run);
+		}
+
+		private void trim(long offset) {
+			while (this.first < offset && !this.records.isEmpty()) {
+				this.records.remove(0);
+				this.first++;
+			}
+		}
+
+		private void retain() {
+			while (!this.records.isEmpty()
+					&& this.records.get(0).appendTimeNanos() + RETENTION - this.skew < SubmissionSimulation.this.now) {
+				trim(this.first + 1);
+			}
+		}
+
+		private List<ClaimRecord> from(long offset) {
+			int start = (int) Math.max(0, Math.min(offset, end()) - this.first);
+			return List.copyOf(this.records.subList(start, Math.min(this.records.size(), start + 20)));
+		}
+
+	}
+
+	/**
+	 * An entry host with its adapters.
+	 */
+	private final class SimHost {
+
+		private final HostId id;
+
+		private final DataCentreId dataCentre;
+
+		private final SimLog log;
+
+		private final long skew = between(-SECOND, SECOND);
+
+		private final Map<Long, Consumer<Answer>> replies = new HashMap<>();
+
+		private final Map<String, SimTask> tasks = new HashMap<>();
+
+		private SubmissionSystem system;
+
+		private Incarnation incarnation;
+
+		private int boots;
+
+		private long pausedUntil;
+
+		private long wakeAt;
+
+		private boolean hasRead;
+
+		SimHost(int number) {
+			this.id = HostId.of("host" + number);
+			this.dataCentre = SubmissionSimulation.this.dataCentres.get(number % DATA_CENTRES);
+			this.log = SubmissionSimulation.this.logs.get(number % DATA_CENTRES);
+		}
+
+		private long clock() {
+			return SubmissionSimulation.this.now + this.skew;
+		}
+
+		private void boot() {
+			this.boots++;
+			this.incarnation = Incarnation.of(this.id, clock());
+			this.wakeAt = Long.MAX_VALUE;
+			this.hasRead = false;
+			DataCentres centres = DataCentres.of(this.dataCentre, SubmissionSimulation.this.dataCentres);
+			this.system = new SubmissionSystem(this.incarnation, centres, SETTINGS,
+					new TicketAuthority(this.incarnation, SECRET), (submission) -> null,
+					new Random(this.incarnation.number()), SubmissionSimulation.this.rules);
+			later(this, 0, this::read);
+		}
+
+		private void crash() {
+			if (this.system == null) {
+				return;
+			}
+			this.system = null;
+			this.replies.clear();
+			this.tasks.clear();
+			this.pausedUntil = 0;
+			later(null, between(10 * MS, 8 * SECOND), this::boot);
+		}
+
+		private void tick() {
+			this.system.tick(clock(), this::carryOut);
+			long wake = this.system.nextWakeNanos();
+			if (wake == Long.MAX_VALUE) {
+				return;
+			}
+			long at = Math.max(wake - this.skew, SubmissionSimulation.this.now + MS / 10);
+			if (at < this.wakeAt) {
+				this.wakeAt = at;
+				later(this, at - SubmissionSimulation.this.now, () -> this.wakeAt = Long.MAX_VALUE);
+			}
+		}
+
+		private void take(long id, Submission submission, Consumer<Answer> reply) {
+			SubmissionSimulation.this.checker.delivered(id);
+			this.replies.put(id, reply);
+			this.system.submit(id, submission, 0, clock());
+		}
+
+		private void carryOut(SubmissionEffect effect) {
+			if (effect instanceof SubmissionEffect.AppendClaims append) {
+				append(append);
+			}
+			else if (effect instanceof SubmissionEffect.StartTasks start) {
+				startTasks(start);
+			}
+			else if (effect instanceof SubmissionEffect.CancelTask cancel) {
+				cancelTask(this.tasks.get(cancel.job() + "/" + cancel.index()));
+			}
+			else if (effect instanceof SubmissionEffect.ForwardToHost forward) {
+				forward(forward.request(), hostOf(forward.target()), forward.target(), forward.message());
+			}
+			else if (effect instanceof SubmissionEffect.ForwardToDataCentre forward) {
+				List<SimHost> targets = SubmissionSimulation.this.hosts.stream()
+					.filter((host) -> host.dataCentre.equals(forward.target()))
+					.toList();
+				SimHost target = any(targets);
+				forward(forward.request(), target, target.incarnation, forward.message());
+			}
+			else if (effect instanceof SubmissionEffect.Reply reply) {
+				this.replies.remove(reply.request()).accept(reply.answer());
+			}
+			else if (effect instanceof SubmissionEffect.InvariantBroken broken) {
+				SubmissionSimulation.this.checker.fail(broken.message());
+			}
+		}
+
+		private SimHost hostOf(Incarnation target) {
+			return SubmissionSimulation.this.hosts.stream()
+				.filter((host) -> host.id.equals(target.host()))
+				.findFirst()
+				.orElseThrow();
+		}
+
+		// The log
+
+		private void append(SubmissionEffect.AppendClaims append) {
+			boolean down = this.log.isDown();
+			boolean stored = !down || chance(0.2);
+			boolean answered = !down && !chance(0.05);
+			long latency = this.log.latency();
+			if (stored) {
+				int copies = chance(0.03) ? 2 : 1;
+				for (int i = 0; i < copies; i++) {
+					later(null, latency * (1 + i), () -> this.log.store(append.claims()));
+				}
+			}
+			if (answered) {
+				later(this, latency, () -> this.system.claimsAppended(append.append(), clock()));
+			}
+			else if (chance(0.7)) {
+				later(this, between(MS, SECOND), () -> this.system.appendFailed(append.append(), clock()));
+			}
+		}
+
+		private void read() {
+			long offset = this.system.nextClaimOffset();
+			if (this.log.isDown() || chance(0.01)) {
+				later(this, 100 * MS, this::read);
+			}
+			else if (this.hasRead && offset >= this.log.first && offset == this.log.end() && !chance(0.05)) {
+				int boot = this.boots;
+				this.log.readers.add(() -> {
+					if (boot == this.boots && this.system != null) {
+						later(this, MS / 2, this::read);
+					}
+				});
+			}
+			else {
+				long from = chance(0.1) ? offset - this.random(5) : offset;
+				List<ClaimRecord> records = this.log.from(from);
+				long first = this.log.first;
+				long end = this.log.end();
+				this.hasRead = true;
+				later(this, this.log.latency() / 4, () -> {
+					this.system.claimsRead(records, first, end, clock());
+					later(this, records.isEmpty() ? 50 * MS : 0, this::read);
+				});
+			}
+		}
+
+		private long random(int bound) {
+			return SubmissionSimulation.this.random.nextInt(bound);
+		}
+
+		// The links
+
+		private void forward(long request, SimHost target, Incarnation incarnation, PeerRequest message) {
+			if (target.system == null || !target.incarnation.equals(incarnation) || isCut(this, target)) {
+				failForward(request, chance(0.3));
+				return;
+			}
+			boolean lost = chance(0.03);
+			if (lost) {
+				failForward(request, true);
+			}
+			if (!lost || chance(0.5)) {
+				later(target, between(MS / 2, lost ? 5 * SECOND : 2 * MS),
+						() -> target.takeForward(message, (answer) -> {
+							if (isCut(this, target) || chance(0.03)) {
+								failForward(request, true);
+							}
+							else {
+								replyForward(request, answer);
+							}
+						}));
+			}
+		}
+
+		private void failForward(long request, boolean sent) {
+			later(this, between(MS, SECOND), () -> this.system.peerFailed(request, sent, clock()));
+		}
+
+		private void replyForward(long request, Answer answer) {
+			int copies = chance(0.05) ? 2 : 1;
+			for (int i = 0; i < copies; i++) {
+				later(this, between(MS / 2, chance(0.05) ? 3 * SECOND : 2 * MS),
+						() -> this.system.peerReplied(request, answer, clock()));
+			}
+		}
+
+		private void takeForward(PeerRequest message, Consumer<Answer> reply) {
+			long id = ++SubmissionSimulation.this.nextRequest;
+			this.replies.put(id, reply);
+			if (message instanceof PeerRequest.Submit submit) {
+				this.system.submit(id, submit.submission(), submit.hops(), clock());
+			}
+			else if (message instanceof PeerRequest.Query) {
+				this.system.query(id, message.caller(), message.key(), message.hops(), clock());
+			}
+			else {
+				this.system.cancel(id, message.caller(), message.key(), message.hops(), clock());
+			}
+		}
+
+		// The dispatcher and the upstreams
+
+		private void startTasks(SubmissionEffect.StartTasks start) {
+			boolean refused = chance(0.08);
+			for (int i = 0; i < start.submission().tasks().size(); i++) {
+				SimTask task = new SimTask();
+				task.job = start.job();
+				task.index = i;
+				task.submission = start.submission();
+				this.tasks.put(task.job + "/" + i, task);
+				if (refused || chance(0.01)) {
+					later(this, MS, () -> notRun(task, ErrorKind.OVERLOADED));
+				}
+				else {
+					later(this, between(0, chance(0.1) ? 3 * SECOND : 30 * MS), () -> run(task));
+				}
+			}
+		}
+
+		private void run(SimTask task) {
+			if (task.ended) {
+				return;
+			}
+			if (clock() >= task.submission.expiryNanos()) {
+				notRun(task, ErrorKind.DEADLINE_EXCEEDED);
+				return;
+			}
+			task.started = true;
+			SubmissionSimulation.this.checker.started(task.submission, task.index, SubmissionSimulation.this.now);
+			byte[] body = (task.submission.key() + "/" + task.index + "/" + SubmissionSimulation.this.sequence)
+				.getBytes(StandardCharsets.UTF_8);
+			later(this, between(MS, chance(0.1) ? 5 * SECOND : 200 * MS), () -> {
+				if (chance(0.9)) {
+					SubmissionSimulation.this.checker.completed(task.submission, task.index, body);
+					end(task, TaskResult.complete(200, body));
+				}
+				else {
+					Outcome outcome = chance(0.5) ? Outcome.FAILED : Outcome.UNKNOWN;
+					end(task, TaskResult.ended(outcome, ErrorKind.UPSTREAM_FAILED, "upstream failed", 0));
+				}
+			});
+		}
+
+		private void notRun(SimTask task, ErrorKind error) {
+			end(task, TaskResult.ended(Outcome.NOT_RUN, error, "refused", SECOND));
+		}
+
+		private void end(SimTask task, TaskResult result) {
+			if (task.ended) {
+				// A late or crossed report must have no effect.
+				this.system.taskEnded(task.job, task.index, result, clock());
+				return;
+			}
+			task.ended = true;
+			this.tasks.remove(task.job + "/" + task.index);
+			this.system.taskEnded(task.job, task.index, result, clock());
+		}
+
+		private void cancelTask(SimTask task) {
+			if (task == null || task.ended) {
+				return;
+			}
+			if (!task.started) {
+				task.ended = true;
+				this.tasks.remove(task.job + "/" + task.index);
+				later(this, MS, () -> this.system.taskEnded(task.job, task.index,
+						TaskResult.ended(Outcome.NOT_RUN, ErrorKind.CANCELLED, "cancelled", 0), clock()));
+			}
+			else if (chance(0.5)) {
+				later(this, MS, () -> end(task,
+						TaskResult.ended(Outcome.UNKNOWN, ErrorKind.CANCELLED, "cancelled in flight", 0)));
+			}
+		}
+
+	}
+
+	private static final class SimTask {
+
+		private long job;
+
+		private int index;
+
+		private Submission submission;
+
+		private boolean started;
+
+		private boolean ended;
+
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSimulationTests.java
@@ -0,0 +1,41 @@
+package org.limpetgate.submission;
+
+import net.jqwik.api.Example;
+import org.limpetgate.submission.SubmissionSimulation.Mutation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Runs {@link SubmissionSimulation} with fixed seeds. Longer runs are described in
+ * docs/proofs-submission.md.
+ */
+class SubmissionSimulationTests {
+
+	private static final long STEPS = 100_000;
+
+	// Guards against second starts, false refusals, partial or crossed answers and leaks.
+	@Example
+	void noSeedBreaksAGuarantee() {
+		for (long seed = 1; seed <= 8; seed++) {
+			SubmissionSimulation simulation = new SubmissionSimulation(seed, Mutation.NONE);
+			simulation.run(STEPS);
+			simulation.runOut();
+			assertThat(simulation.violation()).as("seed " + seed).isNull();
+		}
+	}
+
+	// Guards against a checker or a schedule of faults that cannot find a broken rule.
+	@Example
+	void eachBrokenRuleIsFound() {
+		for (Mutation mutation : Mutation.values()) {
+			boolean found = false;
+			for (long seed = 1; seed <= 8 && !found; seed++) {
+				SubmissionSimulation simulation = new SubmissionSimulation(seed, mutation);
+				simulation.run(STEPS);
+				found = simulation.violation() != null;
+			}
+			assertThat(found).as(mutation.name()).isEqualTo(mutation != Mutation.NONE);
+		}
+	}
+
+}
