--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -72,7 +72,10 @@
 	/** The start of the name of the claims stream of a data centre. */
 	public static final String CLAIMS_STREAM_PREFIX = "claims-";
 
-	/** Time for the balancer to notice that the host is not ready before it stops listening. */
+	/**
+	 * Time for the balancer to notice that the host is not ready before it stops
+	 * listening.
+	 */
 	private static final Duration BALANCER_GRACE = Duration.ofSeconds(1);
 
 	private static final long DRAIN_CHECK_MILLIS = 20;
@@ -201,10 +204,9 @@
 	private PeerService peerService(PeerIdentity self) {
 		MemberAddress address = new MemberAddress(this.settings.host(), this.settings.dataCentre(),
 				this.settings.peers().address(), this.peerServer.address().getPort());
-		Membership membership = new Membership(this.incarnation, this.settings.dataCentre(),
-				MembershipTimings.DEFAULT);
-		return new PeerService(self, address, this.settings.dataCentres(), this.settings.size(), membership,
-				this.links, this.control, this.clock, this.events);
+		Membership membership = new Membership(this.incarnation, this.settings.dataCentre(), MembershipTimings.DEFAULT);
+		return new PeerService(self, address, this.settings.dataCentres(), this.settings.size(), membership, this.links,
+				this.control, this.clock, this.events);
 	}
 
 	private SubmissionService submissionService(FailoverLogService log) {
@@ -231,8 +233,7 @@
 		return HttpServerLimits.defaults()
 			.withRequestBytes(this.settings.limits().headBytes(), this.settings.limits().bodyBytes())
 			.withTotals(this.settings.limits().connections(), Runtime.getRuntime().maxMemory() / 4)
-			.withRequestTimes(this.settings.limits().requestTime().toNanos(),
-					HttpServerLimits.defaults().idleNanos());
+			.withRequestTimes(this.settings.limits().requestTime().toNanos(), HttpServerLimits.defaults().idleNanos());
 	}
 
 	private static PeerKeys peerKeys(List<Key> keys) {
@@ -319,6 +320,14 @@
 		return this.configuration.isReady() && !this.leaving;
 	}
 
+	/**
+	 * Returns the configuration of this host, through which tables are edited.
+	 * @return the service, not null
+	 */
+	public ConfigurationService configuration() {
+		return this.configuration;
+	}
+
 	/**
 	 * Returns the address for callers.
 	 * @return the address with the port in use, not null
@@ -357,9 +366,8 @@
 		});
 		CompletableFuture<Integer> done = new CompletableFuture<>();
 		long deadline = this.clock.getAsLong() + this.settings.spans().drainBound().toNanos();
-		this.group.schedule(() -> this.callers.drain()
-			.whenComplete((ended, failure) -> awaitTasks(deadline, done)), BALANCER_GRACE.toMillis(),
-				TimeUnit.MILLISECONDS);
+		this.group.schedule(() -> this.callers.drain().whenComplete((ended, failure) -> awaitTasks(deadline, done)),
+				BALANCER_GRACE.toMillis(), TimeUnit.MILLISECONDS);
 		this.group.schedule(() -> this.control.execute(() -> close(done)),
 				this.settings.spans().drainBound().toMillis(), TimeUnit.MILLISECONDS);
 		return done;
@@ -398,8 +406,8 @@
 
 	private static Optional<CompletableFuture<PeerFrame.Builder>> refuseUntilStarted(PeerIdentity peer,
 			PeerFrame frame) {
-		return Optional.of(CompletableFuture.failedFuture(
-				DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, "the host is starting")));
+		return Optional.of(CompletableFuture
+			.failedFuture(DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, "the host is starting")));
 	}
 
 	private final class Parts implements PeerService.LocalHost {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/HostListWatcher.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/HostListWatcher.java
@@ -20,7 +20,10 @@
  */
 final class HostListWatcher implements TickedSystem {
 
-	/** Half of the time in which a leaving upstream must be known, with room for a lost read. */
+	/**
+	 * Half of the time in which a leaving upstream must be known, with room for a lost
+	 * read.
+	 */
 	private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
 	private final HostList list;
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LeavingUpstreams.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LeavingUpstreams.java
@@ -13,13 +13,16 @@
 /**
  * The upstreams that are known to be leaving.
  * <p>
- * A sign is an answer of the upstream, the platform's host list, or a heartbeat of a peer.
- * Only the host list can take a sign back, and only a list made well after the sign, since
- * the list lags. Not thread-safe: it belongs to the control thread.
+ * A sign is an answer of the upstream, the platform's host list, or a heartbeat of a
+ * peer. Only the host list can take a sign back, and only a list made well after the
+ * sign, since the list lags. Not thread-safe: it belongs to the control thread.
  */
 final class LeavingUpstreams {
 
-	/** The host list may show an upstream as live for this long after its own announcement. */
+	/**
+	 * The host list may show an upstream as live for this long after its own
+	 * announcement.
+	 */
 	private static final long LIST_LAG_NANOS = TimeUnit.SECONDS.toNanos(30);
 
 	private final Map<UpstreamId, Long> signNanos = new HashMap<>();
--- a/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
@@ -175,8 +175,7 @@
 
 	private void apply(MembershipEffect effect, long nowNanos) {
 		if (effect instanceof MembershipEffect.SendHeartbeat send) {
-			this.links.send(send.to(),
-					PeerFrame.newBuilder().setHeartbeat(MembershipCodec.toMessage(heartbeat(send))));
+			this.links.send(send.to(), PeerFrame.newBuilder().setHeartbeat(MembershipCodec.toMessage(heartbeat(send))));
 		}
 		else if (effect instanceof MembershipEffect.SendDigests send) {
 			List<DataCentreDigest> digests = new ArrayList<>(send.relayed());
@@ -209,9 +208,8 @@
 				lowest = Math.min(lowest, member.heartbeat().configurationVersion());
 				member.heartbeat()
 					.demand()
-					.forEach((pool, other) -> demand.merge(pool, other,
-							(one, two) -> new PeerLoad.Demand(one.queued() + two.queued(),
-									one.inFlight() + two.inFlight())));
+					.forEach((pool, other) -> demand.merge(pool, other, (one,
+							two) -> new PeerLoad.Demand(one.queued() + two.queued(), one.inFlight() + two.inFlight())));
 			}
 		}
 		return new DataCentreDigest(this.self.dataCentre(), nowNanos, lowest, demand, live);
@@ -231,7 +229,8 @@
 			this.events.write(LogEvent.MEMBER_CHANGED, after.address().host(), after.state(), after.incarnation());
 		}
 		if (after != null && after.incarnation() != null) {
-			if (before != null && before.incarnation() != null && after.incarnation().isLaterThan(before.incarnation())) {
+			if (before != null && before.incarnation() != null
+					&& after.incarnation().isLaterThan(before.incarnation())) {
 				this.local.submissions().incarnationEnded(before.incarnation(), nowNanos);
 			}
 			this.local.submissions().incarnationAlive(after.incarnation(), nowNanos);
@@ -288,7 +287,8 @@
 			case FORWARD_SUBMISSION:
 			case QUERY_SUBMISSION:
 			case CANCEL_SUBMISSION:
-				return Optional.of(this.local.submissions().handlePeer(toRequest(frame)).thenApply(PeerService::toFrame));
+				return Optional
+					.of(this.local.submissions().handlePeer(toRequest(frame)).thenApply(PeerService::toFrame));
 			case CONFIGURATION_REQUEST:
 				long version = frame.getConfigurationRequest().getNewerThan();
 				return Optional
@@ -299,11 +299,11 @@
 		}
 	}
 
-	// The identity is the one that the handshake proved; a heartbeat in another name is dropped.
+	// The identity is the one that the handshake proved; a heartbeat in another name is
+	// dropped.
 	private void heartbeatReceived(PeerIdentity peer, Heartbeat heartbeat) {
 		long now = this.clock.getAsLong();
-		if (heartbeat.incarnation().equals(peer.incarnation())
-				&& this.membership.heartbeatReceived(heartbeat, now)) {
+		if (heartbeat.incarnation().equals(peer.incarnation()) && this.membership.heartbeatReceived(heartbeat, now)) {
 			this.local.peerLoads(loads(), now);
 			heartbeat.leavingUpstreams().forEach((upstream) -> this.local.upstreamLeaving(upstream, now));
 		}
@@ -374,7 +374,8 @@
 		return askUntilLinked(target.host(), request, LINK_TRIES);
 	}
 
-	// Hosts of other data centres have no link before the first request for one of their tickets.
+	// Hosts of other data centres have no link before the first request for one of their
+	// tickets.
 	private void link(HostId host) {
 		if (!this.extraLinks.containsKey(host) && this.membership.address(host).isPresent()) {
 			this.extraLinks.put(host, this.membership.address(host).get());
@@ -421,9 +422,8 @@
 			return CompletableFuture.failedFuture(DispatchException.of(ErrorKind.HOLDER_UNREACHABLE, Outcome.NOT_RUN,
 					"no host of the home data centre can be reached"));
 		}
-		return ask(hosts.get(index), request).exceptionallyCompose((failure) -> {
-			return isNotSent(failure) ? tryInOrder(hosts, index + 1, request) : CompletableFuture.failedFuture(failure);
-		});
+		return ask(hosts.get(index), request).exceptionallyCompose((failure) -> isNotSent(failure)
+				? tryInOrder(hosts, index + 1, request) : CompletableFuture.failedFuture(failure));
 	}
 
 	@Override
--- a/limpetgate-host/src/main/java/org/limpetgate/host/RequestService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/RequestService.java
@@ -157,7 +157,8 @@
 		TaskRequest request = new TaskRequest(this.runner.nextTaskId(), caller, route.name(), route.pool(),
 				route.isIdempotent(call.method()), Resources.NONE, call.body().length, deadlineNanos, 0);
 		this.events.write(LogEvent.ROUTED, request.id().value(), caller, route.name(), route.pool());
-		Admission admission = this.runner.offer(request, call, (ended, answer, endNanos) -> complete(reply, ended, answer), now);
+		Admission admission = this.runner.offer(request, call,
+				(ended, answer, endNanos) -> complete(reply, ended, answer), now);
 		if (!admission.isAccepted()) {
 			reply.completeExceptionally(refusal(admission));
 		}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/WorkerGateway.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/WorkerGateway.java
@@ -95,7 +95,8 @@
 			});
 		}
 
-		// A request that provably started nothing needs no stop, as this lease had no earlier request.
+		// A request that provably started nothing needs no stop, as this lease had no
+		// earlier request.
 		private void resolve(DispatchException error) {
 			if (error.outcome() == Outcome.NOT_RUN) {
 				this.answer.completeExceptionally(error);
@@ -119,8 +120,8 @@
 		private void end(LeaseStatus status) {
 			if (status.state() == LeaseState.COMPLETE || status.state() == LeaseState.FAILED) {
 				int code = (status.state() == LeaseState.COMPLETE) ? OK : SERVER_ERROR;
-				this.answer.complete(
-						new UpstreamAnswer(new HttpReply(code, Map.of(), status.answer()), status.leaving()));
+				this.answer
+					.complete(new UpstreamAnswer(new HttpReply(code, Map.of(), status.answer()), status.leaving()));
 				return;
 			}
 			this.answer.completeExceptionally(DispatchException.of(ErrorKind.LEASE_LAPSED, status.state().outcome(),
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInMain.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInMain.java
@@ -7,7 +7,7 @@
  */
 @CommandLine.Command(name = "standin", mixinStandardHelpOptions = true,
 		description = "Runs stand-ins for the platform and the upstreams.",
-		subcommands = { PlatformCommand.class, RunnerCommand.class, WorkerCommand.class })
+		subcommands = { PlatformCommand.class, RunnerCommand.class, WorkerCommand.class, DevCommand.class })
 public final class StandInMain {
 
 	private StandInMain() {
