Leave edits of new rows to the fold; read host settings

The host's state had a row that was removed later, and its local check took the base 'no row' for an outdated version.

Change: the local check leaves a base without a row to the fold.

--- a/limpetgate-core/src/main/java/org/limpetgate/ErrorKind.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/ErrorKind.java
@@ -81,6 +81,12 @@
 	/** The work was cancelled. */
 	CANCELLED(409, "submit with a new key to run the job after all"),
 
+	/** The request of an operator has no valid signature. */
+	NOT_ADMITTED(401, "sign the request with a configured operator key, as docs/operators-tables.md tells"),
+
+	/** No row has this name. */
+	UNKNOWN_ROW(404, "check the name with 'limpetgate routes list' or 'limpetgate pools list'"),
+
 	/** A row was edited from an outdated version. */
 	VERSION_CONFLICT(409, "read the row again and repeat the edit from its present version"),
 
--- a/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
@@ -209,7 +209,8 @@
 	 */
 	public void check(Edit edit) {
 		long present = row(edit.table(), edit.name()).map(VersionedRow::version).orElse(NO_VERSION);
-		if (edit.baseVersion() < present) {
+		// A base without a row is left to the fold: this state may lack a later removal.
+		if (edit.baseVersion() != NO_VERSION && edit.baseVersion() < present) {
 			checkBase(edit, present);
 		}
 		if (edit.table() == TableName.ROUTES) {
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettings.java
@@ -0,0 +1,82 @@
+package org.limpetgate.host.settings;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.OptionalLong;
+
+import org.limpetgate.DataCentreId;
+import org.limpetgate.HostId;
+import org.limpetgate.json.JsonResult;
+
+/**
+ * The settings of an entry host, read once at its start.
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param host the id of the host
+ * @param region the region, empty if there is one only
+ * @param dataCentre the data centre of the host
+ * @param dataCentres all configured data centres, among which keys are spread; the same
+ * list at every host
+ * @param size the relative size of the host, by which shares are weighted
+ * @param callers where the host listens for callers
+ * @param operators where it listens for operators
+ * @param peers where it listens for other entry hosts
+ * @param peerHosts the other entry hosts, without this one
+ * @param platform the addresses of the platform, in order of preference
+ * @param keys the keys of the entry hosts, for links between them and for tickets; the
+ * first one signs, all are accepted
+ * @param operatorKeys the keys of the operators; the id of a key names its operator
+ * @param limits bounds on what callers may send
+ * @param spans the time spans of the protocol
+ * @param seed the seed of random choices, empty to use one that differs at each start
+ * @param logFile where log lines go
+ */
+public record HostSettings(HostId host, String region, DataCentreId dataCentre, List<DataCentreId> dataCentres,
+		int size, Endpoint callers, Endpoint operators, Endpoint peers, List<PeerAddress> peerHosts,
+		List<Endpoint> platform, List<Key> keys, List<Key> operatorKeys, Limits limits, Spans spans, OptionalLong seed,
+		LogFile logFile) {
+
+	/** Default relative size. */
+	public static final int DEFAULT_SIZE = 1;
+
+	/** Default endpoint for callers. */
+	public static final Endpoint DEFAULT_CALLERS = new Endpoint("0.0.0.0", 8080);
+
+	/**
+	 * Default endpoint for operators: loopback, so that edits need access to the host.
+	 */
+	public static final Endpoint DEFAULT_OPERATORS = new Endpoint("127.0.0.1", 8081);
+
+	/** Default endpoint for peers. */
+	public static final Endpoint DEFAULT_PEERS = new Endpoint("0.0.0.0", 8082);
+
+	public HostSettings {
+		Objects.requireNonNull(host, "host");
+		Objects.requireNonNull(region, "region");
+		Objects.requireNonNull(dataCentre, "dataCentre");
+		dataCentres = List.copyOf(dataCentres);
+		Objects.requireNonNull(callers, "callers");
+		Objects.requireNonNull(operators, "operators");
+		Objects.requireNonNull(peers, "peers");
+		peerHosts = List.copyOf(peerHosts);
+		platform = List.copyOf(platform);
+		keys = List.copyOf(keys);
+		operatorKeys = List.copyOf(operatorKeys);
+		Objects.requireNonNull(limits, "limits");
+		Objects.requireNonNull(spans, "spans");
+		Objects.requireNonNull(seed, "seed");
+		Objects.requireNonNull(logFile, "logFile");
+	}
+
+	/**
+	 * Reads settings.
+	 * @param source the file, named in problems, not null
+	 * @param json the settings in UTF-8, not null
+	 * @return the settings or all problems, not null
+	 */
+	public static JsonResult<HostSettings> read(String source, byte[] json) {
+		return HostSettingsReader.read(source, json);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettingsReader.java
@@ -0,0 +1,191 @@
+package org.limpetgate.host.settings;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.limpetgate.DataCentreId;
+import org.limpetgate.HostId;
+import org.limpetgate.config.TableJson;
+import org.limpetgate.json.JsonObject;
+import org.limpetgate.json.JsonResult;
+
+/**
+ * Reads {@link HostSettings} from strict JSON.
+ */
+final class HostSettingsReader {
+
+	private static final int MAX_PORT = 65_535;
+
+	private static final int MAX_SIZE = 1_000_000;
+
+	private static final int MIN_HEAD_BYTES = 1024;
+
+	private static final int MAX_HEAD_BYTES = 1024 * 1024;
+
+	private static final int MAX_BODY_BYTES = 1024 * 1024 * 1024;
+
+	private static final int MAX_CONNECTIONS = 1_000_000;
+
+	private static final long MAX_SPAN_MILLIS = Duration.ofDays(1).toMillis();
+
+	private static final long MIN_LOG_BYTES = 64 * 1024;
+
+	private static final long MAX_LOG_BYTES = 1024L * 1024 * 1024;
+
+	private static final int MAX_LOG_FILES = 100;
+
+	private HostSettingsReader() {
+	}
+
+	static JsonResult<HostSettings> read(String source, byte[] json) {
+		return JsonObject.read(source, json, HostSettingsReader::settings);
+	}
+
+	private static HostSettings settings(JsonObject file) {
+		HostId host = file.parsed("host", HostId::of);
+		String region = file.string("region", "");
+		DataCentreId dataCentre = file.parsed("dataCentre", DataCentreId::of);
+		List<DataCentreId> dataCentres = dataCentres(file, dataCentre);
+		int size = (int) file.integer("size", 1, MAX_SIZE, HostSettings.DEFAULT_SIZE);
+		Endpoint callers = listen(file, "callers", HostSettings.DEFAULT_CALLERS);
+		Endpoint operators = listen(file, "operators", HostSettings.DEFAULT_OPERATORS);
+		Endpoint peers = listen(file, "peers", HostSettings.DEFAULT_PEERS);
+		checkDistinct(file, callers, operators, peers);
+		List<PeerAddress> peerHosts = peerHosts(file, host, dataCentres);
+		List<Endpoint> platform = file.objects("platform", (fields) -> endpoint(fields, 1));
+		if (file.has("platform") && platform.isEmpty()) {
+			file.problem("platform", "has no usable address", "add the address and port of the platform");
+		}
+		else if (!file.has("platform")) {
+			file.problem("platform", "is missing", "add the address and port of the platform");
+		}
+		List<Key> keys = keys(file, "keys");
+		if (keys.isEmpty() && !peerHosts.isEmpty()) {
+			file.problem("keys", "has no usable key", "add a key that all entry hosts share");
+		}
+		List<Key> operatorKeys = keys(file, "operatorKeys");
+		Limits limits = file.object("limits", HostSettingsReader::limits);
+		Spans spans = file.object("spans", HostSettingsReader::spans);
+		OptionalLong seed = file.has("seed") ? OptionalLong.of(file.integer("seed", Long.MIN_VALUE, Long.MAX_VALUE))
+				: OptionalLong.empty();
+		LogFile logFile = file.object("logFile", HostSettingsReader::logFile);
+		return file.build(() -> new HostSettings(host, region, dataCentre, dataCentres, size, callers, operators, peers,
+				peerHosts, platform, keys, operatorKeys, limits, spans, seed, logFile));
+	}
+
+	private static List<DataCentreId> dataCentres(JsonObject file, DataCentreId own) {
+		List<DataCentreId> all = file.parsedList("dataCentres", DataCentreId::of);
+		if (!file.has("dataCentres")) {
+			return (own != null) ? List.of(own) : List.of();
+		}
+		if (new HashSet<>(all).size() < all.size()) {
+			file.problem("dataCentres", "names a data centre twice", "name each one once");
+		}
+		if (own != null && !all.contains(own)) {
+			file.problem("dataCentres", "lacks '" + own + "', the data centre of this host", "add it");
+		}
+		return all;
+	}
+
+	private static Endpoint listen(JsonObject file, String field, Endpoint fallback) {
+		return file.object(field, (fields) -> {
+			String address = fields.parsed("address", TableJson::ipAddress, fallback.address());
+			int port = (int) fields.integer("port", 0, MAX_PORT, fallback.port());
+			return fields.build(() -> new Endpoint(address, port));
+		});
+	}
+
+	private static void checkDistinct(JsonObject file, Endpoint callers, Endpoint operators, Endpoint peers) {
+		Set<Integer> ports = new HashSet<>();
+		for (Endpoint endpoint : new Endpoint[] { callers, operators, peers }) {
+			if (endpoint != null && endpoint.port() != 0 && !ports.add(endpoint.port())) {
+				file.problem("", "uses port " + endpoint.port() + " for two of callers, operators and peers",
+						"use three ports");
+			}
+		}
+	}
+
+	private static Endpoint endpoint(JsonObject fields, int minPort) {
+		String address = fields.parsed("address", TableJson::ipAddress);
+		int port = (int) fields.integer("port", minPort, MAX_PORT);
+		return fields.build(() -> new Endpoint(address, port));
+	}
+
+	// The list may name this host, so that all hosts can share it.
+	private static List<PeerAddress> peerHosts(JsonObject file, HostId self, List<DataCentreId> dataCentres) {
+		Set<HostId> names = new HashSet<>();
+		List<PeerAddress> peers = new ArrayList<>(
+				file.objects("peerHosts", (fields) -> peer(fields, names, dataCentres)));
+		peers.removeIf((peer) -> peer.host().equals(self));
+		return peers;
+	}
+
+	private static PeerAddress peer(JsonObject fields, Set<HostId> names, List<DataCentreId> dataCentres) {
+		HostId host = fields.parsed("host", HostId::of);
+		if (host != null && !names.add(host)) {
+			fields.problem("host", "'" + host + "' is named twice", "name each host once");
+		}
+		DataCentreId dataCentre = fields.parsed("dataCentre", DataCentreId::of);
+		if (dataCentre != null && !dataCentres.contains(dataCentre)) {
+			fields.problem("dataCentre", "'" + dataCentre + "' is not among dataCentres",
+					"add it there or correct the name");
+		}
+		String address = fields.parsed("address", TableJson::ipAddress);
+		int port = (int) fields.integer("port", 1, MAX_PORT);
+		return fields.build(() -> new PeerAddress(host, dataCentre, new Endpoint(address, port)));
+	}
+
+	private static List<Key> keys(JsonObject file, String field) {
+		Set<String> ids = new HashSet<>();
+		return file.objects(field, (fields) -> {
+			HostId id = fields.parsed("id", HostId::of);
+			if (id != null && !ids.add(id.value())) {
+				fields.problem("id", "'" + id + "' is the id of an earlier key", "use another id");
+			}
+			String secret = fields.parsed("secret", Key::checkedSecret);
+			return fields.build(() -> Key.of(id.value(), secret));
+		});
+	}
+
+	private static Limits limits(JsonObject fields) {
+		int head = (int) fields.integer("headBytes", MIN_HEAD_BYTES, MAX_HEAD_BYTES, Limits.DEFAULT_HEAD_BYTES);
+		int body = (int) fields.integer("bodyBytes", 1, MAX_BODY_BYTES, Limits.DEFAULT_BODY_BYTES);
+		int connections = (int) fields.integer("connections", 1, MAX_CONNECTIONS, Limits.DEFAULT_CONNECTIONS);
+		Duration requestTime = span(fields, "requestMillis", Limits.DEFAULT_REQUEST_TIME);
+		return fields.build(() -> new Limits(head, body, connections, requestTime));
+	}
+
+	private static Spans spans(JsonObject fields) {
+		Duration claimWait = span(fields, "claimWaitMillis", Spans.DEFAULT_CLAIM_WAIT);
+		Duration expiry = span(fields, "maxExpiryAheadMillis", Spans.DEFAULT_MAX_EXPIRY_AHEAD);
+		Duration horizon = span(fields, "keyHorizonMillis", Spans.DEFAULT_KEY_HORIZON);
+		Duration skew = span(fields, "skewBoundMillis", Spans.DEFAULT_SKEW_BOUND);
+		Duration drain = span(fields, "drainBoundMillis", Spans.DEFAULT_DRAIN_BOUND);
+		Duration snapshot = span(fields, "snapshotIntervalMillis", Spans.DEFAULT_SNAPSHOT_INTERVAL);
+		if (horizon.compareTo(expiry.plus(skew)) < 0) {
+			fields.problem("keyHorizonMillis", "is less than maxExpiryAheadMillis and skewBoundMillis together",
+					"use a longer horizon");
+		}
+		if (snapshot.multipliedBy(2).compareTo(horizon) > 0) {
+			fields.problem("snapshotIntervalMillis", "is more than half of keyHorizonMillis, which the log may retain",
+					"use a shorter interval");
+		}
+		return fields.build(() -> new Spans(claimWait, expiry, horizon, skew, drain, snapshot));
+	}
+
+	private static Duration span(JsonObject fields, String field, Duration fallback) {
+		return Duration.ofMillis(fields.integer(field, 1, MAX_SPAN_MILLIS, fallback.toMillis()));
+	}
+
+	private static LogFile logFile(JsonObject fields) {
+		String path = fields.string("path", "");
+		long maxBytes = fields.integer("maxBytes", MIN_LOG_BYTES, MAX_LOG_BYTES, LogFile.DEFAULT_MAX_BYTES);
+		int files = (int) fields.integer("files", 1, MAX_LOG_FILES, LogFile.DEFAULT_FILES);
+		return fields.build(() -> new LogFile(path, maxBytes, files));
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/settings/LogFile.java
@@ -0,0 +1,27 @@
+package org.limpetgate.host.settings;
+
+import java.util.Objects;
+
+/**
+ * Where log lines go.
+ *
+ * @param path the file, empty for standard error
+ * @param maxBytes the size at which a file is rotated
+ * @param files the number of files that are kept
+ */
+public record LogFile(String path, long maxBytes, int files) {
+
+	/** Default size at which a file is rotated, in bytes. */
+	public static final long DEFAULT_MAX_BYTES = 16L * 1024 * 1024;
+
+	/** Default number of files that are kept. */
+	public static final int DEFAULT_FILES = 2;
+
+	/** Standard error. */
+	public static final LogFile STANDARD_ERROR = new LogFile("", DEFAULT_MAX_BYTES, DEFAULT_FILES);
+
+	public LogFile {
+		Objects.requireNonNull(path, "path");
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/settings/Spans.java
@@ -0,0 +1,51 @@
+package org.limpetgate.host.settings;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * The time spans of the protocol. All hosts must use the same values, except for the
+ * drain bound.
+ *
+ * @param claimWait the longest wait for a claim to be read back
+ * @param maxExpiryAhead how far ahead the expiry of a submission may be
+ * @param keyHorizon how long claims are kept at least
+ * @param skewBound the largest difference between the clocks of two hosts
+ * @param drainBound the longest time for requests in flight when the host shuts down
+ * @param snapshotInterval the age of a configuration snapshot at which the next is due
+ */
+public record Spans(Duration claimWait, Duration maxExpiryAhead, Duration keyHorizon, Duration skewBound,
+		Duration drainBound, Duration snapshotInterval) {
+
+	/** Default wait for a claim to be read back. */
+	public static final Duration DEFAULT_CLAIM_WAIT = Duration.ofSeconds(2);
+
+	/** Default bound on the expiry of a submission. */
+	public static final Duration DEFAULT_MAX_EXPIRY_AHEAD = Duration.ofMinutes(10);
+
+	/** Default time for which claims are kept. */
+	public static final Duration DEFAULT_KEY_HORIZON = Duration.ofMinutes(15);
+
+	/** Default bound on the difference of clocks. */
+	public static final Duration DEFAULT_SKEW_BOUND = Duration.ofSeconds(2);
+
+	/** Default bound on the drain: the expiry bound of a submission and some slack. */
+	public static final Duration DEFAULT_DRAIN_BOUND = Duration.ofMinutes(11);
+
+	/** Default age of a configuration snapshot at which the next is due. */
+	public static final Duration DEFAULT_SNAPSHOT_INTERVAL = Duration.ofMinutes(5);
+
+	/** The default spans. */
+	public static final Spans DEFAULT = new Spans(DEFAULT_CLAIM_WAIT, DEFAULT_MAX_EXPIRY_AHEAD, DEFAULT_KEY_HORIZON,
+			DEFAULT_SKEW_BOUND, DEFAULT_DRAIN_BOUND, DEFAULT_SNAPSHOT_INTERVAL);
+
+	public Spans {
+		Objects.requireNonNull(claimWait, "claimWait");
+		Objects.requireNonNull(maxExpiryAhead, "maxExpiryAhead");
+		Objects.requireNonNull(keyHorizon, "keyHorizon");
+		Objects.requireNonNull(skewBound, "skewBound");
+		Objects.requireNonNull(drainBound, "drainBound");
+		Objects.requireNonNull(snapshotInterval, "snapshotInterval");
+	}
+
+}
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The settings of an entry host.
+ */
+package org.limpetgate.host.settings;
--- a/limpetgate-host/src/test/java/org/limpetgate/host/configuration/ConfigurationRunTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/configuration/ConfigurationRunTests.java
@@ -166,6 +166,8 @@
 				case 5, 6 -> node.restart();
 				case 7 -> {
 					if (random(4) == 0) {
+						// Only the log keeps the tables now.
+						this.cluster.oldStates.clear();
 						this.cluster.nodes.forEach(Cluster.Node::restart);
 					}
 				}
