--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ClientConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ClientConnection.java
@@ -352,7 +352,9 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-		LOG.atFine().withCause(cause).log("N104 connection to %s failed", this.pool.address());
+		LOG.atFine()
+			.withCause(cause)
+			.log("LG5004 UPSTREAM_CONNECTION_FAILED connection to %s failed", this.pool.address());
 		abandon(cause.getMessage());
 	}
 
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpServer.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpServer.java
@@ -112,10 +112,10 @@
 		}
 		StrictRequestDecoder decoder = new StrictRequestDecoder(this.limits.maxHeadBytes());
 		ServerConnection connection = new ServerConnection(this, decoder, open >= max);
+		channel.pipeline().addLast(decoder, new HttpResponseEncoder(), connection);
 		this.connections.add(connection);
 		this.metrics.connectionOpened();
 		channel.closeFuture().addListener((future) -> closed(connection));
-		channel.pipeline().addLast(decoder, new HttpResponseEncoder(), connection);
 	}
 
 	private void closed(ServerConnection connection) {
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ServerConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ServerConnection.java
@@ -311,7 +311,7 @@
 			LOG.atWarning()
 				.atMostEvery(1, TimeUnit.SECONDS)
 				.withCause(ex)
-				.log("N101 handler failed for %s %s", call.method(), call.path());
+				.log("LG5001 HANDLER_FAULT handler failed for %s %s", call.method(), call.path());
 			return CompletableFuture.failedFuture(ex);
 		}
 	}
@@ -350,7 +350,10 @@
 		}
 		catch (RuntimeException ex) {
 			// A header that cannot be sent must not split the answer or lose it.
-			LOG.atWarning().atMostEvery(1, TimeUnit.SECONDS).withCause(ex).log("N102 the answer cannot be encoded");
+			LOG.atWarning()
+				.atMostEvery(1, TimeUnit.SECONDS)
+				.withCause(ex)
+				.log("LG5002 ANSWER_NOT_ENCODABLE the answer cannot be encoded");
 			return toResponseUnchecked(exchange, ErrorReply.of(ex));
 		}
 	}
@@ -488,7 +491,7 @@
 			LOG.atWarning()
 				.atMostEvery(1, TimeUnit.SECONDS)
 				.withCause(cause)
-				.log("N103 connection from %s failed", ctx.channel().remoteAddress());
+				.log("LG5003 CALLER_CONNECTION_FAULT connection from %s failed", ctx.channel().remoteAddress());
 		}
 		ctx.close();
 	}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/InboundConnection.java
@@ -0,0 +1,170 @@
+package org.limpetgate.net.peer;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import javax.crypto.SecretKey;
+
+import io.netty.channel.ChannelHandlerContext;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+import org.limpetgate.net.http.ErrorReply;
+import org.limpetgate.proto.Hello;
+import org.limpetgate.proto.PeerFrame;
+
+/**
+ * The accepting end of a link, which receives requests and one-way messages.
+ */
+final class InboundConnection extends PeerConnection {
+
+	private final PeerServer server;
+
+	private PeerIdentity claimed;
+
+	private Hello clientHello;
+
+	private Hello serverHello;
+
+	private SecretKey key;
+
+	private int inFlight;
+
+	private boolean counted;
+
+	InboundConnection(PeerServer server, PeerSettings settings) {
+		super(settings);
+		this.server = server;
+	}
+
+	@Override
+	void opened() {
+		if (this.server.isOverLimit()) {
+			refuse("the host has no free connection");
+		}
+	}
+
+	@Override
+	void handshake(PeerFrame frame) {
+		if (frame.hasRefusal()) {
+			close("the peer refused the link: " + frame.getRefusal().getMessage());
+		}
+		else if (this.clientHello == null) {
+			challenge(frame.getHello());
+		}
+		else {
+			verify(frame.getHello());
+		}
+	}
+
+	private void challenge(Hello hello) {
+		try {
+			this.claimed = PeerProof.claimedIdentity(hello);
+		}
+		catch (IllegalArgumentException ex) {
+			refuse(ex.getMessage());
+			return;
+		}
+		this.key = settings().keys().find(hello.getKeyId());
+		if (this.key == null) {
+			refuse("the key '" + hello.getKeyId() + "' is not configured on this host");
+			return;
+		}
+		if (this.claimed.host().equals(settings().self().host())) {
+			refuse("the peer has the id of this host");
+			return;
+		}
+		this.clientHello = hello;
+		this.serverHello = PeerProof.newHello(settings().self(), hello.getKeyId());
+		writeHello(this.serverHello.toBuilder()
+			.setMac(PeerProof.mac(this.key, PeerProof.Role.SERVER, this.clientHello, this.serverHello))
+			.build());
+	}
+
+	private void verify(Hello hello) {
+		if (!PeerProof.isValid(hello.getMac(), this.key, PeerProof.Role.CLIENT, this.clientHello, this.serverHello)) {
+			refuse("the proof of key '" + this.clientHello.getKeyId() + "' is wrong");
+			return;
+		}
+		if (this.server.isCut(this.claimed.host())) {
+			close("the link is cut");
+			return;
+		}
+		admit(this.claimed, this.clientHello.getKeyId(), this.key);
+		writeHello(Hello.getDefaultInstance());
+	}
+
+	@Override
+	void received(PeerFrame frame) {
+		if (frame.hasHello()) {
+			// A hello after the handshake is a liveness probe.
+			writeHello(Hello.getDefaultInstance());
+			return;
+		}
+		if (frame.getCorrelationId() == 0) {
+			handle(frame);
+			return;
+		}
+		if (this.inFlight >= settings().limits().maxInFlight()) {
+			reply(frame, PeerFrames.refusal(DispatchException.of(ErrorKind.OVERLOADED, Outcome.NOT_RUN,
+					"the link has " + this.inFlight + " requests in flight")));
+			return;
+		}
+		this.inFlight++;
+		handle(frame).whenComplete((reply, failure) -> context().executor().execute(() -> {
+			this.inFlight--;
+			reply(frame, (failure != null) ? PeerFrames.refusal(ErrorReply.toDispatchException(failure)) : reply);
+		}));
+	}
+
+	private CompletableFuture<PeerFrame.Builder> handle(PeerFrame frame) {
+		try {
+			Optional<CompletableFuture<PeerFrame.Builder>> reply = this.server.handler().handle(peer(), frame);
+			return reply.orElseGet(() -> CompletableFuture.failedFuture(DispatchException.of(ErrorKind.INTERNAL,
+					Outcome.UNKNOWN, "no reply was made to " + frame.getMessageCase())));
+		}
+		catch (RuntimeException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
+	private void reply(PeerFrame request, PeerFrame.Builder reply) {
+		if (isRefused() || !context().channel().isActive()) {
+			return;
+		}
+		PeerFrame frame = reply.setProtocolVersion(PeerFrames.PROTOCOL_VERSION)
+			.setCorrelationId(request.getCorrelationId())
+			.build();
+		if (frame.getSerializedSize() > settings().limits().maxFrameBytes()) {
+			write(PeerFrames
+				.refusal(DispatchException.of(ErrorKind.INTERNAL, Outcome.UNKNOWN,
+						"the reply has " + frame.getSerializedSize() + " bytes, the limit is "
+								+ settings().limits().maxFrameBytes()))
+				.setCorrelationId(request.getCorrelationId())
+				.build());
+			return;
+		}
+		write(frame);
+	}
+
+	@Override
+	void probe() {
+		// The opening end sends the probes.
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+		// A peer that does not read its replies may not send more requests. The opening
+		// end never stops reading, so that the two ends cannot wait for each other.
+		ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+	}
+
+	@Override
+	void ended(String reason) {
+		if (isRefused() && !this.counted) {
+			this.counted = true;
+			settings().metrics().connectionRefused();
+		}
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerConnection.java
@@ -0,0 +1,261 @@
+package org.limpetgate.net.peer;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+import javax.crypto.SecretKey;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+import org.limpetgate.proto.Hello;
+import org.limpetgate.proto.PeerFrame;
+
+/**
+ * Base of the two ends of a link: framing, refusals, handshake timeout and liveness.
+ * <p>
+ * All state belongs to the event loop of the connection.
+ */
+abstract class PeerConnection extends SimpleChannelInboundHandler<PeerFrame> {
+
+	private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+	/** Holds any hello or refusal; a stranger may not make the host hold more. */
+	private static final int MAX_HANDSHAKE_FRAME_BYTES = 4096;
+
+	/** Probes without any input after which a connection counts as dead. */
+	private static final int MAX_SILENT_PROBES = 4;
+
+	/** The time for the peer to read a refusal and close. */
+	private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private final PeerSettings settings;
+
+	private final PeerFrames.Decoder decoder = new PeerFrames.Decoder(MAX_HANDSHAKE_FRAME_BYTES);
+
+	private ChannelHandlerContext context;
+
+	private PeerIdentity peer;
+
+	private String keyId;
+
+	private SecretKey key;
+
+	private ScheduledFuture<?> timer;
+
+	private int silentProbes;
+
+	private boolean refused;
+
+	PeerConnection(PeerSettings settings) {
+		super(PeerFrame.class);
+		this.settings = settings;
+	}
+
+	void install(Channel channel, SslContext tls) {
+		ChannelPipeline pipeline = channel.pipeline();
+		if (tls != null) {
+			pipeline.addLast(tls.newHandler(channel.alloc()));
+		}
+		pipeline.addLast(this.decoder, this);
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext ctx) {
+		this.context = ctx;
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext ctx) throws Exception {
+		this.timer = ctx.executor()
+			.schedule(() -> refuse("the handshake took too long"), this.settings.limits().handshakeNanos(),
+					TimeUnit.NANOSECONDS);
+		opened();
+	}
+
+	/** Begins the handshake. */
+	abstract void opened();
+
+	/**
+	 * Handles a frame of the handshake.
+	 * @param frame the frame, of the right version
+	 */
+	abstract void handshake(PeerFrame frame);
+
+	/**
+	 * Handles a frame after the handshake.
+	 * @param frame the frame, of the right version
+	 */
+	abstract void received(PeerFrame frame);
+
+	/** Checks the liveness of a link that has passed the handshake. */
+	abstract void probe();
+
+	/**
+	 * Handles the end of the connection.
+	 * @param reason why it ended, for messages
+	 */
+	abstract void ended(String reason);
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext ctx, PeerFrame frame) {
+		if (this.refused) {
+			return;
+		}
+		this.settings.metrics().bytesReceived(frame.getSerializedSize());
+		this.silentProbes = 0;
+		if (frame.getProtocolVersion() != PeerFrames.PROTOCOL_VERSION) {
+			refuse("protocol version " + frame.getProtocolVersion() + " is not supported, this host speaks version "
+					+ PeerFrames.PROTOCOL_VERSION);
+		}
+		else if (this.peer != null) {
+			received(frame);
+		}
+		else if (frame.hasHello() || frame.hasRefusal()) {
+			handshake(frame);
+		}
+		else {
+			refuse("the first frames must be the handshake");
+		}
+	}
+
+	/**
+	 * Admits the peer after its proof.
+	 * @param identity the proved identity
+	 * @param usedKeyId the id of the key of the proof
+	 * @param usedKey the key of the proof
+	 */
+	void admit(PeerIdentity identity, String usedKeyId, SecretKey usedKey) {
+		this.peer = identity;
+		this.keyId = usedKeyId;
+		this.key = usedKey;
+		this.decoder.raiseLimit(this.settings.limits().maxFrameBytes());
+		this.timer.cancel(false);
+		long nanos = this.settings.limits().probeNanos();
+		this.timer = this.context.executor().scheduleWithFixedDelay(this::tick, nanos, nanos, TimeUnit.NANOSECONDS);
+	}
+
+	private void tick() {
+		this.silentProbes++;
+		if (!this.settings.keys().contains(this.keyId, this.key)) {
+			refuse("the key '" + this.keyId + "' of this link was removed");
+		}
+		else if (this.silentProbes > MAX_SILENT_PROBES) {
+			close("nothing was received for " + MAX_SILENT_PROBES + " probes");
+		}
+		else {
+			probe();
+		}
+	}
+
+	/**
+	 * Writes a frame.
+	 * @param frame the frame
+	 * @return completes when the operating system has taken the whole frame
+	 */
+	ChannelFuture write(PeerFrame frame) {
+		ByteBuf bytes = PeerFrames.encode(this.context.alloc(), frame);
+		this.settings.metrics().bytesSent(bytes.readableBytes());
+		return this.context.writeAndFlush(bytes);
+	}
+
+	void writeHello(Hello hello) {
+		write(PeerFrame.newBuilder().setProtocolVersion(PeerFrames.PROTOCOL_VERSION).setHello(hello).build());
+	}
+
+	/**
+	 * Tells the peer why the link is not accepted and closes it. Input is read on until
+	 * the peer closes, because a close with unread input would reset the connection and
+	 * destroy the refusal.
+	 * @param reason the reason
+	 */
+	void refuse(String reason) {
+		if (this.refused) {
+			return;
+		}
+		this.refused = true;
+		this.decoder.discardInput();
+		cancelTimer();
+		LOG.atInfo()
+			.atMostEvery(1, TimeUnit.SECONDS)
+			.log("LG5101 PEER_REFUSED refused the connection with %s: %s", this.context.channel().remoteAddress(),
+					reason);
+		DispatchException error = DispatchException.of(ErrorKind.PEER_REFUSED, Outcome.NOT_RUN, reason);
+		write(PeerFrames.refusal(error).build()).addListener((written) -> endOutput());
+		this.timer = this.context.executor().schedule(() -> close(reason), LINGER_NANOS, TimeUnit.NANOSECONDS);
+		ended(reason);
+	}
+
+	private void endOutput() {
+		if (this.context.pipeline().get(SslHandler.class) != null) {
+			this.context.pipeline().get(SslHandler.class).closeOutbound();
+		}
+		else if (this.context.channel() instanceof DuplexChannel channel) {
+			channel.shutdownOutput();
+		}
+	}
+
+	void close(String reason) {
+		ended(reason);
+		this.context.close();
+	}
+
+	private void cancelTimer() {
+		if (this.timer != null) {
+			this.timer.cancel(false);
+			this.timer = null;
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) {
+		cancelTimer();
+		ended("the connection was closed");
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		boolean fromTls = cause instanceof DecoderException && cause.getCause() instanceof IOException;
+		Throwable root = fromTls ? cause.getCause() : cause;
+		if (root instanceof DecoderException) {
+			refuse(root.getMessage());
+			return;
+		}
+		if (!(root instanceof IOException)) {
+			LOG.atWarning()
+				.atMostEvery(1, TimeUnit.SECONDS)
+				.withCause(root)
+				.log("LG5102 PEER_LINK_FAULT link with %s failed", ctx.channel().remoteAddress());
+		}
+		close("the connection failed: " + root.getMessage());
+	}
+
+	PeerSettings settings() {
+		return this.settings;
+	}
+
+	PeerIdentity peer() {
+		return this.peer;
+	}
+
+	ChannelHandlerContext context() {
+		return this.context;
+	}
+
+	boolean isRefused() {
+		return this.refused;
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerFrames.java
@@ -0,0 +1,141 @@
+package org.limpetgate.net.peer;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufOutputStream;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.TooLongFrameException;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+import org.limpetgate.proto.PeerFrame;
+import org.limpetgate.proto.Refusal;
+
+/**
+ * Encodes and decodes frames: a length of four bytes, then the protobuf message.
+ */
+final class PeerFrames {
+
+	static final int PROTOCOL_VERSION = 1;
+
+	private static final int LENGTH_BYTES = 4;
+
+	/** Separates the name of the kind from the outcome in the error of a refusal. */
+	private static final char OUTCOME_SEPARATOR = '/';
+
+	private PeerFrames() {
+	}
+
+	static ByteBuf encode(ByteBufAllocator allocator, PeerFrame frame) {
+		int size = frame.getSerializedSize();
+		ByteBuf buffer = allocator.buffer(LENGTH_BYTES + size);
+		buffer.writeInt(size);
+		try (ByteBufOutputStream output = new ByteBufOutputStream(buffer)) {
+			frame.writeTo(output);
+		}
+		catch (IOException ex) {
+			buffer.release();
+			throw new UncheckedIOException(ex);
+		}
+		return buffer;
+	}
+
+	/**
+	 * Returns the frame that tells the peer of a failure. The message has no field for
+	 * the outcome, so that any outcome other than {@link Outcome#NOT_RUN} follows the
+	 * name of the kind.
+	 * @param error the failure
+	 * @return the frame without a correlation id
+	 */
+	static PeerFrame.Builder refusal(DispatchException error) {
+		String suffix = (error.outcome() == Outcome.NOT_RUN) ? "" : OUTCOME_SEPARATOR + error.outcome().text();
+		return PeerFrame.newBuilder()
+			.setProtocolVersion(PROTOCOL_VERSION)
+			.setRefusal(Refusal.newBuilder().setError(error.kind().name() + suffix).setMessage(error.getMessage()));
+	}
+
+	/**
+	 * Returns the failure that a refusal tells of.
+	 * @param refusal the refusal
+	 * @return the failure; of kind {@link ErrorKind#INTERNAL} with outcome
+	 * {@link Outcome#UNKNOWN} if the refusal cannot be read
+	 */
+	static DispatchException toException(Refusal refusal) {
+		String[] parts = refusal.getError().split(String.valueOf(OUTCOME_SEPARATOR), 2);
+		try {
+			ErrorKind kind = ErrorKind.valueOf(parts[0]);
+			Outcome outcome = (parts.length == 1) ? Outcome.NOT_RUN : Outcome.parse(parts[1]);
+			return DispatchException.of(kind, outcome, withoutRemedy(refusal.getMessage(), kind));
+		}
+		catch (IllegalArgumentException ex) {
+			return DispatchException.of(ErrorKind.INTERNAL, Outcome.UNKNOWN,
+					"the peer refused with the unknown error '" + refusal.getError() + "': " + refusal.getMessage());
+		}
+	}
+
+	private static String withoutRemedy(String message, ErrorKind kind) {
+		String suffix = "; " + kind.remedy();
+		return message.endsWith(suffix) ? message.substring(0, message.length() - suffix.length()) : message;
+	}
+
+	/**
+	 * Decodes frames up to a bound that is raised after the handshake, so that a stranger
+	 * cannot make the host hold a large frame.
+	 */
+	static final class Decoder extends ByteToMessageDecoder {
+
+		private int maxFrameBytes;
+
+		private boolean discarding;
+
+		Decoder(int maxFrameBytes) {
+			this.maxFrameBytes = maxFrameBytes;
+		}
+
+		void raiseLimit(int bytes) {
+			this.maxFrameBytes = bytes;
+		}
+
+		void discardInput() {
+			this.discarding = true;
+		}
+
+		@Override
+		protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws IOException {
+			if (this.discarding) {
+				in.skipBytes(in.readableBytes());
+				return;
+			}
+			if (in.readableBytes() < LENGTH_BYTES) {
+				return;
+			}
+			long length = in.getUnsignedInt(in.readerIndex());
+			if (length > this.maxFrameBytes) {
+				throw new TooLongFrameException(
+						"the frame has " + length + " bytes, the limit is " + this.maxFrameBytes);
+			}
+			if (in.readableBytes() < LENGTH_BYTES + length) {
+				return;
+			}
+			in.skipBytes(LENGTH_BYTES);
+			out.add(parse(in.readSlice((int) length)));
+		}
+
+		private static PeerFrame parse(ByteBuf bytes) {
+			try {
+				return PeerFrame.parseFrom(bytes.nioBuffer());
+			}
+			catch (IOException ex) {
+				throw new CorruptedFrameException("the frame is not a PeerFrame");
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLimits.java
@@ -0,0 +1,67 @@
+package org.limpetgate.net.peer;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.WriteBufferWaterMark;
+
+/**
+ * The bounds of links.
+ *
+ * @param maxFrameBytes the largest frame after the handshake, in bytes
+ * @param maxInFlight the largest number of requests without a reply on one link
+ * @param maxConnections the largest number of accepted connections
+ * @param handshakeNanos the time to open a connection and to prove both sides, in
+ * nanoseconds
+ * @param probeNanos the interval of liveness probes, in nanoseconds; a link without input
+ * for four of them is closed
+ * @param minBackoffNanos the longest delay before the first attempt to reconnect, in
+ * nanoseconds
+ * @param maxBackoffNanos the longest delay before any attempt to reconnect, in
+ * nanoseconds
+ */
+public record PeerLimits(int maxFrameBytes, int maxInFlight, int maxConnections, long handshakeNanos, long probeNanos,
+		long minBackoffNanos, long maxBackoffNanos) {
+
+	/**
+	 * Returns the usual limits.
+	 * @return the limits, not null
+	 */
+	public static PeerLimits defaults() {
+		return new PeerLimits(8 * 1024 * 1024, 4096, 1024, TimeUnit.SECONDS.toNanos(2), TimeUnit.SECONDS.toNanos(1),
+				TimeUnit.MILLISECONDS.toNanos(50), TimeUnit.SECONDS.toNanos(2));
+	}
+
+	/**
+	 * Returns the unsent bytes at which a link counts as full and as free again. One
+	 * frame of the largest size always fits.
+	 * @return the mark, not null
+	 */
+	WriteBufferWaterMark waterMark() {
+		return new WriteBufferWaterMark(this.maxFrameBytes / 2, this.maxFrameBytes);
+	}
+
+	/**
+	 * Returns a copy with other bounds of memory.
+	 * @param maxFrameBytes the largest frame after the handshake, in bytes
+	 * @param maxInFlight the largest number of requests without a reply on one link
+	 * @return the copy, not null
+	 */
+	public PeerLimits withMemory(int maxFrameBytes, int maxInFlight) {
+		return new PeerLimits(maxFrameBytes, maxInFlight, this.maxConnections, this.handshakeNanos, this.probeNanos,
+				this.minBackoffNanos, this.maxBackoffNanos);
+	}
+
+	/**
+	 * Returns a copy with other times.
+	 * @param handshakeNanos the time for connection and handshake, in nanoseconds
+	 * @param probeNanos the interval of liveness probes, in nanoseconds
+	 * @param maxBackoffNanos the longest delay before an attempt to reconnect, in
+	 * nanoseconds
+	 * @return the copy, not null
+	 */
+	public PeerLimits withTimes(long handshakeNanos, long probeNanos, long maxBackoffNanos) {
+		return new PeerLimits(this.maxFrameBytes, this.maxInFlight, this.maxConnections, handshakeNanos, probeNanos,
+				Math.min(this.minBackoffNanos, maxBackoffNanos), maxBackoffNanos);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLink.java
@@ -0,0 +1,241 @@
+package org.limpetgate.net.peer;
+
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.HostId;
+import org.limpetgate.Outcome;
+import org.limpetgate.proto.PeerFrame;
+
+/**
+ * The outgoing link to one peer, opened again after each loss.
+ * <p>
+ * Connection state belongs to one event loop; the counters bound what other threads hand
+ * to it.
+ */
+final class PeerLink {
+
+	private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+	private final PeerAddress peer;
+
+	private final EventLoop loop;
+
+	private final PeerSettings settings;
+
+	private final SplittableRandom random;
+
+	private final AtomicInteger outstanding = new AtomicInteger();
+
+	private final AtomicInteger unsent = new AtomicInteger();
+
+	/** The connection that passed the handshake, null while there is none. */
+	private OutboundConnection connection;
+
+	private ChannelFuture connecting;
+
+	private int failures;
+
+	private boolean cut;
+
+	private boolean closed;
+
+	private volatile boolean up;
+
+	private String lastFault = "no connection yet";
+
+	PeerLink(PeerAddress peer, EventLoop loop, PeerSettings settings, SplittableRandom random) {
+		this.peer = peer;
+		this.loop = loop;
+		this.settings = settings;
+		this.random = random;
+	}
+
+	void start() {
+		this.loop.execute(this::connect);
+	}
+
+	private void connect() {
+		if (this.closed || this.cut || this.connecting != null) {
+			return;
+		}
+		OutboundConnection opening = new OutboundConnection(this, this.settings);
+		this.connecting = new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.WRITE_BUFFER_WATER_MARK, this.settings.limits().waterMark())
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis())
+			.handler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					opening.install(channel,
+							(PeerLink.this.settings.tls() != null) ? PeerLink.this.settings.tls().client() : null);
+				}
+			})
+			.connect(this.peer.address());
+		this.connecting.addListener((connected) -> {
+			if (!connected.isSuccess()) {
+				this.lastFault = connected.cause().getMessage();
+			}
+		});
+		this.connecting.channel().closeFuture().addListener((end) -> {
+			this.connecting = null;
+			reconnectLater();
+		});
+	}
+
+	private int connectMillis() {
+		return (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(this.settings.limits().handshakeNanos()));
+	}
+
+	private void reconnectLater() {
+		if (this.closed || this.cut) {
+			return;
+		}
+		this.loop.schedule(this::connect, backoffNanos(), TimeUnit.NANOSECONDS);
+		this.failures++;
+	}
+
+	/**
+	 * Returns the delay before the next attempt: doubled with each failure, with the
+	 * upper half random so that the hosts do not reconnect to a restarted one together.
+	 * @return the delay in nanoseconds
+	 */
+	private long backoffNanos() {
+		PeerLimits limits = this.settings.limits();
+		int doublings = Math.min(this.failures, 20);
+		long longest = Math.min(limits.maxBackoffNanos(), limits.minBackoffNanos() << doublings);
+		return longest / 2 + this.random.nextLong(longest / 2 + 1);
+	}
+
+	void up(OutboundConnection opened) {
+		this.connection = opened;
+		this.up = true;
+		this.failures = 0;
+		this.settings.metrics().linkUp(host());
+		LOG.atInfo().log("LG5103 PEER_LINK_UP link to %s is up", opened.peer().incarnation());
+	}
+
+	void down(OutboundConnection ended, String reason) {
+		this.lastFault = reason;
+		if (this.connection == ended) {
+			this.connection = null;
+			this.up = false;
+			this.settings.metrics().linkDown(host());
+			LOG.atInfo().log("LG5104 PEER_LINK_DOWN link to %s is down: %s", host(), reason);
+		}
+	}
+
+	CompletableFuture<PeerFrame> request(PeerFrame message, long timeoutNanos) {
+		CompletableFuture<PeerFrame> reply = new CompletableFuture<>();
+		if (message.getSerializedSize() > this.settings.limits().maxFrameBytes() - PeerLinks.FRAME_HEAD_BYTES) {
+			reply.completeExceptionally(DispatchException.of(ErrorKind.BODY_TOO_LARGE, Outcome.NOT_RUN,
+					"the message to " + host() + " has " + message.getSerializedSize() + " bytes"));
+			return reply;
+		}
+		int count = this.outstanding.incrementAndGet();
+		reply.whenComplete((frame, failure) -> this.outstanding.decrementAndGet());
+		if (count > this.settings.limits().maxInFlight()) {
+			reply.completeExceptionally(DispatchException.of(ErrorKind.OVERLOADED, Outcome.NOT_RUN,
+					"the link to " + host() + " has " + (count - 1) + " requests in flight"));
+			return reply;
+		}
+		if (!execute(() -> requestOnLoop(message, timeoutNanos, reply))) {
+			reply.completeExceptionally(unreachable("the host is closing"));
+		}
+		return reply;
+	}
+
+	private void requestOnLoop(PeerFrame message, long timeoutNanos, CompletableFuture<PeerFrame> reply) {
+		if (this.connection == null) {
+			reply.completeExceptionally(unreachable(this.lastFault));
+		}
+		else {
+			this.connection.request(message, timeoutNanos, reply);
+		}
+	}
+
+	private DispatchException unreachable(String reason) {
+		return DispatchException.of(ErrorKind.HOLDER_UNREACHABLE, Outcome.NOT_RUN,
+				"no link to " + host() + ": " + reason);
+	}
+
+	void send(PeerFrame message) {
+		if (this.unsent.incrementAndGet() > this.settings.limits().maxInFlight()
+				|| !execute(() -> sendOnLoop(message))) {
+			this.unsent.decrementAndGet();
+			this.settings.metrics().messageDropped(host());
+		}
+	}
+
+	private void sendOnLoop(PeerFrame message) {
+		this.unsent.decrementAndGet();
+		if (this.connection == null || !this.connection.send(message)) {
+			this.settings.metrics().messageDropped(host());
+		}
+	}
+
+	private boolean execute(Runnable task) {
+		try {
+			this.loop.execute(task);
+			return true;
+		}
+		catch (RejectedExecutionException ex) {
+			return false;
+		}
+	}
+
+	void setCut(boolean value) {
+		execute(() -> {
+			this.cut = value;
+			if (value) {
+				closeConnection("the link is cut");
+			}
+			else {
+				connect();
+			}
+		});
+	}
+
+	void close() {
+		execute(() -> {
+			this.closed = true;
+			closeConnection("the peer is no longer configured");
+		});
+	}
+
+	private void closeConnection(String reason) {
+		if (this.connection != null) {
+			this.connection.close(reason);
+		}
+		else if (this.connecting != null) {
+			this.connecting.channel().close();
+		}
+	}
+
+	HostId host() {
+		return this.peer.host();
+	}
+
+	PeerAddress peer() {
+		return this.peer;
+	}
+
+	boolean isUp() {
+		return this.up;
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
@@ -0,0 +1,155 @@
+package org.limpetgate.net.peer;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+
+import io.netty.channel.EventLoopGroup;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.HostId;
+import org.limpetgate.Outcome;
+import org.limpetgate.proto.PeerFrame;
+
+/**
+ * The outgoing links to all peers.
+ * <p>
+ * Requests go out on the host's own connection to the peer and their replies come back on
+ * it; requests of the peer arrive at the {@link PeerServer}. Nothing waits for a link:
+ * while it is down, requests fail at once and one-way messages are dropped.
+ * <p>
+ * Thread-safe.
+ */
+public final class PeerLinks {
+
+	/** Room for version and correlation id in a frame. */
+	static final int FRAME_HEAD_BYTES = 32;
+
+	private final EventLoopGroup group;
+
+	private final PeerSettings settings;
+
+	private final SplittableRandom random;
+
+	/** Replaced whole, so that requests need no lock. */
+	private volatile Map<HostId, PeerLink> links = Map.of();
+
+	private PeerLinks(EventLoopGroup group, PeerSettings settings, SplittableRandom random) {
+		this.group = group;
+		this.settings = settings;
+		this.random = random;
+	}
+
+	/**
+	 * Returns links without peers.
+	 * @param group the threads, not shut down by the links
+	 * @param settings the settings, not null
+	 * @param random the source of jitter, not used elsewhere afterwards
+	 * @return the links, not null
+	 */
+	public static PeerLinks of(EventLoopGroup group, PeerSettings settings, SplittableRandom random) {
+		return new PeerLinks(group, settings, random);
+	}
+
+	/**
+	 * Replaces the peers. Links to peers that stay at their address are kept.
+	 * @param peers the peers, not null; this host itself is ignored
+	 */
+	public synchronized void configure(List<PeerAddress> peers) {
+		Map<HostId, PeerLink> next = new HashMap<>();
+		for (PeerAddress peer : peers) {
+			if (!peer.host().equals(this.settings.self().host())) {
+				PeerLink present = this.links.get(peer.host());
+				boolean kept = present != null && present.peer().equals(peer);
+				next.put(peer.host(), kept ? present : open(peer));
+			}
+		}
+		this.links.forEach((host, link) -> {
+			if (next.get(host) != link) {
+				link.close();
+			}
+		});
+		this.links = Map.copyOf(next);
+	}
+
+	private PeerLink open(PeerAddress peer) {
+		PeerLink link = new PeerLink(peer, this.group.next(), this.settings, this.random.split());
+		link.start();
+		return link;
+	}
+
+	/**
+	 * Sends a request.
+	 * @param host the peer, not null
+	 * @param message the message; version and correlation id are set here
+	 * @param timeoutNanos the time until the reply must be there, in nanoseconds
+	 * @return the reply, or a failure with a {@link DispatchException}:
+	 * {@link Outcome#NOT_RUN} if the request provably did not leave whole or the peer
+	 * declared so, else {@link Outcome#UNKNOWN}; not null
+	 */
+	public CompletableFuture<PeerFrame> request(HostId host, PeerFrame.Builder message, long timeoutNanos) {
+		PeerLink link = this.links.get(host);
+		if (link == null) {
+			return CompletableFuture.failedFuture(DispatchException.of(ErrorKind.HOLDER_UNREACHABLE, Outcome.NOT_RUN,
+					"'" + host + "' is not a configured peer"));
+		}
+		return link.request(message.build(), timeoutNanos);
+	}
+
+	/**
+	 * Sends a one-way message. It is dropped if the link is down or has unsent bytes over
+	 * its bound, since a later message replaces it.
+	 * @param host the peer, not null
+	 * @param message the message; version and correlation id are set here
+	 */
+	public void send(HostId host, PeerFrame.Builder message) {
+		PeerLink link = this.links.get(host);
+		if (link == null) {
+			this.settings.metrics().messageDropped(host);
+		}
+		else {
+			link.send(message.build());
+		}
+	}
+
+	/**
+	 * Tests whether a link has passed the handshake and is open.
+	 * @param host the peer, not null
+	 * @return true if requests can be sent now
+	 */
+	public boolean isUp(HostId host) {
+		PeerLink link = this.links.get(host);
+		return link != null && link.isUp();
+	}
+
+	/**
+	 * Closes a link and keeps it closed, as a test of a network failure.
+	 * @param host the peer, not null
+	 */
+	public void cut(HostId host) {
+		setCut(host, true);
+	}
+
+	/**
+	 * Opens a link again after {@link #cut}.
+	 * @param host the peer, not null
+	 */
+	public void restore(HostId host) {
+		setCut(host, false);
+	}
+
+	private void setCut(HostId host, boolean cut) {
+		PeerLink link = this.links.get(host);
+		if (link != null) {
+			link.setCut(cut);
+		}
+	}
+
+	/** Closes all links; requests without a reply fail. */
+	public void close() {
+		configure(List.of());
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerMetrics.java
@@ -0,0 +1,59 @@
+package org.limpetgate.net.peer;
+
+import org.limpetgate.HostId;
+
+/**
+ * Receives the counts of {@link PeerLinks} and {@link PeerServer}.
+ * <p>
+ * Called on traffic threads; implementations are thread-safe and do not block.
+ */
+public interface PeerMetrics {
+
+	/** Ignores all counts. */
+	PeerMetrics NONE = new PeerMetrics() {
+	};
+
+	/**
+	 * Counts an outgoing link that passed the handshake.
+	 * @param peer the other host
+	 */
+	default void linkUp(HostId peer) {
+	}
+
+	/**
+	 * Counts an outgoing link that was lost after the handshake.
+	 * @param peer the other host
+	 */
+	default void linkDown(HostId peer) {
+	}
+
+	/** Counts an accepted connection that was refused. */
+	default void connectionRefused() {
+	}
+
+	/**
+	 * Counts a one-way message that was dropped because the link was down or full.
+	 * @param peer the other host
+	 */
+	default void messageDropped(HostId peer) {
+	}
+
+	/** Counts a reply that came after its request had timed out. */
+	default void lateReply() {
+	}
+
+	/**
+	 * Counts the bytes of a frame that was sent.
+	 * @param bytes the number of bytes
+	 */
+	default void bytesSent(int bytes) {
+	}
+
+	/**
+	 * Counts the bytes of a frame that was received.
+	 * @param bytes the number of bytes
+	 */
+	default void bytesReceived(int bytes) {
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerServer.java
@@ -0,0 +1,130 @@
+package org.limpetgate.net.peer;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import org.limpetgate.HostId;
+
+/**
+ * Accepts the links of other entry hosts.
+ * <p>
+ * Only holders of a configured key are admitted; others get a refusal that names the
+ * reason. Thread-safe.
+ */
+public final class PeerServer {
+
+	private final PeerSettings settings;
+
+	private final PeerHandler handler;
+
+	private final Set<InboundConnection> connections = ConcurrentHashMap.newKeySet();
+
+	private final Set<HostId> cut = ConcurrentHashMap.newKeySet();
+
+	private Channel listener;
+
+	private PeerServer(PeerSettings settings, PeerHandler handler) {
+		this.settings = settings;
+		this.handler = handler;
+	}
+
+	/**
+	 * Starts a server.
+	 * @param group the threads, not shut down by the server
+	 * @param address the address to listen on; port 0 chooses a free port
+	 * @param settings the settings, not null
+	 * @param handler the handler, not null
+	 * @return the listening server, not null
+	 * @throws UncheckedIOException if the address cannot be used
+	 */
+	public static PeerServer start(EventLoopGroup group, InetSocketAddress address, PeerSettings settings,
+			PeerHandler handler) {
+		PeerServer server = new PeerServer(settings, handler);
+		ChannelFuture bound = new ServerBootstrap().group(group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, settings.limits().waterMark())
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					server.accept(channel);
+				}
+			})
+			.bind(address)
+			.awaitUninterruptibly();
+		if (!bound.isSuccess()) {
+			throw new UncheckedIOException(new IOException(
+					"cannot listen for peers on " + address + "; choose a free local address and port", bound.cause()));
+		}
+		server.listener = bound.channel();
+		return server;
+	}
+
+	private void accept(SocketChannel channel) {
+		InboundConnection connection = new InboundConnection(this, this.settings);
+		connection.install(channel, (this.settings.tls() != null) ? this.settings.tls().server() : null);
+		this.connections.add(connection);
+		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
+	}
+
+	/**
+	 * Returns the address that the server listens on.
+	 * @return the address with the port in use, not null
+	 */
+	public InetSocketAddress address() {
+		return (InetSocketAddress) this.listener.localAddress();
+	}
+
+	/** Stops listening and closes all links. */
+	public void close() {
+		this.listener.close().awaitUninterruptibly();
+		this.connections.forEach(
+				(connection) -> connection.context().executor().execute(() -> connection.close("the host is closing")));
+	}
+
+	/**
+	 * Closes the links of a host and admits no new ones, as a test of a network failure.
+	 * @param host the host, not null
+	 */
+	public void cut(HostId host) {
+		this.cut.add(host);
+		this.connections.forEach((connection) -> connection.context().executor().execute(() -> {
+			if (connection.peer() != null && connection.peer().host().equals(host)) {
+				connection.close("the link is cut");
+			}
+		}));
+	}
+
+	/**
+	 * Admits a host again after {@link #cut}.
+	 * @param host the host, not null
+	 */
+	public void restore(HostId host) {
+		this.cut.remove(host);
+	}
+
+	PeerHandler handler() {
+		return this.handler;
+	}
+
+	boolean isCut(HostId host) {
+		return this.cut.contains(host);
+	}
+
+	boolean isOverLimit() {
+		return this.connections.size() > this.settings.limits().maxConnections();
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerSettings.java
@@ -0,0 +1,60 @@
+package org.limpetgate.net.peer;
+
+import java.util.Objects;
+
+/**
+ * What links and server of one host have in common.
+ *
+ * @param self the identity of this host
+ * @param keys the keys that admit hosts
+ * @param limits the bounds
+ * @param tls the TLS contexts, null for links without TLS
+ * @param metrics the receiver of counts
+ */
+public record PeerSettings(PeerIdentity self, PeerKeys keys, PeerLimits limits, PeerTls tls, PeerMetrics metrics) {
+
+	public PeerSettings {
+		Objects.requireNonNull(self, "self");
+		Objects.requireNonNull(keys, "keys");
+		Objects.requireNonNull(limits, "limits");
+		Objects.requireNonNull(metrics, "metrics");
+	}
+
+	/**
+	 * Returns settings with the usual limits, without TLS and metrics.
+	 * @param self the identity of this host, not null
+	 * @param keys the keys that admit hosts, not null
+	 * @return the settings, not null
+	 */
+	public static PeerSettings of(PeerIdentity self, PeerKeys keys) {
+		return new PeerSettings(self, keys, PeerLimits.defaults(), null, PeerMetrics.NONE);
+	}
+
+	/**
+	 * Returns a copy with other limits.
+	 * @param limits the bounds, not null
+	 * @return the copy, not null
+	 */
+	public PeerSettings withLimits(PeerLimits limits) {
+		return new PeerSettings(this.self, this.keys, limits, this.tls, this.metrics);
+	}
+
+	/**
+	 * Returns a copy with TLS.
+	 * @param tls the TLS contexts, not null
+	 * @return the copy, not null
+	 */
+	public PeerSettings withTls(PeerTls tls) {
+		return new PeerSettings(this.self, this.keys, this.limits, Objects.requireNonNull(tls, "tls"), this.metrics);
+	}
+
+	/**
+	 * Returns a copy with metrics.
+	 * @param metrics the receiver of counts, not null
+	 * @return the copy, not null
+	 */
+	public PeerSettings withMetrics(PeerMetrics metrics) {
+		return new PeerSettings(this.self, this.keys, this.limits, this.tls, metrics);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Authenticated links between entry hosts.
+ */
+package org.limpetgate.net.peer;
--- a/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpServerTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpServerTests.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -159,6 +160,15 @@
 			assertThat(once(GET).body()).as(c.name()).isEqualTo("/a?b=c");
 		}
 		assertThat(this.calls).hasSize(cases.size());
+		assertAllBytesReleased();
+	}
+
+	// The bytes are released after the answer was written, which the caller may see
+	// first.
+	private void assertAllBytesReleased() {
+		for (int i = 0; i < 4000 && this.server.bufferedBytes() != 0; i++) {
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+		}
 		assertThat(this.server.bufferedBytes()).isZero();
 	}
 
@@ -183,7 +193,7 @@
 				assertRefused(part, connection.send(part).read(), ErrorKind.REQUEST_TIMEOUT);
 			}
 		}
-		assertThat(this.server.bufferedBytes()).isZero();
+		assertAllBytesReleased();
 		assertThat(this.calls).isEmpty();
 	}
 
@@ -207,7 +217,7 @@
 			assertThat(refused.header("retry-after")).isEqualTo("1");
 			assertThat(first.isAtEnd()).isTrue();
 		}
-		assertThat(this.server.bufferedBytes()).isZero();
+		assertAllBytesReleased();
 	}
 
 	private CompletableFuture<HttpReply> takeHeld() {
@@ -330,7 +340,7 @@
 			assertThat(pending.handle((reply, failure) -> failure).get(20, TimeUnit.SECONDS)).isNotNull();
 			this.server.drain().get(20, TimeUnit.SECONDS);
 			assertThat(idle.isAtEnd()).isTrue();
-			assertThat(this.server.bufferedBytes()).isZero();
+			assertAllBytesReleased();
 		}
 	}
 
--- /dev/null
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
@@ -0,0 +1,398 @@
+package org.limpetgate.net.peer;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.limpetgate.DataCentreId;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.HostId;
+import org.limpetgate.Incarnation;
+import org.limpetgate.Outcome;
+import org.limpetgate.proto.Hello;
+import org.limpetgate.proto.PeerFrame;
+import org.limpetgate.proto.QuerySubmission;
+import org.limpetgate.proto.SubmissionReply;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Contract tests for {@link PeerLinks} and {@link PeerServer}.
+ */
+class PeerLinksTests {
+
+	private static final long LONG_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+	private static final long SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+	private static final int MAX_FRAME = 2_000_000;
+
+	private static final byte[] KEY = new byte[32];
+
+	private static final byte[] OTHER_KEY = "another key of at least 32 bytes".getBytes();
+
+	private static final PeerLimits LIMITS = PeerLimits.defaults()
+		.withMemory(MAX_FRAME, 1000)
+		.withTimes(LONG_NANOS, LONG_NANOS, SHORT_NANOS);
+
+	private static final PeerIdentity A = identity("a");
+
+	private static final PeerIdentity B = identity("b");
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+
+	private final BlockingQueue<PeerFrame> received = new LinkedBlockingQueue<>();
+
+	private final BlockingQueue<CompletableFuture<PeerFrame.Builder>> held = new LinkedBlockingQueue<>();
+
+	private final AtomicInteger dropped = new AtomicInteger();
+
+	private final AtomicInteger downs = new AtomicInteger();
+
+	private final PeerKeys keysOfA = PeerKeys.of("k", Map.of("k", KEY));
+
+	private final PeerKeys keysOfB = PeerKeys.of("k", Map.of("k", KEY));
+
+	private PeerLimits limits = LIMITS;
+
+	private PeerServer server;
+
+	private PeerLinks links;
+
+	private static PeerIdentity identity(String host) {
+		return new PeerIdentity(Incarnation.of(HostId.of(host), 7), DataCentreId.of("dc"));
+	}
+
+	@AfterTry
+	void stop() {
+		if (this.links != null) {
+			this.links.close();
+		}
+		if (this.server != null) {
+			this.server.close();
+		}
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+	}
+
+	private void startServer(PeerTls tls) {
+		PeerSettings settings = PeerSettings.of(B, this.keysOfB).withLimits(this.limits);
+		this.server = PeerServer.start(this.group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+				(tls != null) ? settings.withTls(tls) : settings, this::handle);
+	}
+
+	private void startLinks(InetSocketAddress address, PeerTls tls) {
+		PeerSettings settings = PeerSettings.of(A, this.keysOfA).withLimits(this.limits).withMetrics(new PeerMetrics() {
+			@Override
+			public void messageDropped(HostId peer) {
+				PeerLinksTests.this.dropped.incrementAndGet();
+			}
+
+			@Override
+			public void linkDown(HostId peer) {
+				PeerLinksTests.this.downs.incrementAndGet();
+			}
+		});
+		this.links = PeerLinks.of(this.group, (tls != null) ? settings.withTls(tls) : settings,
+				new SplittableRandom(1));
+		this.links.configure(List.of(new PeerAddress(B.host(), address), new PeerAddress(A.host(), address)));
+	}
+
+	private void startBoth() {
+		startServer(null);
+		startLinks(this.server.address(), null);
+		awaitUp();
+	}
+
+	private Optional<CompletableFuture<PeerFrame.Builder>> handle(PeerIdentity peer, PeerFrame frame) {
+		assertThat(peer).isEqualTo(A);
+		this.received.add(frame);
+		if (frame.getCorrelationId() == 0) {
+			return Optional.empty();
+		}
+		return switch (frame.getQuerySubmission().getKey()) {
+			case "held" -> {
+				CompletableFuture<PeerFrame.Builder> future = new CompletableFuture<>();
+				this.held.add(future);
+				yield Optional.of(future);
+			}
+			case "none" -> Optional.empty();
+			case "throw" -> throw new IllegalStateException("fault");
+			case "refuse" -> Optional.of(CompletableFuture
+				.failedFuture(DispatchException.of(ErrorKind.OVERLOADED, Outcome.NOT_RUN, "full")));
+			case "lost" -> Optional.of(CompletableFuture
+				.failedFuture(DispatchException.of(ErrorKind.HOLDER_LOST, Outcome.UNKNOWN, "lost")));
+			case "large" -> reply("x".repeat(MAX_FRAME));
+			default -> reply(frame.getQuerySubmission().getKey());
+		};
+	}
+
+	private static Optional<CompletableFuture<PeerFrame.Builder>> reply(String text) {
+		return Optional.of(CompletableFuture.completedFuture(PeerFrame.newBuilder()
+			.setSubmissionReply(SubmissionReply.newBuilder().setBody(ByteString.copyFromUtf8(text)))));
+	}
+
+	private static PeerFrame.Builder query(String key) {
+		return PeerFrame.newBuilder().setQuerySubmission(QuerySubmission.newBuilder().setKey(key));
+	}
+
+	private CompletableFuture<PeerFrame> request(String key, long timeoutNanos) {
+		return this.links.request(B.host(), query(key), timeoutNanos);
+	}
+
+	private static String result(CompletableFuture<PeerFrame> future) {
+		try {
+			return future.join().getSubmissionReply().getBody().toStringUtf8();
+		}
+		catch (CompletionException ex) {
+			DispatchException error = (DispatchException) ex.getCause();
+			return error.outcome() + " " + error.kind();
+		}
+	}
+
+	private void awaitUp() {
+		await(() -> this.links.isUp(B.host()));
+	}
+
+	private static void await(BooleanSupplier condition) {
+		for (int i = 0; i < 4000 && !condition.getAsBoolean(); i++) {
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+		}
+		assertThat(condition.getAsBoolean()).isTrue();
+	}
+
+	/**
+	 * Guards against strangers, other versions and large frames that are admitted, or
+	 * refused without a reason that the operator can act on.
+	 */
+	@Example
+	void strangersAreRefusedWithAReason() throws IOException {
+		startServer(null);
+		Hello hello = PeerProof.newHello(A, "k");
+		record Case(String reason, PeerFrame.Builder... frames) {
+		}
+		List<Case> cases = List.of(
+				new Case("protocol version 2 is not supported, this host speaks version 1",
+						RawPeer.frame().setProtocolVersion(2).setHello(hello)),
+				new Case("protocol version 0 is not supported", PeerFrame.newBuilder()),
+				new Case("must be the handshake", query("x").setProtocolVersion(1)),
+				new Case("nonce has 0 bytes", RawPeer.frame().setHello(hello.toBuilder().clearNonce())),
+				new Case("key 'z' is not configured", RawPeer.frame().setHello(hello.toBuilder().setKeyId("z"))),
+				new Case("id of this host", RawPeer.frame().setHello(PeerProof.newHello(B, "k"))),
+				new Case("HostId", RawPeer.frame().setHello(hello.toBuilder().clearIncarnation())),
+				new Case("proof of key 'k' is wrong", RawPeer.frame().setHello(hello),
+						RawPeer.frame().setHello(hello.toBuilder().setMac(ByteString.copyFrom(new byte[32])))));
+		for (Case c : cases) {
+			try (RawPeer peer = RawPeer.open(this.server.address())) {
+				for (PeerFrame.Builder frame : c.frames()) {
+					peer.send(frame);
+				}
+				assertRefused(peer, c.reason());
+			}
+		}
+		try (RawPeer peer = RawPeer.open(this.server.address())) {
+			peer.send(MAX_FRAME, new byte[MAX_FRAME]);
+			assertRefused(peer, "the frame has 2000000 bytes, the limit is 4096");
+		}
+		try (RawPeer peer = RawPeer.open(this.server.address())) {
+			peer.send(3, new byte[] { -1, -1, -1 });
+			assertRefused(peer, "not a PeerFrame");
+		}
+		assertThat(this.received).isEmpty();
+		startLinks(this.server.address(), null);
+		awaitUp();
+	}
+
+	private static void assertRefused(RawPeer peer, String reason) throws IOException {
+		PeerFrame frame = peer.read();
+		while (frame.hasHello()) {
+			frame = peer.read();
+		}
+		assertThat(frame.getRefusal().getError()).isEqualTo("PEER_REFUSED");
+		assertThat(frame.getRefusal().getMessage()).contains(reason);
+		assertThat(peer.isAtEnd()).isTrue();
+	}
+
+	/**
+	 * Guards against a proof that the server gave being turned against it, and against a
+	 * recorded proof of an earlier connection.
+	 */
+	@Example
+	void proofsCannotBeReflectedOrReplayed() throws IOException {
+		startServer(null);
+		Hello hello = PeerProof.newHello(A, "k");
+		List<ByteString> proofs = new ArrayList<>();
+		for (int i = 0; i < 2; i++) {
+			try (RawPeer peer = RawPeer.open(this.server.address())) {
+				peer.send(hello);
+				Hello answer = peer.read().getHello();
+				proofs.add(answer.getMac());
+				peer.send(hello.toBuilder().setMac(proofs.get(0)).build());
+				assertRefused(peer, "proof of key 'k' is wrong");
+			}
+		}
+		assertThat(proofs.get(0)).isNotEqualTo(proofs.get(1));
+	}
+
+	/**
+	 * Guards against replies that reach another request, and against outcomes that claim
+	 * more than is known.
+	 */
+	@Example
+	void requestsEndWithTheRightOutcome() throws Exception {
+		startBoth();
+		CompletableFuture<PeerFrame> slow = request("held", LONG_NANOS);
+		CompletableFuture<PeerFrame> timedOut = request("held", SHORT_NANOS);
+		Map<String, String> cases = Map.of("x", "x", "refuse", Outcome.NOT_RUN + " " + ErrorKind.OVERLOADED, "lost",
+				Outcome.UNKNOWN + " " + ErrorKind.HOLDER_LOST, "throw", Outcome.UNKNOWN + " " + ErrorKind.INTERNAL,
+				"none", Outcome.UNKNOWN + " " + ErrorKind.INTERNAL, "large", Outcome.UNKNOWN + " " + ErrorKind.INTERNAL,
+				"x".repeat(MAX_FRAME), Outcome.NOT_RUN + " " + ErrorKind.BODY_TOO_LARGE);
+		for (Map.Entry<String, String> c : cases.entrySet()) {
+			assertThat(result(request(c.getKey(), LONG_NANOS))).isEqualTo(c.getValue());
+		}
+		assertThat(result(this.links.request(A.host(), query("x"), LONG_NANOS)))
+			.isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.HOLDER_UNREACHABLE);
+		assertThat(result(timedOut)).isEqualTo(Outcome.UNKNOWN + " " + ErrorKind.DEADLINE_EXCEEDED);
+		CompletableFuture<PeerFrame.Builder> first = this.held.poll(20, TimeUnit.SECONDS);
+		this.held.poll(20, TimeUnit.SECONDS).complete(reply("late").get().get());
+		first.complete(reply("slow").get().get());
+		assertThat(result(slow)).isEqualTo("slow");
+	}
+
+	/**
+	 * Guards against requests that vanish with a link, that are called not run although
+	 * they left, and against a link that does not come back.
+	 */
+	@Example
+	void cutLinksFailRequestsAndComeBack() throws Exception {
+		startBoth();
+		for (boolean here : List.of(true, false)) {
+			CompletableFuture<PeerFrame> inFlight = request("held", LONG_NANOS);
+			this.held.poll(20, TimeUnit.SECONDS);
+			int before = this.dropped.get();
+			if (here) {
+				this.links.cut(B.host());
+			}
+			else {
+				this.server.cut(A.host());
+			}
+			assertThat(result(inFlight)).isEqualTo(Outcome.UNKNOWN + " " + ErrorKind.HOLDER_UNREACHABLE);
+			assertThat(result(request("x", LONG_NANOS)))
+				.isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.HOLDER_UNREACHABLE);
+			this.links.send(B.host(), query("one-way"));
+			await(() -> this.dropped.get() == before + 1);
+			this.links.restore(B.host());
+			this.server.restore(A.host());
+			awaitUp();
+			assertThat(result(request("x", LONG_NANOS))).isEqualTo("x");
+		}
+		this.received.clear();
+		this.links.send(B.host(), query("one-way"));
+		assertThat(this.received.poll(20, TimeUnit.SECONDS).getQuerySubmission().getKey()).isEqualTo("one-way");
+	}
+
+	/**
+	 * Guards against a rotation of keys that needs a restart, and against links that
+	 * outlive the key that admitted them.
+	 */
+	@Example
+	void keysAreRotatedAtRunTime() throws Exception {
+		this.limits = LIMITS.withTimes(LONG_NANOS, SHORT_NANOS, SHORT_NANOS);
+		startServer(null);
+		this.keysOfB.replace("n", Map.of("n", OTHER_KEY));
+		startLinks(this.server.address(), null);
+		this.keysOfA.replace("n", Map.of("n", KEY));
+		assertThat(result(request("x", LONG_NANOS))).isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.HOLDER_UNREACHABLE);
+		this.keysOfA.replace("n", Map.of("n", OTHER_KEY, "k", KEY));
+		awaitUp();
+		this.keysOfB.replace("n", Map.of("n", OTHER_KEY, "k", KEY));
+		int before = this.downs.get();
+		this.keysOfA.replace("k", Map.of("k", KEY));
+		await(() -> this.downs.get() > before);
+		await(() -> result(request("x", LONG_NANOS)).equals("x"));
+	}
+
+	/**
+	 * Guards against a wrong host at an address, and against requests that wait on a peer
+	 * that accepts the link and then stays silent or stops reading.
+	 */
+	@Example
+	void deadPeersAreNoticed() throws Exception {
+		this.limits = LIMITS.withTimes(LONG_NANOS, SHORT_NANOS, SHORT_NANOS);
+		try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+			startLinks((InetSocketAddress) listener.getLocalSocketAddress(), null);
+			try (RawPeer wrong = new RawPeer(listener.accept())) {
+				wrong.accept(identity("c"), KEY);
+				assertThat(wrong.isAtEnd()).isTrue();
+			}
+			try (RawPeer silent = new RawPeer(listener.accept())) {
+				silent.accept(B, KEY);
+				awaitUp();
+				List<CompletableFuture<PeerFrame>> replies = new ArrayList<>();
+				for (int i = 0; i < 40; i++) {
+					replies.add(request("x".repeat(MAX_FRAME / 4), LONG_NANOS));
+				}
+				Set<String> results = new TreeSet<>();
+				for (CompletableFuture<PeerFrame> reply : replies) {
+					results.add(result(reply));
+				}
+				assertThat(results).contains(Outcome.UNKNOWN + " " + ErrorKind.HOLDER_UNREACHABLE,
+						Outcome.NOT_RUN + " " + ErrorKind.HOLDER_UNREACHABLE);
+			}
+		}
+	}
+
+	/**
+	 * Guards against TLS that admits certificates of another authority.
+	 */
+	@Example
+	void tlsAdmitsThePrivateAuthorityOnly() throws Exception {
+		startServer(tls("private"));
+		startLinks(this.server.address(), tls("private"));
+		awaitUp();
+		assertThat(result(request("x", LONG_NANOS))).isEqualTo("x");
+		this.links.close();
+		for (PeerTls stranger : new PeerTls[] { tls("stranger"), null }) {
+			startLinks(this.server.address(), stranger);
+			assertThat(result(request("x", LONG_NANOS)))
+				.isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.HOLDER_UNREACHABLE);
+			this.links.close();
+		}
+		assertThat(this.received).hasSize(1);
+	}
+
+	private static PeerTls tls(String authority) throws IOException {
+		return PeerTls.of(resource(authority + "-host.pem"), resource(authority + "-host.key"),
+				resource(authority + "-ca.pem"));
+	}
+
+	private static byte[] resource(String name) throws IOException {
+		try (InputStream input = PeerLinksTests.class.getResourceAsStream(name)) {
+			return input.readAllBytes();
+		}
+	}
+
+}
