Close test upstreams and wrong peers without a race

The scripts now wait until the client has closed its end; the wrong host case also asserts the refusal.

--- a/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpClientTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpClientTests.java
@@ -106,8 +106,11 @@
 				new Case("failed", "HTTP/1.1 503 S\r\nContent-Length: 2\r\n\r\nno", "no"), new Case("not a refusal",
 						"HTTP/1.1 500 S\r\nLimpetgate-Outcome: not-run\r\nContent-Length: 2\r\n\r\nno", "no"));
 		for (Case c : cases) {
-			try (StubUpstream upstream = new StubUpstream(StubUpstream.once(c.answer()), StubUpstream.always(OK))) {
+			CountDownLatch closed = new CountDownLatch(1);
+			StubUpstream.Script faulty = StubUpstream.once(c.answer(), closed);
+			try (StubUpstream upstream = new StubUpstream(faulty, StubUpstream.always(OK))) {
 				assertThat(result(exchange(upstream, LONG_NANOS))).as(c.name()).isEqualTo(c.expected());
+				closed.await();
 				assertThat(result(exchange(upstream, LONG_NANOS))).as("after " + c.name()).isEqualTo("ok");
 				assertThat(upstream.requests()).as(c.name()).isEqualTo(2);
 			}
@@ -205,7 +208,11 @@
 	 */
 	@Example
 	void idleCloseRacesKeepTheOutcomeTrue() throws Exception {
-		try (StubUpstream upstream = new StubUpstream(StubUpstream.once(OK))) {
+		StubUpstream.Script once = (connection, stub) -> {
+			stub.read(connection);
+			connection.send(OK);
+		};
+		try (StubUpstream upstream = new StubUpstream(once)) {
 			int answered = 0;
 			int unknown = 0;
 			for (int i = 0; i < 300; i++) {
--- a/limpetgate-net/src/test/java/org/limpetgate/net/http/StubUpstream.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/StubUpstream.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -73,12 +74,16 @@
 	/**
 	 * Returns a script that answers one request and closes the connection.
 	 * @param answer the answer
+	 * @param closed counted down when the client has closed the connection too
 	 * @return the script
 	 */
-	static Script once(String answer) {
+	static Script once(String answer, CountDownLatch closed) {
 		return (connection, stub) -> {
 			stub.read(connection);
 			connection.send(answer);
+			connection.socket().shutdownOutput();
+			connection.isAtEnd();
+			closed.countDown();
 		};
 	}
 
--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
@@ -345,8 +345,8 @@
 		try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
 			startLinks((InetSocketAddress) listener.getLocalSocketAddress(), null);
 			try (RawPeer wrong = new RawPeer(listener.accept())) {
-				wrong.accept(identity("c"), KEY);
-				assertThat(wrong.isAtEnd()).isTrue();
+				wrong.prove(identity("c"), KEY);
+				assertRefused(wrong, "host 'c' answers at the address of 'b'");
 			}
 			try (RawPeer silent = new RawPeer(listener.accept())) {
 				silent.accept(B, KEY);
--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/RawPeer.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/RawPeer.java
@@ -59,17 +59,27 @@
 	}
 
 	/**
-	 * Passes the handshake as the accepting end.
+	 * Gives the proof of the accepting end.
 	 * @param self the identity to claim
 	 * @param keyBytes the key
 	 * @throws IOException if the connection breaks
 	 */
-	void accept(PeerIdentity self, byte[] keyBytes) throws IOException {
+	void prove(PeerIdentity self, byte[] keyBytes) throws IOException {
 		SecretKey key = new SecretKeySpec(keyBytes, "HmacSHA256");
 		Hello client = read().getHello();
 		Hello server = PeerProof.newHello(self, client.getKeyId());
 		ByteString mac = PeerProof.mac(key, PeerProof.Role.SERVER, client, server);
 		send(server.toBuilder().setMac(mac).build());
+	}
+
+	/**
+	 * Passes the handshake as the accepting end.
+	 * @param self the identity to claim
+	 * @param keyBytes the key
+	 * @throws IOException if the connection breaks
+	 */
+	void accept(PeerIdentity self, byte[] keyBytes) throws IOException {
+		prove(self, keyBytes);
 		read();
 		send(Hello.getDefaultInstance());
 	}
