Give each host whole workers and parts of the boundary ones only

Cause: a third of a 16-core worker is 5 cores, into which tasks of 2 to 6 cores fit badly; and usage reports were attributed by attempts. Change: workers in hash order are cut into one stretch per host; reports are attributed by the share; the excess is smoothed with its sign.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/Choice.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/Choice.java
@@ -107,7 +107,7 @@
 		if (!pool.isWorkers()) {
 			return (double) upstream.inFlight / Math.max(1, upstream.limit);
 		}
-		return dominant(upstream.booked.plus(upstream.excess), upstream.share);
+		return dominant(upstream.inUse(), upstream.share);
 	}
 
 	private static double placementPenalty(TaskEntity task, UpstreamEntity upstream) {
@@ -127,7 +127,7 @@
 			return false;
 		}
 		Resources booking = booking(task, upstream);
-		Resources used = upstream.booked.plus(upstream.excess);
+		Resources used = upstream.inUse();
 		if (booking.plus(used).isWithin(upstream.share)) {
 			return true;
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
@@ -1,6 +1,7 @@
 package org.limpetgate.dispatch;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -45,6 +46,9 @@
 	/** The listed upstreams, in the order of the table. */
 	final List<UpstreamEntity> upstreams = new ArrayList<>();
 
+	/** The listed upstreams in an order that is the same on every host. */
+	final List<UpstreamEntity> inHashOrder = new ArrayList<>();
+
 	/** The upstreams that may take an attempt now, in no order. */
 	final List<UpstreamEntity> open = new ArrayList<>();
 
@@ -107,9 +111,6 @@
 
 	int ejected;
 
-	/** The own part of the attempts of all hosts, by the last heartbeats. */
-	double ownPart = 1;
-
 	/** The mean size of tasks. */
 	double unitsPerTask = 0.1;
 
@@ -143,10 +144,19 @@
 				list(upstream);
 			}
 		}
+		this.inHashOrder.clear();
+		this.inHashOrder.addAll(this.upstreams);
+		this.inHashOrder.sort(Comparator.comparingInt((UpstreamEntity upstream) -> spread(upstream.id))
+			.thenComparing((upstream) -> upstream.id));
 		this.byId.values().forEach(this::updateOpen);
 		this.byId.values().removeIf((upstream) -> !upstream.listed && upstream.inFlight == 0);
 	}
 
+	private static int spread(UpstreamId id) {
+		int hash = id.value().hashCode() * 0x9E3779B9;
+		return hash ^ (hash >>> 15);
+	}
+
 	private void list(Upstream newRow) {
 		UpstreamEntity entity = this.byId.computeIfAbsent(newRow.id(), (id) -> new UpstreamEntity(newRow));
 		if (!entity.row.equals(newRow)) {
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/ShareSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/ShareSystem.java
@@ -1,6 +1,7 @@
 package org.limpetgate.dispatch;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 
@@ -46,40 +47,57 @@
 			own++;
 		}
 		hosts.add(own, self);
-		pool.ownPart = ownPart(pool, hosts, own);
 		double[] weights = allocate(pool, hosts, units(pool));
+		if (pool.isWorkers()) {
+			divideWorkers(pool, weights, own);
+		}
+		else {
+			divideSlots(pool, weights, own);
+		}
+		pool.upstreams.forEach(pool::updateOpen);
+		pool.countCapacity();
+	}
+
+	private static void divideSlots(PoolEntity pool, double[] weights, int own) {
 		for (int i = 0; i < pool.upstreams.size(); i++) {
 			UpstreamEntity upstream = pool.upstreams.get(i);
-			if (pool.isWorkers()) {
-				divideWorker(pool, upstream, weights, own, i);
-			}
-			else {
-				int slots = SlotShares.share(upstream.row.slots(), weights, own, i);
-				upstream.limit = Math.min(pool.row.connectionsPerUpstream(), slots);
-			}
-			pool.updateOpen(upstream);
+			int slots = SlotShares.share(upstream.row.slots(), weights, own, i);
+			upstream.limit = Math.min(pool.row.connectionsPerUpstream(), slots);
 		}
-		pool.countCapacity();
 	}
 
 	/**
-	 * Gives the host whole cores of a worker, memory in the same proportion, and the
-	 * accelerators of the workers on which it places large tasks. A task that exceeds
-	 * every share would never start otherwise.
+	 * Lays the cores of all workers in a row and gives each host a stretch of it, so that
+	 * all but the workers at the ends of a stretch belong to one host. Parts of many
+	 * workers would be too small for tasks of several cores. The order is by the hash of
+	 * the id, which spreads the racks over the hosts.
 	 * @param pool the pool
-	 * @param upstream the worker
 	 * @param weights the weights of all hosts
 	 * @param own the index of the own host
-	 * @param index the index of the worker
 	 */
-	private static void divideWorker(PoolEntity pool, UpstreamEntity upstream, double[] weights, int own, int index) {
-		Resources all = upstream.row.resources();
-		int wholeCores = (int) Math.max(1, all.cores());
-		double part = (double) SlotShares.share(wholeCores, weights, own, index) / wholeCores;
-		upstream.takesLarge = SlotShares.share(1, weights, own, index) > 0;
-		upstream.share = new Resources(all.cores() * part, (long) (all.memoryMb() * part),
-				upstream.takesLarge ? all.accelerators() : 0);
-		upstream.limit = (part > 0 || upstream.takesLarge) ? pool.row.connectionsPerUpstream() : 0;
+	private static void divideWorkers(PoolEntity pool, double[] weights, int own) {
+		double all = pool.inHashOrder.stream().mapToDouble(ShareSystem::cores).sum();
+		double sum = Arrays.stream(weights).sum();
+		double before = Arrays.stream(weights, 0, own).sum();
+		long from = Math.round(all * before / sum);
+		long to = Math.round(all * (before + weights[own]) / sum);
+		double position = 0;
+		for (UpstreamEntity worker : pool.inHashOrder) {
+			double cores = cores(worker);
+			double start = Math.max(from, position);
+			double end = Math.min(to, position + cores);
+			double part = Math.max(0, end - start) / cores;
+			Resources row = worker.row.resources();
+			worker.takesLarge = start <= position + cores / 2 && end > position + cores / 2;
+			worker.share = new Resources(row.cores() * part, (long) (row.memoryMb() * part),
+					worker.takesLarge ? row.accelerators() : 0);
+			worker.limit = (part > 0) ? pool.row.connectionsPerUpstream() : 0;
+			position += cores;
+		}
+	}
+
+	private static double cores(UpstreamEntity worker) {
+		return Math.max(1, worker.row.resources().cores());
 	}
 
 	private static int units(PoolEntity pool) {
@@ -124,18 +142,6 @@
 		return used;
 	}
 
-	private static double ownPart(PoolEntity pool, List<PeerLoad> hosts, int own) {
-		double ownAttempts = 1;
-		double allAttempts = 1;
-		for (int i = 0; i < hosts.size(); i++) {
-			PeerLoad.Demand demand = hosts.get(i).demand().get(pool.row.name());
-			int attempts = (demand != null) ? demand.inFlight() : 0;
-			allAttempts += attempts;
-			ownAttempts += (i == own) ? attempts : 0;
-		}
-		return ownAttempts / allAttempts;
-	}
-
 	private static double demand(PoolEntity pool, PeerLoad host) {
 		PeerLoad.Demand demand = host.demand().get(pool.row.name());
 		if (demand == null) {
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/UpstreamEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/UpstreamEntity.java
@@ -38,8 +38,10 @@
 	/** What the attempts in flight hold at a worker. */
 	Resources booked = Resources.NONE;
 
-	/** How much more a worker's reports show in use than is booked. */
-	Resources excess = Resources.NONE;
+	/** How much more a worker's reports show in use than is booked, smoothed. */
+	double excessCores;
+
+	double excessMemoryMb;
 
 	/** What the attempts in flight were declared to need, by route index. */
 	Resources[] declared = new Resources[0];
@@ -171,6 +173,15 @@
 		this.routeSamples = new int[0];
 	}
 
+	/**
+	 * Returns what is in use as far as is known.
+	 * @return what is booked, and what the worker reported beyond it
+	 */
+	Resources inUse() {
+		return new Resources(this.booked.cores() + Math.max(0, this.excessCores),
+				this.booked.memoryMb() + Math.max(0, Math.round(this.excessMemoryMb)), this.booked.accelerators());
+	}
+
 	void declare(RouteEntity route, Resources resources, boolean started) {
 		if (route.index >= this.declared.length) {
 			int known = this.declared.length;
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/UsageSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/UsageSystem.java
@@ -21,7 +21,7 @@
 	private static final double EXCESS_SMOOTHING = 0.3;
 
 	void reported(PoolEntity pool, UpstreamEntity worker, Resources used) {
-		Resources own = ownPart(pool, used);
+		Resources own = ownPart(worker, used);
 		double cores = 0;
 		double memory = 0;
 		double coresSquare = 0;
@@ -44,18 +44,20 @@
 				route.memoryRatio = bounded(route.memoryRatio + step);
 			}
 		}
-		worker.excess = blend(worker.excess, own.minus(worker.booked));
+		worker.excessCores += EXCESS_SMOOTHING * (own.cores() - worker.booked.cores() - worker.excessCores);
+		worker.excessMemoryMb += EXCESS_SMOOTHING * (own.memoryMb() - worker.booked.memoryMb() - worker.excessMemoryMb);
 	}
 
 	/**
 	 * Returns the part of a worker's usage that the own tasks are likely to cause: a
-	 * report covers the tasks of all hosts.
-	 * @param pool the pool
-	 * @param used what all tasks of the worker use
+	 * report covers the tasks of all hosts, which use it in proportion to their shares.
+	 * @param worker the worker
+	 * @param used what all its tasks use
 	 * @return the own part
 	 */
-	private static Resources ownPart(PoolEntity pool, Resources used) {
-		return new Resources(used.cores() * pool.ownPart, Math.round(used.memoryMb() * pool.ownPart), 0);
+	private static Resources ownPart(UpstreamEntity worker, Resources used) {
+		double part = worker.share.cores() / Math.max(1, worker.row.resources().cores());
+		return new Resources(used.cores() * part, Math.round(used.memoryMb() * part), 0);
 	}
 
 	private static Resources declared(UpstreamEntity worker, RouteEntity route) {
@@ -66,10 +68,4 @@
 		return Math.max(MIN_RATIO, Math.min(MAX_RATIO, ratio));
 	}
 
-	private static Resources blend(Resources before, Resources now) {
-		double keep = 1 - EXCESS_SMOOTHING;
-		return new Resources(keep * before.cores() + EXCESS_SMOOTHING * now.cores(),
-				Math.round(keep * before.memoryMb() + EXCESS_SMOOTHING * now.memoryMb()), 0);
-	}
-
 }
