Fill small gaps first and skip blocked routes of workers in one step

Cause: at overload the heads of 16 callers with the same large task were tried in vain in each round, and tasks went to the emptiest worker. Change: a route whose task fits nowhere is skipped for the round; while work waits the fullest worker that fits is chosen.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
@@ -222,7 +222,7 @@
 			UpstreamEntity upstream = this.choice.choose(task, null, nowNanos);
 			if (upstream == null) {
 				skips--;
-				((CallerEntity.RouteQueue) task.queue).blockedRound = pool.round;
+				block(task);
 				reserveFor(task, nowNanos);
 			}
 			else {
@@ -232,6 +232,19 @@
 		}
 	}
 
+	/**
+	 * Skips a task for the rest of the round, and at workers all tasks of its route that
+	 * are not smaller.
+	 * @param task the task that cannot be placed now
+	 */
+	private static void block(TaskEntity task) {
+		((CallerEntity.RouteQueue) task.queue).blockedRound = task.pool.round;
+		if (task.pool.isWorkers()) {
+			task.route.blockedRound = task.pool.round;
+			task.route.blockedCores = task.request.resources().cores();
+		}
+	}
+
 	/**
 	 * Keeps the emptiest worker for a task that has waited long because smaller ones take
 	 * each gap.
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/Choice.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/Choice.java
@@ -23,6 +23,9 @@
 
 	private static final double LOAD_PENALTY = 0.3;
 
+	/** While work waits, small gaps are filled first, so that large ones remain. */
+	private static final double GAP_PENALTY = 1;
+
 	private static final double RACK_PENALTY = 1.5;
 
 	private static final double ACCELERATOR_PENALTY = 3;
@@ -80,7 +83,7 @@
 		if (upstream == task.avoid) {
 			score = 1000 * score;
 		}
-		return task.pool.isWorkers() ? score * placementPenalty(task, upstream) : score;
+		return task.pool.isWorkers() ? slowness * placementPenalty(task, upstream) : score;
 	}
 
 	private static double probeScore(TaskEntity task, UpstreamEntity upstream, long nowNanos) {
@@ -111,7 +114,9 @@
 	}
 
 	private static double placementPenalty(TaskEntity task, UpstreamEntity upstream) {
-		double penalty = 1;
+		double free = 1 - load(task.pool, upstream);
+		double byLoad = (task.pool.queuedTasks > 1) ? GAP_PENALTY * free : LOAD_PENALTY * (1 - free);
+		double penalty = 1 + upstream.failureRate + byLoad;
 		if (task.avoid != null && task.avoid.row.rack().equals(upstream.row.rack())) {
 			penalty *= RACK_PENALTY;
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
@@ -98,7 +98,7 @@
 			TaskEntity head = queue.peek();
 			if (head == null || queue.blockedRound == head.pool.round
 					|| queue.route.inFlight >= this.settings.routeLimit(queue.route.name)
-					|| (!longAllowed && isLong(queue.route))) {
+					|| (!longAllowed && isLong(queue.route)) || isBlocked(queue.route, head)) {
 				continue;
 			}
 			double score = queue.route.mean() - (nowNanos - head.queuedAt);
@@ -110,6 +110,10 @@
 		return best;
 	}
 
+	private static boolean isBlocked(RouteEntity route, TaskEntity head) {
+		return route.blockedRound == head.pool.round && head.request.resources().cores() >= route.blockedCores;
+	}
+
 	boolean isLong(RouteEntity route) {
 		return route.mean() >= this.settings.longRun();
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/RouteEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/RouteEntity.java
@@ -24,6 +24,12 @@
 
 	int inFlight;
 
+	/** The dispatch round in which a task of the route fitted nowhere. */
+	long blockedRound;
+
+	/** The declared cores of that task; smaller ones may fit. */
+	double blockedCores;
+
 	/** Used over declared resources, learned from the usage that workers report. */
 	double coresRatio = 1;
 
