--- a/limpetgate-host/src/main/java/org/limpetgate/host/SubmissionService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/SubmissionService.java
@@ -82,6 +82,8 @@
 
 	private boolean reading;
 
+	private boolean atEnd;
+
 	private long nextReadNanos;
 
 	private boolean logFailing;
@@ -242,12 +244,14 @@
 			return;
 		}
 		this.reading = true;
-		this.log.read(this.stream, this.system.nextClaimOffset(), MAX_RECORDS, READ_WAIT)
-			.whenComplete((batch, failure) -> {
-				List<ClaimRecord> records = (batch != null) ? batch.records().stream().map(ClaimCodec::decode).toList()
-						: List.of();
-				this.control.execute(() -> claimsRead(batch, records, failure));
-			});
+		// Only a host that has read to the end may wait there; until then it refuses
+		// submissions.
+		Duration wait = this.atEnd ? READ_WAIT : Duration.ZERO;
+		this.log.read(this.stream, this.system.nextClaimOffset(), MAX_RECORDS, wait).whenComplete((batch, failure) -> {
+			List<ClaimRecord> records = (batch != null) ? batch.records().stream().map(ClaimCodec::decode).toList()
+					: List.of();
+			this.control.execute(() -> claimsRead(batch, records, failure));
+		});
 	}
 
 	private void claimsRead(LogBatch batch, List<ClaimRecord> records, Throwable failure) {
@@ -255,12 +259,14 @@
 		this.reading = false;
 		if (failure != null) {
 			this.nextReadNanos = now + READ_RETRY_NANOS;
+			this.atEnd = false;
 			reportLog(failure);
 			return;
 		}
 		this.logFailing = false;
 		this.nextReadNanos = now;
 		this.system.claimsRead(records, batch.firstRetainedOffset(), batch.endOffset(), now);
+		this.atEnd = this.system.nextClaimOffset() >= batch.endOffset();
 	}
 
 	private void reportLog(Throwable failure) {
