Close idle platform connections and open new ones in place of closed ones

Connections to workers stayed open without bound in time, and a request failed as not run when the platform had closed its idle connection.

Closes connections after 30 s without a request, and connects again if the chosen connection is closed before anything was written. Faults set over the control path now hit all requests unless a share is given.

--- a/limpetgate-net/src/main/java/org/limpetgate/net/platform/PlatformHttp.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/platform/PlatformHttp.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
@@ -34,6 +35,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
@@ -53,6 +56,12 @@
 
 	private static final AttributeKey<Exchange> EXCHANGE = AttributeKey.valueOf(PlatformHttp.class, "exchange");
 
+	/**
+	 * How long a connection without a request stays open. It limits the connections to
+	 * workers, of which there may be thousands.
+	 */
+	private static final int IDLE_SECONDS = 30;
+
 	private final EventLoopGroup group;
 
 	private final PlatformClientSettings settings;
@@ -151,7 +160,12 @@
 
 	private void start(Channel channel, Exchange exchange, long timeoutNanos) {
 		if (!channel.eventLoop().inEventLoop()) {
-			channel.eventLoop().execute(() -> start(channel, exchange, timeoutNanos));
+			try {
+				channel.eventLoop().execute(() -> start(channel, exchange, timeoutNanos));
+			}
+			catch (RejectedExecutionException ex) {
+				exchange.fail("the event loops are shut down");
+			}
 			return;
 		}
 		if (exchange.reply.isDone()) {
@@ -159,7 +173,7 @@
 			return;
 		}
 		if (!channel.isActive()) {
-			exchange.fail("the connection to " + exchange.address + " was closed while idle");
+			reconnect(exchange, timeoutNanos);
 			return;
 		}
 		channel.attr(EXCHANGE).set(exchange);
@@ -182,6 +196,14 @@
 		});
 	}
 
+	// The platform closed the connection while it was idle; nothing was written to it.
+	private void reconnect(Exchange exchange, long timeoutNanos) {
+		synchronized (this.connections) {
+			this.connections.computeIfAbsent(exchange.address, (key) -> new Connections()).total++;
+		}
+		connect(exchange, timeoutNanos);
+	}
+
 	private FullHttpRequest toRequest(Exchange exchange) {
 		HttpCall call = exchange.call;
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method()),
@@ -205,6 +227,13 @@
 		channel.close();
 	}
 
+	private boolean retire(Channel channel) {
+		synchronized (this.connections) {
+			Connections open = this.connections.get((InetSocketAddress) channel.remoteAddress());
+			return open != null && open.idle.remove(channel);
+		}
+	}
+
 	private void forget(InetSocketAddress address, Channel channel) {
 		synchronized (this.connections) {
 			Connections open = this.connections.get(address);
@@ -275,6 +304,7 @@
 				.addLast(new HttpClientCodec())
 				.addLast(new LengthCheck())
 				.addLast(new HttpObjectAggregator(PlatformHttp.this.settings.maxAnswerBytes()))
+				.addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
 				.addLast(new ReplyHandler());
 		}
 
@@ -328,6 +358,13 @@
 			return new HttpReply(response.status().code(), headers, ByteBufUtil.getBytes(response.content()));
 		}
 
+		@Override
+		public void userEventTriggered(ChannelHandlerContext context, Object event) {
+			if (event instanceof IdleStateEvent && retire(context.channel())) {
+				context.close();
+			}
+		}
+
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
 			failExchange(context, "the connection was closed before the whole answer");
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/UpstreamFaults.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/UpstreamFaults.java
@@ -2,6 +2,9 @@
 
 import java.util.Objects;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonProperty;
+
 /**
  * The faults of a {@link RunnerStandIn} or a {@link WorkerStandIn}. In the JSON of the
  * control path, {@code fault} is required; {@code share} defaults to 0.
@@ -24,6 +27,13 @@
 		}
 	}
 
+	@JsonCreator
+	static UpstreamFaults parse(@JsonProperty("fault") Fault fault, @JsonProperty("share") Double share,
+			@JsonProperty("delayMillis") long delayMillis, @JsonProperty("leaving") boolean leaving) {
+		return new UpstreamFaults((fault != null) ? fault : Fault.NONE, (share != null) ? share : 1, delayMillis,
+				leaving);
+	}
+
 	/**
 	 * Returns a fault that hits all requests.
 	 * @param fault the fault, not null
--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/RunnerStandInTests.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/RunnerStandInTests.java
@@ -43,13 +43,13 @@
 	 */
 	@Example
 	void faultsAnswerAndCountAsDescribed() {
-		assertThat(List.of("{\"fault\":\"NONE\"}", "{\"fault\":\"FAIL\",\"share\":1}",
-				"{\"fault\":\"TRUNCATE\",\"share\":1}", "{\"fault\":\"CLOSE\",\"share\":1}",
-				"{\"fault\":\"LATE\",\"share\":1,\"delayMillis\":5}",
-				"{\"fault\":\"SLOW\",\"share\":1,\"delayMillis\":5}", "{\"fault\":\"NONE\",\"leaving\":true}"))
+		assertThat(List.of("{}", "{\"fault\":\"FAIL\"}", "{\"fault\":\"TRUNCATE\",\"share\":1}",
+				"{\"fault\":\"CLOSE\",\"share\":1}", "{\"fault\":\"LATE\",\"share\":1,\"delayMillis\":5}",
+				"{\"fault\":\"SLOW\",\"share\":1,\"delayMillis\":5}", "{\"leaving\":true}",
+				"{\"fault\":\"FAIL\",\"share\":0}"))
 			.map(this::outcomeUnder)
 			.containsExactly("200 echo 1", "500  1", "IOException 1", "IOException 1", "200 echo 1", "200 echo 1",
-					"503 not-run true 0");
+					"503 not-run true 0", "200 echo 1");
 		assertThat(this.starts.startedTwice()).isEmpty();
 	}
 
