Reserve workers for tasks of half a worker only

Cause: under overload every task waits long, so each host kept one worker reserved all the time (a quarter of the smaller host's). Change: only tasks of at least half the largest worker reserve one; the excess of reports over bookings is smoothed more.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
@@ -51,6 +51,9 @@
 
 	private static final long RESERVE_AFTER_NANOS = 500_000_000L;
 
+	/** Smaller tasks find gaps, and a reserved worker stands partly idle. */
+	private static final double RESERVE_MIN_PART = 0.5;
+
 	private final RandomGenerator random;
 
 	private final FairQueue order;
@@ -253,7 +256,8 @@
 	 */
 	private void reserveFor(TaskEntity task, long nowNanos) {
 		PoolEntity pool = task.pool;
-		if (!pool.isWorkers() || pool.reserved != null || nowNanos - task.queuedAt < RESERVE_AFTER_NANOS) {
+		if (!pool.isWorkers() || pool.reserved != null || task.size < RESERVE_MIN_PART
+				|| nowNanos - task.queuedAt < RESERVE_AFTER_NANOS) {
 			return;
 		}
 		double least = Double.POSITIVE_INFINITY;
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/UsageSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/UsageSystem.java
@@ -18,7 +18,7 @@
 
 	private static final double MAX_RATIO = 10;
 
-	private static final double EXCESS_SMOOTHING = 0.3;
+	private static final double EXCESS_SMOOTHING = 0.1;
 
 	void reported(PoolEntity pool, UpstreamEntity worker, Resources used) {
 		Resources own = ownPart(worker, used);
