Compare usage reports with the bookings at the time of the sample

Cause: reports are half a second old, so tasks of 60 to 900 ms in them had ended, and the factors of the routes stayed off by up to a half. Change: bookings are kept for 2 s per worker; shared workers teach nothing.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
@@ -121,7 +121,7 @@
 		for (PoolEntity pool : this.pools.values()) {
 			UpstreamEntity worker = pool.byId.get(id);
 			if (worker != null) {
-				this.usage.reported(pool, worker, used);
+				this.usage.reported(pool, worker, used, sampledNanos);
 			}
 		}
 	}
@@ -170,6 +170,9 @@
 			pool.upstreams.forEach((upstream) -> upstream.decay(SPEED_DECAY));
 			pool.countCapacity();
 			measureShortDemand(pool);
+			if (pool.isWorkers()) {
+				this.usage.remember(pool, nowNanos);
+			}
 			busy |= pool.queuedTasks > 0 || pool.inFlight > 0 || pool.ejected > 0;
 		}
 		if (busy) {
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/UpstreamEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/UpstreamEntity.java
@@ -20,6 +20,8 @@
 
 	private static final int MAX_ROUTE_SAMPLES = 50;
 
+	private static final int BOOKINGS = 20;
+
 	final UpstreamId id;
 
 	Upstream row;
@@ -46,6 +48,13 @@
 	/** What the attempts in flight were declared to need, by route index. */
 	Resources[] declared = new Resources[0];
 
+	/**
+	 * The last bookings, one per system interval; reports are up to some seconds late.
+	 */
+	final UsageSystem.Booking[] bookings = new UsageSystem.Booking[BOOKINGS];
+
+	int nextBooking;
+
 	boolean leaving;
 
 	/** Whether the configuration lists the upstream. */
