--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -102,6 +102,8 @@
 
 	private final LeavingUpstreams leavingUpstreams = new LeavingUpstreams();
 
+	private final HttpWorkerService workers;
+
 	private final PeerServer peerServer;
 
 	private final PeerLinks links;
@@ -131,6 +133,8 @@
 		this.dispatcher = AdaptiveDispatcher.of(
 				DispatchSettings.of(settings.host(), settings.dataCentre(), settings.size()),
 				new SplittableRandom(this.random.nextLong()));
+		this.workers = HttpWorkerService.of(this.group, (worker) -> this.upstreamAddresses.get(worker),
+				PlatformClientSettings.DEFAULT);
 		this.runner = new TaskRunner(this.dispatcher, gateways(), this.control, this.clock, this.events, this.metrics);
 		this.runner.onLeaving((upstream) -> upstreamLeaving(upstream, this.clock.getAsLong()));
 		PeerIdentity self = new PeerIdentity(this.incarnation, settings.dataCentre());
@@ -168,6 +172,8 @@
 		this.peers.listed(listedInSettings());
 		this.control.add(this.peers);
 		this.control.add(hostListWatcher());
+		this.control
+			.add(new UsageWatcher(this.workers, this.runner::busyWorkers, this.dispatcher, this.control, this.clock));
 		this.control.add(this.submissions);
 		this.control.add(this.runner);
 		this.configuration.addListener(this::configured);
@@ -188,10 +194,8 @@
 
 	private Map<PoolKind, UpstreamGateway> gateways() {
 		HttpClient client = HttpClient.of(this.group, HttpClientLimits.defaults());
-		HttpWorkerService workers = HttpWorkerService.of(this.group, (worker) -> this.upstreamAddresses.get(worker),
-				PlatformClientSettings.DEFAULT);
 		return Map.of(PoolKind.RUNNERS, new RunnerGateway(client), PoolKind.WORKERS,
-				new WorkerGateway(workers, this.incarnation, this.clock));
+				new WorkerGateway(this.workers, this.incarnation, this.clock));
 	}
 
 	private FailoverLogService log() {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/TaskRunner.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/TaskRunner.java
@@ -1,7 +1,10 @@
 package org.limpetgate.host;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 
@@ -148,6 +151,21 @@
 		return this.tasks.size();
 	}
 
+	/**
+	 * Returns the workers that run tasks of this host.
+	 * @return the workers, not null
+	 */
+	public Collection<UpstreamId> busyWorkers() {
+		Set<UpstreamId> busy = new TreeSet<>();
+		for (RunningAttempt attempt : this.attempts.values()) {
+			KnownUpstream known = this.upstreams.get(attempt.upstream());
+			if (known != null && known.kind() == PoolKind.WORKERS) {
+				busy.add(attempt.upstream());
+			}
+		}
+		return busy;
+	}
+
 	@Override
 	public void tick(long nowNanos) {
 		this.dispatcher.tick(nowNanos, (effect) -> apply(effect, nowNanos));
