--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP interface by which operators edit the tables and watch the system.
+ */
+package org.limpetgate.host.operator;
--- a/limpetgate-host/src/main/java/org/limpetgate/host/settings/Key.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/settings/Key.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 
+import org.limpetgate.HostId;
+
 /**
  * A shared secret with its id. The secret never shows in logs or messages.
  */
@@ -29,7 +31,7 @@
 	 * the secret is too short
 	 */
 	public static Key of(String id, String secret) {
-		org.limpetgate.HostId.of(id);
+		HostId.of(id);
 		return new Key(id, checkedSecret(secret));
 	}
 
--- a/limpetgate-host/src/test/java/org/limpetgate/host/configuration/FakeLog.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/configuration/FakeLog.java
@@ -16,12 +16,12 @@
 /**
  * A log in virtual time with faults. Each host has its own access to it.
  */
-final class FakeLog {
+public final class FakeLog {
 
 	private static final Duration POLL = Duration.ofMillis(20);
 
 	/** All records, also trimmed ones. */
-	final List<LogRecord> records = new ArrayList<>();
+	public final List<LogRecord> records = new ArrayList<>();
 
 	private final VirtualTime time;
 
@@ -29,7 +29,7 @@
 
 	private int firstRetained;
 
-	FakeLog(VirtualTime time, RandomGenerator random) {
+	public FakeLog(VirtualTime time, RandomGenerator random) {
 		this.time = time;
 		this.random = random;
 	}
@@ -59,9 +59,9 @@
 	}
 
 	/** One host's access, with the rates of its faults in percent. */
-	final class Access implements LogService {
+	public final class Access implements LogService {
 
-		boolean out;
+		public boolean out;
 
 		/** Failed appends whose records are stored or not, half of each. */
 		int lostAppendPercent;
--- a/limpetgate-host/src/test/java/org/limpetgate/host/configuration/VirtualTime.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/configuration/VirtualTime.java
@@ -8,7 +8,7 @@
 /**
  * A clock, timer and control thread that run in virtual time on the calling thread.
  */
-final class VirtualTime implements Timer, Executor {
+public final class VirtualTime implements Timer, Executor {
 
 	static final long START_NANOS = Duration.ofDays(20_000).toNanos();
 
@@ -34,7 +34,7 @@
 		schedule(0, task);
 	}
 
-	void runFor(Duration span) {
+	public void runFor(Duration span) {
 		long end = this.nowNanos + span.toNanos();
 		while (!this.tasks.isEmpty() && this.tasks.peek().timeNanos <= end) {
 			Task task = this.tasks.poll();
