--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -31,6 +31,7 @@
 import org.limpetgate.dispatch.PeerLoad;
 import org.limpetgate.host.configuration.ConfigurationService;
 import org.limpetgate.host.configuration.Timer;
+import org.limpetgate.host.operator.OperatorApi;
 import org.limpetgate.host.settings.Endpoint;
 import org.limpetgate.host.settings.HostSettings;
 import org.limpetgate.host.settings.Key;
@@ -112,6 +113,8 @@
 
 	private final ConfigurationService configuration;
 
+	private final VersionTracker versions;
+
 	private final SubmissionService submissions;
 
 	private final HttpServer callers;
@@ -146,13 +149,15 @@
 		FailoverLogService log = log();
 		this.configuration = new ConfigurationService(settings.host(), log, this.peers, this.control, timer(),
 				new SplittableRandom(this.random.nextLong()), settings.spans().snapshotInterval());
+		this.versions = new VersionTracker(settings.host(), settings.dataCentre(), settings.dataCentres(),
+				() -> this.configuration.configuration().version(), this.peers);
 		this.submissions = submissionService(log);
 		this.peers.connect(new Parts());
 		this.callers = HttpServer.start(this.group, toAddress(settings.callers()), callerLimits(),
 				new CallerApi(this.submissions, new RequestService(this.runner, this.configuration::configuration,
 						this.control, this.clock, this.events), this::isReady));
 		this.operators = HttpServer.start(this.group, toAddress(settings.operators()), HttpServerLimits.defaults(),
-				new OperatorHandler(this.metrics, this::isReady));
+				new OperatorHandler(operatorApi(), this.metrics, this::isReady));
 	}
 
 	/**
@@ -174,6 +179,7 @@
 		this.control.add(hostListWatcher());
 		this.control
 			.add(new UsageWatcher(this.workers, this.runner::busyWorkers, this.dispatcher, this.control, this.clock));
+		this.control.add(this.versions);
 		this.control.add(this.submissions);
 		this.control.add(this.runner);
 		this.configuration.addListener(this::configured);
@@ -192,6 +198,11 @@
 				() -> this.configuration.configuration().version());
 	}
 
+	private OperatorApi operatorApi() {
+		return new OperatorApi(this.settings.host(), this.configuration, this.versions, this.settings.operatorKeys(),
+				this.clock);
+	}
+
 	private Map<PoolKind, UpstreamGateway> gateways() {
 		HttpClient client = HttpClient.of(this.group, HttpClientLimits.defaults());
 		return Map.of(PoolKind.RUNNERS, new RunnerGateway(client), PoolKind.WORKERS,
--- a/limpetgate-host/src/main/java/org/limpetgate/host/OperatorHandler.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/OperatorHandler.java
@@ -13,23 +13,30 @@
 import org.limpetgate.net.http.HttpReply;
 
 /**
- * The interface for operators: metrics and health without a key. Thread-safe.
+ * The interface for operators: the tables with a key, metrics and health without one.
+ * Thread-safe.
  */
 final class OperatorHandler implements HttpHandler {
 
 	private static final Map<String, String> METRICS_TYPE = Map.of("content-type", "text/plain; version=0.0.4");
 
+	private final HttpHandler api;
+
 	private final HostMetrics metrics;
 
 	private final BooleanSupplier ready;
 
-	OperatorHandler(HostMetrics metrics, BooleanSupplier ready) {
+	OperatorHandler(HttpHandler api, HostMetrics metrics, BooleanSupplier ready) {
+		this.api = api;
 		this.metrics = metrics;
 		this.ready = ready;
 	}
 
 	@Override
 	public CompletableFuture<HttpReply> handle(HttpCall call) {
+		if (call.path().startsWith("/operator/")) {
+			return this.api.handle(call);
+		}
 		return switch (call.path()) {
 			case "/metrics" -> CompletableFuture.completedFuture(
 					new HttpReply(200, METRICS_TYPE, this.metrics.scrape().getBytes(StandardCharsets.UTF_8)));
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/VersionTracker.java
@@ -0,0 +1,112 @@
+package org.limpetgate.host;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.limpetgate.DataCentreId;
+import org.limpetgate.HostId;
+import org.limpetgate.host.operator.ClusterStatus;
+import org.limpetgate.membership.DataCentreDigest;
+import org.limpetgate.membership.Member;
+
+/**
+ * Tracks which version of the tables each host has in force and for how long a host has
+ * been behind.
+ * <p>
+ * Of other data centres only the lowest version is known, which is shown for each of
+ * their hosts. {@link #hosts()} is thread-safe; everything else belongs to the control
+ * thread.
+ */
+final class VersionTracker implements TickedSystem, ClusterStatus {
+
+	private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+	private final HostId self;
+
+	private final DataCentreId dataCentre;
+
+	private final List<DataCentreId> dataCentres;
+
+	private final LongSupplier ownVersion;
+
+	private final PeerService peers;
+
+	private final Map<HostId, Long> behindSince = new HashMap<>();
+
+	private volatile List<HostVersion> hosts = List.of();
+
+	private long nextNanos;
+
+	VersionTracker(HostId self, DataCentreId dataCentre, List<DataCentreId> dataCentres, LongSupplier ownVersion,
+			PeerService peers) {
+		this.self = self;
+		this.dataCentre = dataCentre;
+		this.dataCentres = dataCentres;
+		this.ownVersion = ownVersion;
+		this.peers = peers;
+	}
+
+	@Override
+	public void tick(long nowNanos) {
+		if (nowNanos < this.nextNanos) {
+			return;
+		}
+		this.nextNanos = nowNanos + INTERVAL_NANOS;
+		List<Seen> seen = seen(nowNanos);
+		long newest = seen.stream().mapToLong(Seen::version).max().orElseThrow();
+		List<HostVersion> versions = new ArrayList<>();
+		for (Seen host : seen) {
+			versions.add(new HostVersion(host.host(), host.dataCentre(), host.version(),
+					behindNanos(host, newest, nowNanos), nowNanos - host.heardNanos()));
+		}
+		this.hosts = List.copyOf(versions);
+	}
+
+	private long behindNanos(Seen host, long newest, long nowNanos) {
+		if (host.version() >= newest) {
+			this.behindSince.remove(host.host());
+			return 0;
+		}
+		return nowNanos - this.behindSince.computeIfAbsent(host.host(), (key) -> nowNanos);
+	}
+
+	private List<Seen> seen(long nowNanos) {
+		List<Seen> seen = new ArrayList<>();
+		seen.add(new Seen(this.self, this.dataCentre, this.ownVersion.getAsLong(), nowNanos));
+		for (Member member : this.peers.members()) {
+			if (member.heartbeat() != null) {
+				seen.add(new Seen(member.address().host(), member.address().dataCentre(),
+						member.heartbeat().configurationVersion(), member.heardNanos()));
+			}
+		}
+		for (DataCentreId other : this.dataCentres) {
+			this.peers.digest(other).ifPresent((digest) -> addDigest(seen, digest));
+		}
+		return seen;
+	}
+
+	private static void addDigest(List<Seen> seen, DataCentreDigest digest) {
+		digest.members()
+			.keySet()
+			.forEach((incarnation) -> seen
+				.add(new Seen(incarnation.host(), digest.dataCentre(), digest.lowestVersion(), digest.sentNanos())));
+	}
+
+	@Override
+	public long nextWakeNanos() {
+		return this.nextNanos;
+	}
+
+	@Override
+	public List<HostVersion> hosts() {
+		return this.hosts;
+	}
+
+	private record Seen(HostId host, DataCentreId dataCentre, long version, long heardNanos) {
+	}
+
+}
