--- /dev/null
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/LogOutput.java
@@ -0,0 +1,82 @@
+package org.limpetgate.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.time.Instant;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.FileHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+import org.limpetgate.host.settings.LogFile;
+
+/**
+ * Sends log lines to standard error or to files, one line each with time and level.
+ */
+public final class LogOutput {
+
+	// The logging library holds loggers weakly; without this field the handlers could be collected.
+	private static final Logger ROOT = Logger.getLogger("");
+
+	private LogOutput() {
+	}
+
+	/**
+	 * Replaces all outputs.
+	 * @param file where the lines go, not null
+	 */
+	public static void configure(LogFile file) {
+		for (Handler handler : ROOT.getHandlers()) {
+			ROOT.removeHandler(handler);
+		}
+		Handler handler = handler(file);
+		handler.setFormatter(new LineFormatter());
+		handler.setLevel(Level.INFO);
+		ROOT.addHandler(handler);
+	}
+
+	private static Handler handler(LogFile file) {
+		if (file.path().isEmpty()) {
+			return new ConsoleHandler();
+		}
+		try {
+			return new FileHandler(file.path(), file.maxBytes(), file.files(), true);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("log file '" + file.path() + "' cannot be opened; use a writable path", ex);
+		}
+	}
+
+	/**
+	 * Writes out what is buffered.
+	 */
+	public static void flush() {
+		for (Handler handler : ROOT.getHandlers()) {
+			handler.flush();
+		}
+	}
+
+	private static final class LineFormatter extends Formatter {
+
+		@Override
+		public String format(LogRecord entry) {
+			StringBuilder line = new StringBuilder();
+			line.append(Instant.ofEpochMilli(entry.getMillis())).append(' ');
+			line.append(entry.getLevel().getName()).append(' ');
+			line.append(formatMessage(entry)).append('\n');
+			if (entry.getThrown() != null) {
+				StringWriter trace = new StringWriter();
+				entry.getThrown().printStackTrace(new PrintWriter(trace));
+				line.append(trace);
+			}
+			return line.toString();
+		}
+
+	}
+
+}
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/DevCommand.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/DevCommand.java
@@ -7,9 +7,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.UUID;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
@@ -19,6 +17,9 @@
 import org.limpetgate.Resources;
 import org.limpetgate.RouteName;
 import org.limpetgate.UpstreamId;
+import org.limpetgate.cli.CliCommand;
+import org.limpetgate.cli.LogOutput;
+import org.limpetgate.cli.ServeCommand;
 import org.limpetgate.config.Edit;
 import org.limpetgate.config.EditResult;
 import org.limpetgate.config.Pool;
@@ -42,7 +43,7 @@
  */
 @CommandLine.Command(name = "dev", mixinStandardHelpOptions = true,
 		description = "Runs an entry host with stand-ins in one process, for a first look.")
-final class DevCommand implements Callable<Integer> {
+public final class DevCommand implements CliCommand {
 
 	private static final DataCentreId DATA_CENTRE = DataCentreId.of("oviedo");
 
@@ -56,11 +57,9 @@
 			description = "port for callers; operators get the next one (default: ${DEFAULT-VALUE})")
 	private int port;
 
-	@CommandLine.Spec
-	private CommandLine.Model.CommandSpec spec;
-
 	@Override
-	public Integer call() throws Exception {
+	public Integer call() throws InterruptedException {
+		LogOutput.configure(LogFile.STANDARD_ERROR);
 		EventLoopGroup group = StandIns.newEventLoops(EVENT_LOOPS);
 		PlatformStandIn platform = PlatformStandIn.start(group, LogLimits.DEFAULT);
 		RunnerStandIn fast = RunnerStandIn.start(group, RunnerSettings.of(UpstreamId.of("runner-1")),
@@ -77,7 +76,7 @@
 		put(host, Route.ofPath(RouteName.of("checks"), "/checks", RUNNERS));
 		put(host, Route.ofPath(RouteName.of("proofs"), "/proofs", WORKERS));
 		printHelp();
-		awaitShutdown(host);
+		ServeCommand.awaitShutdown(host);
 		return 0;
 	}
 
@@ -134,13 +133,4 @@
 		out.flush();
 	}
 
-	private static void awaitShutdown(EntryHost host) throws InterruptedException {
-		CountDownLatch stopped = new CountDownLatch(1);
-		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-			host.drain().join();
-			stopped.countDown();
-		}, "dev-shutdown"));
-		stopped.await();
-	}
-
 }
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/PlatformCommand.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/PlatformCommand.java
@@ -11,7 +11,7 @@
  */
 @CommandLine.Command(name = "standin-platform", mixinStandardHelpOptions = true,
 		description = "Runs a stand-in for the platform's log and host list. Its state ends with the process.")
-final class PlatformCommand extends StandInCommand {
+public final class PlatformCommand extends StandInCommand {
 
 	@CommandLine.Option(names = "--retention-seconds", defaultValue = "3600",
 			description = "how long records are kept (default: ${DEFAULT-VALUE})")
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/RunnerCommand.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/RunnerCommand.java
@@ -11,7 +11,7 @@
  */
 @CommandLine.Command(name = "standin-runner", mixinStandardHelpOptions = true,
 		description = "Runs a stand-in for a runner, which answers a request with its own body.")
-final class RunnerCommand extends StandInCommand {
+public final class RunnerCommand extends StandInCommand {
 
 	@CommandLine.Option(names = "--id", required = true, description = "the id of the upstream")
 	private String id;
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInCommand.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInCommand.java
@@ -3,11 +3,11 @@
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
+import org.limpetgate.cli.CliCommand;
 import picocli.CommandLine;
 
 /**
@@ -16,7 +16,7 @@
  * The process listens on the loopback address only. It ends on SIGTERM, and on its own
  * after a time, so that a forgotten one does not stay.
  */
-abstract class StandInCommand implements Callable<Integer> {
+abstract class StandInCommand implements CliCommand {
 
 	@CommandLine.Option(names = "--port", defaultValue = "0",
 			description = "TCP port on the loopback address; 0 lets the system choose (default: ${DEFAULT-VALUE})")
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/WorkerCommand.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/WorkerCommand.java
@@ -14,7 +14,7 @@
  */
 @CommandLine.Command(name = "standin-worker", mixinStandardHelpOptions = true,
 		description = "Runs a stand-in for a worker, which runs tasks under leases.")
-final class WorkerCommand extends StandInCommand {
+public final class WorkerCommand extends StandInCommand {
 
 	@CommandLine.Option(names = "--id", required = true, description = "the id of the upstream")
 	private String id;
