--- /dev/null
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/DecisionBenchmark.java
@@ -0,0 +1,172 @@
+package org.limpetgate.bench.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import org.limpetgate.AttemptId;
+import org.limpetgate.CallerId;
+import org.limpetgate.DataCentreId;
+import org.limpetgate.HostId;
+import org.limpetgate.Outcome;
+import org.limpetgate.Resources;
+import org.limpetgate.RouteName;
+import org.limpetgate.TaskId;
+import org.limpetgate.UpstreamId;
+import org.limpetgate.config.Configuration;
+import org.limpetgate.config.Pool;
+import org.limpetgate.config.PoolKind;
+import org.limpetgate.config.Upstream;
+import org.limpetgate.dispatch.AdaptiveDispatcher;
+import org.limpetgate.dispatch.AttemptResult;
+import org.limpetgate.dispatch.DispatchEffect;
+import org.limpetgate.dispatch.DispatchSettings;
+import org.limpetgate.dispatch.PeerLoad;
+import org.limpetgate.dispatch.TaskRequest;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+
+/**
+ * The cost of one decision: a task is offered and placed, and an earlier one ends.
+ * <p>
+ * 70% of the slots stay in use. Heartbeats every 100 ms of virtual time, and the systems
+ * that run with them, are part of the cost.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.Throughput)
+@OutputTimeUnit(TimeUnit.SECONDS)
+@Fork(1)
+@Warmup(iterations = 3, time = 2)
+@Measurement(iterations = 5, time = 2)
+public class DecisionBenchmark {
+
+	private static final int SLOTS = 8;
+
+	private static final double LOAD = 0.7;
+
+	private static final int CALLERS = 120;
+
+	private static final int ROUTES = 20;
+
+	private static final long MEAN_RUN_NANOS = 300 * VirtualTime.MILLI;
+
+	private static final long HEARTBEAT_NANOS = 100 * VirtualTime.MILLI;
+
+	private static final DataCentreId DATA_CENTRE = DataCentreId.of("dc");
+
+	/** Number of upstreams. */
+	@Param({ "30", "300", "3000" })
+	public int upstreams;
+
+	private final ArrayDeque<AttemptId> inFlight = new ArrayDeque<>();
+
+	private final List<CallerId> callers = new ArrayList<>();
+
+	private final List<RouteName> routes = new ArrayList<>();
+
+	private AdaptiveDispatcher dispatcher;
+
+	private SplittableRandom random;
+
+	private long now;
+
+	private long step;
+
+	private long nextHeartbeat;
+
+	private long lastTask;
+
+	private int target;
+
+	/**
+	 * Fills the dispatcher.
+	 */
+	@Setup(Level.Trial)
+	public void fill() {
+		this.random = new SplittableRandom(1);
+		this.dispatcher = AdaptiveDispatcher.of(DispatchSettings.of(HostId.of("host-1"), DATA_CENTRE, 1),
+				this.random.split());
+		List<Upstream> rows = new ArrayList<>();
+		for (int i = 0; i < this.upstreams; i++) {
+			rows.add(new Upstream(UpstreamId.of("runner-" + i), DATA_CENTRE, "127.0.0.1", 80, SLOTS, Resources.NONE,
+					""));
+		}
+		Pool pool = Pool.of(Workload.RUNNERS, PoolKind.RUNNERS, rows);
+		this.dispatcher.configure(Configuration.of(0, List.of(), List.of(pool)), this.now);
+		for (int i = 0; i < CALLERS; i++) {
+			this.callers.add(CallerId.of("caller-" + i));
+		}
+		for (int i = 0; i < ROUTES; i++) {
+			this.routes.add(RouteName.of("route-" + i));
+		}
+		this.target = (int) (this.upstreams * SLOTS * LOAD / 2);
+		this.step = MEAN_RUN_NANOS / this.target;
+		while (this.inFlight.size() < this.target) {
+			decide();
+		}
+	}
+
+	/**
+	 * Makes one decision.
+	 * @return the number of attempts in flight
+	 */
+	@Benchmark
+	public int decide() {
+		this.now += this.step;
+		if (this.now >= this.nextHeartbeat) {
+			heartbeat();
+		}
+		if (this.inFlight.size() >= this.target) {
+			this.dispatcher.attemptEnded(this.inFlight.poll(),
+					new AttemptResult(Outcome.COMPLETE, MEAN_RUN_NANOS, false, ""), this.now);
+		}
+		TaskRequest task = new TaskRequest(TaskId.of(++this.lastTask), this.callers.get(this.random.nextInt(CALLERS)),
+				this.routes.get(this.random.nextInt(ROUTES)), Workload.RUNNERS, true, Resources.NONE, 1_000,
+				this.now + 10 * VirtualTime.SECOND, 0);
+		if (!this.dispatcher.offer(task, this.now).isAccepted()) {
+			throw new IllegalStateException("the task was refused; the benchmark must stay below capacity");
+		}
+		this.dispatcher.tick(this.now, this::started);
+		return this.inFlight.size();
+	}
+
+	private void started(DispatchEffect effect) {
+		if (effect instanceof DispatchEffect.StartAttempt start) {
+			this.inFlight.add(start.attempt());
+		}
+	}
+
+	private void heartbeat() {
+		this.nextHeartbeat = this.now + HEARTBEAT_NANOS;
+		this.dispatcher.demand();
+		PeerLoad peer = new PeerLoad(HostId.of("host-2"), 1,
+				Map.of(Workload.RUNNERS, new PeerLoad.Demand(0, this.target)));
+		this.dispatcher.peerLoads(List.of(peer), this.now);
+	}
+
+	/**
+	 * Runs the benchmark.
+	 * @param arguments not used
+	 * @throws RunnerException if it fails
+	 */
+	public static void main(String[] arguments) throws RunnerException {
+		new Runner(new OptionsBuilder().include(DecisionBenchmark.class.getName()).build()).run();
+	}
+
+}
