Refuse connections once a stand-in is closed

A contract test that expects NOT_RUN after the worker's death failed in 2 of 16 runs with UNKNOWN: the selector kept the closed listener's socket open until its next select, so a connection was still accepted and the request written to it. close() now returns only when the port refuses connections.

--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInServer.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInServer.java
@@ -1,6 +1,8 @@
 package org.limpetgate.standin;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -53,6 +55,10 @@
 
 	private static final int MAX_PIPELINED = 16;
 
+	private static final int MAX_CLOSE_PROBES = 1_000;
+
+	private static final int CLOSE_PROBE_MILLIS = 100;
+
 	private final StandInHandler handler;
 
 	private final int maxConnections;
@@ -89,11 +95,28 @@
 	}
 
 	/**
-	 * Closes the listener and all connections, as the death of the process would.
+	 * Closes the listener and all connections, as the death of the process would, and
+	 * returns when new connections are refused. Not to be called on an event loop.
 	 */
 	@Override
 	public void close() {
+		InetSocketAddress address = address();
 		this.channels.close().syncUninterruptibly();
+		// The selector keeps the closed listener's socket open until its next select, and
+		// the system accepts connections until then.
+		for (int probe = 0; probe < MAX_CLOSE_PROBES && isAccepting(address); probe++) {
+			Thread.onSpinWait();
+		}
+	}
+
+	private static boolean isAccepting(InetSocketAddress address) {
+		try (Socket probe = new Socket()) {
+			probe.connect(address, CLOSE_PROBE_MILLIS);
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
 	}
 
 	private final class Initializer extends ChannelInitializer<SocketChannel> {
