Compute the own part of slots once per division

Cause: each division summed the weights for each upstream, and a choice read two arrays per candidate.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/ShareSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/ShareSystem.java
@@ -59,9 +59,10 @@
 	}
 
 	private static void divideSlots(PoolEntity pool, double[] weights, int own) {
+		SlotShares shares = new SlotShares(weights, own);
 		for (int i = 0; i < pool.upstreams.size(); i++) {
 			UpstreamEntity upstream = pool.upstreams.get(i);
-			int slots = SlotShares.share(upstream.row.slots(), weights, own, i);
+			int slots = shares.of(upstream.row.slots(), i);
 			upstream.limit = Math.min(pool.row.connectionsPerUpstream(), slots);
 		}
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/SimpleDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/SimpleDispatcher.java
@@ -150,23 +150,24 @@
 		for (int i = 0; i < weights.length; i++) {
 			weights[i] = (i == own) ? this.settings.size() : this.peers.get((i < own) ? i : i - 1).size();
 		}
+		SlotShares slotShares = new SlotShares(weights, own);
 		for (PoolEntity pool : this.pools.values()) {
 			for (int i = 0; i < pool.upstreams.size(); i++) {
 				UpstreamEntity upstream = pool.upstreams.get(i);
-				upstream.limit = limit(pool, upstream.row, weights, own, i);
+				upstream.limit = limit(pool, upstream.row, slotShares, i);
 			}
 		}
 	}
 
-	private int limit(PoolEntity pool, Upstream row, double[] weights, int own, int index) {
+	private int limit(PoolEntity pool, Upstream row, SlotShares slotShares, int index) {
 		int connections = pool.row.connectionsPerUpstream();
 		if (!this.shares) {
 			return connections;
 		}
 		if (pool.row.kind() == PoolKind.WORKERS) {
-			return SlotShares.share(1, weights, own, index) * connections;
+			return slotShares.of(1, index) * connections;
 		}
-		return Math.min(connections, SlotShares.share(row.slots(), weights, own, index));
+		return Math.min(connections, slotShares.of(row.slots(), index));
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/SlotShares.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/SlotShares.java
@@ -1,44 +1,47 @@
 package org.limpetgate.dispatch;
 
-import java.util.Arrays;
-
 /**
- * Divides whole slots among hosts.
+ * The part of one host in whole slots.
  * <p>
- * All hosts compute the same division from the same weights, so that together they use
- * each slot once.
+ * Each host computes its part from the same weights, so that together the hosts use each
+ * slot once. Immutable.
  */
 final class SlotShares {
 
 	/** Spreads the rounding of consecutive upstreams evenly. */
 	private static final double GOLDEN_RATIO = 0.6180339887498949;
 
-	private SlotShares() {
+	private final double from;
+
+	private final double to;
+
+	/**
+	 * Computes the part of one host.
+	 * @param weights the weights of all hosts in the order of their ids, at least 0
+	 * @param host the index of the host in the weights
+	 */
+	SlotShares(double[] weights, int host) {
+		double total = 0;
+		double before = 0;
+		for (int i = 0; i < weights.length; i++) {
+			before += (i < host) ? weights[i] : 0;
+			total += weights[i];
+		}
+		this.from = (total > 0) ? before / total : 0;
+		this.to = (host == weights.length - 1) ? 1 : (before + weights[host]) / total;
 	}
 
 	/**
-	 * Returns the slots of one host at one upstream. Over consecutive indexes the parts
+	 * Returns the slots of the host at one upstream. Over consecutive indexes the parts
 	 * that do not come out even rotate among the hosts, so that each host's sum
 	 * approaches its weight.
 	 * @param slots the slots of the upstream
-	 * @param weights the weights of all hosts in the order of their ids, at least 0
-	 * @param host the index of the host in the weights
 	 * @param index the index of the upstream in the pool
-	 * @return the slots of the host; the sum over all hosts is exactly {@code slots}
+	 * @return the slots; the sum over all hosts is exactly {@code slots}
 	 */
-	static int share(int slots, double[] weights, int host, int index) {
-		double total = Arrays.stream(weights).sum();
-		if (total <= 0) {
-			return 0;
-		}
+	int of(int slots, int index) {
 		double offset = (index * GOLDEN_RATIO) % 1;
-		double before = 0;
-		for (int i = 0; i < host; i++) {
-			before += weights[i];
-		}
-		double from = slots * before / total + offset;
-		double to = (host == weights.length - 1) ? slots + offset : slots * (before + weights[host]) / total + offset;
-		return (int) Math.floor(to) - (int) Math.floor(from);
+		return (int) Math.floor(slots * this.to + offset) - (int) Math.floor(slots * this.from + offset);
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/UpstreamEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/UpstreamEntity.java
@@ -94,9 +94,8 @@
 
 	private boolean sampledSinceDecay;
 
-	private double[] routeLog = new double[0];
-
-	private int[] routeSamples = new int[0];
+	/** By route index, the logarithm of the factor and the number of samples. */
+	private float[] byRoute = new float[0];
 
 	UpstreamEntity(Upstream row) {
 		this.id = row.id();
@@ -130,13 +129,13 @@
 		this.samples++;
 		this.sampledSinceDecay = true;
 		this.logSlowness += Math.max(SMOOTHING, 1.0 / (this.samples + 2)) * (log - this.logSlowness);
-		if (route.index >= this.routeLog.length) {
-			this.routeLog = Arrays.copyOf(this.routeLog, route.index + 4);
-			this.routeSamples = Arrays.copyOf(this.routeSamples, route.index + 4);
+		int at = 2 * route.index;
+		if (at >= this.byRoute.length) {
+			this.byRoute = Arrays.copyOf(this.byRoute, at + 8);
 		}
-		int count = Math.min(MAX_ROUTE_SAMPLES, this.routeSamples[route.index] + 1);
-		this.routeSamples[route.index] = count;
-		this.routeLog[route.index] += Math.max(SMOOTHING, 1.0 / count) * (log - this.routeLog[route.index]);
+		float count = Math.min(MAX_ROUTE_SAMPLES, this.byRoute[at + 1] + 1);
+		this.byRoute[at + 1] = count;
+		this.byRoute[at] += (float) (Math.max(SMOOTHING, 1.0 / count) * (log - this.byRoute[at]));
 	}
 
 	/**
@@ -147,24 +146,29 @@
 	void decay(double factor) {
 		if (!this.sampledSinceDecay) {
 			this.logSlowness *= factor;
-			for (int i = 0; i < this.routeLog.length; i++) {
-				this.routeLog[i] *= factor;
+			for (int i = 0; i < this.byRoute.length; i += 2) {
+				this.byRoute[i] *= (float) factor;
 			}
 		}
 		this.sampledSinceDecay = false;
 	}
 
 	/**
-	 * Returns the run time here relative to the mean of the pool.
+	 * Returns the logarithm of the run time here relative to the mean of the pool.
 	 * @param route the route
-	 * @return the factor, 1 if nothing is known
+	 * @return the logarithm, 0 if nothing is known
 	 */
-	double slowness(RouteEntity route) {
-		if (route.index >= this.routeLog.length) {
-			return Math.exp(this.logSlowness);
+	double logSlowness(RouteEntity route) {
+		int at = 2 * route.index;
+		if (at >= this.byRoute.length) {
+			return this.logSlowness;
 		}
-		int count = this.routeSamples[route.index];
-		return Math.exp((count * this.routeLog[route.index] + ROUTE_PRIOR * this.logSlowness) / (count + ROUTE_PRIOR));
+		float count = this.byRoute[at + 1];
+		return (count * this.byRoute[at] + ROUTE_PRIOR * this.logSlowness) / (count + ROUTE_PRIOR);
+	}
+
+	double slowness(RouteEntity route) {
+		return Math.exp(logSlowness(route));
 	}
 
 	double slowness() {
@@ -178,8 +182,7 @@
 	void forgetSpeed() {
 		this.logSlowness = 0;
 		this.samples = 0;
-		this.routeLog = new double[0];
-		this.routeSamples = new int[0];
+		this.byRoute = new float[0];
 	}
 
 	/**
