Tell all peers of a data centre the same demand

Cause: the dispatcher divides the upstreams by the demand that it reported last. A digest to another data centre and each heartbeat asked for it anew, so peers and this host could divide by different figures. Change: one heartbeat is made for each sequence number; digests reuse it.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
@@ -105,6 +105,8 @@
 
 	private LocalHost local;
 
+	private Heartbeat lastHeartbeat;
+
 	private boolean leaving;
 
 	/**
@@ -189,16 +191,24 @@
 		}
 	}
 
+	// The dispatcher divides the upstreams by the demand that the peers were told, so one
+	// heartbeat goes to all of them.
 	private Heartbeat heartbeat(MembershipEffect.SendHeartbeat send) {
-		return new Heartbeat(this.self.incarnation(), this.address, send.sequence(),
-				this.local.configuration().configuration().version(), this.size, this.leaving, this.local.demand(),
-				send.seen(), this.local.leavingUpstreams());
+		if (this.lastHeartbeat == null || this.lastHeartbeat.sequence() != send.sequence()) {
+			this.lastHeartbeat = new Heartbeat(this.self.incarnation(), this.address, send.sequence(),
+					this.local.configuration().configuration().version(), this.size, this.leaving, this.local.demand(),
+					send.seen(), this.local.leavingUpstreams());
+		}
+		return this.lastHeartbeat;
 	}
 
 	private DataCentreDigest ownDigest(long nowNanos) {
 		Map<Incarnation, MemberAddress> live = new HashMap<>();
 		long lowest = this.local.configuration().configuration().version();
-		Map<PoolName, PeerLoad.Demand> demand = new HashMap<>(this.local.demand());
+		Map<PoolName, PeerLoad.Demand> demand = new HashMap<>();
+		if (this.lastHeartbeat != null) {
+			demand.putAll(this.lastHeartbeat.demand());
+		}
 		if (!this.leaving) {
 			live.put(this.self.incarnation(), this.address);
 		}
