--- /dev/null
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/OperatorClient.java
@@ -0,0 +1,179 @@
+package org.limpetgate.cli;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.google.common.flogger.FluentLogger;
+import org.limpetgate.Outcome;
+import org.limpetgate.config.ConfigurationTable;
+import org.limpetgate.config.TableName;
+import org.limpetgate.host.operator.OperatorApi;
+import org.limpetgate.host.operator.OperatorSignature;
+import org.limpetgate.host.settings.Key;
+import org.limpetgate.net.http.HttpCall;
+
+/**
+ * Sends signed requests to the operators' endpoint of a host.
+ * <p>
+ * An edit whose answer is lost is sent again with the same edit id, which is harmless.
+ */
+final class OperatorClient {
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
+
+	/** Longer than the 5 s after which a host answers an edit as unknown. */
+	private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
+
+	private static final int EDIT_ATTEMPTS = 2;
+
+	private static final JsonMapper MAPPER = new JsonMapper();
+
+	private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+	private final URI endpoint;
+
+	private final Key key;
+
+	private final HttpClient client = HttpClient.newBuilder()
+		.version(HttpClient.Version.HTTP_1_1)
+		.connectTimeout(CONNECT_TIMEOUT)
+		.build();
+
+	OperatorClient(URI endpoint, Key key) {
+		this.endpoint = endpoint;
+		this.key = key;
+	}
+
+	/**
+	 * Reads from a host.
+	 * @param path the path below {@link OperatorApi#PREFIX}
+	 * @return the answer
+	 * @throws RequestFailedException if the host refuses or cannot be reached
+	 */
+	Answer get(String path) {
+		try {
+			return check(send("GET", path, Map.of(), ""), "");
+		}
+		catch (IOException ex) {
+			throw unreachable(ex);
+		}
+	}
+
+	/**
+	 * Edits a row.
+	 * @param table the table
+	 * @param name the name of the row
+	 * @param base the version from which the edit is made, or
+	 * {@link ConfigurationTable#NO_VERSION}
+	 * @param row the new row in JSON, empty to remove it
+	 * @return the answer to the accepted edit
+	 * @throws RequestFailedException if the edit is rejected or its result is not known
+	 */
+	Answer edit(TableName table, String name, long base, String row) {
+		String editId = UUID.randomUUID().toString();
+		Map<String, String> headers = new TreeMap<>();
+		headers.put(OperatorSignature.EDIT_ID, editId);
+		if (base == ConfigurationTable.NO_VERSION) {
+			headers.put("if-none-match", "*");
+		}
+		else {
+			headers.put("if-match", "\"" + base + "\"");
+		}
+		String method = row.isEmpty() ? "DELETE" : "PUT";
+		return edit(method, table.text() + "/" + encode(name), headers, row, editId);
+	}
+
+	private Answer edit(String method, String path, Map<String, String> headers, String row, String editId) {
+		boolean mayBeSent = false;
+		IOException last = null;
+		for (int attempt = 1; attempt <= EDIT_ATTEMPTS; attempt++) {
+			try {
+				return check(send(method, path, headers, row), editId);
+			}
+			catch (ConnectException ex) {
+				last = ex;
+			}
+			catch (IOException ex) {
+				mayBeSent = true;
+				last = ex;
+				log.atInfo().log("LG2013 no answer to edit %s (%s); it is sent again with the same id", editId, ex);
+			}
+		}
+		if (!mayBeSent) {
+			throw unreachable(last);
+		}
+		throw new RequestFailedException(ExitCodes.UNKNOWN, "the result of edit " + editId + " is not known (" + last
+				+ "); look it up with 'limpetgate history --edit " + editId + "' before repeating the edit");
+	}
+
+	private HttpResponse<byte[]> send(String method, String path, Map<String, String> headers, String body)
+			throws IOException {
+		byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+		HttpCall call = new HttpCall(method, OperatorApi.PREFIX + path, headers, bytes);
+		HttpRequest.Builder request = HttpRequest.newBuilder(this.endpoint.resolve(call.target()))
+			.timeout(REQUEST_TIMEOUT)
+			.method(method, HttpRequest.BodyPublishers.ofByteArray(bytes))
+			.header(OperatorSignature.HEADER, OperatorSignature.sign(this.key, call, System.currentTimeMillis()));
+		headers.forEach(request::header);
+		try {
+			return this.client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("interrupted", ex);
+		}
+	}
+
+	private Answer check(HttpResponse<byte[]> response, String editId) throws IOException {
+		JsonNode body;
+		try {
+			body = MAPPER.readTree(response.body());
+		}
+		catch (JsonProcessingException ex) {
+			body = MissingNode.getInstance();
+		}
+		if (response.statusCode() == 200) {
+			return new Answer(body, response.headers().firstValue("etag").orElse("").replace("\"", ""));
+		}
+		String message = body.path("message").asText("the host answered with status " + response.statusCode());
+		boolean notRun = body.path("outcome").asText().equals(Outcome.NOT_RUN.text());
+		if (editId.isEmpty() || notRun) {
+			throw new RequestFailedException(ExitCodes.REFUSED, message);
+		}
+		throw new RequestFailedException(ExitCodes.UNKNOWN,
+				message + System.lineSeparator() + "'limpetgate history --edit " + editId + "' shows the result");
+	}
+
+	private RequestFailedException unreachable(IOException cause) {
+		return new RequestFailedException(ExitCodes.REFUSED, this.endpoint + " cannot be reached (" + cause
+				+ "); check --url, and that the host runs, or use another host");
+	}
+
+	static String encode(String name) {
+		return URLEncoder.encode(name, StandardCharsets.UTF_8).replace("+", "%20");
+	}
+
+	/**
+	 * An answer with status 200.
+	 *
+	 * @param body the body
+	 * @param version the version from the ETag, empty if there is none
+	 */
+	record Answer(JsonNode body, String version) {
+	}
+
+}
--- /dev/null
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line.
+ */
+package org.limpetgate.cli;
--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
 import org.limpetgate.config.ConfigurationRecord;
@@ -20,10 +21,15 @@
 final class LogTail {
 
 	/** Longest wait of one read for a record; short, so that an outage is seen soon. */
-	static final Duration MAX_WAIT = Duration.ofSeconds(1);
+	static final Duration MAX_WAIT = Duration.ofMillis(800);
 
-	/** Time after which an unanswered read is repeated. */
-	static final long READ_TIMEOUT_NANOS = Duration.ofMillis(2500).toNanos();
+	/**
+	 * Time after the wait at which an unanswered read is repeated; a late answer is still
+	 * used. If the first read gets no answer, three more begin early enough to bring a
+	 * change into force within 4 s on a log that takes 1.4 s to answer. With a timeout of
+	 * 2.5 s, runs with unanswered reads missed that bound.
+	 */
+	static final Duration READ_SLACK = Duration.ofMillis(600);
 
 	/** First wait after a failed read. */
 	static final long MIN_BACKOFF_NANOS = Duration.ofMillis(100).toNanos();
@@ -34,6 +40,9 @@
 	 */
 	static final long MAX_BACKOFF_NANOS = Duration.ofMillis(800).toNanos();
 
+	/** A slow log would otherwise cause a warning for each read. */
+	private static final int WARNING_PERIOD_SECONDS = 10;
+
 	private static final int MAX_RECORDS = 500;
 
 	private static final long NEVER = Long.MIN_VALUE;
@@ -119,14 +128,15 @@
 		// is
 		// needed at once, as it tells where the end is.
 		Duration maxWait = this.atEnd ? MAX_WAIT : Duration.ZERO;
-		this.control.schedule(READ_TIMEOUT_NANOS, () -> readTimedOut(number));
+		Duration timeout = maxWait.plus(READ_SLACK);
+		this.control.schedule(timeout.toNanos(), () -> readTimedOut(number, timeout));
 		this.control.whenEnded(this.service.read(ConfigurationService.STREAM, from, MAX_RECORDS, maxWait),
 				(batch, failure) -> readEnded(number, from, batch, failure));
 	}
 
-	private void readTimedOut(long number) {
+	private void readTimedOut(long number, Duration timeout) {
 		if (number == this.readNumber) {
-			failed("no answer within " + Duration.ofNanos(READ_TIMEOUT_NANOS).toMillis() + " ms");
+			failed("no answer within " + timeout.toMillis() + " ms");
 			read();
 		}
 	}
@@ -159,6 +169,7 @@
 		if (this.failingSinceNanos == NEVER) {
 			this.failingSinceNanos = this.control.nowNanos();
 			log.atWarning()
+				.atMostEvery(WARNING_PERIOD_SECONDS, TimeUnit.SECONDS)
 				.log("LG2001 configuration stream cannot be read: %s; the tables stay at version %d", reason,
 						this.table.version());
 		}
