--- a/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
@@ -165,13 +165,12 @@
 
 	private Optional<VersionedRow> toRow(RouteName name) {
 		return Optional.ofNullable(this.routes.get(name))
-			.map((route) -> new VersionedRow(TableName.ROUTES, name.value(), route.version,
-					TableJson.write(route.row)));
+			.map((route) -> new VersionedRow(TableName.ROUTES, name.value(), route.version, route.json));
 	}
 
 	private Optional<VersionedRow> toRow(PoolName name) {
 		return Optional.ofNullable(this.pools.get(name))
-			.map((pool) -> new VersionedRow(TableName.POOLS, name.value(), pool.version, TableJson.write(pool.row)));
+			.map((pool) -> new VersionedRow(TableName.POOLS, name.value(), pool.version, pool.json));
 	}
 
 	/**
@@ -307,11 +306,11 @@
 		byte[] json = row.row().getBytes(StandardCharsets.UTF_8);
 		if (row.table() == TableName.ROUTES) {
 			Route route = TableJson.readRoute(row.name(), json).orThrow(ErrorKind.INVALID_EDIT);
-			newRoutes.put(route.name(), new Versioned<>(row.version(), route));
+			newRoutes.put(route.name(), new Versioned<>(row.version(), route, TableJson.write(route)));
 		}
 		else {
 			Pool pool = TableJson.readPool(row.name(), json).orThrow(ErrorKind.INVALID_EDIT);
-			newPools.put(pool.name(), new Versioned<>(row.version(), pool));
+			newPools.put(pool.name(), new Versioned<>(row.version(), pool, TableJson.write(pool)));
 		}
 	}
 
@@ -379,19 +378,22 @@
 	 */
 	private void apply(long offset, Edit edit) {
 		if (edit.table() == TableName.ROUTES) {
-			applyTo(this.routes, name(edit, RouteName::of), offset, edit, this::readRoute, this::checkRouteRemoval);
+			applyTo(this.routes, name(edit, RouteName::of), offset, edit, this::readRoute, TableJson::write, (name) -> {
+			});
 		}
 		else {
-			applyTo(this.pools, name(edit, PoolName::of), offset, edit, this::readPool, this::checkPoolRemoval);
+			applyTo(this.pools, name(edit, PoolName::of), offset, edit, this::readPool, TableJson::write,
+					this::checkPoolRemoval);
 		}
 	}
 
 	private <N, R> void applyTo(Map<N, Versioned<R>> table, N name, long offset, Edit edit,
-			BiFunction<N, Edit, R> reader, Consumer<N> removalCheck) {
+			BiFunction<N, Edit, R> reader, Function<R, String> writer, Consumer<N> removalCheck) {
 		Versioned<R> present = table.get(name);
 		checkBase(edit, (present != null) ? present.version : NO_VERSION);
 		if (!edit.isRemoval()) {
-			table.put(name, new Versioned<>(offset, reader.apply(name, edit)));
+			R row = reader.apply(name, edit);
+			table.put(name, new Versioned<>(offset, row, writer.apply(row)));
 			return;
 		}
 		if (present == null) {
@@ -453,10 +455,6 @@
 		}
 	}
 
-	private void checkRouteRemoval(RouteName name) {
-		// Nothing refers to routes.
-	}
-
 	private void checkPoolRemoval(PoolName name) {
 		for (Versioned<Route> route : this.routes.values()) {
 			if (route.row.pool().equals(name)) {
@@ -501,11 +499,12 @@
 	}
 
 	/**
-	 * A row with the offset of the edit that made it.
+	 * A row with the offset of the edit that made it and its canonical JSON, which is
+	 * kept since writing large pools again for each snapshot takes milliseconds.
 	 *
 	 * @param <R> the type of the row
 	 */
-	private record Versioned<R>(long version, R row) {
+	private record Versioned<R>(long version, R row, String json) {
 	}
 
 }
