Expire claims by the time of the stream, drop claim waits in O(1)

A host that read late could drop a claim by its own clock before it had read a later claim of the same key, and would then have taken the later one for the first. Claims now expire by the append times read, so the fold depends on the records alone. Each disconnected caller cost a search through all requests that wait for claims; they are now found by their number.

--- a/limpetgate-core/src/main/java/org/limpetgate/submission/ClaimTable.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/ClaimTable.java
@@ -12,7 +12,8 @@
  * <p>
  * The first claim of a key in offset order holds; of each later generation the first one
  * holds as well. Whether an old claim still counts depends only on the append times in
- * the stream, so that every host that has read the same records reaches the same state.
+ * the stream, never on a local clock, so that every host that has read the same records
+ * reaches the same state. Markers in a quiet stream let old claims expire.
  * <p>
  * The table also knows how far back the records without a gap reach. A claim that may
  * have been trimmed could have been the first, so a host may trust that its own claim is
@@ -34,7 +35,7 @@
 
 	private long historySinceNanos;
 
-	private long lastAppendTimeNanos;
+	private long streamNanos;
 
 	/**
 	 * Creates an empty table.
@@ -124,25 +125,20 @@
 			return false;
 		}
 		this.nextOffset = record.offset() + 1;
-		this.lastAppendTimeNanos = Math.max(this.lastAppendTimeNanos, record.appendTimeNanos());
-		for (Claim claim : record.claims()) {
-			apply(claim, record.appendTimeNanos());
-		}
+		this.streamNanos = Math.max(this.streamNanos, record.appendTimeNanos());
+		expire();
+		record.claims().forEach(this::apply);
 		return true;
 	}
 
-	private void apply(Claim claim, long appendTimeNanos) {
+	private void apply(Claim claim) {
 		// A host that breaks the limit on expiry must not extend how long claims matter.
-		if (claim.expiryNanos() > appendTimeNanos + this.settings.maxExpiryAheadNanos() + this.settings.skewNanos()) {
+		if (claim.expiryNanos() > this.streamNanos + this.settings.maxExpiryAheadNanos() + this.settings.skewNanos()) {
 			return;
 		}
 		Held present = this.held.get(claim.key());
 		if (present == null) {
-			this.held.put(claim.key(), new Held(claim, appendTimeNanos));
-		}
-		else if (present.keptUntil(this.settings) < appendTimeNanos) {
-			this.held.remove(claim.key());
-			this.held.put(claim.key(), new Held(claim, appendTimeNanos));
+			this.held.put(claim.key(), new Held(claim, this.streamNanos));
 		}
 		else if (claim.generation() > present.claim.generation()
 				&& claim.fingerprint() == present.claim.fingerprint()) {
@@ -150,22 +146,22 @@
 		}
 	}
 
-	/**
-	 * Drops the claims that no longer matter.
-	 * @param nowNanos the present time
-	 */
-	public void expire(long nowNanos) {
+	// The limit on expiry makes the horizon longer than the expiry plus the skew for
+	// every claim.
+	private void expire() {
 		Iterator<Held> oldestFirst = this.held.values().iterator();
-		// The extra skew covers a local clock that is ahead of the platform's.
 		while (oldestFirst.hasNext()
-				&& oldestFirst.next().keptUntil(this.settings) + this.settings.skewNanos() < nowNanos) {
+				&& oldestFirst.next().appendTimeNanos + this.settings.horizonNanos() < this.streamNanos) {
 			oldestFirst.remove();
 		}
 	}
 
-	// Returns the append time of the newest record.
-	long lastAppendTimeNanos() {
-		return this.lastAppendTimeNanos;
+	/**
+	 * Returns how far the platform's clock had come at the newest record.
+	 * @return the time in nanoseconds since the Unix epoch, 0 if no record was read
+	 */
+	public long streamNanos() {
+		return this.streamNanos;
 	}
 
 	boolean isHeldBy(KeyHash key, Incarnation holder, int generation, long fingerprint) {
@@ -185,12 +181,6 @@
 			this.appendTimeNanos = appendTimeNanos;
 		}
 
-		// The limit on expiry makes this at least the expiry plus the skew for every
-		// claim, because the horizon exceeds the furthest expiry plus twice the skew.
-		long keptUntil(SubmissionSettings settings) {
-			return this.appendTimeNanos + settings.horizonNanos();
-		}
-
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/Job.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/Job.java
@@ -117,16 +117,9 @@
 				|| (this.right == Right.CLAIM && this.generation == 0 && !this.idempotent && !this.unproved);
 	}
 
-	// The outcome of a refusal while no task has been started by this host.
+	// The outcome of a refusal of a job that this host holds and has not started.
 	Outcome refusalOutcome(Waiter waiter) {
-		boolean proved = waiter.provable() || (isExclusive() && this.state != State.PENDING);
-		return proved ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-	}
-
-	List<Waiter> takeWaiters() {
-		List<Waiter> taken = this.waiters;
-		this.waiters = new ArrayList<>(1);
-		return taken;
+		return (waiter.provable() || isExclusive()) ? Outcome.NOT_RUN : Outcome.UNKNOWN;
 	}
 
 	// The outcome of the job once every task has ended.
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -1,11 +1,10 @@
 package org.limpetgate.submission;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -74,7 +73,8 @@
 
 	private final Set<Long> openRequests = new HashSet<>();
 
-	private final Deque<ClaimWait> claimWaits = new ArrayDeque<>();
+	/** In the order of their deadlines, since all wait equally long. */
+	private final Map<Long, ClaimWait> claimWaits = new LinkedHashMap<>();
 
 	private final Map<Long, Relay> relays = new HashMap<>();
 
@@ -246,7 +246,7 @@
 	private void awaitClaim(Job job, Waiter waiter) {
 		job.submission = waiter.submission();
 		job.waiters.add(waiter);
-		this.claimWaits.add(new ClaimWait(this.now + this.settings.claimWaitNanos(), job, waiter));
+		this.claimWaits.put(waiter.request(), new ClaimWait(this.now + this.settings.claimWaitNanos(), job, waiter));
 		if (!job.claimStored && !this.appender.contains(job.key)) {
 			this.appender.add(new Claim(job.key, job.fingerprint, this.self, job.expiryNanos, job.generation),
 					this.now);
@@ -343,12 +343,12 @@
 			broken(violation);
 			Answer internal = Answer.refusal(Outcome.UNKNOWN, ErrorKind.INTERNAL, violation, 0);
 			this.jobs.finish(job, internal, this.now);
-			job.takeWaiters().forEach((waiter) -> reply(waiter.request(), internal));
+			takeWaiters(job).forEach((waiter) -> reply(waiter.request(), internal));
 			return;
 		}
 		this.jobs.start(job);
 		this.effects.add(new SubmissionEffect.StartTasks(job.number, job.submission));
-		List<Waiter> waiters = job.takeWaiters();
+		List<Waiter> waiters = takeWaiters(job);
 		for (Waiter waiter : waiters) {
 			attachToRunning(job, waiter);
 		}
@@ -446,7 +446,7 @@
 			startPendingWithoutClaim(job);
 			return;
 		}
-		for (Waiter waiter : job.takeWaiters()) {
+		for (Waiter waiter : takeWaiters(job)) {
 			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
 					"records of the claims were trimmed before this host had read them");
 		}
@@ -485,7 +485,7 @@
 			finishCancelled(job);
 		}
 		else if (job.expiryNanos <= this.now) {
-			for (Waiter waiter : job.takeWaiters()) {
+			for (Waiter waiter : takeWaiters(job)) {
 				refuse(waiter, job.refusalOutcome(waiter), ErrorKind.EXPIRED, "the submission has expired");
 			}
 		}
@@ -500,7 +500,7 @@
 	private void claimLost(Job job) {
 		this.appender.remove(job.key);
 		this.jobs.remove(job);
-		for (Waiter waiter : job.takeWaiters()) {
+		for (Waiter waiter : takeWaiters(job)) {
 			route(waiter.withoutProof());
 		}
 	}
@@ -558,7 +558,7 @@
 
 	private void finish(Job job, Answer answer) {
 		this.jobs.finish(job, answer, this.now);
-		job.takeWaiters().forEach((waiter) -> reply(waiter.request(), answer));
+		takeWaiters(job).forEach((waiter) -> reply(waiter.request(), answer));
 	}
 
 	// No task ran: the key stays held, so that a resubmission can start the job.
@@ -568,7 +568,7 @@
 			finishCancelled(job);
 			return;
 		}
-		for (Waiter waiter : job.takeWaiters()) {
+		for (Waiter waiter : takeWaiters(job)) {
 			Answer answer = Answer.error(job.refusalOutcome(waiter), cause.error(), cause.detail(),
 					cause.retryAfterNanos(), List.of());
 			reply(waiter.request(), answer);
@@ -620,7 +620,7 @@
 	// The claim is still appended, so that the cancellation holds at every host.
 	private void cancelPending(Job job, Waiter canceller) {
 		job.cancelled = true;
-		for (Waiter waiter : job.takeWaiters()) {
+		for (Waiter waiter : takeWaiters(job)) {
 			refuse(waiter, ErrorKind.CANCELLED, "the job was cancelled before it started");
 		}
 		refuse(canceller, ErrorKind.CANCELLED, "the job is cancelled unless another host has started it");
@@ -827,11 +827,9 @@
 			removeRelay(request);
 			return;
 		}
-		for (ClaimWait wait : this.claimWaits) {
-			if (wait.waiter.request() == request) {
-				wait.job.waiters.remove(wait.waiter);
-				return;
-			}
+		ClaimWait wait = this.claimWaits.remove(request);
+		if (wait != null) {
+			wait.job.waiters.remove(wait.waiter);
 		}
 	}
 
@@ -866,7 +864,6 @@
 	 */
 	public void tick(long nowNanos, Consumer<? super SubmissionEffect> consumer) {
 		advance(nowNanos);
-		this.claims.expire(this.now);
 		this.jobs.expire(this.now);
 		endClaimWaits();
 		endRelays();
@@ -877,8 +874,9 @@
 	}
 
 	private void endClaimWaits() {
-		while (!this.claimWaits.isEmpty() && this.claimWaits.peek().deadlineNanos <= this.now) {
-			ClaimWait wait = this.claimWaits.poll();
+		while (firstClaimWaitNanos() <= this.now) {
+			ClaimWait wait = this.claimWaits.values().iterator().next();
+			this.claimWaits.remove(wait.waiter.request());
 			Job job = wait.job;
 			if (job.state != Job.State.PENDING || !job.waiters.contains(wait.waiter)) {
 				continue;
@@ -893,6 +891,17 @@
 		}
 	}
 
+	private List<Waiter> takeWaiters(Job job) {
+		List<Waiter> taken = job.waiters;
+		job.waiters = new ArrayList<>(1);
+		taken.forEach((waiter) -> this.claimWaits.remove(waiter.request()));
+		return taken;
+	}
+
+	private long firstClaimWaitNanos() {
+		return this.claimWaits.isEmpty() ? Long.MAX_VALUE : this.claimWaits.values().iterator().next().deadlineNanos;
+	}
+
 	private void forgetUnsent(Job job) {
 		if (job.waiters.isEmpty() && !job.cancelled && !job.claimSent) {
 			this.appender.remove(job.key);
@@ -908,7 +917,7 @@
 	}
 
 	private void appendClaims() {
-		boolean quiet = this.claims.lastAppendTimeNanos() + this.settings.markerIntervalNanos() < this.now;
+		boolean quiet = this.claims.streamNanos() + this.settings.markerIntervalNanos() < this.now;
 		if (quiet && this.claims.isHistoryEnough(this.now)) {
 			this.appender.wantMarker();
 		}
@@ -933,9 +942,7 @@
 			return this.now;
 		}
 		long wake = this.appender.nextWakeNanos();
-		if (!this.claimWaits.isEmpty()) {
-			wake = Math.min(wake, this.claimWaits.peek().deadlineNanos);
-		}
+		wake = Math.min(wake, firstClaimWaitNanos());
 		if (!this.relaysByDeadline.isEmpty()) {
 			wake = Math.min(wake, this.relaysByDeadline.first().deadlineNanos);
 		}
@@ -1006,6 +1013,7 @@
 	}
 
 	private void reply(long request, Answer answer) {
+		this.claimWaits.remove(request);
 		if (this.openRequests.remove(request)) {
 			this.effects.add(new SubmissionEffect.Reply(request, answer));
 		}
--- a/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionChecker.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionChecker.java
@@ -45,8 +45,8 @@
 		history(submission).requests.add(request);
 	}
 
-	void delivered(long id) {
-		this.requests.get(id).delivered = true;
+	void delivered(long id, long atNanos) {
+		this.requests.get(id).deliveredNanos = atNanos;
 	}
 
 	private KeyHistory history(Submission submission) {
@@ -173,7 +173,7 @@
 
 		private final long sentNanos;
 
-		private boolean delivered;
+		private long deliveredNanos = Long.MAX_VALUE;
 
 		private boolean answered;
 
@@ -186,7 +186,7 @@
 		}
 
 		boolean mayStartAt(long startNanos) {
-			return this.delivered && this.sentNanos <= startNanos && startNanos < this.notRunNanos;
+			return this.deliveredNanos <= startNanos && startNanos < this.notRunNanos;
 		}
 
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSimulation.java
@@ -547,7 +547,7 @@
 		}
 
 		private void take(long id, Submission submission, Consumer<Answer> reply) {
-			SubmissionSimulation.this.checker.delivered(id);
+			SubmissionSimulation.this.checker.delivered(id, SubmissionSimulation.this.now);
 			this.replies.put(id, reply);
 			this.system.submit(id, submission, 0, clock());
 		}
