--- a/limpetgate-cli/src/main/java/org/limpetgate/cli/LogOutput.java
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/LogOutput.java
@@ -20,7 +20,8 @@
  */
 public final class LogOutput {
 
-	// The logging library holds loggers weakly; without this field the handlers could be collected.
+	// The logging library holds loggers weakly; without this field the handlers could be
+	// collected.
 	private static final Logger ROOT = Logger.getLogger("");
 
 	private LogOutput() {
