--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -1,5 +1,6 @@
 package org.limpetgate.host;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -141,7 +142,7 @@
 		this.runner = new TaskRunner(this.dispatcher, gateways(), this.control, this.clock, this.events, this.metrics);
 		this.runner.onLeaving((upstream) -> upstreamLeaving(upstream, this.clock.getAsLong()));
 		PeerIdentity self = new PeerIdentity(this.incarnation, settings.dataCentre());
-		PeerSettings peerSettings = PeerSettings.of(self, peerKeys(settings.keys()));
+		PeerSettings peerSettings = peerSettings(self);
 		this.peerServer = PeerServer.start(this.group, toAddress(settings.peers()), peerSettings,
 				(peer, frame) -> this.peerHandler.handle(peer, frame));
 		this.links = PeerLinks.of(this.group, peerSettings, new SplittableRandom(this.random.nextLong()));
@@ -217,8 +218,10 @@
 	}
 
 	private PeerService peerService(PeerIdentity self) {
+		Endpoint advertised = this.settings.advertisedPeers();
+		int port = (advertised.port() != 0) ? advertised.port() : this.peerServer.address().getPort();
 		MemberAddress address = new MemberAddress(this.settings.host(), this.settings.dataCentre(),
-				this.settings.peers().address(), this.peerServer.address().getPort());
+				advertised.address(), port);
 		Membership membership = new Membership(this.incarnation, this.settings.dataCentre(), MembershipTimings.DEFAULT);
 		return new PeerService(self, address, this.settings.dataCentres(), this.settings.size(), membership, this.links,
 				this.control, this.clock, this.events);
@@ -251,6 +254,12 @@
 			.withRequestTimes(this.settings.limits().requestTime().toNanos(), HttpServerLimits.defaults().idleNanos());
 	}
 
+	private PeerSettings peerSettings(PeerIdentity self) {
+		PeerSettings common = PeerSettings.of(self, peerKeys(this.settings.keys()));
+		InetAddress local = toAddress(this.settings.peers()).getAddress();
+		return local.isAnyLocalAddress() ? common : common.withLocalAddress(local);
+	}
+
 	private static PeerKeys peerKeys(List<Key> keys) {
 		Map<String, byte[]> secrets = new HashMap<>();
 		keys.forEach((key) -> secrets.put(key.id(), key.secret()));
--- a/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettings.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettings.java
@@ -22,7 +22,8 @@
  * @param callers where the host listens for callers
  * @param operators where it listens for operators
  * @param peers where it listens for other entry hosts
- * @param peerHosts the other entry hosts, without this one
+ * @param peerHosts the entry hosts; an entry for this one tells the others where to reach
+ * it
  * @param platform the addresses of the platform, in order of preference
  * @param keys the keys of the entry hosts, for links between them and for tickets; the
  * first one signs, all are accepted
@@ -69,6 +70,18 @@
 		Objects.requireNonNull(logFile, "logFile");
 	}
 
+	/**
+	 * Returns where other entry hosts reach this one.
+	 * @return the endpoint of this host among the peers, else where it listens
+	 */
+	public Endpoint advertisedPeers() {
+		return this.peerHosts.stream()
+			.filter((peer) -> peer.host().equals(this.host))
+			.map(PeerAddress::endpoint)
+			.findFirst()
+			.orElse(this.peers);
+	}
+
 	/**
 	 * Reads settings.
 	 * @param source the file, named in problems, not null
--- a/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettingsReader.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettingsReader.java
@@ -1,7 +1,6 @@
 package org.limpetgate.host.settings;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
@@ -55,7 +54,7 @@
 		Endpoint operators = listen(file, "operators", HostSettings.DEFAULT_OPERATORS);
 		Endpoint peers = listen(file, "peers", HostSettings.DEFAULT_PEERS);
 		checkDistinct(file, callers, operators, peers);
-		List<PeerAddress> peerHosts = peerHosts(file, host, dataCentres);
+		List<PeerAddress> peerHosts = peerHosts(file, dataCentres);
 		List<Endpoint> platform = file.objects("platform", (fields) -> endpoint(fields, 1));
 		if (file.has("platform") && platform.isEmpty()) {
 			file.problem("platform", "has no usable address", "add the address and port of the platform");
@@ -115,13 +114,9 @@
 		return fields.build(() -> new Endpoint(address, port));
 	}
 
-	// The list may name this host, so that all hosts can share it.
-	private static List<PeerAddress> peerHosts(JsonObject file, HostId self, List<DataCentreId> dataCentres) {
+	private static List<PeerAddress> peerHosts(JsonObject file, List<DataCentreId> dataCentres) {
 		Set<HostId> names = new HashSet<>();
-		List<PeerAddress> peers = new ArrayList<>(
-				file.objects("peerHosts", (fields) -> peer(fields, names, dataCentres)));
-		peers.removeIf((peer) -> peer.host().equals(self));
-		return peers;
+		return file.objects("peerHosts", (fields) -> peer(fields, names, dataCentres));
 	}
 
 	private static PeerAddress peer(JsonObject fields, Set<HostId> names, List<DataCentreId> dataCentres) {
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLink.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLink.java
@@ -1,5 +1,7 @@
 package org.limpetgate.net.peer;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
@@ -85,7 +87,7 @@
 							(PeerLink.this.settings.tls() != null) ? PeerLink.this.settings.tls().client() : null);
 				}
 			})
-			.connect(this.peer.address());
+			.connect(this.peer.address(), localAddress());
 		this.connecting.addListener((connected) -> {
 			if (!connected.isSuccess()) {
 				this.lastFault = connected.cause().getMessage();
@@ -97,6 +99,11 @@
 		});
 	}
 
+	private InetSocketAddress localAddress() {
+		InetAddress address = this.settings.localAddress();
+		return (address != null) ? new InetSocketAddress(address, 0) : null;
+	}
+
 	private int connectMillis() {
 		return (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(this.settings.limits().handshakeNanos()));
 	}
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerSettings.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerSettings.java
@@ -1,5 +1,6 @@
 package org.limpetgate.net.peer;
 
+import java.net.InetAddress;
 import java.util.Objects;
 
 /**
@@ -10,8 +11,11 @@
  * @param limits the bounds
  * @param tls the TLS contexts, null for links without TLS
  * @param metrics the receiver of counts
+ * @param localAddress the address from which links are opened, null to let the operating
+ * system choose
  */
-public record PeerSettings(PeerIdentity self, PeerKeys keys, PeerLimits limits, PeerTls tls, PeerMetrics metrics) {
+public record PeerSettings(PeerIdentity self, PeerKeys keys, PeerLimits limits, PeerTls tls, PeerMetrics metrics,
+		InetAddress localAddress) {
 
 	public PeerSettings {
 		Objects.requireNonNull(self, "self");
@@ -27,7 +31,7 @@
 	 * @return the settings, not null
 	 */
 	public static PeerSettings of(PeerIdentity self, PeerKeys keys) {
-		return new PeerSettings(self, keys, PeerLimits.defaults(), null, PeerMetrics.NONE);
+		return new PeerSettings(self, keys, PeerLimits.defaults(), null, PeerMetrics.NONE, null);
 	}
 
 	/**
@@ -36,7 +40,7 @@
 	 * @return the copy, not null
 	 */
 	public PeerSettings withLimits(PeerLimits limits) {
-		return new PeerSettings(this.self, this.keys, limits, this.tls, this.metrics);
+		return new PeerSettings(this.self, this.keys, limits, this.tls, this.metrics, this.localAddress);
 	}
 
 	/**
@@ -45,7 +49,8 @@
 	 * @return the copy, not null
 	 */
 	public PeerSettings withTls(PeerTls tls) {
-		return new PeerSettings(this.self, this.keys, this.limits, Objects.requireNonNull(tls, "tls"), this.metrics);
+		return new PeerSettings(this.self, this.keys, this.limits, Objects.requireNonNull(tls, "tls"), this.metrics,
+				this.localAddress);
 	}
 
 	/**
@@ -54,7 +59,17 @@
 	 * @return the copy, not null
 	 */
 	public PeerSettings withMetrics(PeerMetrics metrics) {
-		return new PeerSettings(this.self, this.keys, this.limits, this.tls, metrics);
+		return new PeerSettings(this.self, this.keys, this.limits, this.tls, metrics, this.localAddress);
+	}
+
+	/**
+	 * Returns a copy with the address from which links are opened, so that peers and
+	 * firewalls see the address that the settings name.
+	 * @param localAddress the address, not null
+	 * @return the copy, not null
+	 */
+	public PeerSettings withLocalAddress(InetAddress localAddress) {
+		return new PeerSettings(this.self, this.keys, this.limits, this.tls, this.metrics, localAddress);
 	}
 
 }
