--- a/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -75,10 +74,6 @@
 
 	private final LongSupplier nowNanos;
 
-	private final long startNanos;
-
-	private final AtomicLong editNumbers = new AtomicLong();
-
 	/**
 	 * Creates the handler.
 	 * @param self this host, not null
@@ -95,7 +90,6 @@
 		this.cluster = Objects.requireNonNull(cluster, "cluster");
 		this.keys = List.copyOf(keys);
 		this.nowNanos = Objects.requireNonNull(nowNanos, "nowNanos");
-		this.startNanos = nowNanos.getAsLong();
 	}
 
 	@Override
@@ -208,11 +202,10 @@
 		return TableJson.write(TableJson.readPool("request body", body).orThrow(ErrorKind.INVALID_EDIT));
 	}
 
-	private String editId(HttpCall call) {
+	private static String editId(HttpCall call) {
 		String chosen = call.header(OperatorSignature.EDIT_ID);
 		if (chosen.isEmpty()) {
-			return this.self.value().replace('/', '-') + "-" + this.startNanos + "-"
-					+ this.editNumbers.incrementAndGet();
+			return OperatorSignature.requestId(call);
 		}
 		if (!EDIT_ID.matcher(chosen).matches()) {
 			throw invalid("the header Limpetgate-Edit-Id is not valid; use 1 to 128 letters, digits and . _ : -");
--- a/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorSignature.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorSignature.java
@@ -24,8 +24,8 @@
  * <p>
  * The header {@code Authorization: Limpetgate-HMAC key=ID, time=MILLIS, mac=HEX} carries
  * an HMAC-SHA256 over the request, so that the secret is never sent, also where the
- * operators' endpoint is not on loopback. A replayed edit has no effect, since the edit
- * id is signed as well.
+ * operators' endpoint is not on loopback. A replayed edit has no effect, since it has the
+ * same edit id.
  */
 public final class OperatorSignature {
 
@@ -40,6 +40,8 @@
 
 	private static final String ALGORITHM = "HmacSHA256";
 
+	private static final int REQUEST_ID_CHARS = 32;
+
 	private static final Pattern FORM = Pattern
 		.compile("Limpetgate-HMAC key=([^, ]{1,128}), time=(\\d{1,15}), mac=([0-9a-f]{64})");
 
@@ -85,6 +87,18 @@
 		return key.get().id();
 	}
 
+	/**
+	 * Returns an id that is the same for a request and its replays, for use as the id of
+	 * an edit that carries none.
+	 * @param call a request whose signature is valid, not null
+	 * @return the id, not null
+	 */
+	public static String requestId(HttpCall call) {
+		String header = call.header(HEADER);
+		int mac = header.lastIndexOf('=') + 1;
+		return header.substring(mac, mac + REQUEST_ID_CHARS);
+	}
+
 	private static byte[] mac(Key key, HttpCall call, long timeMillis) {
 		try {
 			String body = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(call.body()));
--- a/limpetgate-host/src/test/java/org/limpetgate/host/operator/OperatorApiTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/operator/OperatorApiTests.java
@@ -123,6 +123,21 @@
 		}
 	}
 
+	/**
+	 * Guards against a captured request that adds a row again after its removal.
+	 */
+	@Example
+	void replayedEditHasNoEffect() {
+		this.service.start();
+		this.time.runFor(Duration.ofSeconds(1));
+		HttpCall add = signed(KEY, 0, new HttpCall("PUT", OperatorApi.PREFIX + "pools/p", Map.of("if-none-match", "*"),
+				POOL.getBytes(StandardCharsets.UTF_8)));
+		assertThat(send(add).status()).isEqualTo(200);
+		assertThat(send("DELETE", "pools/p", "if-match:\"0\"", "").status()).isEqualTo(200);
+		assertThat(send(add).header("etag")).isEqualTo("\"0\"");
+		assertThat(this.service.configuration().pools()).isEmpty();
+	}
+
 	/**
 	 * Guards against edits by those who hold no key, and against signatures that are
 	 * moved to another request.
