--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Measurements.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Measurements.java
@@ -24,6 +24,8 @@
 
 	private final Map<WorkClass, Histogram> slowdown = new EnumMap<>(WorkClass.class);
 
+	private final Histogram shortSlowdown = new Histogram(MAX_VALUE, 3);
+
 	private final Histogram shortWait = new Histogram(MAX_VALUE, 3);
 
 	private final List<List<Double>> windows = new ArrayList<>();
@@ -87,6 +89,7 @@
 		this.slowdown.get(WorkClass.of(task.request.pool(), task.isLong))
 			.recordValue(Math.min(MAX_VALUE, (long) (value * SCALE)));
 		if (!task.isLong) {
+			this.shortSlowdown.recordValue(Math.min(MAX_VALUE, (long) (value * SCALE)));
 			int window = (int) (task.arrivedAt / WINDOW);
 			while (this.windows.size() <= window) {
 				this.windows.add(new ArrayList<>());
@@ -98,6 +101,7 @@
 
 	void add(Measurements other) {
 		other.slowdown.forEach((workClass, histogram) -> this.slowdown.get(workClass).add(histogram));
+		this.shortSlowdown.add(other.shortSlowdown);
 		this.shortWait.add(other.shortWait);
 		for (int i = 0; i < other.windows.size(); i++) {
 			if (i >= this.windows.size()) {
@@ -126,6 +130,10 @@
 		return this.slowdown.get(workClass).getValueAtPercentile(percentile) / SCALE;
 	}
 
+	double shortSlowdown(double percentile) {
+		return this.shortSlowdown.getValueAtPercentile(percentile) / SCALE;
+	}
+
 	double shortWaitMillis(double percentile) {
 		return this.shortWait.getValueAtPercentile(percentile) / 1_000.0;
 	}
--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Report.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Report.java
@@ -39,6 +39,7 @@
 						(measurements) -> measurements.slowdown(workClass, percentile)));
 			}
 		}
+		columns.add(new Column("short_p99", (measurements) -> measurements.shortSlowdown(99)));
 		columns.add(new Column("short_wait_ms_p99", (measurements) -> measurements.shortWaitMillis(99)));
 		columns.add(new Column("wasted_per_100", Measurements::wastedPer100));
 		columns.add(new Column("goodput_runners", (measurements) -> measurements.goodput(Workload.RUNNERS)));
