Serve the highest response ratio first within a caller

Cause: with run time minus waiting time as the order, all tasks age at the same rate, so short ones gained little over tasks that had waited a second. Change: the task with the highest (waited + run time) / run time is next.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
@@ -10,6 +10,9 @@
  */
 final class FairQueue {
 
+	/** Counted as waited, so that shorter tasks go first among those that just came. */
+	private static final double WAIT_FLOOR_NANOS = 10_000_000;
+
 	private final DispatchSettings settings;
 
 	FairQueue(DispatchSettings settings) {
@@ -92,7 +95,7 @@
 
 	private TaskEntity nextOf(CallerEntity caller, boolean longAllowed, long nowNanos) {
 		TaskEntity best = null;
-		double bestScore = Double.POSITIVE_INFINITY;
+		double bestRatio = 0;
 		for (int i = 0; i < caller.routes.size(); i++) {
 			CallerEntity.RouteQueue queue = caller.routes.get(i);
 			TaskEntity head = queue.peek();
@@ -101,15 +104,28 @@
 					|| (!longAllowed && isLong(queue.route)) || isBlocked(queue.route, head)) {
 				continue;
 			}
-			double score = queue.route.mean() - (nowNanos - head.queuedAt);
-			if (score < bestScore) {
+			double ratio = responseRatio(head, nowNanos);
+			if (ratio > bestRatio) {
 				best = head;
-				bestScore = score;
+				bestRatio = ratio;
 			}
 		}
 		return best;
 	}
 
+	/**
+	 * Returns the slowdown that a task has reached. The highest one goes first: a short
+	 * task overtakes long ones soon, and a long one is overtaken for a few of its own run
+	 * times only.
+	 * @param task the task
+	 * @param nowNanos the present time
+	 * @return the ratio of response time to run time
+	 */
+	private static double responseRatio(TaskEntity task, long nowNanos) {
+		double mean = task.route.mean();
+		return (nowNanos - task.queuedAt + WAIT_FLOOR_NANOS + mean) / mean;
+	}
+
 	private static boolean isBlocked(RouteEntity route, TaskEntity head) {
 		return route.blockedRound == head.pool.round && head.request.resources().cores() >= route.blockedCores;
 	}
