Order by response ratio among callers that are nearly equal

Cause: with 120 callers the order was by virtual time almost alone, so short tasks of busy callers waited behind long ones of others. Change: callers within 300 ms of slot time per weight count as equal.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/CallerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/CallerEntity.java
@@ -30,9 +30,6 @@
 	/** Position among the active callers of the pool, -1 while nothing waits. */
 	int activeIndex = -1;
 
-	/** The dispatch round in which the caller has no more tasks to place. */
-	long blockedRound;
-
 	CallerEntity(CallerId id, CallerQuota quota) {
 		this.id = id;
 		this.quota = quota;
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
@@ -13,6 +13,9 @@
 	/** Counted as waited, so that shorter tasks go first among those that just came. */
 	private static final double WAIT_FLOOR_NANOS = 10_000_000;
 
+	/** Callers whose slot time per weight differs by less than this count as equal. */
+	private static final double WINDOW_NANOS = 300_000_000;
+
 	private final DispatchSettings settings;
 
 	FairQueue(DispatchSettings settings) {
@@ -68,31 +71,55 @@
 	 */
 	TaskEntity next(PoolEntity pool, long nowNanos) {
 		boolean longAllowed = pool.longInFlight < longLimit(pool);
-		while (true) {
-			CallerEntity caller = nextCaller(pool);
-			if (caller == null) {
-				return null;
-			}
-			TaskEntity task = nextOf(caller, longAllowed, nowNanos);
-			if (task != null) {
-				return task;
+		double limit = leastVirtualTime(pool) + WINDOW_NANOS;
+		TaskEntity best = null;
+		double bestRatio = 0;
+		for (int i = 0; i < pool.active.size(); i++) {
+			CallerEntity caller = pool.active.get(i);
+			TaskEntity task = (isEligible(caller) && caller.virtualTime <= limit)
+					? nextOf(caller, longAllowed, nowNanos) : null;
+			if (task != null && responseRatio(task, nowNanos) > bestRatio) {
+				best = task;
+				bestRatio = responseRatio(task, nowNanos);
 			}
-			caller.blockedRound = pool.round;
 		}
+		return (best != null) ? best : nextBeyond(pool, longAllowed, nowNanos);
 	}
 
-	private static CallerEntity nextCaller(PoolEntity pool) {
-		CallerEntity best = null;
+	/**
+	 * Returns the next task when no caller within the window has one that can be placed.
+	 * @param pool the pool
+	 * @param longAllowed whether long work may start
+	 * @param nowNanos the present time
+	 * @return the task, null for none
+	 */
+	private TaskEntity nextBeyond(PoolEntity pool, boolean longAllowed, long nowNanos) {
+		TaskEntity best = null;
 		for (int i = 0; i < pool.active.size(); i++) {
 			CallerEntity caller = pool.active.get(i);
-			if (caller.blockedRound != pool.round && caller.inFlight < caller.quota.inFlight()
-					&& (best == null || caller.virtualTime < best.virtualTime)) {
-				best = caller;
+			if (isEligible(caller) && (best == null || caller.virtualTime < best.caller.virtualTime)) {
+				TaskEntity task = nextOf(caller, longAllowed, nowNanos);
+				best = (task != null) ? task : best;
 			}
 		}
 		return best;
 	}
 
+	private static boolean isEligible(CallerEntity caller) {
+		return caller.inFlight < caller.quota.inFlight();
+	}
+
+	private static double leastVirtualTime(PoolEntity pool) {
+		double least = Double.POSITIVE_INFINITY;
+		for (int i = 0; i < pool.active.size(); i++) {
+			CallerEntity caller = pool.active.get(i);
+			if (isEligible(caller)) {
+				least = Math.min(least, caller.virtualTime);
+			}
+		}
+		return least;
+	}
+
 	private TaskEntity nextOf(CallerEntity caller, boolean longAllowed, long nowNanos) {
 		TaskEntity best = null;
 		double bestRatio = 0;
