--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
@@ -10,6 +10,12 @@
  */
 final class FairQueue {
 
+	/** Counted as waited, so that shorter tasks go first among those that just came. */
+	private static final double WAIT_FLOOR_NANOS = 10_000_000;
+
+	/** Callers whose slot time per weight differs by less than this count as equal. */
+	private static final double WINDOW_NANOS = 300_000_000;
+
 	private final DispatchSettings settings;
 
 	FairQueue(DispatchSettings settings) {
@@ -65,34 +71,58 @@
 	 */
 	TaskEntity next(PoolEntity pool, long nowNanos) {
 		boolean longAllowed = pool.longInFlight < longLimit(pool);
-		while (true) {
-			CallerEntity caller = nextCaller(pool);
-			if (caller == null) {
-				return null;
-			}
-			TaskEntity task = nextOf(caller, longAllowed, nowNanos);
-			if (task != null) {
-				return task;
+		double limit = leastVirtualTime(pool) + WINDOW_NANOS;
+		TaskEntity best = null;
+		double bestRatio = 0;
+		for (int i = 0; i < pool.active.size(); i++) {
+			CallerEntity caller = pool.active.get(i);
+			TaskEntity task = (isEligible(caller) && caller.virtualTime <= limit)
+					? nextOf(caller, longAllowed, nowNanos) : null;
+			if (task != null && responseRatio(task, nowNanos) > bestRatio) {
+				best = task;
+				bestRatio = responseRatio(task, nowNanos);
 			}
-			caller.blockedRound = pool.round;
 		}
+		return (best != null) ? best : nextBeyond(pool, longAllowed, nowNanos);
 	}
 
-	private static CallerEntity nextCaller(PoolEntity pool) {
-		CallerEntity best = null;
+	/**
+	 * Returns the next task when no caller within the window has one that can be placed.
+	 * @param pool the pool
+	 * @param longAllowed whether long work may start
+	 * @param nowNanos the present time
+	 * @return the task, null for none
+	 */
+	private TaskEntity nextBeyond(PoolEntity pool, boolean longAllowed, long nowNanos) {
+		TaskEntity best = null;
 		for (int i = 0; i < pool.active.size(); i++) {
 			CallerEntity caller = pool.active.get(i);
-			if (caller.blockedRound != pool.round && caller.inFlight < caller.quota.inFlight()
-					&& (best == null || caller.virtualTime < best.virtualTime)) {
-				best = caller;
+			if (isEligible(caller) && (best == null || caller.virtualTime < best.caller.virtualTime)) {
+				TaskEntity task = nextOf(caller, longAllowed, nowNanos);
+				best = (task != null) ? task : best;
 			}
 		}
 		return best;
 	}
 
+	private static boolean isEligible(CallerEntity caller) {
+		return caller.inFlight < caller.quota.inFlight();
+	}
+
+	private static double leastVirtualTime(PoolEntity pool) {
+		double least = Double.POSITIVE_INFINITY;
+		for (int i = 0; i < pool.active.size(); i++) {
+			CallerEntity caller = pool.active.get(i);
+			if (isEligible(caller)) {
+				least = Math.min(least, caller.virtualTime);
+			}
+		}
+		return least;
+	}
+
 	private TaskEntity nextOf(CallerEntity caller, boolean longAllowed, long nowNanos) {
 		TaskEntity best = null;
-		double bestScore = Double.POSITIVE_INFINITY;
+		double bestRatio = 0;
 		for (int i = 0; i < caller.routes.size(); i++) {
 			CallerEntity.RouteQueue queue = caller.routes.get(i);
 			TaskEntity head = queue.peek();
@@ -101,15 +131,28 @@
 					|| (!longAllowed && isLong(queue.route)) || isBlocked(queue.route, head)) {
 				continue;
 			}
-			double score = queue.route.mean() - (nowNanos - head.queuedAt);
-			if (score < bestScore) {
+			double ratio = responseRatio(head, nowNanos);
+			if (ratio > bestRatio) {
 				best = head;
-				bestScore = score;
+				bestRatio = ratio;
 			}
 		}
 		return best;
 	}
 
+	/**
+	 * Returns the slowdown that a task has reached. The highest one goes first: a short
+	 * task overtakes long ones soon, and a long one is overtaken for a few of its own run
+	 * times only.
+	 * @param task the task
+	 * @param nowNanos the present time
+	 * @return the ratio of response time to run time
+	 */
+	private static double responseRatio(TaskEntity task, long nowNanos) {
+		double mean = task.route.mean();
+		return (nowNanos - task.queuedAt + WAIT_FLOOR_NANOS + mean) / mean;
+	}
+
 	private static boolean isBlocked(RouteEntity route, TaskEntity head) {
 		return route.blockedRound == head.pool.round && head.request.resources().cores() >= route.blockedCores;
 	}
