--- a/limpetgate-host/src/test/java/org/limpetgate/host/configuration/ConfigurationRunTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/configuration/ConfigurationRunTests.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 import net.jqwik.api.Example;
 import org.limpetgate.DispatchException;
@@ -49,12 +51,16 @@
 	/** The bound on the time until an accepted edit is in force, by the design page. */
 	private static final Duration IN_FORCE = Duration.ofSeconds(4);
 
+	/** A run logs some 50,000 lines, which hide those of other tests. */
+	private static final Logger LOGGER = Logger.getLogger("org.limpetgate.host.configuration");
+
 	/**
 	 * Guards against lost or reverted edits, tables that differ between hosts, and hosts
 	 * that stay behind.
 	 */
 	@Example
 	void acceptedEditsAreInForceEverywhereAndStay() {
+		LOGGER.setLevel(Level.SEVERE);
 		int accepted = 0;
 		int rejected = 0;
 		int unknown = 0;
