--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/submission/ClaimExperiment.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/submission/ClaimExperiment.java
@@ -5,17 +5,26 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
+import org.limpetgate.CallerId;
 import org.limpetgate.DataCentreId;
 import org.limpetgate.HostId;
 import org.limpetgate.Incarnation;
+import org.limpetgate.SubmissionKey;
 import org.limpetgate.submission.Claim;
 import org.limpetgate.submission.ClaimRecord;
 import org.limpetgate.submission.ClaimTable;
 import org.limpetgate.submission.DataCentres;
 import org.limpetgate.submission.KeyHash;
+import org.limpetgate.submission.Submission;
+import org.limpetgate.submission.SubmissionEffect;
 import org.limpetgate.submission.SubmissionSettings;
+import org.limpetgate.submission.SubmissionSystem;
+import org.limpetgate.submission.SubmittedTask;
+import org.limpetgate.submission.TaskResult;
+import org.limpetgate.submission.TicketAuthority;
 import org.limpetgate.wire.ClaimCodec;
 
 /**
@@ -36,6 +45,8 @@
 
 	private static final int FILL_BATCH = 10;
 
+	private static final int ENDED_JOBS = 60_000;
+
 	private ClaimExperiment() {
 	}
 
@@ -56,7 +67,8 @@
 			}
 		}
 		out.println();
-		printState(out);
+		printClaims(out);
+		printJobs(out);
 	}
 
 	private static String row(ClaimLoad run, int load, boolean tickets, int seconds) {
@@ -69,7 +81,7 @@
 				(double) run.appends() / seconds, appendsPerJob, bytes);
 	}
 
-	private static void printState(PrintStream out) {
+	private static void printClaims(PrintStream out) {
 		Incarnation holder = Incarnation.of(HostId.of("host1"), 1);
 		List<byte[]> payloads = new ArrayList<>();
 		long time = TimeUnit.DAYS.toNanos(1);
@@ -91,6 +103,31 @@
 				table.size(), used / 1e6, (double) used / table.size(), (double) elapsed / table.size());
 	}
 
+	private static void printJobs(PrintStream out) {
+		Incarnation self = Incarnation.of(HostId.of("host1"), 1);
+		CallerId caller = CallerId.of("caller");
+		long time = TimeUnit.DAYS.toNanos(1);
+		long before = usedBytes();
+		SubmissionSystem system = new SubmissionSystem(self, dataCentre(), SubmissionSettings.DEFAULT,
+				new TicketAuthority(self, ticketSecret()), (submission) -> null, new Random(1));
+		SubmittedTask task = SubmittedTask.of("1", "POST", "/work", new byte[0], false);
+		long expiry = time + SubmissionSettings.DEFAULT.maxExpiryAheadNanos();
+		for (int i = 0; i < ENDED_JOBS; i++) {
+			SubmissionKey key = system.issueTickets(caller, 1, time).get(0).toKey();
+			system.submit(i, Submission.of(caller, key, expiry, 1, true, List.of(task)), 0, time);
+			system.tick(time, (effect) -> {
+				if (effect instanceof SubmissionEffect.StartTasks start) {
+					system.taskEnded(start.job(), 0, TaskResult.complete(200, new byte[0]), time);
+				}
+			});
+		}
+		system.tick(time + SubmissionSettings.DEFAULT.resultKeepNanos() + 1, (effect) -> {
+		});
+		long used = usedBytes() - before;
+		out.printf(Locale.ROOT, "%d ended jobs remembered without results: %.1f MB, %.0f bytes/job%n",
+				system.counts().jobs(), used / 1e6, (double) used / system.counts().jobs());
+	}
+
 	private static byte[] payload(Incarnation holder, int first, long time) {
 		List<Claim> claims = new ArrayList<>();
 		for (int i = first; i < first + FILL_BATCH; i++) {
--- a/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSimulation.java
@@ -294,12 +294,13 @@
 
 	/**
 	 * Runs seeds until each has made the given number of steps or a violation.
-	 * @param args first seed, number of seeds, steps for each, mutation
+	 * @param args first seed, number of seeds, steps for each, mutation; 1, 1, 1000000
+	 * and NONE if missing
 	 */
 	public static void main(String[] args) {
-		long first = Long.parseLong(args[0]);
-		long seeds = Long.parseLong(args[1]);
-		long steps = Long.parseLong(args[2]);
+		long first = (args.length > 0) ? Long.parseLong(args[0]) : 1;
+		long seeds = (args.length > 1) ? Long.parseLong(args[1]) : 1;
+		long steps = (args.length > 2) ? Long.parseLong(args[2]) : 1_000_000;
 		Mutation mutation = (args.length > 3) ? Mutation.valueOf(args[3]) : Mutation.NONE;
 		int violations = 0;
 		for (long seed = first; seed < first + seeds; seed++) {
@@ -311,8 +312,9 @@
 			System.out.println("seed " + seed + ": " + made + " steps, " + simulation.summary());
 			if (simulation.violation() != null) {
 				violations++;
-				System.out.println("VIOLATION: " + simulation.violation() + "; repeat with: "
-						+ SubmissionSimulation.class.getName() + " " + seed + " 1 " + steps + " " + mutation);
+				System.out.println(
+						"VIOLATION: " + simulation.violation() + "; repeat with: limpetgate-core/submission-simulation "
+								+ seed + " 1 " + steps + " " + mutation);
 			}
 		}
 		if (violations > 0) {
