--- a/limpetgate-core/src/main/java/org/limpetgate/submission/Job.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/Job.java
@@ -80,9 +80,12 @@
 	/** The present run: rises with each start, so that late results are recognised. */
 	long number;
 
-	/** Kept from the first waiter until the job ends. */
+	/** Kept while the job runs. */
 	Submission submission;
 
+	/** The bytes of the submission and the results while the job runs. */
+	long runningBytes;
+
 	TaskResult[] results;
 
 	int open;
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/JobTable.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/JobTable.java
@@ -32,6 +32,8 @@
 
 	private long keptBytes;
 
+	private long runningBytes;
+
 	private long lastNumber;
 
 	JobTable(SubmissionSettings settings) {
@@ -62,6 +64,10 @@
 		return this.keptBytes;
 	}
 
+	long runningBytes() {
+		return this.runningBytes;
+	}
+
 	void add(Job job) {
 		this.jobs.put(job.key, job);
 		this.drops.add(new Drop(job.keepUntilNanos, job));
@@ -80,21 +86,31 @@
 		job.open = tasks;
 		job.failing = false;
 		this.running.put(job.number, job);
+		addBytes(job, job.submission.sizeBytes());
 	}
 
-	// Ends a run whose tasks were all proved not run, so that the job can start later.
-	void hold(Job job) {
+	void addBytes(Job job, long bytes) {
+		job.runningBytes += bytes;
+		this.runningBytes += bytes;
+	}
+
+	private void endRun(Job job) {
 		this.running.remove(job.number);
-		job.state = Job.State.HELD;
+		this.runningBytes -= job.runningBytes;
+		job.runningBytes = 0;
 		job.results = null;
 		job.submission = null;
 	}
 
+	// Ends a run whose tasks were all proved not run, so that the job can start later.
+	void hold(Job job) {
+		endRun(job);
+		job.state = Job.State.HELD;
+	}
+
 	void finish(Job job, Answer answer, long nowNanos) {
-		this.running.remove(job.number);
+		endRun(job);
 		job.state = Job.State.DONE;
-		job.results = null;
-		job.submission = null;
 		job.answer = answer;
 		job.outcome = answer.outcome();
 		job.endedNanos = nowNanos;
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/Submission.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/Submission.java
@@ -34,6 +34,8 @@
 	/** The value of {@link #attempt()} if the caller declared none. */
 	public static final int ATTEMPT_UNDECLARED = 0;
 
+	private static final long TASK_OVERHEAD_BYTES = 200;
+
 	private final CallerId caller;
 
 	private final SubmissionKey key;
@@ -52,6 +54,8 @@
 
 	private final boolean idempotent;
 
+	private final long sizeBytes;
+
 	private Submission(CallerId caller, SubmissionKey key, long expiryNanos, int attempt, boolean waiting,
 			List<SubmittedTask> tasks) {
 		this.caller = Objects.requireNonNull(caller, "caller");
@@ -64,6 +68,7 @@
 		checkTasks();
 		this.fingerprint = computeFingerprint();
 		this.idempotent = this.tasks.stream().allMatch(SubmittedTask::idempotent);
+		this.sizeBytes = this.tasks.stream().mapToLong(Submission::sizeBytes).sum();
 	}
 
 	/**
@@ -119,6 +124,14 @@
 		return ByteBuffer.wrap(KeyHash.sha256().digest(bytes.toByteArray())).getLong();
 	}
 
+	private static long sizeBytes(SubmittedTask task) {
+		long bytes = TASK_OVERHEAD_BYTES + task.body().length + task.path().length() + task.id().length();
+		for (Map.Entry<String, String> header : task.headers().entrySet()) {
+			bytes += header.getKey().length() + header.getValue().length();
+		}
+		return bytes;
+	}
+
 	private static void write(SubmittedTask task, DataOutputStream out) throws IOException {
 		write(task.id(), out);
 		write(task.method(), out);
@@ -224,4 +237,12 @@
 		return this.idempotent;
 	}
 
+	/**
+	 * Returns an estimate of the memory that the submission takes.
+	 * @return the size in bytes
+	 */
+	public long sizeBytes() {
+		return this.sizeBytes;
+	}
+
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionEffect.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionEffect.java
@@ -44,7 +44,8 @@
 	/**
 	 * Passes a request to an incarnation of a host. The host reports the answer with
 	 * {@link SubmissionSystem#peerReplied} or {@link SubmissionSystem#peerFailed}. It is
-	 * to be sent at most once.
+	 * to be sent at most once. When the connection breaks or the target becomes suspect,
+	 * the host reports a failure, so that the caller is answered at once.
 	 *
 	 * @param request the number of the request, to be given back
 	 * @param target the incarnation
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSettings.java
@@ -17,12 +17,14 @@
  * @param markerIntervalNanos after which time without records a marker is appended
  * @param resultKeepNanos how long a result is kept after its job has ended
  * @param maxResultBytes the most bytes of kept results
- * @param maxPendingClaims the most jobs that wait for their claims
+ * @param maxPendingClaims the most requests that wait for claims
+ * @param maxOpenBytes the most bytes of open requests and running jobs; above it, no job
+ * is started
  */
 public record SubmissionSettings(long claimWaitNanos, long minExpiryAheadNanos, long maxExpiryAheadNanos,
 		long skewNanos, long horizonNanos, long minAppendIntervalNanos, long maxAppendIntervalNanos,
 		long appendTimeoutNanos, long markerIntervalNanos, long resultKeepNanos, long maxResultBytes,
-		int maxPendingClaims) {
+		int maxPendingClaims, long maxOpenBytes) {
 
 	/**
 	 * The defaults. The intervals between appends are those for 6 hosts that share 300
@@ -32,7 +34,7 @@
 			Duration.ofSeconds(1).toNanos(), Duration.ofMinutes(10).toNanos(), Duration.ofSeconds(2).toNanos(),
 			Duration.ofMinutes(15).toNanos(), Duration.ofMillis(20).toNanos(), Duration.ofMillis(130).toNanos(),
 			Duration.ofSeconds(1).toNanos(), Duration.ofMinutes(1).toNanos(), Duration.ofMinutes(2).toNanos(),
-			64L * 1024 * 1024, 20_000);
+			64L * 1024 * 1024, 20_000, 128L * 1024 * 1024);
 
 	public SubmissionSettings {
 		if (horizonNanos < maxExpiryAheadNanos + 2 * skewNanos) {
@@ -52,20 +54,22 @@
 		return new SubmissionSettings(this.claimWaitNanos, this.minExpiryAheadNanos, maxExpiryAhead.toNanos(),
 				this.skewNanos, horizon.toNanos(), this.minAppendIntervalNanos, this.maxAppendIntervalNanos,
 				this.appendTimeoutNanos, markerInterval.toNanos(), this.resultKeepNanos, this.maxResultBytes,
-				this.maxPendingClaims);
+				this.maxPendingClaims, this.maxOpenBytes);
 	}
 
 	/**
-	 * Returns settings with other bounds on kept results and waiting claims.
+	 * Returns settings with other bounds on the state.
 	 * @param resultKeep how long a result is kept, not null
 	 * @param resultBytes the most bytes of kept results
-	 * @param pendingClaims the most jobs that wait for their claims
+	 * @param pendingClaims the most requests that wait for claims
+	 * @param openBytes the most bytes of open requests and running jobs
 	 * @return the settings, not null
 	 */
-	public SubmissionSettings withBounds(Duration resultKeep, long resultBytes, int pendingClaims) {
+	public SubmissionSettings withBounds(Duration resultKeep, long resultBytes, int pendingClaims, long openBytes) {
 		return new SubmissionSettings(this.claimWaitNanos, this.minExpiryAheadNanos, this.maxExpiryAheadNanos,
 				this.skewNanos, this.horizonNanos, this.minAppendIntervalNanos, this.maxAppendIntervalNanos,
-				this.appendTimeoutNanos, this.markerIntervalNanos, resultKeep.toNanos(), resultBytes, pendingClaims);
+				this.appendTimeoutNanos, this.markerIntervalNanos, resultKeep.toNanos(), resultBytes, pendingClaims,
+				openBytes);
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -71,7 +69,10 @@
 
 	private final List<SubmissionEffect> effects = new ArrayList<>();
 
-	private final Set<Long> openRequests = new HashSet<>();
+	/** The bytes of each request that has not been answered. */
+	private final Map<Long, Long> openRequests = new HashMap<>();
+
+	private long openRequestBytes;
 
 	/** In the order of their deadlines, since all wait equally long. */
 	private final Map<Long, ClaimWait> claimWaits = new LinkedHashMap<>();
@@ -129,7 +130,7 @@
 	 */
 	public void submit(long request, Submission submission, int hops, long nowNanos) {
 		advance(nowNanos);
-		this.openRequests.add(request);
+		open(request, submission.sizeBytes());
 		route(Waiter.of(request, submission, hops));
 	}
 
@@ -244,7 +245,6 @@
 	}
 
 	private void awaitClaim(Job job, Waiter waiter) {
-		job.submission = waiter.submission();
 		job.waiters.add(waiter);
 		this.claimWaits.put(waiter.request(), new ClaimWait(this.now + this.settings.claimWaitNanos(), job, waiter));
 		if (!job.claimStored && !this.appender.contains(job.key)) {
@@ -294,7 +294,6 @@
 			awaitClaim(job, waiter);
 		}
 		else if (job.idempotent) {
-			job.submission = waiter.submission();
 			job.waiters.add(waiter);
 			startPendingWithoutClaim(job);
 		}
@@ -330,14 +329,17 @@
 			reply(waiter.request(), Answer.error(job.refusalOutcome(waiter), impossible.kind(), impossible.getMessage(),
 					impossible.retryAfterNanos(), List.of()));
 		}
+		else if (isFull()) {
+			refuseFull(waiter, job.refusalOutcome(waiter));
+		}
 		else {
-			job.submission = waiter.submission();
 			job.waiters.add(waiter);
 			start(job);
 		}
 	}
 
 	private void start(Job job) {
+		job.submission = job.waiters.get(0).submission();
 		String violation = whyNotStartable(job);
 		if (violation != null) {
 			broken(violation);
@@ -492,9 +494,6 @@
 		else if (!job.waiters.isEmpty()) {
 			start(job);
 		}
-		else {
-			job.submission = null;
-		}
 	}
 
 	private void claimLost(Job job) {
@@ -520,6 +519,7 @@
 			return;
 		}
 		job.results[index] = result;
+		this.jobs.addBytes(job, result.body().length);
 		job.open--;
 		if (job.open == 0) {
 			finish(job);
@@ -592,7 +592,7 @@
 	 */
 	public void cancel(long request, CallerId caller, SubmissionKey key, int hops, long nowNanos) {
 		advance(nowNanos);
-		this.openRequests.add(request);
+		open(request, 0);
 		Waiter waiter = new Waiter(request, null, hops, false);
 		Job job = this.jobs.find(KeyHash.of(caller, key));
 		if (job == null) {
@@ -636,7 +636,7 @@
 	 */
 	public void query(long request, CallerId caller, SubmissionKey key, int hops, long nowNanos) {
 		advance(nowNanos);
-		this.openRequests.add(request);
+		open(request, 0);
 		Job job = this.jobs.find(KeyHash.of(caller, key));
 		if (job == null) {
 			lookUp(new Waiter(request, null, hops, false), new PeerRequest.Query(caller, key, hops + 1));
@@ -820,7 +820,7 @@
 	 */
 	public void abandon(long request, long nowNanos) {
 		advance(nowNanos);
-		if (!this.openRequests.remove(request)) {
+		if (!close(request)) {
 			return;
 		}
 		if (this.relays.containsKey(request)) {
@@ -963,8 +963,8 @@
 	 */
 	public SubmissionCounts counts() {
 		return new SubmissionCounts(this.claims.size(), this.jobs.size(), this.jobs.runningCount(),
-				this.jobs.keptBytes(), this.relays.size(), this.openRequests.size(), this.brokenInvariants,
-				this.droppedEvents);
+				this.jobs.keptBytes(), this.openRequestBytes + this.jobs.runningBytes(), this.relays.size(),
+				this.openRequests.size(), this.brokenInvariants, this.droppedEvents);
 	}
 
 	private boolean isAcceptable(Waiter waiter) {
@@ -986,6 +986,10 @@
 			refuseLater(waiter, ErrorKind.SHUTTING_DOWN, "this host is leaving");
 			return false;
 		}
+		if (isFull()) {
+			refuseFull(waiter, outcomeOfRefusal(waiter));
+			return false;
+		}
 		DispatchException impossible = this.check.whyImpossible(submission);
 		if (impossible != null) {
 			reply(waiter.request(), Answer.error(outcomeOfRefusal(waiter), impossible.kind(), impossible.getMessage(),
@@ -1008,17 +1012,40 @@
 	}
 
 	private void refuseLater(Waiter waiter, ErrorKind error, String detail) {
-		long retryAfter = RETRY_BASE_NANOS + this.random.nextLong(RETRY_SPREAD_NANOS);
-		reply(waiter.request(), Answer.refusal(outcomeOfRefusal(waiter), error, detail, retryAfter));
+		reply(waiter.request(), Answer.refusal(outcomeOfRefusal(waiter), error, detail, retryAfterNanos()));
+	}
+
+	private long retryAfterNanos() {
+		return RETRY_BASE_NANOS + this.random.nextLong(RETRY_SPREAD_NANOS);
 	}
 
 	private void reply(long request, Answer answer) {
 		this.claimWaits.remove(request);
-		if (this.openRequests.remove(request)) {
+		if (close(request)) {
 			this.effects.add(new SubmissionEffect.Reply(request, answer));
 		}
 	}
 
+	private void open(long request, long bytes) {
+		this.openRequests.put(request, bytes);
+		this.openRequestBytes += bytes;
+	}
+
+	private boolean close(long request) {
+		Long bytes = this.openRequests.remove(request);
+		this.openRequestBytes -= (bytes != null) ? bytes : 0;
+		return bytes != null;
+	}
+
+	private boolean isFull() {
+		return this.openRequestBytes + this.jobs.runningBytes() > this.settings.maxOpenBytes();
+	}
+
+	private void refuseFull(Waiter waiter, Outcome outcome) {
+		reply(waiter.request(), Answer.refusal(outcome, ErrorKind.OVERLOADED,
+				"the open submissions of this host take too much memory", retryAfterNanos()));
+	}
+
 	private long keepUntil(Submission submission) {
 		return submission.expiryNanos() + this.settings.skewNanos();
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSimulation.java
@@ -13,6 +13,7 @@
 
 import org.limpetgate.CallerId;
 import org.limpetgate.DataCentreId;
+import org.limpetgate.DispatchException;
 import org.limpetgate.ErrorKind;
 import org.limpetgate.HostId;
 import org.limpetgate.Incarnation;
@@ -47,12 +48,15 @@
 
 	private static final SubmissionSettings SETTINGS = SubmissionSettings.DEFAULT
 		.withHorizon(Duration.ofSeconds(30), Duration.ofSeconds(20), Duration.ofSeconds(3))
-		.withBounds(Duration.ofSeconds(10), 20_000, 500);
+		.withBounds(Duration.ofSeconds(10), 20_000, 500, 15_000);
 
 	private static final long RETENTION = SETTINGS.horizonNanos() + SETTINGS.skewNanos() + 5 * SECOND;
 
 	private static final byte[] SECRET = "sixteen bytes or more".getBytes(StandardCharsets.US_ASCII);
 
+	private static final DispatchException IMPOSSIBLE = DispatchException.of(ErrorKind.IMPOSSIBLE, Outcome.NOT_RUN,
+			"the pool has changed");
+
 	private final Random random;
 
 	private final SubmissionRules rules;
@@ -141,8 +145,8 @@
 		for (SimHost host : this.hosts) {
 			if (host.system != null) {
 				SubmissionCounts counts = host.system.counts();
-				if (counts.jobs() + counts.claims() + counts.relays() + counts.openRequests()
-						+ counts.resultBytes() > 0) {
+				if (counts.jobs() + counts.claims() + counts.relays() + counts.openRequests() + counts.resultBytes()
+						+ counts.openBytes() > 0) {
 					this.checker.fail("state remains at " + host.incarnation + ": " + counts);
 				}
 			}
@@ -519,7 +523,7 @@
 			this.hasRead = false;
 			DataCentres centres = DataCentres.of(this.dataCentre, SubmissionSimulation.this.dataCentres);
 			this.system = new SubmissionSystem(this.incarnation, centres, SETTINGS,
-					new TicketAuthority(this.incarnation, SECRET), (submission) -> null,
+					new TicketAuthority(this.incarnation, SECRET), (submission) -> chance(0.01) ? IMPOSSIBLE : null,
 					new Random(this.incarnation.number()), SubmissionSimulation.this.rules);
 			later(this, 0, this::read);
 		}
--- a/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSystemTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSystemTests.java
@@ -1,6 +1,7 @@
 package org.limpetgate.submission;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -273,6 +274,17 @@
 			assertThat(f.answers.get(1L).message()).contains("needs 99 cores");
 			assertThat(f.claims).isEmpty();
 		});
+		cases.put("a host without memory for another job refuses it and keeps those it has", (f) -> {
+			f.boot(SubmissionSettings.DEFAULT.withBounds(Duration.ofMinutes(1), 1000, 100, 1000), HOME);
+			f.system.claimsRead(List.of(), 0, 0, f.now);
+			SubmissionEffect.StartTasks start = f.started(f.job(false, 1));
+			f.submit(2, f.named("b", "b", 1));
+			assertThat(f.answer(2)).isEqualTo("not-run OVERLOADED");
+			assertThat(f.retryAfter(2)).isPositive();
+			f.complete(start);
+			assertThat(f.answer(1)).isEqualTo("complete");
+			assertThat(f.system.counts().openBytes()).isZero();
+		});
 		cases.put("a leaving host takes no new jobs and ends those that it holds", (f) -> {
 			f.submit(1, f.job(false, 1));
 			f.store(f.claims);
@@ -406,9 +418,12 @@
 		}
 
 		private void boot(DataCentreId... dataCentres) {
-			this.system = new SubmissionSystem(SELF, DataCentres.of(HOME, List.of(dataCentres)),
-					SubmissionSettings.DEFAULT, new TicketAuthority(SELF, SECRET), (submission) -> this.impossible,
-					new Random(1));
+			boot(SubmissionSettings.DEFAULT, dataCentres);
+		}
+
+		private void boot(SubmissionSettings settings, DataCentreId... dataCentres) {
+			this.system = new SubmissionSystem(SELF, DataCentres.of(HOME, List.of(dataCentres)), settings,
+					new TicketAuthority(SELF, SECRET), (submission) -> this.impossible, new Random(1));
 		}
 
 		private void submit(long request, Submission submission) {
