Let published demand fall more slowly

Cause: shares changed hands with each swing, and a host's attempts beyond its smaller share still ran: 2% of attempts found an upstream full. Change: 0.93 of the fall remains per 100 ms instead of 0.8.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
@@ -30,7 +30,7 @@
 
 	private static final double SHORT_DEMAND_FALL = 0.9;
 
-	private static final double DEMAND_FALL = 0.8;
+	private static final double DEMAND_FALL = 0.93;
 
 	private static final int MAX_SKIPS = 4;
 
