--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -244,7 +244,7 @@
 				spans.maxExpiryAhead().toNanos(), spans.skewBound().toNanos(), spans.keyHorizon().toNanos(),
 				defaults.minAppendIntervalNanos(), defaults.maxAppendIntervalNanos(), defaults.appendTimeoutNanos(),
 				defaults.markerIntervalNanos(), defaults.resultKeepNanos(), defaults.maxResultBytes(),
-				defaults.maxPendingClaims());
+				defaults.maxPendingClaims(), defaults.maxOpenBytes());
 	}
 
 	private HttpServerLimits callerLimits() {
--- /dev/null
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
@@ -0,0 +1,260 @@
+package org.limpetgate.standin.cluster;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import net.jqwik.api.Example;
+import org.limpetgate.standin.Fault;
+import org.limpetgate.standin.PlatformFaults;
+import org.limpetgate.standin.UpstreamFaults;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests with real entry-host processes on loopback. They assert outcomes and the order of
+ * events, never times.
+ */
+class ClusterTests {
+
+	private static final String COMPLETE = "\"outcome\":\"complete\"";
+
+	/**
+	 * Guards against a second start through another host and against crossed answers.
+	 */
+	@Example
+	void resubmissionsThroughEveryHostStartOnce() throws Exception {
+		try (TestCluster cluster = new TestCluster()) {
+			for (String home : List.of("a", "b")) {
+				String key = TestCluster.keyAt(home, "once");
+				String job = TestCluster.job(key, 300, "");
+				List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+				for (int round = 0; round < 3; round++) {
+					TestCluster.HOSTS.forEach((host) -> answers.add(cluster.submit(host, job)));
+				}
+				answers.forEach((answer) -> assertThat(answer.join().body()).contains(COMPLETE, "cabinet 7"));
+				assertThat(cluster.starts.starts(key)).isEqualTo(1);
+			}
+			assertThat(cluster.starts.startedTwice()).isEmpty();
+		}
+	}
+
+	/**
+	 * Guards against a second start after the holder of a job was killed, also when it
+	 * comes back as a new process.
+	 */
+	@Example
+	void jobOfAKilledHolderIsUnknownAndNeverStartsAgain() throws Exception {
+		try (TestCluster cluster = new TestCluster()) {
+			String key = TestCluster.keyAt("a", "killed");
+			String job = TestCluster.job(key, 60_000, "");
+			cluster.submit("a1", job);
+			TestCluster.await("start", () -> cluster.starts.starts(key) == 1);
+			cluster.host("a1").kill();
+			assertUnknown(cluster, key, job, "a2", "b1");
+			cluster.start("a1");
+			cluster.awaitReady(List.of("a1"));
+			assertUnknown(cluster, key, job, "a1", "a2", "b2");
+			assertThat(cluster.starts.starts(key)).isEqualTo(1);
+		}
+	}
+
+	private static void assertUnknown(TestCluster cluster, String key, String job, String... hosts) {
+		for (String host : hosts) {
+			HttpResponse<String> answer = cluster.submit(host, job).join();
+			assertThat(answer.headers().firstValue("limpetgate-outcome")).as("%s via %s: %s", key, host, answer.body())
+				.contains("unknown");
+			assertThat(answer.statusCode()).isGreaterThanOrEqualTo(500);
+		}
+	}
+
+	/**
+	 * Guards against a start by another host while the holder is paused, and against a
+	 * second start or a lost answer when it wakes.
+	 */
+	@Example
+	void jobOfAPausedHolderWaitsForItAndIsAnsweredByIt() throws Exception {
+		try (TestCluster cluster = new TestCluster()) {
+			String key = TestCluster.keyAt("a", "paused");
+			String job = TestCluster.job(key, 500, "");
+			CompletableFuture<HttpResponse<String>> first = cluster.submit("a1", job);
+			TestCluster.await("start", () -> cluster.starts.starts(key) == 1);
+			cluster.host("a1").signal("STOP");
+			CompletableFuture<HttpResponse<String>> second = cluster.submit("a2", job);
+			CompletableFuture<HttpResponse<String>> third = cluster.submit("b1", job);
+			Thread.sleep(1500);
+			cluster.host("a1").signal("CONT");
+			assertThat(first.join().body()).contains(COMPLETE);
+			for (CompletableFuture<HttpResponse<String>> other : List.of(second, third)) {
+				assertThat(other.join().headers().firstValue("limpetgate-outcome").orElse("")).isIn("complete",
+						"unknown");
+			}
+			TestCluster.await("answer through the other host",
+					() -> cluster.submit("a2", job).join().body().contains(COMPLETE));
+			assertThat(cluster.starts.starts(key)).isEqualTo(1);
+		}
+	}
+
+	/**
+	 * Guards against false refusals and starts without a claim while the log is down, and
+	 * against an outage that stops work which needs no log.
+	 */
+	@Example
+	void logOutageStopsOnlyWorkThatNeedsTheLog() throws Exception {
+		try (TestCluster cluster = new TestCluster()) {
+			String tickets = cluster.host("a1").send("POST", "/v1/tickets?count=1", "").join().body();
+			String ticket = tickets.substring(tickets.indexOf("ticket:"), tickets.lastIndexOf('"'));
+			cluster.platform.setFaults(PlatformFaults.NONE.withLogDown(true));
+			String key = TestCluster.keyAt("a", "outage");
+			String job = TestCluster.job(key, 10, "");
+			assertOutcome(cluster.submit("a1", job).join(), "unknown");
+			String declared = TestCluster.keyAt("a", "declared");
+			assertOutcome(cluster.submit("a2", TestCluster.job(declared, 10, "'attempt':1,")).join(), "not-run");
+			assertThat(cluster.starts.starts(key) + cluster.starts.starts(declared)).isZero();
+			assertOutcome(cluster.submit("b1", TestCluster.job(ticket, 10, "")).join(), "complete");
+			assertThat(cluster.starts.starts(ticket)).isEqualTo(1);
+			String idempotent = TestCluster.keyAt("a", "idempotent");
+			String idempotentJob = TestCluster.job(idempotent, 10, "")
+				.replace("\"id\":\"t\"", "\"id\":\"t\",\"idempotent\":true");
+			assertOutcome(cluster.submit("a1", idempotentJob).join(), "complete");
+			assertOutcome(cluster.host("b2").send("POST", "/checks/x", "cabinet 8").join(), "complete");
+			cluster.platform.setFaults(PlatformFaults.NONE);
+			TestCluster.await("the job after the outage",
+					() -> cluster.submit("a2", job).join().body().contains(COMPLETE));
+			assertThat(cluster.starts.starts(key)).isEqualTo(1);
+		}
+	}
+
+	private static void assertOutcome(HttpResponse<String> answer, String outcome) {
+		assertThat(answer.headers().firstValue("limpetgate-outcome")).as(answer.body()).contains(outcome);
+		if (!outcome.equals("complete")) {
+			assertThat(answer.headers().firstValue("retry-after")).as(answer.body()).isPresent();
+		}
+	}
+
+	/**
+	 * Guards against a data centre that stops serving, loses its configuration or falls
+	 * back to an older one when it is cut off from the others and the platform.
+	 */
+	@Example
+	void dataCentreThatIsCutOffServesAndCatchesUp() throws Exception {
+		try (TestCluster cluster = new TestCluster()) {
+			cluster.cutDataCentres();
+			cluster.cutPlatform("b");
+			assertThat(cluster.put("a2", "routes", "{'name':'proofs','match':{'pathPrefix':'/proofs'},'pool':'checks'}",
+					"--new"))
+				.isZero();
+			cluster.awaitVersion(List.of("a1", "a2"), 2);
+			assertThat(cluster.host("b1").version()).isEqualTo(1);
+			assertOutcome(cluster.host("b1").send("POST", "/checks/x", "cabinet 8").join(), "complete");
+			cluster.host("b2").kill();
+			cluster.start("b2");
+			cluster.awaitReady(List.of("b2"));
+			assertThat(cluster.host("b2").version()).isEqualTo(1);
+			assertOutcome(cluster.host("b2").send("POST", "/checks/x", "cabinet 8").join(), "complete");
+			assertThat(cluster.put("b1", "routes", "{'name':'lost','match':{'pathPrefix':'/lost'},'pool':'checks'}",
+					"--new"))
+				.isNotZero();
+			cluster.restorePlatform("b");
+			cluster.restoreDataCentres();
+			cluster.awaitVersion(TestCluster.HOSTS, 2);
+			assertOutcome(cluster.host("b1").send("POST", "/proofs/x", "plate 3").join(), "complete");
+		}
+	}
+
+	/**
+	 * Guards against requests that are cut off and jobs that start twice while every host
+	 * is replaced under load.
+	 */
+	@Example
+	void rollingReplacementCutsOffNothing() throws Exception {
+		try (TestCluster cluster = new TestCluster()) {
+			AtomicBoolean running = new AtomicBoolean(true);
+			AtomicInteger answered = new AtomicInteger();
+			List<String> failures = Collections.synchronizedList(new ArrayList<>());
+			Thread load = new Thread(() -> sendWhile(cluster, running, answered, failures), "load");
+			load.start();
+			for (String name : TestCluster.HOSTS) {
+				HostProcess old = cluster.host(name);
+				assertThat(old.terminate()).as("exit code of %s", name).isZero();
+				cluster.start(name);
+				cluster.awaitReady(List.of(name));
+			}
+			running.set(false);
+			load.join();
+			assertThat(failures).isEmpty();
+			assertThat(answered.get()).isPositive();
+			assertThat(cluster.starts.startedTwice()).isEmpty();
+		}
+	}
+
+	// Sends to hosts that are ready, as the balancer does, and retries refusals that are
+	// proved not run.
+	private static void sendWhile(TestCluster cluster, AtomicBoolean running, AtomicInteger answered,
+			List<String> failures) {
+		for (int number = 0; running.get(); number++) {
+			String name = TestCluster.HOSTS.get(number % TestCluster.HOSTS.size());
+			HostProcess host = cluster.host(name);
+			if (!host.isAlive() || !host.isReady()) {
+				continue;
+			}
+			HttpResponse<String> answer;
+			try {
+				answer = host
+					.send("POST", "/checks/x", "cabinet", "x-request-id", "rolling-" + number, "x-run-millis", "100")
+					.join();
+			}
+			catch (RuntimeException ex) {
+				failures.add("request " + number + " at " + name + " was cut off: " + ex);
+				continue;
+			}
+			String outcome = answer.headers().firstValue("limpetgate-outcome").orElse("none");
+			if (outcome.equals("complete")) {
+				answered.incrementAndGet();
+			}
+			else if (!outcome.equals("not-run")) {
+				failures.add("request " + number + " at " + name + ": " + outcome + " " + answer.body());
+			}
+		}
+	}
+
+	/**
+	 * Guards against new work for an upstream after all hosts know that it is leaving,
+	 * and against a request that is lost at it.
+	 */
+	@Example
+	void leavingUpstreamGetsNoNewWork() throws Exception {
+		try (TestCluster cluster = new TestCluster()) {
+			assertThat(cluster.put("a1", "pools", poolOfTwo(cluster), "--base=0")).isZero();
+			cluster.awaitVersion(TestCluster.HOSTS, 2);
+			cluster.runners.get("b").setFaults(new UpstreamFaults(Fault.NONE, 0, 0, true));
+			TestCluster.await("both hosts know", () -> {
+				assertOutcome(cluster.host("a1").send("POST", "/checks/x", "x").join(), "complete");
+				assertOutcome(cluster.host("a2").send("POST", "/checks/x", "x").join(), "complete");
+				return cluster.logged("a1", "LG3002") && cluster.logged("a2", "LG3002");
+			});
+			cluster.runners.get("b").setFaults(UpstreamFaults.NONE);
+			for (int request = 0; request < 40; request++) {
+				HttpResponse<String> answer = cluster.host((request % 2 == 0) ? "a1" : "a2")
+					.send("POST", "/checks/x", "x")
+					.join();
+				assertThat(answer.headers().firstValue("x-upstream")).contains("runner-a");
+			}
+		}
+	}
+
+	// Both runners in data centre a, so that its hosts can choose.
+	private static String poolOfTwo(TestCluster cluster) {
+		return """
+				{'name':'checks','kind':'runners','upstreams':[
+				{'id':'runner-a','dataCentre':'a','address':'127.0.0.1','port':%d,'slots':8},
+				{'id':'runner-b','dataCentre':'a','address':'127.0.0.1','port':%d,'slots':8}]}
+				""".formatted(cluster.runners.get("a").address().getPort(),
+				cluster.runners.get("b").address().getPort());
+	}
+
+}
--- /dev/null
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/LinkProxy.java
@@ -0,0 +1,129 @@
+package org.limpetgate.standin.cluster;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Forwards TCP connections to one target and can cut those of a chosen source address, as
+ * a fake of a network between hosts.
+ */
+final class LinkProxy implements Closeable {
+
+	private final ServerSocket listener;
+
+	private final Set<InetAddress> cut = ConcurrentHashMap.newKeySet();
+
+	private final Map<Socket, InetAddress> open = new ConcurrentHashMap<>();
+
+	private volatile InetSocketAddress target;
+
+	LinkProxy(String address) throws IOException {
+		this.listener = new ServerSocket(0, 50, InetAddress.getByName(address));
+		start(this::acceptAll);
+	}
+
+	int port() {
+		return this.listener.getLocalPort();
+	}
+
+	void forwardTo(InetSocketAddress newTarget) {
+		this.target = newTarget;
+	}
+
+	void cut(InetAddress source) {
+		this.cut.add(source);
+		this.open.forEach((socket, from) -> {
+			if (from.equals(source)) {
+				close(socket);
+			}
+		});
+	}
+
+	void restore(InetAddress source) {
+		this.cut.remove(source);
+	}
+
+	private void acceptAll() {
+		try {
+			while (true) {
+				Socket client = this.listener.accept();
+				start(() -> forward(client));
+			}
+		}
+		catch (IOException ex) {
+			// The proxy was closed.
+		}
+	}
+
+	private void forward(Socket client) {
+		if (this.target == null || this.cut.contains(client.getInetAddress())) {
+			close(client);
+			return;
+		}
+		try (Socket server = new Socket(this.target.getAddress(), this.target.getPort())) {
+			client.setTcpNoDelay(true);
+			server.setTcpNoDelay(true);
+			this.open.put(client, client.getInetAddress());
+			start(() -> copy(server, client));
+			copy(client, server);
+		}
+		catch (IOException ex) {
+			// The target is down; its clients see a closed connection.
+		}
+		finally {
+			this.open.remove(client);
+			close(client);
+		}
+	}
+
+	private static void copy(Socket from, Socket to) {
+		byte[] buffer = new byte[16 * 1024];
+		try {
+			InputStream in = from.getInputStream();
+			OutputStream out = to.getOutputStream();
+			int read = in.read(buffer);
+			while (read >= 0) {
+				out.write(buffer, 0, read);
+				read = in.read(buffer);
+			}
+		}
+		catch (IOException ex) {
+			// One end was closed; the other is closed below.
+		}
+		finally {
+			LinkProxy.close(from);
+			LinkProxy.close(to);
+		}
+	}
+
+	private static void start(Runnable work) {
+		Thread thread = new Thread(work, "link-proxy");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	private static void close(Socket socket) {
+		try {
+			socket.close();
+		}
+		catch (IOException ex) {
+			// Closed already.
+		}
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.listener.close();
+		this.open.keySet().forEach(LinkProxy::close);
+	}
+
+}
