Let operators replace tables that were lost

Cause: after all hosts were down for longer than the log retains records, no host could become ready and no edit could be accepted, for ever.

A host refuses it unless it has missed records for 30 s. 'limpetgate tables get' prints both tables for safe-keeping. Messages about values of a wrong type no longer show the value, which could be a secret.

--- a/limpetgate-cli/src/main/java/org/limpetgate/cli/Limpetgate.java
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/Limpetgate.java
@@ -43,6 +43,7 @@
 		for (TableName table : TableName.values()) {
 			line.addSubcommand(table.text(), TableCommand.commandLine(table, environment));
 		}
+		line.addSubcommand("tables", TablesCommand.commandLine(environment));
 		line.addSubcommand(new StatusCommand(environment));
 		line.addSubcommand(new HistoryCommand(environment));
 		ServiceLoader.load(CliCommand.class).forEach(line::addSubcommand);
--- a/limpetgate-cli/src/main/java/org/limpetgate/cli/OperatorClient.java
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/OperatorClient.java
@@ -97,6 +97,18 @@
 		return edit(method, table.text() + "/" + encode(name), headers, row, editId);
 	}
 
+	/**
+	 * Replaces both tables.
+	 * @param tables the new tables in JSON
+	 * @return the answer to the accepted request
+	 * @throws RequestFailedException if the request is rejected or its result is not
+	 * known
+	 */
+	Answer reset(String tables) {
+		String editId = UUID.randomUUID().toString();
+		return edit("PUT", "tables", Map.of(OperatorSignature.EDIT_ID, editId), tables, editId);
+	}
+
 	private Answer edit(String method, String path, Map<String, String> headers, String row, String editId) {
 		boolean mayBeSent = false;
 		IOException last = null;
--- a/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
@@ -274,9 +274,15 @@
 	 * was changed then
 	 */
 	public boolean restore(ConfigurationSnapshot snapshot) {
-		if (snapshot.version() <= this.version) {
+		if (snapshot.version() <= this.version || !replace(snapshot)) {
 			return false;
 		}
+		raiseVersion(snapshot.version());
+		endGapIfCovered();
+		return true;
+	}
+
+	private boolean replace(ConfigurationSnapshot snapshot) {
 		Map<RouteName, Versioned<Route>> newRoutes = new TreeMap<>();
 		Map<PoolName, Versioned<Pool>> newPools = new TreeMap<>();
 		try {
@@ -296,8 +302,6 @@
 		this.pools.putAll(newPools);
 		this.results.clear();
 		snapshot.recent().forEach((result) -> this.results.put(result.editId(), result));
-		raiseVersion(snapshot.version());
-		endGapIfCovered();
 		return true;
 	}
 
@@ -319,6 +323,10 @@
 			this.divergentSnapshots++;
 			return;
 		}
+		if (snapshot.isReset()) {
+			foldReset(offset, snapshot);
+			return;
+		}
 		if (isInGap() && snapshot.version() >= this.gapEnd - 1) {
 			restore(snapshot);
 		}
@@ -327,6 +335,25 @@
 		}
 	}
 
+	/**
+	 * Replaces the tables, in a gap or not, so that every host that reads the record has
+	 * the same tables after it. The id is not compared with earlier ones, as hosts in a
+	 * gap do not know them.
+	 * @param offset the offset of the record, which becomes the version of each row
+	 * @param reset the record
+	 */
+	private void foldReset(long offset, ConfigurationSnapshot reset) {
+		String editId = reset.recent().get(0).editId();
+		List<VersionedRow> rows = reset.rows()
+			.stream()
+			.map((row) -> new VersionedRow(row.table(), row.name(), offset, row.row()))
+			.toList();
+		EditResult result = EditResult.accepted(editId, offset);
+		if (replace(new ConfigurationSnapshot(offset, rows, List.of(result)))) {
+			this.gapEnd = NO_VERSION;
+		}
+	}
+
 	/**
 	 * Ends the gap if the state includes all missing records, and steps over records that
 	 * the state includes already.
--- a/limpetgate-core/src/main/java/org/limpetgate/json/JsonObject.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/json/JsonObject.java
@@ -83,8 +83,8 @@
 	private static <T> T readObject(String source, String path, JsonNode node, List<JsonProblem> problems,
 			Function<JsonObject, T> reader) {
 		if (!node.isObject()) {
-			problems.add(new JsonProblem(source, path, "is " + describe(node) + ", not an object",
-					"use an object in braces"));
+			problems.add(
+					new JsonProblem(source, path, "is " + typeOf(node) + ", not an object", "use an object in braces"));
 			return null;
 		}
 		return reader.apply(new JsonObject(source, path, node, problems));
@@ -410,13 +410,23 @@
 	}
 
 	private void wrongType(String field, JsonNode value, String wanted) {
-		problem(field, "is " + describe(value) + ", not " + wanted, "use " + wanted);
+		// The value is left out: a secret without quotes would show in the message.
+		problem(field, "is " + typeOf(value) + ", not " + wanted, "use " + wanted);
 	}
 
 	private void outOfRange(String field, JsonNode value, Object min, Object max) {
 		problem(field, "is " + describe(value) + ", which is out of range", "use a number from " + min + " to " + max);
 	}
 
+	private static String typeOf(JsonNode node) {
+		return switch (node.getNodeType()) {
+			case NUMBER -> "a number";
+			case STRING -> "a string";
+			case BOOLEAN -> "a truth value";
+			default -> describe(node);
+		};
+	}
+
 	private static String describe(JsonNode node) {
 		return switch (node.getNodeType()) {
 			case NUMBER -> "the number " + shorten(node.asText());
--- a/limpetgate-core/src/test/java/org/limpetgate/config/ConfigurationTableTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/config/ConfigurationTableTests.java
@@ -112,6 +112,29 @@
 		assertThat(this.table.toSnapshot()).isEqualTo(other.toSnapshot());
 	}
 
+	/**
+	 * Guards against tables that differ between hosts that had the state and hosts that
+	 * had lost it when an operator replaced the tables.
+	 */
+	@Example
+	void resetLeadsAllHostsToTheSameTables() {
+		Configuration tables = TableJson
+			.readTables("t", ("{\"pools\":[" + POOL + "]}").getBytes(java.nio.charset.StandardCharsets.UTF_8))
+			.orThrow(ErrorKind.INVALID_EDIT);
+		ConfigurationSnapshot reset = ConfigurationSnapshot.reset("again", tables);
+		ConfigurationTable lost = new ConfigurationTable();
+		lost.trimmedTo(2);
+		edit(TableName.POOLS, "p", -1, POOL);
+		edit(TableName.ROUTES, "r", -1, ROUTE);
+		fold(reset);
+		lost.fold(2, 0, Optional.of(reset));
+		assertThat(lost.toSnapshot()).isEqualTo(this.table.toSnapshot());
+		assertThat(lost.isInGap()).isFalse();
+		assertThat(lost.version()).isEqualTo(2);
+		assertThat(lost.result("again").orElseThrow().offset()).isEqualTo(2);
+		assertThat(edit(TableName.POOLS, "p", 2, "").isAccepted()).isTrue();
+	}
+
 	/**
 	 * Guards against a peer whose older, malformed or contradictory state replaces the
 	 * present one.
--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/ConfigurationService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/ConfigurationService.java
@@ -47,6 +47,12 @@
 	 */
 	public static final Duration DEFAULT_SNAPSHOT_INTERVAL = Duration.ofMinutes(5);
 
+	/**
+	 * Time for which a host must have missed records before it lets an operator replace
+	 * the tables: several times what a host with the state needs to write a snapshot.
+	 */
+	public static final Duration RESET_AFTER = Duration.ofSeconds(30);
+
 	/**
 	 * Time without an answer from the log after which a starting host trusts the state of
 	 * a peer: enough for the first heartbeats, so that the newest state is known.
@@ -184,6 +190,40 @@
 		return answer;
 	}
 
+	/**
+	 * Replaces the tables of all hosts when no host and no record of the stream holds the
+	 * state any more. It is refused unless this host has waited for {@link #RESET_AFTER}
+	 * for a snapshot or a peer: a host that has the state and reaches the log writes a
+	 * snapshot long before.
+	 * @param editId the id by which a repeated request is recognised while its result is
+	 * known, not null
+	 * @param tables the new tables, not null
+	 * @return the result, or a failure as for {@link #edit}
+	 */
+	public CompletableFuture<EditResult> reset(String editId, Configuration tables) {
+		ConfigurationSnapshot reset = ConfigurationSnapshot.reset(editId, tables);
+		CompletableFuture<EditResult> answer = new CompletableFuture<>();
+		this.control.execute(() -> reset(editId, reset).whenComplete((result, failure) -> {
+			if (failure != null) {
+				answer.completeExceptionally(failure);
+			}
+			else {
+				answer.complete(result);
+			}
+		}));
+		return answer;
+	}
+
+	private CompletableFuture<EditResult> reset(String editId, ConfigurationSnapshot reset) {
+		boolean known = this.table.result(editId).isPresent() || this.edits.isPending(editId);
+		if (!known && !this.tail.isInGapFor(RESET_AFTER.toNanos())) {
+			return CompletableFuture.failedFuture(DispatchException.of(ErrorKind.INVALID_EDIT, Outcome.NOT_RUN,
+					"the tables may be reset only after a host has missed records for " + RESET_AFTER.toSeconds()
+							+ " s; edit their rows"));
+		}
+		return this.edits.submit(editId, reset);
+	}
+
 	/**
 	 * Reads from the table on the control thread.
 	 * @param <T> the type of the answer
--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
@@ -69,7 +69,7 @@
 
 	private boolean atEnd;
 
-	private boolean wasInGap;
+	private long inGapSinceNanos = NEVER;
 
 	private SnapshotSeen snapshotSeen = new SnapshotSeen(ConfigurationTable.NO_VERSION, ConfigurationTable.NO_VERSION,
 			NEVER);
@@ -105,6 +105,17 @@
 		return this.atEnd && this.failingSinceNanos == NEVER && !this.table.isInGap();
 	}
 
+	/**
+	 * Tests whether records have been missing for the given span, up to the end of the
+	 * stream.
+	 * @param nanos the span
+	 * @return true if neither the stream nor a peer gave the state in that span
+	 */
+	boolean isInGapFor(long nanos) {
+		return this.table.isInGap() && this.atEnd && this.inGapSinceNanos != NEVER
+				&& this.control.nowNanos() - this.inGapSinceNanos >= nanos;
+	}
+
 	long firstRetainedOffset() {
 		return this.firstRetainedOffset;
 	}
@@ -212,12 +223,15 @@
 	}
 
 	private void reportGap() {
-		if (this.table.isInGap() && !this.wasInGap) {
+		if (!this.table.isInGap()) {
+			this.inGapSinceNanos = NEVER;
+		}
+		else if (this.inGapSinceNanos == NEVER) {
+			this.inGapSinceNanos = this.control.nowNanos();
 			log.atWarning()
 				.log("LG2003 records of the configuration stream after version %d were trimmed; waiting for a "
 						+ "snapshot or a peer", this.table.version());
 		}
-		this.wasInGap = this.table.isInGap();
 	}
 
 	/**
--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/PendingEdits.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/PendingEdits.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.random.RandomGenerator;
@@ -12,6 +13,8 @@
 import org.limpetgate.DispatchException;
 import org.limpetgate.ErrorKind;
 import org.limpetgate.Outcome;
+import org.limpetgate.config.ConfigurationRecord;
+import org.limpetgate.config.ConfigurationSnapshot;
 import org.limpetgate.config.ConfigurationTable;
 import org.limpetgate.config.Edit;
 import org.limpetgate.config.EditResult;
@@ -69,10 +72,26 @@
 	 * @return the result of an accepted edit, or a failure
 	 */
 	CompletableFuture<EditResult> submit(Edit edit) {
-		if (this.table.result(edit.editId()).isPresent()) {
-			return answer(this.table.result(edit.editId()).get());
+		return submit(edit.editId(), edit, () -> this.table.check(edit));
+	}
+
+	/**
+	 * Appends a record that replaces the tables.
+	 * @param editId the id of the record
+	 * @param reset the record
+	 * @return the result, or a failure
+	 */
+	CompletableFuture<EditResult> submit(String editId, ConfigurationSnapshot reset) {
+		return submit(editId, reset, () -> {
+		});
+	}
+
+	private CompletableFuture<EditResult> submit(String editId, ConfigurationRecord record, Runnable check) {
+		Optional<EditResult> known = this.table.result(editId);
+		if (known.isPresent()) {
+			return answer(known.get());
 		}
-		Pending earlier = this.pending.get(edit.editId());
+		Pending earlier = this.pending.get(editId);
 		if (earlier != null) {
 			return earlier.answer;
 		}
@@ -81,13 +100,13 @@
 					this.pending.size() + " edits wait for the log", EDIT_WAIT_NANOS));
 		}
 		try {
-			this.table.check(edit);
+			check.run();
 		}
 		catch (DispatchException ex) {
 			return CompletableFuture.failedFuture(ex);
 		}
-		Pending added = new Pending(edit);
-		this.pending.put(edit.editId(), added);
+		Pending added = new Pending(editId, record);
+		this.pending.put(editId, added);
 		this.control.schedule(EDIT_WAIT_NANOS, () -> giveUp(added));
 		append(added);
 		return added.answer;
@@ -96,7 +115,7 @@
 	/** Answers the edits whose results are known by now. */
 	void answerKnown() {
 		for (Pending edit : List.copyOf(this.pending.values())) {
-			this.table.result(edit.edit.editId()).ifPresent((result) -> {
+			this.table.result(edit.editId).ifPresent((result) -> {
 				this.pending.remove(result.editId());
 				answer(result).whenComplete((value, failure) -> complete(edit, value, failure));
 			});
@@ -129,12 +148,12 @@
 		edit.openAttempts++;
 		this.control.schedule(APPEND_TIMEOUT_NANOS, () -> appendTimedOut(edit, attempt));
 		this.control.whenEnded(
-				this.service.append(ConfigurationService.STREAM, List.of(ConfigurationCodec.encode(edit.edit))),
+				this.service.append(ConfigurationService.STREAM, List.of(ConfigurationCodec.encode(edit.record))),
 				(offset, failure) -> appendEnded(edit, attempt, failure));
 	}
 
 	private void appendTimedOut(Pending edit, int attempt) {
-		if (attempt == edit.attempts && !edit.stored && isWaiting(edit)) {
+		if (attempt == edit.attempts && isRepeatable(edit)) {
 			append(edit);
 		}
 	}
@@ -148,11 +167,11 @@
 		if (!isProvedNotStored(failure)) {
 			edit.mayBeStored = true;
 		}
-		if (attempt == edit.attempts && !edit.stored && isWaiting(edit)) {
+		if (attempt == edit.attempts && isRepeatable(edit)) {
 			edit.attempts++;
 			int next = edit.attempts;
 			this.control.schedule(backoff(edit), () -> {
-				if (next == edit.attempts && !edit.stored && isWaiting(edit)) {
+				if (next == edit.attempts && isRepeatable(edit)) {
 					append(edit);
 				}
 			});
@@ -170,32 +189,38 @@
 		return cause instanceof DispatchException error && error.outcome() == Outcome.NOT_RUN;
 	}
 
+	// Each record that replaces the tables takes effect, so it is appended once only.
+	private boolean isRepeatable(Pending edit) {
+		return !edit.stored && isWaiting(edit) && edit.record instanceof Edit;
+	}
+
 	private boolean isWaiting(Pending edit) {
-		return this.pending.get(edit.edit.editId()) == edit;
+		return this.pending.get(edit.editId) == edit;
 	}
 
 	private void giveUp(Pending edit) {
 		if (!isWaiting(edit)) {
 			return;
 		}
-		this.pending.remove(edit.edit.editId());
+		this.pending.remove(edit.editId);
 		boolean notStored = !edit.stored && !edit.mayBeStored && edit.openAttempts == 0;
 		if (notStored) {
 			edit.answer.completeExceptionally(DispatchException.of(ErrorKind.LOG_UNAVAILABLE, Outcome.NOT_RUN,
-					"edit '" + edit.edit.editId() + "' was not stored"));
+					"edit '" + edit.editId + "' was not stored"));
 			return;
 		}
-		log.atWarning()
-			.log("LG2006 result of edit %s of operator %s is unknown", edit.edit.editId(), edit.edit.operator());
+		log.atWarning().log("LG2006 result of edit %s is unknown", edit.editId);
 		String state = edit.stored ? "is stored but was not read back within " : "may have been stored within ";
 		edit.answer.completeExceptionally(DispatchException.of(ErrorKind.EDIT_UNKNOWN, Outcome.UNKNOWN,
-				"edit '" + edit.edit.editId() + "' " + state + Duration.ofNanos(EDIT_WAIT_NANOS).toMillis() + " ms"));
+				"edit '" + edit.editId + "' " + state + Duration.ofNanos(EDIT_WAIT_NANOS).toMillis() + " ms"));
 	}
 
 	/** An edit that waits for its result. */
 	private static final class Pending {
 
-		private final Edit edit;
+		private final String editId;
+
+		private final ConfigurationRecord record;
 
 		private final CompletableFuture<EditResult> answer = new CompletableFuture<>();
 
@@ -209,8 +234,9 @@
 
 		private boolean mayBeStored;
 
-		Pending(Edit edit) {
-			this.edit = edit;
+		Pending(String editId, ConfigurationRecord record) {
+			this.editId = editId;
+			this.record = record;
 		}
 
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
@@ -25,6 +25,7 @@
 import org.limpetgate.ErrorKind;
 import org.limpetgate.HostId;
 import org.limpetgate.Outcome;
+import org.limpetgate.config.Configuration;
 import org.limpetgate.config.ConfigurationTable;
 import org.limpetgate.config.Edit;
 import org.limpetgate.config.EditResult;
@@ -112,10 +113,12 @@
 		return switch (collection) {
 			case "routes" -> table(TableName.ROUTES, name, operator, call);
 			case "pools" -> table(TableName.POOLS, name, operator, call);
+			case "tables" -> tables(operator, call);
 			case "status" -> get(call, status());
 			case "history" -> get(call, history(call));
 			case "edits" -> get(call, editState(name));
-			default -> throw malformed("no such path; use routes, pools, status, history or edits below " + PREFIX);
+			default ->
+				throw malformed("no such path; use routes, pools, tables, status, history or edits below " + PREFIX);
 		};
 	}
 
@@ -136,6 +139,25 @@
 		};
 	}
 
+	private CompletableFuture<HttpReply> tables(String operator, HttpCall call) {
+		if (call.method().equals("GET")) {
+			checkReady();
+			return this.service.read((state) -> reply(200, Map.of("etag", "\"" + state.version() + "\""),
+					parse(TableJson.write(state.configuration()))));
+		}
+		if (!call.method().equals("PUT")) {
+			throw malformed("use GET or PUT");
+		}
+		Configuration tables = TableJson.readTables("request body", call.body()).orThrow(ErrorKind.INVALID_EDIT);
+		String editId = editId(call);
+		return this.service.reset(editId, tables).handle((result, failure) -> {
+			HttpReply reply = (failure != null) ? error(failure, editId) : accepted(result);
+			log.atWarning()
+				.log("LG2014 operator %s: reset of all tables, edit %s: status %d", operator, editId, reply.status());
+			return reply;
+		});
+	}
+
 	private static CompletableFuture<HttpReply> get(HttpCall call, CompletableFuture<HttpReply> reply) {
 		if (!call.method().equals("GET")) {
 			throw malformed("use GET");
--- a/limpetgate-host/src/test/java/org/limpetgate/host/configuration/ConfigurationServiceTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/configuration/ConfigurationServiceTests.java
@@ -11,6 +11,7 @@
 import org.limpetgate.DispatchException;
 import org.limpetgate.ErrorKind;
 import org.limpetgate.Outcome;
+import org.limpetgate.config.Configuration;
 import org.limpetgate.config.ConfigurationSnapshot;
 import org.limpetgate.config.Edit;
 import org.limpetgate.config.EditResult;
@@ -53,6 +54,11 @@
 		return answer.join();
 	}
 
+	private static DispatchException failure(CompletableFuture<?> answer, Cluster cluster) {
+		cluster.runFor(Duration.ZERO);
+		return failure(answer);
+	}
+
 	private static DispatchException failure(CompletableFuture<?> answer) {
 		assertThat(answer).isCompletedExceptionally();
 		return (DispatchException) answer
@@ -212,6 +218,34 @@
 			.allSatisfy((node) -> assertThat(node.service.configuration().pools()).hasSize(1));
 	}
 
+	/**
+	 * Guards against a system that can never be used again after all hosts were down for
+	 * longer than the log retains records, and against a reset while a host has the
+	 * tables.
+	 */
+	@Example
+	void resetOnlyAfterTheTablesAreLost() {
+		start(0);
+		accepted(0, newPool("p"));
+		Configuration tables = this.cluster.node(0).service.configuration();
+		CompletableFuture<EditResult> early = this.cluster.node(0).service.reset("early", tables);
+		this.cluster.runFor(Duration.ofSeconds(1));
+		assertThat(failure(early).kind()).isEqualTo(ErrorKind.INVALID_EDIT);
+		this.cluster.node(0).service.close();
+		this.cluster.log.trimTo(this.cluster.log.records.size());
+		start(0, 1, 2);
+		this.cluster.runFor(Duration.ofSeconds(20));
+		assertThat(failure(this.cluster.node(1).service.edit(newPool("q")), this.cluster).kind())
+			.isEqualTo(ErrorKind.NOT_READY);
+		this.cluster.runFor(ConfigurationService.RESET_AFTER);
+		CompletableFuture<EditResult> reset = this.cluster.node(1).service.reset("reset", tables);
+		this.cluster.runFor(Duration.ofSeconds(4));
+		assertThat(reset).isCompletedWithValueMatching(EditResult::isAccepted);
+		assertThat(this.cluster.nodes)
+			.allSatisfy((node) -> assertThat(node.service.configuration().pools()).hasSize(1));
+		assertThat(accepted(2, newPool("q")).isAccepted()).isTrue();
+	}
+
 	/**
 	 * Guards against edits folded onto a state that lacks trimmed records, when neither a
 	 * snapshot nor a peer covers them.
