Test subcommands of other modules; read fewer records at once

A read of the stream now returns at most 100 records, since 500 records of large pools could make an answer of 24 MB.

--- a/limpetgate-cli/src/test/java/org/limpetgate/cli/LimpetgateTests.java
+++ b/limpetgate-cli/src/test/java/org/limpetgate/cli/LimpetgateTests.java
@@ -134,6 +134,7 @@
 		record Step(int code, String part, String... arguments) {
 		}
 		List<Step> steps = List.of(new Step(2, "a command is missing"), new Step(2, "Unmatched argument", "fly"),
+				new Step(0, "found by its service file", "provided"),
 				new Step(0, "2 routes, 2 pools", "check", EXAMPLES.resolve("tables.json").toString()),
 				new Step(0, "host oviedo-1", "check", "--kind", "settings", EXAMPLES.resolve("host.json").toString()),
 				new Step(2, "host.json: $.host: is not a known field", "check",
--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
@@ -43,7 +43,10 @@
 	/** A slow log would otherwise cause a warning for each read. */
 	private static final int WARNING_PERIOD_SECONDS = 10;
 
-	private static final int MAX_RECORDS = 500;
+	/**
+	 * Some MB in one answer even if each record replaces a pool of some 1000 upstreams.
+	 */
+	private static final int MAX_RECORDS = 100;
 
 	private static final long NEVER = Long.MIN_VALUE;
 
