--- a/limpetgate-cli/src/test/java/org/limpetgate/cli/LimpetgateTests.java
+++ b/limpetgate-cli/src/test/java/org/limpetgate/cli/LimpetgateTests.java
@@ -134,6 +134,7 @@
 		record Step(int code, String part, String... arguments) {
 		}
 		List<Step> steps = List.of(new Step(2, "a command is missing"), new Step(2, "Unmatched argument", "fly"),
+				new Step(0, "found by its service file", "provided"),
 				new Step(0, "2 routes, 2 pools", "check", EXAMPLES.resolve("tables.json").toString()),
 				new Step(0, "host oviedo-1", "check", "--kind", "settings", EXAMPLES.resolve("host.json").toString()),
 				new Step(2, "host.json: $.host: is not a known field", "check",
@@ -152,6 +153,9 @@
 				new Step(1, "has no row 'x'", "routes", "get", "x"),
 				new Step(1, "named by route", "pools", "remove", "--base", "1", "p"),
 				new Step(0, "accepted at version", "routes", "remove", "--base", "3", "r/1"),
+				new Step(0, "\"kind\" : \"runners\"", "tables", "get"),
+				new Step(2, "bad.json: $.kind", "tables", "reset", bad),
+				new Step(1, "may be reset only after", "tables", "reset", EXAMPLES.resolve("tables.json").toString()),
 				new Step(0, "ready, version", "status"), new Step(0, "ana", "history", "--limit", "9"),
 				new Step(3, "unknown", "history", "--edit", "none"), new Step(2, "--limit", "history", "--limit", "0"),
 				new Step(2, "use at least 32", "status", "--key-file", noKey),
