Describe connections and the HTTP contract; sharpen fault cases

Trials with single faults put into a scratch copy showed checks that no test guarded: a certificate that only the client trusts, bytes that arrive on an unused connection, Connection: close from an upstream, a reset that destroys a refusal, and a pipelined request behind a drain. Each now has a case. The client no longer passes Limpetgate-Exchange on to callers.

--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ClientConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ClientConnection.java
@@ -1,5 +1,6 @@
 package org.limpetgate.net.http;
 
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
@@ -253,8 +254,9 @@
 			return;
 		}
 		PendingExchange ended = this.exchange;
-		HttpReply reply = new HttpReply(this.response.status().code(), Headers.toMap(this.response.headers()),
-				this.body.toByteArray());
+		Map<String, String> headers = Headers.toMap(this.response.headers());
+		headers.remove(HeaderNames.EXCHANGE);
+		HttpReply reply = new HttpReply(this.response.status().code(), headers, this.body.toByteArray());
 		this.reusable = this.requestSent && this.response.protocolVersion().equals(HttpVersion.HTTP_1_1)
 				&& !Headers.hasConnectionOption(this.response.headers(), "close");
 		clear();
--- a/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpClientTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpClientTests.java
@@ -38,7 +38,10 @@
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
 
 	private final HttpClient client = HttpClient.of(this.group,
-			HttpClientLimits.defaults().withAnswerBytes(1000, MAX_BODY).withMaxConnections(2));
+			HttpClientLimits.defaults()
+				.withAnswerBytes(1000, MAX_BODY)
+				.withMaxConnections(2)
+				.withTimes(LONG_NANOS, 10 * LONG_NANOS));
 
 	@AfterTry
 	void stop() {
@@ -97,6 +100,7 @@
 				new Case("length and encoding",
 						HEAD + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", failed),
 				new Case("folding", HEAD + "Content-Length: 2\r\na: b\r\n c\r\n\r\nok", failed),
+				new Case("body without right", "HTTP/1.1 204 N\r\nContent-Length: 2\r\n\r\nok", failed),
 				new Case("no HTTP", "hello\r\n\r\n", failed), new Case("upgrade", "HTTP/1.1 101 S\r\n\r\n", failed),
 				new Case("another exchange", HEAD + "Limpetgate-Exchange: 0\r\nContent-Length: 2\r\n\r\nok", failed),
 				new Case("large head", HEAD + "a: " + "b".repeat(1000) + "\r\n\r\n", failed),
@@ -110,7 +114,7 @@
 			StubUpstream.Script faulty = StubUpstream.once(c.answer(), closed);
 			try (StubUpstream upstream = new StubUpstream(faulty, StubUpstream.always(OK))) {
 				assertThat(result(exchange(upstream, LONG_NANOS))).as(c.name()).isEqualTo(c.expected());
-				closed.await();
+				assertThat(closed.await(20, TimeUnit.SECONDS)).as(c.name()).isTrue();
 				assertThat(result(exchange(upstream, LONG_NANOS))).as("after " + c.name()).isEqualTo("ok");
 				assertThat(upstream.requests()).as(c.name()).isEqualTo(2);
 			}
@@ -187,14 +191,16 @@
 				connection.send(OK);
 				go.await();
 				connection.send(unsolicited);
-				connection.socket().shutdownOutput();
+				if (unsolicited.isEmpty()) {
+					connection.socket().shutdownOutput();
+				}
 				connection.isAtEnd();
 				gone.countDown();
 			};
 			try (StubUpstream upstream = new StubUpstream(first, StubUpstream.always(OK))) {
 				assertThat(result(exchange(upstream, LONG_NANOS))).isEqualTo("ok");
 				go.countDown();
-				gone.await();
+				assertThat(gone.await(20, TimeUnit.SECONDS)).as(unsolicited).isTrue();
 				assertThat(result(exchange(upstream, LONG_NANOS))).isEqualTo("ok");
 				assertThat(upstream.requests()).isEqualTo(2);
 			}
@@ -235,8 +241,9 @@
 		StubUpstream.Script record = (connection, stub) -> {
 			while (true) {
 				seen.add(stub.read(connection));
+				String number = seen.get(seen.size() - 1).header("limpetgate-exchange");
 				connection.send("HTTP/1.1 200 OK\r\nLimpetgate-Leaving: true\r\nConnection: x-hop\r\nX-Hop: 1\r\n"
-						+ "X: 2\r\nContent-Length: 0\r\n\r\n");
+						+ "Limpetgate-Exchange: " + number + "\r\nX: 2\r\nContent-Length: 0\r\n\r\n");
 			}
 		};
 		try (StubUpstream upstream = new StubUpstream(record)) {
@@ -247,6 +254,14 @@
 			}
 			assertThat(upstream.connections()).isEqualTo(1);
 		}
+		for (String ending : List.of(OK.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"),
+				OK.replace("/1.1", "/1.0"))) {
+			try (StubUpstream upstream = new StubUpstream(StubUpstream.always(ending))) {
+				assertThat(result(exchange(upstream, LONG_NANOS))).isEqualTo("ok");
+				assertThat(result(exchange(upstream, LONG_NANOS))).isEqualTo("ok");
+				assertThat(upstream.connections()).as(ending).isEqualTo(2);
+			}
+		}
 		assertThat(seen).hasSize(3)
 			.allSatisfy((request) -> assertThat(request.headers()).containsKey("host")
 				.containsKey("limpetgate-exchange")
--- a/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpServerTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpServerTests.java
@@ -64,7 +64,7 @@
 		return HttpServerLimits.defaults()
 			.withRequestBytes(MAX_HEAD, MAX_BODY)
 			.withRequestTimes(LONG_NANOS, LONG_NANOS)
-			.withClosingTimes(LONG_NANOS, SHORT_NANOS, SHORT_NANOS);
+			.withClosingTimes(LONG_NANOS, SHORT_NANOS, LONG_NANOS);
 	}
 
 	private void start(HttpServerLimits limits) {
@@ -150,6 +150,8 @@
 				new Case("endless head", "GET /" + "a".repeat(4 * MAX_HEAD), ErrorKind.HEAD_TOO_LARGE),
 				new Case("many headers", HEAD + "a:\r\n".repeat(300) + "\r\n", ErrorKind.HEAD_TOO_LARGE),
 				new Case("large body", POST + "Content-Length: 101\r\n\r\n", ErrorKind.BODY_TOO_LARGE),
+				new Case("large body sent at once", POST + "Content-Length: 8000000\r\n\r\n" + "a".repeat(8_000_000),
+						ErrorKind.BODY_TOO_LARGE),
 				new Case("large chunks", POST + "Transfer-Encoding: chunked\r\n\r\n65\r\n" + "a".repeat(101),
 						ErrorKind.BODY_TOO_LARGE));
 		for (Case c : cases) {
@@ -305,7 +307,7 @@
 		try (RawConnection busy = RawConnection.open(this.server.address());
 				RawConnection partial = RawConnection.open(this.server.address());
 				RawConnection idle = RawConnection.open(this.server.address())) {
-			busy.send(GET.replace("/a", "/held"));
+			busy.send(GET.replace("/a", "/held") + GET);
 			CompletableFuture<HttpReply> pending = takeHeld();
 			idle.send(GET).read();
 			partial.send(GET).read();
@@ -317,6 +319,7 @@
 			assertThat(drained).isNotDone();
 			pending.complete(reply("done", Map.of()));
 			assertThat(busy.read().body()).isEqualTo("done");
+			assertThat(busy.read().header("connection")).isEqualTo("close");
 			assertThat(busy.isAtEnd()).isTrue();
 			idle.close();
 			partial.close();
--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
@@ -323,9 +323,9 @@
 		this.limits = LIMITS.withTimes(LONG_NANOS, SHORT_NANOS, SHORT_NANOS);
 		startServer(null);
 		this.keysOfB.replace("n", Map.of("n", OTHER_KEY));
-		startLinks(this.server.address(), null);
 		this.keysOfA.replace("n", Map.of("n", KEY));
-		assertThat(result(request("x", LONG_NANOS))).isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.HOLDER_UNREACHABLE);
+		startLinks(this.server.address(), null);
+		assertLinkFails();
 		this.keysOfA.replace("n", Map.of("n", OTHER_KEY, "k", KEY));
 		awaitUp();
 		this.keysOfB.replace("n", Map.of("n", OTHER_KEY, "k", KEY));
@@ -370,23 +370,31 @@
 	 */
 	@Example
 	void tlsAdmitsThePrivateAuthorityOnly() throws Exception {
-		startServer(tls("private"));
-		startLinks(this.server.address(), tls("private"));
+		startServer(tls("private", "private"));
+		startLinks(this.server.address(), tls("private", "private"));
 		awaitUp();
 		assertThat(result(request("x", LONG_NANOS))).isEqualTo("x");
 		this.links.close();
-		for (PeerTls stranger : new PeerTls[] { tls("stranger"), null }) {
+		for (PeerTls stranger : new PeerTls[] { tls("stranger", "stranger"), tls("stranger", "private"),
+				tls("private", "stranger"), null }) {
 			startLinks(this.server.address(), stranger);
-			assertThat(result(request("x", LONG_NANOS)))
-				.isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.HOLDER_UNREACHABLE);
+			assertLinkFails();
 			this.links.close();
 		}
 		assertThat(this.received).hasSize(1);
 	}
 
-	private static PeerTls tls(String authority) throws IOException {
-		return PeerTls.of(resource(authority + "-host.pem"), resource(authority + "-host.key"),
-				resource(authority + "-ca.pem"));
+	// Waits for the end of a first attempt, since every request fails before that.
+	private void assertLinkFails() {
+		await(() -> {
+			Throwable failure = request("x", LONG_NANOS).handle((frame, error) -> error).join();
+			return failure == null || !failure.getMessage().contains("no connection yet");
+		});
+		assertThat(result(request("x", LONG_NANOS))).isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.HOLDER_UNREACHABLE);
+	}
+
+	private static PeerTls tls(String host, String authority) throws IOException {
+		return PeerTls.of(resource(host + "-host.pem"), resource(host + "-host.key"), resource(authority + "-ca.pem"));
 	}
 
 	private static byte[] resource(String name) throws IOException {
