Refuse informational answers of handlers and exchanges without time

A handler's status below 200 made the caller wait for another answer, and an exchange with no time left was sent before it timed out, which made its outcome unknown instead of not-run.

--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/PendingExchange.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/PendingExchange.java
@@ -49,6 +49,10 @@
 			if (this.decided) {
 				return;
 			}
+			if (timeoutNanos <= 0) {
+				timedOut();
+				return;
+			}
 			this.timeout = this.pool.loop().schedule(this::timedOut, timeoutNanos, TimeUnit.NANOSECONDS);
 			this.pool.serve(this);
 		});
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ServerConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ServerConnection.java
@@ -52,6 +52,9 @@
 	/** Memory of a request and its map of headers apart from the characters. */
 	private static final int REQUEST_OVERHEAD_BYTES = 512;
 
+	/** Lower statuses are informational, after which the caller waits for another. */
+	private static final int MIN_FINAL_STATUS = 200;
+
 	private final HttpServer server;
 
 	private final StrictRequestDecoder decoder;
@@ -359,6 +362,9 @@
 	}
 
 	private static FullHttpResponse toResponseUnchecked(Exchange exchange, HttpReply reply) {
+		if (reply.status() < MIN_FINAL_STATUS) {
+			throw new IllegalArgumentException("status " + reply.status() + " does not end an exchange");
+		}
 		boolean isHead = exchange.call() != null && exchange.call().method().equals("HEAD");
 		ByteBuf content = isHead ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(reply.body());
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
--- a/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpClientTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpClientTests.java
@@ -168,6 +168,7 @@
 			List<HttpExchange> inFlight = List.of(exchange(upstream, LONG_NANOS), exchange(upstream, LONG_NANOS));
 			assertThat(result(exchange(upstream, LONG_NANOS))).isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.OVERLOADED);
 			inFlight.forEach(HttpExchange::cancel);
+			assertThat(result(exchange(upstream, 0))).isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.DEADLINE_EXCEEDED);
 			HttpExchange cancelled = exchange(upstream, LONG_NANOS);
 			cancelled.cancel();
 			assertThat(result(cancelled)).isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.CANCELLED);
--- a/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpServerTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpServerTests.java
@@ -86,6 +86,7 @@
 				CompletableFuture.failedFuture(DispatchException.of(ErrorKind.UPSTREAM_FAILED, Outcome.UNKNOWN, "cut"));
 			case "/fault" -> throw new IllegalStateException("fault");
 			case "/null" -> CompletableFuture.completedFuture(null);
+			case "/early" -> CompletableFuture.completedFuture(new HttpReply(102, Map.of(), new byte[0]));
 			case "/split" -> CompletableFuture.completedFuture(reply("x", Map.of("a", "b\r\nc: d")));
 			case "/hop" -> CompletableFuture
 				.completedFuture(reply("x", Map.of("connection", "x-a", "x-a", "1", "transfer-encoding", "chunked")));
@@ -288,7 +289,8 @@
 		}
 		for (Case c : List.of(new Case("/late", 503, "not-run", "2"), new Case("/lost", 502, "unknown", ""),
 				new Case("/fault", 500, "unknown", ""), new Case("/null", 500, "unknown", ""),
-				new Case("/split", 500, "unknown", ""), new Case("/hop", 200, "complete", ""))) {
+				new Case("/split", 500, "unknown", ""), new Case("/early", 500, "unknown", ""),
+				new Case("/hop", 200, "complete", ""))) {
 			RawConnection.Message answer = once(GET.replace("/a", c.path()));
 			assertThat(answer.status()).as(c.path()).isEqualTo(c.status());
 			assertThat(answer.header("limpetgate-outcome")).as(c.path()).isEqualTo(c.outcome());
