--- a/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpServerTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpServerTests.java
@@ -64,7 +64,7 @@
 		return HttpServerLimits.defaults()
 			.withRequestBytes(MAX_HEAD, MAX_BODY)
 			.withRequestTimes(LONG_NANOS, LONG_NANOS)
-			.withClosingTimes(LONG_NANOS, SHORT_NANOS, SHORT_NANOS);
+			.withClosingTimes(LONG_NANOS, SHORT_NANOS, LONG_NANOS);
 	}
 
 	private void start(HttpServerLimits limits) {
@@ -86,6 +86,7 @@
 				CompletableFuture.failedFuture(DispatchException.of(ErrorKind.UPSTREAM_FAILED, Outcome.UNKNOWN, "cut"));
 			case "/fault" -> throw new IllegalStateException("fault");
 			case "/null" -> CompletableFuture.completedFuture(null);
+			case "/early" -> CompletableFuture.completedFuture(new HttpReply(102, Map.of(), new byte[0]));
 			case "/split" -> CompletableFuture.completedFuture(reply("x", Map.of("a", "b\r\nc: d")));
 			case "/hop" -> CompletableFuture
 				.completedFuture(reply("x", Map.of("connection", "x-a", "x-a", "1", "transfer-encoding", "chunked")));
@@ -150,6 +151,8 @@
 				new Case("endless head", "GET /" + "a".repeat(4 * MAX_HEAD), ErrorKind.HEAD_TOO_LARGE),
 				new Case("many headers", HEAD + "a:\r\n".repeat(300) + "\r\n", ErrorKind.HEAD_TOO_LARGE),
 				new Case("large body", POST + "Content-Length: 101\r\n\r\n", ErrorKind.BODY_TOO_LARGE),
+				new Case("large body sent at once", POST + "Content-Length: 8000000\r\n\r\n" + "a".repeat(8_000_000),
+						ErrorKind.BODY_TOO_LARGE),
 				new Case("large chunks", POST + "Transfer-Encoding: chunked\r\n\r\n65\r\n" + "a".repeat(101),
 						ErrorKind.BODY_TOO_LARGE));
 		for (Case c : cases) {
@@ -286,7 +289,8 @@
 		}
 		for (Case c : List.of(new Case("/late", 503, "not-run", "2"), new Case("/lost", 502, "unknown", ""),
 				new Case("/fault", 500, "unknown", ""), new Case("/null", 500, "unknown", ""),
-				new Case("/split", 500, "unknown", ""), new Case("/hop", 200, "complete", ""))) {
+				new Case("/split", 500, "unknown", ""), new Case("/early", 500, "unknown", ""),
+				new Case("/hop", 200, "complete", ""))) {
 			RawConnection.Message answer = once(GET.replace("/a", c.path()));
 			assertThat(answer.status()).as(c.path()).isEqualTo(c.status());
 			assertThat(answer.header("limpetgate-outcome")).as(c.path()).isEqualTo(c.outcome());
@@ -305,7 +309,7 @@
 		try (RawConnection busy = RawConnection.open(this.server.address());
 				RawConnection partial = RawConnection.open(this.server.address());
 				RawConnection idle = RawConnection.open(this.server.address())) {
-			busy.send(GET.replace("/a", "/held"));
+			busy.send(GET.replace("/a", "/held") + GET);
 			CompletableFuture<HttpReply> pending = takeHeld();
 			idle.send(GET).read();
 			partial.send(GET).read();
@@ -317,6 +321,7 @@
 			assertThat(drained).isNotDone();
 			pending.complete(reply("done", Map.of()));
 			assertThat(busy.read().body()).isEqualTo("done");
+			assertThat(busy.read().header("connection")).isEqualTo("close");
 			assertThat(busy.isAtEnd()).isTrue();
 			idle.close();
 			partial.close();
