--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -643,7 +643,9 @@
 			return;
 		}
 		switch (job.state) {
-			case PENDING, RUNNING -> reply(request, Answer.accepted(COLLECT + key));
+			case RUNNING -> reply(request, Answer.accepted(COLLECT + key));
+			case PENDING -> reply(request, Answer.refusal(Outcome.UNKNOWN, ErrorKind.UNKNOWN_SUBMISSION,
+					"the job waits for its claim and has not been started here", 0));
 			case HELD -> reply(request, Answer.refusal(job.isExclusive() ? Outcome.NOT_RUN : Outcome.UNKNOWN,
 					ErrorKind.UNKNOWN_SUBMISSION, "the job has not been started", 0));
 			case DONE -> reply(request, finalAnswer(job));
--- a/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSystemTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSystemTests.java
@@ -130,6 +130,25 @@
 		});
 	}
 
+	// Guards against a host that takes more than its share of the log's appends.
+	@Example
+	void appendsKeepToTheShareAtAnyRate() {
+		for (int perSecond : new int[] { 1, 10, 30, 50, 100, 1000 }) {
+			Fixture fixture = new Fixture();
+			int answered = 0;
+			for (int i = 0; i < 10 * perSecond; i++) {
+				fixture.submit(i, fixture.named("key" + i, "body", 1));
+				int open = fixture.appends - answered;
+				assertThat(open).as(perSecond + " jobs/s").isLessThanOrEqualTo(1);
+				fixture.pass(SECOND / perSecond);
+				fixture.system.claimsAppended(fixture.appends, fixture.now);
+				answered = fixture.appends;
+			}
+			assertThat(fixture.appends).as(perSecond + " jobs/s")
+				.isLessThanOrEqualTo(Math.min(10 * perSecond, 310) + 1);
+		}
+	}
+
 	private static void addHolderCases(Map<String, Consumer<Fixture>> cases) {
 		cases.put("a holder that does not answer makes the outcome unknown", (f) -> {
 			f.store(List.of(f.claimOf(OTHER, f.job(false, 1), 0)));
