Stop the start of a job with a task that may have run

The state of a job alone decided whether it could start again. The start now also checks that no task of an earlier run ended without proof that it did not run, unless the job is idempotent.

--- a/limpetgate-core/src/main/java/org/limpetgate/submission/Job.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/Job.java
@@ -92,6 +92,9 @@
 
 	boolean failing;
 
+	/** Whether a task ended without proof that it did not run. */
+	boolean mayHaveRun;
+
 	/** Null until the end, and again after the result was dropped. */
 	Answer answer;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -364,6 +364,9 @@
 		if (job.expiryNanos <= this.now) {
 			return "job " + job.key + " would start after its expiry";
 		}
+		if (job.mayHaveRun && !job.idempotent) {
+			return "job " + job.key + " would start although a task may have run";
+		}
 		return switch (job.right) {
 			case IDEMPOTENCE -> job.idempotent ? null : "job " + job.key + " would start without a claim";
 			case TICKET -> {
@@ -519,6 +522,7 @@
 			return;
 		}
 		job.results[index] = result;
+		job.mayHaveRun |= !this.rules.isProvedNotRun(result.outcome());
 		this.jobs.addBytes(job, result.body().length);
 		job.open--;
 		if (job.open == 0) {
