--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -1,12 +1,7 @@
 package org.limpetgate.submission;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -15,10 +10,11 @@
 import org.limpetgate.DataCentreId;
 import org.limpetgate.DispatchException;
 import org.limpetgate.ErrorKind;
-import org.limpetgate.HostId;
 import org.limpetgate.Incarnation;
 import org.limpetgate.Outcome;
 import org.limpetgate.SubmissionKey;
+import org.limpetgate.submission.ClaimWaits.ClaimWait;
+import org.limpetgate.submission.RelayTable.Relay;
 
 /**
  * Decides which submissions this entry host starts, and answers them.
@@ -69,21 +65,13 @@
 
 	private final List<SubmissionEffect> effects = new ArrayList<>();
 
-	/** The bytes of each request that has not been answered. */
-	private final Map<Long, Long> openRequests = new HashMap<>();
+	private final OpenRequests requests = new OpenRequests();
 
-	private long openRequestBytes;
+	private final ClaimWaits claimWaits = new ClaimWaits();
 
-	/** In the order of their deadlines, since all wait equally long. */
-	private final Map<Long, ClaimWait> claimWaits = new LinkedHashMap<>();
+	private final RelayTable relays = new RelayTable();
 
-	private final Map<Long, Relay> relays = new HashMap<>();
-
-	private final TreeSet<Relay> relaysByDeadline = new TreeSet<>(
-			Comparator.comparingLong(Relay::deadlineNanos).thenComparingLong((relay) -> relay.waiter.request()));
-
-	/** Incarnations of a host up to this number are dead. */
-	private final Map<HostId, Long> deadUpTo = new HashMap<>();
+	private final DeadIncarnations dead;
 
 	private long now;
 
@@ -119,6 +107,7 @@
 		this.claims = new ClaimTable(settings, rules);
 		this.jobs = new JobTable(settings);
 		this.appender = new ClaimAppender(settings);
+		this.dead = new DeadIncarnations(self);
 	}
 
 	/**
@@ -130,7 +119,7 @@
 	 */
 	public void submit(long request, Submission submission, int hops, long nowNanos) {
 		advance(nowNanos);
-		open(request, submission.sizeBytes());
+		this.requests.open(request, submission.sizeBytes());
 		route(Waiter.of(request, submission, hops));
 	}
 
@@ -158,7 +147,7 @@
 			// No host starts a forged ticket, so this outcome needs no other proof.
 			refuse(waiter, Outcome.NOT_RUN, ErrorKind.INVALID_TICKET, "the ticket is not genuine for this caller");
 		}
-		else if (isDead(ticket.issuer())) {
+		else if (this.dead.contains(ticket.issuer())) {
 			refuse(waiter, Outcome.UNKNOWN, ErrorKind.HOLDER_LOST,
 					"the issuer " + ticket.issuer() + " of the ticket has ended");
 		}
@@ -201,7 +190,7 @@
 		else if (claim.holder().equals(this.self)) {
 			routeToForgotten(waiter);
 		}
-		else if (!isDead(claim.holder())) {
+		else if (!this.dead.contains(claim.holder())) {
 			forward(waiter.withoutProof(), claim.holder());
 		}
 		else if (submission.isIdempotent()) {
@@ -246,7 +235,7 @@
 
 	private void awaitClaim(Job job, Waiter waiter) {
 		job.waiters.add(waiter);
-		this.claimWaits.put(waiter.request(), new ClaimWait(this.now + this.settings.claimWaitNanos(), job, waiter));
+		this.claimWaits.add(new ClaimWait(this.now + this.settings.claimWaitNanos(), job, waiter));
 		if (!job.claimStored && !this.appender.contains(job.key)) {
 			this.appender.add(new Claim(job.key, job.fingerprint, this.self, job.expiryNanos, job.generation),
 					this.now);
@@ -596,7 +585,7 @@
 	 */
 	public void cancel(long request, CallerId caller, SubmissionKey key, int hops, long nowNanos) {
 		advance(nowNanos);
-		open(request, 0);
+		this.requests.open(request, 0);
 		Waiter waiter = new Waiter(request, null, hops, false);
 		Job job = this.jobs.find(KeyHash.of(caller, key));
 		if (job == null) {
@@ -640,7 +629,7 @@
 	 */
 	public void query(long request, CallerId caller, SubmissionKey key, int hops, long nowNanos) {
 		advance(nowNanos);
-		open(request, 0);
+		this.requests.open(request, 0);
 		Job job = this.jobs.find(KeyHash.of(caller, key));
 		if (job == null) {
 			lookUp(new Waiter(request, null, hops, false), new PeerRequest.Query(caller, key, hops + 1));
@@ -682,7 +671,7 @@
 		if (holder == null || holder.equals(this.self) || waiter.hops() >= MAX_HOPS) {
 			refuse(waiter, ErrorKind.UNKNOWN_SUBMISSION, "this host does not know the submission");
 		}
-		else if (isDead(holder)) {
+		else if (this.dead.contains(holder)) {
 			refuse(waiter, ErrorKind.HOLDER_LOST, "the holder " + holder + " has ended");
 		}
 		else {
@@ -706,18 +695,14 @@
 		if (waiter.submission() != null) {
 			deadline = Math.max(deadline, waiter.submission().expiryNanos() + this.settings.skewNanos());
 		}
-		Relay relay = new Relay(waiter, target, home, deadline);
-		this.relays.put(waiter.request(), relay);
-		this.relaysByDeadline.add(relay);
+		this.relays.add(new Relay(waiter, target, home, deadline));
 	}
 
 	private Relay removeRelay(long request) {
 		Relay relay = this.relays.remove(request);
 		if (relay == null) {
 			this.droppedEvents++;
-			return null;
 		}
-		this.relaysByDeadline.remove(relay);
 		return relay;
 	}
 
@@ -749,15 +734,15 @@
 	}
 
 	private void failRelay(Relay relay, boolean sent) {
-		Waiter waiter = sent ? relay.waiter.withoutProof() : relay.waiter;
-		if (relay.target != null) {
-			refuseLater(waiter, ErrorKind.HOLDER_UNREACHABLE, "the holder " + relay.target + " does not answer");
+		Waiter waiter = sent ? relay.waiter().withoutProof() : relay.waiter();
+		if (relay.target() != null) {
+			refuseLater(waiter, ErrorKind.HOLDER_UNREACHABLE, "the holder " + relay.target() + " does not answer");
 			return;
 		}
 		if (waiter.isCancellation() || !waiter.submission().isIdempotent()
 				|| waiter.submission().expiryNanos() <= this.now) {
 			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
-					"the home data centre " + relay.home + " of the key does not answer");
+					"the home data centre " + relay.home() + " of the key does not answer");
 			return;
 		}
 		Job job = this.jobs.find(waiter.submission().keyHash());
@@ -776,8 +761,7 @@
 	 */
 	public void incarnationAlive(Incarnation incarnation, long nowNanos) {
 		advance(nowNanos);
-		Long dead = this.deadUpTo.put(incarnation.host(), incarnation.number() - 1);
-		if (dead == null || dead < incarnation.number() - 1) {
+		if (this.dead.alive(incarnation)) {
 			rerouteRelaysToDead();
 		}
 	}
@@ -790,34 +774,21 @@
 	 */
 	public void incarnationDead(Incarnation incarnation, long nowNanos) {
 		advance(nowNanos);
-		this.deadUpTo.merge(incarnation.host(), incarnation.number(), Math::max);
+		this.dead.dead(incarnation);
 		rerouteRelaysToDead();
 	}
 
 	private void rerouteRelaysToDead() {
-		List<Relay> lost = this.relays.values()
-			.stream()
-			.filter((relay) -> relay.target != null && isDead(relay.target))
-			.toList();
-		for (Relay relay : lost) {
-			removeRelay(relay.waiter.request());
-			if (relay.waiter.isCancellation()) {
-				refuse(relay.waiter, ErrorKind.HOLDER_LOST, "the holder " + relay.target + " has ended");
+		for (Relay relay : this.relays.removeTo(this.dead::contains)) {
+			if (relay.waiter().isCancellation()) {
+				refuse(relay.waiter(), ErrorKind.HOLDER_LOST, "the holder " + relay.target() + " has ended");
 			}
 			else {
-				route(relay.waiter.withoutProof());
+				route(relay.waiter().withoutProof());
 			}
 		}
 	}
 
-	private boolean isDead(Incarnation incarnation) {
-		if (incarnation.host().equals(this.self.host())) {
-			return !incarnation.equals(this.self);
-		}
-		Long dead = this.deadUpTo.get(incarnation.host());
-		return dead != null && incarnation.number() <= dead;
-	}
-
 	/**
 	 * Forgets a request whose caller has gone away. It is not answered, and a job that
 	 * waits for its claim on behalf of this request alone is not started.
@@ -826,16 +797,15 @@
 	 */
 	public void abandon(long request, long nowNanos) {
 		advance(nowNanos);
-		if (!close(request)) {
+		if (!this.requests.close(request)) {
 			return;
 		}
-		if (this.relays.containsKey(request)) {
-			removeRelay(request);
+		if (this.relays.remove(request) != null) {
 			return;
 		}
 		ClaimWait wait = this.claimWaits.remove(request);
 		if (wait != null) {
-			wait.job.waiters.remove(wait.waiter);
+			wait.job().waiters.remove(wait.waiter());
 		}
 	}
 
@@ -880,19 +850,18 @@
 	}
 
 	private void endClaimWaits() {
-		while (firstClaimWaitNanos() <= this.now) {
-			ClaimWait wait = this.claimWaits.values().iterator().next();
-			this.claimWaits.remove(wait.waiter.request());
-			Job job = wait.job;
-			if (job.state != Job.State.PENDING || !job.waiters.contains(wait.waiter)) {
+		ClaimWait wait = this.claimWaits.removeDue(this.now);
+		for (; wait != null; wait = this.claimWaits.removeDue(this.now)) {
+			Job job = wait.job();
+			if (job.state != Job.State.PENDING || !job.waiters.contains(wait.waiter())) {
 				continue;
 			}
 			if (job.idempotent && job.expiryNanos > this.now) {
 				startPendingWithoutClaim(job);
 				continue;
 			}
-			job.waiters.remove(wait.waiter);
-			refuseLater(wait.waiter, ErrorKind.HISTORY_UNAVAILABLE, "the claim could not be confirmed in time");
+			job.waiters.remove(wait.waiter());
+			refuseLater(wait.waiter(), ErrorKind.HISTORY_UNAVAILABLE, "the claim could not be confirmed in time");
 			forgetUnsent(job);
 		}
 	}
@@ -904,10 +873,6 @@
 		return taken;
 	}
 
-	private long firstClaimWaitNanos() {
-		return this.claimWaits.isEmpty() ? Long.MAX_VALUE : this.claimWaits.values().iterator().next().deadlineNanos;
-	}
-
 	private void forgetUnsent(Job job) {
 		if (job.waiters.isEmpty() && !job.cancelled && !job.claimSent) {
 			this.appender.remove(job.key);
@@ -916,8 +881,8 @@
 	}
 
 	private void endRelays() {
-		while (!this.relaysByDeadline.isEmpty() && this.relaysByDeadline.first().deadlineNanos <= this.now) {
-			Relay relay = removeRelay(this.relaysByDeadline.first().waiter.request());
+		Relay relay = this.relays.removeDue(this.now);
+		for (; relay != null; relay = this.relays.removeDue(this.now)) {
 			failRelay(relay, true);
 		}
 	}
@@ -948,10 +913,8 @@
 			return this.now;
 		}
 		long wake = this.appender.nextWakeNanos();
-		wake = Math.min(wake, firstClaimWaitNanos());
-		if (!this.relaysByDeadline.isEmpty()) {
-			wake = Math.min(wake, this.relaysByDeadline.first().deadlineNanos);
-		}
+		wake = Math.min(wake, this.claimWaits.nextDeadlineNanos());
+		wake = Math.min(wake, this.relays.nextDeadlineNanos());
 		return wake;
 	}
 
@@ -969,8 +932,8 @@
 	 */
 	public SubmissionCounts counts() {
 		return new SubmissionCounts(this.claims.size(), this.jobs.size(), this.jobs.runningCount(),
-				this.jobs.keptBytes(), this.openRequestBytes + this.jobs.runningBytes(), this.relays.size(),
-				this.openRequests.size(), this.brokenInvariants, this.droppedEvents);
+				this.jobs.keptBytes(), this.requests.bytes() + this.jobs.runningBytes(), this.relays.size(),
+				this.requests.size(), this.brokenInvariants, this.droppedEvents);
 	}
 
 	private boolean isAcceptable(Waiter waiter) {
@@ -1027,24 +990,13 @@
 
 	private void reply(long request, Answer answer) {
 		this.claimWaits.remove(request);
-		if (close(request)) {
+		if (this.requests.close(request)) {
 			this.effects.add(new SubmissionEffect.Reply(request, answer));
 		}
 	}
 
-	private void open(long request, long bytes) {
-		this.openRequests.put(request, bytes);
-		this.openRequestBytes += bytes;
-	}
-
-	private boolean close(long request) {
-		Long bytes = this.openRequests.remove(request);
-		this.openRequestBytes -= (bytes != null) ? bytes : 0;
-		return bytes != null;
-	}
-
 	private boolean isFull() {
-		return this.openRequestBytes + this.jobs.runningBytes() > this.settings.maxOpenBytes();
+		return this.requests.bytes() + this.jobs.runningBytes() > this.settings.maxOpenBytes();
 	}
 
 	private void refuseFull(Waiter waiter, Outcome outcome) {
@@ -1065,10 +1017,4 @@
 		this.now = Math.max(this.now, nowNanos);
 	}
 
-	private record ClaimWait(long deadlineNanos, Job job, Waiter waiter) {
-	}
-
-	private record Relay(Waiter waiter, Incarnation target, DataCentreId home, long deadlineNanos) {
-	}
-
 }
