Split the running of jobs and the answers from SubmissionSystem

JobRunner now starts and joins jobs and holds the invariants of a start, Replies holds open requests and effects.

--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/JobRunner.java
@@ -0,0 +1,174 @@
+package org.limpetgate.submission;
+
+import java.util.List;
+
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Incarnation;
+import org.limpetgate.Outcome;
+
+/**
+ * Starts held jobs, joins the results of their tasks and answers them.
+ * <p>
+ * Every start passes the invariants in {@link #start}; one that breaks an invariant does
+ * not take place. Not thread-safe.
+ */
+final class JobRunner {
+
+	static final String COLLECT = "the job is accepted; collect its result with GET /v1/submissions/";
+
+	private final Incarnation self;
+
+	private final ClaimTable claims;
+
+	private final JobTable jobs;
+
+	private final TicketAuthority tickets;
+
+	private final SubmissionRules rules;
+
+	private final Replies replies;
+
+	JobRunner(Incarnation self, ClaimTable claims, JobTable jobs, TicketAuthority tickets, SubmissionRules rules,
+			Replies replies) {
+		this.self = self;
+		this.claims = claims;
+		this.jobs = jobs;
+		this.tickets = tickets;
+		this.rules = rules;
+		this.replies = replies;
+	}
+
+	// Returns false if the task is not known or has ended.
+	boolean taskEnded(long number, int index, TaskResult result, long nowNanos) {
+		Job job = this.jobs.findRunning(number);
+		if (job == null || index >= job.results.length || job.results[index] != null) {
+			return false;
+		}
+		job.results[index] = result;
+		job.mayHaveRun |= !this.rules.isProvedNotRun(result.outcome());
+		this.jobs.addBytes(job, result.body().length);
+		job.open--;
+		if (job.open == 0) {
+			finish(job, nowNanos);
+		}
+		else if (result.outcome() != Outcome.COMPLETE && !job.failing) {
+			cancelOpenTasks(job);
+		}
+		return true;
+	}
+
+	void attachToRunning(Job job, Waiter waiter) {
+		if (waiter.submission().isWaiting()) {
+			job.waiters.add(waiter);
+		}
+		else {
+			this.replies.reply(waiter.request(), Answer.accepted(COLLECT + waiter.submission().key()));
+		}
+	}
+
+	Answer finalAnswer(Job job) {
+		if (job.answer != null) {
+			return job.answer;
+		}
+		return Answer.error(Outcome.UNKNOWN, ErrorKind.UNKNOWN_SUBMISSION, "the job ended with outcome "
+				+ job.outcome.text() + ", but its result is no longer kept; collect results earlier", 0, List.of());
+	}
+
+	void start(Job job, long nowNanos) {
+		job.submission = job.waiters.get(0).submission();
+		String violation = whyNotStartable(job, nowNanos);
+		if (violation != null) {
+			this.replies.broken(violation);
+			Answer internal = Answer.refusal(Outcome.UNKNOWN, ErrorKind.INTERNAL, violation, 0);
+			this.jobs.finish(job, internal, nowNanos);
+			this.replies.takeWaiters(job).forEach((waiter) -> this.replies.reply(waiter.request(), internal));
+			return;
+		}
+		this.jobs.start(job);
+		this.replies.emit(new SubmissionEffect.StartTasks(job.number, job.submission));
+		List<Waiter> waiters = this.replies.takeWaiters(job);
+		for (Waiter waiter : waiters) {
+			attachToRunning(job, waiter);
+		}
+	}
+
+	// The invariants of a start. Returns null if all hold.
+	private String whyNotStartable(Job job, long nowNanos) {
+		if (job.state != Job.State.HELD || job.cancelled) {
+			return "job " + job.key + " would start in state " + job.state;
+		}
+		if (job.expiryNanos <= nowNanos) {
+			return "job " + job.key + " would start after its expiry";
+		}
+		if (job.mayHaveRun && !job.idempotent) {
+			return "job " + job.key + " would start although a task may have run";
+		}
+		return switch (job.right) {
+			case IDEMPOTENCE -> job.idempotent ? null : "job " + job.key + " would start without a claim";
+			case TICKET -> {
+				Ticket ticket = this.tickets.check(job.submission.caller(), job.submission.key());
+				yield (ticket != null && ticket.issuer().equals(this.self)) ? null
+						: "job " + job.key + " would start with the ticket of another incarnation";
+			}
+			case CLAIM -> {
+				boolean first = this.claims.isHeldBy(job.key, this.self, job.generation, job.fingerprint);
+				boolean mayStart = first && (job.generation == 0 || job.idempotent) && !job.unproved;
+				yield (mayStart || !this.rules.needsReadBack()) ? null
+						: "job " + job.key + " would start without the first claim";
+			}
+		};
+	}
+
+	void cancelOpenTasks(Job job) {
+		job.failing = true;
+		for (int i = 0; i < job.results.length; i++) {
+			if (job.results[i] == null) {
+				this.replies.emit(new SubmissionEffect.CancelTask(job.number, i));
+			}
+		}
+	}
+
+	private void finish(Job job, long nowNanos) {
+		Outcome outcome = job.joinOutcomes();
+		if (outcome == Outcome.COMPLETE) {
+			finish(job, Answer.complete(job.taskAnswers()), nowNanos);
+			return;
+		}
+		int cause = job.firstFailure();
+		if (this.rules.isProvedNotRun(outcome)) {
+			finishNotRun(job, job.results[cause], nowNanos);
+			return;
+		}
+		ErrorKind error = job.cancelled ? ErrorKind.CANCELLED : ErrorKind.TASK_FAILED;
+		TaskResult result = job.results[cause];
+		String message = "task '" + job.submission.tasks().get(cause).id() + "' ended with outcome "
+				+ result.outcome().text() + ": " + result.detail() + "; " + error.remedy();
+		finish(job, Answer.error(outcome, error, message, 0, job.taskAnswers()), nowNanos);
+	}
+
+	private void finish(Job job, Answer answer, long nowNanos) {
+		this.jobs.finish(job, answer, nowNanos);
+		this.replies.takeWaiters(job).forEach((waiter) -> this.replies.reply(waiter.request(), answer));
+	}
+
+	// No task ran: the key stays held, so that a resubmission can start the job.
+	private void finishNotRun(Job job, TaskResult cause, long nowNanos) {
+		this.jobs.hold(job);
+		if (job.cancelled) {
+			finishCancelled(job, nowNanos);
+			return;
+		}
+		for (Waiter waiter : this.replies.takeWaiters(job)) {
+			Answer answer = Answer.error(job.refusalOutcome(waiter), cause.error(), cause.detail(),
+					cause.retryAfterNanos(), List.of());
+			this.replies.reply(waiter.request(), answer);
+		}
+	}
+
+	void finishCancelled(Job job, long nowNanos) {
+		Outcome outcome = job.isExclusive() ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+		Answer answer = Answer.refusal(outcome, ErrorKind.CANCELLED, "the job was cancelled before it started", 0);
+		finish(job, answer, nowNanos);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/Replies.java
@@ -0,0 +1,109 @@
+package org.limpetgate.submission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+
+/**
+ * The open requests with their answers, and the effects that wait for the next tick.
+ * <p>
+ * Each request is answered once; answers to requests that are not open are dropped. Not
+ * thread-safe.
+ */
+final class Replies {
+
+	private static final long RETRY_BASE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private static final long RETRY_SPREAD_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	private final RandomGenerator random;
+
+	private final OpenRequests requests = new OpenRequests();
+
+	private final ClaimWaits claimWaits = new ClaimWaits();
+
+	private final List<SubmissionEffect> effects = new ArrayList<>();
+
+	private long brokenInvariants;
+
+	Replies(RandomGenerator random) {
+		this.random = random;
+	}
+
+	OpenRequests requests() {
+		return this.requests;
+	}
+
+	ClaimWaits claimWaits() {
+		return this.claimWaits;
+	}
+
+	void emit(SubmissionEffect effect) {
+		this.effects.add(effect);
+	}
+
+	boolean hasEffects() {
+		return !this.effects.isEmpty();
+	}
+
+	// Effects that the consumer causes are left for the next call.
+	void emitTo(Consumer<? super SubmissionEffect> consumer) {
+		List<SubmissionEffect> due = List.copyOf(this.effects);
+		this.effects.clear();
+		due.forEach(consumer);
+	}
+
+	long brokenInvariants() {
+		return this.brokenInvariants;
+	}
+
+	List<Waiter> takeWaiters(Job job) {
+		List<Waiter> taken = job.waiters;
+		job.waiters = new ArrayList<>(1);
+		taken.forEach((waiter) -> this.claimWaits.remove(waiter.request()));
+		return taken;
+	}
+
+	static Outcome outcomeOfRefusal(Waiter waiter) {
+		return waiter.provable() ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+	}
+
+	void refuse(Waiter waiter, ErrorKind error, String detail) {
+		refuse(waiter, outcomeOfRefusal(waiter), error, detail);
+	}
+
+	void refuse(Waiter waiter, Outcome outcome, ErrorKind error, String detail) {
+		reply(waiter.request(), Answer.refusal(outcome, error, detail, 0));
+	}
+
+	void refuseLater(Waiter waiter, ErrorKind error, String detail) {
+		reply(waiter.request(), Answer.refusal(outcomeOfRefusal(waiter), error, detail, retryAfterNanos()));
+	}
+
+	private long retryAfterNanos() {
+		return RETRY_BASE_NANOS + this.random.nextLong(RETRY_SPREAD_NANOS);
+	}
+
+	void reply(long request, Answer answer) {
+		this.claimWaits.remove(request);
+		if (this.requests.close(request)) {
+			this.effects.add(new SubmissionEffect.Reply(request, answer));
+		}
+	}
+
+	void refuseFull(Waiter waiter, Outcome outcome) {
+		reply(waiter.request(), Answer.refusal(outcome, ErrorKind.OVERLOADED,
+				"the open submissions of this host take too much memory", retryAfterNanos()));
+	}
+
+	void broken(String message) {
+		this.brokenInvariants++;
+		this.effects.add(new SubmissionEffect.InvariantBroken(message));
+	}
+
+}
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -1,6 +1,5 @@
 package org.limpetgate.submission;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -37,12 +36,6 @@
 	/** Caller's host, host of the home data centre, holder, and one outdated view. */
 	private static final int MAX_HOPS = 3;
 
-	private static final long RETRY_BASE_NANOS = TimeUnit.SECONDS.toNanos(1);
-
-	private static final long RETRY_SPREAD_NANOS = TimeUnit.SECONDS.toNanos(2);
-
-	private static final String COLLECT = "the job is accepted; collect its result with GET /v1/submissions/";
-
 	private final Incarnation self;
 
 	private final DataCentres dataCentres;
@@ -53,8 +46,6 @@
 
 	private final JobCheck check;
 
-	private final RandomGenerator random;
-
 	private final SubmissionRules rules;
 
 	private final ClaimTable claims;
@@ -63,11 +54,9 @@
 
 	private final ClaimAppender appender;
 
-	private final List<SubmissionEffect> effects = new ArrayList<>();
-
-	private final OpenRequests requests = new OpenRequests();
+	private final Replies replies;
 
-	private final ClaimWaits claimWaits = new ClaimWaits();
+	private final JobRunner runner;
 
 	private final RelayTable relays = new RelayTable();
 
@@ -77,8 +66,6 @@
 
 	private boolean draining;
 
-	private long brokenInvariants;
-
 	private long droppedEvents;
 
 	/**
@@ -102,12 +89,13 @@
 		this.settings = settings;
 		this.tickets = tickets;
 		this.check = check;
-		this.random = random;
 		this.rules = rules;
 		this.claims = new ClaimTable(settings, rules);
 		this.jobs = new JobTable(settings);
 		this.appender = new ClaimAppender(settings);
 		this.dead = new DeadIncarnations(self);
+		this.replies = new Replies(random);
+		this.runner = new JobRunner(self, this.claims, this.jobs, tickets, rules, this.replies);
 	}
 
 	/**
@@ -119,7 +107,7 @@
 	 */
 	public void submit(long request, Submission submission, int hops, long nowNanos) {
 		advance(nowNanos);
-		this.requests.open(request, submission.sizeBytes());
+		this.replies.requests().open(request, submission.sizeBytes());
 		route(Waiter.of(request, submission, hops));
 	}
 
@@ -145,17 +133,18 @@
 		Ticket ticket = this.tickets.check(submission.caller(), submission.key());
 		if (ticket == null) {
 			// No host starts a forged ticket, so this outcome needs no other proof.
-			refuse(waiter, Outcome.NOT_RUN, ErrorKind.INVALID_TICKET, "the ticket is not genuine for this caller");
+			this.replies.refuse(waiter, Outcome.NOT_RUN, ErrorKind.INVALID_TICKET,
+					"the ticket is not genuine for this caller");
 		}
 		else if (this.dead.contains(ticket.issuer())) {
-			refuse(waiter, Outcome.UNKNOWN, ErrorKind.HOLDER_LOST,
+			this.replies.refuse(waiter, Outcome.UNKNOWN, ErrorKind.HOLDER_LOST,
 					"the issuer " + ticket.issuer() + " of the ticket has ended");
 		}
 		else if (!ticket.issuer().equals(this.self)) {
 			forward(waiter, ticket.issuer());
 		}
 		else if (ticket.expiryNanos() <= this.now) {
-			refuse(waiter, ErrorKind.EXPIRED, "the ticket has expired");
+			this.replies.refuse(waiter, ErrorKind.EXPIRED, "the ticket has expired");
 		}
 		else if (isAcceptable(waiter)) {
 			long keepUntil = Math.max(ticket.expiryNanos(), keepUntil(submission));
@@ -168,12 +157,12 @@
 	private void routeElsewhere(Waiter waiter) {
 		DataCentreId home = this.dataCentres.homeOf(waiter.submission().keyHash());
 		if (waiter.hops() > 0) {
-			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
+			this.replies.refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
 					"the hosts disagree about the home data centre of the key; check their data centre settings");
 		}
 		else if (isAcceptable(waiter)) {
 			addRelay(waiter, null, home);
-			this.effects.add(new SubmissionEffect.ForwardToDataCentre(waiter.request(), home,
+			this.replies.emit(new SubmissionEffect.ForwardToDataCentre(waiter.request(), home,
 					new PeerRequest.Submit(waiter.submission(), waiter.hops() + 1)));
 		}
 	}
@@ -185,7 +174,8 @@
 			claim(waiter, 0);
 		}
 		else if (claim.fingerprint() != submission.fingerprint()) {
-			refuse(waiter, Outcome.UNKNOWN, ErrorKind.KEY_REUSED, "the key was used with another body or expiry");
+			this.replies.refuse(waiter, Outcome.UNKNOWN, ErrorKind.KEY_REUSED,
+					"the key was used with another body or expiry");
 		}
 		else if (claim.holder().equals(this.self)) {
 			routeToForgotten(waiter);
@@ -197,16 +187,17 @@
 			claim(waiter.withoutProof(), claim.generation() + 1);
 		}
 		else {
-			refuse(waiter, Outcome.UNKNOWN, ErrorKind.HOLDER_LOST, "the holder " + claim.holder() + " has ended");
+			this.replies.refuse(waiter, Outcome.UNKNOWN, ErrorKind.HOLDER_LOST,
+					"the holder " + claim.holder() + " has ended");
 		}
 	}
 
 	// A key that this incarnation holds but whose job has been dropped after expiry.
 	private void routeToForgotten(Waiter waiter) {
 		if (waiter.submission().expiryNanos() > this.now) {
-			broken("the job of held key " + waiter.submission().key() + " was dropped before its expiry");
+			this.replies.broken("the job of held key " + waiter.submission().key() + " was dropped before its expiry");
 		}
-		refuse(waiter, Outcome.UNKNOWN, ErrorKind.EXPIRED, "the submission has expired");
+		this.replies.refuse(waiter, Outcome.UNKNOWN, ErrorKind.EXPIRED, "the submission has expired");
 	}
 
 	private void claim(Waiter waiter, int generation) {
@@ -220,12 +211,12 @@
 			return;
 		}
 		if (unavailable) {
-			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
+			this.replies.refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
 					"this host has not read enough of the claims to rule out an earlier start");
 			return;
 		}
-		if (this.claimWaits.size() >= this.settings.maxPendingClaims()) {
-			refuseLater(waiter, ErrorKind.OVERLOADED, "too many submissions wait for their claims");
+		if (this.replies.claimWaits().size() >= this.settings.maxPendingClaims()) {
+			this.replies.refuseLater(waiter, ErrorKind.OVERLOADED, "too many submissions wait for their claims");
 			return;
 		}
 		Job job = new Job(submission, Job.Right.CLAIM, Job.State.PENDING, generation, keepUntil(submission));
@@ -235,7 +226,7 @@
 
 	private void awaitClaim(Job job, Waiter waiter) {
 		job.waiters.add(waiter);
-		this.claimWaits.add(new ClaimWait(this.now + this.settings.claimWaitNanos(), job, waiter));
+		this.replies.claimWaits().add(new ClaimWait(this.now + this.settings.claimWaitNanos(), job, waiter));
 		if (!job.claimStored && !this.appender.contains(job.key)) {
 			this.appender.add(new Claim(job.key, job.fingerprint, this.self, job.expiryNanos, job.generation),
 					this.now);
@@ -254,30 +245,30 @@
 		this.appender.remove(job.key);
 		job.right = Job.Right.IDEMPOTENCE;
 		job.state = Job.State.HELD;
-		start(job);
+		this.runner.start(job, this.now);
 	}
 
 	private void attach(Job job, Waiter waiter) {
 		if (job.fingerprint != waiter.submission().fingerprint()) {
 			boolean unstarted = job.state == Job.State.HELD && job.isExclusive();
-			refuse(waiter, unstarted ? Outcome.NOT_RUN : Outcome.UNKNOWN, ErrorKind.KEY_REUSED,
+			this.replies.refuse(waiter, unstarted ? Outcome.NOT_RUN : Outcome.UNKNOWN, ErrorKind.KEY_REUSED,
 					"the key was used with another body or expiry");
 			return;
 		}
 		switch (job.state) {
 			case PENDING -> attachToPending(job, waiter);
 			case HELD -> startHeld(job, waiter);
-			case RUNNING -> attachToRunning(job, waiter);
-			case DONE -> reply(waiter.request(), finalAnswer(job));
+			case RUNNING -> this.runner.attachToRunning(job, waiter);
+			case DONE -> this.replies.reply(waiter.request(), this.runner.finalAnswer(job));
 		}
 	}
 
 	private void attachToPending(Job job, Waiter waiter) {
 		if (job.cancelled) {
-			refuse(waiter, ErrorKind.CANCELLED, "the job was cancelled");
+			this.replies.refuse(waiter, ErrorKind.CANCELLED, "the job was cancelled");
 		}
 		else if (job.expiryNanos <= this.now) {
-			refuse(waiter, ErrorKind.EXPIRED, "the submission has expired");
+			this.replies.refuse(waiter, ErrorKind.EXPIRED, "the submission has expired");
 		}
 		else if (!job.unproved) {
 			awaitClaim(job, waiter);
@@ -287,89 +278,27 @@
 			startPendingWithoutClaim(job);
 		}
 		else {
-			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
+			this.replies.refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
 					"records of the claims were trimmed before this host had read them");
 		}
 	}
 
-	private void attachToRunning(Job job, Waiter waiter) {
-		if (waiter.submission().isWaiting()) {
-			job.waiters.add(waiter);
-		}
-		else {
-			reply(waiter.request(), Answer.accepted(COLLECT + waiter.submission().key()));
-		}
-	}
-
-	private Answer finalAnswer(Job job) {
-		if (job.answer != null) {
-			return job.answer;
-		}
-		return Answer.error(Outcome.UNKNOWN, ErrorKind.UNKNOWN_SUBMISSION, "the job ended with outcome "
-				+ job.outcome.text() + ", but its result is no longer kept; collect results earlier", 0, List.of());
-	}
-
 	private void startHeld(Job job, Waiter waiter) {
 		DispatchException impossible = this.check.whyImpossible(waiter.submission());
 		if (job.expiryNanos <= this.now) {
-			refuse(waiter, job.refusalOutcome(waiter), ErrorKind.EXPIRED, "the submission has expired");
+			this.replies.refuse(waiter, job.refusalOutcome(waiter), ErrorKind.EXPIRED, "the submission has expired");
 		}
 		else if (impossible != null) {
-			reply(waiter.request(), Answer.error(job.refusalOutcome(waiter), impossible.kind(), impossible.getMessage(),
-					impossible.retryAfterNanos(), List.of()));
+			this.replies.reply(waiter.request(), Answer.error(job.refusalOutcome(waiter), impossible.kind(),
+					impossible.getMessage(), impossible.retryAfterNanos(), List.of()));
 		}
 		else if (isFull()) {
-			refuseFull(waiter, job.refusalOutcome(waiter));
+			this.replies.refuseFull(waiter, job.refusalOutcome(waiter));
 		}
 		else {
 			job.waiters.add(waiter);
-			start(job);
-		}
-	}
-
-	private void start(Job job) {
-		job.submission = job.waiters.get(0).submission();
-		String violation = whyNotStartable(job);
-		if (violation != null) {
-			broken(violation);
-			Answer internal = Answer.refusal(Outcome.UNKNOWN, ErrorKind.INTERNAL, violation, 0);
-			this.jobs.finish(job, internal, this.now);
-			takeWaiters(job).forEach((waiter) -> reply(waiter.request(), internal));
-			return;
-		}
-		this.jobs.start(job);
-		this.effects.add(new SubmissionEffect.StartTasks(job.number, job.submission));
-		List<Waiter> waiters = takeWaiters(job);
-		for (Waiter waiter : waiters) {
-			attachToRunning(job, waiter);
-		}
-	}
-
-	// The invariants of a start. Returns null if all hold.
-	private String whyNotStartable(Job job) {
-		if (job.state != Job.State.HELD || job.cancelled) {
-			return "job " + job.key + " would start in state " + job.state;
-		}
-		if (job.expiryNanos <= this.now) {
-			return "job " + job.key + " would start after its expiry";
-		}
-		if (job.mayHaveRun && !job.idempotent) {
-			return "job " + job.key + " would start although a task may have run";
+			this.runner.start(job, this.now);
 		}
-		return switch (job.right) {
-			case IDEMPOTENCE -> job.idempotent ? null : "job " + job.key + " would start without a claim";
-			case TICKET -> {
-				Ticket ticket = this.tickets.check(job.submission.caller(), job.submission.key());
-				yield (ticket != null && ticket.issuer().equals(this.self)) ? null
-						: "job " + job.key + " would start with the ticket of another incarnation";
-			}
-			case CLAIM -> {
-				boolean first = this.claims.isHeldBy(job.key, this.self, job.generation, job.fingerprint);
-				boolean mayStart = first && (job.generation == 0 || job.idempotent) && !job.unproved;
-				yield (mayStart || !this.rules.needsReadBack()) ? null
-						: "job " + job.key + " would start without the first claim";
-			}
-		};
 	}
 
 	/**
@@ -440,8 +369,8 @@
 			startPendingWithoutClaim(job);
 			return;
 		}
-		for (Waiter waiter : takeWaiters(job)) {
-			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
+		for (Waiter waiter : this.replies.takeWaiters(job)) {
+			this.replies.refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
 					"records of the claims were trimmed before this host had read them");
 		}
 	}
@@ -476,22 +405,23 @@
 		this.appender.remove(job.key);
 		job.state = Job.State.HELD;
 		if (job.cancelled) {
-			finishCancelled(job);
+			this.runner.finishCancelled(job, this.now);
 		}
 		else if (job.expiryNanos <= this.now) {
-			for (Waiter waiter : takeWaiters(job)) {
-				refuse(waiter, job.refusalOutcome(waiter), ErrorKind.EXPIRED, "the submission has expired");
+			for (Waiter waiter : this.replies.takeWaiters(job)) {
+				this.replies.refuse(waiter, job.refusalOutcome(waiter), ErrorKind.EXPIRED,
+						"the submission has expired");
 			}
 		}
 		else if (!job.waiters.isEmpty()) {
-			start(job);
+			this.runner.start(job, this.now);
 		}
 	}
 
 	private void claimLost(Job job) {
 		this.appender.remove(job.key);
 		this.jobs.remove(job);
-		for (Waiter waiter : takeWaiters(job)) {
+		for (Waiter waiter : this.replies.takeWaiters(job)) {
 			route(waiter.withoutProof());
 		}
 	}
@@ -505,75 +435,11 @@
 	 */
 	public void taskEnded(long number, int index, TaskResult result, long nowNanos) {
 		advance(nowNanos);
-		Job job = this.jobs.findRunning(number);
-		if (job == null || index >= job.results.length || job.results[index] != null) {
+		if (!this.runner.taskEnded(number, index, result, this.now)) {
 			this.droppedEvents++;
-			return;
-		}
-		job.results[index] = result;
-		job.mayHaveRun |= !this.rules.isProvedNotRun(result.outcome());
-		this.jobs.addBytes(job, result.body().length);
-		job.open--;
-		if (job.open == 0) {
-			finish(job);
-		}
-		else if (result.outcome() != Outcome.COMPLETE && !job.failing) {
-			cancelOpenTasks(job);
-		}
-	}
-
-	private void cancelOpenTasks(Job job) {
-		job.failing = true;
-		for (int i = 0; i < job.results.length; i++) {
-			if (job.results[i] == null) {
-				this.effects.add(new SubmissionEffect.CancelTask(job.number, i));
-			}
 		}
 	}
 
-	private void finish(Job job) {
-		Outcome outcome = job.joinOutcomes();
-		if (outcome == Outcome.COMPLETE) {
-			finish(job, Answer.complete(job.taskAnswers()));
-			return;
-		}
-		int cause = job.firstFailure();
-		if (this.rules.isProvedNotRun(outcome)) {
-			finishNotRun(job, job.results[cause]);
-			return;
-		}
-		ErrorKind error = job.cancelled ? ErrorKind.CANCELLED : ErrorKind.TASK_FAILED;
-		TaskResult result = job.results[cause];
-		String message = "task '" + job.submission.tasks().get(cause).id() + "' ended with outcome "
-				+ result.outcome().text() + ": " + result.detail() + "; " + error.remedy();
-		finish(job, Answer.error(outcome, error, message, 0, job.taskAnswers()));
-	}
-
-	private void finish(Job job, Answer answer) {
-		this.jobs.finish(job, answer, this.now);
-		takeWaiters(job).forEach((waiter) -> reply(waiter.request(), answer));
-	}
-
-	// No task ran: the key stays held, so that a resubmission can start the job.
-	private void finishNotRun(Job job, TaskResult cause) {
-		this.jobs.hold(job);
-		if (job.cancelled) {
-			finishCancelled(job);
-			return;
-		}
-		for (Waiter waiter : takeWaiters(job)) {
-			Answer answer = Answer.error(job.refusalOutcome(waiter), cause.error(), cause.detail(),
-					cause.retryAfterNanos(), List.of());
-			reply(waiter.request(), answer);
-		}
-	}
-
-	private void finishCancelled(Job job) {
-		Outcome outcome = job.isExclusive() ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-		Answer answer = Answer.refusal(outcome, ErrorKind.CANCELLED, "the job was cancelled before it started", 0);
-		finish(job, answer);
-	}
-
 	/**
 	 * Cancels a submission in O(1) for each task. A job that has started is answered when
 	 * its tasks have ended.
@@ -585,7 +451,7 @@
 	 */
 	public void cancel(long request, CallerId caller, SubmissionKey key, int hops, long nowNanos) {
 		advance(nowNanos);
-		this.requests.open(request, 0);
+		this.replies.requests().open(request, 0);
 		Waiter waiter = new Waiter(request, null, hops, false);
 		Job job = this.jobs.find(KeyHash.of(caller, key));
 		if (job == null) {
@@ -597,26 +463,26 @@
 			case HELD -> {
 				job.cancelled = true;
 				job.waiters.add(waiter);
-				finishCancelled(job);
+				this.runner.finishCancelled(job, this.now);
 			}
 			case RUNNING -> {
 				job.cancelled = true;
 				job.waiters.add(waiter);
 				if (!job.failing) {
-					cancelOpenTasks(job);
+					this.runner.cancelOpenTasks(job);
 				}
 			}
-			case DONE -> reply(request, finalAnswer(job));
+			case DONE -> this.replies.reply(request, this.runner.finalAnswer(job));
 		}
 	}
 
 	// The claim is still appended, so that the cancellation holds at every host.
 	private void cancelPending(Job job, Waiter canceller) {
 		job.cancelled = true;
-		for (Waiter waiter : takeWaiters(job)) {
-			refuse(waiter, ErrorKind.CANCELLED, "the job was cancelled before it started");
+		for (Waiter waiter : this.replies.takeWaiters(job)) {
+			this.replies.refuse(waiter, ErrorKind.CANCELLED, "the job was cancelled before it started");
 		}
-		refuse(canceller, ErrorKind.CANCELLED, "the job is cancelled unless another host has started it");
+		this.replies.refuse(canceller, ErrorKind.CANCELLED, "the job is cancelled unless another host has started it");
 	}
 
 	/**
@@ -629,19 +495,20 @@
 	 */
 	public void query(long request, CallerId caller, SubmissionKey key, int hops, long nowNanos) {
 		advance(nowNanos);
-		this.requests.open(request, 0);
+		this.replies.requests().open(request, 0);
 		Job job = this.jobs.find(KeyHash.of(caller, key));
 		if (job == null) {
 			lookUp(new Waiter(request, null, hops, false), new PeerRequest.Query(caller, key, hops + 1));
 			return;
 		}
 		switch (job.state) {
-			case RUNNING -> reply(request, Answer.accepted(COLLECT + key));
-			case PENDING -> reply(request, Answer.refusal(Outcome.UNKNOWN, ErrorKind.UNKNOWN_SUBMISSION,
+			case RUNNING -> this.replies.reply(request, Answer.accepted(JobRunner.COLLECT + key));
+			case PENDING -> this.replies.reply(request, Answer.refusal(Outcome.UNKNOWN, ErrorKind.UNKNOWN_SUBMISSION,
 					"the job waits for its claim and has not been started here", 0));
-			case HELD -> reply(request, Answer.refusal(job.isExclusive() ? Outcome.NOT_RUN : Outcome.UNKNOWN,
-					ErrorKind.UNKNOWN_SUBMISSION, "the job has not been started", 0));
-			case DONE -> reply(request, finalAnswer(job));
+			case HELD ->
+				this.replies.reply(request, Answer.refusal(job.isExclusive() ? Outcome.NOT_RUN : Outcome.UNKNOWN,
+						ErrorKind.UNKNOWN_SUBMISSION, "the job has not been started", 0));
+			case DONE -> this.replies.reply(request, this.runner.finalAnswer(job));
 		}
 	}
 
@@ -659,34 +526,34 @@
 			lookUpAt((claim != null) ? claim.holder() : null, waiter, message);
 		}
 		else if (waiter.hops() > 0) {
-			refuse(waiter, ErrorKind.UNKNOWN_SUBMISSION, "this host does not know the submission");
+			this.replies.refuse(waiter, ErrorKind.UNKNOWN_SUBMISSION, "this host does not know the submission");
 		}
 		else {
 			addRelay(waiter, null, home);
-			this.effects.add(new SubmissionEffect.ForwardToDataCentre(waiter.request(), home, message));
+			this.replies.emit(new SubmissionEffect.ForwardToDataCentre(waiter.request(), home, message));
 		}
 	}
 
 	private void lookUpAt(Incarnation holder, Waiter waiter, PeerRequest message) {
 		if (holder == null || holder.equals(this.self) || waiter.hops() >= MAX_HOPS) {
-			refuse(waiter, ErrorKind.UNKNOWN_SUBMISSION, "this host does not know the submission");
+			this.replies.refuse(waiter, ErrorKind.UNKNOWN_SUBMISSION, "this host does not know the submission");
 		}
 		else if (this.dead.contains(holder)) {
-			refuse(waiter, ErrorKind.HOLDER_LOST, "the holder " + holder + " has ended");
+			this.replies.refuse(waiter, ErrorKind.HOLDER_LOST, "the holder " + holder + " has ended");
 		}
 		else {
 			addRelay(waiter, holder, null);
-			this.effects.add(new SubmissionEffect.ForwardToHost(waiter.request(), holder, message));
+			this.replies.emit(new SubmissionEffect.ForwardToHost(waiter.request(), holder, message));
 		}
 	}
 
 	private void forward(Waiter waiter, Incarnation target) {
 		if (waiter.hops() >= MAX_HOPS) {
-			refuseLater(waiter, ErrorKind.HOLDER_UNREACHABLE, "the hosts disagree about the holder");
+			this.replies.refuseLater(waiter, ErrorKind.HOLDER_UNREACHABLE, "the hosts disagree about the holder");
 			return;
 		}
 		addRelay(waiter, target, null);
-		this.effects.add(new SubmissionEffect.ForwardToHost(waiter.request(), target,
+		this.replies.emit(new SubmissionEffect.ForwardToHost(waiter.request(), target,
 				new PeerRequest.Submit(waiter.submission(), waiter.hops() + 1)));
 	}
 
@@ -715,7 +582,7 @@
 	public void peerReplied(long request, Answer answer, long nowNanos) {
 		advance(nowNanos);
 		if (removeRelay(request) != null) {
-			reply(request, answer);
+			this.replies.reply(request, answer);
 		}
 	}
 
@@ -736,12 +603,13 @@
 	private void failRelay(Relay relay, boolean sent) {
 		Waiter waiter = sent ? relay.waiter().withoutProof() : relay.waiter();
 		if (relay.target() != null) {
-			refuseLater(waiter, ErrorKind.HOLDER_UNREACHABLE, "the holder " + relay.target() + " does not answer");
+			this.replies.refuseLater(waiter, ErrorKind.HOLDER_UNREACHABLE,
+					"the holder " + relay.target() + " does not answer");
 			return;
 		}
 		if (waiter.isCancellation() || !waiter.submission().isIdempotent()
 				|| waiter.submission().expiryNanos() <= this.now) {
-			refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
+			this.replies.refuseLater(waiter, ErrorKind.HISTORY_UNAVAILABLE,
 					"the home data centre " + relay.home() + " of the key does not answer");
 			return;
 		}
@@ -781,7 +649,8 @@
 	private void rerouteRelaysToDead() {
 		for (Relay relay : this.relays.removeTo(this.dead::contains)) {
 			if (relay.waiter().isCancellation()) {
-				refuse(relay.waiter(), ErrorKind.HOLDER_LOST, "the holder " + relay.target() + " has ended");
+				this.replies.refuse(relay.waiter(), ErrorKind.HOLDER_LOST,
+						"the holder " + relay.target() + " has ended");
 			}
 			else {
 				route(relay.waiter().withoutProof());
@@ -797,13 +666,13 @@
 	 */
 	public void abandon(long request, long nowNanos) {
 		advance(nowNanos);
-		if (!this.requests.close(request)) {
+		if (!this.replies.requests().close(request)) {
 			return;
 		}
 		if (this.relays.remove(request) != null) {
 			return;
 		}
-		ClaimWait wait = this.claimWaits.remove(request);
+		ClaimWait wait = this.replies.claimWaits().remove(request);
 		if (wait != null) {
 			wait.job().waiters.remove(wait.waiter());
 		}
@@ -844,14 +713,12 @@
 		endClaimWaits();
 		endRelays();
 		appendClaims();
-		List<SubmissionEffect> due = List.copyOf(this.effects);
-		this.effects.clear();
-		due.forEach(consumer);
+		this.replies.emitTo(consumer);
 	}
 
 	private void endClaimWaits() {
-		ClaimWait wait = this.claimWaits.removeDue(this.now);
-		for (; wait != null; wait = this.claimWaits.removeDue(this.now)) {
+		ClaimWait wait = this.replies.claimWaits().removeDue(this.now);
+		for (; wait != null; wait = this.replies.claimWaits().removeDue(this.now)) {
 			Job job = wait.job();
 			if (job.state != Job.State.PENDING || !job.waiters.contains(wait.waiter())) {
 				continue;
@@ -861,18 +728,12 @@
 				continue;
 			}
 			job.waiters.remove(wait.waiter());
-			refuseLater(wait.waiter(), ErrorKind.HISTORY_UNAVAILABLE, "the claim could not be confirmed in time");
+			this.replies.refuseLater(wait.waiter(), ErrorKind.HISTORY_UNAVAILABLE,
+					"the claim could not be confirmed in time");
 			forgetUnsent(job);
 		}
 	}
 
-	private List<Waiter> takeWaiters(Job job) {
-		List<Waiter> taken = job.waiters;
-		job.waiters = new ArrayList<>(1);
-		taken.forEach((waiter) -> this.claimWaits.remove(waiter.request()));
-		return taken;
-	}
-
 	private void forgetUnsent(Job job) {
 		if (job.waiters.isEmpty() && !job.cancelled && !job.claimSent) {
 			this.appender.remove(job.key);
@@ -900,7 +761,7 @@
 					job.claimSent = true;
 				}
 			});
-			this.effects.add(append);
+			this.replies.emit(append);
 		}
 	}
 
@@ -909,11 +770,11 @@
 	 * @return the time, {@link Long#MAX_VALUE} for none
 	 */
 	public long nextWakeNanos() {
-		if (!this.effects.isEmpty()) {
+		if (this.replies.hasEffects()) {
 			return this.now;
 		}
 		long wake = this.appender.nextWakeNanos();
-		wake = Math.min(wake, this.claimWaits.nextDeadlineNanos());
+		wake = Math.min(wake, this.replies.claimWaits().nextDeadlineNanos());
 		wake = Math.min(wake, this.relays.nextDeadlineNanos());
 		return wake;
 	}
@@ -932,8 +793,8 @@
 	 */
 	public SubmissionCounts counts() {
 		return new SubmissionCounts(this.claims.size(), this.jobs.size(), this.jobs.runningCount(),
-				this.jobs.keptBytes(), this.requests.bytes() + this.jobs.runningBytes(), this.relays.size(),
-				this.requests.size(), this.brokenInvariants, this.droppedEvents);
+				this.jobs.keptBytes(), this.replies.requests().bytes() + this.jobs.runningBytes(), this.relays.size(),
+				this.replies.requests().size(), this.replies.brokenInvariants(), this.droppedEvents);
 	}
 
 	private boolean isAcceptable(Waiter waiter) {
@@ -942,77 +803,40 @@
 		long tolerance = (waiter.hops() > 0) ? this.settings.skewNanos() : 0;
 		long ahead = submission.expiryNanos() - this.now;
 		if (ahead <= 0 || (waiter.hops() == 0 && ahead < this.settings.minExpiryAheadNanos())) {
-			refuse(waiter, ErrorKind.EXPIRED, "the expiry is not at least "
+			this.replies.refuse(waiter, ErrorKind.EXPIRED, "the expiry is not at least "
 					+ TimeUnit.NANOSECONDS.toMillis(this.settings.minExpiryAheadNanos()) + " ms ahead");
 			return false;
 		}
 		if (ahead > this.settings.maxExpiryAheadNanos() + tolerance) {
-			refuse(waiter, ErrorKind.EXPIRY_TOO_FAR, "the expiry is more than "
+			this.replies.refuse(waiter, ErrorKind.EXPIRY_TOO_FAR, "the expiry is more than "
 					+ TimeUnit.NANOSECONDS.toSeconds(this.settings.maxExpiryAheadNanos()) + " s ahead");
 			return false;
 		}
 		if (this.draining) {
-			refuseLater(waiter, ErrorKind.SHUTTING_DOWN, "this host is leaving");
+			this.replies.refuseLater(waiter, ErrorKind.SHUTTING_DOWN, "this host is leaving");
 			return false;
 		}
 		if (isFull()) {
-			refuseFull(waiter, outcomeOfRefusal(waiter));
+			this.replies.refuseFull(waiter, Replies.outcomeOfRefusal(waiter));
 			return false;
 		}
 		DispatchException impossible = this.check.whyImpossible(submission);
 		if (impossible != null) {
-			reply(waiter.request(), Answer.error(outcomeOfRefusal(waiter), impossible.kind(), impossible.getMessage(),
-					impossible.retryAfterNanos(), List.of()));
+			this.replies.reply(waiter.request(), Answer.error(Replies.outcomeOfRefusal(waiter), impossible.kind(),
+					impossible.getMessage(), impossible.retryAfterNanos(), List.of()));
 			return false;
 		}
 		return true;
 	}
 
-	private static Outcome outcomeOfRefusal(Waiter waiter) {
-		return waiter.provable() ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-	}
-
-	private void refuse(Waiter waiter, ErrorKind error, String detail) {
-		refuse(waiter, outcomeOfRefusal(waiter), error, detail);
-	}
-
-	private void refuse(Waiter waiter, Outcome outcome, ErrorKind error, String detail) {
-		reply(waiter.request(), Answer.refusal(outcome, error, detail, 0));
-	}
-
-	private void refuseLater(Waiter waiter, ErrorKind error, String detail) {
-		reply(waiter.request(), Answer.refusal(outcomeOfRefusal(waiter), error, detail, retryAfterNanos()));
-	}
-
-	private long retryAfterNanos() {
-		return RETRY_BASE_NANOS + this.random.nextLong(RETRY_SPREAD_NANOS);
-	}
-
-	private void reply(long request, Answer answer) {
-		this.claimWaits.remove(request);
-		if (this.requests.close(request)) {
-			this.effects.add(new SubmissionEffect.Reply(request, answer));
-		}
-	}
-
 	private boolean isFull() {
-		return this.requests.bytes() + this.jobs.runningBytes() > this.settings.maxOpenBytes();
-	}
-
-	private void refuseFull(Waiter waiter, Outcome outcome) {
-		reply(waiter.request(), Answer.refusal(outcome, ErrorKind.OVERLOADED,
-				"the open submissions of this host take too much memory", retryAfterNanos()));
+		return this.replies.requests().bytes() + this.jobs.runningBytes() > this.settings.maxOpenBytes();
 	}
 
 	private long keepUntil(Submission submission) {
 		return submission.expiryNanos() + this.settings.skewNanos();
 	}
 
-	private void broken(String message) {
-		this.brokenInvariants++;
-		this.effects.add(new SubmissionEffect.InvariantBroken(message));
-	}
-
 	private void advance(long nowNanos) {
 		this.now = Math.max(this.now, nowNanos);
 	}
