--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Report.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Report.java
@@ -22,6 +22,8 @@
 
 	private final List<String> csv = new ArrayList<>();
 
+	private final List<String> series = new ArrayList<>(List.of("deployment,scenario,policy,arrival_s,short_p90"));
+
 	private final List<XYChart> plots = new ArrayList<>();
 
 	Report() {
@@ -64,10 +66,19 @@
 				.forEach((value) -> System.out.printf(Locale.ROOT, "%20.3f", column.value.applyAsDouble(value)));
 			System.out.println();
 		}
+		results.forEach((policy, value) -> addSeries(deployment + "," + scenario + "," + policy, value));
 		results.forEach((policy, value) -> this.csv.add(row(deployment, scenario, policy, value)));
 		this.plots.add(plot(deployment, scenario, results));
 	}
 
+	private void addSeries(String prefix, Measurements value) {
+		double[] series = value.series();
+		for (int i = 0; i < series.length; i++) {
+			this.series
+				.add(String.format(Locale.ROOT, "%s,%.1f,%.3f", prefix, i * Measurements.windowSeconds(), series[i]));
+		}
+	}
+
 	private static String row(Deployment deployment, Scenario scenario, Policy policy, Measurements value) {
 		StringBuilder row = new StringBuilder(deployment + "," + scenario + "," + policy);
 		for (Column column : COLUMNS) {
@@ -101,6 +112,7 @@
 
 	void write(Path directory) throws IOException {
 		Files.write(directory.resolve("dispatch.csv"), this.csv);
+		Files.write(directory.resolve("series.csv"), this.series);
 		for (XYChart plot : this.plots) {
 			String name = plot.getTitle().toLowerCase(Locale.ROOT).replace(' ', '-');
 			BitmapEncoder.saveBitmap(plot, directory.resolve(name).toString(), BitmapEncoder.BitmapFormat.PNG);
