Smooth only the attempts in flight in the published demand

Cause: after a crest the smoothed backlog of the larger host kept the slots that the smaller one needed, which delayed recovery. Change: published demand is the attempts in flight, falling by a tenth per 100 ms, or what is queued now, whichever is more.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
@@ -30,7 +30,7 @@
 
 	private static final double SHORT_DEMAND_FALL = 0.9;
 
-	private static final double DEMAND_FALL = 0.93;
+	private static final double DEMAND_FALL = 0.9;
 
 	private static final int MAX_SKIPS = 4;
 
@@ -396,9 +396,10 @@
 		double fall = Math.pow(DEMAND_FALL, Math.min(100, intervals));
 		Map<PoolName, PeerLoad.Demand> demand = new HashMap<>();
 		this.pools.forEach((name, pool) -> {
-			int actual = pool.queuedTasks + pool.inFlight;
-			pool.publishedDemand = Math.max(actual, fall * pool.publishedDemand + (1 - fall) * actual);
-			int waiting = (int) Math.ceil(pool.publishedDemand) - pool.inFlight;
+			double smoothed = fall * pool.publishedDemand + (1 - fall) * pool.inFlight;
+			pool.publishedDemand = Math.max(pool.inFlight, smoothed);
+			int kept = (int) Math.ceil(pool.publishedDemand) - pool.inFlight;
+			int waiting = Math.max(kept, pool.queuedTasks);
 			demand.put(name, new PeerLoad.Demand(waiting, pool.inFlight));
 		});
 		this.shares.publish(demand);
