Notice a leaving upstream that refuses, and test whole processes

Cause: a runner that refuses with 503, not-run and Limpetgate-Leaving ends its exchange as a failure, and the gateway passed the announcement on only with an answer. The test with real processes did not see LG3002 within its bound. Ruled out: the dispatcher, whose contract test marks the upstream; the host list, which the test does not use. Change: an exchange tells whether the upstream announced that it is leaving, also for refusals and leases. Conclusion: signs of leaving must travel with the exchange and not with the answer.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/RunnerGateway.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/RunnerGateway.java
@@ -6,6 +6,7 @@
 import org.limpetgate.config.Upstream;
 import org.limpetgate.net.http.HttpClient;
 import org.limpetgate.net.http.HttpExchange;
+import org.limpetgate.net.http.HttpReply;
 
 /**
  * Sends attempts to runners over HTTP/1.1. Thread-safe.
@@ -31,9 +32,13 @@
 	private record RunnerExchange(HttpExchange exchange) implements Exchange {
 
 		@Override
-		public CompletableFuture<UpstreamAnswer> answer() {
-			return this.exchange.reply()
-				.thenApply((reply) -> new UpstreamAnswer(reply, this.exchange.isUpstreamLeaving()));
+		public CompletableFuture<HttpReply> answer() {
+			return this.exchange.reply();
+		}
+
+		@Override
+		public boolean isUpstreamLeaving() {
+			return this.exchange.isUpstreamLeaving();
 		}
 
 		@Override
--- a/limpetgate-host/src/main/java/org/limpetgate/host/TaskRunner.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/TaskRunner.java
@@ -11,7 +11,6 @@
 import com.google.common.flogger.FluentLogger;
 import org.limpetgate.AttemptId;
 import org.limpetgate.DispatchException;
-import org.limpetgate.ErrorKind;
 import org.limpetgate.Outcome;
 import org.limpetgate.TaskId;
 import org.limpetgate.UpstreamId;
@@ -39,6 +38,8 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	private static final int FIRST_SERVER_ERROR = 500;
+
 	private final Dispatcher dispatcher;
 
 	private final Map<PoolKind, UpstreamGateway> gateways;
@@ -213,7 +214,7 @@
 		this.attempts.put(start.attempt(), new RunningAttempt(task, start.upstream(), exchange, nowNanos));
 		exchange.answer()
 			.whenComplete(
-					(answer, failure) -> this.control.execute(() -> attemptEnded(start.attempt(), answer, failure)));
+					(reply, failure) -> this.control.execute(() -> attemptEnded(start.attempt(), reply, failure)));
 	}
 
 	private void reportEnd(AttemptId attempt, Outcome outcome, String detail) {
@@ -228,27 +229,30 @@
 		}
 	}
 
-	private void attemptEnded(AttemptId id, UpstreamAnswer answer, Throwable failure) {
+	private void attemptEnded(AttemptId id, HttpReply reply, Throwable failure) {
 		long now = this.clock.getAsLong();
 		RunningAttempt attempt = this.attempts.remove(id);
-		AttemptResult result = (failure != null) ? failed(failure, now - attempt.startNanos())
-				: answered(answer, now - attempt.startNanos());
-		attempt.task().attemptEnded(id, result.outcome(), answer);
-		if (result.leaving()) {
+		long runNanos = now - attempt.startNanos();
+		boolean leaving = attempt.exchange().isUpstreamLeaving();
+		AttemptResult result = (failure != null) ? failed(failure, runNanos, leaving)
+				: answered(reply, runNanos, leaving);
+		attempt.task().attemptEnded(id, result.outcome(), reply);
+		if (leaving) {
 			this.leavingListener.upstreamLeaving(attempt.upstream());
 		}
 		this.dispatcher.attemptEnded(id, result, now);
 	}
 
-	private static AttemptResult answered(UpstreamAnswer answer, long runNanos) {
-		Outcome outcome = answer.isFailure() ? Outcome.FAILED : Outcome.COMPLETE;
-		String detail = answer.isFailure() ? "upstream answered with status " + answer.reply().status() : "";
-		return new AttemptResult(outcome, runNanos, answer.leaving(), detail);
+	private static AttemptResult answered(HttpReply reply, long runNanos, boolean leaving) {
+		if (reply.status() < FIRST_SERVER_ERROR) {
+			return new AttemptResult(Outcome.COMPLETE, runNanos, leaving, "");
+		}
+		String detail = "upstream answered with status " + reply.status();
+		return new AttemptResult(Outcome.FAILED, runNanos, leaving, detail);
 	}
 
-	private static AttemptResult failed(Throwable failure, long runNanos) {
+	private static AttemptResult failed(Throwable failure, long runNanos, boolean leaving) {
 		DispatchException error = Failures.toDispatchException(failure);
-		boolean leaving = error.kind() == ErrorKind.SHUTTING_DOWN;
 		return new AttemptResult(error.outcome(), runNanos, leaving, error.getMessage());
 	}
 
@@ -315,13 +319,13 @@
 			return this.request.idempotent() || this.started == this.provedNotRun;
 		}
 
-		void attemptEnded(AttemptId id, Outcome outcome, UpstreamAnswer answer) {
+		void attemptEnded(AttemptId id, Outcome outcome, HttpReply reply) {
 			if (outcome == Outcome.NOT_RUN) {
 				this.provedNotRun++;
 			}
-			if (answer != null) {
-				this.replies.put(id, answer.reply());
-				this.lastReply = answer.reply();
+			if (reply != null) {
+				this.replies.put(id, reply);
+				this.lastReply = reply;
 			}
 		}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/UpstreamGateway.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/UpstreamGateway.java
@@ -6,6 +6,7 @@
 import org.limpetgate.config.Upstream;
 import org.limpetgate.dispatch.TaskRequest;
 import org.limpetgate.net.http.HttpCall;
+import org.limpetgate.net.http.HttpReply;
 
 /**
  * Carries an attempt to an upstream of one kind.
@@ -43,7 +44,13 @@
 		 * that tells the outcome.
 		 * @return the answer, not null
 		 */
-		CompletableFuture<UpstreamAnswer> answer();
+		CompletableFuture<HttpReply> answer();
+
+		/**
+		 * Tests whether the upstream announced that it is leaving, also with a refusal.
+		 * @return true if it did; known once the answer has completed
+		 */
+		boolean isUpstreamLeaving();
 
 		/**
 		 * Aborts the attempt; its answer then fails.
--- a/limpetgate-host/src/main/java/org/limpetgate/host/WorkerGateway.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/WorkerGateway.java
@@ -73,7 +73,9 @@
 
 		private final UpstreamId worker;
 
-		private final CompletableFuture<UpstreamAnswer> answer = new CompletableFuture<>();
+		private final CompletableFuture<HttpReply> answer = new CompletableFuture<>();
+
+		private volatile boolean leaving;
 
 		LeaseExchange(WorkerService workers, LeaseId lease, UpstreamId worker) {
 			this.workers = workers;
@@ -98,6 +100,7 @@
 		// A request that provably started nothing needs no stop, as this lease had no
 		// earlier request.
 		private void resolve(DispatchException error) {
+			this.leaving = error.kind() == ErrorKind.SHUTTING_DOWN;
 			if (error.outcome() == Outcome.NOT_RUN) {
 				this.answer.completeExceptionally(error);
 				return;
@@ -118,10 +121,10 @@
 		}
 
 		private void end(LeaseStatus status) {
+			this.leaving = status.leaving();
 			if (status.state() == LeaseState.COMPLETE || status.state() == LeaseState.FAILED) {
 				int code = (status.state() == LeaseState.COMPLETE) ? OK : SERVER_ERROR;
-				this.answer
-					.complete(new UpstreamAnswer(new HttpReply(code, Map.of(), status.answer()), status.leaving()));
+				this.answer.complete(new HttpReply(code, Map.of(), status.answer()));
 				return;
 			}
 			this.answer.completeExceptionally(DispatchException.of(ErrorKind.LEASE_LAPSED, status.state().outcome(),
@@ -129,10 +132,15 @@
 		}
 
 		@Override
-		public CompletableFuture<UpstreamAnswer> answer() {
+		public CompletableFuture<HttpReply> answer() {
 			return this.answer;
 		}
 
+		@Override
+		public boolean isUpstreamLeaving() {
+			return this.leaving;
+		}
+
 		@Override
 		public void cancel() {
 			stop("cancelled");
--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import net.jqwik.api.Example;
-import org.limpetgate.standin.Fault;
 import org.limpetgate.standin.PlatformFaults;
 import org.limpetgate.standin.UpstreamFaults;
 
@@ -231,10 +230,9 @@
 		try (TestCluster cluster = new TestCluster()) {
 			assertThat(cluster.put("a1", "pools", poolOfTwo(cluster), "--base=0")).isZero();
 			cluster.awaitVersion(TestCluster.HOSTS, 2);
-			cluster.runners.get("b").setFaults(new UpstreamFaults(Fault.NONE, 0, 0, true));
+			cluster.runners.get("b").setFaults(new UpstreamFaults(UpstreamFaults.Fault.NONE, 0, 0, true));
 			TestCluster.await("both hosts know", () -> {
-				assertOutcome(cluster.host("a1").send("POST", "/checks/x", "x").join(), "complete");
-				assertOutcome(cluster.host("a2").send("POST", "/checks/x", "x").join(), "complete");
+				sendMany(cluster, "a1");
 				return cluster.logged("a1", "LG3002") && cluster.logged("a2", "LG3002");
 			});
 			cluster.runners.get("b").setFaults(UpstreamFaults.NONE);
@@ -247,6 +245,15 @@
 		}
 	}
 
+	// Enough requests at the same time to need both runners.
+	private static void sendMany(TestCluster cluster, String host) {
+		List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+		for (int request = 0; request < 12; request++) {
+			answers.add(cluster.host(host).send("POST", "/checks/x", "x", "x-run-millis", "50"));
+		}
+		answers.forEach((answer) -> assertOutcome(answer.join(), "complete"));
+	}
+
 	// Both runners in data centre a, so that its hosts can choose.
 	private static String poolOfTwo(TestCluster cluster) {
 		return """
