Bound long work by the slots or worker parts that it holds

Cause: the bound counted attempts, so that long tasks of several cores could hold far more than their part of the workers.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
@@ -181,7 +181,7 @@
 	}
 
 	private void measureShortDemand(PoolEntity pool) {
-		int demand = pool.inFlight - pool.longInFlight;
+		int demand = pool.inFlight - pool.attemptsLong;
 		for (CallerEntity caller : pool.active) {
 			for (CallerEntity.RouteQueue queue : caller.routes) {
 				demand += this.order.isLong(queue.route) ? 0 : queue.size();
@@ -292,7 +292,8 @@
 		attempt.expected = expected;
 		attempt.probe = upstream.health == UpstreamEntity.Health.PROBATION;
 		attempt.isLong = this.order.isLong(task.route);
-		pool.longInFlight += attempt.isLong ? 1 : 0;
+		pool.longInFlight += attempt.isLong ? task.size : 0;
+		pool.attemptsLong += attempt.isLong ? 1 : 0;
 		task.route.inFlight++;
 		task.caller.inFlight++;
 		this.order.started(attempt);
@@ -352,7 +353,8 @@
 		PoolEntity pool = task.pool;
 		UpstreamEntity upstream = attempt.upstream;
 		long run = nowNanos - attempt.startedAt;
-		pool.longInFlight -= attempt.isLong ? 1 : 0;
+		pool.longInFlight -= attempt.isLong ? task.size : 0;
+		pool.attemptsLong -= attempt.isLong ? 1 : 0;
 		task.route.inFlight--;
 		task.caller.inFlight--;
 		upstream.overdue -= attempt.overdue ? 1 : 0;
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
@@ -165,13 +165,13 @@
 	 * Returns how much of the capacity long work may hold: its fixed part, or what short
 	 * work leaves with a margin for its swings, whichever is more.
 	 * @param pool the pool
-	 * @return the most long attempts in flight
+	 * @return the most slots, or workers, that long work may hold
 	 */
 	private double longLimit(PoolEntity pool) {
 		double fixed = pool.capacity * this.settings.longPercent() / 100.0;
 		double units = pool.isWorkers() ? pool.unitsPerTask : 1;
 		double left = pool.capacity * 0.9 - 1.5 * pool.shortDemand * units;
-		return Math.max(1, Math.max(fixed, left) / units);
+		return Math.max(units, Math.max(fixed, left));
 	}
 
 	void started(AttemptEntity attempt) {
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
@@ -87,7 +87,10 @@
 
 	long round;
 
-	int longInFlight;
+	/** The slots, or workers, that long work holds. */
+	double longInFlight;
+
+	int attemptsLong;
 
 	/** The slots that short work uses or waits for, smoothed. */
 	double shortDemand;
