Name the seed in each failure of the randomised run

The messages of the cluster's checks now name the seed, and the tests of the command line remove their files.

--- a/limpetgate-cli/src/test/java/org/limpetgate/cli/LimpetgateTests.java
+++ b/limpetgate-cli/src/test/java/org/limpetgate/cli/LimpetgateTests.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -63,7 +64,7 @@
 	private boolean dropFirstAnswer;
 
 	LimpetgateTests() throws IOException {
-		this.directory = Files.createTempDirectory("limpetgate");
+		this.directory = Files.createTempDirectory("limpetgate-cli");
 		Timer timer = new SystemTimer(this.control);
 		this.service = new ConfigurationService(HOST, new MemoryLog(), PeerConfigurations.NONE, this.control, timer,
 				new Random(1), ConfigurationService.DEFAULT_SNAPSHOT_INTERVAL);
@@ -79,10 +80,16 @@
 	}
 
 	@AfterTry
-	void stop() {
+	void stop() throws IOException {
 		this.server.stop(0);
 		this.service.close();
 		this.control.shutdownNow();
+		try (Stream<Path> files = Files.list(this.directory)) {
+			for (Path file : files.toList()) {
+				Files.delete(file);
+			}
+		}
+		Files.delete(this.directory);
 	}
 
 	private void serve(HttpExchange exchange) throws IOException {
--- a/limpetgate-host/src/test/java/org/limpetgate/host/configuration/Cluster.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/configuration/Cluster.java
@@ -38,11 +38,14 @@
 
 	private final Map<Long, String> tablesByVersion = new HashMap<>();
 
+	private final long seed;
+
 	private final Duration snapshotInterval;
 
 	private final long[][] lastCutNanos;
 
 	Cluster(long seed, int hosts, Duration snapshotInterval) {
+		this.seed = seed;
 		this.random = new Random(seed);
 		this.log = new FakeLog(this.time, this.random);
 		this.snapshotInterval = snapshotInterval;
@@ -136,12 +139,13 @@
 		}
 
 		private void changed(Configuration configuration) {
-			assertThat(configuration.version()).as("%s: the version must rise", this.id)
+			assertThat(configuration.version()).as("seed %d: version of %s rises", Cluster.this.seed, this.id)
 				.isGreaterThan(this.lastVersion);
 			this.lastVersion = configuration.version();
 			String tables = TableJson.write(configuration);
 			String known = Cluster.this.tablesByVersion.putIfAbsent(configuration.version(), tables);
-			assertThat(tables).as("%s: tables of version %d", this.id, configuration.version())
+			assertThat(tables)
+				.as("seed %d: tables of version %d at %s", Cluster.this.seed, configuration.version(), this.id)
 				.isEqualTo((known != null) ? known : tables);
 		}
 
