Number the log events of the configuration from 2101

The number 2001 is taken by CONFIGURATION_APPLIED of the host, which also makes the line of this package for each version in force needless; that line is dropped.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/ConfigurationService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/ConfigurationService.java
@@ -326,7 +326,6 @@
 			return;
 		}
 		this.inForce = newest;
-		log.atInfo().log("LG2007 configuration version %d is in force", newest.version());
 		if (first) {
 			this.ready.complete(newest);
 		}
@@ -340,7 +339,7 @@
 		catch (RuntimeException ex) {
 			log.atSevere()
 				.withCause(ex)
-				.log("LG2009 listener failed on configuration version %d", configuration.version());
+				.log("LG2109 listener failed on configuration version %d", configuration.version());
 		}
 	}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
@@ -184,7 +184,7 @@
 			this.failingSinceNanos = this.control.nowNanos();
 			log.atWarning()
 				.atMostEvery(WARNING_PERIOD_SECONDS, TimeUnit.SECONDS)
-				.log("LG2001 configuration stream cannot be read: %s; the tables stay at version %d", reason,
+				.log("LG2101 configuration stream cannot be read: %s; the tables stay at version %d", reason,
 						this.table.version());
 		}
 	}
@@ -217,7 +217,7 @@
 		}
 		if (content.isEmpty()) {
 			log.atWarning()
-				.log("LG2002 record %d of the configuration stream cannot be decoded; it is skipped", record.offset());
+				.log("LG2102 record %d of the configuration stream cannot be decoded; it is skipped", record.offset());
 		}
 		else if (content.get() instanceof ConfigurationSnapshot snapshot
 				&& snapshot.version() >= this.snapshotSeen.version) {
@@ -232,7 +232,7 @@
 		else if (this.inGapSinceNanos == NEVER) {
 			this.inGapSinceNanos = this.control.nowNanos();
 			log.atWarning()
-				.log("LG2003 records of the configuration stream after version %d were trimmed; waiting for a "
+				.log("LG2103 records of the configuration stream after version %d were trimmed; waiting for a "
 						+ "snapshot or a peer", this.table.version());
 		}
 	}
