--- a/limpetgate-core/src/main/java/org/limpetgate/membership/DataCentreDigest.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/membership/DataCentreDigest.java
@@ -6,7 +6,6 @@
 import org.limpetgate.DataCentreId;
 import org.limpetgate.Incarnation;
 import org.limpetgate.PoolName;
-import org.limpetgate.dispatch.PeerLoad;
 
 /**
  * The summary of one data centre that the others receive.
@@ -18,16 +17,26 @@
  * @param sentNanos when its sender made it, by the sender's clock, in nanoseconds since
  * the Unix epoch; a digest with a smaller time is older
  * @param lowestVersion the lowest version of the tables in force at a live host
- * @param demand the sum of the demand by pool
+ * @param pools what each pool can take, as the sender sees it
  * @param members the live hosts with their addresses
  */
 public record DataCentreDigest(DataCentreId dataCentre, long sentNanos, long lowestVersion,
-		Map<PoolName, PeerLoad.Demand> demand, Map<Incarnation, MemberAddress> members) {
+		Map<PoolName, PoolState> pools, Map<Incarnation, MemberAddress> members) {
 
 	public DataCentreDigest {
 		Objects.requireNonNull(dataCentre, "dataCentre");
-		demand = Map.copyOf(demand);
+		pools = Map.copyOf(pools);
 		members = Map.copyOf(members);
 	}
 
+	/**
+	 * What a pool can take.
+	 *
+	 * @param waitNanos how long a new task would wait, in nanoseconds
+	 * @param tasksPerSecond the rate at which the sender can start tasks, 0 if it cannot
+	 * start any
+	 */
+	public record PoolState(long waitNanos, double tasksPerSecond) {
+	}
+
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -29,6 +29,7 @@
 import org.limpetgate.dispatch.AdaptiveDispatcher;
 import org.limpetgate.dispatch.DispatchSettings;
 import org.limpetgate.dispatch.Dispatcher;
+import org.limpetgate.dispatch.FasterSpillPolicy;
 import org.limpetgate.dispatch.PeerLoad;
 import org.limpetgate.host.configuration.ConfigurationService;
 import org.limpetgate.host.configuration.Timer;
@@ -38,6 +39,7 @@
 import org.limpetgate.host.settings.Key;
 import org.limpetgate.host.settings.PeerAddress;
 import org.limpetgate.host.settings.Spans;
+import org.limpetgate.membership.DataCentreDigest;
 import org.limpetgate.membership.MemberAddress;
 import org.limpetgate.membership.Membership;
 import org.limpetgate.membership.MembershipTimings;
@@ -118,6 +120,8 @@
 
 	private final SubmissionService submissions;
 
+	private final SpillService tasks;
+
 	private final HttpServer callers;
 
 	private final HttpServer operators;
@@ -152,10 +156,12 @@
 				new SplittableRandom(this.random.nextLong()), settings.spans().snapshotInterval());
 		this.versions = new VersionTracker(settings.host(), settings.dataCentre(), settings.dataCentres(),
 				() -> this.configuration.configuration().version(), this.peers);
+		this.tasks = new SpillService(this.runner, this.dispatcher, new FasterSpillPolicy(), this.peers,
+				settings.dataCentres(), this.control, this.clock, this.events);
 		this.submissions = submissionService(log);
 		this.peers.connect(new Parts());
 		this.callers = HttpServer.start(this.group, toAddress(settings.callers()), callerLimits(),
-				new CallerApi(this.submissions, new RequestService(this.runner, this.configuration::configuration,
+				new CallerApi(this.submissions, new RequestService(this.tasks, this.configuration::configuration,
 						this.control, this.clock, this.events), this::isReady));
 		this.operators = HttpServer.start(this.group, toAddress(settings.operators()), HttpServerLimits.defaults(),
 				new OperatorHandler(operatorApi(), this.metrics, this::isReady));
@@ -228,7 +234,7 @@
 	}
 
 	private SubmissionService submissionService(FailoverLogService log) {
-		JobRunner jobs = new JobRunner(this.runner, this.configuration::configuration);
+		JobRunner jobs = new JobRunner(this.tasks, this.configuration::configuration);
 		SubmissionSystem system = new SubmissionSystem(this.incarnation,
 				DataCentres.of(this.settings.dataCentre(), this.settings.dataCentres()), submissionSettings(),
 				new TicketAuthority(this.incarnation, this.settings.keys().get(0).secret()), jobs,
@@ -399,7 +405,8 @@
 
 	private void awaitTasks(long deadlineNanos, CompletableFuture<Integer> done) {
 		this.control.execute(() -> {
-			boolean idle = this.runner.unfinished() == 0 && this.submissions.counts().openRequests() == 0;
+			boolean idle = this.runner.unfinished() + this.tasks.unfinished() == 0
+					&& this.submissions.counts().openRequests() == 0;
 			if (idle || this.clock.getAsLong() >= deadlineNanos) {
 				close(done);
 			}
@@ -413,7 +420,7 @@
 		if (done.isDone()) {
 			return;
 		}
-		int cutOff = this.runner.unfinished();
+		int cutOff = this.runner.unfinished() + this.tasks.unfinished();
 		this.events.write(LogEvent.STOPPED, this.incarnation, cutOff);
 		this.configuration.close();
 		this.callers.close();
@@ -446,6 +453,16 @@
 			return EntryHost.this.configuration;
 		}
 
+		@Override
+		public TaskOffering localTasks() {
+			return EntryHost.this.runner;
+		}
+
+		@Override
+		public Map<PoolName, DataCentreDigest.PoolState> poolStates(long nowNanos) {
+			return EntryHost.this.runner.poolStates(nowNanos);
+		}
+
 		@Override
 		public Map<PoolName, PeerLoad.Demand> demand() {
 			return EntryHost.this.dispatcher.demand();
--- a/limpetgate-host/src/main/java/org/limpetgate/host/JobRunner.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/JobRunner.java
@@ -34,7 +34,7 @@
  */
 public final class JobRunner implements JobCheck {
 
-	private final TaskRunner runner;
+	private final TaskOffering tasks;
 
 	private final Supplier<Configuration> configuration;
 
@@ -42,11 +42,11 @@
 
 	/**
 	 * Creates a runner.
-	 * @param runner runs the tasks, not null
+	 * @param tasks runs the tasks, not null
 	 * @param configuration gives the tables in force, not null
 	 */
-	public JobRunner(TaskRunner runner, Supplier<Configuration> configuration) {
-		this.runner = runner;
+	public JobRunner(TaskOffering tasks, Supplier<Configuration> configuration) {
+		this.tasks = tasks;
 		this.configuration = configuration;
 	}
 
@@ -74,11 +74,11 @@
 			return;
 		}
 		long allowed = nowNanos + TimeUnit.MILLISECONDS.toNanos(route.get().deadlineMillis());
-		TaskRequest request = new TaskRequest(this.runner.nextTaskId(), submission.caller(), route.get().name(),
+		TaskRequest request = new TaskRequest(this.tasks.nextTaskId(), submission.caller(), route.get().name(),
 				pool(task, route.get()), task.idempotent(), task.resources(), task.body().length,
 				Math.min(allowed, submission.expiryNanos()), jobTask.job());
 		HttpCall call = new HttpCall(task.method(), task.path(), task.headers(), task.body());
-		Admission admission = this.runner.offer(request, call, (ended, reply, endNanos) -> {
+		Admission admission = this.tasks.offer(request, call, (ended, reply, endNanos) -> {
 			this.running.remove(jobTask);
 			system.taskEnded(jobTask.job(), jobTask.index(), result(ended, reply), endNanos);
 		}, nowNanos);
@@ -123,7 +123,7 @@
 	public void cancel(long job, int index, long nowNanos) {
 		TaskId task = this.running.get(new JobTask(job, index));
 		if (task != null) {
-			this.runner.cancel(task, nowNanos);
+			this.tasks.cancel(task, nowNanos);
 		}
 	}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -22,6 +22,9 @@
 	/** A task was refused. */
 	REFUSED(1103, "task=%s pool=%s refused error=%s detail=%s"),
 
+	/** A request was forwarded to another data centre. */
+	FORWARDED(1105, "request task=%s pool=%s forwarded to data centre %s"),
+
 	/** A task ended without a whole answer. */
 	TASK_NOT_COMPLETE(1104, "task=%s outcome=%s error=%s detail=%s"),
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -25,7 +26,10 @@
 import org.limpetgate.SubmissionKey;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.config.ConfigurationSnapshot;
+import org.limpetgate.dispatch.Admission;
 import org.limpetgate.dispatch.PeerLoad;
+import org.limpetgate.dispatch.RemotePool;
+import org.limpetgate.dispatch.TaskRequest;
 import org.limpetgate.host.configuration.ConfigurationService;
 import org.limpetgate.host.configuration.PeerConfigurations;
 import org.limpetgate.host.submission.AnswerJson;
@@ -37,6 +41,7 @@
 import org.limpetgate.membership.MemberState;
 import org.limpetgate.membership.Membership;
 import org.limpetgate.membership.MembershipEffect;
+import org.limpetgate.net.http.HttpCall;
 import org.limpetgate.net.peer.PeerAddress;
 import org.limpetgate.net.peer.PeerHandler;
 import org.limpetgate.net.peer.PeerIdentity;
@@ -45,6 +50,7 @@
 import org.limpetgate.proto.ConfigurationOffer;
 import org.limpetgate.proto.ConfigurationRequest;
 import org.limpetgate.proto.ForwardSubmission;
+import org.limpetgate.proto.ForwardTask;
 import org.limpetgate.proto.PeerFrame;
 import org.limpetgate.proto.QuerySubmission;
 import org.limpetgate.proto.SubmissionReply;
@@ -74,6 +80,8 @@
 
 	private static final long QUERY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+	private static final long MEASUREMENT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
+
 	private static final long FETCH_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	private final PeerIdentity self;
@@ -103,6 +111,10 @@
 
 	};
 
+	private final RoundTrips roundTrips = new RoundTrips();
+
+	private long nextMeasurementNanos;
+
 	private LocalHost local;
 
 	private Heartbeat lastHeartbeat;
@@ -168,6 +180,9 @@
 	@Override
 	public void tick(long nowNanos) {
 		this.membership.tick(nowNanos, (effect) -> apply(effect, nowNanos));
+		if (nowNanos >= this.nextMeasurementNanos) {
+			measureRoundTrips(nowNanos);
+		}
 	}
 
 	@Override
@@ -205,10 +220,6 @@
 	private DataCentreDigest ownDigest(long nowNanos) {
 		Map<Incarnation, MemberAddress> live = new HashMap<>();
 		long lowest = this.local.configuration().configuration().version();
-		Map<PoolName, PeerLoad.Demand> demand = new HashMap<>();
-		if (this.lastHeartbeat != null) {
-			demand.putAll(this.lastHeartbeat.demand());
-		}
 		if (!this.leaving) {
 			live.put(this.self.incarnation(), this.address);
 		}
@@ -216,13 +227,9 @@
 			if (member.state().isServing() && member.heartbeat() != null) {
 				live.put(member.incarnation(), member.address());
 				lowest = Math.min(lowest, member.heartbeat().configurationVersion());
-				member.heartbeat()
-					.demand()
-					.forEach((pool, other) -> demand.merge(pool, other, (one,
-							two) -> new PeerLoad.Demand(one.queued() + two.queued(), one.inFlight() + two.inFlight())));
 			}
 		}
-		return new DataCentreDigest(this.self.dataCentre(), nowNanos, lowest, demand, live);
+		return new DataCentreDigest(this.self.dataCentre(), nowNanos, lowest, this.local.poolStates(nowNanos), live);
 	}
 
 	private List<Member> membersHere() {
@@ -299,6 +306,8 @@
 			case CANCEL_SUBMISSION:
 				return Optional
 					.of(this.local.submissions().handlePeer(toRequest(frame)).thenApply(PeerService::toFrame));
+			case FORWARD_TASK:
+				return Optional.of(forwardedTask(frame.getForwardTask()));
 			case CONFIGURATION_REQUEST:
 				long version = frame.getConfigurationRequest().getNewerThan();
 				return Optional
@@ -381,7 +390,7 @@
 	@Override
 	public CompletableFuture<Answer> toHost(Incarnation target, PeerRequest request) {
 		link(target.host());
-		return askUntilLinked(target.host(), request, LINK_TRIES);
+		return askUntilLinked(target, request, LINK_TRIES);
 	}
 
 	// Hosts of other data centres have no link before the first request for one of their
@@ -393,13 +402,13 @@
 		}
 	}
 
-	private CompletableFuture<Answer> askUntilLinked(HostId host, PeerRequest request, int tries) {
-		return ask(host, request).exceptionallyCompose((failure) -> {
-			if (tries <= 1 || !isNotSent(failure) || this.links.isUp(host)) {
+	private CompletableFuture<Answer> askUntilLinked(Incarnation target, PeerRequest request, int tries) {
+		return ask(target, request).exceptionallyCompose((failure) -> {
+			if (tries <= 1 || !isNotSent(failure) || this.links.isUp(target.host())) {
 				return CompletableFuture.failedFuture(failure);
 			}
 			Executor later = CompletableFuture.delayedExecutor(LINK_WAIT_MILLIS, TimeUnit.MILLISECONDS, this.control);
-			return CompletableFuture.supplyAsync(() -> askUntilLinked(host, request, tries - 1), later)
+			return CompletableFuture.supplyAsync(() -> askUntilLinked(target, request, tries - 1), later)
 				.thenCompose((answer) -> answer);
 		});
 	}
@@ -408,9 +417,16 @@
 		return Failures.toDispatchException(failure).outcome() == Outcome.NOT_RUN;
 	}
 
+	private CompletableFuture<Answer> ask(Incarnation target, PeerRequest request) {
+		return this.links.request(target, toFrame(request), timeoutNanos(request)).thenApply(PeerService::toAnswer);
+	}
+
 	private CompletableFuture<Answer> ask(HostId host, PeerRequest request) {
-		return this.links.request(host, toFrame(request), timeoutNanos(request))
-			.thenApply((reply) -> AnswerJson.read(reply.getSubmissionReply().getBody().toByteArray()));
+		return this.links.request(host, toFrame(request), timeoutNanos(request)).thenApply(PeerService::toAnswer);
+	}
+
+	private static Answer toAnswer(PeerFrame reply) {
+		return AnswerJson.read(reply.getSubmissionReply().getBody().toByteArray());
 	}
 
 	// A submission is answered at its expiry at the latest.
@@ -436,6 +452,87 @@
 				? tryInOrder(hosts, index + 1, request) : CompletableFuture.failedFuture(failure));
 	}
 
+	/**
+	 * Returns the state of a pool in another data centre.
+	 * @param other the data centre, not null
+	 * @param pool the pool, not null
+	 * @return the state, or empty if it or the round-trip time is not known
+	 */
+	public Optional<RemotePool> remotePool(DataCentreId other, PoolName pool) {
+		OptionalLong roundTrip = this.roundTrips.nanos(other);
+		Optional<DataCentreDigest> digest = this.membership.digest(other);
+		if (roundTrip.isEmpty() || digest.isEmpty() || !digest.get().pools().containsKey(pool)) {
+			return Optional.empty();
+		}
+		DataCentreDigest.PoolState state = digest.get().pools().get(pool);
+		return Optional.of(new RemotePool(other, pool, roundTrip.getAsLong() / 2, state.waitNanos(),
+				state.tasksPerSecond(), digest.get().sentNanos()));
+	}
+
+	/**
+	 * Forwards a task to a live host of another data centre.
+	 * @param to the data centre, not null
+	 * @param task the task, not null
+	 * @param call what to send, not null
+	 * @param nowNanos the present time
+	 * @return the whole answer, or a failure with what is known about the execution
+	 */
+	CompletableFuture<SpillService.ForwardedAnswer> forwardTask(DataCentreId to, TaskRequest task, HttpCall call,
+			long nowNanos) {
+		Optional<HostId> host = this.membership.contacts(to)
+			.stream()
+			.map(MemberAddress::host)
+			.filter(this.links::isUp)
+			.findFirst();
+		if (host.isEmpty()) {
+			return CompletableFuture.failedFuture(DispatchException.of(ErrorKind.HOLDER_UNREACHABLE, Outcome.NOT_RUN,
+					"no host of data centre '" + to + "' can be reached"));
+		}
+		long timeout = Math.max(1, task.deadlineNanos() - nowNanos);
+		return this.links
+			.request(host.get(), PeerFrame.newBuilder().setForwardTask(TaskMessages.toMessage(task, call)), timeout)
+			.thenApply((reply) -> TaskMessages.toAnswer(reply.getTaskReply()));
+	}
+
+	private CompletableFuture<PeerFrame.Builder> forwardedTask(ForwardTask message) {
+		CompletableFuture<PeerFrame.Builder> reply = new CompletableFuture<>();
+		this.control.execute(() -> {
+			TaskOffering tasks = this.local.localTasks();
+			TaskRequest request = TaskMessages.toRequest(message, tasks.nextTaskId());
+			Admission admission = tasks.offer(request, TaskMessages.toCall(message),
+					(ended, answer, endNanos) -> TaskMessages.complete(reply, ended, answer), this.clock.getAsLong());
+			if (!admission.isAccepted()) {
+				reply.completeExceptionally(
+						DispatchException.of(admission.error(), Outcome.NOT_RUN, admission.detail()));
+			}
+		});
+		return reply;
+	}
+
+	// An empty answer to a request for the configuration is the smallest round trip that
+	// the peers offer.
+	private void measureRoundTrips(long nowNanos) {
+		this.nextMeasurementNanos = nowNanos + MEASUREMENT_INTERVAL_NANOS;
+		for (DataCentreId other : this.dataCentres) {
+			if (!other.equals(this.self.dataCentre())) {
+				this.membership.contacts(other)
+					.stream()
+					.map(MemberAddress::host)
+					.filter(this.links::isUp)
+					.findFirst()
+					.ifPresent((host) -> measureRoundTrip(other, host));
+			}
+		}
+	}
+
+	private void measureRoundTrip(DataCentreId other, HostId host) {
+		long sent = this.clock.getAsLong();
+		fetch(host, this.local.configuration().configuration().version()).thenAcceptAsync((newer) -> {
+			this.roundTrips.add(other, this.clock.getAsLong() - sent);
+			newer.ifPresent(this.local.configuration()::offer);
+		}, this.control);
+	}
+
 	@Override
 	public List<PeerVersion> versions() {
 		return membersHere().stream()
@@ -474,7 +571,8 @@
 
 	/**
 	 * The other parts of this host, as the peer service sees them. Called on the control
-	 * thread, except for {@link #submissions()} and {@link #configuration()}.
+	 * thread, except for {@link #submissions()}, {@link #requests()} and
+	 * {@link #configuration()}.
 	 */
 	public interface LocalHost {
 
@@ -490,6 +588,19 @@
 		 */
 		ConfigurationService configuration();
 
+		/**
+		 * Returns what runs tasks in this data centre only.
+		 * @return the runner, not null
+		 */
+		TaskOffering localTasks();
+
+		/**
+		 * Returns what each pool can take at this host.
+		 * @param nowNanos the present time
+		 * @return the states, not null
+		 */
+		Map<PoolName, DataCentreDigest.PoolState> poolStates(long nowNanos);
+
 		/**
 		 * Returns the demand of this host by pool.
 		 * @return the demand, not null
--- a/limpetgate-host/src/main/java/org/limpetgate/host/RequestService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/RequestService.java
@@ -48,7 +48,7 @@
 
 	private static final long RETRY_WITHOUT_CONFIGURATION_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-	private final TaskRunner runner;
+	private final TaskOffering tasks;
 
 	private final Supplier<Configuration> configuration;
 
@@ -60,15 +60,15 @@
 
 	/**
 	 * Creates a service.
-	 * @param runner runs the tasks, not null
+	 * @param tasks runs the tasks, not null
 	 * @param configuration gives the tables in force; thread-safe, not null
 	 * @param control runs messages on the control thread, not null
 	 * @param clock gives the present time in nanoseconds since the Unix epoch, not null
 	 * @param events takes a line for each decision, not null
 	 */
-	public RequestService(TaskRunner runner, Supplier<Configuration> configuration, Executor control,
+	public RequestService(TaskOffering tasks, Supplier<Configuration> configuration, Executor control,
 			LongSupplier clock, EventLog events) {
-		this.runner = runner;
+		this.tasks = tasks;
 		this.configuration = configuration;
 		this.control = control;
 		this.clock = clock;
@@ -154,10 +154,10 @@
 	private void offer(HttpCall call, CallerId caller, Route route, long deadlineNanos,
 			CompletableFuture<HttpReply> reply) {
 		long now = this.clock.getAsLong();
-		TaskRequest request = new TaskRequest(this.runner.nextTaskId(), caller, route.name(), route.pool(),
+		TaskRequest request = new TaskRequest(this.tasks.nextTaskId(), caller, route.name(), route.pool(),
 				route.isIdempotent(call.method()), Resources.NONE, call.body().length, deadlineNanos, 0);
 		this.events.write(LogEvent.ROUTED, request.id().value(), caller, route.name(), route.pool());
-		Admission admission = this.runner.offer(request, call,
+		Admission admission = this.tasks.offer(request, call,
 				(ended, answer, endNanos) -> complete(reply, ended, answer), now);
 		if (!admission.isAccepted()) {
 			reply.completeExceptionally(refusal(admission));
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/SpillService.java
@@ -0,0 +1,167 @@
+package org.limpetgate.host;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+
+import org.limpetgate.DataCentreId;
+import org.limpetgate.DispatchException;
+import org.limpetgate.Outcome;
+import org.limpetgate.TaskId;
+import org.limpetgate.dispatch.Admission;
+import org.limpetgate.dispatch.DispatchEffect;
+import org.limpetgate.dispatch.Dispatcher;
+import org.limpetgate.dispatch.RemotePool;
+import org.limpetgate.dispatch.SpillPolicy;
+import org.limpetgate.dispatch.TaskRequest;
+import org.limpetgate.net.http.HttpCall;
+import org.limpetgate.net.http.HttpReply;
+
+/**
+ * Runs tasks here, or in another data centre where they are done sooner.
+ * <p>
+ * A task is forwarded at most once, and runs here after all only if it provably did not
+ * run there. A forwarded task cannot be cancelled. Not thread-safe: it belongs to the
+ * control thread.
+ */
+final class SpillService implements TaskOffering {
+
+	/** Stands for the wait of a task that this data centre refuses. */
+	private static final long REFUSED_WAIT_NANOS = Long.MAX_VALUE / 4;
+
+	private final TaskRunner runner;
+
+	private final Dispatcher dispatcher;
+
+	private final SpillPolicy policy;
+
+	private final PeerService peers;
+
+	private final List<DataCentreId> dataCentres;
+
+	private final Executor control;
+
+	private final LongSupplier clock;
+
+	private final EventLog events;
+
+	private int forwarded;
+
+	SpillService(TaskRunner runner, Dispatcher dispatcher, SpillPolicy policy, PeerService peers,
+			List<DataCentreId> dataCentres, Executor control, LongSupplier clock, EventLog events) {
+		this.runner = runner;
+		this.dispatcher = dispatcher;
+		this.policy = policy;
+		this.peers = peers;
+		this.dataCentres = List.copyOf(dataCentres);
+		this.control = control;
+		this.clock = clock;
+		this.events = events;
+	}
+
+	@Override
+	public TaskId nextTaskId() {
+		return this.runner.nextTaskId();
+	}
+
+	@Override
+	public Admission offer(TaskRequest request, HttpCall call, TaskListener listener, long nowNanos) {
+		long wait = this.dispatcher.expectedWaitNanos(request.pool(), nowNanos);
+		Optional<DataCentreId> elsewhere = destination(request, wait, nowNanos);
+		if (elsewhere.isPresent()) {
+			return forward(elsewhere.get(), request, call, listener, nowNanos);
+		}
+		Admission admission = this.runner.offer(request, call, listener, nowNanos);
+		if (!admission.isAccepted()) {
+			elsewhere = afterRefusal(request, admission, nowNanos);
+		}
+		return elsewhere.isPresent() ? forward(elsewhere.get(), request, call, listener, nowNanos) : admission;
+	}
+
+	private Optional<DataCentreId> afterRefusal(TaskRequest request, Admission refusal, long nowNanos) {
+		return switch (refusal.error()) {
+			case OVERLOADED, NO_UPSTREAM -> destination(request, REFUSED_WAIT_NANOS, nowNanos);
+			default -> Optional.empty();
+		};
+	}
+
+	private Optional<DataCentreId> destination(TaskRequest request, long waitNanos, long nowNanos) {
+		if (waitNanos <= 0) {
+			return Optional.empty();
+		}
+		List<RemotePool> remotes = new ArrayList<>();
+		for (DataCentreId other : this.dataCentres) {
+			this.peers.remotePool(other, request.pool()).ifPresent(remotes::add);
+		}
+		return this.policy.destination(request, 0, waitNanos, remotes, nowNanos);
+	}
+
+	private Admission forward(DataCentreId to, TaskRequest request, HttpCall call, TaskListener listener,
+			long nowNanos) {
+		this.forwarded++;
+		this.events.write(LogEvent.FORWARDED, request.id().value(), request.pool(), to);
+		this.peers.forwardTask(to, request, call, nowNanos)
+			.whenComplete((answer, failure) -> this.control.execute(() -> {
+				this.forwarded--;
+				ended(request, call, listener, answer, failure);
+			}));
+		return Admission.accepted();
+	}
+
+	private void ended(TaskRequest request, HttpCall call, TaskListener listener, ForwardedAnswer answer,
+			Throwable failure) {
+		long now = this.clock.getAsLong();
+		if (failure == null) {
+			listener.ended(end(request, answer.outcome(), answer.error()), answer.reply(), now);
+			return;
+		}
+		DispatchException error = Failures.toDispatchException(failure);
+		if (error.outcome() == Outcome.NOT_RUN) {
+			offerHere(request, call, listener, now);
+		}
+		else {
+			listener.ended(end(request, error.outcome(), error), null, now);
+		}
+	}
+
+	private void offerHere(TaskRequest request, HttpCall call, TaskListener listener, long nowNanos) {
+		Admission admission = this.runner.offer(request, call, listener, nowNanos);
+		if (!admission.isAccepted()) {
+			listener.ended(new DispatchEffect.TaskEnded(request.id(), Outcome.NOT_RUN, admission.error(),
+					admission.detail(), admission.retryAfterNanos(), null), null, nowNanos);
+		}
+	}
+
+	private static DispatchEffect.TaskEnded end(TaskRequest request, Outcome outcome, DispatchException error) {
+		return (error != null)
+				? new DispatchEffect.TaskEnded(request.id(), outcome, error.kind(), error.getMessage(),
+						error.retryAfterNanos(), null)
+				: new DispatchEffect.TaskEnded(request.id(), outcome, null, "", 0, null);
+	}
+
+	@Override
+	public boolean cancel(TaskId task, long nowNanos) {
+		return this.runner.cancel(task, nowNanos);
+	}
+
+	/**
+	 * Returns the number of forwarded tasks that have not ended.
+	 * @return the number, at least 0
+	 */
+	int unfinished() {
+		return this.forwarded;
+	}
+
+	/**
+	 * The answer to a forwarded task.
+	 *
+	 * @param outcome what is known about the execution
+	 * @param error the reason, null if complete
+	 * @param reply the upstream's whole answer
+	 */
+	record ForwardedAnswer(Outcome outcome, DispatchException error, HttpReply reply) {
+	}
+
+}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/TaskRunner.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/TaskRunner.java
@@ -12,6 +12,7 @@
 import org.limpetgate.AttemptId;
 import org.limpetgate.DispatchException;
 import org.limpetgate.Outcome;
+import org.limpetgate.PoolName;
 import org.limpetgate.TaskId;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.config.Configuration;
@@ -23,6 +24,7 @@
 import org.limpetgate.dispatch.DispatchEffect;
 import org.limpetgate.dispatch.Dispatcher;
 import org.limpetgate.dispatch.TaskRequest;
+import org.limpetgate.membership.DataCentreDigest;
 import org.limpetgate.net.http.HttpCall;
 import org.limpetgate.net.http.HttpReply;
 
@@ -34,7 +36,7 @@
  * that is not idempotent, without proof that the first did not run, is an internal fault
  * and is suppressed. Not thread-safe: it belongs to the control thread.
  */
-public final class TaskRunner implements TickedSystem {
+public final class TaskRunner implements TickedSystem, TaskOffering {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -58,6 +60,8 @@
 
 	private final Map<UpstreamId, KnownUpstream> upstreams = new HashMap<>();
 
+	private final PoolRates rates = new PoolRates();
+
 	private LeavingListener leavingListener = (upstream) -> {
 	};
 
@@ -105,22 +109,12 @@
 		this.dispatcher.configure(configuration, nowNanos);
 	}
 
-	/**
-	 * Returns an id for a new task.
-	 * @return the id, not used before
-	 */
+	@Override
 	public TaskId nextTaskId() {
 		return TaskId.of(++this.lastTask);
 	}
 
-	/**
-	 * Offers a task.
-	 * @param request the task, with an id from {@link #nextTaskId()}, not null
-	 * @param call what to send, not null
-	 * @param listener learns the end if the task is accepted, not null
-	 * @param nowNanos the present time
-	 * @return the admission, not null
-	 */
+	@Override
 	public Admission offer(TaskRequest request, HttpCall call, TaskListener listener, long nowNanos) {
 		Admission admission = this.dispatcher.offer(request, nowNanos);
 		if (admission.isAccepted()) {
@@ -134,12 +128,7 @@
 		return admission;
 	}
 
-	/**
-	 * Cancels a task. Its listener is still called.
-	 * @param task the task, not null
-	 * @param nowNanos the present time
-	 * @return false if the task has ended
-	 */
+	@Override
 	public boolean cancel(TaskId task, long nowNanos) {
 		return this.dispatcher.cancel(task, nowNanos);
 	}
@@ -152,6 +141,15 @@
 		return this.tasks.size();
 	}
 
+	/**
+	 * Returns what each pool can take, for the digests to other data centres.
+	 * @param nowNanos the present time
+	 * @return the states, not null
+	 */
+	public Map<PoolName, DataCentreDigest.PoolState> poolStates(long nowNanos) {
+		return this.rates.states(this.dispatcher, nowNanos);
+	}
+
 	/**
 	 * Returns the workers that run tasks of this host.
 	 * @return the workers, not null
@@ -240,6 +238,9 @@
 		if (leaving) {
 			this.leavingListener.upstreamLeaving(attempt.upstream());
 		}
+		if (result.outcome() == Outcome.COMPLETE) {
+			this.rates.add(attempt.task().request.pool(), runNanos);
+		}
 		this.dispatcher.attemptEnded(id, result, now);
 	}
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/DataCentreDigest.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/DataCentreDigest.java
@@ -29,7 +29,7 @@
   }
   private DataCentreDigest() {
     dataCentre_ = "";
-    demand_ = java.util.Collections.emptyList();
+    pools_ = java.util.Collections.emptyList();
     members_ = java.util.Collections.emptyList();
   }
 
@@ -112,45 +112,45 @@
     return lowestConfigurationVersion_;
   }
 
-  public static final int DEMAND_FIELD_NUMBER = 4;
+  public static final int POOLS_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
-  private java.util.List<org.limpetgate.proto.PoolDemand> demand_;
+  private java.util.List<org.limpetgate.proto.PoolState> pools_;
   /**
-   * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+   * <code>repeated .limpetgate.PoolState pools = 4;</code>
    */
   @java.lang.Override
-  public java.util.List<org.limpetgate.proto.PoolDemand> getDemandList() {
-    return demand_;
+  public java.util.List<org.limpetgate.proto.PoolState> getPoolsList() {
+    return pools_;
   }
   /**
-   * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+   * <code>repeated .limpetgate.PoolState pools = 4;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.limpetgate.proto.PoolDemandOrBuilder> 
-      getDemandOrBuilderList() {
-    return demand_;
+  public java.util.List<? extends org.limpetgate.proto.PoolStateOrBuilder> 
+      getPoolsOrBuilderList() {
+    return pools_;
   }
   /**
-   * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+   * <code>repeated .limpetgate.PoolState pools = 4;</code>
    */
   @java.lang.Override
-  public int getDemandCount() {
-    return demand_.size();
+  public int getPoolsCount() {
+    return pools_.size();
   }
   /**
-   * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+   * <code>repeated .limpetgate.PoolState pools = 4;</code>
    */
   @java.lang.Override
-  public org.limpetgate.proto.PoolDemand getDemand(int index) {
-    return demand_.get(index);
+  public org.limpetgate.proto.PoolState getPools(int index) {
+    return pools_.get(index);
   }
   /**
-   * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+   * <code>repeated .limpetgate.PoolState pools = 4;</code>
    */
   @java.lang.Override
-  public org.limpetgate.proto.PoolDemandOrBuilder getDemandOrBuilder(
+  public org.limpetgate.proto.PoolStateOrBuilder getPoolsOrBuilder(
       int index) {
-    return demand_.get(index);
+    return pools_.get(index);
   }
 
   public static final int SENT_AT_NANOS_FIELD_NUMBER = 5;
@@ -248,8 +248,8 @@
     if (lowestConfigurationVersion_ != 0L) {
       output.writeInt64(3, lowestConfigurationVersion_);
     }
-    for (int i = 0; i < demand_.size(); i++) {
-      output.writeMessage(4, demand_.get(i));
+    for (int i = 0; i < pools_.size(); i++) {
+      output.writeMessage(4, pools_.get(i));
     }
     if (sentAtNanos_ != 0L) {
       output.writeFixed64(5, sentAtNanos_);
@@ -274,10 +274,10 @@
     }
 
         {
-          final int count = demand_.size();
+          final int count = pools_.size();
           for (int i = 0; i < count; i++) {
             size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(demand_.get(i));
+              .computeMessageSizeNoTag(pools_.get(i));
           }
           size += 1 * count;
         }
@@ -324,8 +324,8 @@
         != other.getLiveHosts()) return false;
     if (getLowestConfigurationVersion()
         != other.getLowestConfigurationVersion()) return false;
-    if (!getDemandList()
-        .equals(other.getDemandList())) return false;
+    if (!getPoolsList()
+        .equals(other.getPoolsList())) return false;
     if (getSentAtNanos()
         != other.getSentAtNanos()) return false;
     if (!getMembersList()
@@ -348,9 +348,9 @@
     hash = (37 * hash) + LOWEST_CONFIGURATION_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getLowestConfigurationVersion());
-    if (getDemandCount() > 0) {
-      hash = (37 * hash) + DEMAND_FIELD_NUMBER;
-      hash = (53 * hash) + getDemandList().hashCode();
+    if (getPoolsCount() > 0) {
+      hash = (37 * hash) + POOLS_FIELD_NUMBER;
+      hash = (53 * hash) + getPoolsList().hashCode();
     }
     hash = (37 * hash) + SENT_AT_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
@@ -493,11 +493,11 @@
       dataCentre_ = "";
       liveHosts_ = 0;
       lowestConfigurationVersion_ = 0L;
-      if (demandBuilder_ == null) {
-        demand_ = java.util.Collections.emptyList();
+      if (poolsBuilder_ == null) {
+        pools_ = java.util.Collections.emptyList();
       } else {
-        demand_ = null;
-        demandBuilder_.clear();
+        pools_ = null;
+        poolsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
       sentAtNanos_ = 0L;
@@ -541,14 +541,14 @@
     }
 
     private void buildPartialRepeatedFields(org.limpetgate.proto.DataCentreDigest result) {
-      if (demandBuilder_ == null) {
+      if (poolsBuilder_ == null) {
         if (((bitField0_ & 0x00000008) != 0)) {
-          demand_ = java.util.Collections.unmodifiableList(demand_);
+          pools_ = java.util.Collections.unmodifiableList(pools_);
           bitField0_ = (bitField0_ & ~0x00000008);
         }
-        result.demand_ = demand_;
+        result.pools_ = pools_;
       } else {
-        result.demand_ = demandBuilder_.build();
+        result.pools_ = poolsBuilder_.build();
       }
       if (membersBuilder_ == null) {
         if (((bitField0_ & 0x00000020) != 0)) {
@@ -600,29 +600,29 @@
       if (other.getLowestConfigurationVersion() != 0L) {
         setLowestConfigurationVersion(other.getLowestConfigurationVersion());
       }
-      if (demandBuilder_ == null) {
-        if (!other.demand_.isEmpty()) {
-          if (demand_.isEmpty()) {
-            demand_ = other.demand_;
+      if (poolsBuilder_ == null) {
+        if (!other.pools_.isEmpty()) {
+          if (pools_.isEmpty()) {
+            pools_ = other.pools_;
             bitField0_ = (bitField0_ & ~0x00000008);
           } else {
-            ensureDemandIsMutable();
-            demand_.addAll(other.demand_);
+            ensurePoolsIsMutable();
+            pools_.addAll(other.pools_);
           }
           onChanged();
         }
       } else {
-        if (!other.demand_.isEmpty()) {
-          if (demandBuilder_.isEmpty()) {
-            demandBuilder_.dispose();
-            demandBuilder_ = null;
-            demand_ = other.demand_;
+        if (!other.pools_.isEmpty()) {
+          if (poolsBuilder_.isEmpty()) {
+            poolsBuilder_.dispose();
+            poolsBuilder_ = null;
+            pools_ = other.pools_;
             bitField0_ = (bitField0_ & ~0x00000008);
-            demandBuilder_ = 
+            poolsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetDemandFieldBuilder() : null;
+                 internalGetPoolsFieldBuilder() : null;
           } else {
-            demandBuilder_.addAllMessages(other.demand_);
+            poolsBuilder_.addAllMessages(other.pools_);
           }
         }
       }
@@ -695,15 +695,15 @@
               break;
             } // case 24
             case 34: {
-              org.limpetgate.proto.PoolDemand m =
+              org.limpetgate.proto.PoolState m =
                   input.readMessage(
-                      org.limpetgate.proto.PoolDemand.parser(),
+                      org.limpetgate.proto.PoolState.parser(),
                       extensionRegistry);
-              if (demandBuilder_ == null) {
-                ensureDemandIsMutable();
-                demand_.add(m);
+              if (poolsBuilder_ == null) {
+                ensurePoolsIsMutable();
+                pools_.add(m);
               } else {
-                demandBuilder_.addMessage(m);
+                poolsBuilder_.addMessage(m);
               }
               break;
             } // case 34
@@ -878,238 +878,238 @@
       return this;
     }
 
-    private java.util.List<org.limpetgate.proto.PoolDemand> demand_ =
+    private java.util.List<org.limpetgate.proto.PoolState> pools_ =
       java.util.Collections.emptyList();
-    private void ensureDemandIsMutable() {
+    private void ensurePoolsIsMutable() {
       if (!((bitField0_ & 0x00000008) != 0)) {
-        demand_ = new java.util.ArrayList<org.limpetgate.proto.PoolDemand>(demand_);
+        pools_ = new java.util.ArrayList<org.limpetgate.proto.PoolState>(pools_);
         bitField0_ |= 0x00000008;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.limpetgate.proto.PoolDemand, org.limpetgate.proto.PoolDemand.Builder, org.limpetgate.proto.PoolDemandOrBuilder> demandBuilder_;
+        org.limpetgate.proto.PoolState, org.limpetgate.proto.PoolState.Builder, org.limpetgate.proto.PoolStateOrBuilder> poolsBuilder_;
 
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public java.util.List<org.limpetgate.proto.PoolDemand> getDemandList() {
-      if (demandBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(demand_);
+    public java.util.List<org.limpetgate.proto.PoolState> getPoolsList() {
+      if (poolsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(pools_);
       } else {
-        return demandBuilder_.getMessageList();
+        return poolsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public int getDemandCount() {
-      if (demandBuilder_ == null) {
-        return demand_.size();
+    public int getPoolsCount() {
+      if (poolsBuilder_ == null) {
+        return pools_.size();
       } else {
-        return demandBuilder_.getCount();
+        return poolsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public org.limpetgate.proto.PoolDemand getDemand(int index) {
-      if (demandBuilder_ == null) {
-        return demand_.get(index);
+    public org.limpetgate.proto.PoolState getPools(int index) {
+      if (poolsBuilder_ == null) {
+        return pools_.get(index);
       } else {
-        return demandBuilder_.getMessage(index);
+        return poolsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public Builder setDemand(
-        int index, org.limpetgate.proto.PoolDemand value) {
-      if (demandBuilder_ == null) {
+    public Builder setPools(
+        int index, org.limpetgate.proto.PoolState value) {
+      if (poolsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureDemandIsMutable();
-        demand_.set(index, value);
+        ensurePoolsIsMutable();
+        pools_.set(index, value);
         onChanged();
       } else {
-        demandBuilder_.setMessage(index, value);
+        poolsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public Builder setDemand(
-        int index, org.limpetgate.proto.PoolDemand.Builder builderForValue) {
-      if (demandBuilder_ == null) {
-        ensureDemandIsMutable();
-        demand_.set(index, builderForValue.build());
+    public Builder setPools(
+        int index, org.limpetgate.proto.PoolState.Builder builderForValue) {
+      if (poolsBuilder_ == null) {
+        ensurePoolsIsMutable();
+        pools_.set(index, builderForValue.build());
         onChanged();
       } else {
-        demandBuilder_.setMessage(index, builderForValue.build());
+        poolsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public Builder addDemand(org.limpetgate.proto.PoolDemand value) {
-      if (demandBuilder_ == null) {
+    public Builder addPools(org.limpetgate.proto.PoolState value) {
+      if (poolsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureDemandIsMutable();
-        demand_.add(value);
+        ensurePoolsIsMutable();
+        pools_.add(value);
         onChanged();
       } else {
-        demandBuilder_.addMessage(value);
+        poolsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public Builder addDemand(
-        int index, org.limpetgate.proto.PoolDemand value) {
-      if (demandBuilder_ == null) {
+    public Builder addPools(
+        int index, org.limpetgate.proto.PoolState value) {
+      if (poolsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureDemandIsMutable();
-        demand_.add(index, value);
+        ensurePoolsIsMutable();
+        pools_.add(index, value);
         onChanged();
       } else {
-        demandBuilder_.addMessage(index, value);
+        poolsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public Builder addDemand(
-        org.limpetgate.proto.PoolDemand.Builder builderForValue) {
-      if (demandBuilder_ == null) {
-        ensureDemandIsMutable();
-        demand_.add(builderForValue.build());
+    public Builder addPools(
+        org.limpetgate.proto.PoolState.Builder builderForValue) {
+      if (poolsBuilder_ == null) {
+        ensurePoolsIsMutable();
+        pools_.add(builderForValue.build());
         onChanged();
       } else {
-        demandBuilder_.addMessage(builderForValue.build());
+        poolsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public Builder addDemand(
-        int index, org.limpetgate.proto.PoolDemand.Builder builderForValue) {
-      if (demandBuilder_ == null) {
-        ensureDemandIsMutable();
-        demand_.add(index, builderForValue.build());
+    public Builder addPools(
+        int index, org.limpetgate.proto.PoolState.Builder builderForValue) {
+      if (poolsBuilder_ == null) {
+        ensurePoolsIsMutable();
+        pools_.add(index, builderForValue.build());
         onChanged();
       } else {
-        demandBuilder_.addMessage(index, builderForValue.build());
+        poolsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public Builder addAllDemand(
-        java.lang.Iterable<? extends org.limpetgate.proto.PoolDemand> values) {
-      if (demandBuilder_ == null) {
-        ensureDemandIsMutable();
+    public Builder addAllPools(
+        java.lang.Iterable<? extends org.limpetgate.proto.PoolState> values) {
+      if (poolsBuilder_ == null) {
+        ensurePoolsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, demand_);
+            values, pools_);
         onChanged();
       } else {
-        demandBuilder_.addAllMessages(values);
+        poolsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public Builder clearDemand() {
-      if (demandBuilder_ == null) {
-        demand_ = java.util.Collections.emptyList();
+    public Builder clearPools() {
+      if (poolsBuilder_ == null) {
+        pools_ = java.util.Collections.emptyList();
         bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
       } else {
-        demandBuilder_.clear();
+        poolsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public Builder removeDemand(int index) {
-      if (demandBuilder_ == null) {
-        ensureDemandIsMutable();
-        demand_.remove(index);
+    public Builder removePools(int index) {
+      if (poolsBuilder_ == null) {
+        ensurePoolsIsMutable();
+        pools_.remove(index);
         onChanged();
       } else {
-        demandBuilder_.remove(index);
+        poolsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public org.limpetgate.proto.PoolDemand.Builder getDemandBuilder(
+    public org.limpetgate.proto.PoolState.Builder getPoolsBuilder(
         int index) {
-      return internalGetDemandFieldBuilder().getBuilder(index);
+      return internalGetPoolsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public org.limpetgate.proto.PoolDemandOrBuilder getDemandOrBuilder(
+    public org.limpetgate.proto.PoolStateOrBuilder getPoolsOrBuilder(
         int index) {
-      if (demandBuilder_ == null) {
-        return demand_.get(index);  } else {
-        return demandBuilder_.getMessageOrBuilder(index);
+      if (poolsBuilder_ == null) {
+        return pools_.get(index);  } else {
+        return poolsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public java.util.List<? extends org.limpetgate.proto.PoolDemandOrBuilder> 
-         getDemandOrBuilderList() {
-      if (demandBuilder_ != null) {
-        return demandBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.limpetgate.proto.PoolStateOrBuilder> 
+         getPoolsOrBuilderList() {
+      if (poolsBuilder_ != null) {
+        return poolsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(demand_);
+        return java.util.Collections.unmodifiableList(pools_);
       }
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public org.limpetgate.proto.PoolDemand.Builder addDemandBuilder() {
-      return internalGetDemandFieldBuilder().addBuilder(
-          org.limpetgate.proto.PoolDemand.getDefaultInstance());
+    public org.limpetgate.proto.PoolState.Builder addPoolsBuilder() {
+      return internalGetPoolsFieldBuilder().addBuilder(
+          org.limpetgate.proto.PoolState.getDefaultInstance());
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public org.limpetgate.proto.PoolDemand.Builder addDemandBuilder(
+    public org.limpetgate.proto.PoolState.Builder addPoolsBuilder(
         int index) {
-      return internalGetDemandFieldBuilder().addBuilder(
-          index, org.limpetgate.proto.PoolDemand.getDefaultInstance());
+      return internalGetPoolsFieldBuilder().addBuilder(
+          index, org.limpetgate.proto.PoolState.getDefaultInstance());
     }
     /**
-     * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+     * <code>repeated .limpetgate.PoolState pools = 4;</code>
      */
-    public java.util.List<org.limpetgate.proto.PoolDemand.Builder> 
-         getDemandBuilderList() {
-      return internalGetDemandFieldBuilder().getBuilderList();
+    public java.util.List<org.limpetgate.proto.PoolState.Builder> 
+         getPoolsBuilderList() {
+      return internalGetPoolsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.limpetgate.proto.PoolDemand, org.limpetgate.proto.PoolDemand.Builder, org.limpetgate.proto.PoolDemandOrBuilder> 
-        internalGetDemandFieldBuilder() {
-      if (demandBuilder_ == null) {
-        demandBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.limpetgate.proto.PoolDemand, org.limpetgate.proto.PoolDemand.Builder, org.limpetgate.proto.PoolDemandOrBuilder>(
-                demand_,
+        org.limpetgate.proto.PoolState, org.limpetgate.proto.PoolState.Builder, org.limpetgate.proto.PoolStateOrBuilder> 
+        internalGetPoolsFieldBuilder() {
+      if (poolsBuilder_ == null) {
+        poolsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.limpetgate.proto.PoolState, org.limpetgate.proto.PoolState.Builder, org.limpetgate.proto.PoolStateOrBuilder>(
+                pools_,
                 ((bitField0_ & 0x00000008) != 0),
                 getParentForChildren(),
                 isClean());
-        demand_ = null;
+        pools_ = null;
       }
-      return demandBuilder_;
+      return poolsBuilder_;
     }
 
     private long sentAtNanos_ ;
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/DataCentreDigestOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/DataCentreDigestOrBuilder.java
@@ -35,27 +35,27 @@
   long getLowestConfigurationVersion();
 
   /**
-   * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+   * <code>repeated .limpetgate.PoolState pools = 4;</code>
    */
-  java.util.List<org.limpetgate.proto.PoolDemand> 
-      getDemandList();
+  java.util.List<org.limpetgate.proto.PoolState> 
+      getPoolsList();
   /**
-   * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+   * <code>repeated .limpetgate.PoolState pools = 4;</code>
    */
-  org.limpetgate.proto.PoolDemand getDemand(int index);
+  org.limpetgate.proto.PoolState getPools(int index);
   /**
-   * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+   * <code>repeated .limpetgate.PoolState pools = 4;</code>
    */
-  int getDemandCount();
+  int getPoolsCount();
   /**
-   * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+   * <code>repeated .limpetgate.PoolState pools = 4;</code>
    */
-  java.util.List<? extends org.limpetgate.proto.PoolDemandOrBuilder> 
-      getDemandOrBuilderList();
+  java.util.List<? extends org.limpetgate.proto.PoolStateOrBuilder> 
+      getPoolsOrBuilderList();
   /**
-   * <code>repeated .limpetgate.PoolDemand demand = 4;</code>
+   * <code>repeated .limpetgate.PoolState pools = 4;</code>
    */
-  org.limpetgate.proto.PoolDemandOrBuilder getDemandOrBuilder(
+  org.limpetgate.proto.PoolStateOrBuilder getPoolsOrBuilder(
       int index);
 
   /**
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/ForwardTask.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/ForwardTask.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A single request that is served in another data centre, for at most one hop.
+ * A task that is run in another data centre, for at most one hop.
  * </pre>
  *
  * Protobuf type {@code limpetgate.ForwardTask}
@@ -36,6 +36,8 @@
     method_ = "";
     target_ = "";
     body_ = com.google.protobuf.ByteString.EMPTY;
+    route_ = "";
+    pool_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -286,6 +288,128 @@
     return deadlineNanos_;
   }
 
+  public static final int ROUTE_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object route_ = "";
+  /**
+   * <code>string route = 7;</code>
+   * @return The route.
+   */
+  @java.lang.Override
+  public java.lang.String getRoute() {
+    java.lang.Object ref = route_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      route_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string route = 7;</code>
+   * @return The bytes for route.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRouteBytes() {
+    java.lang.Object ref = route_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      route_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int POOL_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object pool_ = "";
+  /**
+   * <code>string pool = 8;</code>
+   * @return The pool.
+   */
+  @java.lang.Override
+  public java.lang.String getPool() {
+    java.lang.Object ref = pool_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      pool_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string pool = 8;</code>
+   * @return The bytes for pool.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getPoolBytes() {
+    java.lang.Object ref = pool_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      pool_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int IDEMPOTENT_FIELD_NUMBER = 9;
+  private boolean idempotent_ = false;
+  /**
+   * <code>bool idempotent = 9;</code>
+   * @return The idempotent.
+   */
+  @java.lang.Override
+  public boolean getIdempotent() {
+    return idempotent_;
+  }
+
+  public static final int CORES_FIELD_NUMBER = 10;
+  private double cores_ = 0D;
+  /**
+   * <code>double cores = 10;</code>
+   * @return The cores.
+   */
+  @java.lang.Override
+  public double getCores() {
+    return cores_;
+  }
+
+  public static final int MEMORY_MB_FIELD_NUMBER = 11;
+  private long memoryMb_ = 0L;
+  /**
+   * <code>uint64 memory_mb = 11;</code>
+   * @return The memoryMb.
+   */
+  @java.lang.Override
+  public long getMemoryMb() {
+    return memoryMb_;
+  }
+
+  public static final int ACCELERATORS_FIELD_NUMBER = 12;
+  private int accelerators_ = 0;
+  /**
+   * <code>uint32 accelerators = 12;</code>
+   * @return The accelerators.
+   */
+  @java.lang.Override
+  public int getAccelerators() {
+    return accelerators_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -321,6 +445,24 @@
     if (deadlineNanos_ != 0L) {
       output.writeFixed64(6, deadlineNanos_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(route_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, route_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pool_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, pool_);
+    }
+    if (idempotent_ != false) {
+      output.writeBool(9, idempotent_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(cores_) != 0) {
+      output.writeDouble(10, cores_);
+    }
+    if (memoryMb_ != 0L) {
+      output.writeUInt64(11, memoryMb_);
+    }
+    if (accelerators_ != 0) {
+      output.writeUInt32(12, accelerators_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -352,6 +494,28 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(6, deadlineNanos_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(route_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, route_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pool_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(8, pool_);
+    }
+    if (idempotent_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, idempotent_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(cores_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(10, cores_);
+    }
+    if (memoryMb_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(11, memoryMb_);
+    }
+    if (accelerators_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(12, accelerators_);
+    }
     return size;
   }
   @java.lang.Override
@@ -388,6 +552,19 @@
         .equals(other.getBody())) return false;
     if (getDeadlineNanos()
         != other.getDeadlineNanos()) return false;
+    if (!getRoute()
+        .equals(other.getRoute())) return false;
+    if (!getPool()
+        .equals(other.getPool())) return false;
+    if (getIdempotent()
+        != other.getIdempotent()) return false;
+    if (java.lang.Double.doubleToLongBits(getCores())
+        != java.lang.Double.doubleToLongBits(
+            other.getCores())) return false;
+    if (getMemoryMb()
+        != other.getMemoryMb()) return false;
+    if (getAccelerators()
+        != other.getAccelerators()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -414,6 +591,21 @@
     hash = (37 * hash) + DEADLINE_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getDeadlineNanos());
+    hash = (37 * hash) + ROUTE_FIELD_NUMBER;
+    hash = (53 * hash) + getRoute().hashCode();
+    hash = (37 * hash) + POOL_FIELD_NUMBER;
+    hash = (53 * hash) + getPool().hashCode();
+    hash = (37 * hash) + IDEMPOTENT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getIdempotent());
+    hash = (37 * hash) + CORES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getCores()));
+    hash = (37 * hash) + MEMORY_MB_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getMemoryMb());
+    hash = (37 * hash) + ACCELERATORS_FIELD_NUMBER;
+    hash = (53 * hash) + getAccelerators();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -513,7 +705,7 @@
   }
   /**
    * <pre>
-   * A single request that is served in another data centre, for at most one hop.
+   * A task that is run in another data centre, for at most one hop.
    * </pre>
    *
    * Protobuf type {@code limpetgate.ForwardTask}
@@ -577,6 +769,12 @@
       internalGetMutableHeaders().clear();
       body_ = com.google.protobuf.ByteString.EMPTY;
       deadlineNanos_ = 0L;
+      route_ = "";
+      pool_ = "";
+      idempotent_ = false;
+      cores_ = 0D;
+      memoryMb_ = 0L;
+      accelerators_ = 0;
       return this;
     }
 
@@ -629,6 +827,24 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.deadlineNanos_ = deadlineNanos_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.route_ = route_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.pool_ = pool_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.idempotent_ = idempotent_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.cores_ = cores_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.memoryMb_ = memoryMb_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.accelerators_ = accelerators_;
+      }
     }
 
     @java.lang.Override
@@ -667,6 +883,28 @@
       if (other.getDeadlineNanos() != 0L) {
         setDeadlineNanos(other.getDeadlineNanos());
       }
+      if (!other.getRoute().isEmpty()) {
+        route_ = other.route_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      if (!other.getPool().isEmpty()) {
+        pool_ = other.pool_;
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      if (other.getIdempotent() != false) {
+        setIdempotent(other.getIdempotent());
+      }
+      if (java.lang.Double.doubleToRawLongBits(other.getCores()) != 0) {
+        setCores(other.getCores());
+      }
+      if (other.getMemoryMb() != 0L) {
+        setMemoryMb(other.getMemoryMb());
+      }
+      if (other.getAccelerators() != 0) {
+        setAccelerators(other.getAccelerators());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -725,6 +963,36 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 49
+            case 58: {
+              route_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
+            case 66: {
+              pool_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
+            case 72: {
+              idempotent_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 81: {
+              cores_ = input.readDouble();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 81
+            case 88: {
+              memoryMb_ = input.readUInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              accelerators_ = input.readUInt32();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1149,6 +1417,278 @@
       return this;
     }
 
+    private java.lang.Object route_ = "";
+    /**
+     * <code>string route = 7;</code>
+     * @return The route.
+     */
+    public java.lang.String getRoute() {
+      java.lang.Object ref = route_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        route_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string route = 7;</code>
+     * @return The bytes for route.
+     */
+    public com.google.protobuf.ByteString
+        getRouteBytes() {
+      java.lang.Object ref = route_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        route_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string route = 7;</code>
+     * @param value The route to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRoute(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      route_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string route = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRoute() {
+      route_ = getDefaultInstance().getRoute();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string route = 7;</code>
+     * @param value The bytes for route to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRouteBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      route_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object pool_ = "";
+    /**
+     * <code>string pool = 8;</code>
+     * @return The pool.
+     */
+    public java.lang.String getPool() {
+      java.lang.Object ref = pool_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        pool_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string pool = 8;</code>
+     * @return The bytes for pool.
+     */
+    public com.google.protobuf.ByteString
+        getPoolBytes() {
+      java.lang.Object ref = pool_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        pool_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string pool = 8;</code>
+     * @param value The pool to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPool(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      pool_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string pool = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPool() {
+      pool_ = getDefaultInstance().getPool();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string pool = 8;</code>
+     * @param value The bytes for pool to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPoolBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      pool_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
+    private boolean idempotent_ ;
+    /**
+     * <code>bool idempotent = 9;</code>
+     * @return The idempotent.
+     */
+    @java.lang.Override
+    public boolean getIdempotent() {
+      return idempotent_;
+    }
+    /**
+     * <code>bool idempotent = 9;</code>
+     * @param value The idempotent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIdempotent(boolean value) {
+
+      idempotent_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool idempotent = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIdempotent() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      idempotent_ = false;
+      onChanged();
+      return this;
+    }
+
+    private double cores_ ;
+    /**
+     * <code>double cores = 10;</code>
+     * @return The cores.
+     */
+    @java.lang.Override
+    public double getCores() {
+      return cores_;
+    }
+    /**
+     * <code>double cores = 10;</code>
+     * @param value The cores to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCores(double value) {
+
+      cores_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>double cores = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCores() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      cores_ = 0D;
+      onChanged();
+      return this;
+    }
+
+    private long memoryMb_ ;
+    /**
+     * <code>uint64 memory_mb = 11;</code>
+     * @return The memoryMb.
+     */
+    @java.lang.Override
+    public long getMemoryMb() {
+      return memoryMb_;
+    }
+    /**
+     * <code>uint64 memory_mb = 11;</code>
+     * @param value The memoryMb to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMemoryMb(long value) {
+
+      memoryMb_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 memory_mb = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMemoryMb() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      memoryMb_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int accelerators_ ;
+    /**
+     * <code>uint32 accelerators = 12;</code>
+     * @return The accelerators.
+     */
+    @java.lang.Override
+    public int getAccelerators() {
+      return accelerators_;
+    }
+    /**
+     * <code>uint32 accelerators = 12;</code>
+     * @param value The accelerators to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccelerators(int value) {
+
+      accelerators_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint32 accelerators = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccelerators() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      accelerators_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.ForwardTask)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/ForwardTaskOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/ForwardTaskOrBuilder.java
@@ -91,4 +91,52 @@
    * @return The deadlineNanos.
    */
   long getDeadlineNanos();
+
+  /**
+   * <code>string route = 7;</code>
+   * @return The route.
+   */
+  java.lang.String getRoute();
+  /**
+   * <code>string route = 7;</code>
+   * @return The bytes for route.
+   */
+  com.google.protobuf.ByteString
+      getRouteBytes();
+
+  /**
+   * <code>string pool = 8;</code>
+   * @return The pool.
+   */
+  java.lang.String getPool();
+  /**
+   * <code>string pool = 8;</code>
+   * @return The bytes for pool.
+   */
+  com.google.protobuf.ByteString
+      getPoolBytes();
+
+  /**
+   * <code>bool idempotent = 9;</code>
+   * @return The idempotent.
+   */
+  boolean getIdempotent();
+
+  /**
+   * <code>double cores = 10;</code>
+   * @return The cores.
+   */
+  double getCores();
+
+  /**
+   * <code>uint64 memory_mb = 11;</code>
+   * @return The memoryMb.
+   */
+  long getMemoryMb();
+
+  /**
+   * <code>uint32 accelerators = 12;</code>
+   * @return The accelerators.
+   */
+  int getAccelerators();
 }
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -121,6 +121,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_limpetgate_DataCentreDigest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetgate_PoolState_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_limpetgate_PoolState_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_limpetgate_DigestMember_descriptor;
   static final 
@@ -212,48 +217,52 @@
       "(\t\022\014\n\004hops\030\003 \001(\r\"o\n\017SubmissionReply\022\023\n\013h" +
       "ttp_status\030\001 \001(\r\022\017\n\007outcome\030\002 \001(\t\022\r\n\005err" +
       "or\030\003 \001(\t\022\031\n\021retry_after_nanos\030\004 \001(\004\022\014\n\004b" +
-      "ody\030\005 \001(\014\"\312\001\n\013ForwardTask\022\016\n\006caller\030\001 \001(" +
+      "ody\030\005 \001(\014\"\263\002\n\013ForwardTask\022\016\n\006caller\030\001 \001(" +
       "\t\022\016\n\006method\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\0225\n\007hea" +
       "ders\030\004 \003(\0132$.limpetgate.ForwardTask.Head" +
       "ersEntry\022\014\n\004body\030\005 \001(\014\022\026\n\016deadline_nanos" +
-      "\030\006 \001(\006\032.\n\014HeadersEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005v" +
-      "alue\030\002 \001(\t:\0028\001\"\316\001\n\tTaskReply\022\023\n\013http_sta" +
-      "tus\030\001 \001(\r\0223\n\007headers\030\002 \003(\0132\".limpetgate." +
-      "TaskReply.HeadersEntry\022\014\n\004body\030\003 \001(\014\022\017\n\007" +
-      "outcome\030\004 \001(\t\022\r\n\005error\030\005 \001(\t\022\031\n\021retry_af" +
-      "ter_nanos\030\006 \001(\004\032.\n\014HeadersEntry\022\013\n\003key\030\001" +
-      " \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"*\n\024Configuration" +
-      "Request\022\022\n\nnewer_than\030\001 \001(\003\"I\n\022Configura" +
-      "tionOffer\0223\n\010snapshot\030\001 \001(\0132!.limpetgate" +
-      ".ConfigurationSnapshot\"8\n\007Digests\022-\n\007dig" +
-      "ests\030\001 \003(\0132\034.limpetgate.DataCentreDigest" +
-      "\"\313\001\n\020DataCentreDigest\022\023\n\013data_centre\030\001 \001" +
-      "(\t\022\022\n\nlive_hosts\030\002 \001(\r\022$\n\034lowest_configu" +
-      "ration_version\030\003 \001(\003\022&\n\006demand\030\004 \003(\0132\026.l" +
-      "impetgate.PoolDemand\022\025\n\rsent_at_nanos\030\005 " +
-      "\001(\006\022)\n\007members\030\006 \003(\0132\030.limpetgate.Digest" +
-      "Member\"]\n\014DigestMember\022.\n\013incarnation\030\001 " +
-      "\001(\0132\031.limpetgate.IncarnationId\022\017\n\007addres" +
-      "s\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\"Z\n\nClaimBatch\022)\n\006h" +
-      "older\030\001 \001(\0132\031.limpetgate.IncarnationId\022!" +
-      "\n\006claims\030\002 \003(\0132\021.limpetgate.Claim\"X\n\005Cla" +
-      "im\022\020\n\010key_hash\030\001 \001(\014\022\023\n\013fingerprint\030\002 \001(" +
-      "\006\022\024\n\014expiry_nanos\030\003 \001(\006\022\022\n\ngeneration\030\004 " +
-      "\001(\r\"x\n\023ConfigurationRecord\022 \n\004edit\030\001 \001(\013" +
-      "2\020.limpetgate.EditH\000\0225\n\010snapshot\030\002 \001(\0132!" +
-      ".limpetgate.ConfigurationSnapshotH\000B\010\n\006r" +
-      "ecord\"\202\001\n\004Edit\022\017\n\007edit_id\030\001 \001(\t\022\020\n\010opera" +
-      "tor\030\002 \001(\t\022\027\n\017issued_at_nanos\030\003 \001(\006\022\r\n\005ta" +
-      "ble\030\004 \001(\t\022\014\n\004name\030\005 \001(\t\022\024\n\014base_version\030" +
-      "\006 \001(\003\022\013\n\003row\030\007 \001(\014\"x\n\025ConfigurationSnaps" +
-      "hot\022\017\n\007version\030\001 \001(\003\022&\n\004rows\030\002 \003(\0132\030.lim" +
-      "petgate.VersionedRow\022&\n\006recent\030\003 \003(\0132\026.l" +
-      "impetgate.EditResult\"I\n\014VersionedRow\022\r\n\005" +
-      "table\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017\n\007version\030\003 \001" +
-      "(\003\022\013\n\003row\030\004 \001(\014\"L\n\nEditResult\022\017\n\007edit_id" +
-      "\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\r\n\005error\030\003 \001(\t\022\016\n" +
-      "\006detail\030\004 \001(\tB\030\n\024org.limpetgate.protoP\001b" +
-      "\006proto3"
+      "\030\006 \001(\006\022\r\n\005route\030\007 \001(\t\022\014\n\004pool\030\010 \001(\t\022\022\n\ni" +
+      "dempotent\030\t \001(\010\022\r\n\005cores\030\n \001(\001\022\021\n\tmemory" +
+      "_mb\030\013 \001(\004\022\024\n\014accelerators\030\014 \001(\r\032.\n\014Heade" +
+      "rsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"" +
+      "\316\001\n\tTaskReply\022\023\n\013http_status\030\001 \001(\r\0223\n\007he" +
+      "aders\030\002 \003(\0132\".limpetgate.TaskReply.Heade" +
+      "rsEntry\022\014\n\004body\030\003 \001(\014\022\017\n\007outcome\030\004 \001(\t\022\r" +
+      "\n\005error\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006 \001(\004" +
+      "\032.\n\014HeadersEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002" +
+      " \001(\t:\0028\001\"*\n\024ConfigurationRequest\022\022\n\nnewe" +
+      "r_than\030\001 \001(\003\"I\n\022ConfigurationOffer\0223\n\010sn" +
+      "apshot\030\001 \001(\0132!.limpetgate.ConfigurationS" +
+      "napshot\"8\n\007Digests\022-\n\007digests\030\001 \003(\0132\034.li" +
+      "mpetgate.DataCentreDigest\"\311\001\n\020DataCentre" +
+      "Digest\022\023\n\013data_centre\030\001 \001(\t\022\022\n\nlive_host" +
+      "s\030\002 \001(\r\022$\n\034lowest_configuration_version\030" +
+      "\003 \001(\003\022$\n\005pools\030\004 \003(\0132\025.limpetgate.PoolSt" +
+      "ate\022\025\n\rsent_at_nanos\030\005 \001(\006\022)\n\007members\030\006 " +
+      "\003(\0132\030.limpetgate.DigestMember\"G\n\tPoolSta" +
+      "te\022\014\n\004pool\030\001 \001(\t\022\022\n\nwait_nanos\030\002 \001(\004\022\030\n\020" +
+      "tasks_per_second\030\003 \001(\002\"]\n\014DigestMember\022." +
+      "\n\013incarnation\030\001 \001(\0132\031.limpetgate.Incarna" +
+      "tionId\022\017\n\007address\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\"Z\n" +
+      "\nClaimBatch\022)\n\006holder\030\001 \001(\0132\031.limpetgate" +
+      ".IncarnationId\022!\n\006claims\030\002 \003(\0132\021.limpetg" +
+      "ate.Claim\"X\n\005Claim\022\020\n\010key_hash\030\001 \001(\014\022\023\n\013" +
+      "fingerprint\030\002 \001(\006\022\024\n\014expiry_nanos\030\003 \001(\006\022" +
+      "\022\n\ngeneration\030\004 \001(\r\"x\n\023ConfigurationReco" +
+      "rd\022 \n\004edit\030\001 \001(\0132\020.limpetgate.EditH\000\0225\n\010" +
+      "snapshot\030\002 \001(\0132!.limpetgate.Configuratio" +
+      "nSnapshotH\000B\010\n\006record\"\202\001\n\004Edit\022\017\n\007edit_i" +
+      "d\030\001 \001(\t\022\020\n\010operator\030\002 \001(\t\022\027\n\017issued_at_n" +
+      "anos\030\003 \001(\006\022\r\n\005table\030\004 \001(\t\022\014\n\004name\030\005 \001(\t\022" +
+      "\024\n\014base_version\030\006 \001(\003\022\013\n\003row\030\007 \001(\014\"x\n\025Co" +
+      "nfigurationSnapshot\022\017\n\007version\030\001 \001(\003\022&\n\004" +
+      "rows\030\002 \003(\0132\030.limpetgate.VersionedRow\022&\n\006" +
+      "recent\030\003 \003(\0132\026.limpetgate.EditResult\"I\n\014" +
+      "VersionedRow\022\r\n\005table\030\001 \001(\t\022\014\n\004name\030\002 \001(" +
+      "\t\022\017\n\007version\030\003 \001(\003\022\013\n\003row\030\004 \001(\014\"L\n\nEditR" +
+      "esult\022\017\n\007edit_id\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\r" +
+      "\n\005error\030\003 \001(\t\022\016\n\006detail\030\004 \001(\tB\030\n\024org.lim" +
+      "petgate.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -330,7 +339,7 @@
     internal_static_limpetgate_ForwardTask_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_ForwardTask_descriptor,
-        new java.lang.String[] { "Caller", "Method", "Target", "Headers", "Body", "DeadlineNanos", });
+        new java.lang.String[] { "Caller", "Method", "Target", "Headers", "Body", "DeadlineNanos", "Route", "Pool", "Idempotent", "Cores", "MemoryMb", "Accelerators", });
     internal_static_limpetgate_ForwardTask_HeadersEntry_descriptor =
       internal_static_limpetgate_ForwardTask_descriptor.getNestedType(0);
     internal_static_limpetgate_ForwardTask_HeadersEntry_fieldAccessorTable = new
@@ -372,51 +381,57 @@
     internal_static_limpetgate_DataCentreDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_DataCentreDigest_descriptor,
-        new java.lang.String[] { "DataCentre", "LiveHosts", "LowestConfigurationVersion", "Demand", "SentAtNanos", "Members", });
-    internal_static_limpetgate_DigestMember_descriptor =
+        new java.lang.String[] { "DataCentre", "LiveHosts", "LowestConfigurationVersion", "Pools", "SentAtNanos", "Members", });
+    internal_static_limpetgate_PoolState_descriptor =
       getDescriptor().getMessageType(17);
+    internal_static_limpetgate_PoolState_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_limpetgate_PoolState_descriptor,
+        new java.lang.String[] { "Pool", "WaitNanos", "TasksPerSecond", });
+    internal_static_limpetgate_DigestMember_descriptor =
+      getDescriptor().getMessageType(18);
     internal_static_limpetgate_DigestMember_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_DigestMember_descriptor,
         new java.lang.String[] { "Incarnation", "Address", "Port", });
     internal_static_limpetgate_ClaimBatch_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_limpetgate_ClaimBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_ClaimBatch_descriptor,
         new java.lang.String[] { "Holder", "Claims", });
     internal_static_limpetgate_Claim_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_limpetgate_Claim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_Claim_descriptor,
         new java.lang.String[] { "KeyHash", "Fingerprint", "ExpiryNanos", "Generation", });
     internal_static_limpetgate_ConfigurationRecord_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_limpetgate_ConfigurationRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_ConfigurationRecord_descriptor,
         new java.lang.String[] { "Edit", "Snapshot", "Record", });
     internal_static_limpetgate_Edit_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_limpetgate_Edit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_Edit_descriptor,
         new java.lang.String[] { "EditId", "Operator", "IssuedAtNanos", "Table", "Name", "BaseVersion", "Row", });
     internal_static_limpetgate_ConfigurationSnapshot_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_limpetgate_ConfigurationSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_ConfigurationSnapshot_descriptor,
         new java.lang.String[] { "Version", "Rows", "Recent", });
     internal_static_limpetgate_VersionedRow_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_limpetgate_VersionedRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_VersionedRow_descriptor,
         new java.lang.String[] { "Table", "Name", "Version", "Row", });
     internal_static_limpetgate_EditResult_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_limpetgate_EditResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_EditResult_descriptor,
--- a/limpetgate-proto/src/main/java/org/limpetgate/wire/MembershipCodec.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/wire/MembershipCodec.java
@@ -18,6 +18,7 @@
 import org.limpetgate.proto.IncarnationId;
 import org.limpetgate.proto.PeerSeen;
 import org.limpetgate.proto.PoolDemand;
+import org.limpetgate.proto.PoolState;
 
 /**
  * Converts heartbeats and digests.
@@ -108,7 +109,12 @@
 			.setSentAtNanos(digest.sentNanos())
 			.setLiveHosts(digest.members().size())
 			.setLowestConfigurationVersion(digest.lowestVersion());
-		digest.demand().forEach((pool, demand) -> message.addDemand(toMessage(pool, demand)));
+		digest.pools()
+			.forEach((pool,
+					state) -> message.addPools(PoolState.newBuilder()
+						.setPool(pool.value())
+						.setWaitNanos(state.waitNanos())
+						.setTasksPerSecond((float) state.tasksPerSecond())));
 		digest.members()
 			.forEach((incarnation,
 					address) -> message.addMembers(DigestMember.newBuilder()
@@ -136,7 +142,14 @@
 					new MemberAddress(incarnation.host(), dataCentre, member.getAddress(), member.getPort()));
 		}
 		return new DataCentreDigest(dataCentre, message.getSentAtNanos(), message.getLowestConfigurationVersion(),
-				toDemand(message.getDemandList()), members);
+				toPools(message.getPoolsList()), members);
+	}
+
+	private static Map<PoolName, DataCentreDigest.PoolState> toPools(List<PoolState> messages) {
+		Map<PoolName, DataCentreDigest.PoolState> pools = new HashMap<>();
+		messages.forEach((entry) -> pools.put(PoolName.of(entry.getPool()),
+				new DataCentreDigest.PoolState(entry.getWaitNanos(), entry.getTasksPerSecond())));
+		return pools;
 	}
 
 	private static PoolDemand toMessage(PoolName pool, PeerLoad.Demand demand) {
--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
@@ -221,6 +221,27 @@
 		}
 	}
 
+	/**
+	 * Guards against a data centre without upstreams of a pool that refuses what another
+	 * one can do, and against a second hop.
+	 */
+	@Example
+	void workForAPoolElsewhereIsForwarded() throws Exception {
+		try (TestCluster cluster = new TestCluster()) {
+			assertThat(cluster.put("a1", "pools", poolOfTwo(cluster), "--base=0")).isZero();
+			cluster.awaitVersion(TestCluster.HOSTS, 2);
+			TestCluster.await("forwarded request", () -> {
+				sendMany(cluster, "a1");
+				sendMany(cluster, "a2");
+				HttpResponse<String> answer = cluster.host("b1").send("POST", "/checks/x", "x").join();
+				return answer.headers().firstValue("limpetgate-outcome").orElse("").equals("complete");
+			});
+			String key = TestCluster.keyAt("b", "elsewhere");
+			assertOutcome(cluster.submit("b2", TestCluster.job(key, 10, "")).join(), "complete");
+			assertThat(cluster.starts.starts(key)).isEqualTo(1);
+		}
+	}
+
 	/**
 	 * Guards against new work for an upstream after all hosts know that it is leaving,
 	 * and against a request that is lost at it.
