Bound the rate of reads that bring nothing

Cause: with several addresses of the log, a replica may lag behind the end that another one reported. Reads that need not wait were then repeated without any pause.

Change: a read that brings no record is followed by the next one after 100 ms at the earliest. A test with such a replica sees 50 to 110 reads in 10 s.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
@@ -138,14 +138,13 @@
 	private void read() {
 		long number = ++this.readNumber;
 		long from = this.table.nextOffset();
-		// Only at the end of the stream is there anything to wait for. Before, an answer
-		// is
-		// needed at once, as it tells where the end is.
+		// There is nothing to wait for before the end, which the answer tells.
 		Duration maxWait = this.atEnd ? MAX_WAIT : Duration.ZERO;
 		Duration timeout = maxWait.plus(READ_SLACK);
+		long earliestNext = this.control.nowNanos() + MIN_BACKOFF_NANOS;
 		this.control.schedule(timeout.toNanos(), () -> readTimedOut(number, timeout));
 		this.control.whenEnded(this.service.read(ConfigurationService.STREAM, from, MAX_RECORDS, maxWait),
-				(batch, failure) -> readEnded(number, from, batch, failure));
+				(batch, failure) -> readEnded(number, from, earliestNext, batch, failure));
 	}
 
 	private void readTimedOut(long number, Duration timeout) {
@@ -155,10 +154,8 @@
 		}
 	}
 
-	// Late answers are taken as well: a log whose answers all take longer than the
-	// timeout
-	// must not stop the fold.
-	private void readEnded(long number, long from, LogBatch batch, Throwable failure) {
+	// Late answers are taken as well: a slow log must not stop the fold.
+	private void readEnded(long number, long from, long earliestNextNanos, LogBatch batch, Throwable failure) {
 		if (failure == null) {
 			this.failingSinceNanos = NEVER;
 			this.backoffNanos = MIN_BACKOFF_NANOS;
@@ -169,7 +166,7 @@
 			return;
 		}
 		if (failure == null) {
-			read();
+			readOn(from, earliestNextNanos);
 			return;
 		}
 		failed(failure.getMessage());
@@ -178,6 +175,19 @@
 		this.backoffNanos = Math.min(2 * this.backoffNanos, MAX_BACKOFF_NANOS);
 	}
 
+	// A log that answers at once without records, such as a replica that lags behind the
+	// end known from another one, must not be asked in a tight loop.
+	private void readOn(long from, long earliestNextNanos) {
+		long pauseNanos = earliestNextNanos - this.control.nowNanos();
+		boolean progress = this.table.nextOffset() != from;
+		if (progress || pauseNanos <= 0) {
+			read();
+			return;
+		}
+		this.readNumber++;
+		this.control.schedule(pauseNanos, this::read);
+	}
+
 	private void failed(String reason) {
 		this.atEnd = false;
 		if (this.failingSinceNanos == NEVER) {
--- a/limpetgate-host/src/test/java/org/limpetgate/host/configuration/ConfigurationServiceTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/configuration/ConfigurationServiceTests.java
@@ -3,19 +3,24 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import net.jqwik.api.Example;
 import org.limpetgate.DispatchException;
 import org.limpetgate.ErrorKind;
+import org.limpetgate.HostId;
 import org.limpetgate.Outcome;
 import org.limpetgate.config.Configuration;
 import org.limpetgate.config.ConfigurationSnapshot;
 import org.limpetgate.config.Edit;
 import org.limpetgate.config.EditResult;
 import org.limpetgate.config.TableName;
+import org.limpetgate.platform.LogBatch;
+import org.limpetgate.platform.LogService;
 import org.limpetgate.wire.ConfigurationCodec;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -246,6 +251,36 @@
 		assertThat(accepted(2, newPool("q")).isAccepted()).isTrue();
 	}
 
+	/**
+	 * Guards against a host that asks a log without end which answers at once, such as a
+	 * replica that lags behind the end that another one reported.
+	 */
+	@Example
+	void asksALaggingReplicaAtABoundedRate() {
+		VirtualTime time = new VirtualTime();
+		AtomicInteger reads = new AtomicInteger();
+		LogService lagging = new LogService() {
+
+			@Override
+			public CompletableFuture<Long> append(String stream, List<byte[]> records) {
+				return new CompletableFuture<>();
+			}
+
+			@Override
+			public CompletableFuture<LogBatch> read(String stream, long from, int maxRecords, Duration maxWait) {
+				reads.incrementAndGet();
+				return CompletableFuture.completedFuture(new LogBatch(List.of(), 0, 5));
+			}
+
+		};
+		ConfigurationService service = new ConfigurationService(HostId.of("h"), lagging, PeerConfigurations.NONE, time,
+				time, new Random(1), INTERVAL);
+		service.start();
+		time.runFor(Duration.ofSeconds(10));
+		assertThat(reads.get()).isBetween(50, 110);
+		assertThat(service.isReady()).isFalse();
+	}
+
 	/**
 	 * Guards against edits folded onto a state that lacks trimmed records, when neither a
 	 * snapshot nor a peer covers them.
