Wake all requests that wait for a worker stand-in's tasks

A run with 2,000 concurrent tasks and breaking connections showed answers that came only after the whole wait of 20 s, in most runs on a busy machine. The endpoint completed waiting requests at a later time than the one at which it looked for ended tasks; a task that ended in between was neither reported nor due for a wake-up. It now uses one time for both.

Adds that run as a contract test: answers stay with their requests and outcomes are true. The platform client also fails requests at once when its event loops have ended, since Netty then notifies nobody.

--- a/limpetgate-net/src/main/java/org/limpetgate/net/platform/PlatformHttp.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/platform/PlatformHttp.java
@@ -116,7 +116,9 @@
 		Exchange exchange = new Exchange(address, call);
 		Channel idle;
 		synchronized (this.connections) {
-			if (this.closed) {
+			// Netty notifies nobody of a failed connection once its event loops have
+			// ended.
+			if (this.closed || this.group.isShuttingDown()) {
 				exchange.fail("the client is closed");
 				return exchange.reply;
 			}
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/WorkerEndpoint.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/WorkerEndpoint.java
@@ -157,7 +157,8 @@
 		this.waiting.add(request);
 		ScheduledFuture<?> timer = this.loop.schedule(() -> {
 			this.waiting.remove(request);
-			complete(request);
+			complete(request, this.clock.getAsLong());
+			changed();
 		}, waitMillis, TimeUnit.MILLISECONDS);
 		answer.whenComplete((value, error) -> timer.cancel(false));
 		return answer;
@@ -175,13 +176,16 @@
 				ended.add(request);
 			}
 		}
-		ended.forEach(this::complete);
+		// At a later time more tasks could end here, whose waiting requests were passed
+		// over
+		// above.
+		ended.forEach((request) -> complete(request, now));
 		schedule(now);
 	}
 
-	private void complete(Waiting request) {
+	private void complete(Waiting request, long now) {
 		try {
-			request.answer.complete(answer(this.leases.status(request.lease, this.clock.getAsLong())));
+			request.answer.complete(answer(this.leases.status(request.lease, now)));
 		}
 		catch (RuntimeException ex) {
 			request.answer.complete(StandInAnswer.error(ex));
--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/LogServiceContractTests.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/LogServiceContractTests.java
@@ -147,6 +147,8 @@
 		LogService gone = client(LONG_WAIT);
 		this.platform.close();
 		assertThat(Futures.error(gone.append(STREAM, payloads("c"))).outcome()).isEqualTo(Outcome.NOT_RUN);
+		close();
+		assertThat(Futures.error(gone.append(STREAM, payloads("c"))).outcome()).isEqualTo(Outcome.NOT_RUN);
 	}
 
 	/**
--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/WorkerServiceContractTests.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/WorkerServiceContractTests.java
@@ -3,7 +3,10 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -39,6 +42,9 @@
 
 	private static final Duration LONG = Duration.ofSeconds(20);
 
+	/** Longer than the limit of {@link Futures}, so that a missed end fails the test. */
+	private static final Duration HANGING = Duration.ofMinutes(2);
+
 	private static final Duration MOMENT = Duration.ofMillis(1);
 
 	private static final Resources CORE = new Resources(1, 100, 0);
@@ -65,6 +71,9 @@
 
 	private final WorkerService service = client(LONG);
 
+	private final WorkerService narrow = HttpWorkerService.of(this.group, (id) -> this.address,
+			PlatformClientSettings.DEFAULT.withMaxConnections(20));
+
 	private final Incarnation holder = Incarnation.of(HostId.of("e1/a:b"), 7);
 
 	private long attempts;
@@ -232,6 +241,47 @@
 		assertThat(this.starts.starts("a")).isEqualTo(1);
 	}
 
+	/**
+	 * Guards against answers that reach the wrong request, and against untrue outcomes,
+	 * when many requests share few connections that keep breaking.
+	 */
+	@Example
+	void concurrentRequestsKeepTheirAnswersAndOutcomes() {
+		Random random = new Random(21);
+		List<UpstreamFaults.Fault> faults = List.of(UpstreamFaults.Fault.CLOSE, UpstreamFaults.Fault.TRUNCATE,
+				UpstreamFaults.Fault.LATE, UpstreamFaults.Fault.FAIL);
+		Map<LeaseId, WorkerTask> tasks = new LinkedHashMap<>();
+		Map<LeaseId, CompletableFuture<LeaseStatus>> results = new LinkedHashMap<>();
+		for (int i = 0; i < 2_000; i++) {
+			if (i % 50 == 0) {
+				Futures.get(CompletableFuture.allOf(results.values().toArray(CompletableFuture[]::new))
+					.handle((done, error) -> true));
+				UpstreamFaults.Fault fault = faults.get(random.nextInt(faults.size()));
+				this.worker.setFaults(UpstreamFaults.always(fault).withShare(0.3).withDelayMillis(5));
+			}
+			LeaseId lease = lease();
+			tasks.put(lease, task(lease.toString(), random.nextInt(5)));
+			results.put(lease, this.narrow.run(lease, WORKER, tasks.get(lease), HANGING, HANGING));
+		}
+		results.forEach((lease, result) -> assertTrue(lease, tasks.get(lease), result));
+		assertThat(this.starts.startedTwice()).isEmpty();
+		assertThat(Futures.get(this.service.usage(WORKER)).running()).isZero();
+	}
+
+	private void assertTrue(LeaseId lease, WorkerTask task, CompletableFuture<LeaseStatus> result) {
+		DispatchException error = Futures.error(result);
+		int started = this.starts.starts(lease.toString());
+		if (error == null) {
+			LeaseStatus status = Futures.get(result);
+			assertThat(started).isEqualTo(1);
+			assertThat(status.answer()).isEqualTo((status.state() == LeaseState.COMPLETE) ? task.body() : new byte[0]);
+			return;
+		}
+		LeaseState stopped = Futures.get(this.service.stop(lease, WORKER)).state();
+		assertThat(stopped == LeaseState.TOMBSTONE).isEqualTo(started == 0);
+		assertThat(error.outcome() == Outcome.NOT_RUN && started > 0).isFalse();
+	}
+
 	private WorkerStandIn start(WorkerSettings settings) {
 		return WorkerStandIn.start(this.group, settings, this.starts);
 	}
