--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -136,11 +136,6 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_limpetgate_ClaimBatch_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_limpetgate_Claim_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_limpetgate_Claim_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_limpetgate_ConfigurationRecord_descriptor;
   static final 
@@ -243,26 +238,26 @@
       "te\022\014\n\004pool\030\001 \001(\t\022\022\n\nwait_nanos\030\002 \001(\004\022\030\n\020" +
       "tasks_per_second\030\003 \001(\002\"]\n\014DigestMember\022." +
       "\n\013incarnation\030\001 \001(\0132\031.limpetgate.Incarna" +
-      "tionId\022\017\n\007address\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\"Z\n" +
-      "\nClaimBatch\022)\n\006holder\030\001 \001(\0132\031.limpetgate" +
-      ".IncarnationId\022!\n\006claims\030\002 \003(\0132\021.limpetg" +
-      "ate.Claim\"X\n\005Claim\022\020\n\010key_hash\030\001 \001(\014\022\023\n\013" +
-      "fingerprint\030\002 \001(\006\022\024\n\014expiry_nanos\030\003 \001(\006\022" +
-      "\022\n\ngeneration\030\004 \001(\r\"x\n\023ConfigurationReco" +
-      "rd\022 \n\004edit\030\001 \001(\0132\020.limpetgate.EditH\000\0225\n\010" +
-      "snapshot\030\002 \001(\0132!.limpetgate.Configuratio" +
-      "nSnapshotH\000B\010\n\006record\"\202\001\n\004Edit\022\017\n\007edit_i" +
-      "d\030\001 \001(\t\022\020\n\010operator\030\002 \001(\t\022\027\n\017issued_at_n" +
-      "anos\030\003 \001(\006\022\r\n\005table\030\004 \001(\t\022\014\n\004name\030\005 \001(\t\022" +
-      "\024\n\014base_version\030\006 \001(\003\022\013\n\003row\030\007 \001(\014\"x\n\025Co" +
-      "nfigurationSnapshot\022\017\n\007version\030\001 \001(\003\022&\n\004" +
-      "rows\030\002 \003(\0132\030.limpetgate.VersionedRow\022&\n\006" +
-      "recent\030\003 \003(\0132\026.limpetgate.EditResult\"I\n\014" +
-      "VersionedRow\022\r\n\005table\030\001 \001(\t\022\014\n\004name\030\002 \001(" +
-      "\t\022\017\n\007version\030\003 \001(\003\022\013\n\003row\030\004 \001(\014\"L\n\nEditR" +
-      "esult\022\017\n\007edit_id\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\r" +
-      "\n\005error\030\003 \001(\t\022\016\n\006detail\030\004 \001(\tB\030\n\024org.lim" +
-      "petgate.protoP\001b\006proto3"
+      "tionId\022\017\n\007address\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\"\257\001" +
+      "\n\nClaimBatch\022)\n\006holder\030\001 \001(\0132\031.limpetgat" +
+      "e.IncarnationId\022\032\n\022base_expiry_millis\030\003 " +
+      "\001(\004\022\022\n\nkey_hashes\030\004 \001(\014\022\024\n\014fingerprints\030" +
+      "\005 \001(\014\022\025\n\rexpiry_millis\030\006 \003(\004\022\023\n\013generati" +
+      "ons\030\007 \003(\rJ\004\010\002\020\003\"x\n\023ConfigurationRecord\022 " +
+      "\n\004edit\030\001 \001(\0132\020.limpetgate.EditH\000\0225\n\010snap" +
+      "shot\030\002 \001(\0132!.limpetgate.ConfigurationSna" +
+      "pshotH\000B\010\n\006record\"\202\001\n\004Edit\022\017\n\007edit_id\030\001 " +
+      "\001(\t\022\020\n\010operator\030\002 \001(\t\022\027\n\017issued_at_nanos" +
+      "\030\003 \001(\006\022\r\n\005table\030\004 \001(\t\022\014\n\004name\030\005 \001(\t\022\024\n\014b" +
+      "ase_version\030\006 \001(\003\022\013\n\003row\030\007 \001(\014\"x\n\025Config" +
+      "urationSnapshot\022\017\n\007version\030\001 \001(\003\022&\n\004rows" +
+      "\030\002 \003(\0132\030.limpetgate.VersionedRow\022&\n\006rece" +
+      "nt\030\003 \003(\0132\026.limpetgate.EditResult\"I\n\014Vers" +
+      "ionedRow\022\r\n\005table\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017\n" +
+      "\007version\030\003 \001(\003\022\013\n\003row\030\004 \001(\014\"L\n\nEditResul" +
+      "t\022\017\n\007edit_id\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\r\n\005er" +
+      "ror\030\003 \001(\t\022\016\n\006detail\030\004 \001(\tB\030\n\024org.limpetg" +
+      "ate.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -399,39 +394,33 @@
     internal_static_limpetgate_ClaimBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_ClaimBatch_descriptor,
-        new java.lang.String[] { "Holder", "Claims", });
-    internal_static_limpetgate_Claim_descriptor =
-      getDescriptor().getMessageType(20);
-    internal_static_limpetgate_Claim_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_limpetgate_Claim_descriptor,
-        new java.lang.String[] { "KeyHash", "Fingerprint", "ExpiryNanos", "Generation", });
+        new java.lang.String[] { "Holder", "BaseExpiryMillis", "KeyHashes", "Fingerprints", "ExpiryMillis", "Generations", });
     internal_static_limpetgate_ConfigurationRecord_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(20);
     internal_static_limpetgate_ConfigurationRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_ConfigurationRecord_descriptor,
         new java.lang.String[] { "Edit", "Snapshot", "Record", });
     internal_static_limpetgate_Edit_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(21);
     internal_static_limpetgate_Edit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_Edit_descriptor,
         new java.lang.String[] { "EditId", "Operator", "IssuedAtNanos", "Table", "Name", "BaseVersion", "Row", });
     internal_static_limpetgate_ConfigurationSnapshot_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(22);
     internal_static_limpetgate_ConfigurationSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_ConfigurationSnapshot_descriptor,
         new java.lang.String[] { "Version", "Rows", "Recent", });
     internal_static_limpetgate_VersionedRow_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(23);
     internal_static_limpetgate_VersionedRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_VersionedRow_descriptor,
         new java.lang.String[] { "Table", "Name", "Version", "Row", });
     internal_static_limpetgate_EditResult_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(24);
     internal_static_limpetgate_EditResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_EditResult_descriptor,
