--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -203,6 +203,16 @@
 				this.control::waiting);
 		this.metrics.gauge("limpetgate.configuration.version", "Version of the tables in force",
 				() -> this.configuration.configuration().version());
+		this.metrics.gauge("limpetgate.submission.broken.invariants", "Broken invariants; above 0 is a fault",
+				() -> this.submissions.counts().brokenInvariants());
+		this.metrics.gauge("limpetgate.submission.claims", "Claims in memory",
+				() -> this.submissions.counts().claims());
+		this.metrics.gauge("limpetgate.submission.jobs", "Jobs remembered, ended ones included",
+				() -> this.submissions.counts().jobs());
+		this.metrics.gauge("limpetgate.submission.result.bytes", "Bytes of kept results",
+				() -> this.submissions.counts().resultBytes());
+		this.metrics.gauge("limpetgate.submission.open.requests", "Requests about submissions without an answer",
+				() -> this.submissions.counts().openRequests());
 	}
 
 	private OperatorApi operatorApi() {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/SubmissionService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/SubmissionService.java
@@ -41,8 +41,8 @@
  * Serves submissions: connects the {@link SubmissionSystem} with callers, the claims
  * stream, the task runner and the peers.
  * <p>
- * {@link #handle} and {@link #handlePeer} are thread-safe; everything else belongs to the
- * control thread.
+ * {@link #handle}, {@link #handlePeer} and {@link #counts} are thread-safe; everything
+ * else belongs to the control thread.
  */
 public final class SubmissionService implements TickedSystem, HttpHandler {
 
@@ -80,6 +80,8 @@
 
 	private long lastRequest;
 
+	private volatile SubmissionCounts counts;
+
 	private boolean reading;
 
 	private boolean atEnd;
@@ -105,6 +107,7 @@
 		this.self = self;
 		this.stream = stream;
 		this.system = system;
+		this.counts = system.counts();
 		this.jobs = jobs;
 		this.log = log;
 		this.peers = peers;
@@ -232,6 +235,7 @@
 		List<SubmissionEffect> effects = new ArrayList<>();
 		this.system.tick(nowNanos, effects::add);
 		effects.forEach((effect) -> apply(effect, nowNanos));
+		this.counts = this.system.counts();
 	}
 
 	@Override
@@ -353,11 +357,11 @@
 	}
 
 	/**
-	 * Returns sizes of the tables.
+	 * Returns the sizes of the tables after the last tick. Thread-safe.
 	 * @return the counts, not null
 	 */
 	public SubmissionCounts counts() {
-		return this.system.counts();
+		return this.counts;
 	}
 
 }
