Check tickets with several secrets and sign with the current one

Keys are rotated without restarting the fleet, but a TicketAuthority had one secret for life, so hosts at different steps of a rotation rejected each other's tickets. TicketAuthority.replaceSecrets replaces all secrets at run time; the first one signs.

Two answers would have been wrong during a rotation: - A ticket that this host cannot check was refused as not run, although its issuer may have started it. It is now unknown unless the caller declared its first attempt. - A held job whose secret was removed broke the invariant of a start. The job now keeps the ticket that was found genuine when it was made, and the invariant checks that ticket.

A table-driven test has every pair of steps of a rotation.

--- a/limpetgate-core/src/main/java/org/limpetgate/submission/Job.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/Job.java
@@ -60,6 +60,12 @@
 	/** The time until which the job is remembered at least. */
 	final long keepUntilNanos;
 
+	/**
+	 * The ticket that was found genuine when the job was made, null without one and after
+	 * the end. Its secret may be replaced before the job starts.
+	 */
+	Ticket ticket;
+
 	Right right;
 
 	State state;
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/JobRunner.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/JobRunner.java
@@ -22,18 +22,14 @@
 
 	private final JobTable jobs;
 
-	private final TicketAuthority tickets;
-
 	private final SubmissionRules rules;
 
 	private final Replies replies;
 
-	JobRunner(Incarnation self, ClaimTable claims, JobTable jobs, TicketAuthority tickets, SubmissionRules rules,
-			Replies replies) {
+	JobRunner(Incarnation self, ClaimTable claims, JobTable jobs, SubmissionRules rules, Replies replies) {
 		this.self = self;
 		this.claims = claims;
 		this.jobs = jobs;
-		this.tickets = tickets;
 		this.rules = rules;
 		this.replies = replies;
 	}
@@ -106,8 +102,8 @@
 		return switch (job.right) {
 			case IDEMPOTENCE -> job.idempotent ? null : "job " + job.key + " would start without a claim";
 			case TICKET -> {
-				Ticket ticket = this.tickets.check(job.submission.caller(), job.submission.key());
-				yield (ticket != null && ticket.issuer().equals(this.self)) ? null
+				boolean genuine = job.ticket != null && job.ticket.toKey().equals(job.submission.key());
+				yield (genuine && job.ticket.issuer().equals(this.self)) ? null
 						: "job " + job.key + " would start with the ticket of another incarnation";
 			}
 			case CLAIM -> {
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/JobTable.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/JobTable.java
@@ -111,6 +111,7 @@
 	void finish(Job job, Answer answer, long nowNanos) {
 		endRun(job);
 		job.state = Job.State.DONE;
+		job.ticket = null;
 		job.answer = answer;
 		job.outcome = answer.outcome();
 		job.endedNanos = nowNanos;
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -95,7 +95,7 @@
 		this.appender = new ClaimAppender(settings);
 		this.dead = new DeadIncarnations(self);
 		this.replies = new Replies(random);
-		this.runner = new JobRunner(self, this.claims, this.jobs, tickets, rules, this.replies);
+		this.runner = new JobRunner(self, this.claims, this.jobs, rules, this.replies);
 	}
 
 	/**
@@ -132,9 +132,9 @@
 		Submission submission = waiter.submission();
 		Ticket ticket = this.tickets.check(submission.caller(), submission.key());
 		if (ticket == null) {
-			// No host starts a forged ticket, so this outcome needs no other proof.
-			this.replies.refuse(waiter, Outcome.NOT_RUN, ErrorKind.INVALID_TICKET,
-					"the ticket is not genuine for this caller");
+			// The ticket may be signed with a secret that this host lacks, and may have
+			// been started by its issuer.
+			this.replies.refuse(waiter, ErrorKind.INVALID_TICKET, "the ticket is not genuine for this caller");
 		}
 		else if (this.dead.contains(ticket.issuer())) {
 			this.replies.refuse(waiter, Outcome.UNKNOWN, ErrorKind.HOLDER_LOST,
@@ -149,6 +149,7 @@
 		else if (isAcceptable(waiter)) {
 			long keepUntil = Math.max(ticket.expiryNanos(), keepUntil(submission));
 			Job job = new Job(submission, Job.Right.TICKET, Job.State.HELD, 0, keepUntil);
+			job.ticket = ticket;
 			this.jobs.add(job);
 			startHeld(job, waiter);
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/TicketAuthority.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/TicketAuthority.java
@@ -19,7 +19,13 @@
 import org.limpetgate.SubmissionKey;
 
 /**
- * Issues and checks tickets with a secret that all entry hosts share.
+ * Issues and checks tickets with secrets that all entry hosts share.
+ * <p>
+ * The first secret is the current one and signs; all secrets check. To rotate a secret
+ * without a restart, add the new one behind the current one at all hosts, then move it to
+ * the front at all hosts, then remove the old one. At each step every host accepts what
+ * the others sign. A ticket and a submission that uses it each last up to the furthest
+ * expiry, so the old secret stays for twice that time after it last signed.
  * <p>
  * The authentication code covers the caller, so that a ticket is of use only to the
  * caller that asked for it. Not thread-safe.
@@ -37,23 +43,52 @@
 
 	private final Incarnation self;
 
-	private final Mac mac;
+	private List<Mac> macs;
 
 	private long serial;
 
 	/**
-	 * Creates an authority.
+	 * Creates an authority with one secret.
 	 * @param self the incarnation that issues, not null
 	 * @param secret the shared secret, at least 16 bytes
 	 */
 	public TicketAuthority(Incarnation self, byte[] secret) {
+		this(self, List.of(secret));
+	}
+
+	/**
+	 * Creates an authority.
+	 * @param self the incarnation that issues, not null
+	 * @param secrets the shared secrets, the current one first, at least one, each at
+	 * least 16 bytes
+	 */
+	public TicketAuthority(Incarnation self, List<byte[]> secrets) {
+		this.self = self;
+		replaceSecrets(secrets);
+	}
+
+	/**
+	 * Replaces all secrets. Call it on the control thread. If it fails, the present
+	 * secrets stay.
+	 * @param secrets the shared secrets, the current one first, at least one, each at
+	 * least 16 bytes
+	 * @throws IllegalArgumentException if there is no secret or one is too short
+	 */
+	public void replaceSecrets(List<byte[]> secrets) {
+		if (secrets.isEmpty()) {
+			throw new IllegalArgumentException("there is no ticket secret; use at least one");
+		}
+		this.macs = secrets.stream().map(TicketAuthority::mac).toList();
+	}
+
+	private static Mac mac(byte[] secret) {
 		if (secret.length < MIN_SECRET_BYTES) {
 			throw new IllegalArgumentException("the ticket secret is too short; use at least 16 bytes");
 		}
-		this.self = self;
 		try {
-			this.mac = Mac.getInstance(ALGORITHM);
-			this.mac.init(new SecretKeySpec(secret, ALGORITHM));
+			Mac mac = Mac.getInstance(ALGORITHM);
+			mac.init(new SecretKeySpec(secret, ALGORITHM));
+			return mac;
 		}
 		catch (GeneralSecurityException ex) {
 			throw new IllegalStateException("the Java runtime has no " + ALGORITHM + "; use a complete runtime", ex);
@@ -78,7 +113,7 @@
 		List<Ticket> block = new ArrayList<>(count);
 		for (int i = 0; i < count; i++) {
 			Ticket unsigned = new Ticket(this.self, ++this.serial, expiryNanos, "");
-			block.add(new Ticket(this.self, this.serial, expiryNanos, code(unsigned, caller)));
+			block.add(new Ticket(this.self, this.serial, expiryNanos, code(this.macs.get(0), unsigned, caller)));
 		}
 		return block;
 	}
@@ -87,14 +122,16 @@
 	 * Checks a ticket.
 	 * @param caller the caller that uses it, not null
 	 * @param key the key that has the form of a ticket, not null
-	 * @return the genuine ticket, null if it was forged, altered or issued to another
-	 * caller
+	 * @return the genuine ticket, null if it was forged, altered, issued to another
+	 * caller or signed with a secret that this host does not have
 	 */
 	public Ticket check(CallerId caller, SubmissionKey key) {
 		try {
 			Ticket ticket = Ticket.parse(key);
-			byte[] expected = code(ticket, caller).getBytes(StandardCharsets.US_ASCII);
-			boolean genuine = MessageDigest.isEqual(expected, ticket.code().getBytes(StandardCharsets.US_ASCII));
+			byte[] code = ticket.code().getBytes(StandardCharsets.US_ASCII);
+			boolean genuine = this.macs.stream()
+				.map((mac) -> code(mac, ticket, caller).getBytes(StandardCharsets.US_ASCII))
+				.anyMatch((expected) -> MessageDigest.isEqual(expected, code));
 			return (genuine && ticket.toKey().equals(key)) ? ticket : null;
 		}
 		catch (IllegalArgumentException ex) {
@@ -102,10 +139,10 @@
 		}
 	}
 
-	private String code(Ticket ticket, CallerId caller) {
-		this.mac.update(caller.value().getBytes(StandardCharsets.US_ASCII));
-		this.mac.update((byte) 0);
-		byte[] full = this.mac.doFinal(ticket.signedPart().getBytes(StandardCharsets.US_ASCII));
+	private static String code(Mac mac, Ticket ticket, CallerId caller) {
+		mac.update(caller.value().getBytes(StandardCharsets.US_ASCII));
+		mac.update((byte) 0);
+		byte[] full = mac.doFinal(ticket.signedPart().getBytes(StandardCharsets.US_ASCII));
 		return Base64.getUrlEncoder().withoutPadding().encodeToString(Arrays.copyOf(full, CODE_BYTES));
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/submission/ClaimTableTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/ClaimTableTests.java
@@ -16,6 +16,7 @@
 import org.limpetgate.SubmissionKey;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
 
 /**
  * Tests for {@link ClaimTable}, {@link Ticket} and {@link DataCentres}.
@@ -100,6 +101,34 @@
 		}
 	}
 
+	// Guards against hosts that reject each other's tickets while a secret is rotated.
+	@Example
+	void secretsAreRotatedWithoutRejectedTickets() {
+		byte[] a = "the old secret, 16 bytes or more".getBytes(StandardCharsets.US_ASCII);
+		byte[] b = "the new secret, 16 bytes or more".getBytes(StandardCharsets.US_ASCII);
+		List<List<byte[]>> steps = List.of(List.of(a), List.of(a, b), List.of(b, a), List.of(b));
+		// Each row: the step of the issuer; by column, whether a host at that step
+		// accepts.
+		boolean[][] accepted = { { true, true, true, false }, { true, true, true, false }, { false, true, true, true },
+				{ false, true, true, true } };
+		CallerId caller = CallerId.of("caller");
+		TicketAuthority issuer = new TicketAuthority(Incarnation.of(HostId.of("a"), 1), a);
+		TicketAuthority checker = new TicketAuthority(Incarnation.of(HostId.of("b"), 1), a);
+		for (int from = 0; from < steps.size(); from++) {
+			issuer.replaceSecrets(steps.get(from));
+			SubmissionKey key = issuer.issue(caller, 1, SECOND).get(0).toKey();
+			for (int at = 0; at < steps.size(); at++) {
+				checker.replaceSecrets(steps.get(at));
+				assertThat(checker.check(caller, key) != null).as("step %d to %d", from, at)
+					.isEqualTo(accepted[from][at]);
+			}
+		}
+		for (List<byte[]> invalid : List.of(List.<byte[]>of(), List.of(a, new byte[15]))) {
+			assertThatIllegalArgumentException().isThrownBy(() -> issuer.replaceSecrets(invalid));
+		}
+		assertThat(checker.check(caller, issuer.issue(caller, 1, SECOND).get(0).toKey())).isNotNull();
+	}
+
 	// Guards against a home that depends on the order of the settings or the host.
 	@Example
 	void allHostsAgreeOnHomesThatAreSpreadEvenly() {
--- a/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSystemTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSystemTests.java
@@ -292,6 +292,18 @@
 			assertThat(f.answer(4)).isEqualTo("unknown HOLDER_LOST");
 			assertThat(f.starts).hasSize(1);
 		});
+		// The secret of a ticket may be removed while the issuer runs its job.
+		cases.put("a ticket of a removed secret is not called not-run, and a held job keeps its right", (f) -> {
+			Ticket held = f.system.issueTickets(CALLER, 1, f.now).get(0);
+			Ticket fresh = f.system.issueTickets(CALLER, 1, f.now).get(0);
+			f.submit(1, f.ticketJob(held));
+			f.end(f.starts.get(0), Outcome.NOT_RUN);
+			f.tickets.replaceSecrets(List.of(new byte[16]));
+			f.submit(2, f.ticketJob(held));
+			assertThat(f.starts).hasSize(2);
+			f.submit(3, f.named(fresh.toKey().value(), "body", 2));
+			assertThat(f.answer(3)).isEqualTo("unknown INVALID_TICKET");
+		});
 		cases.put("a job that can never run is refused at once with the reason", (f) -> {
 			f.impossible = DispatchException.of(ErrorKind.IMPOSSIBLE, Outcome.NOT_RUN, "needs 99 cores");
 			f.submit(1, f.job(false, 1));
@@ -421,6 +433,8 @@
 
 		private final Map<Long, Answer> answers = new LinkedHashMap<>();
 
+		private final TicketAuthority tickets = new TicketAuthority(SELF, SECRET);
+
 		private SubmissionSystem system;
 
 		private long now = 1_700_000_000L * SECOND;
@@ -449,8 +463,8 @@
 		}
 
 		private void boot(SubmissionSettings settings, DataCentreId... dataCentres) {
-			this.system = new SubmissionSystem(SELF, DataCentres.of(HOME, List.of(dataCentres)), settings,
-					new TicketAuthority(SELF, SECRET), (submission) -> this.impossible, new Random(1));
+			this.system = new SubmissionSystem(SELF, DataCentres.of(HOME, List.of(dataCentres)), settings, this.tickets,
+					(submission) -> this.impossible, new Random(1));
 		}
 
 		private void submit(long request, Submission submission) {
