Count accepted jobs whose end no caller has been told

A host drains until no task runs and no request is open. A job accepted without waiting has no open request, so a host could end right after the job did. Its result was lost, and a caller that came to collect it was told "unknown" for good. The same held for an accepted job that was not run.

SubmissionCounts.uncollectedJobs counts these jobs until their end was sent to a caller, their result is no longer kept, or they expire. An answer to a caller that has gone away does not count as sent. The simulation checks that none remains at its end. The host has to wait for the count in its drain; this is not part of this change.

--- a/limpetgate-core/src/main/java/org/limpetgate/submission/JobRunner.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/JobRunner.java
@@ -57,8 +57,15 @@
 		if (waiter.submission().isWaiting()) {
 			job.waiters.add(waiter);
 		}
-		else {
-			this.replies.reply(waiter.request(), Answer.accepted(COLLECT + waiter.submission().key()));
+		else if (this.replies.reply(waiter.request(), Answer.accepted(COLLECT + waiter.submission().key()))) {
+			this.jobs.acceptedWithoutWaiting(job);
+		}
+	}
+
+	// Answers a request with how a job that is not running stands.
+	void tell(Job job, long request, Answer answer) {
+		if (this.replies.reply(request, answer)) {
+			this.jobs.collected(job);
 		}
 	}
 
@@ -77,7 +84,7 @@
 			this.replies.broken(violation);
 			Answer internal = Answer.refusal(Outcome.UNKNOWN, ErrorKind.INTERNAL, violation, 0);
 			this.jobs.finish(job, internal, nowNanos);
-			this.replies.takeWaiters(job).forEach((waiter) -> this.replies.reply(waiter.request(), internal));
+			this.replies.takeWaiters(job).forEach((waiter) -> tell(job, waiter.request(), internal));
 			return;
 		}
 		this.jobs.start(job);
@@ -144,7 +151,7 @@
 
 	private void finish(Job job, Answer answer, long nowNanos) {
 		this.jobs.finish(job, answer, nowNanos);
-		this.replies.takeWaiters(job).forEach((waiter) -> this.replies.reply(waiter.request(), answer));
+		this.replies.takeWaiters(job).forEach((waiter) -> tell(job, waiter.request(), answer));
 	}
 
 	// No task ran: the key stays held, so that a resubmission can start the job.
@@ -157,7 +164,7 @@
 		for (Waiter waiter : this.replies.takeWaiters(job)) {
 			Answer answer = Answer.error(job.refusalOutcome(waiter), cause.error(), cause.detail(),
 					cause.retryAfterNanos(), List.of());
-			this.replies.reply(waiter.request(), answer);
+			tell(job, waiter.request(), answer);
 		}
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/JobTable.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/JobTable.java
@@ -5,8 +5,10 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -30,6 +32,12 @@
 
 	private final Deque<Job> kept = new ArrayDeque<>();
 
+	/**
+	 * Jobs accepted without waiting whose end no caller has been told. They are forgotten
+	 * with the result, or with the job if it was not started again.
+	 */
+	private final Set<Job> uncollected = new HashSet<>();
+
 	private long keptBytes;
 
 	private long runningBytes;
@@ -75,6 +83,19 @@
 
 	void remove(Job job) {
 		this.jobs.remove(job.key, job);
+		this.uncollected.remove(job);
+	}
+
+	void acceptedWithoutWaiting(Job job) {
+		this.uncollected.add(job);
+	}
+
+	void collected(Job job) {
+		this.uncollected.remove(job);
+	}
+
+	int uncollectedCount() {
+		return this.uncollected.size();
 	}
 
 	// Begins a run of a job and gives it a number that was not used before.
@@ -132,7 +153,7 @@
 				this.drops.add(new Drop(nowNanos + RECHECK_NANOS, job));
 			}
 			else {
-				this.jobs.remove(job.key);
+				remove(job);
 			}
 		}
 	}
@@ -143,6 +164,7 @@
 			Job oldest = this.kept.poll();
 			this.keptBytes -= oldest.answer.sizeBytes();
 			oldest.answer = null;
+			this.uncollected.remove(oldest);
 		}
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/Replies.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/Replies.java
@@ -89,11 +89,14 @@
 		return RETRY_BASE_NANOS + this.random.nextLong(RETRY_SPREAD_NANOS);
 	}
 
-	void reply(long request, Answer answer) {
+	// Returns false if the request is not open, because its caller has gone away.
+	boolean reply(long request, Answer answer) {
 		this.claimWaits.remove(request);
-		if (this.requests.close(request)) {
+		boolean open = this.requests.close(request);
+		if (open) {
 			this.effects.add(new SubmissionEffect.Reply(request, answer));
 		}
+		return open;
 	}
 
 	void refuseFull(Waiter waiter, Outcome outcome) {
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionCounts.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionCounts.java
@@ -13,7 +13,9 @@
  * @param brokenInvariants broken invariants since the start of the process; above 0 is a
  * fault of the program
  * @param droppedEvents late or crossed reports since the start of the process
+ * @param uncollectedJobs jobs accepted without waiting whose end no caller has been told;
+ * a result that is no longer kept does not count
  */
 public record SubmissionCounts(int claims, int jobs, int runningJobs, long resultBytes, long openBytes, int relays,
-		int openRequests, long brokenInvariants, long droppedEvents) {
+		int openRequests, long brokenInvariants, long droppedEvents, int uncollectedJobs) {
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -260,7 +260,7 @@
 			case PENDING -> attachToPending(job, waiter);
 			case HELD -> startHeld(job, waiter);
 			case RUNNING -> this.runner.attachToRunning(job, waiter);
-			case DONE -> this.replies.reply(waiter.request(), this.runner.finalAnswer(job));
+			case DONE -> this.runner.tell(job, waiter.request(), this.runner.finalAnswer(job));
 		}
 	}
 
@@ -473,7 +473,7 @@
 					this.runner.cancelOpenTasks(job);
 				}
 			}
-			case DONE -> this.replies.reply(request, this.runner.finalAnswer(job));
+			case DONE -> this.runner.tell(job, request, this.runner.finalAnswer(job));
 		}
 	}
 
@@ -507,9 +507,9 @@
 			case PENDING -> this.replies.reply(request, Answer.refusal(Outcome.UNKNOWN, ErrorKind.UNKNOWN_SUBMISSION,
 					"the job waits for its claim and has not been started here", 0));
 			case HELD ->
-				this.replies.reply(request, Answer.refusal(job.isExclusive() ? Outcome.NOT_RUN : Outcome.UNKNOWN,
+				this.runner.tell(job, request, Answer.refusal(job.isExclusive() ? Outcome.NOT_RUN : Outcome.UNKNOWN,
 						ErrorKind.UNKNOWN_SUBMISSION, "the job has not been started", 0));
-			case DONE -> this.replies.reply(request, this.runner.finalAnswer(job));
+			case DONE -> this.runner.tell(job, request, this.runner.finalAnswer(job));
 		}
 	}
 
@@ -681,7 +681,9 @@
 
 	/**
 	 * Stops accepting jobs that are not known here, because the host is leaving. Jobs
-	 * that it holds go on.
+	 * that it holds go on. The host can end without withholding an answer once no task
+	 * runs, no request is open and {@link SubmissionCounts#uncollectedJobs} is 0; after
+	 * its end the answer to these jobs is unknown for good.
 	 */
 	public void drain() {
 		this.draining = true;
@@ -795,7 +797,8 @@
 	public SubmissionCounts counts() {
 		return new SubmissionCounts(this.claims.size(), this.jobs.size(), this.jobs.runningCount(),
 				this.jobs.keptBytes(), this.replies.requests().bytes() + this.jobs.runningBytes(), this.relays.size(),
-				this.replies.requests().size(), this.replies.brokenInvariants(), this.droppedEvents);
+				this.replies.requests().size(), this.replies.brokenInvariants(), this.droppedEvents,
+				this.jobs.uncollectedCount());
 	}
 
 	private boolean isAcceptable(Waiter waiter) {
--- a/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSimulation.java
@@ -146,7 +146,7 @@
 			if (host.system != null) {
 				SubmissionCounts counts = host.system.counts();
 				if (counts.jobs() + counts.claims() + counts.relays() + counts.openRequests() + counts.resultBytes()
-						+ counts.openBytes() > 0) {
+						+ counts.openBytes() + counts.uncollectedJobs() > 0) {
 					this.checker.fail("state remains at " + host.incarnation + ": " + counts);
 				}
 			}
--- a/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSystemTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSystemTests.java
@@ -333,6 +333,44 @@
 			f.complete(f.starts.get(0));
 			assertThat(f.answer(1)).isEqualTo("complete");
 		});
+		// Guards against a host that ends while a caller still has to collect.
+		Map<String, Consumer<Fixture>> collections = new LinkedHashMap<>();
+		collections.put("a query", (f) -> f.system.query(9, CALLER, SubmissionKey.of("key"), 0, f.now));
+		collections.put("a cancellation", (f) -> f.system.cancel(9, CALLER, SubmissionKey.of("key"), 0, f.now));
+		collections.put("a resubmission", (f) -> f.submit(9, f.job(false, 2)));
+		collections.put("the end of the time for results",
+				(f) -> f.pass(SubmissionSettings.DEFAULT.resultKeepNanos() + SECOND));
+		collections.forEach(
+				(name, collect) -> cases.put("a leaving host keeps the end of an accepted job until " + name, (f) -> {
+					SubmissionEffect.StartTasks start = f.started(f.unwaited(1));
+					assertThat(f.answers.get(1L).isAccepted()).isTrue();
+					f.system.drain();
+					f.system.query(2, CALLER, SubmissionKey.of("key"), 0, f.now);
+					f.system.query(3, CALLER, SubmissionKey.of("key"), 0, f.now);
+					f.complete(start);
+					assertThat(f.system.counts().uncollectedJobs()).isEqualTo(1);
+					f.submit(4, f.named("key", "other body", 2));
+					assertThat(f.system.counts().uncollectedJobs()).isEqualTo(1);
+					collect.accept(f);
+					assertThat(f.answer(9)).isIn("complete", "none");
+					assertThat(f.system.counts().uncollectedJobs()).isZero();
+				}));
+		cases.put("a leaving host keeps an accepted job that was not run until its caller is told", (f) -> {
+			f.end(f.started(f.unwaited(1)), Outcome.NOT_RUN);
+			f.system.drain();
+			assertThat(f.system.counts().uncollectedJobs()).isEqualTo(1);
+			f.system.query(2, CALLER, SubmissionKey.of("key"), 0, f.now);
+			assertThat(f.answer(2)).isEqualTo("not-run UNKNOWN_SUBMISSION");
+			assertThat(f.system.counts().uncollectedJobs()).isZero();
+		});
+		cases.put("an answer to a caller that has gone away does not count as collected", (f) -> {
+			SubmissionEffect.StartTasks start = f.started(f.unwaited(1));
+			f.submit(2, f.job(false, 2));
+			f.system.abandon(2, f.now);
+			f.complete(start);
+			assertThat(f.answers).doesNotContainKey(2L);
+			assertThat(f.system.counts().uncollectedJobs()).isEqualTo(1);
+		});
 		cases.put("a caller that has gone away starts nothing", (f) -> {
 			f.submit(1, f.job(false, 1));
 			f.system.abandon(1, f.now);
@@ -548,6 +586,11 @@
 			return build("key", "body", this.expiry, idempotent, attempt);
 		}
 
+		private Submission unwaited(int attempt) {
+			Submission waited = job(false, attempt);
+			return Submission.of(CALLER, waited.key(), this.expiry, attempt, false, waited.tasks());
+		}
+
 		private Submission job(String body, int attempt) {
 			return build("key", body, this.expiry, false, attempt);
 		}
