--- a/limpetgate-core/src/main/java/org/limpetgate/submission/JobRunner.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/JobRunner.java
@@ -22,18 +22,14 @@
 
 	private final JobTable jobs;
 
-	private final TicketAuthority tickets;
-
 	private final SubmissionRules rules;
 
 	private final Replies replies;
 
-	JobRunner(Incarnation self, ClaimTable claims, JobTable jobs, TicketAuthority tickets, SubmissionRules rules,
-			Replies replies) {
+	JobRunner(Incarnation self, ClaimTable claims, JobTable jobs, SubmissionRules rules, Replies replies) {
 		this.self = self;
 		this.claims = claims;
 		this.jobs = jobs;
-		this.tickets = tickets;
 		this.rules = rules;
 		this.replies = replies;
 	}
@@ -61,8 +57,15 @@
 		if (waiter.submission().isWaiting()) {
 			job.waiters.add(waiter);
 		}
-		else {
-			this.replies.reply(waiter.request(), Answer.accepted(COLLECT + waiter.submission().key()));
+		else if (this.replies.reply(waiter.request(), Answer.accepted(COLLECT + waiter.submission().key()))) {
+			this.jobs.acceptedWithoutWaiting(job);
+		}
+	}
+
+	// Answers a request with how a job that is not running stands.
+	void tell(Job job, long request, Answer answer) {
+		if (this.replies.reply(request, answer)) {
+			this.jobs.collected(job);
 		}
 	}
 
@@ -81,7 +84,7 @@
 			this.replies.broken(violation);
 			Answer internal = Answer.refusal(Outcome.UNKNOWN, ErrorKind.INTERNAL, violation, 0);
 			this.jobs.finish(job, internal, nowNanos);
-			this.replies.takeWaiters(job).forEach((waiter) -> this.replies.reply(waiter.request(), internal));
+			this.replies.takeWaiters(job).forEach((waiter) -> tell(job, waiter.request(), internal));
 			return;
 		}
 		this.jobs.start(job);
@@ -106,8 +109,8 @@
 		return switch (job.right) {
 			case IDEMPOTENCE -> job.idempotent ? null : "job " + job.key + " would start without a claim";
 			case TICKET -> {
-				Ticket ticket = this.tickets.check(job.submission.caller(), job.submission.key());
-				yield (ticket != null && ticket.issuer().equals(this.self)) ? null
+				boolean genuine = job.ticket != null && job.ticket.toKey().equals(job.submission.key());
+				yield (genuine && job.ticket.issuer().equals(this.self)) ? null
 						: "job " + job.key + " would start with the ticket of another incarnation";
 			}
 			case CLAIM -> {
@@ -148,7 +151,7 @@
 
 	private void finish(Job job, Answer answer, long nowNanos) {
 		this.jobs.finish(job, answer, nowNanos);
-		this.replies.takeWaiters(job).forEach((waiter) -> this.replies.reply(waiter.request(), answer));
+		this.replies.takeWaiters(job).forEach((waiter) -> tell(job, waiter.request(), answer));
 	}
 
 	// No task ran: the key stays held, so that a resubmission can start the job.
@@ -161,7 +164,7 @@
 		for (Waiter waiter : this.replies.takeWaiters(job)) {
 			Answer answer = Answer.error(job.refusalOutcome(waiter), cause.error(), cause.detail(),
 					cause.retryAfterNanos(), List.of());
-			this.replies.reply(waiter.request(), answer);
+			tell(job, waiter.request(), answer);
 		}
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -95,7 +95,7 @@
 		this.appender = new ClaimAppender(settings);
 		this.dead = new DeadIncarnations(self);
 		this.replies = new Replies(random);
-		this.runner = new JobRunner(self, this.claims, this.jobs, tickets, rules, this.replies);
+		this.runner = new JobRunner(self, this.claims, this.jobs, rules, this.replies);
 	}
 
 	/**
@@ -132,9 +132,9 @@
 		Submission submission = waiter.submission();
 		Ticket ticket = this.tickets.check(submission.caller(), submission.key());
 		if (ticket == null) {
-			// No host starts a forged ticket, so this outcome needs no other proof.
-			this.replies.refuse(waiter, Outcome.NOT_RUN, ErrorKind.INVALID_TICKET,
-					"the ticket is not genuine for this caller");
+			// The ticket may be signed with a secret that this host lacks, and may have
+			// been started by its issuer.
+			this.replies.refuse(waiter, ErrorKind.INVALID_TICKET, "the ticket is not genuine for this caller");
 		}
 		else if (this.dead.contains(ticket.issuer())) {
 			this.replies.refuse(waiter, Outcome.UNKNOWN, ErrorKind.HOLDER_LOST,
@@ -149,6 +149,7 @@
 		else if (isAcceptable(waiter)) {
 			long keepUntil = Math.max(ticket.expiryNanos(), keepUntil(submission));
 			Job job = new Job(submission, Job.Right.TICKET, Job.State.HELD, 0, keepUntil);
+			job.ticket = ticket;
 			this.jobs.add(job);
 			startHeld(job, waiter);
 		}
@@ -259,7 +260,7 @@
 			case PENDING -> attachToPending(job, waiter);
 			case HELD -> startHeld(job, waiter);
 			case RUNNING -> this.runner.attachToRunning(job, waiter);
-			case DONE -> this.replies.reply(waiter.request(), this.runner.finalAnswer(job));
+			case DONE -> this.runner.tell(job, waiter.request(), this.runner.finalAnswer(job));
 		}
 	}
 
@@ -472,7 +473,7 @@
 					this.runner.cancelOpenTasks(job);
 				}
 			}
-			case DONE -> this.replies.reply(request, this.runner.finalAnswer(job));
+			case DONE -> this.runner.tell(job, request, this.runner.finalAnswer(job));
 		}
 	}
 
@@ -506,9 +507,9 @@
 			case PENDING -> this.replies.reply(request, Answer.refusal(Outcome.UNKNOWN, ErrorKind.UNKNOWN_SUBMISSION,
 					"the job waits for its claim and has not been started here", 0));
 			case HELD ->
-				this.replies.reply(request, Answer.refusal(job.isExclusive() ? Outcome.NOT_RUN : Outcome.UNKNOWN,
+				this.runner.tell(job, request, Answer.refusal(job.isExclusive() ? Outcome.NOT_RUN : Outcome.UNKNOWN,
 						ErrorKind.UNKNOWN_SUBMISSION, "the job has not been started", 0));
-			case DONE -> this.replies.reply(request, this.runner.finalAnswer(job));
+			case DONE -> this.runner.tell(job, request, this.runner.finalAnswer(job));
 		}
 	}
 
@@ -680,7 +681,9 @@
 
 	/**
 	 * Stops accepting jobs that are not known here, because the host is leaving. Jobs
-	 * that it holds go on.
+	 * that it holds go on. The host can end without withholding an answer once no task
+	 * runs, no request is open and {@link SubmissionCounts#uncollectedJobs} is 0; after
+	 * its end the answer to these jobs is unknown for good.
 	 */
 	public void drain() {
 		this.draining = true;
@@ -794,7 +797,8 @@
 	public SubmissionCounts counts() {
 		return new SubmissionCounts(this.claims.size(), this.jobs.size(), this.jobs.runningCount(),
 				this.jobs.keptBytes(), this.replies.requests().bytes() + this.jobs.runningBytes(), this.relays.size(),
-				this.replies.requests().size(), this.replies.brokenInvariants(), this.droppedEvents);
+				this.replies.requests().size(), this.replies.brokenInvariants(), this.droppedEvents,
+				this.jobs.uncollectedCount());
 	}
 
 	private boolean isAcceptable(Waiter waiter) {
--- a/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSystemTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/submission/SubmissionSystemTests.java
@@ -292,6 +292,18 @@
 			assertThat(f.answer(4)).isEqualTo("unknown HOLDER_LOST");
 			assertThat(f.starts).hasSize(1);
 		});
+		// The secret of a ticket may be removed while the issuer runs its job.
+		cases.put("a ticket of a removed secret is not called not-run, and a held job keeps its right", (f) -> {
+			Ticket held = f.system.issueTickets(CALLER, 1, f.now).get(0);
+			Ticket fresh = f.system.issueTickets(CALLER, 1, f.now).get(0);
+			f.submit(1, f.ticketJob(held));
+			f.end(f.starts.get(0), Outcome.NOT_RUN);
+			f.tickets.replaceSecrets(List.of(new byte[16]));
+			f.submit(2, f.ticketJob(held));
+			assertThat(f.starts).hasSize(2);
+			f.submit(3, f.named(fresh.toKey().value(), "body", 2));
+			assertThat(f.answer(3)).isEqualTo("unknown INVALID_TICKET");
+		});
 		cases.put("a job that can never run is refused at once with the reason", (f) -> {
 			f.impossible = DispatchException.of(ErrorKind.IMPOSSIBLE, Outcome.NOT_RUN, "needs 99 cores");
 			f.submit(1, f.job(false, 1));
@@ -321,6 +333,44 @@
 			f.complete(f.starts.get(0));
 			assertThat(f.answer(1)).isEqualTo("complete");
 		});
+		// Guards against a host that ends while a caller still has to collect.
+		Map<String, Consumer<Fixture>> collections = new LinkedHashMap<>();
+		collections.put("a query", (f) -> f.system.query(9, CALLER, SubmissionKey.of("key"), 0, f.now));
+		collections.put("a cancellation", (f) -> f.system.cancel(9, CALLER, SubmissionKey.of("key"), 0, f.now));
+		collections.put("a resubmission", (f) -> f.submit(9, f.job(false, 2)));
+		collections.put("the end of the time for results",
+				(f) -> f.pass(SubmissionSettings.DEFAULT.resultKeepNanos() + SECOND));
+		collections.forEach(
+				(name, collect) -> cases.put("a leaving host keeps the end of an accepted job until " + name, (f) -> {
+					SubmissionEffect.StartTasks start = f.started(f.unwaited(1));
+					assertThat(f.answers.get(1L).isAccepted()).isTrue();
+					f.system.drain();
+					f.system.query(2, CALLER, SubmissionKey.of("key"), 0, f.now);
+					f.system.query(3, CALLER, SubmissionKey.of("key"), 0, f.now);
+					f.complete(start);
+					assertThat(f.system.counts().uncollectedJobs()).isEqualTo(1);
+					f.submit(4, f.named("key", "other body", 2));
+					assertThat(f.system.counts().uncollectedJobs()).isEqualTo(1);
+					collect.accept(f);
+					assertThat(f.answer(9)).isIn("complete", "none");
+					assertThat(f.system.counts().uncollectedJobs()).isZero();
+				}));
+		cases.put("a leaving host keeps an accepted job that was not run until its caller is told", (f) -> {
+			f.end(f.started(f.unwaited(1)), Outcome.NOT_RUN);
+			f.system.drain();
+			assertThat(f.system.counts().uncollectedJobs()).isEqualTo(1);
+			f.system.query(2, CALLER, SubmissionKey.of("key"), 0, f.now);
+			assertThat(f.answer(2)).isEqualTo("not-run UNKNOWN_SUBMISSION");
+			assertThat(f.system.counts().uncollectedJobs()).isZero();
+		});
+		cases.put("an answer to a caller that has gone away does not count as collected", (f) -> {
+			SubmissionEffect.StartTasks start = f.started(f.unwaited(1));
+			f.submit(2, f.job(false, 2));
+			f.system.abandon(2, f.now);
+			f.complete(start);
+			assertThat(f.answers).doesNotContainKey(2L);
+			assertThat(f.system.counts().uncollectedJobs()).isEqualTo(1);
+		});
 		cases.put("a caller that has gone away starts nothing", (f) -> {
 			f.submit(1, f.job(false, 1));
 			f.system.abandon(1, f.now);
@@ -421,6 +471,8 @@
 
 		private final Map<Long, Answer> answers = new LinkedHashMap<>();
 
+		private final TicketAuthority tickets = new TicketAuthority(SELF, SECRET);
+
 		private SubmissionSystem system;
 
 		private long now = 1_700_000_000L * SECOND;
@@ -449,8 +501,8 @@
 		}
 
 		private void boot(SubmissionSettings settings, DataCentreId... dataCentres) {
-			this.system = new SubmissionSystem(SELF, DataCentres.of(HOME, List.of(dataCentres)), settings,
-					new TicketAuthority(SELF, SECRET), (submission) -> this.impossible, new Random(1));
+			this.system = new SubmissionSystem(SELF, DataCentres.of(HOME, List.of(dataCentres)), settings, this.tickets,
+					(submission) -> this.impossible, new Random(1));
 		}
 
 		private void submit(long request, Submission submission) {
@@ -534,6 +586,11 @@
 			return build("key", "body", this.expiry, idempotent, attempt);
 		}
 
+		private Submission unwaited(int attempt) {
+			Submission waited = job(false, attempt);
+			return Submission.of(CALLER, waited.key(), this.expiry, attempt, false, waited.tasks());
+		}
+
 		private Submission job(String body, int attempt) {
 			return build("key", body, this.expiry, false, attempt);
 		}
