Measure the age of digests by the own clock

Cause: the spill policy drops digests older than 2 s, and the age was taken from the sender's clock, which may differ by 2 s. Change: the time of arrival counts.

--- a/limpetgate-core/src/main/java/org/limpetgate/membership/DigestTable.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/membership/DigestTable.java
@@ -31,6 +31,8 @@
 
 	private final Map<DataCentreId, DataCentreDigest> digests = new TreeMap<>();
 
+	private final Map<DataCentreId, Long> receivedNanos = new TreeMap<>();
+
 	private final Map<DataCentreId, Integer> targets = new TreeMap<>();
 
 	private final Map<DataCentreId, List<MemberAddress>> listed = new TreeMap<>();
@@ -59,6 +61,7 @@
 				continue;
 			}
 			this.digests.put(digest.dataCentre(), digest);
+			this.receivedNanos.put(digest.dataCentre(), nowNanos);
 			digest.members().keySet().forEach(this::remember);
 			if (!fromDataCentre.equals(this.dataCentre)) {
 				this.toRelay.add(digest.dataCentre());
@@ -121,6 +124,10 @@
 		return Optional.ofNullable(this.digests.get(other));
 	}
 
+	long receivedNanos(DataCentreId other) {
+		return this.receivedNanos.get(other);
+	}
+
 	Optional<MemberAddress> address(HostId host) {
 		return this.digests.values()
 			.stream()
--- a/limpetgate-core/src/main/java/org/limpetgate/membership/Membership.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/membership/Membership.java
@@ -279,6 +279,16 @@
 		return this.digests.digest(other);
 	}
 
+	/**
+	 * Returns when the newest digest of another data centre arrived, by the clock of this
+	 * host; the clock of its sender may differ.
+	 * @param other a data centre whose digest is present, not null
+	 * @return the time, in nanoseconds since the Unix epoch
+	 */
+	public long digestReceivedNanos(DataCentreId other) {
+		return this.digests.receivedNanos(other);
+	}
+
 	/**
 	 * Returns the hosts that can be asked in a data centre, those that are believed live
 	 * first.
--- a/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
@@ -466,7 +466,7 @@
 		}
 		DataCentreDigest.PoolState state = digest.get().pools().get(pool);
 		return Optional.of(new RemotePool(other, pool, roundTrip.getAsLong() / 2, state.waitNanos(),
-				state.tasksPerSecond(), digest.get().sentNanos()));
+				state.tasksPerSecond(), this.membership.digestReceivedNanos(other)));
 	}
 
 	/**
@@ -569,6 +569,15 @@
 		return this.membership.digest(other);
 	}
 
+	/**
+	 * Returns when the newest digest of another data centre arrived.
+	 * @param other a data centre whose digest is present, not null
+	 * @return the time, in nanoseconds since the Unix epoch
+	 */
+	public long digestReceivedNanos(DataCentreId other) {
+		return this.membership.digestReceivedNanos(other);
+	}
+
 	/**
 	 * The other parts of this host, as the peer service sees them. Called on the control
 	 * thread, except for {@link #submissions()}, {@link #requests()} and
--- a/limpetgate-host/src/main/java/org/limpetgate/host/VersionTracker.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/VersionTracker.java
@@ -84,16 +84,17 @@
 			}
 		}
 		for (DataCentreId other : this.dataCentres) {
-			this.peers.digest(other).ifPresent((digest) -> addDigest(seen, digest));
+			this.peers.digest(other)
+				.ifPresent((digest) -> addDigest(seen, digest, this.peers.digestReceivedNanos(other)));
 		}
 		return seen;
 	}
 
-	private static void addDigest(List<Seen> seen, DataCentreDigest digest) {
+	private static void addDigest(List<Seen> seen, DataCentreDigest digest, long receivedNanos) {
 		digest.members()
 			.keySet()
 			.forEach((incarnation) -> seen
-				.add(new Seen(incarnation.host(), digest.dataCentre(), digest.lowestVersion(), digest.sentNanos())));
+				.add(new Seen(incarnation.host(), digest.dataCentre(), digest.lowestVersion(), receivedNanos)));
 	}
 
 	@Override
