Let a leaving host hand out the results that callers have not collected

Cause: a host ended as soon as no task ran, and the result of a job accepted without waiting was lost. Proof: leavingHostHandsOutResultsBeforeItEnds, with real processes.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -61,6 +61,7 @@
 import org.limpetgate.platform.ListedUpstream;
 import org.limpetgate.proto.PeerFrame;
 import org.limpetgate.submission.DataCentres;
+import org.limpetgate.submission.SubmissionCounts;
 import org.limpetgate.submission.SubmissionSettings;
 import org.limpetgate.submission.SubmissionSystem;
 import org.limpetgate.submission.TicketAuthority;
@@ -415,8 +416,7 @@
 
 	private void awaitTasks(long deadlineNanos, CompletableFuture<Integer> done) {
 		this.control.execute(() -> {
-			boolean idle = this.runner.unfinished() + this.tasks.unfinished() == 0
-					&& this.submissions.counts().openRequests() == 0;
+			boolean idle = isDrained();
 			if (idle || this.clock.getAsLong() >= deadlineNanos) {
 				close(done);
 			}
@@ -426,6 +426,14 @@
 		});
 	}
 
+	// A job accepted without waiting counts until its end was told, through this host or
+	// another one.
+	private boolean isDrained() {
+		SubmissionCounts counts = this.submissions.counts();
+		return this.runner.unfinished() + this.tasks.unfinished() == 0 && counts.openRequests() == 0
+				&& counts.uncollectedJobs() == 0;
+	}
+
 	private void close(CompletableFuture<Integer> done) {
 		if (done.isDone()) {
 			return;
--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
@@ -191,6 +191,37 @@
 		}
 	}
 
+	/**
+	 * Guards against a result that is lost because its host left before the caller
+	 * collected it.
+	 */
+	@Example
+	void leavingHostHandsOutResultsBeforeItEnds() throws Exception {
+		try (TestCluster cluster = new TestCluster()) {
+			String key = TestCluster.keyAt("a", "collected");
+			HttpResponse<String> accepted = cluster.submit("a1", TestCluster.job(key, 200, "'wait':false,")).join();
+			assertThat(accepted.statusCode()).isEqualTo(202);
+			CompletableFuture<Integer> exit = CompletableFuture.supplyAsync(() -> terminate(cluster.host("a1")));
+			TestCluster.await("result through another host",
+					() -> cluster.host("a2")
+						.send("GET", "/v1/submissions/" + key, "")
+						.join()
+						.body()
+						.contains(COMPLETE));
+			assertThat(exit.join()).isZero();
+			assertThat(cluster.starts.starts(key)).isEqualTo(1);
+		}
+	}
+
+	private static int terminate(HostProcess host) {
+		try {
+			return host.terminate();
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	// Sends to hosts that are ready, as the balancer does, and retries refusals that are
 	// proved not run.
 	private static void sendWhile(TestCluster cluster, AtomicBoolean running, AtomicInteger answered,
