Take quotas and route limits from the tables

Operators drive the system by the two tables only, but quotas of callers and limits of routes were arguments of DispatchSettings, which the entry host left at their defaults, so nobody could set them.

- A pool row has an optional list "quotas" of caller, weight, queueTasks and inFlight; no caller occurs twice.
Fields that are left out have the values that callers without a quota have.
- A route row has an optional "inFlight".
It is a bound of the row and not a list elsewhere, since a route names exactly one pool.
- CallerQuota moves to the configuration package.
The dispatcher applies quotas and limits on configure to callers and routes that it knows already, so waiting work follows an edit and none of it is dropped.

The bounds count per entry host, as before. Pool and Route keep their shorter constructors.

--- a/limpetgate-core/src/main/java/org/limpetgate/config/Pool.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/Pool.java
@@ -16,9 +16,11 @@
  * @param queueTasks the most tasks that wait at one entry host, at least 1
  * @param queueBytes the most bytes of bodies that wait at one entry host, at least 1
  * @param retryPercent retries and hedges allowed, in percent of the first attempts
+ * @param quotas the quotas of callers, in the order of the table; other callers get
+ * {@link CallerQuota#ofDefaults}
  */
 public record Pool(PoolName name, PoolKind kind, List<Upstream> upstreams, int connectionsPerUpstream, int queueTasks,
-		long queueBytes, int retryPercent) {
+		long queueBytes, int retryPercent, List<CallerQuota> quotas) {
 
 	/** Default bound on connections to one upstream from one entry host. */
 	public static final int DEFAULT_CONNECTIONS = 60;
@@ -36,6 +38,22 @@
 		Objects.requireNonNull(name, "name");
 		Objects.requireNonNull(kind, "kind");
 		upstreams = List.copyOf(upstreams);
+		quotas = List.copyOf(quotas);
+	}
+
+	/**
+	 * Creates a pool without quotas.
+	 * @param name the name
+	 * @param kind whether the upstreams are runners or workers
+	 * @param upstreams the upstreams
+	 * @param connectionsPerUpstream the most connections to one upstream
+	 * @param queueTasks the most tasks that wait
+	 * @param queueBytes the most bytes of bodies that wait
+	 * @param retryPercent retries and hedges allowed, in percent of the first attempts
+	 */
+	public Pool(PoolName name, PoolKind kind, List<Upstream> upstreams, int connectionsPerUpstream, int queueTasks,
+			long queueBytes, int retryPercent) {
+		this(name, kind, upstreams, connectionsPerUpstream, queueTasks, queueBytes, retryPercent, List.of());
 	}
 
 	/**
@@ -50,4 +68,14 @@
 				DEFAULT_RETRY_PERCENT);
 	}
 
+	/**
+	 * Returns this pool with other quotas.
+	 * @param newQuotas the quotas, not null
+	 * @return the pool, not null
+	 */
+	public Pool withQuotas(List<CallerQuota> newQuotas) {
+		return new Pool(this.name, this.kind, this.upstreams, this.connectionsPerUpstream, this.queueTasks,
+				this.queueBytes, this.retryPercent, newQuotas);
+	}
+
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/config/Route.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/Route.java
@@ -23,13 +23,19 @@
  * {@link Idempotence#BY_METHOD}
  * @param deadlineMillis the time allowed for one request, in milliseconds, at least 1
  * @param priority the priority class of the requests
+ * @param inFlight the most attempts of the route that run at the same time from one entry
+ * host, at least 1
  */
 public record Route(RouteName name, String caller, String method, String host, String pathPrefix,
-		Map<String, String> headers, PoolName pool, Idempotence idempotent, int deadlineMillis, Priority priority) {
+		Map<String, String> headers, PoolName pool, Idempotence idempotent, int deadlineMillis, Priority priority,
+		int inFlight) {
 
 	/** Default time allowed for one request, in milliseconds. */
 	public static final int DEFAULT_DEADLINE_MILLIS = 10_000;
 
+	/** Default bound on attempts in flight: above what one host can start. */
+	public static final int DEFAULT_IN_FLIGHT = 1_000_000;
+
 	/**
 	 * How a route tells which requests are idempotent.
 	 */
@@ -71,7 +77,7 @@
 	}
 
 	/**
-	 * Creates a route of normal priority.
+	 * Creates a route of normal priority with the default bound on attempts in flight.
 	 * @param name the name
 	 * @param caller the caller to match, or empty
 	 * @param method the HTTP method to match, or empty
@@ -84,7 +90,8 @@
 	 */
 	public Route(RouteName name, String caller, String method, String host, String pathPrefix,
 			Map<String, String> headers, PoolName pool, Idempotence idempotent, int deadlineMillis) {
-		this(name, caller, method, host, pathPrefix, headers, pool, idempotent, deadlineMillis, Priority.NORMAL);
+		this(name, caller, method, host, pathPrefix, headers, pool, idempotent, deadlineMillis, Priority.NORMAL,
+				DEFAULT_IN_FLIGHT);
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/config/TableJson.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/TableJson.java
@@ -58,6 +58,12 @@
 	/** Largest retry budget, in percent; more would let retries double the load. */
 	public static final int MAX_RETRY_PERCENT = 100;
 
+	/** Largest weight of a caller. */
+	public static final int MAX_WEIGHT = 1_000;
+
+	/** Most attempts in flight of a caller or route from one entry host. */
+	public static final int MAX_IN_FLIGHT = 1_000_000;
+
 	private static final int MAX_PORT = 65_535;
 
 	private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
@@ -208,8 +214,9 @@
 		long deadline = row.integer("deadlineMillis", 1, MAX_DEADLINE_MILLIS, Route.DEFAULT_DEADLINE_MILLIS);
 		Route.Priority priority = row.parsed("priority", JsonObject.constants(Route.Priority.class),
 				Route.Priority.NORMAL);
+		long inFlight = row.integer("inFlight", 1, MAX_IN_FLIGHT, Route.DEFAULT_IN_FLIGHT);
 		return row.build(() -> new Route(name, match.caller, match.method, match.host, match.pathPrefix, match.headers,
-				pool, idempotent, (int) deadline, priority));
+				pool, idempotent, (int) deadline, priority, (int) inFlight));
 	}
 
 	private static Match match(JsonObject fields) {
@@ -243,8 +250,21 @@
 		long queueTasks = row.integer("queueTasks", 1, MAX_QUEUE_TASKS, Pool.DEFAULT_QUEUE_TASKS);
 		long queueBytes = row.integer("queueBytes", 1, MAX_QUEUE_BYTES, Pool.DEFAULT_QUEUE_BYTES);
 		long retryPercent = row.integer("retryPercent", 0, MAX_RETRY_PERCENT, Pool.DEFAULT_RETRY_PERCENT);
+		Set<CallerId> callers = new HashSet<>();
+		List<CallerQuota> quotas = row.objects("quotas", (quota) -> quota(quota, callers));
 		return row.build(() -> new Pool(name, kind, upstreams, (int) connections, (int) queueTasks, queueBytes,
-				(int) retryPercent));
+				(int) retryPercent, quotas));
+	}
+
+	private static CallerQuota quota(JsonObject fields, Set<CallerId> callers) {
+		CallerId caller = fields.parsed("caller", CallerId::of);
+		if (caller != null && !callers.add(caller)) {
+			fields.problem("caller", "'" + caller + "' has an earlier quota in this pool", "keep one of them");
+		}
+		int weight = (int) fields.integer("weight", 1, MAX_WEIGHT, CallerQuota.DEFAULT_WEIGHT);
+		int queueTasks = (int) fields.integer("queueTasks", 1, MAX_QUEUE_TASKS, CallerQuota.DEFAULT_QUEUE_TASKS);
+		int inFlight = (int) fields.integer("inFlight", 1, MAX_IN_FLIGHT, CallerQuota.DEFAULT_IN_FLIGHT);
+		return fields.build(() -> new CallerQuota(caller, weight, queueTasks, inFlight));
 	}
 
 	private static Upstream upstream(JsonObject fields, PoolKind kind, Set<String> ids) {
@@ -292,6 +312,7 @@
 		node.put("idempotent", JsonObject.textOf(route.idempotent()));
 		node.put("deadlineMillis", route.deadlineMillis());
 		node.put("priority", JsonObject.textOf(route.priority()));
+		node.put("inFlight", route.inFlight());
 		return node;
 	}
 
@@ -311,6 +332,17 @@
 		node.put("queueTasks", pool.queueTasks());
 		node.put("queueBytes", pool.queueBytes());
 		node.put("retryPercent", pool.retryPercent());
+		ArrayNode quotas = node.putArray("quotas");
+		pool.quotas().forEach((quota) -> quotas.add(toNode(quota)));
+		return node;
+	}
+
+	private static ObjectNode toNode(CallerQuota quota) {
+		ObjectNode node = JsonNodeFactory.instance.objectNode();
+		node.put("caller", quota.caller().value());
+		node.put("weight", quota.weight());
+		node.put("queueTasks", quota.queueTasks());
+		node.put("inFlight", quota.inFlight());
 		return node;
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AbstractDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AbstractDispatcher.java
@@ -56,6 +56,7 @@
 			PoolEntity pool = this.pools.computeIfAbsent(row.name(), (name) -> new PoolEntity(row));
 			pool.configured = true;
 			pool.configure(row, this.settings);
+			pool.configureLimits(configuration.routes());
 		}
 		for (PoolEntity pool : this.pools.values()) {
 			if (!pool.configured) {
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdaptiveDispatcher.java
@@ -132,8 +132,7 @@
 		PoolEntity pool = task.pool;
 		TaskRequest request = task.request;
 		task.route = pool.route(request.route());
-		task.caller = pool.callers.computeIfAbsent(request.caller(),
-				(id) -> new CallerEntity(id, this.settings.quota(id)));
+		task.caller = pool.caller(request.caller());
 		Admission refusal = this.admission.refusal(task, nowNanos);
 		if (refusal == null) {
 			refusal = refusedByBounds(task, this.admission.retryAfter(pool, nowNanos));
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/CallerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/CallerEntity.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.limpetgate.CallerId;
+import org.limpetgate.config.CallerQuota;
 
 /**
  * The work of a caller in a pool.
@@ -12,7 +13,7 @@
 
 	final CallerId id;
 
-	final CallerQuota quota;
+	CallerQuota quota;
 
 	/** One queue per route that the caller has used. */
 	final List<RouteQueue> routes = new ArrayList<>();
@@ -30,8 +31,8 @@
 	/** Position among the active callers of the pool, -1 while nothing waits. */
 	int activeIndex = -1;
 
-	CallerEntity(CallerId id, CallerQuota quota) {
-		this.id = id;
+	CallerEntity(CallerQuota quota) {
+		this.id = quota.caller();
 		this.quota = quota;
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/FairQueue.java
@@ -126,8 +126,7 @@
 		for (int i = 0; i < caller.routes.size(); i++) {
 			CallerEntity.RouteQueue queue = caller.routes.get(i);
 			TaskEntity head = queue.peek();
-			if (head == null || queue.blockedRound == head.pool.round
-					|| queue.route.inFlight >= this.settings.routeLimit(queue.route.name)
+			if (head == null || queue.blockedRound == head.pool.round || queue.route.inFlight >= queue.route.limit
 					|| (!longAllowed && isLong(queue.route)) || isBlocked(queue.route, head)) {
 				continue;
 			}
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
@@ -1,6 +1,7 @@
 package org.limpetgate.dispatch;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -11,8 +12,10 @@
 import org.limpetgate.Resources;
 import org.limpetgate.RouteName;
 import org.limpetgate.UpstreamId;
+import org.limpetgate.config.CallerQuota;
 import org.limpetgate.config.Pool;
 import org.limpetgate.config.PoolKind;
+import org.limpetgate.config.Route;
 import org.limpetgate.config.Upstream;
 
 /**
@@ -29,6 +32,10 @@
 
 	final Map<CallerId, CallerEntity> callers = new HashMap<>();
 
+	private final Map<CallerId, CallerQuota> quotas = new HashMap<>();
+
+	private final Map<RouteName, Integer> routeLimits = new HashMap<>();
+
 	final Map<RouteName, RouteEntity> routes = new HashMap<>();
 
 	final Map<RouteName, JobEntity> routesAsJobs = new HashMap<>();
@@ -155,6 +162,29 @@
 		this.byId.values().removeIf((upstream) -> !upstream.listed && upstream.inFlight == 0);
 	}
 
+	/**
+	 * Applies the quotas of the row and the limits of the routes to present and later
+	 * work. Work that waits above a lowered limit stays.
+	 * @param rows the routes of all pools
+	 */
+	void configureLimits(Collection<Route> rows) {
+		this.quotas.clear();
+		this.row.quotas().forEach((quota) -> this.quotas.put(quota.caller(), quota));
+		this.callers.values().forEach((caller) -> caller.quota = quota(caller.id));
+		this.routeLimits.clear();
+		rows.forEach((route) -> this.routeLimits.put(route.name(), route.inFlight()));
+		this.routes.values().forEach((route) -> route.limit = routeLimit(route.name));
+	}
+
+	private CallerQuota quota(CallerId caller) {
+		CallerQuota quota = this.quotas.get(caller);
+		return (quota != null) ? quota : CallerQuota.ofDefaults(caller);
+	}
+
+	private int routeLimit(RouteName route) {
+		return this.routeLimits.getOrDefault(route, Route.DEFAULT_IN_FLIGHT);
+	}
+
 	private static int spread(UpstreamId id) {
 		int hash = id.value().hashCode() * 0x9E3779B9;
 		return hash ^ (hash >>> 15);
@@ -208,8 +238,16 @@
 		this.capacity = units;
 	}
 
+	CallerEntity caller(CallerId id) {
+		return this.callers.computeIfAbsent(id, (key) -> new CallerEntity(quota(key)));
+	}
+
 	RouteEntity route(RouteName name) {
-		return this.routes.computeIfAbsent(name, (key) -> new RouteEntity(key, this.routes.size()));
+		return this.routes.computeIfAbsent(name, (key) -> {
+			RouteEntity route = new RouteEntity(key, this.routes.size());
+			route.limit = routeLimit(key);
+			return route;
+		});
 	}
 
 	JobEntity job(TaskRequest request) {
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/RouteEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/RouteEntity.java
@@ -1,6 +1,7 @@
 package org.limpetgate.dispatch;
 
 import org.limpetgate.RouteName;
+import org.limpetgate.config.Route;
 
 /**
  * What is learned about a route within a pool. Times are in nanoseconds.
@@ -22,6 +23,9 @@
 	/** Position in the per-route arrays of the pool's upstreams. */
 	final int index;
 
+	/** The most attempts in flight. */
+	int limit = Route.DEFAULT_IN_FLIGHT;
+
 	int inFlight;
 
 	/** The dispatch round in which a task of the route fitted nowhere. */
--- a/limpetgate-core/src/test/java/org/limpetgate/config/TableJsonTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/config/TableJsonTests.java
@@ -22,9 +22,11 @@
 	private static final String WORKER = "{'id':'w','dataCentre':'d','address':'fd00::1','port':80,'cores':16,"
 			+ "'memoryMb':32000,'rack':'r1'}";
 
+	private static final String QUOTA = "{'caller':'c','weight':3,'queueTasks':5,'inFlight':2}";
+
 	private static final String TABLES = "{'pools':[{'name':'p','kind':'runners','upstreams':[" + UPSTREAM + "]},"
-			+ "{'name':'w','kind':'workers','upstreams':[" + WORKER + "]}],"
-			+ "'routes':[{'name':'r','match':{'method':'GET','headers':{'x-a':'1'}},'pool':'p'}]}";
+			+ "{'name':'w','kind':'workers','upstreams':[" + WORKER + "],'quotas':[" + QUOTA + "]}],"
+			+ "'routes':[{'name':'r','match':{'method':'GET','headers':{'x-a':'1'}},'pool':'p','inFlight':9}]}";
 
 	private static JsonResult<Configuration> read(String json) {
 		return TableJson.readTables("tables.json", json.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
@@ -72,6 +74,16 @@
 				new Case("'pool':'p'", "'pool':'p','deadlineMillis':0", "$.routes[0].deadlineMillis"),
 				new Case("'pool':'p'", "'pool':'p','idempotent':true", "$.routes[0].idempotent"),
 				new Case("'pool':'p'", "'pool':'p','priority':'urgent'", "$.routes[0].priority"),
+				new Case("'inFlight':9", "'inFlight':0", "$.routes[0].inFlight"),
+				new Case("'inFlight':9", "'inFlight':1000001", "$.routes[0].inFlight"),
+				new Case("'caller':'c',", "", "$.pools[1].quotas[0].caller"),
+				new Case("'caller':'c'", "'caller':'c c'", "$.pools[1].quotas[0].caller"),
+				new Case(QUOTA, QUOTA + "," + QUOTA, "$.pools[1].quotas[1].caller"),
+				new Case("'weight':3", "'weight':0", "$.pools[1].quotas[0].weight"),
+				new Case("'weight':3", "'weight':1001", "$.pools[1].quotas[0].weight"),
+				new Case("'queueTasks':5", "'queueTasks':0", "$.pools[1].quotas[0].queueTasks"),
+				new Case("'inFlight':2", "'inFlight':0", "$.pools[1].quotas[0].inFlight"),
+				new Case("'inFlight':2", "'inFlight':2,'share':1", "$.pools[1].quotas[0].share"),
 				new Case("'GET'", "'get'", "$.routes[0].match.method"),
 				new Case("'method':'GET'", "'pathPrefix':'a'", "$.routes[0].match.pathPrefix"),
 				new Case("'x-a'", "'X-A'", "$.routes[0].match.headers.X-A"),
--- a/limpetgate-core/src/test/java/org/limpetgate/dispatch/AdaptiveDispatcherTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/dispatch/AdaptiveDispatcherTests.java
@@ -20,8 +20,10 @@
 import org.limpetgate.Resources;
 import org.limpetgate.RouteName;
 import org.limpetgate.UpstreamId;
+import org.limpetgate.config.CallerQuota;
 import org.limpetgate.config.Pool;
 import org.limpetgate.config.PoolKind;
+import org.limpetgate.config.Route;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -167,11 +169,8 @@
 	 */
 	@Example
 	void callersShareByWeight() {
-		CallerId heavy = CallerId.of("heavy");
-		CallerId small = CallerId.of("small");
-		DispatcherHarness harness = harness(DispatcherHarness.SETTINGS
-			.withQuotas(Map.of(heavy, new CallerQuota(3, 1_000, 1_000), small, new CallerQuota(1, 5, 2))));
-		harness.configure(DispatcherHarness.runners(4, 4));
+		DispatcherHarness harness = harness().configure(DispatcherHarness.runners(4, 4)
+			.withQuotas(List.of(quota("heavy", 3, 1_000, 1_000), quota("small", 1, 5, 2))));
 		for (int i = 0; i < 300; i++) {
 			harness.offer(harness.request("heavy", "route-1", true, 1));
 		}
@@ -197,6 +196,34 @@
 		assertThat((double) (ofHeavy - 16) / ofLight).isBetween(2.0, 4.0);
 	}
 
+	private static CallerQuota quota(String caller, int weight, int queueTasks, int inFlight) {
+		return new CallerQuota(CallerId.of(caller), weight, queueTasks, inFlight);
+	}
+
+	/**
+	 * Guards against quotas that reach only new callers, and against waiting work that an
+	 * edit of the quotas drops or leaves waiting.
+	 */
+	@Example
+	void changedQuotasApplyToWaitingWork() {
+		record Step(List<CallerQuota> quotas, int started, boolean accepted) {
+		}
+		Pool pool = DispatcherHarness.runners(4, 4);
+		DispatcherHarness harness = harness().configure(pool.withQuotas(List.of(quota("caller-1", 1, 8, 2))));
+		for (int i = 0; i < 10; i++) {
+			assertThat(harness.offer(harness.request(true)).isAccepted()).isTrue();
+		}
+		List<Step> steps = List.of(new Step(List.of(quota("caller-1", 1, 8, 2)), 2, false),
+				new Step(List.of(quota("caller-1", 1, 8, 5)), 5, true),
+				new Step(List.of(quota("caller-1", 1, 1, 1)), 5, false), new Step(List.of(), 11, true));
+		for (Step step : steps) {
+			harness.configure(pool.withQuotas(step.quotas)).advance(1);
+			assertThat(harness.starts).as(step.toString()).hasSize(step.started);
+			assertThat(harness.ends).as("nothing is dropped").isEmpty();
+			assertThat(harness.offer(harness.request(true)).isAccepted()).as(step.toString()).isEqualTo(step.accepted);
+		}
+	}
+
 	private static long count(DispatcherHarness harness, long from, long to) {
 		return harness.starts.stream()
 			.filter((start) -> start.task().value() >= from && start.task().value() <= to)
@@ -225,14 +252,20 @@
 	 */
 	@Example
 	void routeLimitIsKept() {
-		DispatcherHarness harness = harness(
-				DispatcherHarness.SETTINGS.withRouteLimits(Map.of(RouteName.of("route-1"), 3)));
-		harness.configure(DispatcherHarness.runners(4, 4));
+		Pool pool = DispatcherHarness.runners(4, 4);
+		DispatcherHarness harness = harness().configure(List.of(limited(pool, 3)), pool);
 		for (int i = 0; i < 8; i++) {
 			harness.offer(harness.request(true));
 		}
 		harness.offer(harness.request("caller-1", "route-2", true, 0));
 		assertThat(harness.starts).hasSize(4);
+		harness.configure(List.of(limited(pool, 5)), pool).advance(1);
+		assertThat(harness.starts).as("a raised limit applies to waiting work").hasSize(6);
+	}
+
+	private static Route limited(Pool pool, int inFlight) {
+		return new Route(RouteName.of("route-1"), "", "", "", "", Map.of(), pool.name(), Route.Idempotence.BY_METHOD,
+				Route.DEFAULT_DEADLINE_MILLIS, Route.Priority.NORMAL, inFlight);
 	}
 
 	/**
--- a/limpetgate-core/src/test/java/org/limpetgate/dispatch/DispatcherHarness.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/dispatch/DispatcherHarness.java
@@ -20,6 +20,7 @@
 import org.limpetgate.config.Configuration;
 import org.limpetgate.config.Pool;
 import org.limpetgate.config.PoolKind;
+import org.limpetgate.config.Route;
 import org.limpetgate.config.Upstream;
 
 /**
@@ -104,6 +105,11 @@
 		return this;
 	}
 
+	DispatcherHarness configure(List<Route> routes, Pool pool) {
+		this.dispatcher.configure(Configuration.of(1, routes, List.of(pool)), this.now);
+		return this;
+	}
+
 	TaskRequest request(boolean idempotent) {
 		return request("caller-1", "route-1", idempotent, 0);
 	}
