Carry the outcome in refusals of peers and stop work of callers that have gone

Cause: a refusal had no field for its outcome and lost the time to come back, and a task of a caller that had closed its connection went on to wait. Change: two fields in the message; a cancelled reply cancels the task, or the wait for a submission, whose job goes on.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/RequestService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/RequestService.java
@@ -161,7 +161,18 @@
 				(ended, answer, endNanos) -> complete(reply, ended, answer), now);
 		if (!admission.isAccepted()) {
 			reply.completeExceptionally(refusal(admission));
+			return;
 		}
+		cancelIfAbandoned(request, reply);
+	}
+
+	// The server cancels the reply when the caller has closed its connection.
+	private void cancelIfAbandoned(TaskRequest request, CompletableFuture<HttpReply> reply) {
+		reply.whenComplete((answer, failure) -> {
+			if (reply.isCancelled()) {
+				this.control.execute(() -> this.tasks.cancel(request.id(), this.clock.getAsLong()));
+			}
+		});
 	}
 
 	private static DispatchException refusal(Admission admission) {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/SubmissionService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/SubmissionService.java
@@ -123,7 +123,14 @@
 			if (call.path().equals(TICKETS)) {
 				return tickets(call, caller);
 			}
-			return ask(request(call, caller)).thenApply(SubmissionService::reply);
+			CompletableFuture<Answer> answer = ask(request(call, caller));
+			CompletableFuture<HttpReply> reply = answer.thenApply(SubmissionService::reply);
+			reply.whenComplete((sent, failure) -> {
+				if (reply.isCancelled()) {
+					answer.cancel(false);
+				}
+			});
+			return reply;
 		}
 		catch (DispatchException ex) {
 			return CompletableFuture.failedFuture(ex);
@@ -177,6 +184,11 @@
 		long number = ++this.lastRequest;
 		long now = this.clock.getAsLong();
 		this.open.put(number, answer);
+		answer.whenComplete((sent, failure) -> {
+			if (answer.isCancelled()) {
+				this.control.execute(() -> abandon(number));
+			}
+		});
 		if (request instanceof PeerRequest.Submit submit) {
 			this.system.submit(number, submit.submission(), submit.hops(), now);
 		}
@@ -188,6 +200,13 @@
 		}
 	}
 
+	// The caller has closed its connection; its job goes on.
+	private void abandon(long number) {
+		if (this.open.remove(number) != null) {
+			this.system.abandon(number, this.clock.getAsLong());
+		}
+	}
+
 	private static HttpReply reply(Answer answer) {
 		Map<String, String> headers = new HashMap<>();
 		headers.put("content-type", "application/json");
@@ -300,7 +319,10 @@
 			forwarded(forward.request(), this.peers.toDataCentre(forward.target(), forward.message()));
 		}
 		else if (effect instanceof SubmissionEffect.Reply reply) {
-			this.open.remove(reply.request()).complete(reply.answer());
+			CompletableFuture<Answer> waiting = this.open.remove(reply.request());
+			if (waiting != null) {
+				waiting.complete(reply.answer());
+			}
 		}
 		else if (effect instanceof SubmissionEffect.InvariantBroken broken) {
 			logger.atSevere().log("%s %s", LogEvent.INTERNAL_FAULT.prefix(), broken.message());
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerFrames.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerFrames.java
@@ -26,9 +26,6 @@
 
 	private static final int LENGTH_BYTES = 4;
 
-	/** Separates the name of the kind from the outcome in the error of a refusal. */
-	private static final char OUTCOME_SEPARATOR = '/';
-
 	private PeerFrames() {
 	}
 
@@ -47,17 +44,18 @@
 	}
 
 	/**
-	 * Returns the frame that tells the peer of a failure. The message has no field for
-	 * the outcome, so that any outcome other than {@link Outcome#NOT_RUN} follows the
-	 * name of the kind.
+	 * Returns the frame that tells the peer of a failure.
 	 * @param error the failure
 	 * @return the frame without a correlation id
 	 */
 	static PeerFrame.Builder refusal(DispatchException error) {
-		String suffix = (error.outcome() == Outcome.NOT_RUN) ? "" : OUTCOME_SEPARATOR + error.outcome().text();
 		return PeerFrame.newBuilder()
 			.setProtocolVersion(PROTOCOL_VERSION)
-			.setRefusal(Refusal.newBuilder().setError(error.kind().name() + suffix).setMessage(error.getMessage()));
+			.setRefusal(Refusal.newBuilder()
+				.setError(error.kind().name())
+				.setMessage(error.getMessage())
+				.setOutcome(error.outcome().text())
+				.setRetryAfterNanos(error.retryAfterNanos()));
 	}
 
 	/**
@@ -67,11 +65,13 @@
 	 * {@link Outcome#UNKNOWN} if the refusal cannot be read
 	 */
 	static DispatchException toException(Refusal refusal) {
-		String[] parts = refusal.getError().split(String.valueOf(OUTCOME_SEPARATOR), 2);
 		try {
-			ErrorKind kind = ErrorKind.valueOf(parts[0]);
-			Outcome outcome = (parts.length == 1) ? Outcome.NOT_RUN : Outcome.parse(parts[1]);
-			return DispatchException.of(kind, outcome, withoutRemedy(refusal.getMessage(), kind));
+			ErrorKind kind = ErrorKind.valueOf(refusal.getError());
+			Outcome outcome = Outcome.parse(refusal.getOutcome());
+			String detail = withoutRemedy(refusal.getMessage(), kind);
+			return (refusal.getRetryAfterNanos() > 0)
+					? DispatchException.retryLater(kind, outcome, detail, refusal.getRetryAfterNanos())
+					: DispatchException.of(kind, outcome, detail);
 		}
 		catch (IllegalArgumentException ex) {
 			return DispatchException.of(ErrorKind.INTERNAL, Outcome.UNKNOWN,
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Refusal.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Refusal.java
@@ -30,6 +30,7 @@
   private Refusal() {
     error_ = "";
     message_ = "";
+    outcome_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -128,6 +129,56 @@
     }
   }
 
+  public static final int OUTCOME_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object outcome_ = "";
+  /**
+   * <code>string outcome = 3;</code>
+   * @return The outcome.
+   */
+  @java.lang.Override
+  public java.lang.String getOutcome() {
+    java.lang.Object ref = outcome_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      outcome_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string outcome = 3;</code>
+   * @return The bytes for outcome.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getOutcomeBytes() {
+    java.lang.Object ref = outcome_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      outcome_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int RETRY_AFTER_NANOS_FIELD_NUMBER = 4;
+  private long retryAfterNanos_ = 0L;
+  /**
+   * <code>uint64 retry_after_nanos = 4;</code>
+   * @return The retryAfterNanos.
+   */
+  @java.lang.Override
+  public long getRetryAfterNanos() {
+    return retryAfterNanos_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -148,6 +199,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(message_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, message_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(outcome_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, outcome_);
+    }
+    if (retryAfterNanos_ != 0L) {
+      output.writeUInt64(4, retryAfterNanos_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -158,6 +215,13 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(message_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, message_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(outcome_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, outcome_);
+    }
+    if (retryAfterNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(4, retryAfterNanos_);
+    }
     return size;
   }
   @java.lang.Override
@@ -186,6 +250,10 @@
         .equals(other.getError())) return false;
     if (!getMessage()
         .equals(other.getMessage())) return false;
+    if (!getOutcome()
+        .equals(other.getOutcome())) return false;
+    if (getRetryAfterNanos()
+        != other.getRetryAfterNanos()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -201,6 +269,11 @@
     hash = (53 * hash) + getError().hashCode();
     hash = (37 * hash) + MESSAGE_FIELD_NUMBER;
     hash = (53 * hash) + getMessage().hashCode();
+    hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
+    hash = (53 * hash) + getOutcome().hashCode();
+    hash = (37 * hash) + RETRY_AFTER_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRetryAfterNanos());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -334,6 +407,8 @@
       bitField0_ = 0;
       error_ = "";
       message_ = "";
+      outcome_ = "";
+      retryAfterNanos_ = 0L;
       return this;
     }
 
@@ -373,6 +448,12 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.message_ = message_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.outcome_ = outcome_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.retryAfterNanos_ = retryAfterNanos_;
+      }
     }
 
     @java.lang.Override
@@ -397,6 +478,14 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (!other.getOutcome().isEmpty()) {
+        outcome_ = other.outcome_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      if (other.getRetryAfterNanos() != 0L) {
+        setRetryAfterNanos(other.getRetryAfterNanos());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -431,6 +520,16 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 26: {
+              outcome_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
+            case 32: {
+              retryAfterNanos_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -592,6 +691,110 @@
       return this;
     }
 
+    private java.lang.Object outcome_ = "";
+    /**
+     * <code>string outcome = 3;</code>
+     * @return The outcome.
+     */
+    public java.lang.String getOutcome() {
+      java.lang.Object ref = outcome_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        outcome_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string outcome = 3;</code>
+     * @return The bytes for outcome.
+     */
+    public com.google.protobuf.ByteString
+        getOutcomeBytes() {
+      java.lang.Object ref = outcome_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        outcome_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string outcome = 3;</code>
+     * @param value The outcome to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOutcome(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      outcome_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string outcome = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOutcome() {
+      outcome_ = getDefaultInstance().getOutcome();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string outcome = 3;</code>
+     * @param value The bytes for outcome to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOutcomeBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      outcome_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
+    private long retryAfterNanos_ ;
+    /**
+     * <code>uint64 retry_after_nanos = 4;</code>
+     * @return The retryAfterNanos.
+     */
+    @java.lang.Override
+    public long getRetryAfterNanos() {
+      return retryAfterNanos_;
+    }
+    /**
+     * <code>uint64 retry_after_nanos = 4;</code>
+     * @param value The retryAfterNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetryAfterNanos(long value) {
+
+      retryAfterNanos_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 retry_after_nanos = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetryAfterNanos() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      retryAfterNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.Refusal)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/RefusalOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/RefusalOrBuilder.java
@@ -33,4 +33,22 @@
    */
   com.google.protobuf.ByteString
       getMessageBytes();
+
+  /**
+   * <code>string outcome = 3;</code>
+   * @return The outcome.
+   */
+  java.lang.String getOutcome();
+  /**
+   * <code>string outcome = 3;</code>
+   * @return The bytes for outcome.
+   */
+  com.google.protobuf.ByteString
+      getOutcomeBytes();
+
+  /**
+   * <code>uint64 retry_after_nanos = 4;</code>
+   * @return The retryAfterNanos.
+   */
+  long getRetryAfterNanos();
 }
