--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Scenario.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/Scenario.java
@@ -29,6 +29,12 @@
 	/** A tenth refuses new attempts because it leaves. */
 	LEAVING(0.7, 0.7, FakeUpstream.Fault.LEAVES),
 
+	/** One entry host is away for three seconds; it finishes what it has started. */
+	HOST_AWAY(0.7, 0.7, FakeUpstream.Fault.NONE),
+
+	/** The entry hosts lose each other for three seconds. */
+	HOSTS_APART(0.7, 0.7, FakeUpstream.Fault.NONE),
+
 	/** One caller sends jobs of long tasks on top of a load of 50%. */
 	LONG_JOBS(0.5, 0.5, FakeUpstream.Fault.NONE),
 
--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/SimulatedDataCentre.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/dispatch/SimulatedDataCentre.java
@@ -41,6 +41,8 @@
 
 	private static final long HEARTBEAT = 100 * VirtualTime.MILLI;
 
+	private static final long DEAD_AFTER = VirtualTime.SECOND;
+
 	private static final long USAGE_INTERVAL = 500 * VirtualTime.MILLI;
 
 	private static final long USAGE_LAG = 500 * VirtualTime.MILLI;
@@ -160,7 +162,9 @@
 	}
 
 	private void arrive(List<SimulatedTask> tasks) {
-		EntryHost host = this.hosts.get((this.random.nextDouble() < BALANCER_PARTS[0]) ? 0 : 1);
+		boolean first = this.random.nextDouble() < BALANCER_PARTS[0];
+		boolean away = this.scenario == Scenario.HOST_AWAY && isChanged(0);
+		EntryHost host = this.hosts.get((first && !away) ? 0 : 1);
 		for (SimulatedTask task : tasks) {
 			this.measurements.offered += isMeasured(task) ? 1 : 0;
 			this.time.after(CLIENT_ONE_WAY, () -> host.offer(task));
@@ -178,11 +182,20 @@
 		}
 	}
 
+	private boolean isChanged(long delay) {
+		return this.time.now() >= Scenario.CHANGE + delay && this.time.now() < Scenario.CREST_END;
+	}
+
 	private void heartbeat(EntryHost host) {
+		boolean silent = this.scenario == Scenario.HOST_AWAY && host == this.hosts.get(0);
+		boolean cutOff = (silent || this.scenario == Scenario.HOSTS_APART) && isChanged(0);
+		if (this.scenario == Scenario.HOST_AWAY || this.scenario == Scenario.HOSTS_APART) {
+			forgetLostPeers(host, silent);
+		}
 		PeerLoad load = new PeerLoad(host.settings.host(), host.settings.size(), host.dispatcher.demand());
 		host.tick();
 		for (EntryHost peer : this.hosts) {
-			if (peer != host) {
+			if (peer != host && !cutOff) {
 				this.time.after(ONE_WAY, () -> {
 					peer.dispatcher.peerLoads(List.of(load), this.time.now());
 					peer.tick();
@@ -192,6 +205,17 @@
 		this.time.after(HEARTBEAT, () -> heartbeat(host));
 	}
 
+	/**
+	 * Tells a host that the other one is dead once it has not been heard for a second.
+	 * @param host the host
+	 * @param silent whether the host itself is the one that is away
+	 */
+	private void forgetLostPeers(EntryHost host, boolean silent) {
+		if (isChanged(DEAD_AFTER) && !silent) {
+			host.dispatcher.peerLoads(List.of(), this.time.now());
+		}
+	}
+
 	private void reportUsage() {
 		long sampled = this.time.now();
 		this.upstreams.forEach((id, upstream) -> {
