End the waiting work of removed pools at once

Cause: tasks that waited for a pool that the tables no longer have were held until near their deadline. Change: they end with NO_UPSTREAM when the tables change, and failed attempts are not retried there; attempts in flight go on.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AbstractDispatcher.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AbstractDispatcher.java
@@ -59,14 +59,23 @@
 		}
 		for (PoolEntity pool : this.pools.values()) {
 			if (!pool.configured) {
-				pool.upstreams.forEach((upstream) -> upstream.listed = false);
-				pool.upstreams.clear();
+				pool.clear();
 			}
 		}
+		endTasksOfRemovedPools();
 		this.pools.values().removeIf((pool) -> !pool.configured && pool.inFlight == 0 && pool.queuedTasks == 0);
 		sharesChanged(nowNanos);
 	}
 
+	private void endTasksOfRemovedPools() {
+		for (TaskEntity task : List.copyOf(this.tasks.values())) {
+			if (!task.pool.configured && task.running.isEmpty()) {
+				end(task, task.soFar, ErrorKind.NO_UPSTREAM, "pool '" + task.pool.row.name() + "' was removed", 0,
+						null);
+			}
+		}
+	}
+
 	@Override
 	public void peerLoads(List<PeerLoad> newPeers, long nowNanos) {
 		this.peers = newPeers.stream()
@@ -175,7 +184,8 @@
 	}
 
 	private static boolean mayRetry(TaskEntity task) {
-		return task.soFar.isRetryable(task.request.idempotent()) && task.attempts < MAX_ATTEMPTS;
+		return task.pool.configured && task.soFar.isRetryable(task.request.idempotent())
+				&& task.attempts < MAX_ATTEMPTS;
 	}
 
 	@Override
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
@@ -155,6 +155,16 @@
 		this.byId.values().removeIf((upstream) -> !upstream.listed && upstream.inFlight == 0);
 	}
 
+	/** Removes all upstreams; attempts in flight go on. */
+	void clear() {
+		for (UpstreamEntity upstream : this.upstreams) {
+			upstream.listed = false;
+			updateOpen(upstream);
+		}
+		this.upstreams.clear();
+		this.inHashOrder.clear();
+	}
+
 	private static int spread(UpstreamId id) {
 		int hash = id.value().hashCode() * 0x9E3779B9;
 		return hash ^ (hash >>> 15);
--- a/limpetgate-core/src/test/java/org/limpetgate/dispatch/DispatcherContractTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/dispatch/DispatcherContractTests.java
@@ -150,6 +150,26 @@
 		assertThat(harness.starts).hasSize(2);
 	}
 
+	/**
+	 * Guards against work of a removed pool that is held until its deadline, and against
+	 * cutting off what runs.
+	 */
+	@Property(seed = "1")
+	void removedPoolEndsWaitingWork(@ForAll DispatcherHarness.Kind kind, @ForAll Outcome outcome) {
+		DispatcherHarness harness = harness(kind).configure(DispatcherHarness.runners(1, 1));
+		TaskRequest running = harness.request(true);
+		harness.offer(running);
+		TaskRequest waiting = harness.request(true);
+		harness.offer(waiting);
+		harness.configure().tick();
+		assertThat(harness.ends.get(waiting.id()).outcome()).isEqualTo(Outcome.NOT_RUN);
+		assertThat(harness.ends.get(waiting.id()).error()).isEqualTo(ErrorKind.NO_UPSTREAM);
+		assertThat(harness.ends).doesNotContainKey(running.id());
+		harness.finish(harness.starts.get(0), outcome);
+		assertThat(harness.ends.get(running.id()).outcome()).isEqualTo(outcome);
+		assertThat(harness.starts).hasSize(1);
+	}
+
 	/**
 	 * Guards against a worker that is given more than it has.
 	 */
