Remove the priority of routes, which had no effect

A route row had a field "priority" that was read, stored and shown, but nothing in the dispatch used it. A row that still has the field is rejected as any row with an unknown field.

--- a/limpetgate-core/src/main/java/org/limpetgate/config/Route.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/Route.java
@@ -22,13 +22,11 @@
  * @param idempotent whether all requests of the route are idempotent, or
  * {@link Idempotence#BY_METHOD}
  * @param deadlineMillis the time allowed for one request, in milliseconds, at least 1
- * @param priority the priority class of the requests
  * @param inFlight the most attempts of the route that run at the same time from one entry
  * host, at least 1
  */
 public record Route(RouteName name, String caller, String method, String host, String pathPrefix,
-		Map<String, String> headers, PoolName pool, Idempotence idempotent, int deadlineMillis, Priority priority,
-		int inFlight) {
+		Map<String, String> headers, PoolName pool, Idempotence idempotent, int deadlineMillis, int inFlight) {
 
 	/** Default time allowed for one request, in milliseconds. */
 	public static final int DEFAULT_DEADLINE_MILLIS = 10_000;
@@ -52,32 +50,15 @@
 
 	}
 
-	/**
-	 * The priority classes of requests.
-	 */
-	public enum Priority {
-
-		/** Requests that people wait for. */
-		HIGH,
-
-		/** Requests without special urgency. */
-		NORMAL,
-
-		/** Requests that may wait, such as those of nightly jobs. */
-		LOW
-
-	}
-
 	public Route {
 		Objects.requireNonNull(name, "name");
 		Objects.requireNonNull(pool, "pool");
 		Objects.requireNonNull(idempotent, "idempotent");
-		Objects.requireNonNull(priority, "priority");
 		headers = Map.copyOf(headers);
 	}
 
 	/**
-	 * Creates a route of normal priority with the default bound on attempts in flight.
+	 * Creates a route with the default bound on attempts in flight.
 	 * @param name the name
 	 * @param caller the caller to match, or empty
 	 * @param method the HTTP method to match, or empty
@@ -90,8 +71,7 @@
 	 */
 	public Route(RouteName name, String caller, String method, String host, String pathPrefix,
 			Map<String, String> headers, PoolName pool, Idempotence idempotent, int deadlineMillis) {
-		this(name, caller, method, host, pathPrefix, headers, pool, idempotent, deadlineMillis, Priority.NORMAL,
-				DEFAULT_IN_FLIGHT);
+		this(name, caller, method, host, pathPrefix, headers, pool, idempotent, deadlineMillis, DEFAULT_IN_FLIGHT);
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/config/TableJson.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/TableJson.java
@@ -212,11 +212,9 @@
 		Route.Idempotence idempotent = row.parsed("idempotent", JsonObject.constants(Route.Idempotence.class),
 				Route.Idempotence.BY_METHOD);
 		long deadline = row.integer("deadlineMillis", 1, MAX_DEADLINE_MILLIS, Route.DEFAULT_DEADLINE_MILLIS);
-		Route.Priority priority = row.parsed("priority", JsonObject.constants(Route.Priority.class),
-				Route.Priority.NORMAL);
 		long inFlight = row.integer("inFlight", 1, MAX_IN_FLIGHT, Route.DEFAULT_IN_FLIGHT);
 		return row.build(() -> new Route(name, match.caller, match.method, match.host, match.pathPrefix, match.headers,
-				pool, idempotent, (int) deadline, priority, (int) inFlight));
+				pool, idempotent, (int) deadline, (int) inFlight));
 	}
 
 	private static Match match(JsonObject fields) {
@@ -311,7 +309,6 @@
 		node.put("pool", route.pool().value());
 		node.put("idempotent", JsonObject.textOf(route.idempotent()));
 		node.put("deadlineMillis", route.deadlineMillis());
-		node.put("priority", JsonObject.textOf(route.priority()));
 		node.put("inFlight", route.inFlight());
 		return node;
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/config/TableJsonTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/config/TableJsonTests.java
@@ -73,7 +73,7 @@
 				new Case("'pool':'p'", "'pool':'nowhere'", "$.routes[0].pool"),
 				new Case("'pool':'p'", "'pool':'p','deadlineMillis':0", "$.routes[0].deadlineMillis"),
 				new Case("'pool':'p'", "'pool':'p','idempotent':true", "$.routes[0].idempotent"),
-				new Case("'pool':'p'", "'pool':'p','priority':'urgent'", "$.routes[0].priority"),
+				new Case("'pool':'p'", "'pool':'p','priority':'high'", "$.routes[0].priority"),
 				new Case("'inFlight':9", "'inFlight':0", "$.routes[0].inFlight"),
 				new Case("'inFlight':9", "'inFlight':1000001", "$.routes[0].inFlight"),
 				new Case("'caller':'c',", "", "$.pools[1].quotas[0].caller"),
--- a/limpetgate-core/src/test/java/org/limpetgate/dispatch/AdaptiveDispatcherTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/dispatch/AdaptiveDispatcherTests.java
@@ -265,7 +265,7 @@
 
 	private static Route limited(Pool pool, int inFlight) {
 		return new Route(RouteName.of("route-1"), "", "", "", "", Map.of(), pool.name(), Route.Idempotence.BY_METHOD,
-				Route.DEFAULT_DEADLINE_MILLIS, Route.Priority.NORMAL, inFlight);
+				Route.DEFAULT_DEADLINE_MILLIS, inFlight);
 	}
 
 	/**
--- a/limpetgate-host/src/test/java/org/limpetgate/host/operator/OperatorApiTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/operator/OperatorApiTests.java
@@ -92,7 +92,7 @@
 				new Case("PUT", "pools/p", "if-none-match:*", POOL, 200, "\"version\":1"),
 				new Case("PUT", "pools/p", "if-none-match:*", POOL, 409, "\"outcome\":\"not-run\""),
 				new Case("PUT", "routes/r%2F1", "if-none-match:*", ROUTE, 200, "\"version\":3"),
-				new Case("GET", "routes/r/1", "", "", 200, "\"priority\":\"normal\""),
+				new Case("GET", "routes/r/1", "", "", 200, "\"inFlight\":1000000"),
 				new Case("GET", "routes/x", "", "", 404, "UNKNOWN_ROW"),
 				new Case("GET", "routes/%zz", "", "", 400, "percent"),
 				new Case("PUT", "pools/p", "if-match:\"0\"", POOL, 409, "VERSION_CONFLICT"),
