--- a/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationSnapshot.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationSnapshot.java
@@ -11,10 +11,10 @@
  *
  * @param version the offset up to which the stream is folded in, inclusive, -1 for none
  * @param rows the rows of both tables, by table and name
- * @param recent the results of the most recent edits, by offset
+ * @param recent the most recent edits with their results, by offset
  */
 public record ConfigurationSnapshot(long version, List<VersionedRow> rows,
-		List<EditResult> recent) implements ConfigurationRecord {
+		List<HistoryEntry> recent) implements ConfigurationRecord {
 
 	public ConfigurationSnapshot {
 		rows = List.copyOf(rows);
@@ -38,7 +38,7 @@
 		tables.routes()
 			.forEach((route) -> rows
 				.add(new VersionedRow(TableName.ROUTES, route.name().value(), none, TableJson.write(route))));
-		return new ConfigurationSnapshot(none, rows, List.of(EditResult.accepted(editId, none)));
+		return new ConfigurationSnapshot(none, rows, List.of(HistoryEntry.ofResult(EditResult.accepted(editId, none))));
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
@@ -1,9 +1,8 @@
 package org.limpetgate.config;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -42,23 +41,18 @@
 	public static final long NO_VERSION = -1;
 
 	/**
-	 * The number of edits whose results are kept. A repeated edit is recognised while its
-	 * id is among them. Hosts re-append an edit for a few seconds only, and the busiest
-	 * systems take some thousand edits a day.
+	 * The number of edits that are kept with their results. A repeated edit is recognised
+	 * while its id is among them. Hosts re-append an edit for a few seconds only, and the
+	 * busiest systems take some thousand edits a day.
 	 */
 	public static final int MAX_RESULTS = 1024;
 
-	/** The number of history entries that are kept. */
-	public static final int MAX_HISTORY = 1024;
-
 	private final Map<RouteName, Versioned<Route>> routes = new TreeMap<>();
 
 	private final Map<PoolName, Versioned<Pool>> pools = new TreeMap<>();
 
-	/** Results by edit id in offset order. */
-	private final LinkedHashMap<String, EditResult> results = new LinkedHashMap<>();
-
-	private final Deque<HistoryEntry> history = new ArrayDeque<>();
+	/** The recent edits by id in offset order. */
+	private final LinkedHashMap<String, HistoryEntry> edits = new LinkedHashMap<>();
 
 	private long version = NO_VERSION;
 
@@ -136,16 +130,20 @@
 	 * @return the result, empty if the edit is not among the last {@link #MAX_RESULTS}
 	 */
 	public Optional<EditResult> result(String editId) {
-		return Optional.ofNullable(this.results.get(editId));
+		return Optional.ofNullable(this.edits.get(editId)).map(HistoryEntry::result);
 	}
 
 	/**
-	 * Returns the history of edits, the latest first. After a restore from a snapshot it
-	 * begins at the version of the snapshot.
-	 * @return the entries, not null
+	 * Returns the history of edits, the latest first. It is the same on a host that was
+	 * restored from a snapshot as on one that folded all records. A reset of all tables
+	 * clears it, since hosts that lost the tables do not know what came before.
+	 * @return at most {@link #MAX_RESULTS} entries, not null
 	 */
 	public List<HistoryEntry> history() {
-		return List.copyOf(this.history);
+		List<HistoryEntry> latestFirst = new ArrayList<>(this.edits.values());
+		latestFirst.removeIf((entry) -> !entry.isComplete());
+		Collections.reverse(latestFirst);
+		return latestFirst;
 	}
 
 	/**
@@ -196,7 +194,7 @@
 	public ConfigurationSnapshot toSnapshot() {
 		List<VersionedRow> rows = new ArrayList<>(rows(TableName.POOLS));
 		rows.addAll(rows(TableName.ROUTES));
-		return new ConfigurationSnapshot(this.version, rows, List.copyOf(this.results.values()));
+		return new ConfigurationSnapshot(this.version, rows, List.copyOf(this.edits.values()));
 	}
 
 	/**
@@ -300,8 +298,8 @@
 		this.routes.putAll(newRoutes);
 		this.pools.clear();
 		this.pools.putAll(newPools);
-		this.results.clear();
-		snapshot.recent().forEach((result) -> this.results.put(result.editId(), result));
+		this.edits.clear();
+		snapshot.recent().forEach((entry) -> this.edits.put(entry.result().editId(), entry));
 		return true;
 	}
 
@@ -343,13 +341,13 @@
 	 * @param reset the record
 	 */
 	private void foldReset(long offset, ConfigurationSnapshot reset) {
-		String editId = reset.recent().get(0).editId();
+		String editId = reset.recent().get(0).result().editId();
 		List<VersionedRow> rows = reset.rows()
 			.stream()
 			.map((row) -> new VersionedRow(row.table(), row.name(), offset, row.row()))
 			.toList();
-		EditResult result = EditResult.accepted(editId, offset);
-		if (replace(new ConfigurationSnapshot(offset, rows, List.of(result)))) {
+		HistoryEntry entry = HistoryEntry.ofResult(EditResult.accepted(editId, offset));
+		if (replace(new ConfigurationSnapshot(offset, rows, List.of(entry)))) {
 			this.gapEnd = NO_VERSION;
 		}
 	}
@@ -376,7 +374,7 @@
 	}
 
 	private void foldEdit(long offset, long appendTimeNanos, Edit edit) {
-		if (this.results.containsKey(edit.editId())) {
+		if (this.edits.containsKey(edit.editId())) {
 			return;
 		}
 		EditResult result;
@@ -387,14 +385,9 @@
 		catch (DispatchException ex) {
 			result = EditResult.rejected(edit.editId(), offset, ex.kind(), withoutRemedy(ex));
 		}
-		this.results.put(edit.editId(), result);
-		if (this.results.size() > MAX_RESULTS) {
-			this.results.remove(this.results.keySet().iterator().next());
-		}
-		this.history.addFirst(new HistoryEntry(result, edit.operator(), edit.issuedAtNanos(), appendTimeNanos,
-				edit.table(), edit.name(), edit.baseVersion(), edit.isRemoval()));
-		if (this.history.size() > MAX_HISTORY) {
-			this.history.removeLast();
+		this.edits.put(edit.editId(), HistoryEntry.of(result, edit, appendTimeNanos));
+		if (this.edits.size() > MAX_RESULTS) {
+			this.edits.remove(this.edits.keySet().iterator().next());
 		}
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/config/EditResult.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/EditResult.java
@@ -21,7 +21,7 @@
 	public EditResult {
 		Objects.requireNonNull(editId, "editId");
 		Objects.requireNonNull(error, "error");
-		detail = (detail.length() <= MAX_DETAIL_CHARS) ? detail : detail.substring(0, MAX_DETAIL_CHARS);
+		detail = bounded(detail, MAX_DETAIL_CHARS);
 	}
 
 	/**
@@ -46,6 +46,21 @@
 		return new EditResult(editId, offset, Optional.of(error), detail);
 	}
 
+	/**
+	 * Cuts a text. A surrogate pair is not split, since half of one is lost in UTF-8 and
+	 * a snapshot would differ from the state that it was made from.
+	 * @param text the text, not null
+	 * @param maxChars the most characters
+	 * @return the text or its beginning, not null
+	 */
+	static String bounded(String text, int maxChars) {
+		if (text.length() <= maxChars) {
+			return text;
+		}
+		boolean splitsPair = Character.isHighSurrogate(text.charAt(maxChars - 1));
+		return text.substring(0, splitsPair ? maxChars - 1 : maxChars);
+	}
+
 	/**
 	 * Tests whether the edit took effect.
 	 * @return true if it was accepted
--- a/limpetgate-core/src/main/java/org/limpetgate/config/HistoryEntry.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/HistoryEntry.java
@@ -1,28 +1,65 @@
 package org.limpetgate.config;
 
 import java.util.Objects;
+import java.util.Optional;
 
 /**
- * Who changed what, when, and with which result.
+ * Who changed what, when, and with which result; the same on every host.
  *
  * @param result the result with the offset of the edit
- * @param operator who made the edit
+ * @param operator who made the edit, empty if only the result is known
  * @param issuedAtNanos when it was made by the clock of the host that took it, in
  * nanoseconds since the Unix epoch
  * @param appendedAtNanos when the platform stored it, in nanoseconds since the Unix epoch
- * @param table the table
+ * @param table the table, empty if only the result is known
  * @param name the name of the row
  * @param baseVersion the version from which the edit was made
  * @param removal whether the edit removes the row
  */
 public record HistoryEntry(EditResult result, String operator, long issuedAtNanos, long appendedAtNanos,
-		TableName table, String name, long baseVersion, boolean removal) {
+		Optional<TableName> table, String name, long baseVersion, boolean removal) {
+
+	/**
+	 * Bound on the operator and the name, in characters, so that snapshots have a bounded
+	 * size. Valid ones are not longer, but the stream may hold others.
+	 */
+	public static final int MAX_TEXT_CHARS = 128;
 
 	public HistoryEntry {
 		Objects.requireNonNull(result, "result");
-		Objects.requireNonNull(operator, "operator");
 		Objects.requireNonNull(table, "table");
-		Objects.requireNonNull(name, "name");
+		operator = EditResult.bounded(operator, MAX_TEXT_CHARS);
+		name = EditResult.bounded(name, MAX_TEXT_CHARS);
+	}
+
+	/**
+	 * Returns the entry of an edit.
+	 * @param result the result, not null
+	 * @param edit the edit, not null
+	 * @param appendedAtNanos when the platform stored it
+	 * @return the entry, not null
+	 */
+	public static HistoryEntry of(EditResult result, Edit edit, long appendedAtNanos) {
+		return new HistoryEntry(result, edit.operator(), edit.issuedAtNanos(), appendedAtNanos,
+				Optional.of(edit.table()), edit.name(), edit.baseVersion(), edit.isRemoval());
+	}
+
+	/**
+	 * Returns an entry of which only the result is known: a reset of all tables, or an
+	 * edit in a snapshot of an earlier version of the program.
+	 * @param result the result, not null
+	 * @return the entry, not null
+	 */
+	public static HistoryEntry ofResult(EditResult result) {
+		return new HistoryEntry(result, "", 0, 0, Optional.empty(), "", ConfigurationTable.NO_VERSION, false);
+	}
+
+	/**
+	 * Tests whether the entry tells who changed what.
+	 * @return false if only the result is known
+	 */
+	public boolean isComplete() {
+		return this.table.isPresent();
 	}
 
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/config/ConfigurationTableTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/config/ConfigurationTableTests.java
@@ -161,15 +161,25 @@
 	}
 
 	/**
-	 * Guards against memory that grows with the number of edits.
+	 * Guards against memory that grows with the number of edits, and against a restored
+	 * host that cannot show who changed what before.
 	 */
 	@Example
-	void keepsABoundedNumberOfResults() {
+	void keepsABoundedHistoryThatOutlivesTheHost() {
 		for (int count = 0; count < ConfigurationTable.MAX_RESULTS + 10; count++) {
-			edit(TableName.POOLS, "p", 7, POOL);
+			edit(TableName.POOLS, "p".repeat(1 + count % 200), 7, (count % 3 == 0) ? "" : POOL);
 		}
 		assertThat(this.table.toSnapshot().recent()).hasSize(ConfigurationTable.MAX_RESULTS);
-		assertThat(this.table.history()).hasSize(ConfigurationTable.MAX_HISTORY);
+		assertThat(this.table.history()).hasSize(ConfigurationTable.MAX_RESULTS);
+		ConfigurationTable restored = new ConfigurationTable();
+		assertThat(restored.restore(this.table.toSnapshot())).isTrue();
+		assertThat(restored.history()).isEqualTo(this.table.history());
+		for (ConfigurationTable both : List.of(this.table, restored)) {
+			both.fold(both.nextOffset(), 5, Optional.of(new Edit("last", "eva", 4, TableName.POOLS, "p", -1, POOL)));
+		}
+		assertThat(restored.history()).isEqualTo(this.table.history()).hasSize(ConfigurationTable.MAX_RESULTS);
+		assertThat(restored.history().get(0)).extracting(HistoryEntry::operator, HistoryEntry::appendedAtNanos)
+			.containsExactly("eva", 5L);
 	}
 
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
@@ -296,7 +296,7 @@
 			.put("version", result.offset())
 			.put("operator", entry.operator())
 			.put("appendedAtMillis", Duration.ofNanos(entry.appendedAtNanos()).toMillis())
-			.put("table", entry.table().text())
+			.put("table", entry.table().map(TableName::text).orElse(""))
 			.put("name", entry.name())
 			.put("baseVersion", entry.baseVersion())
 			.put("removal", entry.removal())
--- a/limpetgate-host/src/test/java/org/limpetgate/host/configuration/ConfigurationRunTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/configuration/ConfigurationRunTests.java
@@ -21,6 +21,7 @@
 import org.limpetgate.config.ConfigurationTable;
 import org.limpetgate.config.Edit;
 import org.limpetgate.config.EditResult;
+import org.limpetgate.config.HistoryEntry;
 import org.limpetgate.config.TableName;
 import org.limpetgate.config.VersionedRow;
 import org.limpetgate.wire.ConfigurationCodec;
@@ -264,7 +265,10 @@
 				assertThat(tables.pools()).containsExactlyElementsOf(expected.configuration().pools());
 				assertThat(tables.routes()).containsExactlyElementsOf(expected.configuration().routes());
 				CompletableFuture<ConfigurationService.Condition> condition = node.service.condition();
+				CompletableFuture<List<HistoryEntry>> history = node.service.read(ConfigurationTable::history);
 				this.cluster.runFor(Duration.ofMillis(1));
+				assertThat(history.join()).as("seed %d: history of %s", this.seed, node.id)
+					.isEqualTo(expected.history());
 				assertThat(condition.join().divergentSnapshots()).as("seed %d: %s", this.seed, node.id).isZero();
 				assertThat(condition.join().inGap()).isFalse();
 			}
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/EditResult.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/EditResult.java
@@ -31,6 +31,9 @@
     editId_ = "";
     error_ = "";
     detail_ = "";
+    operator_ = "";
+    table_ = "";
+    name_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -187,6 +190,177 @@
     }
   }
 
+  public static final int OPERATOR_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object operator_ = "";
+  /**
+   * <pre>
+   * Who changed what and when, for the history. Table is empty for a reset of all tables and for results that a host
+   * of an earlier version kept.
+   * </pre>
+   *
+   * <code>string operator = 5;</code>
+   * @return The operator.
+   */
+  @java.lang.Override
+  public java.lang.String getOperator() {
+    java.lang.Object ref = operator_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      operator_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Who changed what and when, for the history. Table is empty for a reset of all tables and for results that a host
+   * of an earlier version kept.
+   * </pre>
+   *
+   * <code>string operator = 5;</code>
+   * @return The bytes for operator.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getOperatorBytes() {
+    java.lang.Object ref = operator_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      operator_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int TABLE_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object table_ = "";
+  /**
+   * <code>string table = 6;</code>
+   * @return The table.
+   */
+  @java.lang.Override
+  public java.lang.String getTable() {
+    java.lang.Object ref = table_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      table_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string table = 6;</code>
+   * @return The bytes for table.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getTableBytes() {
+    java.lang.Object ref = table_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      table_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int NAME_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object name_ = "";
+  /**
+   * <code>string name = 7;</code>
+   * @return The name.
+   */
+  @java.lang.Override
+  public java.lang.String getName() {
+    java.lang.Object ref = name_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      name_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string name = 7;</code>
+   * @return The bytes for name.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getNameBytes() {
+    java.lang.Object ref = name_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      name_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int BASE_VERSION_FIELD_NUMBER = 8;
+  private long baseVersion_ = 0L;
+  /**
+   * <code>sint64 base_version = 8;</code>
+   * @return The baseVersion.
+   */
+  @java.lang.Override
+  public long getBaseVersion() {
+    return baseVersion_;
+  }
+
+  public static final int REMOVAL_FIELD_NUMBER = 9;
+  private boolean removal_ = false;
+  /**
+   * <code>bool removal = 9;</code>
+   * @return The removal.
+   */
+  @java.lang.Override
+  public boolean getRemoval() {
+    return removal_;
+  }
+
+  public static final int ISSUED_AT_NANOS_FIELD_NUMBER = 10;
+  private long issuedAtNanos_ = 0L;
+  /**
+   * <code>fixed64 issued_at_nanos = 10;</code>
+   * @return The issuedAtNanos.
+   */
+  @java.lang.Override
+  public long getIssuedAtNanos() {
+    return issuedAtNanos_;
+  }
+
+  public static final int APPENDED_AT_NANOS_FIELD_NUMBER = 11;
+  private long appendedAtNanos_ = 0L;
+  /**
+   * <code>fixed64 appended_at_nanos = 11;</code>
+   * @return The appendedAtNanos.
+   */
+  @java.lang.Override
+  public long getAppendedAtNanos() {
+    return appendedAtNanos_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -213,6 +387,27 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 4, detail_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, operator_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(table_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, table_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, name_);
+    }
+    if (baseVersion_ != 0L) {
+      output.writeSInt64(8, baseVersion_);
+    }
+    if (removal_ != false) {
+      output.writeBool(9, removal_);
+    }
+    if (issuedAtNanos_ != 0L) {
+      output.writeFixed64(10, issuedAtNanos_);
+    }
+    if (appendedAtNanos_ != 0L) {
+      output.writeFixed64(11, appendedAtNanos_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -230,6 +425,31 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(4, detail_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, operator_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(table_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, table_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, name_);
+    }
+    if (baseVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSInt64Size(8, baseVersion_);
+    }
+    if (removal_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, removal_);
+    }
+    if (issuedAtNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(10, issuedAtNanos_);
+    }
+    if (appendedAtNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(11, appendedAtNanos_);
+    }
     return size;
   }
   @java.lang.Override
@@ -262,6 +482,20 @@
         .equals(other.getError())) return false;
     if (!getDetail()
         .equals(other.getDetail())) return false;
+    if (!getOperator()
+        .equals(other.getOperator())) return false;
+    if (!getTable()
+        .equals(other.getTable())) return false;
+    if (!getName()
+        .equals(other.getName())) return false;
+    if (getBaseVersion()
+        != other.getBaseVersion()) return false;
+    if (getRemoval()
+        != other.getRemoval()) return false;
+    if (getIssuedAtNanos()
+        != other.getIssuedAtNanos()) return false;
+    if (getAppendedAtNanos()
+        != other.getAppendedAtNanos()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -282,6 +516,24 @@
     hash = (53 * hash) + getError().hashCode();
     hash = (37 * hash) + DETAIL_FIELD_NUMBER;
     hash = (53 * hash) + getDetail().hashCode();
+    hash = (37 * hash) + OPERATOR_FIELD_NUMBER;
+    hash = (53 * hash) + getOperator().hashCode();
+    hash = (37 * hash) + TABLE_FIELD_NUMBER;
+    hash = (53 * hash) + getTable().hashCode();
+    hash = (37 * hash) + NAME_FIELD_NUMBER;
+    hash = (53 * hash) + getName().hashCode();
+    hash = (37 * hash) + BASE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBaseVersion());
+    hash = (37 * hash) + REMOVAL_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRemoval());
+    hash = (37 * hash) + ISSUED_AT_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getIssuedAtNanos());
+    hash = (37 * hash) + APPENDED_AT_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAppendedAtNanos());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -417,6 +669,13 @@
       offset_ = 0L;
       error_ = "";
       detail_ = "";
+      operator_ = "";
+      table_ = "";
+      name_ = "";
+      baseVersion_ = 0L;
+      removal_ = false;
+      issuedAtNanos_ = 0L;
+      appendedAtNanos_ = 0L;
       return this;
     }
 
@@ -462,6 +721,27 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.detail_ = detail_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.operator_ = operator_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.table_ = table_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.name_ = name_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.baseVersion_ = baseVersion_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.removal_ = removal_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.issuedAtNanos_ = issuedAtNanos_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.appendedAtNanos_ = appendedAtNanos_;
+      }
     }
 
     @java.lang.Override
@@ -494,6 +774,33 @@
         bitField0_ |= 0x00000008;
         onChanged();
       }
+      if (!other.getOperator().isEmpty()) {
+        operator_ = other.operator_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      if (!other.getTable().isEmpty()) {
+        table_ = other.table_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      if (!other.getName().isEmpty()) {
+        name_ = other.name_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      if (other.getBaseVersion() != 0L) {
+        setBaseVersion(other.getBaseVersion());
+      }
+      if (other.getRemoval() != false) {
+        setRemoval(other.getRemoval());
+      }
+      if (other.getIssuedAtNanos() != 0L) {
+        setIssuedAtNanos(other.getIssuedAtNanos());
+      }
+      if (other.getAppendedAtNanos() != 0L) {
+        setAppendedAtNanos(other.getAppendedAtNanos());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -538,6 +845,41 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 42: {
+              operator_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 50: {
+              table_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
+            case 58: {
+              name_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
+            case 64: {
+              baseVersion_ = input.readSInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              removal_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 81: {
+              issuedAtNanos_ = input.readFixed64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 81
+            case 89: {
+              appendedAtNanos_ = input.readFixed64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 89
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -823,6 +1165,375 @@
       return this;
     }
 
+    private java.lang.Object operator_ = "";
+    /**
+     * <pre>
+     * Who changed what and when, for the history. Table is empty for a reset of all tables and for results that a host
+     * of an earlier version kept.
+     * </pre>
+     *
+     * <code>string operator = 5;</code>
+     * @return The operator.
+     */
+    public java.lang.String getOperator() {
+      java.lang.Object ref = operator_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        operator_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Who changed what and when, for the history. Table is empty for a reset of all tables and for results that a host
+     * of an earlier version kept.
+     * </pre>
+     *
+     * <code>string operator = 5;</code>
+     * @return The bytes for operator.
+     */
+    public com.google.protobuf.ByteString
+        getOperatorBytes() {
+      java.lang.Object ref = operator_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        operator_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Who changed what and when, for the history. Table is empty for a reset of all tables and for results that a host
+     * of an earlier version kept.
+     * </pre>
+     *
+     * <code>string operator = 5;</code>
+     * @param value The operator to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOperator(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      operator_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Who changed what and when, for the history. Table is empty for a reset of all tables and for results that a host
+     * of an earlier version kept.
+     * </pre>
+     *
+     * <code>string operator = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOperator() {
+      operator_ = getDefaultInstance().getOperator();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Who changed what and when, for the history. Table is empty for a reset of all tables and for results that a host
+     * of an earlier version kept.
+     * </pre>
+     *
+     * <code>string operator = 5;</code>
+     * @param value The bytes for operator to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOperatorBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      operator_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object table_ = "";
+    /**
+     * <code>string table = 6;</code>
+     * @return The table.
+     */
+    public java.lang.String getTable() {
+      java.lang.Object ref = table_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        table_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string table = 6;</code>
+     * @return The bytes for table.
+     */
+    public com.google.protobuf.ByteString
+        getTableBytes() {
+      java.lang.Object ref = table_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        table_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string table = 6;</code>
+     * @param value The table to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTable(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      table_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string table = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTable() {
+      table_ = getDefaultInstance().getTable();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string table = 6;</code>
+     * @param value The bytes for table to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTableBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      table_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object name_ = "";
+    /**
+     * <code>string name = 7;</code>
+     * @return The name.
+     */
+    public java.lang.String getName() {
+      java.lang.Object ref = name_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        name_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string name = 7;</code>
+     * @return The bytes for name.
+     */
+    public com.google.protobuf.ByteString
+        getNameBytes() {
+      java.lang.Object ref = name_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        name_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string name = 7;</code>
+     * @param value The name to set.
+     * @return This builder for chaining.
+     */
+    public Builder setName(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      name_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string name = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearName() {
+      name_ = getDefaultInstance().getName();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string name = 7;</code>
+     * @param value The bytes for name to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNameBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      name_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
+    private long baseVersion_ ;
+    /**
+     * <code>sint64 base_version = 8;</code>
+     * @return The baseVersion.
+     */
+    @java.lang.Override
+    public long getBaseVersion() {
+      return baseVersion_;
+    }
+    /**
+     * <code>sint64 base_version = 8;</code>
+     * @param value The baseVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBaseVersion(long value) {
+
+      baseVersion_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>sint64 base_version = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBaseVersion() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      baseVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean removal_ ;
+    /**
+     * <code>bool removal = 9;</code>
+     * @return The removal.
+     */
+    @java.lang.Override
+    public boolean getRemoval() {
+      return removal_;
+    }
+    /**
+     * <code>bool removal = 9;</code>
+     * @param value The removal to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRemoval(boolean value) {
+
+      removal_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool removal = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRemoval() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      removal_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long issuedAtNanos_ ;
+    /**
+     * <code>fixed64 issued_at_nanos = 10;</code>
+     * @return The issuedAtNanos.
+     */
+    @java.lang.Override
+    public long getIssuedAtNanos() {
+      return issuedAtNanos_;
+    }
+    /**
+     * <code>fixed64 issued_at_nanos = 10;</code>
+     * @param value The issuedAtNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIssuedAtNanos(long value) {
+
+      issuedAtNanos_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>fixed64 issued_at_nanos = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIssuedAtNanos() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      issuedAtNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long appendedAtNanos_ ;
+    /**
+     * <code>fixed64 appended_at_nanos = 11;</code>
+     * @return The appendedAtNanos.
+     */
+    @java.lang.Override
+    public long getAppendedAtNanos() {
+      return appendedAtNanos_;
+    }
+    /**
+     * <code>fixed64 appended_at_nanos = 11;</code>
+     * @param value The appendedAtNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAppendedAtNanos(long value) {
+
+      appendedAtNanos_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>fixed64 appended_at_nanos = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAppendedAtNanos() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      appendedAtNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.EditResult)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/EditResultOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/EditResultOrBuilder.java
@@ -59,4 +59,74 @@
    */
   com.google.protobuf.ByteString
       getDetailBytes();
+
+  /**
+   * <pre>
+   * Who changed what and when, for the history. Table is empty for a reset of all tables and for results that a host
+   * of an earlier version kept.
+   * </pre>
+   *
+   * <code>string operator = 5;</code>
+   * @return The operator.
+   */
+  java.lang.String getOperator();
+  /**
+   * <pre>
+   * Who changed what and when, for the history. Table is empty for a reset of all tables and for results that a host
+   * of an earlier version kept.
+   * </pre>
+   *
+   * <code>string operator = 5;</code>
+   * @return The bytes for operator.
+   */
+  com.google.protobuf.ByteString
+      getOperatorBytes();
+
+  /**
+   * <code>string table = 6;</code>
+   * @return The table.
+   */
+  java.lang.String getTable();
+  /**
+   * <code>string table = 6;</code>
+   * @return The bytes for table.
+   */
+  com.google.protobuf.ByteString
+      getTableBytes();
+
+  /**
+   * <code>string name = 7;</code>
+   * @return The name.
+   */
+  java.lang.String getName();
+  /**
+   * <code>string name = 7;</code>
+   * @return The bytes for name.
+   */
+  com.google.protobuf.ByteString
+      getNameBytes();
+
+  /**
+   * <code>sint64 base_version = 8;</code>
+   * @return The baseVersion.
+   */
+  long getBaseVersion();
+
+  /**
+   * <code>bool removal = 9;</code>
+   * @return The removal.
+   */
+  boolean getRemoval();
+
+  /**
+   * <code>fixed64 issued_at_nanos = 10;</code>
+   * @return The issuedAtNanos.
+   */
+  long getIssuedAtNanos();
+
+  /**
+   * <code>fixed64 appended_at_nanos = 11;</code>
+   * @return The appendedAtNanos.
+   */
+  long getAppendedAtNanos();
 }
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -254,10 +254,13 @@
       "\030\002 \003(\0132\030.limpetgate.VersionedRow\022&\n\006rece" +
       "nt\030\003 \003(\0132\026.limpetgate.EditResult\"I\n\014Vers" +
       "ionedRow\022\r\n\005table\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017\n" +
-      "\007version\030\003 \001(\003\022\013\n\003row\030\004 \001(\014\"L\n\nEditResul" +
-      "t\022\017\n\007edit_id\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\r\n\005er" +
-      "ror\030\003 \001(\t\022\016\n\006detail\030\004 \001(\tB\030\n\024org.limpetg" +
-      "ate.protoP\001b\006proto3"
+      "\007version\030\003 \001(\003\022\013\n\003row\030\004 \001(\014\"\326\001\n\nEditResu" +
+      "lt\022\017\n\007edit_id\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\r\n\005e" +
+      "rror\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\020\n\010operator\030\005" +
+      " \001(\t\022\r\n\005table\030\006 \001(\t\022\014\n\004name\030\007 \001(\t\022\024\n\014bas" +
+      "e_version\030\010 \001(\022\022\017\n\007removal\030\t \001(\010\022\027\n\017issu" +
+      "ed_at_nanos\030\n \001(\006\022\031\n\021appended_at_nanos\030\013" +
+      " \001(\006B\030\n\024org.limpetgate.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -424,7 +427,7 @@
     internal_static_limpetgate_EditResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_EditResult_descriptor,
-        new java.lang.String[] { "EditId", "Offset", "Error", "Detail", });
+        new java.lang.String[] { "EditId", "Offset", "Error", "Detail", "Operator", "Table", "Name", "BaseVersion", "Removal", "IssuedAtNanos", "AppendedAtNanos", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/wire/ConfigurationCodec.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/wire/ConfigurationCodec.java
@@ -17,6 +17,7 @@
 import org.limpetgate.config.ConfigurationSnapshot;
 import org.limpetgate.config.Edit;
 import org.limpetgate.config.EditResult;
+import org.limpetgate.config.HistoryEntry;
 import org.limpetgate.config.TableName;
 import org.limpetgate.config.VersionedRow;
 
@@ -91,7 +92,7 @@
 			.newBuilder()
 			.setVersion(snapshot.version());
 		snapshot.rows().forEach((row) -> message.addRows(toMessage(row)));
-		snapshot.recent().forEach((result) -> message.addRecent(toMessage(result)));
+		snapshot.recent().forEach((entry) -> message.addRecent(toMessage(entry)));
 		return message.build();
 	}
 
@@ -106,8 +107,8 @@
 		message.getRowsList()
 			.forEach((row) -> rows.add(new VersionedRow(TableName.parse(row.getTable()), row.getName(),
 					row.getVersion(), row.getRow().toStringUtf8())));
-		List<EditResult> recent = new ArrayList<>();
-		message.getRecentList().forEach((result) -> recent.add(fromMessage(result)));
+		List<HistoryEntry> recent = new ArrayList<>();
+		message.getRecentList().forEach((entry) -> recent.add(fromMessage(entry)));
 		return new ConfigurationSnapshot(message.getVersion(), rows, recent);
 	}
 
@@ -138,19 +139,33 @@
 			.build();
 	}
 
-	private static org.limpetgate.proto.EditResult toMessage(EditResult result) {
+	private static org.limpetgate.proto.EditResult toMessage(HistoryEntry entry) {
+		EditResult result = entry.result();
 		return org.limpetgate.proto.EditResult.newBuilder()
 			.setEditId(result.editId())
 			.setOffset(result.offset())
 			.setError(result.error().map(ErrorKind::name).orElse(""))
 			.setDetail(result.detail())
+			.setOperator(entry.operator())
+			.setTable(entry.table().map(TableName::text).orElse(""))
+			.setName(entry.name())
+			.setBaseVersion(entry.baseVersion())
+			.setRemoval(entry.removal())
+			.setIssuedAtNanos(entry.issuedAtNanos())
+			.setAppendedAtNanos(entry.appendedAtNanos())
 			.build();
 	}
 
-	private static EditResult fromMessage(org.limpetgate.proto.EditResult message) {
+	private static HistoryEntry fromMessage(org.limpetgate.proto.EditResult message) {
 		Optional<ErrorKind> error = message.getError().isEmpty() ? Optional.empty()
 				: Optional.of(ErrorKind.valueOf(message.getError()));
-		return new EditResult(message.getEditId(), message.getOffset(), error, message.getDetail());
+		EditResult result = new EditResult(message.getEditId(), message.getOffset(), error, message.getDetail());
+		if (message.getTable().isEmpty()) {
+			return HistoryEntry.ofResult(result);
+		}
+		return new HistoryEntry(result, message.getOperator(), message.getIssuedAtNanos(), message.getAppendedAtNanos(),
+				Optional.of(TableName.parse(message.getTable())), message.getName(), message.getBaseVersion(),
+				message.getRemoval());
 	}
 
 	private static byte[] compress(byte[] plain) {
--- a/limpetgate-proto/src/test/java/org/limpetgate/wire/ConfigurationCodecTests.java
+++ b/limpetgate-proto/src/test/java/org/limpetgate/wire/ConfigurationCodecTests.java
@@ -11,6 +11,7 @@
 import org.limpetgate.config.ConfigurationSnapshot;
 import org.limpetgate.config.Edit;
 import org.limpetgate.config.EditResult;
+import org.limpetgate.config.HistoryEntry;
 import org.limpetgate.config.TableName;
 import org.limpetgate.config.VersionedRow;
 
@@ -25,10 +26,15 @@
 
 	private static final Edit LARGE = new Edit("e2", "ana", 17, TableName.POOLS, "p", 9, "{\"id\":1}".repeat(5000));
 
+	/** The name is cut within a character of two UTF-16 units. */
+	private static final Edit LONG_NAME = new Edit("e1", "ana", 17, TableName.ROUTES,
+			"n" + "\uD83D\uDE00".repeat(HistoryEntry.MAX_TEXT_CHARS), -1, "");
+
 	private static final ConfigurationSnapshot SNAPSHOT = new ConfigurationSnapshot(41,
 			List.of(new VersionedRow(TableName.POOLS, "p", 3, "{}"), new VersionedRow(TableName.ROUTES, "r", 40, "{}")),
-			List.of(EditResult.accepted("e1", 40),
-					EditResult.rejected("e2", 41, ErrorKind.VERSION_CONFLICT, "is at version 40")));
+			List.of(HistoryEntry.ofResult(EditResult.accepted("e0", 39)),
+					HistoryEntry.of(EditResult.accepted("e1", 40), LONG_NAME, 18), HistoryEntry
+						.of(EditResult.rejected("e2", 41, ErrorKind.VERSION_CONFLICT, "is at version 40"), LARGE, 19)));
 
 	/**
 	 * Guards against fields lost on the way through the log.
