--- a/limpetgate-cli/src/main/java/org/limpetgate/cli/Limpetgate.java
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/Limpetgate.java
@@ -68,7 +68,7 @@
 			errors.println(refused.getMessage());
 			return refused.exitCode();
 		}
-		log.atSevere().withCause(failure).log("LG2112 fault in command %s", line.getCommandName());
+		log.atSevere().withCause(failure).log("LG2112 COMMAND_FAULT fault in command %s", line.getCommandName());
 		errors.println("fault in the program: " + failure + "; report it with the log lines around it");
 		return ExitCodes.REFUSED;
 	}
--- a/limpetgate-cli/src/main/java/org/limpetgate/cli/OperatorClient.java
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/OperatorClient.java
@@ -122,7 +122,9 @@
 			catch (IOException ex) {
 				mayBeSent = true;
 				last = ex;
-				log.atInfo().log("LG2113 no answer to edit %s (%s); it is sent again with the same id", editId, ex);
+				log.atInfo()
+					.log("LG2113 EDIT_SENT_AGAIN no answer to edit %s (%s); it is sent again with the same id", editId,
+							ex);
 			}
 		}
 		if (!mayBeSent) {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/ConfigurationService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/ConfigurationService.java
@@ -339,7 +339,7 @@
 		catch (RuntimeException ex) {
 			log.atSevere()
 				.withCause(ex)
-				.log("LG2109 listener failed on configuration version %d", configuration.version());
+				.log("LG2109 LISTENER_FAILED listener failed on configuration version %d", configuration.version());
 		}
 	}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/Control.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/Control.java
@@ -54,7 +54,7 @@
 			task.run();
 		}
 		catch (RuntimeException ex) {
-			log.atSevere().withCause(ex).log("LG2108 fault in the configuration service");
+			log.atSevere().withCause(ex).log("LG2108 CONFIGURATION_FAULT fault in the configuration service");
 			throw ex;
 		}
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/LogTail.java
@@ -194,8 +194,8 @@
 			this.failingSinceNanos = this.control.nowNanos();
 			log.atWarning()
 				.atMostEvery(WARNING_PERIOD_SECONDS, TimeUnit.SECONDS)
-				.log("LG2101 configuration stream cannot be read: %s; the tables stay at version %d", reason,
-						this.table.version());
+				.log("LG2101 CONFIGURATION_STREAM_UNREADABLE configuration stream cannot be read: %s; the tables stay at version %d",
+						reason, this.table.version());
 		}
 	}
 
@@ -227,7 +227,8 @@
 		}
 		if (content.isEmpty()) {
 			log.atWarning()
-				.log("LG2102 record %d of the configuration stream cannot be decoded; it is skipped", record.offset());
+				.log("LG2102 RECORD_UNDECODABLE record %d of the configuration stream cannot be decoded; it is skipped",
+						record.offset());
 		}
 		else if (content.get() instanceof ConfigurationSnapshot snapshot
 				&& snapshot.version() >= this.snapshotSeen.version) {
@@ -242,7 +243,7 @@
 		else if (this.inGapSinceNanos == NEVER) {
 			this.inGapSinceNanos = this.control.nowNanos();
 			log.atWarning()
-				.log("LG2103 records of the configuration stream after version %d were trimmed; waiting for a "
+				.log("LG2103 RECORDS_TRIMMED records of the configuration stream after version %d were trimmed; waiting for a "
 						+ "snapshot or a peer", this.table.version());
 		}
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/PendingEdits.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/PendingEdits.java
@@ -209,7 +209,7 @@
 					"edit '" + edit.editId + "' was not stored"));
 			return;
 		}
-		log.atWarning().log("LG2106 result of edit %s is unknown", edit.editId);
+		log.atWarning().log("LG2106 EDIT_UNKNOWN result of edit %s is unknown", edit.editId);
 		String state = edit.stored ? "is stored but was not read back within " : "may have been stored within ";
 		edit.answer.completeExceptionally(DispatchException.of(ErrorKind.EDIT_UNKNOWN, Outcome.UNKNOWN,
 				"edit '" + edit.editId + "' " + state + Duration.ofNanos(EDIT_WAIT_NANOS).toMillis() + " ms"));
--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/SnapshotWriter.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/SnapshotWriter.java
@@ -135,11 +135,11 @@
 	private void written(long version, int bytes, Throwable failure) {
 		if (failure != null) {
 			log.atWarning()
-				.log("LG2104 snapshot of version %d was not confirmed: %s; it is written again if none is read",
+				.log("LG2104 SNAPSHOT_UNCONFIRMED snapshot of version %d was not confirmed: %s; it is written again if none is read",
 						version, failure.getMessage());
 		}
 		else {
-			log.atInfo().log("LG2105 wrote a snapshot of version %d in %d bytes", version, bytes);
+			log.atInfo().log("LG2105 SNAPSHOT_WRITTEN wrote a snapshot of version %d in %d bytes", version, bytes);
 		}
 	}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
@@ -153,7 +153,8 @@
 		return this.service.reset(editId, tables).handle((result, failure) -> {
 			HttpReply reply = (failure != null) ? error(failure, editId) : accepted(result);
 			log.atWarning()
-				.log("LG2114 operator %s: reset of all tables, edit %s: status %d", operator, editId, reply.status());
+				.log("LG2114 TABLES_RESET operator %s: reset of all tables, edit %s: status %d", operator, editId,
+						reply.status());
 			return reply;
 		});
 	}
@@ -197,7 +198,7 @@
 		return this.service.edit(edit).handle((result, failure) -> {
 			HttpReply reply = (failure != null) ? error(failure, editId) : accepted(result);
 			log.atInfo()
-				.log("LG2110 operator %s: %s %s '%s' from version %d, edit %s: status %d", operator, call.method(),
+				.log("LG2110 EDIT operator %s: %s %s '%s' from version %d, edit %s: status %d", operator, call.method(),
 						table.text(), name, base, editId, reply.status());
 			return reply;
 		});
@@ -348,7 +349,7 @@
 		Throwable cause = (failure instanceof CompletionException && failure.getCause() != null) ? failure.getCause()
 				: failure;
 		if (!(cause instanceof DispatchException)) {
-			log.atSevere().withCause(cause).log("LG2111 fault in the operators' interface");
+			log.atSevere().withCause(cause).log("LG2111 OPERATOR_API_FAULT fault in the operators' interface");
 		}
 		DispatchException error = (cause instanceof DispatchException known) ? known
 				: DispatchException.of(ErrorKind.INTERNAL, Outcome.UNKNOWN, String.valueOf(cause.getMessage()));
