Rotate keys without a restart

operators.md promised that serve takes over changed keys of its settings file, but nothing read the file again, so each step of a rotation needed a restart of every host.

- EntryHost.replaceKeys replaces the keys of the peer links and of the operators' interface (LG4004).
An empty list of keys is refused before anything is replaced.

A test drives the steps of a rotation against a running host: requests of operators and links of peers with the old and the new key are admitted exactly while the key is configured.

--- a/limpetgate-cli/src/main/java/org/limpetgate/cli/ServeCommand.java
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/ServeCommand.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.concurrent.CountDownLatch;
 
 import org.limpetgate.ErrorKind;
@@ -25,14 +26,25 @@
 
 	@Override
 	public Integer call() throws InterruptedException {
+		FileTime modified = modified();
 		HostSettings settings = read();
 		LogOutput.configure(settings.logFile());
 		EntryHost host = EntryHost.start(settings);
+		new SettingsWatcher(this.file, modified, settings, host::replaceKeys).start();
 		announce(host);
 		awaitShutdown(host);
 		return ExitCodes.OK;
 	}
 
+	private FileTime modified() {
+		try {
+			return Files.getLastModifiedTime(this.file);
+		}
+		catch (IOException ex) {
+			return null;
+		}
+	}
+
 	private HostSettings read() {
 		try {
 			JsonResult<HostSettings> result = HostSettings.read(this.file.toString(), Files.readAllBytes(this.file));
--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -108,6 +108,8 @@
 
 	private final HttpWorkerService workers;
 
+	private final PeerKeys keys;
+
 	private final PeerServer peerServer;
 
 	private final PeerLinks links;
@@ -124,6 +126,8 @@
 
 	private final HttpServer callers;
 
+	private final OperatorApi operatorApi;
+
 	private final HttpServer operators;
 
 	private volatile Map<UpstreamId, InetSocketAddress> upstreamAddresses = Map.of();
@@ -146,6 +150,7 @@
 		this.runner = new TaskRunner(this.dispatcher, gateways(), this.control, this.clock, this.events, this.metrics);
 		this.runner.onLeaving((upstream) -> upstreamLeaving(upstream, this.clock.getAsLong()));
 		PeerIdentity self = new PeerIdentity(this.incarnation, settings.dataCentre());
+		this.keys = PeerKeys.of(settings.keys().get(0).id(), secrets(settings.keys()));
 		PeerSettings peerSettings = peerSettings(self);
 		this.peerServer = PeerServer.start(this.group, toAddress(settings.peers()), peerSettings,
 				(peer, frame) -> this.peerHandler.handle(peer, frame));
@@ -163,8 +168,10 @@
 		this.callers = HttpServer.start(this.group, toAddress(settings.callers()), callerLimits(),
 				new CallerApi(this.submissions, new RequestService(this.tasks, this.configuration::configuration,
 						this.control, this.clock, this.events), this::isReady));
+		this.operatorApi = new OperatorApi(settings.host(), this.configuration, this.versions, settings.operatorKeys(),
+				this.clock);
 		this.operators = HttpServer.start(this.group, toAddress(settings.operators()), HttpServerLimits.defaults(),
-				new OperatorHandler(operatorApi(), this.metrics, this::isReady));
+				new OperatorHandler(this.operatorApi, this.metrics, this::isReady));
 	}
 
 	/**
@@ -205,11 +212,6 @@
 				() -> this.configuration.configuration().version());
 	}
 
-	private OperatorApi operatorApi() {
-		return new OperatorApi(this.settings.host(), this.configuration, this.versions, this.settings.operatorKeys(),
-				this.clock);
-	}
-
 	private Map<PoolKind, UpstreamGateway> gateways() {
 		HttpClient client = HttpClient.of(this.group, HttpClientLimits.defaults());
 		return Map.of(PoolKind.RUNNERS, new RunnerGateway(client), PoolKind.WORKERS,
@@ -261,15 +263,15 @@
 	}
 
 	private PeerSettings peerSettings(PeerIdentity self) {
-		PeerSettings common = PeerSettings.of(self, peerKeys(this.settings.keys()));
+		PeerSettings common = PeerSettings.of(self, this.keys);
 		InetAddress local = toAddress(this.settings.peers()).getAddress();
 		return local.isAnyLocalAddress() ? common : common.withLocalAddress(local);
 	}
 
-	private static PeerKeys peerKeys(List<Key> keys) {
+	private static Map<String, byte[]> secrets(List<Key> keys) {
 		Map<String, byte[]> secrets = new HashMap<>();
 		keys.forEach((key) -> secrets.put(key.id(), key.secret()));
-		return PeerKeys.of(keys.get(0).id(), secrets);
+		return secrets;
 	}
 
 	private static InetSocketAddress toAddress(Endpoint endpoint) {
@@ -350,6 +352,28 @@
 		return this.configuration.isReady() && !this.leaving;
 	}
 
+	/**
+	 * Replaces the keys of the links between entry hosts and those of the operators.
+	 * Links that were opened with a removed key are closed. Tickets keep the secret that
+	 * the host started with.
+	 * @param newKeys the keys of the entry hosts, the current one first, at least one
+	 * @param newOperatorKeys the keys of the operators, not null
+	 * @throws IllegalArgumentException if there is no key of the entry hosts; nothing is
+	 * replaced then
+	 */
+	public void replaceKeys(List<Key> newKeys, List<Key> newOperatorKeys) {
+		if (newKeys.isEmpty()) {
+			throw new IllegalArgumentException("there is no key of the entry hosts; add at least one to 'keys'");
+		}
+		this.keys.replace(newKeys.get(0).id(), secrets(newKeys));
+		this.operatorApi.replaceKeys(newOperatorKeys);
+		this.events.write(LogEvent.KEYS_REPLACED, ids(newKeys), ids(newOperatorKeys));
+	}
+
+	private static List<String> ids(List<Key> keys) {
+		return keys.stream().map(Key::id).toList();
+	}
+
 	/**
 	 * Returns the configuration of this host, through which tables are edited.
 	 * @return the service, not null
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -52,6 +52,9 @@
 	/** The host stopped. */
 	STOPPED(4003, "host=%s stopped; requests cut off: %s"),
 
+	/** The keys were replaced; the first one of the hosts is the current one. */
+	KEYS_REPLACED(4004, "keys of hosts=%s, of operators=%s"),
+
 	/** A fault of the program. */
 	INTERNAL_FAULT(9001, "internal fault");
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
@@ -71,7 +71,7 @@
 
 	private final ClusterStatus cluster;
 
-	private final List<Key> keys;
+	private volatile List<Key> keys;
 
 	private final LongSupplier nowNanos;
 
@@ -93,6 +93,14 @@
 		this.nowNanos = Objects.requireNonNull(nowNanos, "nowNanos");
 	}
 
+	/**
+	 * Replaces the keys of the operators.
+	 * @param newKeys the keys, not null
+	 */
+	public void replaceKeys(List<Key> newKeys) {
+		this.keys = List.copyOf(newKeys);
+	}
+
 	@Override
 	public CompletableFuture<HttpReply> handle(HttpCall call) {
 		try {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettings.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettings.java
@@ -82,6 +82,18 @@
 			.orElse(this.peers);
 	}
 
+	/**
+	 * Returns these settings with other keys.
+	 * @param newKeys the keys of the entry hosts, not null
+	 * @param newOperatorKeys the keys of the operators, not null
+	 * @return the settings, not null
+	 */
+	public HostSettings withKeys(List<Key> newKeys, List<Key> newOperatorKeys) {
+		return new HostSettings(this.host, this.region, this.dataCentre, this.dataCentres, this.size, this.callers,
+				this.operators, this.peers, this.peerHosts, this.platform, newKeys, newOperatorKeys, this.limits,
+				this.spans, this.seed, this.logFile);
+	}
+
 	/**
 	 * Reads settings.
 	 * @param source the file, named in problems, not null
