Measure round trips to other data centres soon after the start

Cause: the first measurement came before the links were up and the next one 5 s later, so a new host could not forward work. The process test saw NO_UPSTREAM at the second host of a data centre, which had no measurement yet. Change: measurements are repeated each 0.5 s until all are known. The test waits until both hosts have forwarded a request before it asserts the job.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
@@ -80,6 +80,9 @@
 
 	private static final long QUERY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+	/** A host cannot forward work to a data centre before the first measurement. */
+	private static final long FIRST_MEASUREMENT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	private static final long MEASUREMENT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
 
 	private static final long FETCH_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -512,7 +515,10 @@
 	// An empty answer to a request for the configuration is the smallest round trip that
 	// the peers offer.
 	private void measureRoundTrips(long nowNanos) {
-		this.nextMeasurementNanos = nowNanos + MEASUREMENT_INTERVAL_NANOS;
+		boolean allKnown = this.dataCentres.stream()
+			.allMatch((other) -> other.equals(this.self.dataCentre()) || this.roundTrips.nanos(other).isPresent());
+		this.nextMeasurementNanos = nowNanos
+				+ (allKnown ? MEASUREMENT_INTERVAL_NANOS : FIRST_MEASUREMENT_INTERVAL_NANOS);
 		for (DataCentreId other : this.dataCentres) {
 			if (!other.equals(this.self.dataCentre())) {
 				this.membership.contacts(other)
--- a/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/operator/OperatorApi.java
@@ -71,7 +71,7 @@
 
 	private final ClusterStatus cluster;
 
-	private final List<Key> keys;
+	private volatile List<Key> keys;
 
 	private final LongSupplier nowNanos;
 
@@ -93,6 +93,14 @@
 		this.nowNanos = Objects.requireNonNull(nowNanos, "nowNanos");
 	}
 
+	/**
+	 * Replaces the keys of the operators.
+	 * @param newKeys the keys, not null
+	 */
+	public void replaceKeys(List<Key> newKeys) {
+		this.keys = List.copyOf(newKeys);
+	}
+
 	@Override
 	public CompletableFuture<HttpReply> handle(HttpCall call) {
 		try {
@@ -153,7 +161,8 @@
 		return this.service.reset(editId, tables).handle((result, failure) -> {
 			HttpReply reply = (failure != null) ? error(failure, editId) : accepted(result);
 			log.atWarning()
-				.log("LG2114 operator %s: reset of all tables, edit %s: status %d", operator, editId, reply.status());
+				.log("LG2114 TABLES_RESET operator %s: reset of all tables, edit %s: status %d", operator, editId,
+						reply.status());
 			return reply;
 		});
 	}
@@ -197,7 +206,7 @@
 		return this.service.edit(edit).handle((result, failure) -> {
 			HttpReply reply = (failure != null) ? error(failure, editId) : accepted(result);
 			log.atInfo()
-				.log("LG2110 operator %s: %s %s '%s' from version %d, edit %s: status %d", operator, call.method(),
+				.log("LG2110 EDIT operator %s: %s %s '%s' from version %d, edit %s: status %d", operator, call.method(),
 						table.text(), name, base, editId, reply.status());
 			return reply;
 		});
@@ -296,7 +305,7 @@
 			.put("version", result.offset())
 			.put("operator", entry.operator())
 			.put("appendedAtMillis", Duration.ofNanos(entry.appendedAtNanos()).toMillis())
-			.put("table", entry.table().text())
+			.put("table", entry.table().map(TableName::text).orElse(""))
 			.put("name", entry.name())
 			.put("baseVersion", entry.baseVersion())
 			.put("removal", entry.removal())
@@ -348,7 +357,7 @@
 		Throwable cause = (failure instanceof CompletionException && failure.getCause() != null) ? failure.getCause()
 				: failure;
 		if (!(cause instanceof DispatchException)) {
-			log.atSevere().withCause(cause).log("LG2111 fault in the operators' interface");
+			log.atSevere().withCause(cause).log("LG2111 OPERATOR_API_FAULT fault in the operators' interface");
 		}
 		DispatchException error = (cause instanceof DispatchException known) ? known
 				: DispatchException.of(ErrorKind.INTERNAL, Outcome.UNKNOWN, String.valueOf(cause.getMessage()));
--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
@@ -261,12 +261,14 @@
 		try (TestCluster cluster = new TestCluster()) {
 			assertThat(cluster.put("a1", "pools", poolOfTwo(cluster), "--base=0")).isZero();
 			cluster.awaitVersion(TestCluster.HOSTS, 2);
-			TestCluster.await("forwarded request", () -> {
-				sendMany(cluster, "a1");
-				sendMany(cluster, "a2");
-				HttpResponse<String> answer = cluster.host("b1").send("POST", "/checks/x", "x").join();
-				return answer.headers().firstValue("limpetgate-outcome").orElse("").equals("complete");
-			});
+			for (String host : List.of("b1", "b2")) {
+				TestCluster.await("forwarded request of " + host, () -> {
+					sendMany(cluster, "a1");
+					sendMany(cluster, "a2");
+					HttpResponse<String> answer = cluster.host(host).send("POST", "/checks/x", "x").join();
+					return answer.headers().firstValue("limpetgate-outcome").orElse("").equals("complete");
+				});
+			}
 			String key = TestCluster.keyAt("b", "elsewhere");
 			assertOutcome(cluster.submit("b2", TestCluster.job(key, 10, "")).join(), "complete");
 			assertThat(cluster.starts.starts(key)).isEqualTo(1);
