--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -192,7 +192,6 @@
       "mber\030\002 \001(\006\"x\n\005Hello\022.\n\013incarnation\030\001 \001(\013" +
       "2\031.limpetgate.IncarnationId\022\023\n\013data_cent" +
       "re\030\002 \001(\t\022\r\n\005nonce\030\003 \001(\014\022\013\n\003mac\030\004 \001(\014\022\016\n\006" +
-<<<<<<< HEAD
       "key_id\030\005 \001(\t\"U\n\007Refusal\022\r\n\005error\030\001 \001(\t\022\017" +
       "\n\007message\030\002 \001(\t\022\017\n\007outcome\030\003 \001(\t\022\031\n\021retr" +
       "y_after_nanos\030\004 \001(\004\"\246\002\n\tHeartbeat\022.\n\013inc" +
@@ -256,81 +255,14 @@
       "rows\030\002 \003(\0132\030.limpetgate.VersionedRow\022&\n\006" +
       "recent\030\003 \003(\0132\026.limpetgate.EditResult\"I\n\014" +
       "VersionedRow\022\r\n\005table\030\001 \001(\t\022\014\n\004name\030\002 \001(" +
-      "\t\022\017\n\007version\030\003 \001(\003\022\013\n\003row\030\004 \001(\014\"L\n\nEditR" +
-      "esult\022\017\n\007edit_id\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\r" +
-      "\n\005error\030\003 \001(\t\022\016\n\006detail\030\004 \001(\tB\030\n\024org.lim" +
-      "petgate.protoP\001b\006proto3"
-=======
-      "key_id\030\005 \001(\t\")\n\007Refusal\022\r\n\005error\030\001 \001(\t\022\017" +
-      "\n\007message\030\002 \001(\t\"\246\002\n\tHeartbeat\022.\n\013incarna" +
-      "tion\030\001 \001(\0132\031.limpetgate.IncarnationId\022\020\n" +
-      "\010sequence\030\002 \001(\004\022\035\n\025configuration_version" +
-      "\030\003 \001(\003\022\014\n\004size\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022&\n" +
-      "\006demand\030\006 \003(\0132\026.limpetgate.PoolDemand\022\"\n" +
-      "\004seen\030\007 \003(\0132\024.limpetgate.PeerSeen\022\031\n\021lea" +
-      "ving_upstreams\030\010 \003(\t\022\017\n\007address\030\t \001(\t\022\014\n" +
-      "\004port\030\n \001(\r\022\023\n\013data_centre\030\013 \001(\t\"=\n\nPool" +
-      "Demand\022\014\n\004pool\030\001 \001(\t\022\016\n\006queued\030\002 \001(\r\022\021\n\t" +
-      "in_flight\030\003 \001(\r\"L\n\010PeerSeen\022.\n\013incarnati" +
-      "on\030\001 \001(\0132\031.limpetgate.IncarnationId\022\020\n\010s" +
-      "equence\030\002 \001(\004\"L\n\021ForwardSubmission\022\016\n\006ca" +
-      "ller\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\014\n" +
-      "\004hops\030\004 \001(\r\"<\n\017QuerySubmission\022\016\n\006caller" +
-      "\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\014\n\004hops\030\003 \001(\r\"=\n\020Can" +
-      "celSubmission\022\016\n\006caller\030\001 \001(\t\022\013\n\003key\030\002 \001" +
-      "(\t\022\014\n\004hops\030\003 \001(\r\"o\n\017SubmissionReply\022\023\n\013h" +
-      "ttp_status\030\001 \001(\r\022\017\n\007outcome\030\002 \001(\t\022\r\n\005err" +
-      "or\030\003 \001(\t\022\031\n\021retry_after_nanos\030\004 \001(\004\022\014\n\004b" +
-      "ody\030\005 \001(\014\"\263\002\n\013ForwardTask\022\016\n\006caller\030\001 \001(" +
-      "\t\022\016\n\006method\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\0225\n\007hea" +
-      "ders\030\004 \003(\0132$.limpetgate.ForwardTask.Head" +
-      "ersEntry\022\014\n\004body\030\005 \001(\014\022\026\n\016deadline_nanos" +
-      "\030\006 \001(\006\022\r\n\005route\030\007 \001(\t\022\014\n\004pool\030\010 \001(\t\022\022\n\ni" +
-      "dempotent\030\t \001(\010\022\r\n\005cores\030\n \001(\001\022\021\n\tmemory" +
-      "_mb\030\013 \001(\004\022\024\n\014accelerators\030\014 \001(\r\032.\n\014Heade" +
-      "rsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"" +
-      "\316\001\n\tTaskReply\022\023\n\013http_status\030\001 \001(\r\0223\n\007he" +
-      "aders\030\002 \003(\0132\".limpetgate.TaskReply.Heade" +
-      "rsEntry\022\014\n\004body\030\003 \001(\014\022\017\n\007outcome\030\004 \001(\t\022\r" +
-      "\n\005error\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006 \001(\004" +
-      "\032.\n\014HeadersEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002" +
-      " \001(\t:\0028\001\"*\n\024ConfigurationRequest\022\022\n\nnewe" +
-      "r_than\030\001 \001(\003\"I\n\022ConfigurationOffer\0223\n\010sn" +
-      "apshot\030\001 \001(\0132!.limpetgate.ConfigurationS" +
-      "napshot\"8\n\007Digests\022-\n\007digests\030\001 \003(\0132\034.li" +
-      "mpetgate.DataCentreDigest\"\311\001\n\020DataCentre" +
-      "Digest\022\023\n\013data_centre\030\001 \001(\t\022\022\n\nlive_host" +
-      "s\030\002 \001(\r\022$\n\034lowest_configuration_version\030" +
-      "\003 \001(\003\022$\n\005pools\030\004 \003(\0132\025.limpetgate.PoolSt" +
-      "ate\022\025\n\rsent_at_nanos\030\005 \001(\006\022)\n\007members\030\006 " +
-      "\003(\0132\030.limpetgate.DigestMember\"G\n\tPoolSta" +
-      "te\022\014\n\004pool\030\001 \001(\t\022\022\n\nwait_nanos\030\002 \001(\004\022\030\n\020" +
-      "tasks_per_second\030\003 \001(\002\"]\n\014DigestMember\022." +
-      "\n\013incarnation\030\001 \001(\0132\031.limpetgate.Incarna" +
-      "tionId\022\017\n\007address\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\"\257\001" +
-      "\n\nClaimBatch\022)\n\006holder\030\001 \001(\0132\031.limpetgat" +
-      "e.IncarnationId\022\032\n\022base_expiry_millis\030\003 " +
-      "\001(\004\022\022\n\nkey_hashes\030\004 \001(\014\022\024\n\014fingerprints\030" +
-      "\005 \001(\014\022\025\n\rexpiry_millis\030\006 \003(\004\022\023\n\013generati" +
-      "ons\030\007 \003(\rJ\004\010\002\020\003\"x\n\023ConfigurationRecord\022 " +
-      "\n\004edit\030\001 \001(\0132\020.limpetgate.EditH\000\0225\n\010snap" +
-      "shot\030\002 \001(\0132!.limpetgate.ConfigurationSna" +
-      "pshotH\000B\010\n\006record\"\202\001\n\004Edit\022\017\n\007edit_id\030\001 " +
-      "\001(\t\022\020\n\010operator\030\002 \001(\t\022\027\n\017issued_at_nanos" +
-      "\030\003 \001(\006\022\r\n\005table\030\004 \001(\t\022\014\n\004name\030\005 \001(\t\022\024\n\014b" +
-      "ase_version\030\006 \001(\003\022\013\n\003row\030\007 \001(\014\"x\n\025Config" +
-      "urationSnapshot\022\017\n\007version\030\001 \001(\003\022&\n\004rows" +
-      "\030\002 \003(\0132\030.limpetgate.VersionedRow\022&\n\006rece" +
-      "nt\030\003 \003(\0132\026.limpetgate.EditResult\"I\n\014Vers" +
-      "ionedRow\022\r\n\005table\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017\n" +
-      "\007version\030\003 \001(\003\022\013\n\003row\030\004 \001(\014\"\326\001\n\nEditResu" +
-      "lt\022\017\n\007edit_id\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\r\n\005e" +
-      "rror\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\020\n\010operator\030\005" +
-      " \001(\t\022\r\n\005table\030\006 \001(\t\022\014\n\004name\030\007 \001(\t\022\024\n\014bas" +
-      "e_version\030\010 \001(\022\022\017\n\007removal\030\t \001(\010\022\027\n\017issu" +
-      "ed_at_nanos\030\n \001(\006\022\031\n\021appended_at_nanos\030\013" +
-      " \001(\006B\030\n\024org.limpetgate.protoP\001b\006proto3"
->>>>>>> tables
+      "\t\022\017\n\007version\030\003 \001(\003\022\013\n\003row\030\004 \001(\014\"\326\001\n\nEdit" +
+      "Result\022\017\n\007edit_id\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022" +
+      "\r\n\005error\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\020\n\010operat" +
+      "or\030\005 \001(\t\022\r\n\005table\030\006 \001(\t\022\014\n\004name\030\007 \001(\t\022\024\n" +
+      "\014base_version\030\010 \001(\022\022\017\n\007removal\030\t \001(\010\022\027\n\017" +
+      "issued_at_nanos\030\n \001(\006\022\031\n\021appended_at_nan" +
+      "os\030\013 \001(\006B\030\n\024org.limpetgate.protoP\001b\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
