--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -247,7 +247,7 @@
 	}
 
 	private SubmissionService submissionService(FailoverLogService log) {
-		JobRunner jobs = new JobRunner(this.tasks, this.configuration::configuration);
+		JobTasks jobs = new JobTasks(this.tasks, this.configuration::configuration);
 		SubmissionSystem system = new SubmissionSystem(this.incarnation,
 				DataCentres.of(this.settings.dataCentre(), this.settings.dataCentres()), submissionSettings(),
 				new TicketAuthority(this.incarnation, this.settings.keys().get(0).secret()), jobs,
--- a/limpetgate-host/src/main/java/org/limpetgate/host/JobRunner.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/JobTasks.java
@@ -32,7 +32,7 @@
  * <p>
  * Not thread-safe: it belongs to the control thread.
  */
-public final class JobRunner implements JobCheck {
+public final class JobTasks implements JobCheck {
 
 	private final TaskOffering tasks;
 
@@ -45,7 +45,7 @@
 	 * @param tasks runs the tasks, not null
 	 * @param configuration gives the tables in force, not null
 	 */
-	public JobRunner(TaskOffering tasks, Supplier<Configuration> configuration) {
+	public JobTasks(TaskOffering tasks, Supplier<Configuration> configuration) {
 		this.tasks = tasks;
 		this.configuration = configuration;
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
@@ -14,8 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import com.google.protobuf.ByteString;
-import org.limpetgate.CallerId;
 import org.limpetgate.DataCentreId;
 import org.limpetgate.DispatchException;
 import org.limpetgate.ErrorKind;
@@ -23,7 +21,6 @@
 import org.limpetgate.Incarnation;
 import org.limpetgate.Outcome;
 import org.limpetgate.PoolName;
-import org.limpetgate.SubmissionKey;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.config.ConfigurationSnapshot;
 import org.limpetgate.dispatch.Admission;
@@ -32,8 +29,6 @@
 import org.limpetgate.dispatch.TaskRequest;
 import org.limpetgate.host.configuration.ConfigurationService;
 import org.limpetgate.host.configuration.PeerConfigurations;
-import org.limpetgate.host.submission.AnswerJson;
-import org.limpetgate.host.submission.SubmissionJson;
 import org.limpetgate.membership.DataCentreDigest;
 import org.limpetgate.membership.Heartbeat;
 import org.limpetgate.membership.Member;
@@ -46,17 +41,12 @@
 import org.limpetgate.net.peer.PeerHandler;
 import org.limpetgate.net.peer.PeerIdentity;
 import org.limpetgate.net.peer.PeerLinks;
-import org.limpetgate.proto.CancelSubmission;
 import org.limpetgate.proto.ConfigurationOffer;
 import org.limpetgate.proto.ConfigurationRequest;
-import org.limpetgate.proto.ForwardSubmission;
 import org.limpetgate.proto.ForwardTask;
 import org.limpetgate.proto.PeerFrame;
-import org.limpetgate.proto.QuerySubmission;
-import org.limpetgate.proto.SubmissionReply;
 import org.limpetgate.submission.Answer;
 import org.limpetgate.submission.PeerRequest;
-import org.limpetgate.submission.Submission;
 import org.limpetgate.wire.ConfigurationCodec;
 import org.limpetgate.wire.MembershipCodec;
 
@@ -307,14 +297,15 @@
 			case FORWARD_SUBMISSION:
 			case QUERY_SUBMISSION:
 			case CANCEL_SUBMISSION:
-				return Optional
-					.of(this.local.submissions().handlePeer(toRequest(frame)).thenApply(PeerService::toFrame));
+				return Optional.of(this.local.submissions()
+					.handlePeer(PeerMessages.toRequest(frame))
+					.thenApply(PeerMessages::toFrame));
 			case FORWARD_TASK:
 				return Optional.of(forwardedTask(frame.getForwardTask()));
 			case CONFIGURATION_REQUEST:
 				long version = frame.getConfigurationRequest().getNewerThan();
 				return Optional
-					.of(this.local.configuration().snapshotNewerThan(version).thenApply(PeerService::toFrame));
+					.of(this.local.configuration().snapshotNewerThan(version).thenApply(PeerMessages::toFrame));
 			default:
 				return Optional.of(CompletableFuture.failedFuture(DispatchException.of(ErrorKind.PEER_REFUSED,
 						Outcome.NOT_RUN, "message " + frame.getMessageCase() + " is not known here")));
@@ -336,60 +327,6 @@
 		configureLinks();
 	}
 
-	private static PeerRequest toRequest(PeerFrame frame) {
-		switch (frame.getMessageCase()) {
-			case FORWARD_SUBMISSION:
-				ForwardSubmission forward = frame.getForwardSubmission();
-				Submission submission = SubmissionJson.read(CallerId.of(forward.getCaller()),
-						forward.getBody().toByteArray());
-				return new PeerRequest.Submit(submission, forward.getHops());
-			case QUERY_SUBMISSION:
-				QuerySubmission query = frame.getQuerySubmission();
-				return new PeerRequest.Query(CallerId.of(query.getCaller()), SubmissionKey.of(query.getKey()),
-						query.getHops());
-			default:
-				CancelSubmission cancel = frame.getCancelSubmission();
-				return new PeerRequest.Cancel(CallerId.of(cancel.getCaller()), SubmissionKey.of(cancel.getKey()),
-						cancel.getHops());
-		}
-	}
-
-	private static PeerFrame.Builder toFrame(PeerRequest request) {
-		PeerFrame.Builder frame = PeerFrame.newBuilder();
-		if (request instanceof PeerRequest.Submit submit) {
-			return frame.setForwardSubmission(ForwardSubmission.newBuilder()
-				.setCaller(request.caller().value())
-				.setKey(request.key().value())
-				.setBody(ByteString.copyFrom(SubmissionJson.write(submit.submission())))
-				.setHops(request.hops()));
-		}
-		if (request instanceof PeerRequest.Query) {
-			return frame.setQuerySubmission(QuerySubmission.newBuilder()
-				.setCaller(request.caller().value())
-				.setKey(request.key().value())
-				.setHops(request.hops()));
-		}
-		return frame.setCancelSubmission(CancelSubmission.newBuilder()
-			.setCaller(request.caller().value())
-			.setKey(request.key().value())
-			.setHops(request.hops()));
-	}
-
-	private static PeerFrame.Builder toFrame(Answer answer) {
-		return PeerFrame.newBuilder()
-			.setSubmissionReply(SubmissionReply.newBuilder()
-				.setHttpStatus(answer.httpStatus())
-				.setOutcome(answer.outcome().text())
-				.setRetryAfterNanos(answer.retryAfterNanos())
-				.setBody(ByteString.copyFrom(AnswerJson.write(answer))));
-	}
-
-	private static PeerFrame.Builder toFrame(Optional<ConfigurationSnapshot> snapshot) {
-		ConfigurationOffer.Builder offer = ConfigurationOffer.newBuilder();
-		snapshot.ifPresent((state) -> offer.setSnapshot(ConfigurationCodec.toMessage(state)));
-		return PeerFrame.newBuilder().setConfigurationOffer(offer);
-	}
-
 	@Override
 	public CompletableFuture<Answer> toHost(Incarnation target, PeerRequest request) {
 		link(target.host());
@@ -421,15 +358,13 @@
 	}
 
 	private CompletableFuture<Answer> ask(Incarnation target, PeerRequest request) {
-		return this.links.request(target, toFrame(request), timeoutNanos(request)).thenApply(PeerService::toAnswer);
+		return this.links.request(target, PeerMessages.toFrame(request), timeoutNanos(request))
+			.thenApply(PeerMessages::toAnswer);
 	}
 
 	private CompletableFuture<Answer> ask(HostId host, PeerRequest request) {
-		return this.links.request(host, toFrame(request), timeoutNanos(request)).thenApply(PeerService::toAnswer);
-	}
-
-	private static Answer toAnswer(PeerFrame reply) {
-		return AnswerJson.read(reply.getSubmissionReply().getBody().toByteArray());
+		return this.links.request(host, PeerMessages.toFrame(request), timeoutNanos(request))
+			.thenApply(PeerMessages::toAnswer);
 	}
 
 	// A submission is answered at its expiry at the latest.
--- a/limpetgate-host/src/main/java/org/limpetgate/host/SubmissionService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/SubmissionService.java
@@ -64,7 +64,7 @@
 
 	private final SubmissionSystem system;
 
-	private final JobRunner jobs;
+	private final JobTasks jobs;
 
 	private final LogService log;
 
@@ -102,7 +102,7 @@
 	 * @param clock gives the present time in nanoseconds since the Unix epoch, not null
 	 * @param events takes a line for each decision, not null
 	 */
-	public SubmissionService(Incarnation self, String stream, SubmissionSystem system, JobRunner jobs, LogService log,
+	public SubmissionService(Incarnation self, String stream, SubmissionSystem system, JobTasks jobs, LogService log,
 			PeerRequests peers, Executor control, LongSupplier clock, EventLog events) {
 		this.self = self;
 		this.stream = stream;
