Measure how memory, messages and time grow

The capacity page needs slopes that come from the real classes. The command limpetgate-bench/capacity measures each quantity at three or more sizes, fits a line and writes the points to a CSV file. Time is the processor time of the process, so that a busy machine does not distort it.

--- /dev/null
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/DispatchCost.java
@@ -0,0 +1,128 @@
+package org.limpetgate.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import org.limpetgate.CallerId;
+import org.limpetgate.DataCentreId;
+import org.limpetgate.HostId;
+import org.limpetgate.Resources;
+import org.limpetgate.RouteName;
+import org.limpetgate.TaskId;
+import org.limpetgate.bench.dispatch.DecisionBenchmark;
+import org.limpetgate.config.Configuration;
+import org.limpetgate.config.Pool;
+import org.limpetgate.dispatch.AdaptiveDispatcher;
+import org.limpetgate.dispatch.DispatchSettings;
+import org.limpetgate.dispatch.TaskRequest;
+
+/**
+ * The memory and time of the dispatcher by upstreams and by waiting tasks.
+ */
+final class DispatchCost {
+
+	private static final int[] UPSTREAMS = { 273, 1092, 3003, 6006 };
+
+	private static final int[] WAITING = { 12_000, 60_000, 120_000 };
+
+	private static final int[] DECISION_UPSTREAMS = { 30, 300, 3000 };
+
+	private static final int CALLERS = 120;
+
+	private static final int ROUTES = 20;
+
+	private static final int BODY_BYTES = 200;
+
+	private static final long HOUR = TimeUnit.HOURS.toNanos(1);
+
+	private static final long SYSTEM_INTERVAL = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private final long seed;
+
+	DispatchCost(long seed) {
+		this.seed = seed;
+	}
+
+	List<Series> measure() {
+		List<Series> series = new ArrayList<>();
+		series.add(Series.measure("dispatcher memory, pools of one data centre each", "bytes", "upstream", UPSTREAMS,
+				(size) -> {
+					Configuration tables = Samples.tables(size, ROUTES);
+					return Meter.heapBytes(() -> dispatcher(tables));
+				}));
+		series.add(Series.measureTime("dispatcher systems each 100 ms, all upstreams idle", "upstream", UPSTREAMS,
+				(size) -> ticks(dispatcher(Samples.tables(size, ROUTES)))));
+		series.add(Series.measureTime("dispatcher configure after an edit", "upstream", UPSTREAMS, (size) -> {
+			Configuration tables = Samples.tables(size, ROUTES);
+			AdaptiveDispatcher dispatcher = dispatcher(tables);
+			return Meter.nanos(() -> dispatcher.configure(tables, 0));
+		}));
+		series.add(Series.measure("dispatcher memory, waiting", "bytes", "task", WAITING,
+				(size) -> Meter.heapBytes(() -> fill(oneWorker(), size))));
+		series.add(Series.measureTime("dispatcher systems each 100 ms, one worker", "waiting task", WAITING,
+				(size) -> ticks(fill(oneWorker(), size))));
+		series.add(Series.measureTime("task start: offer and start and end", "upstream", DECISION_UPSTREAMS,
+				DispatchCost::decision));
+		return series;
+	}
+
+	private AdaptiveDispatcher dispatcher(Configuration tables) {
+		AdaptiveDispatcher dispatcher = AdaptiveDispatcher
+			.of(DispatchSettings.of(HostId.of("entry-0-1"), Samples.dataCentre(0), 1), new SplittableRandom(this.seed));
+		dispatcher.configure(tables, 0);
+		return dispatcher;
+	}
+
+	private AdaptiveDispatcher oneWorker() {
+		Pool row = Samples.workers(0, 1);
+		Pool pool = new Pool(row.name(), row.kind(), row.upstreams(), Pool.DEFAULT_CONNECTIONS, Integer.MAX_VALUE,
+				Long.MAX_VALUE, Pool.DEFAULT_RETRY_PERCENT);
+		DataCentreId own = Samples.dataCentre(0);
+		DispatchSettings defaults = DispatchSettings.of(HostId.of("entry-0-1"), own, 1);
+		DispatchSettings settings = new DispatchSettings(defaults.host(), own, 1, defaults.quotas(),
+				defaults.routeLimits(), HOUR, defaults.longRun(), defaults.longPercent(), defaults.hedgeFactor(),
+				defaults.remainingPercent());
+		AdaptiveDispatcher dispatcher = AdaptiveDispatcher.of(settings, new SplittableRandom(this.seed));
+		dispatcher.configure(Configuration.of(0, Samples.routes(ROUTES, 1), List.of(pool)), 0);
+		return dispatcher;
+	}
+
+	private static AdaptiveDispatcher fill(AdaptiveDispatcher dispatcher, int tasks) {
+		Resources whole = new Resources(64, 131_072, 0);
+		List<CallerId> callers = new ArrayList<>();
+		for (int i = 0; i < CALLERS; i++) {
+			callers.add(CallerId.of("caller-" + i));
+		}
+		List<RouteName> routes = new ArrayList<>();
+		for (int i = 0; i < ROUTES; i++) {
+			routes.add(RouteName.of("route-" + i));
+		}
+		for (int i = 0; i < tasks; i++) {
+			TaskRequest task = new TaskRequest(TaskId.of(i + 1), callers.get(i % CALLERS), routes.get(i % ROUTES),
+					Samples.pool(0), true, whole, BODY_BYTES, 1000 * HOUR, 0);
+			if (!dispatcher.offer(task, 0).isAccepted()) {
+				throw new IllegalStateException("task " + i + " was refused; the queue must take all tasks");
+			}
+		}
+		return dispatcher;
+	}
+
+	private static double ticks(AdaptiveDispatcher dispatcher) {
+		long[] now = new long[1];
+		return Meter.nanos(() -> {
+			now[0] += SYSTEM_INTERVAL;
+			dispatcher.tick(now[0], (effect) -> {
+			});
+		});
+	}
+
+	private static double decision(int upstreams) {
+		DecisionBenchmark benchmark = new DecisionBenchmark();
+		benchmark.upstreams = upstreams;
+		benchmark.fill();
+		return Meter.nanos(benchmark::decide);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/MembershipCost.java
@@ -0,0 +1,198 @@
+package org.limpetgate.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.limpetgate.HostId;
+import org.limpetgate.Incarnation;
+import org.limpetgate.membership.DataCentreDigest;
+import org.limpetgate.membership.Heartbeat;
+import org.limpetgate.membership.MemberAddress;
+import org.limpetgate.membership.Membership;
+import org.limpetgate.membership.MembershipEffect;
+import org.limpetgate.membership.MembershipTimings;
+import org.limpetgate.proto.PeerFrame;
+import org.limpetgate.wire.MembershipCodec;
+
+/**
+ * The time and bytes of heartbeats and digests.
+ */
+final class MembershipCost {
+
+	private static final int[] HOSTS = { 2, 6, 12, 24 };
+
+	private static final int[] POOLS = { 2, 10, 30, 60 };
+
+	private static final int[] DATA_CENTRES = { 3, 11, 22 };
+
+	private static final int USUAL_HOSTS = 6;
+
+	private static final int USUAL_POOLS = 10;
+
+	/** The length before each frame. */
+	private static final int LENGTH_BYTES = 4;
+
+	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private final long seed;
+
+	MembershipCost(long seed) {
+		this.seed = seed;
+	}
+
+	List<Series> measure() {
+		List<Series> series = new ArrayList<>();
+		series.add(Series.measure("heartbeat frame, 10 pools", "bytes", "host of the data centre", HOSTS,
+				(hosts) -> frameBytes(heartbeat(0, hosts, USUAL_POOLS, 1))));
+		series.add(Series.measure("heartbeat frame, 6 hosts", "bytes", "pool", POOLS,
+				(pools) -> frameBytes(heartbeat(0, USUAL_HOSTS, pools, 1))));
+		series.add(Series.measureTime("heartbeat sent and one received, 10 pools", "host of the data centre", HOSTS,
+				(hosts) -> heartbeatNanos(hosts, USUAL_POOLS)));
+		series.add(Series.measureTime("heartbeat sent and one received, 6 hosts", "pool", POOLS,
+				(pools) -> heartbeatNanos(USUAL_HOSTS, pools)));
+		series.add(Series.measure("digest frame, 10 pools", "bytes", "host of the data centre", HOSTS,
+				(hosts) -> frameBytes(digest(1, hosts, USUAL_POOLS, 1))));
+		series.add(Series.measure("digest frame, 6 hosts", "bytes", "pool", POOLS,
+				(pools) -> frameBytes(digest(1, USUAL_HOSTS, pools, 1))));
+		series
+			.add(Series.measure("digests received at a host each second, 6 hosts and 10 pools", "bytes", "data centre",
+					DATA_CENTRES, (centres) -> (centres - 1) * frameBytes(digest(1, USUAL_HOSTS, USUAL_POOLS, 1))));
+		series.add(Series.measureTime("digests of a second at the relay: own sent and all others received",
+				"data centre", DATA_CENTRES, this::digestNanos));
+		series.add(Series.measure("membership memory, 6 hosts each and 10 pools", "bytes", "data centre", DATA_CENTRES,
+				this::memory));
+		return series;
+	}
+
+	private Heartbeat heartbeat(int sender, int hosts, int pools, long sequence) {
+		Map<HostId, Heartbeat.Seen> seen = new HashMap<>();
+		for (int i = 0; i < hosts; i++) {
+			if (i != sender) {
+				Incarnation other = Samples.host(0, i);
+				seen.put(other.host(), new Heartbeat.Seen(other, 1_000_000 + sequence));
+			}
+		}
+		return new Heartbeat(Samples.host(0, sender), Samples.address(0, sender), 1_000_000 + sequence, 500_000, 4,
+				false, Samples.demand(pools, new Random(this.seed)), seen, List.of());
+	}
+
+	private static PeerFrame frame(Heartbeat heartbeat) {
+		return PeerFrame.newBuilder().setProtocolVersion(1).setHeartbeat(MembershipCodec.toMessage(heartbeat)).build();
+	}
+
+	private static double frameBytes(Heartbeat heartbeat) {
+		return frame(heartbeat).getSerializedSize() + LENGTH_BYTES;
+	}
+
+	private DataCentreDigest digest(int dataCentre, int hosts, int pools, long sent) {
+		Map<Incarnation, MemberAddress> members = new HashMap<>();
+		for (int i = 0; i < hosts; i++) {
+			members.put(Samples.host(dataCentre, i), Samples.address(dataCentre, i));
+		}
+		return new DataCentreDigest(Samples.dataCentre(dataCentre), Samples.EPOCH_NANOS + sent, 500_000,
+				Samples.demand(pools, new Random(this.seed)), members);
+	}
+
+	private static PeerFrame frame(DataCentreDigest digest) {
+		return PeerFrame.newBuilder()
+			.setProtocolVersion(1)
+			.setDigests(MembershipCodec.toMessage(List.of(digest)))
+			.build();
+	}
+
+	private static double frameBytes(DataCentreDigest digest) {
+		return frame(digest).getSerializedSize() + LENGTH_BYTES;
+	}
+
+	private static PeerFrame parse(byte[] frame) {
+		try {
+			return PeerFrame.parseFrom(frame);
+		}
+		catch (InvalidProtocolBufferException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static Membership membership(int dataCentres, int hosts) {
+		Membership membership = new Membership(Samples.host(0, 0), Samples.dataCentre(0), MembershipTimings.DEFAULT);
+		List<MemberAddress> listed = new ArrayList<>();
+		for (int centre = 0; centre < dataCentres; centre++) {
+			for (int i = 0; i < hosts; i++) {
+				listed.add(Samples.address(centre, i));
+			}
+		}
+		membership.listed(listed);
+		return membership;
+	}
+
+	// Runs heartbeat intervals of one host with its peers. What the peers do to make
+	// their heartbeats is measured alone and taken off.
+	private double heartbeatNanos(int hosts, int pools) {
+		Membership membership = membership(1, hosts);
+		Heartbeat own = heartbeat(0, hosts, pools, 1);
+		long[] step = new long[1];
+		double whole = Meter.nanos(() -> {
+			step[0]++;
+			long now = Samples.EPOCH_NANOS + step[0] * MembershipTimings.DEFAULT.heartbeatNanos();
+			membership.tick(now, (effect) -> {
+				if (effect instanceof MembershipEffect.SendHeartbeat) {
+					frame(own).toByteArray();
+				}
+			});
+			for (int peer = 1; peer < hosts; peer++) {
+				byte[] bytes = frame(heartbeat(peer, hosts, pools, step[0])).toByteArray();
+				membership.heartbeatReceived(MembershipCodec.toHeartbeat(parse(bytes).getHeartbeat()), now);
+			}
+		});
+		double peers = Meter.nanos(() -> {
+			step[0]++;
+			for (int peer = 1; peer < hosts; peer++) {
+				frame(heartbeat(peer, hosts, pools, step[0])).toByteArray();
+			}
+		});
+		return (whole - peers) / (hosts - 1);
+	}
+
+	private double digestNanos(int centres) {
+		Membership membership = membership(centres, USUAL_HOSTS);
+		long[] step = new long[1];
+		double whole = Meter.nanos(() -> {
+			long now = Samples.EPOCH_NANOS + ++step[0] * SECOND;
+			membership.tick(now, (effect) -> {
+				if (effect instanceof MembershipEffect.SendDigests) {
+					frame(digest(0, USUAL_HOSTS, USUAL_POOLS, step[0])).toByteArray();
+				}
+			});
+			for (int centre = 1; centre < centres; centre++) {
+				byte[] bytes = frame(digest(centre, USUAL_HOSTS, USUAL_POOLS, step[0])).toByteArray();
+				membership.digestsReceived(MembershipCodec.toDigests(parse(bytes).getDigests()),
+						Samples.dataCentre(centre), now);
+			}
+		});
+		double others = Meter.nanos(() -> {
+			step[0]++;
+			for (int centre = 1; centre < centres; centre++) {
+				frame(digest(centre, USUAL_HOSTS, USUAL_POOLS, step[0])).toByteArray();
+			}
+		});
+		return whole - others;
+	}
+
+	private double memory(int centres) {
+		return Meter.heapBytes(() -> {
+			Membership membership = membership(centres, USUAL_HOSTS);
+			for (int centre = 1; centre < centres; centre++) {
+				byte[] bytes = frame(digest(centre, USUAL_HOSTS, USUAL_POOLS, 1)).toByteArray();
+				membership.digestsReceived(MembershipCodec.toDigests(parse(bytes).getDigests()),
+						Samples.dataCentre(centre), Samples.EPOCH_NANOS);
+			}
+			return membership;
+		});
+	}
+
+}
--- /dev/null
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/Samples.java
@@ -0,0 +1,105 @@
+package org.limpetgate.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.limpetgate.DataCentreId;
+import org.limpetgate.HostId;
+import org.limpetgate.Incarnation;
+import org.limpetgate.PoolName;
+import org.limpetgate.Resources;
+import org.limpetgate.RouteName;
+import org.limpetgate.UpstreamId;
+import org.limpetgate.config.Configuration;
+import org.limpetgate.config.Pool;
+import org.limpetgate.config.PoolKind;
+import org.limpetgate.config.Route;
+import org.limpetgate.config.Upstream;
+import org.limpetgate.dispatch.PeerLoad;
+import org.limpetgate.membership.MemberAddress;
+
+/**
+ * Hosts, pools and tables with names and numbers of realistic length.
+ */
+final class Samples {
+
+	/** Workers of one data centre: 6,000 divided by 22. */
+	static final int WORKERS_PER_POOL = 273;
+
+	static final long EPOCH_NANOS = 1_900_000_000_000_000_000L;
+
+	private static final int WORKERS_PER_RACK = 8;
+
+	private static final int MAX_DEMAND = 3000;
+
+	private static final int BYTE = 256;
+
+	private Samples() {
+	}
+
+	static DataCentreId dataCentre(int number) {
+		return DataCentreId.of("region-" + number % 6 + "-dc-" + number);
+	}
+
+	static Incarnation host(int dataCentre, int number) {
+		return Incarnation.of(HostId.of("entry-" + dataCentre + "-" + number), EPOCH_NANOS + number);
+	}
+
+	static MemberAddress address(int dataCentre, int number) {
+		return new MemberAddress(host(dataCentre, number).host(), dataCentre(dataCentre),
+				"10." + dataCentre + ".0." + number, 7400);
+	}
+
+	static Map<PoolName, PeerLoad.Demand> demand(int pools, Random random) {
+		Map<PoolName, PeerLoad.Demand> demand = new HashMap<>();
+		for (int i = 0; i < pools; i++) {
+			demand.put(pool(i), new PeerLoad.Demand(random.nextInt(MAX_DEMAND), random.nextInt(MAX_DEMAND)));
+		}
+		return demand;
+	}
+
+	static PoolName pool(int number) {
+		return PoolName.of("workers-pool-" + number);
+	}
+
+	static Pool workers(int pool, int workers) {
+		List<Upstream> rows = new ArrayList<>();
+		for (int i = 0; i < workers; i++) {
+			String id = "worker-" + pool + "-" + i;
+			String address = "10." + pool % BYTE + "." + i / BYTE % BYTE + "." + i % BYTE;
+			rows.add(new Upstream(UpstreamId.of(id), dataCentre(pool), address, 8080, 0, new Resources(64, 131_072, 0),
+					"rack-" + pool + "-" + i / WORKERS_PER_RACK));
+		}
+		return Pool.of(pool(pool), PoolKind.WORKERS, rows);
+	}
+
+	/**
+	 * Returns pools of one data centre each that hold some workers together.
+	 * @param workers the number of workers
+	 * @return the pools, not null
+	 */
+	static List<Pool> pools(int workers) {
+		List<Pool> pools = new ArrayList<>();
+		for (int left = workers; left > 0; left -= WORKERS_PER_POOL) {
+			pools.add(workers(pools.size(), Math.min(left, WORKERS_PER_POOL)));
+		}
+		return pools;
+	}
+
+	static List<Route> routes(int routes, int pools) {
+		List<Route> rows = new ArrayList<>();
+		for (int i = 0; i < routes; i++) {
+			rows.add(Route.ofPath(RouteName.of("route-" + i), "/team-" + i % 120 + "/work-" + i, pool(i % pools)));
+		}
+		return rows;
+	}
+
+	static Configuration tables(int workers, int routes) {
+		List<Pool> pools = pools(workers);
+		return Configuration.of(0, routes(routes, pools.size()), pools);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-bench/src/test/java/org/limpetgate/bench/capacity/LinearFitTests.java
@@ -0,0 +1,62 @@
+package org.limpetgate.bench.capacity;
+
+import java.util.List;
+
+import net.jqwik.api.Example;
+import org.assertj.core.data.Offset;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+/**
+ * Tests for {@link LinearFit} and {@link Series}.
+ */
+class LinearFitTests {
+
+	private static final Offset<Double> TOLERANCE = Offset.offset(1e-9);
+
+	// Guards against slopes in docs/CAPACITY.md that the points do not have.
+	@Example
+	void fitsTheLineOfLeastSquares() {
+		List<Case> cases = List.of(
+				// An exact line, a falling one, a constant, and one far from the origin.
+				new Case(new double[] { 1, 2, 4 }, new double[] { 5, 8, 14 }, 3, 2, 1),
+				new Case(new double[] { 0, 10 }, new double[] { 7, 2 }, -0.5, 7, 1),
+				new Case(new double[] { 1, 2, 3 }, new double[] { 4, 4, 4 }, 0, 4, 1),
+				new Case(new double[] { 1e6, 1e6 + 1 }, new double[] { 10, 12 }, 2, 10 - 2e6, 1),
+				// Worked by hand: sums xx = 5, xy = 3, yy = 5.
+				new Case(new double[] { 1, 2, 3, 4 }, new double[] { 2, 1, 4, 3 }, 0.6, 1, 0.36),
+				// No relation between x and y.
+				new Case(new double[] { -1, 0, 1 }, new double[] { 1, 0, 1 }, 0, 2.0 / 3, 0));
+		for (Case row : cases) {
+			LinearFit fit = LinearFit.of(row.x, row.y);
+			assertThat(fit.slope()).isCloseTo(row.slope, TOLERANCE);
+			assertThat(fit.intercept()).isCloseTo(row.intercept, TOLERANCE);
+			assertThat(fit.rSquared()).isCloseTo(row.rSquared, TOLERANCE);
+		}
+	}
+
+	// Guards against a division by zero that would print NaN as a slope.
+	@Example
+	void refusesPointsWithoutALine() {
+		List<double[][]> cases = List.of(new double[][] { { 1 }, { 1 } }, new double[][] { { 1, 2 }, { 1 } },
+				new double[][] { { 3, 3 }, { 1, 2 } });
+		for (double[][] row : cases) {
+			assertThatIllegalArgumentException().isThrownBy(() -> LinearFit.of(row[0], row[1]));
+		}
+	}
+
+	// Guards against a CSV whose columns do not match its header.
+	@Example
+	void writesOneLineForEachPoint() {
+		Series series = Series.measure("table", "bytes", "row", new int[] { 1, 2, 3 }, (size) -> 10 + 2 * size);
+		String[] lines = series.toCsv().split(System.lineSeparator());
+		assertThat(lines).hasSize(3);
+		assertThat(lines[2]).isEqualTo("table,bytes,row,3,16.000,2.0000,10.000,1.00000");
+		assertThat(lines[2].split(",")).hasSameSizeAs(Series.CSV_HEADER.split(","));
+	}
+
+	private record Case(double[] x, double[] y, double slope, double intercept, double rSquared) {
+	}
+
+}
