--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/DispatchCost.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/DispatchCost.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -16,6 +17,7 @@
 import org.limpetgate.config.Pool;
 import org.limpetgate.dispatch.AdaptiveDispatcher;
 import org.limpetgate.dispatch.DispatchSettings;
+import org.limpetgate.dispatch.PeerLoad;
 import org.limpetgate.dispatch.TaskRequest;
 
 /**
@@ -33,6 +35,10 @@
 
 	private static final int ROUTES = 20;
 
+	private static final int PEERS = 5;
+
+	private static final int POOLS = 10;
+
 	private static final int BODY_BYTES = 200;
 
 	private static final long HOUR = TimeUnit.HOURS.toNanos(1);
@@ -47,18 +53,24 @@
 
 	List<Series> measure() {
 		List<Series> series = new ArrayList<>();
-		series.add(Series.measure("dispatcher memory, pools of one data centre each", "bytes", "upstream", UPSTREAMS,
-				(size) -> {
-					Configuration tables = Samples.tables(size, ROUTES);
+		series.add(Series.measure("dispatcher memory, all upstreams in the own data centre", "bytes", "upstream",
+				UPSTREAMS, (size) -> {
+					Configuration tables = Samples.localTables(size, ROUTES);
 					return Meter.heapBytes(() -> dispatcher(tables));
 				}));
 		series.add(Series.measureTime("dispatcher systems each 100 ms, all upstreams idle", "upstream", UPSTREAMS,
-				(size) -> ticks(dispatcher(Samples.tables(size, ROUTES)))));
+				(size) -> ticks(dispatcher(Samples.localTables(size, ROUTES)))));
 		series.add(Series.measureTime("dispatcher configure after an edit", "upstream", UPSTREAMS, (size) -> {
-			Configuration tables = Samples.tables(size, ROUTES);
+			Configuration tables = Samples.localTables(size, ROUTES);
 			AdaptiveDispatcher dispatcher = dispatcher(tables);
 			return Meter.nanos(() -> dispatcher.configure(tables, 0));
 		}));
+		series.add(Series.measureTime("shares divided after a heartbeat of one of 5 peers", "upstream", UPSTREAMS,
+				(size) -> {
+					AdaptiveDispatcher dispatcher = dispatcher(Samples.localTables(size, ROUTES));
+					List<PeerLoad> loads = loads();
+					return Meter.nanos(() -> dispatcher.peerLoads(loads, 0));
+				}));
 		series.add(Series.measure("dispatcher memory, waiting", "bytes", "task", WAITING,
 				(size) -> Meter.heapBytes(() -> fill(oneWorker(), size))));
 		series.add(Series.measureTime("dispatcher systems each 100 ms, one worker", "waiting task", WAITING,
@@ -75,6 +87,14 @@
 		return dispatcher;
 	}
 
+	private List<PeerLoad> loads() {
+		List<PeerLoad> loads = new ArrayList<>();
+		for (int peer = 1; peer <= PEERS; peer++) {
+			loads.add(new PeerLoad(Samples.host(0, peer).host(), 1, Samples.demand(POOLS, new Random(this.seed))));
+		}
+		return loads;
+	}
+
 	private AdaptiveDispatcher oneWorker() {
 		Pool row = Samples.workers(0, 1);
 		Pool pool = new Pool(row.name(), row.kind(), row.upstreams(), Pool.DEFAULT_CONNECTIONS, Integer.MAX_VALUE,
--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/Samples.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/Samples.java
@@ -66,11 +66,15 @@
 	}
 
 	static Pool workers(int pool, int workers) {
+		return workers(pool, workers, dataCentre(pool));
+	}
+
+	private static Pool workers(int pool, int workers, DataCentreId dataCentre) {
 		List<Upstream> rows = new ArrayList<>();
 		for (int i = 0; i < workers; i++) {
 			String id = "worker-" + pool + "-" + i;
 			String address = "10." + pool % BYTE + "." + i / BYTE % BYTE + "." + i % BYTE;
-			rows.add(new Upstream(UpstreamId.of(id), dataCentre(pool), address, 8080, 0, new Resources(64, 131_072, 0),
+			rows.add(new Upstream(UpstreamId.of(id), dataCentre, address, 8080, 0, new Resources(64, 131_072, 0),
 					"rack-" + pool + "-" + i / WORKERS_PER_RACK));
 		}
 		return Pool.of(pool(pool), PoolKind.WORKERS, rows);
@@ -97,8 +101,17 @@
 		return rows;
 	}
 
-	static Configuration tables(int workers, int routes) {
-		List<Pool> pools = pools(workers);
+	/**
+	 * Returns tables whose workers are all in one data centre.
+	 * @param workers the number of workers
+	 * @param routes the number of routes
+	 * @return the tables, not null
+	 */
+	static Configuration localTables(int workers, int routes) {
+		List<Pool> pools = new ArrayList<>();
+		for (int left = workers; left > 0; left -= WORKERS_PER_POOL) {
+			pools.add(workers(pools.size(), Math.min(left, WORKERS_PER_POOL), dataCentre(0)));
+		}
 		return Configuration.of(0, routes(routes, pools.size()), pools);
 	}
 
--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/Series.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/Series.java
@@ -64,7 +64,7 @@
 		LinearFit fit = fit();
 		StringBuilder lines = new StringBuilder();
 		for (int i = 0; i < this.sizes.length; i++) {
-			lines.append(String.format(Locale.ROOT, "%s,%s,%s,%.0f,%.3f,%.4f,%.3f,%.5f%n", this.name, this.unit,
+			lines.append(String.format(Locale.ROOT, "\"%s\",%s,%s,%.0f,%.3f,%.4f,%.3f,%.5f%n", this.name, this.unit,
 					this.sizeUnit, this.sizes[i], this.values[i], fit.slope(), fit.intercept(), fit.rSquared()));
 		}
 		return lines.toString();
--- a/limpetgate-bench/src/test/java/org/limpetgate/bench/capacity/LinearFitTests.java
+++ b/limpetgate-bench/src/test/java/org/limpetgate/bench/capacity/LinearFitTests.java
@@ -46,14 +46,15 @@
 		}
 	}
 
-	// Guards against a CSV whose columns do not match its header.
+	// Guards against a CSV whose columns do not match its header, and names with commas
+	// that shift the columns.
 	@Example
 	void writesOneLineForEachPoint() {
-		Series series = Series.measure("table", "bytes", "row", new int[] { 1, 2, 3 }, (size) -> 10 + 2 * size);
+		Series series = Series.measure("table, full", "bytes", "row", new int[] { 1, 2, 3 }, (size) -> 10 + 2 * size);
 		String[] lines = series.toCsv().split(System.lineSeparator());
 		assertThat(lines).hasSize(3);
-		assertThat(lines[2]).isEqualTo("table,bytes,row,3,16.000,2.0000,10.000,1.00000");
-		assertThat(lines[2].split(",")).hasSameSizeAs(Series.CSV_HEADER.split(","));
+		assertThat(lines[2]).isEqualTo("\"table, full\",bytes,row,3,16.000,2.0000,10.000,1.00000");
+		assertThat(lines[2].replace("table, full", "").split(",")).hasSameSizeAs(Series.CSV_HEADER.split(","));
 	}
 
 	private record Case(double[] x, double[] y, double slope, double intercept, double rSquared) {
