--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -16,6 +16,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.limpetgate.DataCentreId;
 import org.limpetgate.DispatchException;
 import org.limpetgate.ErrorKind;
 import org.limpetgate.Incarnation;
@@ -115,6 +116,8 @@
 
 	private final PeerLinks links;
 
+	private final Membership membership;
+
 	private final PeerService peers;
 
 	private final ConfigurationService configuration;
@@ -123,6 +126,8 @@
 
 	private final SubmissionService submissions;
 
+	private final RemoteDataCentres remote;
+
 	private final SpillService tasks;
 
 	private final HttpServer callers;
@@ -156,14 +161,16 @@
 		this.peerServer = PeerServer.start(this.group, toAddress(settings.peers()), peerSettings,
 				(peer, frame) -> this.peerHandler.handle(peer, frame));
 		this.links = PeerLinks.of(this.group, peerSettings, new SplittableRandom(this.random.nextLong()));
+		this.membership = new Membership(this.incarnation, settings.dataCentre(), MembershipTimings.DEFAULT);
 		this.peers = peerService(self);
 		FailoverLogService log = log();
 		this.configuration = new ConfigurationService(settings.host(), log, this.peers, this.control, timer(),
 				new SplittableRandom(this.random.nextLong()), settings.spans().snapshotInterval());
 		this.versions = new VersionTracker(settings.host(), settings.dataCentre(), settings.dataCentres(),
 				() -> this.configuration.configuration().version(), this.peers);
-		this.tasks = new SpillService(this.runner, this.dispatcher, new FasterSpillPolicy(), this.peers,
-				settings.dataCentres(), this.control, this.clock, this.events);
+		this.remote = remoteDataCentres();
+		this.tasks = new SpillService(this.runner, this.dispatcher, new FasterSpillPolicy(), this.remote, this.control,
+				this.clock, this.events);
 		this.submissions = submissionService(log);
 		this.peers.connect(new Parts());
 		this.callers = HttpServer.start(this.group, toAddress(settings.callers()), callerLimits(),
@@ -191,6 +198,7 @@
 		addGauges();
 		this.peers.listed(listedInSettings());
 		this.control.add(this.peers);
+		this.control.add(this.remote);
 		this.control.add(hostListWatcher());
 		this.control
 			.add(new UsageWatcher(this.workers, this.runner::busyWorkers, this.dispatcher, this.control, this.clock));
@@ -242,8 +250,15 @@
 		MemberAddress address = new MemberAddress(this.settings.host(), this.settings.dataCentre(),
 				advertised.address(), port);
 		Membership membership = new Membership(this.incarnation, this.settings.dataCentre(), MembershipTimings.DEFAULT);
-		return new PeerService(self, address, this.settings.dataCentres(), this.settings.size(), membership, this.links,
-				this.control, this.clock, this.events);
+		return new PeerService(self, address, this.settings.dataCentres(), this.settings.size(), this.membership,
+				this.links, this.control, this.clock, this.events);
+	}
+
+	private RemoteDataCentres remoteDataCentres() {
+		List<DataCentreId> others = new ArrayList<>(this.settings.dataCentres());
+		others.remove(this.settings.dataCentre());
+		return new RemoteDataCentres(others, this.membership, this.links, this.peers, this.configuration, this.control,
+				this.clock);
 	}
 
 	private SubmissionService submissionService(FailoverLogService log) {
@@ -483,7 +498,7 @@
 			.failedFuture(DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, "the host is starting")));
 	}
 
-	private final class Parts implements PeerService.LocalHost {
+	private final class Parts implements LocalHost {
 
 		@Override
 		public SubmissionService submissions() {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -21,13 +20,10 @@
 import org.limpetgate.Incarnation;
 import org.limpetgate.Outcome;
 import org.limpetgate.PoolName;
-import org.limpetgate.UpstreamId;
 import org.limpetgate.config.ConfigurationSnapshot;
 import org.limpetgate.dispatch.Admission;
 import org.limpetgate.dispatch.PeerLoad;
-import org.limpetgate.dispatch.RemotePool;
 import org.limpetgate.dispatch.TaskRequest;
-import org.limpetgate.host.configuration.ConfigurationService;
 import org.limpetgate.host.configuration.PeerConfigurations;
 import org.limpetgate.membership.DataCentreDigest;
 import org.limpetgate.membership.Heartbeat;
@@ -36,7 +32,6 @@
 import org.limpetgate.membership.MemberState;
 import org.limpetgate.membership.Membership;
 import org.limpetgate.membership.MembershipEffect;
-import org.limpetgate.net.http.HttpCall;
 import org.limpetgate.net.peer.PeerAddress;
 import org.limpetgate.net.peer.PeerHandler;
 import org.limpetgate.net.peer.PeerIdentity;
@@ -70,11 +65,6 @@
 
 	private static final long QUERY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-	/** A host cannot forward work to a data centre before the first measurement. */
-	private static final long FIRST_MEASUREMENT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
-	private static final long MEASUREMENT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
-
 	private static final long FETCH_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	private final PeerIdentity self;
@@ -104,10 +94,6 @@
 
 	};
 
-	private final RoundTrips roundTrips = new RoundTrips();
-
-	private long nextMeasurementNanos;
-
 	private LocalHost local;
 
 	private Heartbeat lastHeartbeat;
@@ -173,9 +159,6 @@
 	@Override
 	public void tick(long nowNanos) {
 		this.membership.tick(nowNanos, (effect) -> apply(effect, nowNanos));
-		if (nowNanos >= this.nextMeasurementNanos) {
-			measureRoundTrips(nowNanos);
-		}
 	}
 
 	@Override
@@ -390,48 +373,6 @@
 				? tryInOrder(hosts, index + 1, request) : CompletableFuture.failedFuture(failure));
 	}
 
-	/**
-	 * Returns the state of a pool in another data centre.
-	 * @param other the data centre, not null
-	 * @param pool the pool, not null
-	 * @return the state, or empty if it or the round-trip time is not known
-	 */
-	public Optional<RemotePool> remotePool(DataCentreId other, PoolName pool) {
-		OptionalLong roundTrip = this.roundTrips.nanos(other);
-		Optional<DataCentreDigest> digest = this.membership.digest(other);
-		if (roundTrip.isEmpty() || digest.isEmpty() || !digest.get().pools().containsKey(pool)) {
-			return Optional.empty();
-		}
-		DataCentreDigest.PoolState state = digest.get().pools().get(pool);
-		return Optional.of(new RemotePool(other, pool, roundTrip.getAsLong() / 2, state.waitNanos(),
-				state.tasksPerSecond(), this.membership.digestReceivedNanos(other)));
-	}
-
-	/**
-	 * Forwards a task to a live host of another data centre.
-	 * @param to the data centre, not null
-	 * @param task the task, not null
-	 * @param call what to send, not null
-	 * @param nowNanos the present time
-	 * @return the whole answer, or a failure with what is known about the execution
-	 */
-	CompletableFuture<SpillService.ForwardedAnswer> forwardTask(DataCentreId to, TaskRequest task, HttpCall call,
-			long nowNanos) {
-		Optional<HostId> host = this.membership.contacts(to)
-			.stream()
-			.map(MemberAddress::host)
-			.filter(this.links::isUp)
-			.findFirst();
-		if (host.isEmpty()) {
-			return CompletableFuture.failedFuture(DispatchException.of(ErrorKind.HOLDER_UNREACHABLE, Outcome.NOT_RUN,
-					"no host of data centre '" + to + "' can be reached"));
-		}
-		long timeout = Math.max(1, task.deadlineNanos() - nowNanos);
-		return this.links
-			.request(host.get(), PeerFrame.newBuilder().setForwardTask(TaskMessages.toMessage(task, call)), timeout)
-			.thenApply((reply) -> TaskMessages.toAnswer(reply.getTaskReply()));
-	}
-
 	private CompletableFuture<PeerFrame.Builder> forwardedTask(ForwardTask message) {
 		CompletableFuture<PeerFrame.Builder> reply = new CompletableFuture<>();
 		this.control.execute(() -> {
@@ -447,33 +388,6 @@
 		return reply;
 	}
 
-	// An empty answer to a request for the configuration is the smallest round trip that
-	// the peers offer.
-	private void measureRoundTrips(long nowNanos) {
-		boolean allKnown = this.dataCentres.stream()
-			.allMatch((other) -> other.equals(this.self.dataCentre()) || this.roundTrips.nanos(other).isPresent());
-		this.nextMeasurementNanos = nowNanos
-				+ (allKnown ? MEASUREMENT_INTERVAL_NANOS : FIRST_MEASUREMENT_INTERVAL_NANOS);
-		for (DataCentreId other : this.dataCentres) {
-			if (!other.equals(this.self.dataCentre())) {
-				this.membership.contacts(other)
-					.stream()
-					.map(MemberAddress::host)
-					.filter(this.links::isUp)
-					.findFirst()
-					.ifPresent((host) -> measureRoundTrip(other, host));
-			}
-		}
-	}
-
-	private void measureRoundTrip(DataCentreId other, HostId host) {
-		long sent = this.clock.getAsLong();
-		fetch(host, this.local.configuration().configuration().version()).thenAcceptAsync((newer) -> {
-			this.roundTrips.add(other, this.clock.getAsLong() - sent);
-			newer.ifPresent(this.local.configuration()::offer);
-		}, this.control);
-	}
-
 	@Override
 	public List<PeerVersion> versions() {
 		return membersHere().stream()
@@ -519,64 +433,4 @@
 		return this.membership.digestReceivedNanos(other);
 	}
 
-	/**
-	 * The other parts of this host, as the peer service sees them. Called on the control
-	 * thread, except for {@link #submissions()}, {@link #requests()} and
-	 * {@link #configuration()}.
-	 */
-	public interface LocalHost {
-
-		/**
-		 * Returns the submissions of this host.
-		 * @return the service, not null
-		 */
-		SubmissionService submissions();
-
-		/**
-		 * Returns the configuration of this host.
-		 * @return the service, not null
-		 */
-		ConfigurationService configuration();
-
-		/**
-		 * Returns what runs tasks in this data centre only.
-		 * @return the runner, not null
-		 */
-		TaskOffering localTasks();
-
-		/**
-		 * Returns what each pool can take at this host.
-		 * @param nowNanos the present time
-		 * @return the states, not null
-		 */
-		Map<PoolName, DataCentreDigest.PoolState> poolStates(long nowNanos);
-
-		/**
-		 * Returns the demand of this host by pool.
-		 * @return the demand, not null
-		 */
-		Map<PoolName, PeerLoad.Demand> demand();
-
-		/**
-		 * Returns the upstreams that announced to this host that they are leaving.
-		 * @return the upstreams, not null
-		 */
-		List<UpstreamId> leavingUpstreams();
-
-		/**
-		 * Takes the loads of the live peers.
-		 * @param loads the loads, not null
-		 * @param nowNanos the present time
-		 */
-		void peerLoads(List<PeerLoad> loads, long nowNanos);
-
-		/**
-		 * Takes an upstream that announced to a peer that it is leaving.
-		 * @param upstream the upstream, not null
-		 * @param nowNanos the present time
-		 */
-		void upstreamLeaving(UpstreamId upstream, long nowNanos);
-
-	}
-
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/SpillService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/SpillService.java
@@ -37,9 +37,7 @@
 
 	private final SpillPolicy policy;
 
-	private final PeerService peers;
-
-	private final List<DataCentreId> dataCentres;
+	private final RemoteDataCentres remote;
 
 	private final Executor control;
 
@@ -49,13 +47,12 @@
 
 	private int forwarded;
 
-	SpillService(TaskRunner runner, Dispatcher dispatcher, SpillPolicy policy, PeerService peers,
-			List<DataCentreId> dataCentres, Executor control, LongSupplier clock, EventLog events) {
+	SpillService(TaskRunner runner, Dispatcher dispatcher, SpillPolicy policy, RemoteDataCentres remote,
+			Executor control, LongSupplier clock, EventLog events) {
 		this.runner = runner;
 		this.dispatcher = dispatcher;
 		this.policy = policy;
-		this.peers = peers;
-		this.dataCentres = List.copyOf(dataCentres);
+		this.remote = remote;
 		this.control = control;
 		this.clock = clock;
 		this.events = events;
@@ -92,8 +89,8 @@
 			return Optional.empty();
 		}
 		List<RemotePool> remotes = new ArrayList<>();
-		for (DataCentreId other : this.dataCentres) {
-			this.peers.remotePool(other, request.pool()).ifPresent(remotes::add);
+		for (DataCentreId other : this.remote.all()) {
+			this.remote.remotePool(other, request.pool()).ifPresent(remotes::add);
 		}
 		return this.policy.destination(request, 0, waitNanos, remotes, nowNanos);
 	}
@@ -102,7 +99,7 @@
 			long nowNanos) {
 		this.forwarded++;
 		this.events.write(LogEvent.FORWARDED, request.id().value(), request.pool(), to);
-		this.peers.forwardTask(to, request, call, nowNanos)
+		this.remote.forwardTask(to, request, call, nowNanos)
 			.whenComplete((answer, failure) -> this.control.execute(() -> {
 				this.forwarded--;
 				ended(request, call, listener, answer, failure);
