--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ClientConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ClientConnection.java
@@ -267,7 +267,7 @@
 	}
 
 	private void decide(PendingExchange ended, HttpReply reply) {
-		if (reply.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+		if (!this.pool.limits().refusalsAsAnswers() && reply.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
 				&& reply.header(HeaderNames.OUTCOME).equals(Outcome.NOT_RUN.text())) {
 			ended.fail(refusal(reply));
 		}
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ConnectionPool.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ConnectionPool.java
@@ -3,7 +3,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -19,8 +22,9 @@
 /**
  * The connections to one upstream address.
  * <p>
- * All state belongs to one event loop, which also serves the connections, so that an
- * exchange takes a connection, and a connection returns, without locks.
+ * All state but the number of users belongs to one event loop, which also serves the
+ * connections, so that an exchange takes a connection, and a connection returns, without
+ * locks.
  */
 final class ConnectionPool {
 
@@ -34,6 +38,11 @@
 
 	private final BufferBudget budget;
 
+	private final Consumer<ConnectionPool> unused;
+
+	/** The exchanges that are not decided and the connections that are not closed. */
+	private final AtomicInteger users = new AtomicInteger();
+
 	/** Unused connections, the most recently used first. */
 	private final Deque<ClientConnection> idle = new ArrayDeque<>();
 
@@ -42,12 +51,28 @@
 	private boolean retired;
 
 	ConnectionPool(InetSocketAddress address, EventLoop loop, HttpClientLimits limits, HttpClientMetrics metrics,
-			BufferBudget budget) {
+			BufferBudget budget, Consumer<ConnectionPool> unused) {
 		this.address = address;
 		this.loop = loop;
 		this.limits = limits;
 		this.metrics = metrics;
 		this.budget = budget;
+		this.unused = unused;
+	}
+
+	/** Counts an exchange or a connection, until {@link #release()}. */
+	void acquire() {
+		this.users.incrementAndGet();
+	}
+
+	void release() {
+		if (this.users.decrementAndGet() == 0) {
+			this.unused.accept(this);
+		}
+	}
+
+	boolean isUnused() {
+		return this.users.get() == 0;
 	}
 
 	/**
@@ -78,7 +103,13 @@
 	}
 
 	private void connect(PendingExchange exchange) {
+		// Netty notifies nobody of a failed connection once the event loop has ended.
+		if (this.loop.isShuttingDown()) {
+			exchange.fail(shutDown());
+			return;
+		}
 		this.open++;
+		acquire();
 		StrictResponseDecoder decoder = new StrictResponseDecoder(this.limits.maxHeadBytes());
 		ClientConnection connection = new ClientConnection(this, decoder);
 		ChannelFuture connecting = new Bootstrap().group(this.loop)
@@ -92,7 +123,10 @@
 				}
 			})
 			.connect(this.address);
-		connecting.channel().closeFuture().addListener((closed) -> this.open--);
+		connecting.channel().closeFuture().addListener((closed) -> {
+			this.open--;
+			release();
+		});
 		exchange.connecting(connecting);
 		connecting.addListener((ChannelFuture connected) -> {
 			if (connected.isSuccess()) {
@@ -105,6 +139,11 @@
 		});
 	}
 
+	DispatchException shutDown() {
+		return DispatchException.of(ErrorKind.SHUTTING_DOWN, Outcome.NOT_RUN,
+				"the threads of the client are shut down");
+	}
+
 	private int connectMillis() {
 		return (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(this.limits.connectNanos()));
 	}
@@ -133,11 +172,18 @@
 	}
 
 	void retire() {
-		this.loop.execute(() -> {
-			this.retired = true;
-			this.idle.forEach(ClientConnection::close);
-			this.idle.clear();
-		});
+		try {
+			this.loop.execute(this::closeIdle);
+		}
+		catch (RejectedExecutionException ex) {
+			// The event loop has ended and with it all connections.
+		}
+	}
+
+	private void closeIdle() {
+		this.retired = true;
+		this.idle.forEach(ClientConnection::close);
+		this.idle.clear();
 	}
 
 	InetSocketAddress address() {
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClient.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClient.java
@@ -66,16 +66,43 @@
 	 * @param timeoutNanos the time until the whole answer must be there, in nanoseconds
 	 * @return the exchange, not null; it fails with
 	 * {@link org.limpetgate.ErrorKind#OVERLOADED} if all connections to the address are
-	 * in use
+	 * in use, and with {@link org.limpetgate.ErrorKind#SHUTTING_DOWN} if the threads are
+	 * shut down
 	 */
 	public HttpExchange exchange(InetSocketAddress address, HttpCall call, long timeoutNanos) {
-		ConnectionPool pool = this.pools.computeIfAbsent(address,
-				(key) -> new ConnectionPool(key, this.group.next(), this.limits, this.metrics, this.budget));
-		PendingExchange exchange = new PendingExchange(pool, call, this.nextExchange.getAndIncrement());
+		PendingExchange exchange = new PendingExchange(acquirePool(address), call, this.nextExchange.getAndIncrement());
 		exchange.start(timeoutNanos);
 		return exchange;
 	}
 
+	private ConnectionPool acquirePool(InetSocketAddress address) {
+		return this.pools.compute(address, (key, known) -> {
+			ConnectionPool pool = (known != null) ? known : newPool(key);
+			pool.acquire();
+			return pool;
+		});
+	}
+
+	private ConnectionPool newPool(InetSocketAddress address) {
+		return new ConnectionPool(address, this.group.next(), this.limits, this.metrics, this.budget,
+				this::removeIfUnused);
+	}
+
+	// The test and the removal are atomic with acquirePool, so that no exchange starts in
+	// a pool that was removed.
+	private void removeIfUnused(ConnectionPool pool) {
+		this.pools.computeIfPresent(pool.address(),
+				(address, current) -> (current == pool && pool.isUnused()) ? null : current);
+	}
+
+	/**
+	 * Returns the number of addresses with an exchange or an open connection.
+	 * @return the number of addresses
+	 */
+	int usedAddresses() {
+		return this.pools.size();
+	}
+
 	/**
 	 * Closes the unused connections to an address that is no longer an upstream, and the
 	 * others once their exchange has ended.
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClientLimits.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClientLimits.java
@@ -11,9 +11,12 @@
  * @param maxConnections the largest number of connections per address
  * @param connectNanos the time to open a connection, in nanoseconds
  * @param idleNanos the time after which an unused connection is closed, in nanoseconds
+ * @param refusalsAsAnswers whether an answer with status 503 and
+ * {@code Limpetgate-Outcome: not-run} completes the exchange as any other answer; if
+ * false, it fails the exchange as {@link org.limpetgate.Outcome#NOT_RUN}
  */
 public record HttpClientLimits(int maxHeadBytes, int maxBodyBytes, long maxBufferedBytes, int maxConnections,
-		long connectNanos, long idleNanos) {
+		long connectNanos, long idleNanos, boolean refusalsAsAnswers) {
 
 	/**
 	 * Returns the usual limits.
@@ -21,7 +24,7 @@
 	 */
 	public static HttpClientLimits defaults() {
 		return new HttpClientLimits(16 * 1024, 4 * 1024 * 1024, 64L * 1024 * 1024, 60, TimeUnit.SECONDS.toNanos(1),
-				TimeUnit.SECONDS.toNanos(10));
+				TimeUnit.SECONDS.toNanos(10), false);
 	}
 
 	/**
@@ -32,7 +35,7 @@
 	 */
 	public HttpClientLimits withAnswerBytes(int maxHeadBytes, int maxBodyBytes) {
 		return new HttpClientLimits(maxHeadBytes, maxBodyBytes, this.maxBufferedBytes, this.maxConnections,
-				this.connectNanos, this.idleNanos);
+				this.connectNanos, this.idleNanos, this.refusalsAsAnswers);
 	}
 
 	/**
@@ -42,7 +45,7 @@
 	 */
 	public HttpClientLimits withMaxConnections(int maxConnections) {
 		return new HttpClientLimits(this.maxHeadBytes, this.maxBodyBytes, this.maxBufferedBytes, maxConnections,
-				this.connectNanos, this.idleNanos);
+				this.connectNanos, this.idleNanos, this.refusalsAsAnswers);
 	}
 
 	/**
@@ -54,7 +57,29 @@
 	 */
 	public HttpClientLimits withTimes(long connectNanos, long idleNanos) {
 		return new HttpClientLimits(this.maxHeadBytes, this.maxBodyBytes, this.maxBufferedBytes, this.maxConnections,
-				connectNanos, idleNanos);
+				connectNanos, idleNanos, this.refusalsAsAnswers);
+	}
+
+	/**
+	 * Returns a copy with another bound of all answers together.
+	 * @param maxBufferedBytes the largest sum of answer bytes that are held at the same
+	 * time
+	 * @return the copy, not null
+	 */
+	public HttpClientLimits withMaxBufferedBytes(long maxBufferedBytes) {
+		return new HttpClientLimits(this.maxHeadBytes, this.maxBodyBytes, maxBufferedBytes, this.maxConnections,
+				this.connectNanos, this.idleNanos, this.refusalsAsAnswers);
+	}
+
+	/**
+	 * Returns a copy with another treatment of refusals, for callers that read the reason
+	 * from the body.
+	 * @param refusalsAsAnswers whether a refusal completes the exchange
+	 * @return the copy, not null
+	 */
+	public HttpClientLimits withRefusalsAsAnswers(boolean refusalsAsAnswers) {
+		return new HttpClientLimits(this.maxHeadBytes, this.maxBodyBytes, this.maxBufferedBytes, this.maxConnections,
+				this.connectNanos, this.idleNanos, refusalsAsAnswers);
 	}
 
 }
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/PendingExchange.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/PendingExchange.java
@@ -1,6 +1,7 @@
 package org.limpetgate.net.http;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.ChannelFuture;
@@ -45,17 +46,24 @@
 	}
 
 	void start(long timeoutNanos) {
-		this.pool.loop().execute(() -> {
-			if (this.decided) {
-				return;
-			}
-			if (timeoutNanos <= 0) {
-				timedOut();
-				return;
-			}
-			this.timeout = this.pool.loop().schedule(this::timedOut, timeoutNanos, TimeUnit.NANOSECONDS);
-			this.pool.serve(this);
-		});
+		try {
+			this.pool.loop().execute(() -> serve(timeoutNanos));
+		}
+		catch (RejectedExecutionException ex) {
+			fail(this.pool.shutDown());
+		}
+	}
+
+	private void serve(long timeoutNanos) {
+		if (this.decided) {
+			return;
+		}
+		if (timeoutNanos <= 0) {
+			timedOut();
+			return;
+		}
+		this.timeout = this.pool.loop().schedule(this::timedOut, timeoutNanos, TimeUnit.NANOSECONDS);
+		this.pool.serve(this);
 	}
 
 	private void timedOut() {
@@ -64,8 +72,14 @@
 
 	@Override
 	public void cancel() {
-		this.pool.loop()
-			.execute(() -> abort(ErrorKind.CANCELLED, "the exchange with " + this.pool.address() + " was cancelled"));
+		try {
+			this.pool.loop()
+				.execute(() -> abort(ErrorKind.CANCELLED,
+						"the exchange with " + this.pool.address() + " was cancelled"));
+		}
+		catch (RejectedExecutionException ex) {
+			// The event loop has ended and with it the exchange.
+		}
 	}
 
 	private void abort(ErrorKind kind, String detail) {
@@ -176,6 +190,7 @@
 		if (this.timeout != null) {
 			this.timeout.cancel(false);
 		}
+		this.pool.release();
 		return true;
 	}
 
--- a/limpetgate-net/src/main/java/org/limpetgate/net/platform/PlatformClientSettings.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/platform/PlatformClientSettings.java
@@ -7,8 +7,8 @@
  * Limits of a platform client.
  *
  * @param connectTimeout the longest time to open a connection
- * @param requestTimeout the longest time from sending a request to its whole answer, on
- * top of the time that a request asks the platform to wait
+ * @param requestTimeout the longest time from the call to the whole answer, including the
+ * time to connect, on top of the time that a request asks the platform to wait
  * @param maxConnections the most connections to one address; a request beyond it fails at
  * once as not run
  * @param maxAnswerBytes the largest answer body; a larger one fails the request
--- a/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpClientTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpClientTests.java
@@ -293,6 +293,68 @@
 				.doesNotContainKeys("x-hop", "connection"));
 	}
 
+	/**
+	 * Guards against the loss of the reason that a refusal carries, for clients that read
+	 * it.
+	 */
+	@Example
+	void refusalsCanBeReadAsAnswers() throws Exception {
+		HttpClient reader = HttpClient.of(this.group, HttpClientLimits.defaults().withRefusalsAsAnswers(true));
+		String refusal = "HTTP/1.1 503 S\r\nLimpetgate-Outcome: not-run\r\nContent-Length: 6\r\n\r\nreason";
+		try (StubUpstream upstream = new StubUpstream(StubUpstream.always(refusal))) {
+			HttpReply reply = reader.exchange(upstream.address(), call("POST", 3), LONG_NANOS).reply().get();
+			assertThat(reply.status()).isEqualTo(503);
+			assertThat(reply.header(HeaderNames.OUTCOME)).isEqualTo(Outcome.NOT_RUN.text());
+			assertThat(reply.body()).asString().isEqualTo("reason");
+		}
+		reader.close();
+	}
+
+	/**
+	 * Guards against state that is kept for each address that was ever used, and against
+	 * idle connections that stay open.
+	 */
+	@Example
+	void unusedAddressesAreForgotten() throws Exception {
+		HttpClient brief = HttpClient.of(this.group, HttpClientLimits.defaults().withTimes(LONG_NANOS, 1));
+		for (int i = 0; i < 3; i++) {
+			try (StubUpstream upstream = new StubUpstream(StubUpstream.always(OK))) {
+				assertThat(result(brief.exchange(upstream.address(), call("POST", 3), LONG_NANOS))).isEqualTo("ok");
+				awaitNoUsedAddress(brief);
+				assertThat(result(brief.exchange(upstream.address(), call("POST", 3), 0)))
+					.isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.DEADLINE_EXCEEDED);
+				awaitNoUsedAddress(brief);
+			}
+		}
+	}
+
+	// The limit only ends a test that would hang.
+	private static void awaitNoUsedAddress(HttpClient client) throws InterruptedException {
+		long start = System.nanoTime();
+		while (client.usedAddresses() > 0 && System.nanoTime() - start < LONG_NANOS) {
+			Thread.sleep(1);
+		}
+		assertThat(client.usedAddresses()).isZero();
+	}
+
+	/**
+	 * Guards against an exchange without an end, or an exception in its place, once the
+	 * event loops are shut down.
+	 */
+	@Example
+	void exchangesAfterShutdownDidNotRun() throws Exception {
+		String shutDown = Outcome.NOT_RUN + " " + ErrorKind.SHUTTING_DOWN;
+		try (StubUpstream upstream = new StubUpstream(StubUpstream.always(OK))) {
+			this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+			assertThat(result(exchange(upstream, LONG_NANOS))).isEqualTo(shutDown);
+			this.group.terminationFuture().await();
+			HttpExchange late = exchange(upstream, LONG_NANOS);
+			assertThat(result(late)).isEqualTo(shutDown);
+			late.cancel();
+			assertThat(upstream.requests()).isZero();
+		}
+	}
+
 	/**
 	 * Guards against a part of a large request that left before the connection broke
 	 * being reported as not run.
