Open all listeners in one place

HttpServer, PeerServer and StandInServer each had the same bootstrap and the first two the same error. Listeners.open replaces the three.

--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpServer.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpServer.java
@@ -1,6 +1,5 @@
 package org.limpetgate.net.http;
 
-import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.Set;
@@ -8,15 +7,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.limpetgate.net.Listeners;
 
 /**
  * An HTTP/1.1 server that takes whole requests and sends whole answers.
@@ -81,24 +76,7 @@
 	public static HttpServer start(EventLoopGroup group, InetSocketAddress address, HttpServerLimits limits,
 			HttpHandler handler, HttpServerMetrics metrics) {
 		HttpServer server = new HttpServer(limits, handler, metrics);
-		ChannelFuture bound = new ServerBootstrap().group(group)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_BACKLOG, 1024)
-			.option(ChannelOption.SO_REUSEADDR, true)
-			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childHandler(new ChannelInitializer<SocketChannel>() {
-				@Override
-				protected void initChannel(SocketChannel channel) {
-					server.accept(channel);
-				}
-			})
-			.bind(address)
-			.awaitUninterruptibly();
-		if (!bound.isSuccess()) {
-			throw new UncheckedIOException(new IOException(
-					"cannot listen on " + address + "; choose a free local address and port", bound.cause()));
-		}
-		server.listener = bound.channel();
+		server.listener = Listeners.open(group, address, server::accept);
 		return server;
 	}
 
--- /dev/null
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What the adapters to the network share.
+ */
+package org.limpetgate.net;
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerServer.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerServer.java
@@ -1,20 +1,15 @@
 package org.limpetgate.net.peer;
 
-import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import org.limpetgate.HostId;
+import org.limpetgate.net.Listeners;
 
 /**
  * Accepts the links of other entry hosts.
@@ -51,28 +46,12 @@
 	public static PeerServer start(EventLoopGroup group, InetSocketAddress address, PeerSettings settings,
 			PeerHandler handler) {
 		PeerServer server = new PeerServer(settings, handler);
-		ChannelFuture bound = new ServerBootstrap().group(group)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_REUSEADDR, true)
-			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, settings.limits().waterMark())
-			.childHandler(new ChannelInitializer<SocketChannel>() {
-				@Override
-				protected void initChannel(SocketChannel channel) {
-					server.accept(channel);
-				}
-			})
-			.bind(address)
-			.awaitUninterruptibly();
-		if (!bound.isSuccess()) {
-			throw new UncheckedIOException(new IOException(
-					"cannot listen for peers on " + address + "; choose a free local address and port", bound.cause()));
-		}
-		server.listener = bound.channel();
+		server.listener = Listeners.open(group, address, server::accept);
 		return server;
 	}
 
 	private void accept(SocketChannel channel) {
+		channel.config().setWriteBufferWaterMark(this.settings.limits().waterMark());
 		InboundConnection connection = new InboundConnection(this, this.settings);
 		connection.install(channel, (this.settings.tls() != null) ? this.settings.tls().server() : null);
 		this.connections.add(connection);
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInServer.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInServer.java
@@ -11,21 +11,17 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -39,6 +35,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import org.limpetgate.net.Listeners;
 import org.limpetgate.net.http.HttpCall;
 import org.limpetgate.net.http.HttpReply;
 
@@ -77,19 +74,24 @@
 	static StandInServer start(EventLoopGroup group, InetSocketAddress bind, int maxConnections,
 			StandInHandler handler) {
 		StandInServer server = new StandInServer(handler, maxConnections);
-		server.listener = new ServerBootstrap().group(group)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_REUSEADDR, true)
-			.option(ChannelOption.SO_BACKLOG, 1024)
-			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childHandler(server.new Initializer())
-			.bind(bind)
-			.syncUninterruptibly()
-			.channel();
+		server.listener = Listeners.open(group, bind, server::accept);
 		server.channels.add(server.listener);
 		return server;
 	}
 
+	private void accept(SocketChannel channel) {
+		channel.closeFuture().addListener((closed) -> this.connections.decrementAndGet());
+		if (this.connections.incrementAndGet() > this.maxConnections) {
+			channel.close();
+			return;
+		}
+		this.channels.add(channel);
+		channel.pipeline()
+			.addLast(new HttpServerCodec())
+			.addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+			.addLast(new CallHandler());
+	}
+
 	InetSocketAddress address() {
 		return (InetSocketAddress) this.listener.localAddress();
 	}
@@ -119,25 +121,6 @@
 		}
 	}
 
-	private final class Initializer extends ChannelInitializer<SocketChannel> {
-
-		@Override
-		protected void initChannel(SocketChannel channel) {
-			StandInServer server = StandInServer.this;
-			channel.closeFuture().addListener((closed) -> server.connections.decrementAndGet());
-			if (server.connections.incrementAndGet() > server.maxConnections) {
-				channel.close();
-				return;
-			}
-			server.channels.add(channel);
-			channel.pipeline()
-				.addLast(new HttpServerCodec())
-				.addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-				.addLast(new CallHandler());
-		}
-
-	}
-
 	private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
 		private final Queue<Pending> waiting = new ArrayDeque<>();
