--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/InboundConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/InboundConnection.java
@@ -45,15 +45,12 @@
 	}
 
 	@Override
-	void handshake(PeerFrame frame) {
-		if (frame.hasRefusal()) {
-			close("the peer refused the link: " + frame.getRefusal().getMessage());
-		}
-		else if (this.clientHello == null) {
-			challenge(frame.getHello());
+	void handshake(Hello hello) {
+		if (this.clientHello == null) {
+			challenge(hello);
 		}
 		else {
-			verify(frame.getHello());
+			verify(hello);
 		}
 	}
 
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
@@ -49,12 +49,9 @@
 	}
 
 	@Override
-	void handshake(PeerFrame frame) {
-		if (frame.hasRefusal()) {
-			close("the peer refused the link: " + frame.getRefusal().getMessage());
-		}
-		else if (this.serverHello == null) {
-			prove(frame.getHello());
+	void handshake(Hello hello) {
+		if (this.serverHello == null) {
+			prove(hello);
 		}
 		else {
 			admit(PeerProof.claimedIdentity(this.serverHello), this.clientHello.getKeyId(), this.key);
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerConnection.java
@@ -89,10 +89,10 @@
 	abstract void opened();
 
 	/**
-	 * Handles a frame of the handshake.
-	 * @param frame the frame, of the right version
+	 * Handles a step of the handshake.
+	 * @param hello the step, of the right version
 	 */
-	abstract void handshake(PeerFrame frame);
+	abstract void handshake(Hello hello);
 
 	/**
 	 * Handles a frame after the handshake.
@@ -123,8 +123,11 @@
 		else if (this.peer != null) {
 			received(frame);
 		}
-		else if (frame.hasHello() || frame.hasRefusal()) {
-			handshake(frame);
+		else if (frame.hasRefusal()) {
+			close("the peer refused the link: " + frame.getRefusal().getMessage());
+		}
+		else if (frame.hasHello()) {
+			handshake(frame.getHello());
 		}
 		else {
 			refuse("the first frames must be the handshake");
