Use the shared header names and incarnation messages

The platform clients and the stand-ins had their own copies of two names in HeaderNames, and ClaimCodec had a copy of MembershipCodec's conversion of incarnations.

--- a/limpetgate-net/src/main/java/org/limpetgate/net/platform/PlatformReplies.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/platform/PlatformReplies.java
@@ -12,6 +12,7 @@
 import org.limpetgate.DispatchException;
 import org.limpetgate.ErrorKind;
 import org.limpetgate.Outcome;
+import org.limpetgate.net.http.HeaderNames;
 import org.limpetgate.net.http.HttpReply;
 
 /**
@@ -26,8 +27,6 @@
 
 	private static final int STATUS_OK = 200;
 
-	private static final String OUTCOME_HEADER = "limpetgate-outcome";
-
 	private static final int MAX_MESSAGE_CHARS = 200;
 
 	private PlatformReplies() {
@@ -55,7 +54,7 @@
 	}
 
 	private static DispatchException error(HttpReply reply, ErrorKind errorKind) {
-		Outcome outcome = reply.header(OUTCOME_HEADER).equals(Outcome.NOT_RUN.text()) ? Outcome.NOT_RUN
+		Outcome outcome = reply.header(HeaderNames.OUTCOME).equals(Outcome.NOT_RUN.text()) ? Outcome.NOT_RUN
 				: Outcome.UNKNOWN;
 		JsonNode body = errorBody(reply);
 		String message = body.path("message").asText("");
@@ -70,8 +69,7 @@
 	}
 
 	// A worker gives the reason of its refusal; the choice of the next upstream depends
-	// on
-	// it. Errors of the log have one kind only.
+	// on it. Errors of the log have one kind only.
 	private static ErrorKind kind(String name, ErrorKind errorKind) {
 		if (errorKind == ErrorKind.LOG_UNAVAILABLE) {
 			return errorKind;
--- a/limpetgate-net/src/main/java/org/limpetgate/net/platform/WorkerCodec.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/platform/WorkerCodec.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.limpetgate.Resources;
+import org.limpetgate.net.http.HeaderNames;
 import org.limpetgate.net.http.HttpReply;
 import org.limpetgate.platform.LeaseState;
 import org.limpetgate.platform.LeaseStatus;
@@ -24,8 +25,6 @@
 
 	private static final String REMAINING_HEADER = "lease-remaining-nanos";
 
-	private static final String LEAVING_HEADER = "limpetgate-leaving";
-
 	private static final int STATUS_OK = 200;
 
 	private WorkerCodec() {
@@ -40,7 +39,7 @@
 		return new HttpReply(STATUS_OK,
 				Map.of("content-type", "application/octet-stream", STATE_HEADER, status.state().text(), RUN_HEADER,
 						Long.toString(status.runNanos()), REMAINING_HEADER, Long.toString(status.remainingNanos()),
-						LEAVING_HEADER, Boolean.toString(status.leaving())),
+						HeaderNames.LEAVING, Boolean.toString(status.leaving())),
 				status.answer());
 	}
 
@@ -53,7 +52,7 @@
 	public static LeaseStatus decodeStatus(HttpReply reply) {
 		return new LeaseStatus(LeaseState.parse(reply.header(STATE_HEADER)), reply.body(),
 				Long.parseLong(reply.header(RUN_HEADER)), Long.parseLong(reply.header(REMAINING_HEADER)),
-				Boolean.parseBoolean(reply.header(LEAVING_HEADER)));
+				Boolean.parseBoolean(reply.header(HeaderNames.LEAVING)));
 	}
 
 	/**
--- a/limpetgate-proto/src/main/java/org/limpetgate/wire/ClaimCodec.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/wire/ClaimCodec.java
@@ -7,11 +7,9 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import org.limpetgate.HostId;
 import org.limpetgate.Incarnation;
 import org.limpetgate.platform.LogRecord;
 import org.limpetgate.proto.ClaimBatch;
-import org.limpetgate.proto.IncarnationId;
 import org.limpetgate.submission.Claim;
 import org.limpetgate.submission.ClaimRecord;
 import org.limpetgate.submission.KeyHash;
@@ -41,7 +39,7 @@
 	 * not in whole milliseconds after the Unix epoch
 	 */
 	public static byte[] encode(Incarnation holder, List<Claim> claims) {
-		ClaimBatch.Builder batch = ClaimBatch.newBuilder().setHolder(toProto(holder));
+		ClaimBatch.Builder batch = ClaimBatch.newBuilder().setHolder(MembershipCodec.toMessage(holder));
 		long base = claims.stream().mapToLong(ClaimCodec::expiryMillis).min().orElse(0);
 		batch.setBaseExpiryMillis(base);
 		ByteBuffer hashes = ByteBuffer.allocate(claims.size() * KeyHash.BYTES);
@@ -87,7 +85,7 @@
 		try {
 			ClaimBatch batch = ClaimBatch.parseFrom(payload);
 			checkLengths(batch);
-			Incarnation holder = fromProto(batch.getHolder());
+			Incarnation holder = MembershipCodec.toIncarnation(batch.getHolder());
 			ByteBuffer hashes = batch.getKeyHashes().asReadOnlyByteBuffer();
 			ByteBuffer fingerprints = batch.getFingerprints().asReadOnlyByteBuffer();
 			List<Claim> claims = new ArrayList<>(batch.getExpiryMillisCount());
@@ -142,12 +140,4 @@
 		return new ClaimRecord(record.offset(), record.appendTimeNanos(), claims);
 	}
 
-	private static IncarnationId toProto(Incarnation incarnation) {
-		return IncarnationId.newBuilder().setHost(incarnation.host().value()).setNumber(incarnation.number()).build();
-	}
-
-	private static Incarnation fromProto(IncarnationId incarnation) {
-		return Incarnation.of(HostId.of(incarnation.getHost()), incarnation.getNumber());
-	}
-
 }
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/RunnerStandIn.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/RunnerStandIn.java
@@ -13,6 +13,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.EventExecutor;
 import org.limpetgate.Outcome;
+import org.limpetgate.net.http.HeaderNames;
 import org.limpetgate.net.http.HttpCall;
 
 /**
@@ -25,8 +26,6 @@
  */
 public final class RunnerStandIn implements AutoCloseable {
 
-	private static final String LEAVING_HEADER = "limpetgate-leaving";
-
 	private static final long MAX_RUN_MILLIS = 3_600_000;
 
 	private final RunnerSettings settings;
@@ -129,7 +128,7 @@
 	private CompletableFuture<StandInAnswer> accept(HttpCall call, CompletableFuture<Void> closed) {
 		if (this.faults.leaving()) {
 			return CompletableFuture.completedFuture(StandInAnswer.json(503,
-					headers(Map.of(LEAVING_HEADER, "true", StandInAnswer.OUTCOME_HEADER, Outcome.NOT_RUN.text())),
+					headers(Map.of(HeaderNames.LEAVING, "true", HeaderNames.OUTCOME, Outcome.NOT_RUN.text())),
 					Map.of("message", "the runner is leaving; send the request to another one")));
 		}
 		Run run = new Run(call, closed, runMillis(call), new CompletableFuture<>());
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInAnswer.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/StandInAnswer.java
@@ -11,6 +11,7 @@
 import org.limpetgate.DispatchException;
 import org.limpetgate.ErrorKind;
 import org.limpetgate.Outcome;
+import org.limpetgate.net.http.HeaderNames;
 import org.limpetgate.net.http.HttpReply;
 
 /**
@@ -24,8 +25,6 @@
 	static final ObjectMapper JSON = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
 		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
-	static final String OUTCOME_HEADER = "limpetgate-outcome";
-
 	private static final HttpReply NOTHING = new HttpReply(0, Map.of(), new byte[0]);
 
 	static StandInAnswer whole(int status, Map<String, String> headers, byte[] body) {
@@ -57,7 +56,7 @@
 
 	private static StandInAnswer error(int status, ErrorKind kind, Outcome outcome, String message,
 			long retryAfterMillis) {
-		return json(status, Map.of(OUTCOME_HEADER, outcome.text()),
+		return json(status, Map.of(HeaderNames.OUTCOME, outcome.text()),
 				new ErrorBody(outcome.text(), kind.name(), message, retryAfterMillis));
 	}
 
