--- a/limpetgate-net/src/test/java/org/limpetgate/net/platform/HttpLogServiceTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/platform/HttpLogServiceTests.java
@@ -18,6 +18,8 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -73,6 +75,36 @@
 		}
 	}
 
+	/**
+	 * Guards against an error that names the remedy for another kind of error, and
+	 * against a request that a closed client sends.
+	 * @throws Exception if the test cannot listen on the loopback address
+	 */
+	@Example
+	void failuresNameTheRemedyOfTheirKind() throws Exception {
+		// A bound socket that does not listen keeps its port from other processes.
+		try (Socket refusing = new Socket()) {
+			refusing.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+			HttpLogService log = HttpLogService.of(this.group, (InetSocketAddress) refusing.getLocalSocketAddress(),
+					PlatformClientSettings.DEFAULT);
+			DispatchException unreachable = failure(log);
+			assertThat(unreachable.outcome()).isEqualTo(Outcome.NOT_RUN);
+			assertThat(unreachable.kind()).isEqualTo(ErrorKind.LOG_UNAVAILABLE);
+			assertThat(unreachable).hasMessageEndingWith(ErrorKind.LOG_UNAVAILABLE.remedy())
+				.hasMessageNotContaining(ErrorKind.UPSTREAM_FAILED.remedy());
+			log.close();
+			assertThat(failure(log)).hasMessageStartingWith("the client is closed")
+				.extracting(DispatchException::outcome)
+				.isEqualTo(Outcome.NOT_RUN);
+		}
+	}
+
+	private static DispatchException failure(HttpLogService log) throws Exception {
+		return log.append("s", List.of(new byte[1]))
+			.handle((offset, error) -> (DispatchException) error)
+			.get(30, TimeUnit.SECONDS);
+	}
+
 	private static void serve(ServerSocket server, String answer) {
 		try (Socket socket = server.accept(); OutputStream out = socket.getOutputStream()) {
 			String request = "";
