--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/ClaimCost.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/ClaimCost.java
@@ -52,8 +52,9 @@
 	private List<Claim> claims(int count, long second) {
 		List<Claim> claims = new ArrayList<>();
 		for (int i = 0; i < count; i++) {
-			claims.add(new Claim(new KeyHash(this.random.nextLong(), this.random.nextLong()), this.random.nextLong(),
-					this.holder, Samples.EPOCH_NANOS + second * SECOND + EXPIRY_AHEAD, 0));
+			claims.add(
+					new Claim(new KeyHash(this.random.nextLong(), this.random.nextInt()), this.random.nextLong() >>> 16,
+							this.holder, Samples.EPOCH_NANOS + second * SECOND + EXPIRY_AHEAD, 0));
 		}
 		return claims;
 	}
--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/DispatchCost.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/DispatchCost.java
@@ -101,9 +101,8 @@
 				Long.MAX_VALUE, Pool.DEFAULT_RETRY_PERCENT);
 		DataCentreId own = Samples.dataCentre(0);
 		DispatchSettings defaults = DispatchSettings.of(HostId.of("entry-0-1"), own, 1);
-		DispatchSettings settings = new DispatchSettings(defaults.host(), own, 1, defaults.quotas(),
-				defaults.routeLimits(), HOUR, defaults.longRun(), defaults.longPercent(), defaults.hedgeFactor(),
-				defaults.remainingPercent());
+		DispatchSettings settings = new DispatchSettings(defaults.host(), own, 1, HOUR, defaults.longRun(),
+				defaults.longPercent(), defaults.hedgeFactor(), defaults.remainingPercent());
 		AdaptiveDispatcher dispatcher = AdaptiveDispatcher.of(settings, new SplittableRandom(this.seed));
 		dispatcher.configure(Configuration.of(0, Samples.routes(ROUTES, 1), List.of(pool)), 0);
 		return dispatcher;
--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/MembershipCost.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/MembershipCost.java
@@ -95,7 +95,7 @@
 			members.put(Samples.host(dataCentre, i), Samples.address(dataCentre, i));
 		}
 		return new DataCentreDigest(Samples.dataCentre(dataCentre), Samples.EPOCH_NANOS + sent, 500_000,
-				Samples.demand(pools, new Random(this.seed)), members);
+				Samples.poolStates(pools, new Random(this.seed)), members);
 	}
 
 	private static PeerFrame frame(DataCentreDigest digest) {
--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/Samples.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/Samples.java
@@ -19,6 +19,7 @@
 import org.limpetgate.config.Route;
 import org.limpetgate.config.Upstream;
 import org.limpetgate.dispatch.PeerLoad;
+import org.limpetgate.membership.DataCentreDigest;
 import org.limpetgate.membership.MemberAddress;
 
 /**
@@ -29,6 +30,8 @@
 	/** Workers of one data centre: 6,000 divided by 22. */
 	static final int WORKERS_PER_POOL = 273;
 
+	private static final int MAX_WAIT_NANOS = 1_000_000_000;
+
 	static final long EPOCH_NANOS = 1_900_000_000_000_000_000L;
 
 	private static final int WORKERS_PER_RACK = 8;
@@ -53,6 +56,15 @@
 				"10." + dataCentre + ".0." + number, 7400);
 	}
 
+	static Map<PoolName, DataCentreDigest.PoolState> poolStates(int pools, Random random) {
+		Map<PoolName, DataCentreDigest.PoolState> states = new HashMap<>();
+		for (int i = 0; i < pools; i++) {
+			states.put(pool(i),
+					new DataCentreDigest.PoolState(random.nextInt(MAX_WAIT_NANOS), random.nextInt(MAX_DEMAND)));
+		}
+		return states;
+	}
+
 	static Map<PoolName, PeerLoad.Demand> demand(int pools, Random random) {
 		Map<PoolName, PeerLoad.Demand> demand = new HashMap<>();
 		for (int i = 0; i < pools; i++) {
