--- a/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettings.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettings.java
@@ -9,7 +9,7 @@
 import org.limpetgate.json.JsonResult;
 
 /**
- * The settings of an entry host, read once at its start.
+ * The settings of an entry host. While it runs, only its keys may be replaced.
  * <p>
  * Immutable and thread-safe.
  *
