--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -112,6 +113,8 @@
 
 	private final PeerKeys keys;
 
+	private final TicketAuthority tickets;
+
 	private final PeerServer peerServer;
 
 	private final PeerLinks links;
@@ -156,7 +159,9 @@
 		this.runner = new TaskRunner(this.dispatcher, gateways(), this.control, this.clock, this.events, this.metrics);
 		this.runner.onLeaving((upstream) -> upstreamLeaving(upstream, this.clock.getAsLong()));
 		PeerIdentity self = new PeerIdentity(this.incarnation, settings.dataCentre());
-		this.keys = PeerKeys.of(settings.keys().get(0).id(), secrets(settings.keys()));
+		List<Key> hostKeys = hostKeys(settings);
+		this.keys = PeerKeys.of(hostKeys.get(0).id(), secrets(hostKeys));
+		this.tickets = new TicketAuthority(this.incarnation, ticketSecrets(hostKeys));
 		PeerSettings peerSettings = peerSettings(self);
 		this.peerServer = PeerServer.start(this.group, toAddress(settings.peers()), peerSettings,
 				(peer, frame) -> this.peerHandler.handle(peer, frame));
@@ -231,6 +236,15 @@
 				() -> this.submissions.counts().openRequests());
 	}
 
+	// A host without peers needs no shared key; its tickets are checked by itself only.
+	private static List<Key> hostKeys(HostSettings settings) {
+		return settings.keys().isEmpty() ? List.of(Key.of("own", UUID.randomUUID().toString())) : settings.keys();
+	}
+
+	private static List<byte[]> ticketSecrets(List<Key> keys) {
+		return keys.stream().map(Key::secret).toList();
+	}
+
 	private Map<PoolKind, UpstreamGateway> gateways() {
 		HttpClient client = HttpClient.of(this.group, HttpClientLimits.defaults());
 		return Map.of(PoolKind.RUNNERS, new RunnerGateway(client), PoolKind.WORKERS,
@@ -265,8 +279,7 @@
 		JobTasks jobs = new JobTasks(this.tasks, this.configuration::configuration);
 		SubmissionSystem system = new SubmissionSystem(this.incarnation,
 				DataCentres.of(this.settings.dataCentre(), this.settings.dataCentres()), submissionSettings(),
-				new TicketAuthority(this.incarnation, this.settings.keys().get(0).secret()), jobs,
-				new SplittableRandom(this.random.nextLong()));
+				this.tickets, jobs, new SplittableRandom(this.random.nextLong()));
 		return new SubmissionService(this.incarnation, CLAIMS_STREAM_PREFIX + this.settings.dataCentre(), system, jobs,
 				log, this.peers, this.control, this.clock, this.events);
 	}
@@ -379,9 +392,9 @@
 	}
 
 	/**
-	 * Replaces the keys of the links between entry hosts and those of the operators.
-	 * Links that were opened with a removed key are closed. Tickets keep the secret that
-	 * the host started with.
+	 * Replaces the keys of the links between entry hosts, of the tickets and of the
+	 * operators. Links that were opened with a removed key are closed. Tickets that were
+	 * signed with a removed key cannot be checked any more.
 	 * @param newKeys the keys of the entry hosts, the current one first, at least one
 	 * @param newOperatorKeys the keys of the operators, not null
 	 * @throws IllegalArgumentException if there is no key of the entry hosts; nothing is
@@ -392,6 +405,7 @@
 			throw new IllegalArgumentException("there is no key of the entry hosts; add at least one to 'keys'");
 		}
 		this.keys.replace(newKeys.get(0).id(), secrets(newKeys));
+		this.control.execute(() -> this.tickets.replaceSecrets(ticketSecrets(newKeys)));
 		this.operatorApi.replaceKeys(newOperatorKeys);
 		this.events.write(LogEvent.KEYS_REPLACED, ids(newKeys), ids(newOperatorKeys));
 	}
