--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/Meter.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/Meter.java
@@ -20,7 +20,7 @@
 
 	/**
 	 * The state that is weighed. With a local variable, one run of several read 0 bytes
-	 * at five points; the cause is not known.
+	 * at seven points; the cause is not known.
 	 */
 	private static volatile Object held;
 
