Reduce control traffic for large fleets

Cause: docs/CAPACITY.md worked out, for 22 data centres of 6 hosts, 766 KB/s for the host list (estimate), 11.2 KB/s of heartbeats, 10.6 KB/s of digests and 1,015 to 2,438 appends/s, where 15 KB/s and 300 appends/s are allowed. Change: the host list is read with the version at hand and with the upstreams of the own data centre only; heartbeats leave out idle pools and, two times in three, what the sender has heard; digests become rarer with the number of data centres; the time between appends grows with the configured hosts.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/FasterSpillPolicy.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/FasterSpillPolicy.java
@@ -19,14 +19,32 @@
 
 	private static final int MAX_HOPS = 1;
 
-	/** Digests older than this tell nothing; the link or the data centre may be down. */
-	private static final long MAX_AGE_NANOS = 2_000_000_000L;
+	/**
+	 * Digests older than this many intervals tell nothing; the link or the data centre
+	 * may be down.
+	 */
+	private static final int MAX_AGE_INTERVALS = 2;
 
 	/** The least gain that pays for the messages of the hop. */
 	private static final long MARGIN_NANOS = 20_000_000L;
 
+	private final long maxAgeNanos;
+
 	private final Map<DataCentreId, Forwarded> forwarded = new HashMap<>();
 
+	private FasterSpillPolicy(long maxAgeNanos) {
+		this.maxAgeNanos = maxAgeNanos;
+	}
+
+	/**
+	 * Returns a policy.
+	 * @param digestNanos the time between two digests of a data centre, in nanoseconds
+	 * @return the policy, not null
+	 */
+	public static FasterSpillPolicy ofDigestInterval(long digestNanos) {
+		return new FasterSpillPolicy(MAX_AGE_INTERVALS * digestNanos);
+	}
+
 	@Override
 	public Optional<DataCentreId> destination(TaskRequest task, int hops, long localWaitNanos, List<RemotePool> remotes,
 			long nowNanos) {
@@ -37,7 +55,7 @@
 		double bestWait = localWaitNanos;
 		for (RemotePool remote : remotes) {
 			boolean usable = remote.pool().equals(task.pool()) && remote.tasksPerSecond() > 0
-					&& nowNanos - remote.measuredNanos() <= MAX_AGE_NANOS;
+					&& nowNanos - remote.measuredNanos() <= this.maxAgeNanos;
 			double wait = usable ? waitAt(remote) : Double.POSITIVE_INFINITY;
 			if (wait < bestWait) {
 				best = remote;
--- a/limpetgate-core/src/main/java/org/limpetgate/membership/Membership.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/membership/Membership.java
@@ -32,6 +32,12 @@
  */
 public final class Membership {
 
+	/**
+	 * One in so many heartbeats tells what its sender has heard. In each one it would be
+	 * the largest part of the control traffic.
+	 */
+	static final int HEARTBEATS_PER_SEEN = 3;
+
 	private final Incarnation self;
 
 	private final DataCentreId dataCentre;
@@ -114,7 +120,8 @@
 		Member before = this.members.get(host);
 		Member base = (before != null) ? before
 				: new Member(heartbeat.address(), MemberState.LISTED, null, 0, true, null);
-		replace(before, base.withHeartbeat(heartbeat, hearsThisHost(heartbeat), nowNanos));
+		boolean hears = heartbeat.seen().isEmpty() ? base.hearsThisHost() : hearsThisHost(heartbeat);
+		replace(before, base.withHeartbeat(heartbeat, hears, nowNanos));
 		heartbeat.seen().forEach((other, indirect) -> seenIndirectly(other, indirect, nowNanos));
 		return true;
 	}
@@ -125,7 +132,7 @@
 			return false;
 		}
 		long heartbeatsUntilSuspect = this.timings.suspectNanos() / this.timings.heartbeatNanos();
-		return this.sequence - ofThis.sequence() <= heartbeatsUntilSuspect;
+		return this.sequence - ofThis.sequence() <= heartbeatsUntilSuspect + HEARTBEATS_PER_SEEN;
 	}
 
 	private void seenIndirectly(HostId host, Heartbeat.Seen indirect, long nowNanos) {
@@ -177,7 +184,8 @@
 		this.heartbeatDue = false;
 		this.nextHeartbeatNanos = nowNanos + this.timings.heartbeatNanos();
 		this.sequence++;
-		Map<HostId, Heartbeat.Seen> copy = Map.copyOf(this.seen);
+		boolean withSeen = this.sequence % HEARTBEATS_PER_SEEN == 0;
+		Map<HostId, Heartbeat.Seen> copy = withSeen ? Map.copyOf(this.seen) : Map.of();
 		for (Member member : inDataCentre()) {
 			effects.accept(new MembershipEffect.SendHeartbeat(member.address().host(), this.sequence, copy));
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/membership/MembershipTimings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/membership/MembershipTimings.java
@@ -23,6 +23,18 @@
 			Duration.ofMillis(900).toNanos(), Duration.ofSeconds(4).toNanos(), Duration.ofMinutes(10).toNanos(),
 			Duration.ofSeconds(1).toNanos());
 
+	/**
+	 * Returns the usual timings for a number of data centres. Digests become rarer as
+	 * there are more of them, so that a host receives at most four in a second.
+	 * @param dataCentres the number of data centres, at least 1
+	 * @return the timings, not null
+	 */
+	public static MembershipTimings forDataCentres(int dataCentres) {
+		long digest = Math.max(DEFAULT.digestNanos, dataCentres * Duration.ofMillis(250).toNanos());
+		return new MembershipTimings(DEFAULT.heartbeatNanos, DEFAULT.suspectNanos, DEFAULT.deadNanos,
+				DEFAULT.forgetNanos, digest);
+	}
+
 	public MembershipTimings {
 		if (heartbeatNanos <= 0 || suspectNanos <= heartbeatNanos || deadNanos <= suspectNanos
 				|| forgetNanos < deadNanos || digestNanos <= 0) {
--- a/limpetgate-core/src/test/java/org/limpetgate/dispatch/AdaptiveDispatcherTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/dispatch/AdaptiveDispatcherTests.java
@@ -349,7 +349,7 @@
 		for (Case row : cases) {
 			RemotePool remote = new RemotePool(DataCentreId.of("gijon"), DispatcherHarness.POOL, millis / 2,
 					row.remoteWait * millis, row.rate, harness.now - row.age * millis);
-			FasterSpillPolicy policy = new FasterSpillPolicy();
+			FasterSpillPolicy policy = FasterSpillPolicy.ofDigestInterval(1_000_000_000L);
 			assertThat(policy.destination(task, row.hops, row.localWait * millis, List.of(remote), harness.now)
 				.isPresent()).as(row.toString()).isEqualTo(row.spills);
 			long spilled = IntStream.range(0, 1_000)
--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -85,6 +85,9 @@
 	 */
 	private static final Duration BALANCER_GRACE = Duration.ofSeconds(1);
 
+	/** The appends per second that all hosts together leave to claims. */
+	private static final int APPENDS_PER_SECOND = 300;
+
 	private static final long DRAIN_CHECK_MILLIS = 20;
 
 	private final HostSettings settings;
@@ -119,6 +122,8 @@
 
 	private final PeerLinks links;
 
+	private final MembershipTimings timings;
+
 	private final Membership membership;
 
 	private final PeerService peers;
@@ -166,7 +171,8 @@
 		this.peerServer = PeerServer.start(this.group, toAddress(settings.peers()), peerSettings,
 				(peer, frame) -> this.peerHandler.handle(peer, frame));
 		this.links = PeerLinks.of(this.group, peerSettings, new SplittableRandom(this.random.nextLong()));
-		this.membership = new Membership(this.incarnation, settings.dataCentre(), MembershipTimings.DEFAULT);
+		this.timings = MembershipTimings.forDataCentres(settings.dataCentres().size());
+		this.membership = new Membership(this.incarnation, settings.dataCentre(), this.timings);
 		this.peers = peerService(self);
 		FailoverLogService log = log();
 		this.configuration = new ConfigurationService(settings.host(), log, this.peers, this.control, timer(),
@@ -174,8 +180,9 @@
 		this.versions = new VersionTracker(settings.host(), settings.dataCentre(), settings.dataCentres(),
 				() -> this.configuration.configuration().version(), this.peers);
 		this.remote = remoteDataCentres();
-		this.tasks = new SpillService(this.runner, this.dispatcher, new FasterSpillPolicy(), this.remote, this.control,
-				this.clock, this.events);
+		this.tasks = new SpillService(this.runner, this.dispatcher,
+				FasterSpillPolicy.ofDigestInterval(this.timings.digestNanos()), this.remote, this.control, this.clock,
+				this.events);
 		this.submissions = submissionService(log);
 		this.peers.connect(new Parts());
 		this.callers = HttpServer.start(this.group, toAddress(settings.callers()), callerLimits(),
@@ -287,11 +294,13 @@
 	private SubmissionSettings submissionSettings() {
 		Spans spans = this.settings.spans();
 		SubmissionSettings defaults = SubmissionSettings.DEFAULT;
+		long appendInterval = Math.max(defaults.minAppendIntervalNanos(),
+				TimeUnit.SECONDS.toNanos(1) * this.settings.peerHosts().size() / APPENDS_PER_SECOND);
 		return new SubmissionSettings(spans.claimWait().toNanos(), defaults.minExpiryAheadNanos(),
 				spans.maxExpiryAhead().toNanos(), spans.skewBound().toNanos(), spans.keyHorizon().toNanos(),
-				defaults.minAppendIntervalNanos(), defaults.maxAppendIntervalNanos(), defaults.appendTimeoutNanos(),
-				defaults.markerIntervalNanos(), defaults.resultKeepNanos(), defaults.maxResultBytes(),
-				defaults.maxPendingClaims(), defaults.maxOpenBytes());
+				appendInterval, Math.max(appendInterval, defaults.maxAppendIntervalNanos()),
+				defaults.appendTimeoutNanos(), defaults.markerIntervalNanos(), defaults.resultKeepNanos(),
+				defaults.maxResultBytes(), defaults.maxPendingClaims(), defaults.maxOpenBytes());
 	}
 
 	private HttpServerLimits callerLimits() {
@@ -334,8 +343,8 @@
 	}
 
 	private HostListWatcher hostListWatcher() {
-		HttpHostList list = HttpHostList.of(this.group, toAddress(this.settings.platform().get(0)),
-				PlatformClientSettings.DEFAULT);
+		HttpHostList list = HttpHostList.ofDataCentre(this.group, toAddress(this.settings.platform().get(0)),
+				PlatformClientSettings.DEFAULT, this.settings.dataCentre());
 		return new HostListWatcher(list, this.control, this.clock, this.events, this::hostsListed);
 	}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
@@ -187,12 +187,19 @@
 	private Heartbeat heartbeat(MembershipEffect.SendHeartbeat send) {
 		if (this.lastHeartbeat == null || this.lastHeartbeat.sequence() != send.sequence()) {
 			this.lastHeartbeat = new Heartbeat(this.self.incarnation(), this.address, send.sequence(),
-					this.local.configuration().configuration().version(), this.size, this.leaving, this.local.demand(),
-					send.seen(), this.local.leavingUpstreams());
+					this.local.configuration().configuration().version(), this.size, this.leaving,
+					withoutIdle(this.local.demand()), send.seen(), this.local.leavingUpstreams());
 		}
 		return this.lastHeartbeat;
 	}
 
+	// A pool that is missing has no demand; idle pools would make up most of a heartbeat.
+	private static Map<PoolName, PeerLoad.Demand> withoutIdle(Map<PoolName, PeerLoad.Demand> demand) {
+		Map<PoolName, PeerLoad.Demand> busy = new HashMap<>(demand);
+		busy.values().removeIf((load) -> load.queued() == 0 && load.inFlight() == 0);
+		return busy;
+	}
+
 	private DataCentreDigest ownDigest(long nowNanos) {
 		Map<Incarnation, MemberAddress> live = new HashMap<>();
 		long lowest = this.local.configuration().configuration().version();
--- a/limpetgate-net/src/main/java/org/limpetgate/net/platform/HttpHostList.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/platform/HttpHostList.java
@@ -4,25 +4,43 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
+import org.limpetgate.DataCentreId;
 import org.limpetgate.ErrorKind;
 import org.limpetgate.net.http.HttpCall;
+import org.limpetgate.net.http.HttpReply;
 import org.limpetgate.platform.HostList;
 import org.limpetgate.platform.HostListView;
 
 /**
- * Client of the platform's host list. Thread-safe.
+ * Client of the platform's host list.
+ * <p>
+ * It names the version that it has, so that the platform answers an unchanged list with a
+ * few bytes: the whole list of a large fleet once a second would take more than the
+ * control traffic of a host may. Thread-safe.
  */
 public final class HttpHostList implements HostList, AutoCloseable {
 
+	/** The header with the version of the list. */
+	public static final String VERSION_HEADER = "host-list-version";
+
+	/** The header with the age of the list in milliseconds. */
+	public static final String AGE_HEADER = "host-list-age-millis";
+
 	private final PlatformHttp http;
 
 	private final InetSocketAddress address;
 
-	private HttpHostList(PlatformHttp http, InetSocketAddress address) {
+	private final String filter;
+
+	private volatile Known known = new Known("", null);
+
+	private HttpHostList(PlatformHttp http, InetSocketAddress address, String filter) {
 		this.http = http;
 		this.address = address;
+		this.filter = filter;
 	}
 
 	/**
@@ -33,13 +51,41 @@
 	 * @return the client, not null
 	 */
 	public static HttpHostList of(EventLoopGroup group, InetSocketAddress address, PlatformClientSettings settings) {
-		return new HttpHostList(new PlatformHttp(group, settings, ErrorKind.PLATFORM_UNAVAILABLE), address);
+		return new HttpHostList(new PlatformHttp(group, settings, ErrorKind.PLATFORM_UNAVAILABLE), address, "");
+	}
+
+	/**
+	 * Returns a client that reads all entry hosts, but the upstreams of one data centre
+	 * only.
+	 * @param group the event loops, which stay open when the client is closed, not null
+	 * @param address the address of the platform, not null
+	 * @param settings the limits, not null
+	 * @param dataCentre the data centre, not null
+	 * @return the client, not null
+	 */
+	public static HttpHostList ofDataCentre(EventLoopGroup group, InetSocketAddress address,
+			PlatformClientSettings settings, DataCentreId dataCentre) {
+		return new HttpHostList(new PlatformHttp(group, settings, ErrorKind.PLATFORM_UNAVAILABLE), address,
+				"&upstreamsOf=" + PlatformReplies.encode(dataCentre.value()));
 	}
 
 	@Override
 	public CompletableFuture<HostListView> read() {
-		HttpCall call = new HttpCall("GET", "/v1/hosts", Map.of(), new byte[0]);
-		return this.http.send(this.address, call, Duration.ZERO, (reply) -> HostListCodec.decode(reply.body()));
+		Known present = this.known;
+		String target = "/v1/hosts?version=" + PlatformReplies.encode(present.version()) + this.filter;
+		HttpCall call = new HttpCall("GET", target, Map.of(), new byte[0]);
+		return this.http.send(this.address, call, Duration.ZERO, (reply) -> read(reply, present));
+	}
+
+	private HostListView read(HttpReply reply, Known present) {
+		String version = reply.header(VERSION_HEADER);
+		if (!version.isEmpty() && version.equals(present.version()) && reply.body().length == 0) {
+			long ageNanos = TimeUnit.MILLISECONDS.toNanos(Long.parseLong(reply.header(AGE_HEADER)));
+			return new HostListView(present.view().hosts(), present.view().upstreams(), ageNanos);
+		}
+		HostListView view = HostListCodec.decode(reply.body());
+		this.known = new Known(version, view);
+		return view;
 	}
 
 	@Override
@@ -47,4 +93,7 @@
 		this.http.close();
 	}
 
+	private record Known(String version, HostListView view) {
+	}
+
 }
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/HostListEndpoint.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/HostListEndpoint.java
@@ -5,8 +5,10 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.net.platform.HostListCodec;
+import org.limpetgate.net.platform.HttpHostList;
 import org.limpetgate.platform.HostListView;
 import org.limpetgate.platform.ListedHost;
 import org.limpetgate.platform.ListedUpstream;
@@ -47,14 +49,28 @@
 		}
 	}
 
-	StandInAnswer read(long nowNanos) {
+	StandInAnswer read(Query query, long nowNanos) {
 		long asOfNanos = Math.min(nowNanos, this.frozenNanos) - this.lagNanos;
 		while (this.versions.size() > 1 && second().nanos <= asOfNanos) {
 			this.versions.removeFirst();
 		}
 		Version version = this.versions.getFirst();
-		HostListView view = new HostListView(version.hosts, version.upstreams, nowNanos - asOfNanos);
-		return StandInAnswer.whole(200, Map.of("content-type", "application/json"), HostListCodec.encode(view));
+		String number = Long.toString(version.nanos);
+		long ageNanos = nowNanos - asOfNanos;
+		Map<String, String> headers = Map.of("content-type", "application/json", HttpHostList.VERSION_HEADER, number,
+				HttpHostList.AGE_HEADER, Long.toString(TimeUnit.NANOSECONDS.toMillis(ageNanos)));
+		if (number.equals(query.optionalText("version"))) {
+			return StandInAnswer.whole(200, headers, new byte[0]);
+		}
+		List<ListedUpstream> upstreams = upstreams(version, query.optionalText("upstreamsOf"));
+		return StandInAnswer.whole(200, headers,
+				HostListCodec.encode(new HostListView(version.hosts, upstreams, ageNanos)));
+	}
+
+	private static List<ListedUpstream> upstreams(Version version, String dataCentre) {
+		return version.upstreams.stream()
+			.filter((upstream) -> dataCentre.isEmpty() || upstream.dataCentre().value().equals(dataCentre))
+			.toList();
 	}
 
 	private Version second() {
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/PlatformStandIn.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/PlatformStandIn.java
@@ -148,7 +148,7 @@
 			this.hostList.set(HostListCodec.decode(call.body()), this.clock.getAsLong());
 			return StandInAnswer.json(200, Map.of());
 		}
-		return this.hostList.read(this.clock.getAsLong());
+		return this.hostList.read(Query.of(call), this.clock.getAsLong());
 	}
 
 	private StandInAnswer control(HttpCall call, Query query) {
--- a/limpetgate-standin/src/main/java/org/limpetgate/standin/Query.java
+++ b/limpetgate-standin/src/main/java/org/limpetgate/standin/Query.java
@@ -41,6 +41,10 @@
 		return values.get(0);
 	}
 
+	String optionalText(String name) {
+		return this.parameters.containsKey(name) ? text(name) : "";
+	}
+
 	long number(String name, long least, long most) {
 		long value = Long.parseLong(text(name));
 		if (value < least || value > most) {
--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/HostListContractTests.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/HostListContractTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
@@ -38,6 +39,8 @@
 	private static final List<ListedUpstream> UPSTREAMS = List
 		.of(new ListedUpstream(UpstreamId.of("r1"), OVIEDO, "10.0.1.1", 81, true));
 
+	private static final Query WHOLE = new Query(List.of("v1", "hosts"), Map.of());
+
 	private final EventLoopGroup group = StandIns.newEventLoops(2);
 
 	private final PlatformStandIn platform = PlatformStandIn.start(this.group, LogLimits.DEFAULT);
@@ -72,7 +75,7 @@
 		lagging.set(new HostListView(HOSTS, List.of(), 0), 100);
 		lagging.set(new HostListView(List.of(), UPSTREAMS, 0), 110);
 		List<Long> times = List.of(104L, 105L, 114L, 115L);
-		assertThat(times).map((now) -> HostListCodec.decode(lagging.read(now).reply().body()))
+		assertThat(times).map((now) -> HostListCodec.decode(lagging.read(WHOLE, now).reply().body()))
 			.map((view) -> view.hosts().size() + "," + view.upstreams().size())
 			.containsExactly("0,0", "2,0", "2,0", "0,1");
 		this.platform.setHosts(HOSTS, UPSTREAMS);
@@ -83,7 +86,29 @@
 		assertThat(Futures.get(this.hostList.read()).hosts()).isEmpty();
 		lagging.freeze(true, 120);
 		long hour = TimeUnit.HOURS.toNanos(1);
-		assertThat(HostListCodec.decode(lagging.read(120 + hour).reply().body()).ageNanos()).isEqualTo(hour);
+		assertThat(HostListCodec.decode(lagging.read(WHOLE, 120 + hour).reply().body()).ageNanos()).isEqualTo(hour);
+	}
+
+	/**
+	 * Guards against a client that keeps an old list when the platform answers an
+	 * unchanged one without its content, and against upstreams of other data centres.
+	 */
+	@Example
+	void unchangedListIsKeptAndChangesAreSeen() {
+		HostList ofGijon = HttpHostList.ofDataCentre(this.group, this.platform.address(),
+				PlatformClientSettings.DEFAULT.withRequestTimeout(Duration.ofSeconds(20)), DataCentreId.of("gijon"));
+		this.platform.setHosts(HOSTS, UPSTREAMS);
+		for (int read = 0; read < 3; read++) {
+			HostListView view = Futures.get(this.hostList.read());
+			assertThat(view.hosts()).isEqualTo(HOSTS);
+			assertThat(view.upstreams()).isEqualTo(UPSTREAMS);
+			HostListView elsewhere = Futures.get(ofGijon.read());
+			assertThat(elsewhere.hosts()).isEqualTo(HOSTS);
+			assertThat(elsewhere.upstreams()).isEmpty();
+		}
+		this.platform.setHosts(List.of(), UPSTREAMS);
+		assertThat(Futures.get(this.hostList.read()).hosts()).isEmpty();
+		assertThat(Futures.get(ofGijon.read()).hosts()).isEmpty();
 	}
 
 	/**
