Book more cores than there are for work that has waited

Change: a task that has waited 10 ms may be booked beyond the share, in cores only, by 5% plus 4 cores per worker and at most 30%. A worker within its share is preferred.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/Choice.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/Choice.java
@@ -30,6 +30,21 @@
 
 	private static final double ACCELERATOR_PENALTY = 3;
 
+	/** Makes up for factors that were learned too large. */
+	private static final double OVERBOOKED_PART = 0.05;
+
+	/** A gap is a few cores wide, whatever the size of the worker. */
+	private static final double OVERBOOKED_CORES = 4;
+
+	/** Small workers would slow down too much with a fixed number of cores. */
+	private static final double MAX_OVERBOOKED_PART = 0.3;
+
+	/** Work that finds room within a few milliseconds slows down no other task. */
+	private static final long OVERBOOK_AFTER_NANOS = 10_000_000;
+
+	/** A worker is overbooked only if the task fits nowhere in the sample. */
+	private static final double OVERBOOKING_PENALTY = 1;
+
 	/** A probe is tried on a task that cannot be attempted again after this time. */
 	private static final long PROBE_WAIT_NANOS = 2_000_000_000L;
 
@@ -72,7 +87,7 @@
 		if (upstream.health == UpstreamEntity.Health.PROBATION) {
 			return probeScore(task, upstream, nowNanos);
 		}
-		if (task.pool.isWorkers() && !fits(task, upstream)) {
+		if (task.pool.isWorkers() && !fits(task, upstream, nowNanos)) {
 			return Double.POSITIVE_INFINITY;
 		}
 		double slowness = upstream.slowness(task.route);
@@ -89,7 +104,7 @@
 	private static double probeScore(TaskEntity task, UpstreamEntity upstream, long nowNanos) {
 		boolean harmless = task.request.idempotent() && task.attempts == 0;
 		boolean late = nowNanos - upstream.healthChangesAt > PROBE_WAIT_NANOS;
-		boolean fits = !task.pool.isWorkers() || fits(task, upstream);
+		boolean fits = !task.pool.isWorkers() || fits(task, upstream, nowNanos);
 		return (fits && (harmless || late)) ? 0 : Double.POSITIVE_INFINITY;
 	}
 
@@ -116,6 +131,9 @@
 	private static double placementPenalty(TaskEntity task, UpstreamEntity upstream) {
 		double free = 1 - load(task.pool, upstream);
 		double byLoad = (task.pool.queuedTasks > 1) ? GAP_PENALTY * free : LOAD_PENALTY * (1 - free);
+		if (!booking(task, upstream).plus(upstream.inUse()).isWithin(upstream.share)) {
+			byLoad = OVERBOOKING_PENALTY * (1 - free);
+		}
 		double penalty = 1 + upstream.failureRate + byLoad;
 		if (task.avoid != null && task.avoid.row.rack().equals(upstream.row.rack())) {
 			penalty *= RACK_PENALTY;
@@ -126,14 +144,14 @@
 		return penalty;
 	}
 
-	static boolean fits(TaskEntity task, UpstreamEntity upstream) {
+	static boolean fits(TaskEntity task, UpstreamEntity upstream, long nowNanos) {
 		PoolEntity pool = task.pool;
 		if (pool.reserved == upstream && pool.reservedFor != task) {
 			return false;
 		}
 		Resources booking = booking(task, upstream);
 		Resources used = upstream.inUse();
-		if (booking.plus(used).isWithin(upstream.share)) {
+		if (booking.plus(used).isWithin(bookable(task, upstream, nowNanos))) {
 			return true;
 		}
 		boolean isLarge = !booking.isWithin(upstream.share);
@@ -141,6 +159,25 @@
 				&& task.request.resources().isWithin(upstream.row.resources());
 	}
 
+	/**
+	 * Returns what may be booked at a worker: its share, and for a task that has waited,
+	 * more cores than there are, so that the gaps that tasks of several cores leave are
+	 * filled. Tasks slow down when cores are short, but fail when memory is.
+	 * @param task the task
+	 * @param upstream the worker
+	 * @param nowNanos the present time
+	 * @return the most resources to book
+	 */
+	private static Resources bookable(TaskEntity task, UpstreamEntity upstream, long nowNanos) {
+		Resources share = upstream.share;
+		if (nowNanos - task.queuedAt < OVERBOOK_AFTER_NANOS) {
+			return share;
+		}
+		double extra = OVERBOOKED_PART + OVERBOOKED_CORES / Math.max(1, upstream.row.resources().cores());
+		return new Resources(share.cores() * (1 + Math.min(MAX_OVERBOOKED_PART, extra)), share.memoryMb(),
+				share.accelerators());
+	}
+
 	/**
 	 * Returns what a task is expected to use: the declared size corrected by what the
 	 * route's tasks used before, and no more than the worker has.
--- a/limpetgate-core/src/test/java/org/limpetgate/dispatch/AdaptiveDispatcherTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/dispatch/AdaptiveDispatcherTests.java
@@ -299,6 +299,25 @@
 			.isEqualTo(1);
 	}
 
+	/**
+	 * Guards against gaps that stay idle while work waits, and against a worker that is
+	 * overbooked without bound.
+	 */
+	@Example
+	void waitingWorkFillsGapsUpToABound() {
+		DispatcherHarness harness = harness().configure(Pool.of(DispatcherHarness.WORKERS, PoolKind.WORKERS,
+				List.of(DispatcherHarness.worker("a", 16, 0, "r1"))));
+		for (int i = 0; i < 10; i++) {
+			harness.offer(harness.workerRequest(5, 0));
+		}
+		assertThat(harness.starts).hasSize(3);
+		for (int i = 0; i < 10; i++) {
+			harness.advance(10);
+			harness.offer(harness.workerRequest(5, 0));
+		}
+		assertThat(harness.starts).hasSize(4);
+	}
+
 	/**
 	 * Guards against declared sizes that are believed for ever.
 	 */
