Hold the delay target for 2 s after a queue has stood above it

Once the queue was below its target, it could stand above it for another 500 ms at each peak.

Change: for 2 s after a queue has stood above the target, work that would wait longer than the target is refused without that allowance.

--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdmissionControl.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/AdmissionControl.java
@@ -19,6 +19,13 @@
 	/** How long a queue may stand above its target; longer than a usual burst. */
 	private static final long STANDING_NANOS = 500_000_000L;
 
+	/**
+	 * How long the target holds without exception after a queue has stood above it. New
+	 * work and returning callers would otherwise build up the queue again at each peak of
+	 * the demand.
+	 */
+	private static final long AFTER_STANDING_NANOS = 2_000_000_000L;
+
 	/** The wait is off by up to this when the demand of other callers rises. */
 	private static final double WAIT_MARGIN = 2;
 
@@ -75,7 +82,10 @@
 		if (pool.expectedWait() <= this.settings.queueDelayTarget()) {
 			pool.calmAt = nowNanos;
 		}
-		boolean standing = nowNanos - pool.calmAt > STANDING_NANOS;
+		if (nowNanos - pool.calmAt > STANDING_NANOS) {
+			pool.stoodAt = nowNanos;
+		}
+		boolean standing = nowNanos - pool.stoodAt < AFTER_STANDING_NANOS;
 		boolean sameJob = task.request.job() != 0 && task.request.job() == pool.acceptedJob
 				&& pool.expectedWait() <= JOB_ALLOWANCE * this.settings.queueDelayTarget();
 		if (standing && !sameJob && wait > this.settings.queueDelayTarget()) {
--- a/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/dispatch/PoolEntity.java
@@ -108,6 +108,9 @@
 	/** The last time at which the expected wait was within its target. */
 	long calmAt;
 
+	/** The last time at which the queue had stood above the target. */
+	long stoodAt = Long.MIN_VALUE / 2;
+
 	/** The time up to which refused callers have been told to return. */
 	long returnsUntil;
 
