Bound the claims in memory

Cause: at 12,273 jobs/s of one task per data centre the claims would take 1,775 MB (docs/CAPACITY.md), where control may take 128 MB. Change: above 600,000 claims (about 97 MB) a host makes no new ones and refers to tickets; it goes on folding those of the others.

--- a/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/MembershipCost.java
+++ b/limpetgate-bench/src/main/java/org/limpetgate/bench/capacity/MembershipCost.java
@@ -49,6 +49,8 @@
 		List<Series> series = new ArrayList<>();
 		series.add(Series.measure("heartbeat frame, 10 pools", "bytes", "host of the data centre", HOSTS,
 				(hosts) -> frameBytes(heartbeat(0, hosts, USUAL_POOLS, 1))));
+		series.add(Series.measure("heartbeat frame without what was heard", "bytes", "pool", POOLS,
+				(pools) -> frameBytes(heartbeat(0, 1, pools, 1))));
 		series.add(Series.measure("heartbeat frame, 6 hosts", "bytes", "pool", POOLS,
 				(pools) -> frameBytes(heartbeat(0, USUAL_HOSTS, pools, 1))));
 		series.add(Series.measureTime("heartbeat sent and one received, 10 pools", "host of the data centre", HOSTS,
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSettings.java
@@ -18,13 +18,15 @@
  * @param resultKeepNanos how long a result is kept after its job has ended
  * @param maxResultBytes the most bytes of kept results
  * @param maxPendingClaims the most requests that wait for claims
+ * @param maxClaims the most claims in memory; above it, this host makes no new ones,
+ * since it must go on folding those of the others
  * @param maxOpenBytes the most bytes of open requests and running jobs; above it, no job
  * is started
  */
 public record SubmissionSettings(long claimWaitNanos, long minExpiryAheadNanos, long maxExpiryAheadNanos,
 		long skewNanos, long horizonNanos, long minAppendIntervalNanos, long maxAppendIntervalNanos,
 		long appendTimeoutNanos, long markerIntervalNanos, long resultKeepNanos, long maxResultBytes,
-		int maxPendingClaims, long maxOpenBytes) {
+		int maxPendingClaims, int maxClaims, long maxOpenBytes) {
 
 	/**
 	 * The defaults. The intervals between appends are those for 6 hosts that share 300
@@ -34,7 +36,7 @@
 			Duration.ofSeconds(1).toNanos(), Duration.ofMinutes(10).toNanos(), Duration.ofSeconds(2).toNanos(),
 			Duration.ofMinutes(15).toNanos(), Duration.ofMillis(20).toNanos(), Duration.ofMillis(130).toNanos(),
 			Duration.ofSeconds(1).toNanos(), Duration.ofMinutes(1).toNanos(), Duration.ofMinutes(2).toNanos(),
-			64L * 1024 * 1024, 20_000, 128L * 1024 * 1024);
+			64L * 1024 * 1024, 20_000, 600_000, 128L * 1024 * 1024);
 
 	public SubmissionSettings {
 		if (horizonNanos < maxExpiryAheadNanos + 2 * skewNanos) {
@@ -54,7 +56,7 @@
 		return new SubmissionSettings(this.claimWaitNanos, this.minExpiryAheadNanos, maxExpiryAhead.toNanos(),
 				this.skewNanos, horizon.toNanos(), this.minAppendIntervalNanos, this.maxAppendIntervalNanos,
 				this.appendTimeoutNanos, markerInterval.toNanos(), this.resultKeepNanos, this.maxResultBytes,
-				this.maxPendingClaims, this.maxOpenBytes);
+				this.maxPendingClaims, this.maxClaims, this.maxOpenBytes);
 	}
 
 	/**
@@ -69,7 +71,7 @@
 		return new SubmissionSettings(this.claimWaitNanos, this.minExpiryAheadNanos, this.maxExpiryAheadNanos,
 				this.skewNanos, this.horizonNanos, this.minAppendIntervalNanos, this.maxAppendIntervalNanos,
 				this.appendTimeoutNanos, this.markerIntervalNanos, resultKeep.toNanos(), resultBytes, pendingClaims,
-				openBytes);
+				this.maxClaims, openBytes);
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/submission/SubmissionSystem.java
@@ -216,6 +216,11 @@
 					"this host has not read enough of the claims to rule out an earlier start");
 			return;
 		}
+		if (this.claims.size() >= this.settings.maxClaims()) {
+			this.replies.refuseLater(waiter, ErrorKind.OVERLOADED,
+					"this data centre holds too many claims; tickets need none");
+			return;
+		}
 		if (this.replies.claimWaits().size() >= this.settings.maxPendingClaims()) {
 			this.replies.refuseLater(waiter, ErrorKind.OVERLOADED, "too many submissions wait for their claims");
 			return;
--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -300,7 +300,7 @@
 				spans.maxExpiryAhead().toNanos(), spans.skewBound().toNanos(), spans.keyHorizon().toNanos(),
 				appendInterval, Math.max(appendInterval, defaults.maxAppendIntervalNanos()),
 				defaults.appendTimeoutNanos(), defaults.markerIntervalNanos(), defaults.resultKeepNanos(),
-				defaults.maxResultBytes(), defaults.maxPendingClaims(), defaults.maxOpenBytes());
+				defaults.maxResultBytes(), defaults.maxPendingClaims(), defaults.maxClaims(), defaults.maxOpenBytes());
 	}
 
 	private HttpServerLimits callerLimits() {
