--- a/limpetgate-core/src/main/java/org/limpetgate/json/JsonObject.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/json/JsonObject.java
@@ -6,8 +6,10 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -345,7 +347,7 @@
 	 * @return the text in lower case with hyphens, not null
 	 */
 	public static String textOf(Enum<?> constant) {
-		return constant.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+		return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
 	}
 
 	private JsonNode required(String field) {
@@ -395,7 +397,7 @@
 		return value.longValue();
 	}
 
-	private void forEachElement(String field, java.util.function.BiConsumer<String, JsonNode> action) {
+	private void forEachElement(String field, BiConsumer<String, JsonNode> action) {
 		JsonNode value = optional(field);
 		if (value == null) {
 			return;
--- a/limpetgate-core/src/main/java/org/limpetgate/membership/Membership.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/membership/Membership.java
@@ -5,8 +5,10 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -234,7 +236,7 @@
 		}
 		return before.state() != after.state() || before.hearsThisHost() != after.hearsThisHost()
 				|| !before.address().equals(after.address())
-				|| !java.util.Objects.equals(before.incarnation(), after.incarnation());
+				|| !Objects.equals(before.incarnation(), after.incarnation());
 	}
 
 	/**
@@ -304,7 +306,7 @@
 	 * @return the addresses, not null
 	 */
 	public List<MemberAddress> contacts(DataCentreId other) {
-		Map<HostId, MemberAddress> contacts = new java.util.LinkedHashMap<>();
+		Map<HostId, MemberAddress> contacts = new LinkedHashMap<>();
 		if (other.equals(this.dataCentre)) {
 			inDataCentre().stream()
 				.filter((member) -> member.state().isServing())
--- a/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
@@ -32,6 +32,7 @@
 import org.limpetgate.membership.MemberState;
 import org.limpetgate.membership.Membership;
 import org.limpetgate.membership.MembershipEffect;
+import org.limpetgate.net.http.ErrorReply;
 import org.limpetgate.net.peer.PeerAddress;
 import org.limpetgate.net.peer.PeerHandler;
 import org.limpetgate.net.peer.PeerIdentity;
@@ -344,7 +345,7 @@
 	}
 
 	private static boolean isNotSent(Throwable failure) {
-		return Failures.toDispatchException(failure).outcome() == Outcome.NOT_RUN;
+		return ErrorReply.toDispatchException(failure).outcome() == Outcome.NOT_RUN;
 	}
 
 	private CompletableFuture<Answer> ask(Incarnation target, PeerRequest request) {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/RequestService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/RequestService.java
@@ -21,6 +21,7 @@
 import org.limpetgate.dispatch.Admission;
 import org.limpetgate.dispatch.DispatchEffect;
 import org.limpetgate.dispatch.TaskRequest;
+import org.limpetgate.net.http.HeaderNames;
 import org.limpetgate.net.http.HttpCall;
 import org.limpetgate.net.http.HttpHandler;
 import org.limpetgate.net.http.HttpReply;
@@ -40,9 +41,6 @@
 	/** The header with the time that the caller allows, in milliseconds. */
 	public static final String DEADLINE_HEADER = "limpetgate-deadline-millis";
 
-	/** The header of answers that tells the outcome. */
-	public static final String OUTCOME_HEADER = "limpetgate-outcome";
-
 	/** The caller of requests that name none. */
 	public static final String ANONYMOUS = "anonymous";
 
@@ -190,7 +188,7 @@
 			return;
 		}
 		Map<String, String> headers = new HashMap<>(answer.headers());
-		headers.put(OUTCOME_HEADER, ended.outcome().text());
+		headers.put(HeaderNames.OUTCOME, ended.outcome().text());
 		reply.complete(new HttpReply(answer.status(), headers, answer.body()));
 	}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/SpillService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/SpillService.java
@@ -16,6 +16,7 @@
 import org.limpetgate.dispatch.RemotePool;
 import org.limpetgate.dispatch.SpillPolicy;
 import org.limpetgate.dispatch.TaskRequest;
+import org.limpetgate.net.http.ErrorReply;
 import org.limpetgate.net.http.HttpCall;
 import org.limpetgate.net.http.HttpReply;
 
@@ -114,7 +115,7 @@
 			listener.ended(end(request, answer.outcome(), answer.error()), answer.reply(), now);
 			return;
 		}
-		DispatchException error = Failures.toDispatchException(failure);
+		DispatchException error = ErrorReply.toDispatchException(failure);
 		if (error.outcome() == Outcome.NOT_RUN) {
 			offerHere(request, call, listener, now);
 		}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/SubmissionService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/SubmissionService.java
@@ -23,6 +23,8 @@
 import org.limpetgate.SubmissionKey;
 import org.limpetgate.host.submission.AnswerJson;
 import org.limpetgate.host.submission.SubmissionJson;
+import org.limpetgate.net.http.ErrorReply;
+import org.limpetgate.net.http.HeaderNames;
 import org.limpetgate.net.http.HttpCall;
 import org.limpetgate.net.http.HttpHandler;
 import org.limpetgate.net.http.HttpReply;
@@ -210,10 +212,9 @@
 	private static HttpReply reply(Answer answer) {
 		Map<String, String> headers = new HashMap<>();
 		headers.put("content-type", "application/json");
-		headers.put(RequestService.OUTCOME_HEADER, answer.outcome().text());
+		headers.put(HeaderNames.OUTCOME, answer.outcome().text());
 		if (answer.retryAfterNanos() > 0) {
-			long seconds = Math.max(1, TimeUnit.NANOSECONDS.toSeconds(answer.retryAfterNanos() + 999_999_999L));
-			headers.put("retry-after", Long.toString(seconds));
+			headers.put("retry-after", Long.toString(ErrorReply.retryAfterSeconds(answer.retryAfterNanos())));
 		}
 		return new HttpReply(answer.httpStatus(), headers, AnswerJson.write(answer));
 	}
@@ -243,7 +244,7 @@
 		ObjectNode body = JsonNodeFactory.instance.objectNode();
 		ArrayNode keys = body.putArray("tickets");
 		tickets.forEach((ticket) -> keys.add(ticket.toKey().value()));
-		Map<String, String> headers = Map.of("content-type", "application/json", RequestService.OUTCOME_HEADER,
+		Map<String, String> headers = Map.of("content-type", "application/json", HeaderNames.OUTCOME,
 				Outcome.COMPLETE.text());
 		return new HttpReply(200, headers, body.toString().getBytes(StandardCharsets.UTF_8));
 	}
@@ -344,7 +345,7 @@
 	private void forwarded(long request, CompletableFuture<Answer> answer) {
 		answer.whenComplete((received, failure) -> this.control.execute(() -> {
 			if (failure != null) {
-				boolean sent = Failures.toDispatchException(failure).outcome() != Outcome.NOT_RUN;
+				boolean sent = ErrorReply.toDispatchException(failure).outcome() != Outcome.NOT_RUN;
 				this.system.peerFailed(request, sent, this.clock.getAsLong());
 			}
 			else {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/TaskRunner.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/TaskRunner.java
@@ -25,6 +25,7 @@
 import org.limpetgate.dispatch.Dispatcher;
 import org.limpetgate.dispatch.TaskRequest;
 import org.limpetgate.membership.DataCentreDigest;
+import org.limpetgate.net.http.ErrorReply;
 import org.limpetgate.net.http.HttpCall;
 import org.limpetgate.net.http.HttpReply;
 
@@ -253,7 +254,7 @@
 	}
 
 	private static AttemptResult failed(Throwable failure, long runNanos, boolean leaving) {
-		DispatchException error = Failures.toDispatchException(failure);
+		DispatchException error = ErrorReply.toDispatchException(failure);
 		return new AttemptResult(error.outcome(), runNanos, leaving, error.getMessage());
 	}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/WorkerGateway.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/WorkerGateway.java
@@ -12,6 +12,7 @@
 import org.limpetgate.Outcome;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.config.Upstream;
+import org.limpetgate.net.http.ErrorReply;
 import org.limpetgate.net.http.HttpReply;
 import org.limpetgate.platform.LeaseId;
 import org.limpetgate.platform.LeaseState;
@@ -86,7 +87,7 @@
 		void run(WorkerTask task, Duration duration) {
 			this.workers.run(this.lease, this.worker, task, duration, duration).whenComplete((status, failure) -> {
 				if (failure != null) {
-					resolve(Failures.toDispatchException(failure));
+					resolve(ErrorReply.toDispatchException(failure));
 				}
 				else if (status.state().isEnded()) {
 					end(status);
