Make the test of uncollected results discriminate

Cause: on a scratch copy without the wait for uncollected results the test passed, since the result was collected before the host could end. Change: the test collects after the listener is closed and the grace time of idle connections has passed.

--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
@@ -202,12 +202,12 @@
 			HttpResponse<String> accepted = cluster.submit("a1", TestCluster.job(key, 200, "'wait':false,")).join();
 			assertThat(accepted.statusCode()).isEqualTo(202);
 			CompletableFuture<Integer> exit = CompletableFuture.supplyAsync(() -> terminate(cluster.host("a1")));
-			TestCluster.await("result through another host",
-					() -> cluster.host("a2")
-						.send("GET", "/v1/submissions/" + key, "")
-						.join()
-						.body()
-						.contains(COMPLETE));
+			TestCluster.await("closed listener", () -> !cluster.host("a1").acceptsCallers());
+			// A host that does not wait for the caller ends after the grace time of idle
+			// connections, which is 1 s.
+			Thread.sleep(3000);
+			HttpResponse<String> result = cluster.host("a2").send("GET", "/v1/submissions/" + key, "").join();
+			assertThat(result.body()).contains(COMPLETE);
 			assertThat(exit.join()).isZero();
 			assertThat(cluster.starts.starts(key)).isEqualTo(1);
 		}
--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/HostProcess.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/HostProcess.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -94,6 +95,15 @@
 		new ProcessBuilder("kill", "-" + name, Long.toString(this.process.pid())).start().waitFor();
 	}
 
+	boolean acceptsCallers() {
+		try (Socket socket = new Socket("127.0.0.1", this.callers)) {
+			return socket.isConnected();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	CompletableFuture<HttpResponse<String>> send(String method, String path, String body, String... headers) {
 		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.callers + path))
 			.timeout(TIMEOUT)
