--- a/limpetgate-cli/src/main/java/org/limpetgate/cli/Limpetgate.java
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/Limpetgate.java
@@ -14,7 +14,8 @@
  * The program {@code limpetgate}.
  */
 @Command(name = "limpetgate", description = "Dispatches sub-second tasks from callers to upstreams.",
-		mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND", exitCodeListHeading = "Exit codes:%n",
+		mixinStandardHelpOptions = true, versionProvider = BuildVersion.class, synopsisSubcommandLabel = "COMMAND",
+		exitCodeListHeading = "Exit codes:%n",
 		exitCodeList = { "0:done", "1:refused or out of reach; nothing was changed",
 				"2:faulty arguments or file; nothing was sent", "3:the edit may have taken effect" })
 public final class Limpetgate implements Runnable {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettingsReader.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/settings/HostSettingsReader.java
@@ -17,6 +17,8 @@
  */
 final class HostSettingsReader {
 
+	private static final Set<String> WILDCARDS = Set.of("0.0.0.0", "::");
+
 	private static final int MAX_PORT = 65_535;
 
 	private static final int MAX_SIZE = 1_000_000;
@@ -55,6 +57,7 @@
 		Endpoint peers = listen(file, "peers", HostSettings.DEFAULT_PEERS);
 		checkDistinct(file, callers, operators, peers);
 		List<PeerAddress> peerHosts = peerHosts(file, dataCentres);
+		checkAdvertised(file, host, peers, peerHosts);
 		List<Endpoint> platform = file.objects("platform", (fields) -> endpoint(fields, 1));
 		if (file.has("platform") && platform.isEmpty()) {
 			file.problem("platform", "has no usable address", "add the address and port of the platform");
@@ -108,6 +111,15 @@
 		}
 	}
 
+	// Peers cannot connect to the wildcard address that this host listens on.
+	private static void checkAdvertised(JsonObject file, HostId host, Endpoint peers, List<PeerAddress> peerHosts) {
+		boolean listed = peerHosts.stream().anyMatch((peer) -> peer.host().equals(host));
+		if (!peerHosts.isEmpty() && !listed && peers != null && WILDCARDS.contains(peers.address())) {
+			file.problem("peerHosts", "lacks this host, which listens for peers on " + peers.address(),
+					"add its entry with the address at which the others reach it, or name one address in peers");
+		}
+	}
+
 	private static Endpoint endpoint(JsonObject fields, int minPort) {
 		String address = fields.parsed("address", TableJson::ipAddress);
 		int port = (int) fields.integer("port", minPort, MAX_PORT);
--- a/limpetgate-host/src/test/java/org/limpetgate/host/settings/HostSettingsTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/settings/HostSettingsTests.java
@@ -69,6 +69,7 @@
 				new Case("'operators':{'address':'localhost'}", "$.operators.address"),
 				new Case("'operators':{'port':8080}", "$"), new Case("'callers':{'port':-1}", "$.callers.port"),
 				new Case("'peerHosts':[" + peer + "]", "$.keys"),
+				new Case("'keys':[" + key + "],'peerHosts':[" + peer + "]", "$.peerHosts"),
 				new Case("'keys':[" + key + "],'peerHosts':[" + peer + "," + peer + "]", "$.peerHosts[1].host"),
 				new Case("'keys':[" + key + "],'peerHosts':[" + peer.replace("'d'", "'e'") + "]",
 						"$.peerHosts[0].dataCentre"),
