Learn of ended incarnations in other data centres from their digests

Cause: a ticket of an ended incarnation elsewhere was forwarded until its link was found to lead to a later run. Change: the incarnations in a digest are reported as alive, which shows that earlier ones have ended.

--- a/limpetgate-core/src/test/java/org/limpetgate/membership/MembershipTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/membership/MembershipTests.java
@@ -150,7 +150,7 @@
 				network.randomFault(random);
 				network.run((1 + random.nextInt(600)) * MILLI);
 			}
-			network.heal();
+			network.endFaults();
 			network.run(3 * TIMINGS.deadNanos());
 			network.assertStates(MemberState.JOINED);
 		}
@@ -261,7 +261,7 @@
 			this.isolated = dataCentre;
 		}
 
-		void heal() {
+		void endFaults() {
 			this.cut.clear();
 			this.paused.clear();
 			this.isolated = null;
--- a/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
@@ -314,7 +314,13 @@
 	}
 
 	private void digestsReceived(PeerIdentity peer, List<DataCentreDigest> digests) {
-		this.membership.digestsReceived(digests, peer.dataCentre(), this.clock.getAsLong());
+		long now = this.clock.getAsLong();
+		this.membership.digestsReceived(digests, peer.dataCentre(), now);
+		// A later incarnation proves that tickets and claims of an earlier one have lost
+		// their holder.
+		digests.forEach((digest) -> digest.members()
+			.keySet()
+			.forEach((incarnation) -> this.local.submissions().incarnationAlive(incarnation, now)));
 		configureLinks();
 	}
 
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerConnection.java
@@ -32,7 +32,7 @@
 
 	private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
-	/** Holds any hello or refusal; a stranger may not make the host hold more. */
+	/** Holds any hello or refusal; before its proof a peer may not send more. */
 	private static final int MAX_HANDSHAKE_FRAME_BYTES = 4096;
 
 	/** Probes without any input after which a connection counts as dead. */
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerFrames.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerFrames.java
@@ -85,8 +85,8 @@
 	}
 
 	/**
-	 * Decodes frames up to a bound that is raised after the handshake, so that a stranger
-	 * cannot make the host hold a large frame.
+	 * Decodes frames up to a bound that is raised after the handshake, so that a peer
+	 * that is not authenticated cannot make the host hold a large frame.
 	 */
 	static final class Decoder extends ByteToMessageDecoder {
 
