Spread the links to another data centre over its hosts

Cause: contacts came in the iteration order of an immutable map, which is the same arbitrary order for as long as its content lasts and not the same in each process; all hosts could choose the same contact, and links could change with each digest. Change: contacts are ranked by rendezvous hashing with the own id.

--- a/limpetgate-core/src/main/java/org/limpetgate/membership/Membership.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/membership/Membership.java
@@ -5,7 +5,6 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -300,27 +299,32 @@
 	}
 
 	/**
-	 * Returns the hosts that can be asked in a data centre, those that are believed live
-	 * first.
+	 * Returns the hosts that can be asked in a data centre. Those that are believed live
+	 * come first, in an order that differs from host to host, so that the links to a data
+	 * centre are spread over its hosts.
 	 * @param other the data centre, not null
 	 * @return the addresses, not null
 	 */
 	public List<MemberAddress> contacts(DataCentreId other) {
-		Map<HostId, MemberAddress> contacts = new LinkedHashMap<>();
 		if (other.equals(this.dataCentre)) {
-			inDataCentre().stream()
-				.filter((member) -> member.state().isServing())
-				.forEach((member) -> contacts.put(member.address().host(), member.address()));
-			return List.copyOf(contacts.values());
+			return inDataCentre().stream().filter((member) -> member.state().isServing()).map(Member::address).toList();
 		}
-		digest(other).ifPresent((digest) -> digest.members()
-			.forEach((incarnation, address) -> contacts.put(incarnation.host(), address)));
+		Map<HostId, MemberAddress> live = new TreeMap<>();
+		digest(other).ifPresent((digest) -> digest.members().values().forEach((to) -> live.put(to.host(), to)));
+		Map<HostId, MemberAddress> listed = new TreeMap<>();
 		for (Member member : this.members.values()) {
-			if (member.address().dataCentre().equals(other)) {
-				contacts.putIfAbsent(member.address().host(), member.address());
+			if (member.address().dataCentre().equals(other) && !live.containsKey(member.address().host())) {
+				listed.put(member.address().host(), member.address());
 			}
 		}
-		return List.copyOf(contacts.values());
+		List<MemberAddress> contacts = new ArrayList<>();
+		ranked(live.keySet()).forEach((host) -> contacts.add(live.get(host)));
+		ranked(listed.keySet()).forEach((host) -> contacts.add(listed.get(host)));
+		return contacts;
+	}
+
+	private List<HostId> ranked(Collection<HostId> hosts) {
+		return Rendezvous.rank(this.self.host().value(), hosts);
 	}
 
 	/**
