--- a/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
+++ b/limpetgate-standin/src/test/java/org/limpetgate/standin/cluster/ClusterTests.java
@@ -176,7 +176,9 @@
 			AtomicInteger answered = new AtomicInteger();
 			List<String> failures = Collections.synchronizedList(new ArrayList<>());
 			Thread load = new Thread(() -> sendWhile(cluster, running, answered, failures), "load");
+			Thread jobs = new Thread(() -> submitWhile(cluster, running, failures), "jobs");
 			load.start();
+			jobs.start();
 			for (String name : TestCluster.HOSTS) {
 				HostProcess old = cluster.host(name);
 				assertThat(old.terminate()).as("exit code of %s", name).isZero();
@@ -185,6 +187,7 @@
 			}
 			running.set(false);
 			load.join();
+			jobs.join();
 			assertThat(failures).isEmpty();
 			assertThat(answered.get()).isPositive();
 			assertThat(cluster.starts.startedTwice()).isEmpty();
@@ -252,6 +255,32 @@
 		}
 	}
 
+	// Resubmits each job through other hosts until it is complete, as a client does that
+	// believes its job lost.
+	private static void submitWhile(TestCluster cluster, AtomicBoolean running, List<String> failures) {
+		for (int number = 0; running.get(); number++) {
+			String key = "rolling-job-" + number;
+			String job = TestCluster.job(key, 100, "");
+			String last = "";
+			for (int tries = 0; tries < 200 && !last.contains(COMPLETE); tries++) {
+				last = submitToReadyHost(cluster, TestCluster.HOSTS.get((number + tries) % 4), job);
+			}
+			if (!last.contains(COMPLETE)) {
+				failures.add("job " + key + ": " + last);
+			}
+		}
+	}
+
+	private static String submitToReadyHost(TestCluster cluster, String name, String job) {
+		HostProcess host = cluster.host(name);
+		try {
+			return (host.isAlive() && host.isReady()) ? host.send("POST", "/v1/submissions", job).join().body() : "";
+		}
+		catch (RuntimeException ex) {
+			return "cut off: " + ex;
+		}
+	}
+
 	/**
 	 * Guards against a data centre without upstreams of a pool that refuses what another
 	 * one can do, and against a second hop.
