--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -39,8 +38,6 @@
 import org.limpetgate.host.settings.Endpoint;
 import org.limpetgate.host.settings.HostSettings;
 import org.limpetgate.host.settings.Key;
-import org.limpetgate.host.settings.PeerAddress;
-import org.limpetgate.host.settings.Spans;
 import org.limpetgate.membership.DataCentreDigest;
 import org.limpetgate.membership.MemberAddress;
 import org.limpetgate.membership.Membership;
@@ -64,7 +61,6 @@
 import org.limpetgate.proto.PeerFrame;
 import org.limpetgate.submission.DataCentres;
 import org.limpetgate.submission.SubmissionCounts;
-import org.limpetgate.submission.SubmissionSettings;
 import org.limpetgate.submission.SubmissionSystem;
 import org.limpetgate.submission.TicketAuthority;
 
@@ -85,9 +81,6 @@
 	 */
 	private static final Duration BALANCER_GRACE = Duration.ofSeconds(1);
 
-	/** The appends per second that all hosts together leave to claims. */
-	private static final int APPENDS_PER_SECOND = 300;
-
 	private static final long DRAIN_CHECK_MILLIS = 20;
 
 	private final HostSettings settings;
@@ -164,11 +157,11 @@
 		this.runner = new TaskRunner(this.dispatcher, gateways(), this.control, this.clock, this.events, this.metrics);
 		this.runner.onLeaving((upstream) -> upstreamLeaving(upstream, this.clock.getAsLong()));
 		PeerIdentity self = new PeerIdentity(this.incarnation, settings.dataCentre());
-		List<Key> hostKeys = hostKeys(settings);
-		this.keys = PeerKeys.of(hostKeys.get(0).id(), secrets(hostKeys));
-		this.tickets = new TicketAuthority(this.incarnation, ticketSecrets(hostKeys));
+		List<Key> hostKeys = SettingsMapping.hostKeys(settings);
+		this.keys = PeerKeys.of(hostKeys.get(0).id(), SettingsMapping.secrets(hostKeys));
+		this.tickets = new TicketAuthority(this.incarnation, SettingsMapping.ticketSecrets(hostKeys));
 		PeerSettings peerSettings = peerSettings(self);
-		this.peerServer = PeerServer.start(this.group, toAddress(settings.peers()), peerSettings,
+		this.peerServer = PeerServer.start(this.group, SettingsMapping.toAddress(settings.peers()), peerSettings,
 				(peer, frame) -> this.peerHandler.handle(peer, frame));
 		this.links = PeerLinks.of(this.group, peerSettings, new SplittableRandom(this.random.nextLong()));
 		this.timings = MembershipTimings.forDataCentres(settings.dataCentres().size());
@@ -185,13 +178,14 @@
 				this.events);
 		this.submissions = submissionService(log);
 		this.peers.connect(new Parts());
-		this.callers = HttpServer.start(this.group, toAddress(settings.callers()), callerLimits(),
+		this.callers = HttpServer.start(this.group, SettingsMapping.toAddress(settings.callers()),
+				SettingsMapping.callerLimits(this.settings),
 				new CallerApi(this.submissions, new RequestService(this.tasks, this.configuration::configuration,
 						this.control, this.clock, this.events), this::isReady));
 		this.operatorApi = new OperatorApi(settings.host(), this.configuration, this.versions, settings.operatorKeys(),
 				this.clock);
-		this.operators = HttpServer.start(this.group, toAddress(settings.operators()), HttpServerLimits.defaults(),
-				new OperatorHandler(this.operatorApi, this.metrics, this::isReady));
+		this.operators = HttpServer.start(this.group, SettingsMapping.toAddress(settings.operators()),
+				HttpServerLimits.defaults(), new OperatorHandler(this.operatorApi, this.metrics, this::isReady));
 	}
 
 	/**
@@ -208,7 +202,7 @@
 
 	private void run() {
 		addGauges();
-		this.peers.listed(listedInSettings());
+		this.peers.listed(SettingsMapping.listedMembers(this.settings));
 		this.control.add(this.peers);
 		this.control.add(this.remote);
 		this.control.add(hostListWatcher());
@@ -243,15 +237,6 @@
 				() -> this.submissions.counts().openRequests());
 	}
 
-	// A host without peers needs no shared key; its tickets are checked by itself only.
-	private static List<Key> hostKeys(HostSettings settings) {
-		return settings.keys().isEmpty() ? List.of(Key.of("own", UUID.randomUUID().toString())) : settings.keys();
-	}
-
-	private static List<byte[]> ticketSecrets(List<Key> keys) {
-		return keys.stream().map(Key::secret).toList();
-	}
-
 	private Map<PoolKind, UpstreamGateway> gateways() {
 		HttpClient client = HttpClient.of(this.group, HttpClientLimits.defaults());
 		return Map.of(PoolKind.RUNNERS, new RunnerGateway(client), PoolKind.WORKERS,
@@ -261,7 +246,8 @@
 	private FailoverLogService log() {
 		return new FailoverLogService(this.settings.platform()
 			.stream()
-			.map((endpoint) -> HttpLogService.of(this.group, toAddress(endpoint), PlatformClientSettings.DEFAULT))
+			.map((endpoint) -> HttpLogService.of(this.group, SettingsMapping.toAddress(endpoint),
+					PlatformClientSettings.DEFAULT))
 			.toList());
 	}
 
@@ -285,47 +271,19 @@
 	private SubmissionService submissionService(FailoverLogService log) {
 		JobTasks jobs = new JobTasks(this.tasks, this.configuration::configuration);
 		SubmissionSystem system = new SubmissionSystem(this.incarnation,
-				DataCentres.of(this.settings.dataCentre(), this.settings.dataCentres()), submissionSettings(),
-				this.tickets, jobs, new SplittableRandom(this.random.nextLong()));
+				DataCentres.of(this.settings.dataCentre(), this.settings.dataCentres()),
+				SettingsMapping.submissionSettings(this.settings), this.tickets, jobs,
+				new SplittableRandom(this.random.nextLong()));
 		return new SubmissionService(this.incarnation, CLAIMS_STREAM_PREFIX + this.settings.dataCentre(), system, jobs,
 				log, this.peers, this.control, this.clock, this.events);
 	}
 
-	private SubmissionSettings submissionSettings() {
-		Spans spans = this.settings.spans();
-		SubmissionSettings defaults = SubmissionSettings.DEFAULT;
-		long appendInterval = Math.max(defaults.minAppendIntervalNanos(),
-				TimeUnit.SECONDS.toNanos(1) * this.settings.peerHosts().size() / APPENDS_PER_SECOND);
-		return new SubmissionSettings(spans.claimWait().toNanos(), defaults.minExpiryAheadNanos(),
-				spans.maxExpiryAhead().toNanos(), spans.skewBound().toNanos(), spans.keyHorizon().toNanos(),
-				appendInterval, Math.max(appendInterval, defaults.maxAppendIntervalNanos()),
-				defaults.appendTimeoutNanos(), defaults.markerIntervalNanos(), defaults.resultKeepNanos(),
-				defaults.maxResultBytes(), defaults.maxPendingClaims(), defaults.maxClaims(), defaults.maxOpenBytes());
-	}
-
-	private HttpServerLimits callerLimits() {
-		return HttpServerLimits.defaults()
-			.withRequestBytes(this.settings.limits().headBytes(), this.settings.limits().bodyBytes())
-			.withTotals(this.settings.limits().connections(), Runtime.getRuntime().maxMemory() / 4)
-			.withRequestTimes(this.settings.limits().requestTime().toNanos(), HttpServerLimits.defaults().idleNanos());
-	}
-
 	private PeerSettings peerSettings(PeerIdentity self) {
 		PeerSettings common = PeerSettings.of(self, this.keys);
-		InetAddress local = toAddress(this.settings.peers()).getAddress();
+		InetAddress local = SettingsMapping.toAddress(this.settings.peers()).getAddress();
 		return local.isAnyLocalAddress() ? common : common.withLocalAddress(local);
 	}
 
-	private static Map<String, byte[]> secrets(List<Key> keys) {
-		Map<String, byte[]> secrets = new HashMap<>();
-		keys.forEach((key) -> secrets.put(key.id(), key.secret()));
-		return secrets;
-	}
-
-	private static InetSocketAddress toAddress(Endpoint endpoint) {
-		return new InetSocketAddress(endpoint.address(), endpoint.port());
-	}
-
 	private Timer timer() {
 		return new Timer() {
 
@@ -343,13 +301,14 @@
 	}
 
 	private HostListWatcher hostListWatcher() {
-		HttpHostList list = HttpHostList.ofDataCentre(this.group, toAddress(this.settings.platform().get(0)),
-				PlatformClientSettings.DEFAULT, this.settings.dataCentre());
+		HttpHostList list = HttpHostList.ofDataCentre(this.group,
+				SettingsMapping.toAddress(this.settings.platform().get(0)), PlatformClientSettings.DEFAULT,
+				this.settings.dataCentre());
 		return new HostListWatcher(list, this.control, this.clock, this.events, this::hostsListed);
 	}
 
 	private void hostsListed(HostListView view, long nowNanos) {
-		List<MemberAddress> addresses = new ArrayList<>(listedInSettings());
+		List<MemberAddress> addresses = new ArrayList<>(SettingsMapping.listedMembers(this.settings));
 		addresses.addAll(HostListWatcher.addresses(view));
 		this.peers.listed(addresses);
 		for (ListedUpstream upstream : view.upstreams()) {
@@ -361,15 +320,6 @@
 			.forEach((upstream) -> this.dispatcher.upstreamReturned(upstream, nowNanos));
 	}
 
-	private List<MemberAddress> listedInSettings() {
-		List<MemberAddress> addresses = new ArrayList<>();
-		for (PeerAddress peer : this.settings.peerHosts()) {
-			addresses.add(new MemberAddress(peer.host(), peer.dataCentre(), peer.endpoint().address(),
-					peer.endpoint().port()));
-		}
-		return addresses;
-	}
-
 	private void upstreamLeaving(UpstreamId upstream, long nowNanos) {
 		if (this.leavingUpstreams.add(upstream, nowNanos)) {
 			this.events.write(LogEvent.UPSTREAM_LEAVING, upstream);
@@ -413,8 +363,8 @@
 		if (newKeys.isEmpty()) {
 			throw new IllegalArgumentException("there is no key of the entry hosts; add at least one to 'keys'");
 		}
-		this.keys.replace(newKeys.get(0).id(), secrets(newKeys));
-		this.control.execute(() -> this.tickets.replaceSecrets(ticketSecrets(newKeys)));
+		this.keys.replace(newKeys.get(0).id(), SettingsMapping.secrets(newKeys));
+		this.control.execute(() -> this.tickets.replaceSecrets(SettingsMapping.ticketSecrets(newKeys)));
 		this.operatorApi.replaceKeys(newOperatorKeys);
 		this.events.write(LogEvent.KEYS_REPLACED, ids(newKeys), ids(newOperatorKeys));
 	}
