--- a/limpetgate-core/src/test/java/org/limpetgate/membership/MembershipTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/membership/MembershipTests.java
@@ -84,7 +84,10 @@
 		assertThat(network.state("a0", "a1")).isEqualTo(MemberState.JOINED);
 	}
 
-	/** Guards against a host that does not notice that its only peer is deaf to it. */
+	/**
+	 * Guards against a host that does not notice that its only peer does not receive its
+	 * heartbeats.
+	 */
 	@Example
 	void oneWayLossBetweenTwoHostsIsNoticed() {
 		Network network = new Network(1, 2);
