Write log lines in pieces that a pipe takes whole

Lines are now written in pieces of at most that size that end with a line. A batch is bounded too, since a source that is faster than the writer made it endless, and nothing was counted as dropped. Ruled out: one write a line, which costs a system call each.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/EventLog.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EventLog.java
@@ -1,5 +1,6 @@
 package org.limpetgate.host;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
@@ -22,6 +23,9 @@
 
 	private static final int CAPACITY = 16_384;
 
+	/** A pipe takes a write of this size whole, so that lines of processes do not mix. */
+	private static final int MAX_WRITE_BYTES = 4096;
+
 	/** The writer pauses between batches, since waking it costs more than a line. */
 	private static final long PAUSE_MILLIS = 100;
 
@@ -57,13 +61,8 @@
 	 */
 	public static EventLog to(OutputStream output) {
 		return new EventLog((lines) -> {
-			StringBuilder text = new StringBuilder();
-			for (Line line : lines) {
-				text.append(Instant.ofEpochMilli(line.epochMillis())).append(' ').append(line.text()).append('\n');
-			}
 			try {
-				output.write(text.toString().getBytes(StandardCharsets.UTF_8));
-				output.flush();
+				writeAll(output, lines);
 			}
 			catch (IOException ex) {
 				// Nobody reads the log any more; the process goes on without it.
@@ -71,6 +70,27 @@
 		});
 	}
 
+	private static void writeAll(OutputStream output, List<Line> lines) throws IOException {
+		ByteArrayOutputStream pending = new ByteArrayOutputStream(MAX_WRITE_BYTES);
+		for (Line line : lines) {
+			byte[] bytes = (Instant.ofEpochMilli(line.epochMillis()) + " " + line.text() + "\n")
+				.getBytes(StandardCharsets.UTF_8);
+			if (pending.size() + bytes.length > MAX_WRITE_BYTES) {
+				flush(pending, output);
+			}
+			pending.write(bytes);
+		}
+		flush(pending, output);
+	}
+
+	private static void flush(ByteArrayOutputStream pending, OutputStream output) throws IOException {
+		if (pending.size() > 0) {
+			output.write(pending.toByteArray());
+			output.flush();
+			pending.reset();
+		}
+	}
+
 	/**
 	 * Writes an event soon, or drops it if too many wait.
 	 * @param event the event, not null
@@ -120,7 +140,8 @@
 		Entry entry = this.entries.poll();
 		while (entry != null) {
 			batch.add(entry.line());
-			entry = this.entries.poll();
+			// A source that is faster than the writer must not make the batch endless.
+			entry = (batch.size() < CAPACITY) ? this.entries.poll() : null;
 		}
 		this.sink.write(batch);
 		batch.clear();
--- /dev/null
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/EventLogTests.java
@@ -0,0 +1,111 @@
+package org.limpetgate.host;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link EventLog}.
+ */
+class EventLogTests {
+
+	private static final int PIPE_BYTES = 4096;
+
+	/**
+	 * Guards against lines that are cut or mixed: a write larger than a pipe takes at
+	 * once may be split by a reader in the middle of a line.
+	 */
+	@Example
+	void linesAreWrittenWhole() {
+		RecordingStream stream = new RecordingStream();
+		try (EventLog log = EventLog.to(stream)) {
+			for (int number = 0; number < 3000; number++) {
+				log.writeText("line " + number + " of a large batch");
+			}
+		}
+		StringBuilder text = new StringBuilder();
+		for (byte[] write : stream.writes) {
+			assertThat(write.length).isLessThanOrEqualTo(PIPE_BYTES);
+			assertThat(write[write.length - 1]).isEqualTo((byte) '\n');
+			text.append(new String(write, StandardCharsets.UTF_8));
+		}
+		List<String> lines = text.toString().lines().toList();
+		assertThat(lines).hasSize(3000);
+		for (int number = 0; number < lines.size(); number++) {
+			assertThat(lines.get(number)).endsWith("Z line " + number + " of a large batch");
+		}
+	}
+
+	/**
+	 * Guards against a log that blocks its source, and against lines that are lost
+	 * without being counted, while nobody takes its output.
+	 */
+	@Example
+	void excessLinesAreCounted() throws InterruptedException {
+		CountDownLatch go = new CountDownLatch(1);
+		RecordingStream stream = new RecordingStream(go);
+		EventLog log = EventLog.to(stream);
+		int written = 50_000;
+		for (int number = 0; number < written; number++) {
+			log.writeText("line");
+		}
+		assertThat(log.dropped()).isPositive();
+		go.countDown();
+		log.close();
+		long lines = stream.writes.stream()
+			.mapToLong((write) -> new String(write, StandardCharsets.UTF_8).lines().count())
+			.sum();
+		assertThat(lines + log.dropped()).isEqualTo(written);
+	}
+
+	private static final class RecordingStream extends OutputStream {
+
+		private final List<byte[]> writes = new ArrayList<>();
+
+		private final CountDownLatch go;
+
+		RecordingStream() {
+			this(new CountDownLatch(0));
+		}
+
+		RecordingStream(CountDownLatch go) {
+			this.go = go;
+		}
+
+		@Override
+		public void write(int value) {
+			write(new byte[] { (byte) value }, 0, 1);
+		}
+
+		@Override
+		public void write(byte[] bytes, int from, int length) {
+			awaitReader();
+			ByteArrayOutputStream copy = new ByteArrayOutputStream();
+			copy.write(bytes, from, length);
+			this.writes.add(copy.toByteArray());
+		}
+
+		// Goes on waiting when the log interrupts its writer to close.
+		private void awaitReader() {
+			boolean open = false;
+			while (!open) {
+				try {
+					this.go.await();
+					open = true;
+				}
+				catch (InterruptedException ex) {
+					// The reader has not come back yet.
+				}
+			}
+		}
+
+	}
+
+}
