Check deployments and settings of the platform, and show the state of a host there

limpetgate check knew only the files of the product's own interface, so that a fault in the deploy file or in the template showed when the platform started the hosts.

--- a/limpetgate-cli/src/main/java/org/limpetgate/cli/CheckCommand.java
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/CheckCommand.java
@@ -1,11 +1,17 @@
 package org.limpetgate.cli;
 
 import java.nio.file.Path;
+import java.util.Iterator;
+import java.util.Locale;
+import java.util.ServiceLoader;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
-import org.limpetgate.config.Configuration;
+import org.limpetgate.config.FileCheck;
 import org.limpetgate.config.TableJson;
 import org.limpetgate.host.settings.HostSettings;
+import org.limpetgate.json.JsonResult;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -13,9 +19,9 @@
 import picocli.CommandLine.Spec;
 
 /**
- * Checks a file with tables or settings without sending anything.
+ * Checks a file with tables, settings or a deployment without sending anything.
  */
-@Command(name = "check", description = "Checks a file with tables, a row or the settings of a host.",
+@Command(name = "check", description = "Checks a file with tables, a row, the settings of a host or a deployment.",
 		mixinStandardHelpOptions = true)
 final class CheckCommand implements Callable<Integer> {
 
@@ -25,42 +31,78 @@
 	@Parameters(paramLabel = "FILE", description = "The file to check.")
 	private Path file;
 
-	@Option(names = "--kind", defaultValue = "tables",
+	@Option(names = "--kind", defaultValue = "tables", completionCandidates = Kinds.class,
 			description = "What the file holds: ${COMPLETION-CANDIDATES}; default: ${DEFAULT-VALUE}")
-	private Kind kind;
+	private String kind;
 
 	@Override
 	public Integer call() {
-		byte[] json = InputFiles.read(this.file);
-		String source = this.file.toString();
-		String summary = switch (this.kind) {
-			case tables -> summary(InputFiles.valueOf(TableJson.readTables(source, json)));
-			case route -> "route " + InputFiles.valueOf(TableJson.readRoute(source, json)).name();
-			case pool -> "pool " + InputFiles.valueOf(TableJson.readPool(source, json)).name();
-			case settings -> "settings of host " + InputFiles.valueOf(HostSettings.read(source, json)).host();
-		};
-		this.spec.commandLine().getOut().println(source + ": valid, " + summary);
+		FileCheck check = checks().filter((known) -> known.kind().equalsIgnoreCase(this.kind))
+			.findFirst()
+			.orElseThrow(() -> new BadInputException("--kind: '" + this.kind + "' is not known; use one of "
+					+ checks().map(FileCheck::kind).collect(Collectors.joining(", "))));
+		byte[] content = InputFiles.read(this.file);
+		String summary = InputFiles.valueOf(check.check(this.file, content));
+		this.spec.commandLine().getOut().println(this.file + ": valid, " + summary);
 		return ExitCodes.OK;
 	}
 
-	private static String summary(Configuration tables) {
-		return tables.routes().size() + " routes, " + tables.pools().size() + " pools";
+	private static Stream<FileCheck> checks() {
+		return Stream.concat(Stream.of(OwnFile.values()),
+				ServiceLoader.load(FileCheck.class).stream().map(ServiceLoader.Provider::get));
 	}
 
-	/** What a file holds, named as on the command line. */
-	enum Kind {
+	/** Lists the kinds in the help text. */
+	private static final class Kinds implements Iterable<String> {
+
+		@Override
+		public Iterator<String> iterator() {
+			return checks().map(FileCheck::kind).iterator();
+		}
+
+	}
+
+	/** The files of the product's own interface. */
+	private enum OwnFile implements FileCheck {
 
 		/** Both tables. */
-		tables,
+		TABLES {
+			@Override
+			public JsonResult<String> check(Path file, byte[] content) {
+				return TableJson.readTables(file.toString(), content)
+					.map((tables) -> tables.routes().size() + " routes, " + tables.pools().size() + " pools");
+			}
+		},
 
 		/** One route. */
-		route,
+		ROUTE {
+			@Override
+			public JsonResult<String> check(Path file, byte[] content) {
+				return TableJson.readRoute(file.toString(), content).map((route) -> "route " + route.name());
+			}
+		},
 
 		/** One pool. */
-		pool,
+		POOL {
+			@Override
+			public JsonResult<String> check(Path file, byte[] content) {
+				return TableJson.readPool(file.toString(), content).map((pool) -> "pool " + pool.name());
+			}
+		},
 
 		/** The settings of a host. */
-		settings
+		SETTINGS {
+			@Override
+			public JsonResult<String> check(Path file, byte[] content) {
+				return HostSettings.read(file.toString(), content)
+					.map((settings) -> "settings of host " + settings.host());
+			}
+		};
+
+		@Override
+		public String kind() {
+			return name().toLowerCase(Locale.ROOT);
+		}
 
 	}
 
--- a/limpetgate-cli/src/main/java/org/limpetgate/cli/StatusCommand.java
+++ b/limpetgate-cli/src/main/java/org/limpetgate/cli/StatusCommand.java
@@ -1,6 +1,7 @@
 package org.limpetgate.cli;
 
 import java.io.PrintWriter;
+import java.net.URI;
 import java.util.Map;
 import java.util.concurrent.Callable;
 
@@ -8,18 +9,25 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
 
 /**
  * Shows the version in force at each host.
  */
-@Command(name = "status", description = "Shows the version in force at each host, and who is behind.",
+@Command(name = "status",
+		description = "Shows the version in force at each host, and who is behind. With --metrics, shows what one host "
+				+ "on the platform does.",
 		mixinStandardHelpOptions = true)
 final class StatusCommand implements Callable<Integer> {
 
 	@Mixin
 	private final Connection connection;
 
+	@Option(names = "--metrics", paramLabel = "URL",
+			description = "The metrics of a host on the platform, for example http://10.1.0.13:9464/metrics")
+	private URI metrics;
+
 	@Spec
 	private CommandSpec spec;
 
@@ -29,6 +37,10 @@
 
 	@Override
 	public Integer call() {
+		if (this.metrics != null) {
+			showHost(checkedMetrics());
+			return ExitCodes.OK;
+		}
 		JsonNode status = this.connection.open().get("status").body();
 		PrintWriter out = this.spec.commandLine().getOut();
 		out.printf("host %s: %s, version %d%s%s%n", status.path("host").asText(),
@@ -47,4 +59,29 @@
 		return ExitCodes.OK;
 	}
 
+	private URI checkedMetrics() {
+		if (!"http".equals(this.metrics.getScheme()) || this.metrics.getHost() == null) {
+			throw new BadInputException(
+					"--metrics: '" + this.metrics + "' is no address; use for example http://10.1.0.13:9464/metrics");
+		}
+		return this.metrics;
+	}
+
+	private void showHost(URI address) {
+		Map<String, Double> values = new HostMetricsReader(address).read();
+		PrintWriter out = this.spec.commandLine().getOut();
+		out.printf("host %s: %s, version %d, %s%n", address.getAuthority(),
+				(number(values, "ready") == 1) ? "ready" : "not ready", number(values, "configuration_version"),
+				(number(values, "scheduling") == 1) ? "schedules" : "does not schedule");
+		out.printf("%d workers listed, %d jobs open, %d jobs wait for room%n", number(values, "workers_listed"),
+				number(values, "jobs_open"), number(values, "jobs_waiting"));
+		if (number(values, "log_dropped") > 0) {
+			out.printf("%d log lines were dropped%n", number(values, "log_dropped"));
+		}
+	}
+
+	private static long number(Map<String, Double> values, String name) {
+		return values.getOrDefault(name, 0.0).longValue();
+	}
+
 }
--- a/limpetgate-cli/src/test/java/org/limpetgate/cli/LimpetgateTests.java
+++ b/limpetgate-cli/src/test/java/org/limpetgate/cli/LimpetgateTests.java
@@ -5,6 +5,7 @@
 import java.io.StringWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -49,6 +50,11 @@
 
 	private static final String SECRET = "s".repeat(40);
 
+	private static final String METRICS = "# HELP limpetgate_ready 1 while\nlimpetgate_ready 1.0\n"
+			+ "limpetgate_configuration_version 7.0\nlimpetgate_scheduling 1.0\nlimpetgate_workers_listed 33.0\n"
+			+ "limpetgate_jobs_open 4.0\nlimpetgate_jobs_waiting 2.0\n"
+			+ "limpetgate_job_time_seconds_count{outcome=\"completed\"} 12\n";
+
 	private static final Path EXAMPLES = Path.of("..", "docs", "examples");
 
 	private final Path directory;
@@ -61,6 +67,8 @@
 
 	private final OperatorApi api;
 
+	private final String metrics;
+
 	private boolean dropFirstAnswer;
 
 	LimpetgateTests() throws IOException {
@@ -75,7 +83,9 @@
 				List.of(Key.of("ana", SECRET)), timer::nowNanos);
 		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
 		this.server.createContext("/", this::serve);
+		this.server.createContext("/metrics", LimpetgateTests::serveMetrics);
 		this.server.start();
+		this.metrics = "http://127.0.0.1:" + this.server.getAddress().getPort() + "/metrics";
 		Files.writeString(this.directory.resolve("key"), "ana:" + SECRET + "\n");
 	}
 
@@ -146,10 +156,14 @@
 				new Step(0, "host oviedo-1", "check", "--kind", "settings", EXAMPLES.resolve("host.json").toString()),
 				new Step(2, "host.json: $.host: is not a known field", "check",
 						EXAMPLES.resolve("host.json").toString()),
-				new Step(2, "bad.json: $.kind: 'robots' is not one of runners, workers", "check", "--kind", "pool",
-						bad),
-				new Step(2, "cannot be read", "check", "nowhere.json"), new Step(0, "", "routes", "list"),
-				new Step(2, "a command is missing", "pools"), new Step(2, "--base", "pools", "put", pool),
+				new Step(
+						2, "bad.json: $.kind: 'robots' is not one of runners, workers", "check", "--kind", "pool", bad),
+				new Step(2, "cannot be read", "check", "nowhere.json"),
+				new Step(0, "valid, 1 roles", "check", "--kind", "deployment",
+						Path.of("..", "deploy", "system.toml").toString()),
+				new Step(2, "deployment, platform-settings", "check", "--kind", "unheard-of", bad),
+				new Step(0, "", "routes", "list"), new Step(2, "a command is missing", "pools"),
+				new Step(2, "--base", "pools", "put", pool),
 				new Step(2, "bad.json: $.kind", "pools", "put", "--new", bad),
 				new Step(2, "is no version", "pools", "put", "--base", "-1", pool),
 				new Step(1, "does not exist; add the pool", "routes", "put", "--new", route),
@@ -167,7 +181,12 @@
 				new Step(3, "unknown", "history", "--edit", "none"), new Step(2, "--limit", "history", "--limit", "0"),
 				new Step(2, "use at least 32", "status", "--key-file", noKey),
 				new Step(2, "is not an endpoint", "status", "--url", "ftp://x"),
-				new Step(1, "cannot be reached", "status", "--url", "http://127.0.0.1:1"));
+				new Step(1, "cannot be reached", "status", "--url", "http://127.0.0.1:1"),
+				new Step(0, "ready, version 7, schedules", "status", "--metrics", this.metrics),
+				new Step(0, "33 workers listed, 4 jobs open, 2 jobs wait", "status", "--metrics", this.metrics),
+				new Step(1, "serves no metrics", "status", "--metrics", this.metrics + "/none"),
+				new Step(1, "cannot be reached", "status", "--metrics", "http://127.0.0.1:1/metrics"),
+				new Step(2, "is no address", "status", "--metrics", "ftp://x"));
 		for (Step step : steps) {
 			Result result = run(step.arguments);
 			assertThat(result.output).as(String.join(" ", step.arguments)).contains(step.part);
@@ -189,6 +208,14 @@
 		assertThat(result.code).isZero();
 	}
 
+	private static void serveMetrics(HttpExchange exchange) throws IOException {
+		boolean known = exchange.getRequestURI().getPath().equals("/metrics");
+		byte[] body = known ? METRICS.getBytes(StandardCharsets.UTF_8) : new byte[0];
+		exchange.sendResponseHeaders(known ? 200 : 404, known ? body.length : -1);
+		exchange.getResponseBody().write(body);
+		exchange.close();
+	}
+
 	private record Result(int code, String output) {
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/json/JsonResult.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/json/JsonResult.java
@@ -1,6 +1,7 @@
 package org.limpetgate.json;
 
 import java.util.List;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 import org.limpetgate.DispatchException;
@@ -26,10 +27,27 @@
 		this.problems = List.copyOf(problems);
 	}
 
-	static <T> JsonResult<T> of(T value, List<JsonProblem> problems) {
+	/**
+	 * Returns a value if there are no problems, else the problems.
+	 * @param <T> the type of the value
+	 * @param value the value, ignored if there are problems
+	 * @param problems the problems in the order of the document, not null
+	 * @return the result, not null
+	 */
+	public static <T> JsonResult<T> of(T value, List<JsonProblem> problems) {
 		return new JsonResult<>(problems.isEmpty() ? value : null, problems);
 	}
 
+	/**
+	 * Returns the result of a function of the value.
+	 * @param <U> the type of that result
+	 * @param function the function, not null
+	 * @return a result with the same problems, not null
+	 */
+	public <U> JsonResult<U> map(Function<? super T, ? extends U> function) {
+		return new JsonResult<>(isValid() ? function.apply(this.value) : null, this.problems);
+	}
+
 	/**
 	 * Returns the problems in the order of the document.
 	 * @return the problems, empty if there is a value
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -130,6 +130,15 @@
 				this.scheduler::waitingJobs);
 		metrics.gauge("limpetgate.scheduling", "1 while this host schedules", () -> this.scheduler.isActive() ? 1 : 0);
 		metrics.gauge("limpetgate.log.dropped", "Log lines that were dropped", log::dropped);
+		metrics.gauge("limpetgate.ready", "1 while this host takes jobs", () -> isReady() ? 1 : 0);
+		metrics.gauge("limpetgate.configuration.version", "Version of the queues in force, -1 for none",
+				this::configurationVersion);
+		metrics.gauge("limpetgate.workers.listed", "Workers on the platform's list", () -> this.workers.size());
+	}
+
+	private long configurationVersion() {
+		QueueTable known = this.queues;
+		return (known != null) ? known.version() : NO_VERSION;
 	}
 
 	/**
@@ -401,13 +410,9 @@
 
 		@Override
 		public HostBeat beat(long versionOfPeer) {
-			HostBeat.Builder beat = FleetHost.this.peers.newBeat(state());
-			QueueTable known = FleetHost.this.queues;
-			if (known == null) {
-				return beat.setConfigurationVersion(NO_VERSION).build();
-			}
-			beat.setConfigurationVersion(known.version());
-			if (versionOfPeer != BEAT_ONLY && versionOfPeer < known.version()) {
+			long version = configurationVersion();
+			HostBeat.Builder beat = FleetHost.this.peers.newBeat(state()).setConfigurationVersion(version);
+			if (versionOfPeer != BEAT_ONLY && versionOfPeer < version) {
 				beat.setConfiguration(FleetPeers.bytes(FleetHost.this.directory.configurationText()));
 			}
 			return beat.build();
