--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ConnectionPool.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ConnectionPool.java
@@ -46,6 +46,9 @@
 	/** Unused connections, the most recently used first. */
 	private final Deque<ClientConnection> idle = new ArrayDeque<>();
 
+	/** Exchanges that wait for a connection, the oldest first. */
+	private final Deque<PendingExchange> waiting = new ArrayDeque<>();
+
 	private int open;
 
 	private boolean retired;
@@ -87,6 +90,9 @@
 		else if (this.open < this.limits.maxConnections()) {
 			connect(exchange);
 		}
+		else if (this.waiting.size() < this.limits.maxWaiting()) {
+			this.waiting.add(exchange);
+		}
 		else {
 			exchange.fail(DispatchException.of(ErrorKind.OVERLOADED, Outcome.NOT_RUN,
 					"all " + this.open + " connections to " + this.address + " are in use"));
@@ -126,6 +132,7 @@
 		connecting.channel().closeFuture().addListener((closed) -> {
 			this.open--;
 			release();
+			serveWaiting();
 		});
 		exchange.connecting(connecting);
 		connecting.addListener((ChannelFuture connected) -> {
@@ -139,6 +146,22 @@
 		});
 	}
 
+	private void serveWaiting() {
+		PendingExchange next = pollWaiting();
+		if (next != null) {
+			serve(next);
+		}
+	}
+
+	// Exchanges that were decided while they waited need no connection any more.
+	private PendingExchange pollWaiting() {
+		PendingExchange next = this.waiting.poll();
+		while (next != null && next.isDecided()) {
+			next = this.waiting.poll();
+		}
+		return next;
+	}
+
 	DispatchException shutDown() {
 		return DispatchException.of(ErrorKind.SHUTTING_DOWN, Outcome.NOT_RUN,
 				"the threads of the client are shut down");
@@ -161,10 +184,10 @@
 	void giveBack(ClientConnection connection) {
 		if (this.retired) {
 			connection.close();
+			return;
 		}
-		else {
-			this.idle.addFirst(connection);
-		}
+		this.idle.addFirst(connection);
+		serveWaiting();
 	}
 
 	void remove(ClientConnection connection) {
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClient.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClient.java
@@ -66,8 +66,8 @@
 	 * @param timeoutNanos the time until the whole answer must be there, in nanoseconds
 	 * @return the exchange, not null; it fails with
 	 * {@link org.limpetgate.ErrorKind#OVERLOADED} if all connections to the address are
-	 * in use, and with {@link org.limpetgate.ErrorKind#SHUTTING_DOWN} if the threads are
-	 * shut down
+	 * in use and as many exchanges wait for one as may, and with
+	 * {@link org.limpetgate.ErrorKind#SHUTTING_DOWN} if the threads are shut down
 	 */
 	public HttpExchange exchange(InetSocketAddress address, HttpCall call, long timeoutNanos) {
 		PendingExchange exchange = new PendingExchange(acquirePool(address), call, this.nextExchange.getAndIncrement());
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClientLimits.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClientLimits.java
@@ -9,6 +9,7 @@
  * @param maxBodyBytes the largest body of an answer, in bytes
  * @param maxBufferedBytes the largest sum of answer bytes that are held at the same time
  * @param maxConnections the largest number of connections per address
+ * @param maxWaiting how many exchanges per address may wait for one of these connections
  * @param connectNanos the time to open a connection, in nanoseconds
  * @param idleNanos the time after which an unused connection is closed, in nanoseconds
  * @param refusalsAsAnswers whether an answer with status 503 and
@@ -16,14 +17,14 @@
  * false, it fails the exchange as {@link org.limpetgate.Outcome#NOT_RUN}
  */
 public record HttpClientLimits(int maxHeadBytes, int maxBodyBytes, long maxBufferedBytes, int maxConnections,
-		long connectNanos, long idleNanos, boolean refusalsAsAnswers) {
+		int maxWaiting, long connectNanos, long idleNanos, boolean refusalsAsAnswers) {
 
 	/**
 	 * Returns the usual limits.
 	 * @return limits for hosts with at least 256 MB of heap
 	 */
 	public static HttpClientLimits defaults() {
-		return new HttpClientLimits(16 * 1024, 4 * 1024 * 1024, 64L * 1024 * 1024, 60, TimeUnit.SECONDS.toNanos(1),
+		return new HttpClientLimits(16 * 1024, 4 * 1024 * 1024, 64L * 1024 * 1024, 60, 0, TimeUnit.SECONDS.toNanos(1),
 				TimeUnit.SECONDS.toNanos(10), false);
 	}
 
@@ -35,7 +36,7 @@
 	 */
 	public HttpClientLimits withAnswerBytes(int maxHeadBytes, int maxBodyBytes) {
 		return new HttpClientLimits(maxHeadBytes, maxBodyBytes, this.maxBufferedBytes, this.maxConnections,
-				this.connectNanos, this.idleNanos, this.refusalsAsAnswers);
+				this.maxWaiting, this.connectNanos, this.idleNanos, this.refusalsAsAnswers);
 	}
 
 	/**
@@ -45,7 +46,18 @@
 	 */
 	public HttpClientLimits withMaxConnections(int maxConnections) {
 		return new HttpClientLimits(this.maxHeadBytes, this.maxBodyBytes, this.maxBufferedBytes, maxConnections,
-				this.connectNanos, this.idleNanos, this.refusalsAsAnswers);
+				this.maxWaiting, this.connectNanos, this.idleNanos, this.refusalsAsAnswers);
+	}
+
+	/**
+	 * Returns a copy in which exchanges wait for a connection when all are in use,
+	 * instead of failing at once.
+	 * @param maxWaiting how many exchanges per address may wait
+	 * @return the copy, not null
+	 */
+	public HttpClientLimits withMaxWaiting(int maxWaiting) {
+		return new HttpClientLimits(this.maxHeadBytes, this.maxBodyBytes, this.maxBufferedBytes, this.maxConnections,
+				maxWaiting, this.connectNanos, this.idleNanos, this.refusalsAsAnswers);
 	}
 
 	/**
@@ -57,7 +69,7 @@
 	 */
 	public HttpClientLimits withTimes(long connectNanos, long idleNanos) {
 		return new HttpClientLimits(this.maxHeadBytes, this.maxBodyBytes, this.maxBufferedBytes, this.maxConnections,
-				connectNanos, idleNanos, this.refusalsAsAnswers);
+				this.maxWaiting, connectNanos, idleNanos, this.refusalsAsAnswers);
 	}
 
 	/**
@@ -68,7 +80,7 @@
 	 */
 	public HttpClientLimits withMaxBufferedBytes(long maxBufferedBytes) {
 		return new HttpClientLimits(this.maxHeadBytes, this.maxBodyBytes, maxBufferedBytes, this.maxConnections,
-				this.connectNanos, this.idleNanos, this.refusalsAsAnswers);
+				this.maxWaiting, this.connectNanos, this.idleNanos, this.refusalsAsAnswers);
 	}
 
 	/**
@@ -79,7 +91,7 @@
 	 */
 	public HttpClientLimits withRefusalsAsAnswers(boolean refusalsAsAnswers) {
 		return new HttpClientLimits(this.maxHeadBytes, this.maxBodyBytes, this.maxBufferedBytes, this.maxConnections,
-				this.connectNanos, this.idleNanos, refusalsAsAnswers);
+				this.maxWaiting, this.connectNanos, this.idleNanos, refusalsAsAnswers);
 	}
 
 }
--- a/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpClientTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/http/HttpClientTests.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -293,6 +294,50 @@
 				.doesNotContainKeys("x-hop", "connection"));
 	}
 
+	/**
+	 * Guards against more connections than the limit where exchanges may wait, an
+	 * exchange that is forgotten while it waits, and one that is sent after it was given
+	 * up.
+	 */
+	@Example
+	void exchangesWaitForAConnection() throws Exception {
+		HttpClient waiting = HttpClient.of(this.group,
+				HttpClientLimits.defaults().withMaxConnections(1).withMaxWaiting(3));
+		CountDownLatch go = new CountDownLatch(1);
+		StubUpstream.Script slowFirst = (connection, stub) -> {
+			stub.read(connection);
+			go.await();
+			connection.send(OK);
+			while (true) {
+				stub.read(connection);
+				connection.send(OK);
+			}
+		};
+		try (StubUpstream upstream = new StubUpstream(slowFirst)) {
+			List<HttpExchange> exchanges = new ArrayList<>();
+			for (int number = 0; number < 3; number++) {
+				exchanges.add(waiting.exchange(upstream.address(), call("POST", 3), LONG_NANOS));
+			}
+			HttpExchange late = waiting.exchange(upstream.address(), call("POST", 3), SHORT_NANOS);
+			HttpExchange excess = waiting.exchange(upstream.address(), call("POST", 3), LONG_NANOS);
+			assertThat(result(excess)).isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.OVERLOADED);
+			assertThat(result(late)).isEqualTo(Outcome.NOT_RUN + " " + ErrorKind.DEADLINE_EXCEEDED);
+			go.countDown();
+			for (HttpExchange exchange : exchanges) {
+				assertThat(result(exchange)).isEqualTo("ok");
+			}
+			assertThat(upstream.connections()).isEqualTo(1);
+			assertThat(upstream.requests()).isEqualTo(3);
+		}
+		String last = OK.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+		try (StubUpstream upstream = new StubUpstream(StubUpstream.always(last))) {
+			HttpExchange first = waiting.exchange(upstream.address(), call("POST", 3), LONG_NANOS);
+			HttpExchange second = waiting.exchange(upstream.address(), call("POST", 3), LONG_NANOS);
+			assertThat(result(first)).isEqualTo("ok");
+			assertThat(result(second)).isEqualTo("ok");
+		}
+	}
+
 	/**
 	 * Guards against the loss of the reason that a refusal carries, for clients that read
 	 * it.
