--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
@@ -22,6 +22,10 @@
  * that reaches neither half of the known hosts nor half of their data centres claims the
  * workers of its own data centre only, and only if it reaches half of the hosts there.
  * <p>
+ * A host that answers this host can be worked with in both directions. One whose beats
+ * arrive here without an answer to beats of this host counts for the size of what is
+ * reached, but neither as the scheduler nor as a candidate.
+ * <p>
  * Not thread-safe.
  */
 public final class SchedulerElection {
@@ -57,7 +61,40 @@
 	 * @param nowNanos the present time, nanoseconds since the Unix epoch
 	 */
 	public void heard(HostState state, long nowNanos) {
-		this.peers.put(state.host(), new Peer(state, nowNanos, true));
+		Peer peer = peer(state);
+		peer.answeredNanos = nowNanos;
+		peer.lost = false;
+	}
+
+	/**
+	 * Takes note of the state of a peer that sent it unasked.
+	 * @param state the state, not null
+	 * @param nowNanos the present time, nanoseconds since the Unix epoch
+	 */
+	public void received(HostState state, long nowNanos) {
+		peer(state).receivedNanos = nowNanos;
+	}
+
+	private Peer peer(HostState state) {
+		Peer peer = this.peers.computeIfAbsent(state.host(), (host) -> new Peer());
+		peer.state = state;
+		return peer;
+	}
+
+	/**
+	 * Takes note of the peers to which beats are sent from now on. Only these can be
+	 * found silent.
+	 * @param hosts the peers, not null
+	 * @param nowNanos the present time, nanoseconds since the Unix epoch
+	 */
+	public void expect(Set<HostId> hosts, long nowNanos) {
+		this.peers.forEach((host, peer) -> {
+			boolean asked = hosts.contains(host);
+			if (asked && !peer.asked) {
+				peer.askedSinceNanos = nowNanos;
+			}
+			peer.asked = asked;
+		});
 	}
 
 	/**
@@ -65,27 +102,36 @@
 	 * @param host the peer, not null
 	 */
 	public void lost(HostId host) {
-		this.peers.computeIfPresent(host, (key, peer) -> new Peer(peer.state(), peer.heardNanos(), false));
+		Peer peer = this.peers.get(host);
+		if (peer != null) {
+			peer.lost = true;
+			peer.receivedNanos = 0;
+		}
 	}
 
 	/**
-	 * Returns the peers whose link is open but has been silent for too long. Each is
-	 * returned once and counts as lost from then on.
+	 * Returns the peers that have not answered beats for too long. Each is returned once
+	 * and counts as lost from then on.
 	 * @param nowNanos the present time, nanoseconds since the Unix epoch
 	 * @return the peers, not null
 	 */
 	public List<HostId> silent(long nowNanos) {
 		List<HostId> silent = this.peers.values()
 			.stream()
-			.filter((peer) -> peer.linked() && !isLive(peer, nowNanos))
-			.map((peer) -> peer.state().host())
+			.filter((peer) -> !peer.lost && peer.asked
+					&& nowNanos - Math.max(peer.answeredNanos, peer.askedSinceNanos) > SILENCE_NANOS)
+			.map((peer) -> peer.state.host())
 			.toList();
 		silent.forEach(this::lost);
 		return silent;
 	}
 
 	private static boolean isLive(Peer peer, long nowNanos) {
-		return peer.linked() && nowNanos - peer.heardNanos() <= SILENCE_NANOS;
+		return !peer.lost && nowNanos - peer.answeredNanos <= SILENCE_NANOS;
+	}
+
+	private static boolean isReached(Peer peer, long nowNanos) {
+		return isLive(peer, nowNanos) || nowNanos - peer.receivedNanos <= SILENCE_NANOS;
 	}
 
 	/**
@@ -95,7 +141,8 @@
 	 * @return the decision, not null
 	 */
 	public Decision decide(HostState self, long nowNanos) {
-		this.peers.values().removeIf((peer) -> nowNanos - peer.heardNanos() > MEMORY_NANOS);
+		this.peers.values()
+			.removeIf((peer) -> nowNanos - Math.max(peer.answeredNanos, peer.receivedNanos) > MEMORY_NANOS);
 		if (self.ready() && this.readyNanos == 0) {
 			this.readyNanos = nowNanos;
 		}
@@ -138,7 +185,9 @@
 			.thenComparing(HostState::claim);
 	}
 
-	private static Comparator<HostState> candidateOrder() {
+	// Hosts with the most processor time first, apart from those that should not
+	// schedule.
+	static Comparator<HostState> candidateOrder() {
 		return Comparator.<HostState, Boolean>comparing((state) -> !isFit(state))
 			.thenComparing(Comparator.comparingInt(HostState::cpuMillis).reversed())
 			.thenComparingInt((state) -> state.host().hashCode())
@@ -147,29 +196,33 @@
 
 	private Stream<HostState> live(HostState self, long nowNanos) {
 		return Stream.concat(Stream.of(self),
-				this.peers.values().stream().filter((peer) -> isLive(peer, nowNanos)).map(Peer::state));
+				this.peers.values().stream().filter((peer) -> isLive(peer, nowNanos)).map((peer) -> peer.state));
+	}
+
+	private Stream<HostState> reached(HostState self, long nowNanos) {
+		return Stream.concat(Stream.of(self),
+				this.peers.values().stream().filter((peer) -> isReached(peer, nowNanos)).map((peer) -> peer.state));
 	}
 
 	private boolean isWhole(HostState self, long nowNanos) {
-		long live = live(self, nowNanos).count();
-		int known = this.peers.size() + 1;
-		if (2 * live >= known) {
+		List<HostState> present = reached(self, nowNanos).toList();
+		if (2 * present.size() >= this.peers.size() + 1) {
 			return true;
 		}
 		Set<DataCentreId> reached = new HashSet<>();
-		live(self, nowNanos).forEach((state) -> reached.add(state.dataCentre()));
+		present.forEach((state) -> reached.add(state.dataCentre()));
 		Set<DataCentreId> all = new HashSet<>(reached);
-		this.peers.values().forEach((peer) -> all.add(peer.state().dataCentre()));
+		this.peers.values().forEach((peer) -> all.add(peer.state.dataCentre()));
 		return 2 * reached.size() > all.size();
 	}
 
 	private boolean reachesHalfOfDataCentre(HostState self, long nowNanos) {
-		long live = live(self, nowNanos).filter((state) -> state.dataCentre().equals(self.dataCentre())).count();
+		long present = reached(self, nowNanos).filter((state) -> state.dataCentre().equals(self.dataCentre())).count();
 		long known = 1 + this.peers.values()
 			.stream()
-			.filter((peer) -> peer.state().dataCentre().equals(self.dataCentre()))
+			.filter((peer) -> peer.state.dataCentre().equals(self.dataCentre()))
 			.count();
-		return 2 * live >= known;
+		return 2 * present >= known;
 	}
 
 	/**
@@ -179,7 +232,7 @@
 	public FencingToken highestClaim() {
 		return this.peers.values()
 			.stream()
-			.map((peer) -> peer.state().claim())
+			.map((peer) -> peer.state.claim())
 			.max(Comparator.naturalOrder())
 			.orElse(FencingToken.NONE);
 	}
@@ -195,7 +248,24 @@
 
 	}
 
-	private record Peer(HostState state, long heardNanos, boolean linked) {
+	/** What is known of a peer; times are nanoseconds since the Unix epoch. */
+	private static final class Peer {
+
+		private HostState state;
+
+		/** When it last answered a beat of this host. */
+		private long answeredNanos;
+
+		/** When a beat of its own last arrived. */
+		private long receivedNanos;
+
+		/** Whether its link is broken or silent, and it has not answered since. */
+		private boolean lost;
+
+		/** Whether beats are sent to it. */
+		private boolean asked;
+
+		private long askedSinceNanos;
 
 	}
 
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Admission.java
@@ -0,0 +1,143 @@
+package org.limpetgate.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides whether a job can be served in time, at its arrival and while it waits.
+ * <p>
+ * Answers the load beyond the room: a job that cannot be on time is refused at once, and
+ * one that waits is refused or given up as soon as no room can come in time. Jobs that
+ * are stored are never given up. Not thread-safe.
+ */
+final class Admission {
+
+	/** The longest time to come back after a refusal. */
+	static final long MAX_RETRY_AFTER_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+	/**
+	 * How long a late job waits for room before it is refused, as a share of its
+	 * objective.
+	 */
+	private static final double LATE_WAIT_SHARE = 0.5;
+
+	/** A job is given up when it is this many times its objective late. */
+	private static final int LATE_FACTOR = 3;
+
+	private final SchedulerTables tables;
+
+	private final QueueOrder order;
+
+	Admission(SchedulerTables tables, QueueOrder order) {
+		this.tables = tables;
+		this.order = order;
+	}
+
+	// Works out the times of a job.
+	void measure(JobEntity job, long remainingNanos, long nowNanos) {
+		job.workNanos = workNanos(job.spec());
+		job.deadlineNanos = nowNanos + remainingNanos;
+		job.objectiveEndNanos = job.arrivalNanos() + job.spec().terms().objectiveNanos(job.workNanos);
+		job.latestStartNanos = latestStartNanos(job);
+		this.order.arrived(job, waitingWork(job), nowNanos);
+	}
+
+	private double workNanos(JobSpec spec) {
+		double[] ends = new double[spec.steps().size()];
+		double longest = 0;
+		for (int number = 0; number < ends.length; number++) {
+			StepSpec step = spec.steps().get(number);
+			double begin = 0;
+			for (int earlier : step.after()) {
+				begin = Math.max(begin, ends[earlier]);
+			}
+			ends[number] = begin + this.tables.model.taskNanos(spec.queue(), step);
+			longest = Math.max(longest, ends[number]);
+		}
+		return longest;
+	}
+
+	boolean isPossible(JobSpec spec) {
+		return spec.steps().stream().allMatch((step) -> this.tables.workers.values().stream().anyMatch((worker) -> {
+			WorkerInfo info = worker.info;
+			return info.service().equals(spec.service()) && step.demand().fits(info.capacity())
+					&& (step.requiredLabel().isEmpty() || info.labels().contains(step.requiredLabel()));
+		}));
+	}
+
+	// The start from which even the fastest worker would end too late. A job that takes
+	// longer than its estimate has a later objective, so that only the ratio counts.
+	private long latestStartNanos(JobEntity job) {
+		double fastest = Double.MAX_VALUE;
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			if (worker.listed && worker.info.service().equals(job.spec().service())) {
+				fastest = Math.min(fastest, this.tables.model.factor(worker));
+			}
+		}
+		double work = (fastest < Double.MAX_VALUE) ? job.workNanos * fastest : job.workNanos;
+		return (long) (job.objectiveEndNanos - work) - SchedulerSettings.OVERHEAD_NANOS;
+	}
+
+	// The work that is placed before the job, spread over all workers of the service.
+	long waitNanos(JobEntity job, Collection<JobEntity> waiting, long nowNanos) {
+		if (waiting.isEmpty()) {
+			return 0;
+		}
+		List<JobEntity> ordered = new ArrayList<>(waiting);
+		ordered.add(job);
+		this.order.sort(ordered, nowNanos);
+		double ahead = 0;
+		for (JobEntity other : ordered) {
+			if (other == job) {
+				break;
+			}
+			if (other.spec().service().equals(job.spec().service())) {
+				ahead += waitingWork(other);
+			}
+		}
+		double capacity = 0;
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			if (worker.isUsable() && worker.info.service().equals(job.spec().service())) {
+				capacity += worker.info.capacity().cpuMillis() / this.tables.model.factor(worker);
+			}
+		}
+		return (capacity > 0) ? (long) (ahead / capacity) : 0;
+	}
+
+	private double waitingWork(JobEntity job) {
+		double work = 0;
+		for (List<TaskEntity> tasks : job.steps()) {
+			for (TaskEntity task : tasks) {
+				if (task.state == TaskEntity.State.WAITING) {
+					work += task.step().demand().cpuMillis()
+							* this.tables.model.taskNanos(job.spec().queue(), task.step());
+				}
+			}
+		}
+		return work;
+	}
+
+	static long retryAfter(long waitNanos) {
+		return Math.min(MAX_RETRY_AFTER_NANOS, Math.max(waitNanos, TimeUnit.MILLISECONDS.toNanos(100)));
+	}
+
+	// Whether a job that waits for room is late.
+	static boolean isLate(JobEntity job, long nowNanos) {
+		return !job.spec().stored() && job.waitingTasks > 0 && job.latestStartNanos <= nowNanos;
+	}
+
+	// A late answer is worth less than one in time, but more than none.
+	static boolean isToBeRefused(JobEntity job, long nowNanos) {
+		long objective = job.spec().terms().objectiveNanos(job.workNanos);
+		return !job.started && !job.resubmitted
+				&& nowNanos > job.latestStartNanos + (long) (LATE_WAIT_SHARE * objective);
+	}
+
+	static boolean isToBeGivenUp(JobEntity job, long nowNanos) {
+		return nowNanos > Math.max(job.deadlineNanos,
+				job.arrivalNanos() + LATE_FACTOR * job.spec().terms().objectiveNanos(job.workNanos));
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/GangSystem.java
@@ -0,0 +1,121 @@
+package org.limpetgate.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Starts and ends the tasks of a gang together.
+ * <p>
+ * Invariants: all members are ordered in one tick with the same attempt or none is; when
+ * a member ends without being done, the others are stopped. Not thread-safe.
+ */
+final class GangSystem {
+
+	private final SchedulerTables tables;
+
+	private final Placement placement;
+
+	private final RunSystem runs;
+
+	GangSystem(SchedulerTables tables, Placement placement, RunSystem runs) {
+		this.tables = tables;
+		this.placement = placement;
+		this.runs = runs;
+	}
+
+	/**
+	 * Starts a gang if there is room for all of its tasks.
+	 * @param tasks all tasks of the step
+	 * @param taskNanos how long a task should take on a worker of speed 1
+	 * @param nowNanos the present time
+	 */
+	void place(List<TaskEntity> tasks, double taskNanos, long nowNanos) {
+		for (TaskEntity task : tasks) {
+			if (task.state != TaskEntity.State.WAITING || task.notBeforeNanos > nowNanos
+					|| this.tables.isPresent(task.name())) {
+				return;
+			}
+		}
+		List<RunEntity> reserved = reserve(tasks, taskNanos, nowNanos);
+		if (reserved.isEmpty()) {
+			return;
+		}
+		tasks.get(0).job().started = true;
+		tasks.get(0).job().waitingTasks -= tasks.size();
+		reserved.forEach((run) -> this.runs.order(run, nowNanos));
+	}
+
+	private List<RunEntity> reserve(List<TaskEntity> tasks, double taskNanos, long nowNanos) {
+		if (tasks.get(0).step().has(StepTrait.SAME_RACK)) {
+			for (List<WorkerEntity> group : groups()) {
+				List<RunEntity> reserved = reserve(tasks, group, taskNanos, nowNanos);
+				if (!reserved.isEmpty()) {
+					return reserved;
+				}
+			}
+		}
+		return reserve(tasks, this.tables.workers.values(), taskNanos, nowNanos);
+	}
+
+	// Workers that share a label, the smallest groups first: racks are smaller than
+	// kinds.
+	private List<List<WorkerEntity>> groups() {
+		Map<String, List<WorkerEntity>> groups = new HashMap<>();
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			for (String label : worker.info.labels()) {
+				groups.computeIfAbsent(label, (key) -> new ArrayList<>()).add(worker);
+			}
+		}
+		return groups.values().stream().sorted(Comparator.comparingInt(List::size)).toList();
+	}
+
+	private List<RunEntity> reserve(List<TaskEntity> tasks, Collection<WorkerEntity> workers, double taskNanos,
+			long nowNanos) {
+		int attempt = tasks.stream().mapToInt((task) -> task.nextAttempt).max().orElse(1);
+		List<RunEntity> reserved = new ArrayList<>();
+		for (TaskEntity task : tasks) {
+			WorkerEntity worker = this.placement.choose(task, taskNanos, workers, nowNanos);
+			if (worker == null) {
+				reserved.forEach(this.runs::cancelReservation);
+				return List.of();
+			}
+			reserved
+				.add(this.runs.reserve(task, worker, attempt, taskNanos * this.tables.model.factor(worker), nowNanos));
+		}
+		return reserved;
+	}
+
+	// Marks all members as done, since one such end represents all of them.
+	void done(JobEntity job, List<TaskEntity> tasks) {
+		for (TaskEntity member : tasks) {
+			if (member.state == TaskEntity.State.WAITING) {
+				job.waitingTasks--;
+			}
+			if (member.run != null) {
+				member.run.task = null;
+				member.run = null;
+			}
+			if (member.state != TaskEntity.State.DONE) {
+				job.done(member);
+			}
+		}
+	}
+
+	void stopOthers(List<TaskEntity> tasks, long nowNanos) {
+		for (TaskEntity member : tasks) {
+			if (member.run != null) {
+				this.runs.stop(member.run, nowNanos);
+			}
+		}
+	}
+
+	// Keeps the checkpoint of a member for all of them.
+	static void keepCheckpoint(List<TaskEntity> tasks, String checkpoint) {
+		tasks.forEach((member) -> member.checkpoint = checkpoint);
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -0,0 +1,387 @@
+package org.limpetgate.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.limpetgate.UpstreamId;
+import org.limpetgate.scheduling.RunListener.RunEnd;
+import org.limpetgate.scheduling.WorkerReport.EndKind;
+
+/**
+ * Orders runs, follows them by the reports of their workers, and settles orders without
+ * an answer.
+ * <p>
+ * Invariants: a run takes room from its order until the worker no longer lists it, or has
+ * confirmed a stop and then does not list it; an end that must be saved first is not
+ * acknowledged to its worker before. Not thread-safe.
+ */
+final class RunSystem {
+
+	/** How long runs of an earlier owner wait for their job to be resubmitted. */
+	private static final long ADOPTION_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+	private static final long STOP_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
+
+	/** Unanswered stops after which the worker is taken over with a higher token. */
+	private static final int MAX_STOPS = 3;
+
+	/** More ends than this may be cut off a report. */
+	private static final int MAX_ENDS = 500;
+
+	private static final long SUSPECT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	private static final long REFUSED_SUSPECT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+	/** Failed runs in a row that put a worker under suspicion. */
+	private static final int MAX_FAILURES = 2;
+
+	/** A run without progress for this long and over its expected time hangs. */
+	private static final long HANG_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	/** A run without progress for this many times its time for one percent hangs. */
+	private static final int HANG_PERCENTS = 5;
+
+	private static final double HANG_FACTOR = 2;
+
+	// Another owner notices later than this that it is no longer wanted, so that two
+	// owners do not take a worker from each other in quick succession.
+	private static final long FENCED_RETRY_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	private final SchedulerTables tables;
+
+	private final RunListener listener;
+
+	RunSystem(SchedulerTables tables, RunListener listener) {
+		this.tables = tables;
+		this.listener = listener;
+	}
+
+	void start(TaskEntity task, WorkerEntity worker, double expectedNanos, long nowNanos) {
+		order(reserve(task, worker, task.nextAttempt, expectedNanos, nowNanos), nowNanos);
+	}
+
+	// Takes room for a run that is not ordered yet.
+	RunEntity reserve(TaskEntity task, WorkerEntity worker, int attempt, double expectedNanos, long nowNanos) {
+		RunEntity run = new RunEntity(new RunId(task.name(), attempt), worker, task.step(), task, nowNanos);
+		run.expectedNanos = expectedNanos;
+		worker.add(run);
+		return run;
+	}
+
+	// Gives back the room of a run that was not ordered.
+	void cancelReservation(RunEntity run) {
+		run.worker().remove(run);
+	}
+
+	void order(RunEntity run, long nowNanos) {
+		TaskEntity task = run.task;
+		WorkerEntity worker = run.worker();
+		task.nextAttempt = run.id().attempt() + 1;
+		task.run = run;
+		task.state = TaskEntity.State.ACTIVE;
+		this.tables.present(task.name());
+		worker.renewedNanos = nowNanos;
+		this.tables.touched.add(worker);
+		this.tables.emit(new SchedulingEffect.StartRun(worker.info, run.id(), task.job().spec().payload(),
+				task.checkpoint, worker.leaseEndMillis(this.tables.settings, nowNanos), worker.token));
+	}
+
+	// Stops a run whose task no longer needs it or must run elsewhere.
+	void stop(RunEntity run, long nowNanos) {
+		if (run.state == RunEntity.State.STARTING || run.state == RunEntity.State.RUNNING) {
+			run.enter(RunEntity.State.STOPPING, nowNanos);
+			sendStop(run, nowNanos);
+		}
+	}
+
+	private void sendStop(RunEntity run, long nowNanos) {
+		run.stopSentNanos = nowNanos;
+		run.stopsSent++;
+		this.tables.emit(new SchedulingEffect.StopRun(run.worker().info, run.id(), run.worker().token));
+	}
+
+	void startAnswered(UpstreamId workerId, RunId id, StartAnswer answer, long nowNanos) {
+		WorkerEntity worker = this.tables.workers.get(workerId);
+		RunEntity run = (worker != null) ? worker.runs.get(id) : null;
+		if (run == null || run.state != RunEntity.State.STARTING) {
+			return;
+		}
+		this.tables.touched.add(worker);
+		switch (answer) {
+			case STARTED -> run.enter(RunEntity.State.RUNNING, nowNanos);
+			case UNKNOWN -> {
+				worker.suspect(REFUSED_SUSPECT_NANOS, nowNanos);
+				stop(run, nowNanos);
+			}
+			case FENCED -> fenced(worker, nowNanos);
+			case OLD_ATTEMPT -> finish(run, RunEnd.OLD_ATTEMPT, nowNanos);
+			case LATE, NO_ROOM, REFUSED, OTHER_LIFE, NOT_SENT -> {
+				worker.suspect(REFUSED_SUSPECT_NANOS, nowNanos);
+				finish(run, RunEnd.REJECTED, nowNanos);
+			}
+		}
+	}
+
+	// The other owner stops or adopts what runs there; until a takeover shows the runs
+	// they may be present.
+	static void fenced(WorkerEntity worker, long nowNanos) {
+		worker.disown(nowNanos + FENCED_RETRY_NANOS);
+	}
+
+	void stopAnswered(UpstreamId workerId, RunId id, boolean acknowledged, long nowNanos) {
+		WorkerEntity worker = this.tables.workers.get(workerId);
+		RunEntity run = (worker != null) ? worker.runs.get(id) : null;
+		if (run != null && acknowledged && run.state == RunEntity.State.STOPPING) {
+			run.enter(RunEntity.State.STOPPED, nowNanos);
+			// The poll that waits for an end may take long, and the task waits for the
+			// proof that the run is gone.
+			worker.verifyNanos = nowNanos;
+			this.tables.touched.add(worker);
+		}
+	}
+
+	// Applies the first or a later report under the present token.
+	void reported(WorkerEntity worker, WorkerReport report, boolean takeover, long sentNanos, long nowNanos) {
+		for (WorkerReport.Ended ended : report.ended()) {
+			if (ended.number() > worker.lastEnd) {
+				worker.lastEnd = ended.number();
+				applyEnd(worker, ended, nowNanos);
+			}
+		}
+		applyRunning(worker, report, takeover, sentNanos, nowNanos);
+	}
+
+	private void applyEnd(WorkerEntity worker, WorkerReport.Ended ended, long nowNanos) {
+		if (worker.foreign.remove(ended.run()) != null) {
+			this.tables.absent(ended.run().task());
+		}
+		RunEntity run = worker.runs.get(ended.run());
+		if (run == null) {
+			endOfEarlierOwner(worker, ended, nowNanos);
+			return;
+		}
+		run.checkpoint(ended.checkpoint());
+		run.endNumber = ended.number();
+		if (ended.kind() == EndKind.DONE) {
+			worker.failuresInRow = 0;
+			worker.suspectUntilNanos = Math.min(worker.suspectUntilNanos, nowNanos);
+			finish(run, RunEnd.DONE, nowNanos);
+		}
+		else if (ended.kind() == EndKind.FAILED) {
+			countFailure(worker, run, nowNanos);
+			finish(run, RunEnd.FAILED, nowNanos);
+		}
+		else {
+			finish(run, RunEnd.LOST, nowNanos);
+		}
+	}
+
+	// The jobs that are stored may not be read yet, so that the end of one of their runs
+	// must go on being listed.
+	private void endOfEarlierOwner(WorkerEntity worker, WorkerReport.Ended ended, long nowNanos) {
+		if (ended.kind() != EndKind.DONE && ended.kind() != EndKind.FAILED) {
+			return;
+		}
+		if (this.tables.storedJobsKnown) {
+			this.listener.endedBefore(worker, ended, nowNanos);
+		}
+		else {
+			worker.heldEnds.add(ended.number());
+			worker.unclaimedEnds.add(ended);
+		}
+	}
+
+	// Hands out the ends that waited for the stored jobs to be known.
+	void claimEnds(long nowNanos) {
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			List<WorkerReport.Ended> ends = List.copyOf(worker.unclaimedEnds);
+			worker.unclaimedEnds.clear();
+			for (WorkerReport.Ended ended : ends) {
+				worker.release(ended.number());
+				this.listener.endedBefore(worker, ended, nowNanos);
+			}
+		}
+	}
+
+	// Forgets ends that were not saved; their workers list them again.
+	void listEndsAgain() {
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			worker.lastEnd = worker.ackNumber();
+			worker.heldEnds.clear();
+			worker.unclaimedEnds.clear();
+		}
+	}
+
+	// A task that has failed elsewhere too says nothing about the worker.
+	private void countFailure(WorkerEntity worker, RunEntity run, long nowNanos) {
+		if (run.task == null || run.task.failures > 0) {
+			return;
+		}
+		worker.failuresInRow++;
+		if (worker.failuresInRow >= MAX_FAILURES) {
+			worker.suspect(SUSPECT_NANOS, nowNanos);
+		}
+	}
+
+	private void applyRunning(WorkerEntity worker, WorkerReport report, boolean takeover, long sentNanos,
+			long nowNanos) {
+		Map<RunId, WorkerReport.Running> rows = new HashMap<>();
+		report.running().forEach((row) -> rows.put(row.run(), row));
+		boolean whole = report.ended().size() < MAX_ENDS;
+		for (RunEntity run : List.copyOf(worker.runs.values())) {
+			WorkerReport.Running row = rows.remove(run.id());
+			if (row != null) {
+				run.progressed(row.percent(), nowNanos);
+				run.checkpoint(row.checkpoint());
+				if (run.state == RunEntity.State.STARTING) {
+					run.enter(RunEntity.State.RUNNING, nowNanos);
+				}
+			}
+			else if (takeover || (whole && isGone(run, sentNanos))) {
+				finish(run, RunEnd.LOST, nowNanos);
+			}
+		}
+		worker.foreign.keySet().removeIf((run) -> {
+			boolean gone = !rows.containsKey(run);
+			if (gone) {
+				this.tables.absent(run.task());
+			}
+			return gone;
+		});
+		for (WorkerReport.Running row : rows.values()) {
+			found(worker, row, nowNanos);
+		}
+	}
+
+	private static boolean isGone(RunEntity run, long pollSentNanos) {
+		return (run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED)
+				&& run.stateSinceNanos <= pollSentNanos;
+	}
+
+	private void found(WorkerEntity worker, WorkerReport.Running row, long nowNanos) {
+		if (worker.foreign.containsKey(row.run())) {
+			return;
+		}
+		TaskEntity task = this.listener.adopt(worker, row.run());
+		if (task == null) {
+			worker.foreign.put(row.run(), nowNanos);
+			this.tables.present(row.run().task());
+		}
+		else {
+			adopted(worker, row.run(), task, nowNanos);
+		}
+	}
+
+	// Claims the unclaimed runs of a job that was resubmitted or read from the store.
+	void claimRuns(JobEntity job, long nowNanos) {
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			for (RunId run : List.copyOf(worker.foreign.keySet())) {
+				if (run.task().job().equals(job.id())) {
+					TaskEntity task = this.listener.adopt(worker, run);
+					if (task != null) {
+						worker.foreign.remove(run);
+						this.tables.absent(run.task());
+						adopted(worker, run, task, nowNanos);
+					}
+				}
+			}
+		}
+	}
+
+	private void adopted(WorkerEntity worker, RunId id, TaskEntity task, long nowNanos) {
+		RunEntity run = new RunEntity(id, worker, task.step(), task, nowNanos);
+		run.enter(RunEntity.State.RUNNING, nowNanos);
+		run.expectedNanos = this.tables.model.taskNanos(task.job().spec().queue(), task.step());
+		task.run = run;
+		task.state = TaskEntity.State.ACTIVE;
+		task.nextAttempt = id.attempt() + 1;
+		worker.add(run);
+		this.tables.present(id.task());
+	}
+
+	void finish(RunEntity run, RunEnd end, long nowNanos) {
+		run.worker().remove(run);
+		this.tables.absent(run.id().task());
+		this.listener.ended(run, end, nowNanos);
+	}
+
+	// Does what is due for the runs on a worker.
+	void process(WorkerEntity worker, long nowNanos) {
+		settleStops(worker, nowNanos);
+		stopForeign(worker, nowNanos);
+		stopHanging(worker, nowNanos);
+		lapse(worker, nowNanos);
+	}
+
+	private void settleStops(WorkerEntity worker, long nowNanos) {
+		if (worker.ownership != WorkerEntity.Ownership.OWNED) {
+			return;
+		}
+		for (RunEntity run : worker.runs.values()) {
+			if (run.state == RunEntity.State.STOPPING && nowNanos - run.stopSentNanos >= STOP_RETRY_NANOS) {
+				if (run.stopsSent >= MAX_STOPS) {
+					run.stopsSent = 0;
+					worker.disown(nowNanos);
+					return;
+				}
+				sendStop(run, nowNanos);
+			}
+		}
+	}
+
+	private void stopForeign(WorkerEntity worker, long nowNanos) {
+		if (worker.foreign.isEmpty() || worker.ownership != WorkerEntity.Ownership.OWNED) {
+			return;
+		}
+		for (Map.Entry<RunId, Long> entry : worker.foreign.entrySet()) {
+			if (nowNanos - entry.getValue() >= ADOPTION_NANOS) {
+				entry.setValue(nowNanos - ADOPTION_NANOS + STOP_RETRY_NANOS);
+				this.tables.emit(new SchedulingEffect.StopRun(worker.info, entry.getKey(), worker.token));
+			}
+		}
+	}
+
+	private void stopHanging(WorkerEntity worker, long nowNanos) {
+		for (RunEntity run : List.copyOf(worker.runs.values())) {
+			if (run.state == RunEntity.State.RUNNING && isHanging(run, nowNanos)
+					&& worker.lastReportNanos > run.progressNanos) {
+				worker.suspect(SUSPECT_NANOS, nowNanos);
+				stop(run, nowNanos);
+			}
+		}
+	}
+
+	// A long run shows its progress rarely, since it is told in whole percents.
+	private static boolean isHanging(RunEntity run, long nowNanos) {
+		if (run.step().has(StepTrait.PERPETUAL)) {
+			return false;
+		}
+		long perPercent = (run.progressNanos - run.startedNanos()) / Math.max(1, run.percent);
+		return nowNanos - run.progressNanos > Math.max(HANG_NANOS, HANG_PERCENTS * perPercent)
+				&& nowNanos - run.startedNanos() > HANG_FACTOR * run.expectedNanos;
+	}
+
+	// Without a renewal all runs end on the worker's own clock. Orders without an answer
+	// stay unsettled, since they may still arrive.
+	private void lapse(WorkerEntity worker, long nowNanos) {
+		if (worker.pollFailures == 0 || worker.runs.isEmpty()
+				|| nowNanos - worker.renewedNanos < this.tables.settings.leaseEndNanos()) {
+			return;
+		}
+		for (RunEntity run : new ArrayList<>(worker.runs.values())) {
+			if (run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED || !worker.listed) {
+				finish(run, RunEnd.LOST, nowNanos);
+			}
+		}
+		Iterator<RunId> foreign = worker.foreign.keySet().iterator();
+		while (foreign.hasNext()) {
+			this.tables.absent(foreign.next().task());
+			foreign.remove();
+		}
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
@@ -0,0 +1,180 @@
+package org.limpetgate.scheduling;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.limpetgate.JobId;
+
+/**
+ * Has changes of stored jobs saved and does what must wait for that: the acknowledgement
+ * of a job, the first start of its tasks, the acknowledgement of ends to workers, and the
+ * state that callers see.
+ * <p>
+ * Invariants: changes are saved in order; a job that its caller sees as ended has been
+ * saved as such; an end of a stored task is acknowledged to its worker only once it is
+ * saved. Not thread-safe.
+ */
+final class StoredJobSystem {
+
+	private final SchedulerTables tables;
+
+	private final Deque<PendingSave> pending = new ArrayDeque<>();
+
+	/** Jobs with ends that were not handed out to be saved yet. */
+	private final Set<JobEntity> changed = new LinkedHashSet<>();
+
+	/** Jobs that ended, in the order of their ends. */
+	private final Map<JobId, EndedJob> ended = new LinkedHashMap<>();
+
+	private long lastSequence;
+
+	StoredJobSystem(SchedulerTables tables) {
+		this.tables = tables;
+	}
+
+	boolean isOpen() {
+		return this.tables.storedJobsKnown;
+	}
+
+	void open(long nowNanos, List<StoredJob> endedJobs) {
+		this.tables.storedJobsKnown = true;
+		for (StoredJob job : endedJobs) {
+			this.ended.put(job.id(),
+					new EndedJob(job.progress().state(), TimeUnit.MILLISECONDS.toNanos(job.progress().endedMillis())));
+		}
+	}
+
+	void close() {
+		this.tables.storedJobsKnown = false;
+		this.pending.clear();
+		this.changed.clear();
+		this.ended.clear();
+	}
+
+	// Has a new job saved.
+	void accept(JobEntity job, long nowNanos, SaveAction onSaved) {
+		save(new StoredChange.Accepted(job.spec(), TimeUnit.NANOSECONDS.toMillis(job.arrivalNanos())), onSaved);
+	}
+
+	// Takes note of the end of a run, which its worker goes on listing until it is saved.
+	void taskEnded(JobEntity job, WorkerEntity worker, long endNumber) {
+		if (endNumber > 0) {
+			worker.heldEnds.add(endNumber);
+			job.heldEnds.add(new HeldEnd(worker, worker.info.bornMillis(), endNumber));
+		}
+		this.changed.add(job);
+	}
+
+	/**
+	 * Takes note of the end of a job.
+	 * @param job the job
+	 * @param state how it ended
+	 * @param nowNanos the present time
+	 * @return the number of the change that holds the end
+	 */
+	long jobEnded(JobEntity job, StoredState state, long nowNanos) {
+		this.changed.remove(job);
+		List<HeldEnd> ends = List.copyOf(job.heldEnds);
+		job.heldEnds.clear();
+		JobProgress progress = new JobProgress(state, TimeUnit.NANOSECONDS.toMillis(nowNanos), List.of());
+		return save(new StoredChange.Progressed(job.id(), progress), (savedNanos) -> {
+			ends.forEach(HeldEnd::release);
+			this.tables.jobs.remove(job.id(), job);
+			this.ended.put(job.id(), new EndedJob(state, nowNanos));
+		});
+	}
+
+	private long save(StoredChange change, SaveAction onSaved) {
+		this.lastSequence++;
+		this.pending.add(new PendingSave(this.lastSequence, onSaved));
+		this.tables.emit(new SchedulingEffect.SaveChange(this.lastSequence, change));
+		return this.lastSequence;
+	}
+
+	// Takes note that all changes up to a number are saved.
+	void saved(long sequence, long nowNanos) {
+		while (!this.pending.isEmpty() && this.pending.peek().sequence() <= sequence) {
+			this.pending.poll().onSaved().saved(nowNanos);
+		}
+	}
+
+	// Hands out one change for all ends of a job since the last tick.
+	void tick(long nowNanos) {
+		for (JobEntity job : this.changed) {
+			List<HeldEnd> ends = List.copyOf(job.heldEnds);
+			job.heldEnds.clear();
+			save(new StoredChange.Progressed(job.id(), job.progress()), (savedNanos) -> ends.forEach(HeldEnd::release));
+		}
+		this.changed.clear();
+		forgetOld(nowNanos);
+	}
+
+	private void forgetOld(long nowNanos) {
+		long horizon = nowNanos - this.tables.settings.retentionNanos();
+		while (!this.ended.isEmpty()) {
+			Map.Entry<JobId, EndedJob> oldest = this.ended.entrySet().iterator().next();
+			if (oldest.getValue().endedNanos() > horizon) {
+				return;
+			}
+			this.ended.remove(oldest.getKey());
+			save(new StoredChange.Forgotten(oldest.getKey()), (savedNanos) -> {
+				// Nothing waits for this.
+			});
+		}
+	}
+
+	boolean hasEnded(JobId job) {
+		return this.ended.containsKey(job);
+	}
+
+	// Returns the state of a job, null if it is not known.
+	JobState state(JobId id) {
+		EndedJob past = this.ended.get(id);
+		if (past != null) {
+			return switch (past.state()) {
+				case COMPLETED -> JobState.COMPLETED;
+				case FAILED -> JobState.FAILED;
+				case CANCELED -> JobState.CANCELED;
+				case OPEN -> JobState.RUNNING;
+			};
+		}
+		JobEntity job = this.tables.jobs.get(id);
+		if (job == null || !job.spec().stored()) {
+			return null;
+		}
+		return job.started ? JobState.RUNNING : JobState.QUEUED;
+	}
+
+	/** Is called when a change is saved. */
+	interface SaveAction {
+
+		void saved(long nowNanos);
+
+	}
+
+	/** An end that its worker goes on listing. */
+	record HeldEnd(WorkerEntity worker, long bornMillis, long number) {
+
+		void release() {
+			if (this.worker.info.bornMillis() == this.bornMillis) {
+				this.worker.release(this.number);
+			}
+		}
+
+	}
+
+	private record PendingSave(long sequence, SaveAction onSaved) {
+
+	}
+
+	private record EndedJob(StoredState state, long endedNanos) {
+
+	}
+
+}
--- a/limpetgate-core/src/test/java/org/limpetgate/fleet/SchedulerElectionTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/fleet/SchedulerElectionTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import net.jqwik.api.Example;
@@ -137,12 +138,61 @@
 	@Example
 	void aSilentPeerIsReportedOnceAndCountsAsLost() {
 		this.election.heard(host(1, "a", 9), START);
+		this.election.expect(Set.of(id(1)), START);
 		assertThat(this.election.silent(START + 600 * MILLI)).isEmpty();
 		assertThat(this.election.silent(START + 800 * MILLI)).containsExactly(id(1));
 		assertThat(this.election.silent(START + 900 * MILLI)).isEmpty();
 		assertThat(this.election.decide(this.self, START + 900 * MILLI).scheduler()).isNull();
 	}
 
+	/**
+	 * Guards against a host that counts as reached by itself only, although beats of the
+	 * other hosts arrive that it does not answer with beats of its own.
+	 */
+	@Example
+	void hostsThatSendBeatsCountAsReached() {
+		for (int number = 1; number < 20; number++) {
+			this.election.received(host(number, "abc".substring(number % 3, number % 3 + 1), 0), START + 900 * MILLI);
+		}
+		this.election.decide(this.self, START + 900 * MILLI);
+		SchedulerElection.Decision decision = this.election.decide(this.self, START + 1100 * MILLI);
+		assertThat(decision.whole()).isTrue();
+		assertThat(decision.claim()).isTrue();
+		assertThat(this.election.decide(this.self, START + 2000 * MILLI).whole()).isFalse();
+	}
+
+	/** Guards against a scheduler that can send, but that no work can be sent to. */
+	@Example
+	void aClaimThatOnlyArrivesIsNotFollowed() {
+		this.election.received(host(1, "a", 9), START + 900 * MILLI);
+		assertThat(this.election.decide(this.self, START + 900 * MILLI).scheduler()).isNull();
+	}
+
+	/**
+	 * Guards against links that are closed as silent although nothing was sent on them.
+	 */
+	@Example
+	void onlyPeersThatAreSentBeatsCanBeSilent() {
+		this.election.heard(host(1, "a", 0), START);
+		assertThat(this.election.silent(START + 800 * MILLI)).isEmpty();
+		this.election.expect(Set.of(id(1)), START + 800 * MILLI);
+		assertThat(this.election.silent(START + 1400 * MILLI)).isEmpty();
+		assertThat(this.election.silent(START + 1600 * MILLI)).containsExactly(id(1));
+	}
+
+	/**
+	 * Guards against jobs that go on for a host that was lost before it answered a new
+	 * scheduler for the first time.
+	 */
+	@Example
+	void aPeerThatNeverAnsweredCanBeSilent() {
+		this.election.received(host(1, "a", 0), START);
+		this.election.expect(Set.of(id(1)), START);
+		assertThat(this.election.silent(START + 600 * MILLI)).isEmpty();
+		assertThat(this.election.silent(START + 800 * MILLI)).containsExactly(id(1));
+		assertThat(this.election.silent(START + 900 * MILLI)).isEmpty();
+	}
+
 	private static HostId id(int number) {
 		return HostId.of("10.0.0." + number + ":1");
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -160,7 +160,7 @@
 			host.peers.learn(settings.seeds());
 			directory.start(host.new DirectoryListener());
 			host.scheduleTick();
-			host.loop.scheduleAtFixedRate(host.peers::beat, BEAT_MILLIS, BEAT_MILLIS, TimeUnit.MILLISECONDS);
+			host.loop.scheduleAtFixedRate(host::beat, BEAT_MILLIS, BEAT_MILLIS, TimeUnit.MILLISECONDS);
 		});
 		return host;
 	}
@@ -207,7 +207,11 @@
 	public void leave() {
 		this.leaving = true;
 		this.log.write(LogEvent.DRAINING, this.self);
-		this.peers.beat();
+		beat();
+	}
+
+	private void beat() {
+		this.election.expect(this.peers.beat(state()), this.clock.getAsLong());
 	}
 
 	// Closes the links to the other hosts.
@@ -282,7 +286,7 @@
 		this.scheduler.activate(this.claim, nowNanos);
 		this.directory.follow(true);
 		use(this.self.host());
-		this.peers.beat();
+		beat();
 	}
 
 	private void stepDown(HostId successor) {
@@ -423,6 +427,11 @@
 			FleetHost.this.election.heard(state, nowNanos);
 		}
 
+		@Override
+		public void received(HostState state, long nowNanos) {
+			FleetHost.this.election.received(state, nowNanos);
+		}
+
 		@Override
 		public void lost(HostId peer) {
 			FleetHost.this.log.write(LogEvent.HOST_LOST, peer);
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoopGroup;
@@ -21,6 +21,7 @@
 import org.limpetgate.Incarnation;
 import org.limpetgate.JobId;
 import org.limpetgate.Outcome;
+import org.limpetgate.fleet.BeatPlan;
 import org.limpetgate.fleet.HostState;
 import org.limpetgate.net.peer.PeerAddress;
 import org.limpetgate.net.peer.PeerIdentity;
@@ -39,8 +40,8 @@
 import org.limpetgate.scheduling.FencingToken;
 
 /**
- * The links to the other entry hosts: beats in both directions, and jobs on their way to
- * and from the scheduler.
+ * The links to the other entry hosts: beats to those of the {@link BeatPlan}, and jobs on
+ * their way to and from the scheduler.
  * <p>
  * Not thread-safe; used on the event loop.
  */
@@ -54,7 +55,7 @@
 	private static final long HANDSHAKE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
 	/** Beats show a silent link much sooner; probes only end a half-open one. */
-	private static final long PROBE_NANOS = TimeUnit.SECONDS.toNanos(1);
+	private static final long PROBE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
 	private static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -70,7 +71,7 @@
 
 	private final PeerServer server;
 
-	private final Set<HostId> known = new LinkedHashSet<>();
+	private final BeatPlan plan = new BeatPlan();
 
 	/** Results that other hosts wait for. */
 	private final Map<HostId, Map<JobId, CompletableFuture<PeerFrame.Builder>>> awaited = new HashMap<>();
@@ -97,9 +98,12 @@
 
 	// Adds hosts to talk to.
 	void learn(List<HostId> hosts) {
-		if (this.known.addAll(hosts)) {
-			this.known.remove(this.settings.host());
-			this.links.configure(this.known.stream().map(FleetPeers::address).toList());
+		boolean added = false;
+		for (HostId host : hosts) {
+			added |= !host.equals(this.settings.host()) && this.plan.learn(host);
+		}
+		if (added) {
+			this.links.configure(this.plan.hosts().stream().map(FleetPeers::address).toList());
 		}
 	}
 
@@ -111,28 +115,29 @@
 
 	// Closes a link that has gone silent and opens a new one.
 	void drop(HostId host) {
+		this.plan.lost(host);
 		if (this.links.isUp(host)) {
 			this.links.cut(host);
 			this.links.restore(host);
 		}
 	}
 
-	// Sends the state of this host to all peers.
-	void beat() {
+	// Sends the state of this host to the peers whose turn it is, and returns these.
+	Set<HostId> beat(HostState state) {
+		Set<HostId> targets = this.plan.next(!state.claim().isNone());
 		HostBeat beat = this.listener.beat(Long.MAX_VALUE);
-		for (HostId host : this.known) {
+		for (HostId host : targets) {
 			if (this.links.isUp(host)) {
 				this.links.request(host, PeerFrame.newBuilder().setHostBeat(beat), BEAT_TIMEOUT_NANOS)
-					.thenAccept((reply) -> heard(reply.getHostBeat()));
+					.thenAccept((reply) -> answered(reply.getHostBeat()));
 			}
 		}
+		return targets;
 	}
 
-	private void heard(HostBeat beat) {
-		IncarnationId id = beat.getIncarnation();
-		HostState state = new HostState(Incarnation.of(HostId.of(id.getHost()), id.getNumber()),
-				DataCentreId.of(beat.getDataCentre()), beat.getLeaving(), beat.getReady(), beat.getOverloaded(),
-				beat.getCpuMillis(), new FencingToken(beat.getSchedulerToken()), beat.getWholeScope());
+	private void answered(HostBeat beat) {
+		HostState state = stateOf(beat);
+		this.plan.heard(state);
 		learn(beat.getKnownHostsList().stream().map(HostId::of).toList());
 		this.listener.heard(state, this.clock.getAsLong());
 		if (!beat.getConfiguration().isEmpty()) {
@@ -140,12 +145,30 @@
 		}
 	}
 
+	private static HostState stateOf(HostBeat beat) {
+		IncarnationId id = beat.getIncarnation();
+		return new HostState(Incarnation.of(HostId.of(id.getHost()), id.getNumber()),
+				DataCentreId.of(beat.getDataCentre()), beat.getLeaving(), beat.getReady(), beat.getOverloaded(),
+				beat.getCpuMillis(), new FencingToken(beat.getSchedulerToken()), beat.getWholeScope());
+	}
+
+	private HostBeat received(HostBeat beat) {
+		HostState state = stateOf(beat);
+		this.plan.heard(state);
+		this.listener.received(state, this.clock.getAsLong());
+		HostBeat.Builder reply = this.listener.beat(beat.getConfigurationVersion()).toBuilder();
+		if (beat.getKnownHostsDigest() != reply.getKnownHostsDigest()) {
+			reply.addAllKnownHosts(linkedHosts());
+		}
+		return reply.build();
+	}
+
 	private Optional<CompletableFuture<PeerFrame.Builder>> handle(HostId peer, PeerFrame frame) {
 		learn(List.of(peer));
 		switch (frame.getMessageCase()) {
 			case HOST_BEAT -> {
-				HostBeat reply = this.listener.beat(frame.getHostBeat().getConfigurationVersion());
-				return Optional.of(CompletableFuture.completedFuture(PeerFrame.newBuilder().setHostBeat(reply)));
+				return Optional.of(CompletableFuture
+					.completedFuture(PeerFrame.newBuilder().setHostBeat(received(frame.getHostBeat()))));
 			}
 			case SUBMIT_JOB -> {
 				return Optional.of(submitted(peer, frame.getSubmitJob()));
@@ -215,7 +238,13 @@
 			.setCpuMillis(state.cpuMillis())
 			.setSchedulerToken(state.claim().value())
 			.setWholeScope(state.whole())
-			.addAllKnownHosts(this.known.stream().filter(this.links::isUp).map(HostId::value).toList());
+			.setKnownHostsDigest(linkedHosts().stream().mapToInt(String::hashCode).sum());
+	}
+
+	private List<String> linkedHosts() {
+		return Stream.concat(Stream.of(this.settings.host()), this.plan.hosts().stream().filter(this.links::isUp))
+			.map(HostId::value)
+			.toList();
 	}
 
 	static ByteString bytes(byte[] text) {
@@ -232,8 +261,12 @@
 
 		HostBeat beat(long versionOfPeer);
 
+		// A peer has answered a beat.
 		void heard(HostState state, long nowNanos);
 
+		// A beat of a peer has arrived.
+		void received(HostState state, long nowNanos);
+
 		void lost(HostId peer);
 
 		void configurationOffered(byte[] text);
@@ -248,6 +281,7 @@
 
 		@Override
 		public void linkDown(HostId peer) {
+			FleetPeers.this.plan.lost(peer);
 			FleetPeers.this.listener.lost(peer);
 		}
 
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredRecords.java
@@ -0,0 +1,132 @@
+package org.limpetgate.host.fleet;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.limpetgate.JobId;
+import org.limpetgate.fleet.JobLog;
+import org.limpetgate.proto.JobProgressRecord;
+import org.limpetgate.proto.JobStatus;
+import org.limpetgate.proto.StepProgressRecord;
+import org.limpetgate.proto.StoredJobRecord;
+import org.limpetgate.scheduling.JobProgress;
+import org.limpetgate.scheduling.StepProgress;
+import org.limpetgate.scheduling.StoredChange;
+import org.limpetgate.scheduling.StoredJob;
+import org.limpetgate.scheduling.StoredState;
+
+/**
+ * Converts changes of stored jobs to records of the {@link JobLog} and back. A job has
+ * one record with its specification, which is dropped when it ends, and one with its
+ * progress.
+ */
+final class StoredRecords {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final String SPECIFICATION = "job/";
+
+	private static final String PROGRESS = "progress/";
+
+	private static final byte[] DROPPED = new byte[0];
+
+	private StoredRecords() {
+	}
+
+	static List<JobLog.Entry> toRecords(StoredChange change) {
+		String id = change.job().value();
+		if (change instanceof StoredChange.Accepted accepted) {
+			StoredJobRecord record = StoredJobRecord.newBuilder()
+				.setJob(JobMessages.toMessage(accepted.spec()))
+				.setAcceptedMillis(accepted.acceptedMillis())
+				.build();
+			return List.of(new JobLog.Entry(SPECIFICATION + id, record.toByteArray()));
+		}
+		if (change instanceof StoredChange.Progressed progressed) {
+			JobLog.Entry progress = new JobLog.Entry(PROGRESS + id, toRecord(progressed.progress()).toByteArray());
+			return (progressed.progress().state() == StoredState.OPEN) ? List.of(progress)
+					: List.of(progress, new JobLog.Entry(SPECIFICATION + id, DROPPED));
+		}
+		return List.of(new JobLog.Entry(PROGRESS + id, DROPPED));
+	}
+
+	private static JobProgressRecord toRecord(JobProgress progress) {
+		JobProgressRecord.Builder record = JobProgressRecord.newBuilder()
+			.setState(toState(progress.state()))
+			.setEndedMillis(progress.endedMillis());
+		for (StepProgress step : progress.steps()) {
+			record.addSteps(StepProgressRecord.newBuilder()
+				.setDone(ByteString.copyFrom(step.done().toByteArray()))
+				.putAllFailures(step.failures())
+				.putAllCheckpoints(step.checkpoints()));
+		}
+		return record.build();
+	}
+
+	private static JobStatus.State toState(StoredState state) {
+		return switch (state) {
+			case OPEN -> JobStatus.State.RUNNING;
+			case COMPLETED -> JobStatus.State.COMPLETED;
+			case FAILED -> JobStatus.State.FAILED;
+			case CANCELED -> JobStatus.State.CANCELED;
+		};
+	}
+
+	/**
+	 * Reads all stored jobs.
+	 * @param records the newest values by key
+	 * @return the jobs; records that cannot be read are skipped and logged
+	 */
+	static List<StoredJob> toJobs(Map<String, byte[]> records) {
+		Map<String, StoredJobRecord> specifications = new HashMap<>();
+		Map<String, JobProgress> progress = new HashMap<>();
+		records.forEach((key, value) -> {
+			try {
+				if (key.startsWith(SPECIFICATION)) {
+					specifications.put(key.substring(SPECIFICATION.length()), StoredJobRecord.parseFrom(value));
+				}
+				else if (key.startsWith(PROGRESS)) {
+					progress.put(key.substring(PROGRESS.length()), toProgress(JobProgressRecord.parseFrom(value)));
+				}
+			}
+			catch (InvalidProtocolBufferException ex) {
+				logger.atSevere().log("LG1322 STORED_JOB_UNREADABLE key=%s reason=%s", key, ex.getMessage());
+			}
+		});
+		Set<String> ids = new HashSet<>(specifications.keySet());
+		ids.addAll(progress.keySet());
+		List<StoredJob> jobs = new ArrayList<>(ids.size());
+		for (String id : ids) {
+			StoredJobRecord specification = specifications.get(id);
+			jobs.add(new StoredJob(JobId.of(id),
+					(specification != null) ? JobMessages.toSpec(specification.getJob()) : null,
+					(specification != null) ? specification.getAcceptedMillis() : 0,
+					progress.getOrDefault(id, JobProgress.NONE)));
+		}
+		return jobs;
+	}
+
+	private static JobProgress toProgress(JobProgressRecord record) {
+		StoredState state = switch (record.getState()) {
+			case COMPLETED -> StoredState.COMPLETED;
+			case FAILED -> StoredState.FAILED;
+			case CANCELED -> StoredState.CANCELED;
+			case UNAVAILABLE, UNKNOWN, QUEUED, RUNNING, UNRECOGNIZED -> StoredState.OPEN;
+		};
+		List<StepProgress> steps = record.getStepsList()
+			.stream()
+			.map((step) -> new StepProgress(BitSet.valueOf(step.getDone().toByteArray()), step.getFailuresMap(),
+					step.getCheckpointsMap()))
+			.toList();
+		return new JobProgress(state, record.getEndedMillis(), steps);
+	}
+
+}
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/HostBeat.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/HostBeat.java
@@ -214,7 +214,7 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * Peer addresses of all hosts that the sender has heard from lately.
+   * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
    * </pre>
    *
    * <code>repeated string known_hosts = 9;</code>
@@ -226,7 +226,7 @@
   }
   /**
    * <pre>
-   * Peer addresses of all hosts that the sender has heard from lately.
+   * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
    * </pre>
    *
    * <code>repeated string known_hosts = 9;</code>
@@ -237,7 +237,7 @@
   }
   /**
    * <pre>
-   * Peer addresses of all hosts that the sender has heard from lately.
+   * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
    * </pre>
    *
    * <code>repeated string known_hosts = 9;</code>
@@ -249,7 +249,7 @@
   }
   /**
    * <pre>
-   * Peer addresses of all hosts that the sender has heard from lately.
+   * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
    * </pre>
    *
    * <code>repeated string known_hosts = 9;</code>
@@ -287,6 +287,21 @@
     return configuration_;
   }
 
+  public static final int KNOWN_HOSTS_DIGEST_FIELD_NUMBER = 12;
+  private int knownHostsDigest_ = 0;
+  /**
+   * <pre>
+   * Sum of the hashes of the addresses of all hosts to which the sender has links.
+   * </pre>
+   *
+   * <code>fixed32 known_hosts_digest = 12;</code>
+   * @return The knownHostsDigest.
+   */
+  @java.lang.Override
+  public int getKnownHostsDigest() {
+    return knownHostsDigest_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -334,6 +349,9 @@
     if (!configuration_.isEmpty()) {
       output.writeBytes(11, configuration_);
     }
+    if (knownHostsDigest_ != 0) {
+      output.writeFixed32(12, knownHostsDigest_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -385,6 +403,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(11, configuration_);
     }
+    if (knownHostsDigest_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed32Size(12, knownHostsDigest_);
+    }
     return size;
   }
   @java.lang.Override
@@ -434,6 +456,8 @@
         != other.getConfigurationVersion()) return false;
     if (!getConfiguration()
         .equals(other.getConfiguration())) return false;
+    if (getKnownHostsDigest()
+        != other.getKnownHostsDigest()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -477,6 +501,8 @@
         getConfigurationVersion());
     hash = (37 * hash) + CONFIGURATION_FIELD_NUMBER;
     hash = (53 * hash) + getConfiguration().hashCode();
+    hash = (37 * hash) + KNOWN_HOSTS_DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + getKnownHostsDigest();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -634,6 +660,7 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       configurationVersion_ = 0L;
       configuration_ = com.google.protobuf.ByteString.EMPTY;
+      knownHostsDigest_ = 0;
       return this;
     }
 
@@ -705,6 +732,9 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.configuration_ = configuration_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.knownHostsDigest_ = knownHostsDigest_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -762,6 +792,9 @@
       if (!other.getConfiguration().isEmpty()) {
         setConfiguration(other.getConfiguration());
       }
+      if (other.getKnownHostsDigest() != 0) {
+        setKnownHostsDigest(other.getKnownHostsDigest());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -843,6 +876,11 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 90
+            case 101: {
+              knownHostsDigest_ = input.readFixed32();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 101
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1313,7 +1351,7 @@
     }
     /**
      * <pre>
-     * Peer addresses of all hosts that the sender has heard from lately.
+     * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
      * </pre>
      *
      * <code>repeated string known_hosts = 9;</code>
@@ -1326,7 +1364,7 @@
     }
     /**
      * <pre>
-     * Peer addresses of all hosts that the sender has heard from lately.
+     * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
      * </pre>
      *
      * <code>repeated string known_hosts = 9;</code>
@@ -1337,7 +1375,7 @@
     }
     /**
      * <pre>
-     * Peer addresses of all hosts that the sender has heard from lately.
+     * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
      * </pre>
      *
      * <code>repeated string known_hosts = 9;</code>
@@ -1349,7 +1387,7 @@
     }
     /**
      * <pre>
-     * Peer addresses of all hosts that the sender has heard from lately.
+     * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
      * </pre>
      *
      * <code>repeated string known_hosts = 9;</code>
@@ -1362,7 +1400,7 @@
     }
     /**
      * <pre>
-     * Peer addresses of all hosts that the sender has heard from lately.
+     * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
      * </pre>
      *
      * <code>repeated string known_hosts = 9;</code>
@@ -1381,7 +1419,7 @@
     }
     /**
      * <pre>
-     * Peer addresses of all hosts that the sender has heard from lately.
+     * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
      * </pre>
      *
      * <code>repeated string known_hosts = 9;</code>
@@ -1399,7 +1437,7 @@
     }
     /**
      * <pre>
-     * Peer addresses of all hosts that the sender has heard from lately.
+     * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
      * </pre>
      *
      * <code>repeated string known_hosts = 9;</code>
@@ -1417,7 +1455,7 @@
     }
     /**
      * <pre>
-     * Peer addresses of all hosts that the sender has heard from lately.
+     * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
      * </pre>
      *
      * <code>repeated string known_hosts = 9;</code>
@@ -1432,7 +1470,7 @@
     }
     /**
      * <pre>
-     * Peer addresses of all hosts that the sender has heard from lately.
+     * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
      * </pre>
      *
      * <code>repeated string known_hosts = 9;</code>
@@ -1526,6 +1564,50 @@
       return this;
     }
 
+    private int knownHostsDigest_ ;
+    /**
+     * <pre>
+     * Sum of the hashes of the addresses of all hosts to which the sender has links.
+     * </pre>
+     *
+     * <code>fixed32 known_hosts_digest = 12;</code>
+     * @return The knownHostsDigest.
+     */
+    @java.lang.Override
+    public int getKnownHostsDigest() {
+      return knownHostsDigest_;
+    }
+    /**
+     * <pre>
+     * Sum of the hashes of the addresses of all hosts to which the sender has links.
+     * </pre>
+     *
+     * <code>fixed32 known_hosts_digest = 12;</code>
+     * @param value The knownHostsDigest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKnownHostsDigest(int value) {
+
+      knownHostsDigest_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Sum of the hashes of the addresses of all hosts to which the sender has links.
+     * </pre>
+     *
+     * <code>fixed32 known_hosts_digest = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKnownHostsDigest() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      knownHostsDigest_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.HostBeat)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/HostBeatOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/HostBeatOrBuilder.java
@@ -95,7 +95,7 @@
 
   /**
    * <pre>
-   * Peer addresses of all hosts that the sender has heard from lately.
+   * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
    * </pre>
    *
    * <code>repeated string known_hosts = 9;</code>
@@ -105,7 +105,7 @@
       getKnownHostsList();
   /**
    * <pre>
-   * Peer addresses of all hosts that the sender has heard from lately.
+   * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
    * </pre>
    *
    * <code>repeated string known_hosts = 9;</code>
@@ -114,7 +114,7 @@
   int getKnownHostsCount();
   /**
    * <pre>
-   * Peer addresses of all hosts that the sender has heard from lately.
+   * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
    * </pre>
    *
    * <code>repeated string known_hosts = 9;</code>
@@ -124,7 +124,7 @@
   java.lang.String getKnownHosts(int index);
   /**
    * <pre>
-   * Peer addresses of all hosts that the sender has heard from lately.
+   * Peer addresses of all hosts to which the sender has links; only in a reply, and only if the digests differ.
    * </pre>
    *
    * <code>repeated string known_hosts = 9;</code>
@@ -149,4 +149,14 @@
    * @return The configuration.
    */
   com.google.protobuf.ByteString getConfiguration();
+
+  /**
+   * <pre>
+   * Sum of the hashes of the addresses of all hosts to which the sender has links.
+   * </pre>
+   *
+   * <code>fixed32 known_hosts_digest = 12;</code>
+   * @return The knownHostsDigest.
+   */
+  int getKnownHostsDigest();
 }
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -290,32 +290,33 @@
       "detail\030\004 \001(\t\022\020\n\010operator\030\005 \001(\t\022\r\n\005table\030" +
       "\006 \001(\t\022\014\n\004name\030\007 \001(\t\022\024\n\014base_version\030\010 \001(" +
       "\022\022\017\n\007removal\030\t \001(\010\022\027\n\017issued_at_nanos\030\n " +
-      "\001(\006\022\031\n\021appended_at_nanos\030\013 \001(\006\"\220\002\n\010HostB" +
+      "\001(\006\022\031\n\021appended_at_nanos\030\013 \001(\006\"\254\002\n\010HostB" +
       "eat\022.\n\013incarnation\030\001 \001(\0132\031.limpetgate.In" +
       "carnationId\022\023\n\013data_centre\030\002 \001(\t\022\017\n\007leav" +
       "ing\030\003 \001(\010\022\r\n\005ready\030\004 \001(\010\022\022\n\noverloaded\030\005" +
       " \001(\010\022\022\n\ncpu_millis\030\006 \001(\r\022\027\n\017scheduler_to" +
       "ken\030\007 \001(\004\022\023\n\013whole_scope\030\010 \001(\010\022\023\n\013known_" +
       "hosts\030\t \003(\t\022\035\n\025configuration_version\030\n \001" +
-      "(\003\022\025\n\rconfiguration\030\013 \001(\014\"\301\001\n\007JobStep\022\r\n" +
-      "\005count\030\001 \001(\r\022\022\n\ncpu_millis\030\002 \001(\r\022\021\n\tmemo" +
-      "ry_mb\030\003 \001(\r\022\024\n\014accelerators\030\004 \001(\r\022\030\n\020est" +
-      "imated_millis\030\005 \001(\004\022\r\n\005after\030\006 \003(\r\022\026\n\016re" +
-      "quired_label\030\007 \001(\t\022\021\n\tdata_rack\030\010 \001(\t\022\026\n" +
-      "\016max_per_worker\030\t \001(\r\"\205\002\n\tSubmitJob\022\016\n\006j" +
-      "ob_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010priority" +
-      "\030\003 \001(\r\022\020\n\010attempts\030\004 \001(\r\022\017\n\007stretch\030\005 \001(" +
-      "\001\022\030\n\020objective_millis\030\006 \001(\004\022\025\n\rwaited_mi" +
-      "llis\030\007 \001(\004\022\030\n\020remaining_millis\030\010 \001(\004\022\017\n\007" +
-      "payload\030\t \001(\t\022\"\n\005steps\030\n \003(\0132\023.limpetgat" +
-      "e.JobStep\022\023\n\013resubmitted\030\013 \001(\010\022\r\n\005queue\030" +
-      "\014 \001(\t\"\277\001\n\tJobResult\022*\n\005state\030\001 \001(\0162\033.lim" +
-      "petgate.JobResult.State\022\016\n\006reason\030\002 \001(\t\022" +
-      "\032\n\022retry_after_millis\030\003 \001(\004\"Z\n\005State\022\017\n\013" +
-      "UNSPECIFIED\020\000\022\r\n\tCOMPLETED\020\001\022\n\n\006FAILED\020\002" +
-      "\022\013\n\007REFUSED\020\003\022\t\n\005MOVED\020\004\022\r\n\tABANDONED\020\005\"" +
-      "\035\n\013WithdrawJob\022\016\n\006job_id\030\001 \001(\tB\030\n\024org.li" +
-      "mpetgate.protoP\001b\006proto3"
+      "(\003\022\025\n\rconfiguration\030\013 \001(\014\022\032\n\022known_hosts" +
+      "_digest\030\014 \001(\007\"\301\001\n\007JobStep\022\r\n\005count\030\001 \001(\r" +
+      "\022\022\n\ncpu_millis\030\002 \001(\r\022\021\n\tmemory_mb\030\003 \001(\r\022" +
+      "\024\n\014accelerators\030\004 \001(\r\022\030\n\020estimated_milli" +
+      "s\030\005 \001(\004\022\r\n\005after\030\006 \003(\r\022\026\n\016required_label" +
+      "\030\007 \001(\t\022\021\n\tdata_rack\030\010 \001(\t\022\026\n\016max_per_wor" +
+      "ker\030\t \001(\r\"\205\002\n\tSubmitJob\022\016\n\006job_id\030\001 \001(\t\022" +
+      "\017\n\007service\030\002 \001(\t\022\020\n\010priority\030\003 \001(\r\022\020\n\010at" +
+      "tempts\030\004 \001(\r\022\017\n\007stretch\030\005 \001(\001\022\030\n\020objecti" +
+      "ve_millis\030\006 \001(\004\022\025\n\rwaited_millis\030\007 \001(\004\022\030" +
+      "\n\020remaining_millis\030\010 \001(\004\022\017\n\007payload\030\t \001(" +
+      "\t\022\"\n\005steps\030\n \003(\0132\023.limpetgate.JobStep\022\023\n" +
+      "\013resubmitted\030\013 \001(\010\022\r\n\005queue\030\014 \001(\t\"\277\001\n\tJo" +
+      "bResult\022*\n\005state\030\001 \001(\0162\033.limpetgate.JobR" +
+      "esult.State\022\016\n\006reason\030\002 \001(\t\022\032\n\022retry_aft" +
+      "er_millis\030\003 \001(\004\"Z\n\005State\022\017\n\013UNSPECIFIED\020" +
+      "\000\022\r\n\tCOMPLETED\020\001\022\n\n\006FAILED\020\002\022\013\n\007REFUSED\020" +
+      "\003\022\t\n\005MOVED\020\004\022\r\n\tABANDONED\020\005\"\035\n\013WithdrawJ" +
+      "ob\022\016\n\006job_id\030\001 \001(\tB\030\n\024org.limpetgate.pro" +
+      "toP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -488,7 +489,7 @@
     internal_static_limpetgate_HostBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_HostBeat_descriptor,
-        new java.lang.String[] { "Incarnation", "DataCentre", "Leaving", "Ready", "Overloaded", "CpuMillis", "SchedulerToken", "WholeScope", "KnownHosts", "ConfigurationVersion", "Configuration", });
+        new java.lang.String[] { "Incarnation", "DataCentre", "Leaving", "Ready", "Overloaded", "CpuMillis", "SchedulerToken", "WholeScope", "KnownHosts", "ConfigurationVersion", "Configuration", "KnownHostsDigest", });
     internal_static_limpetgate_JobStep_descriptor =
       getDescriptor().getMessageType(26);
     internal_static_limpetgate_JobStep_fieldAccessorTable = new
