--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/Queue.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/Queue.java
@@ -14,8 +14,10 @@
  * @param pathPrefix the start of the paths that it serves, not null
  * @param service the service whose workers run its tasks, not null
  * @param terms what the operators ask of its jobs, not null
+ * @param advised whether only an advisor of the platform knows which workers may run its
+ * steps
  */
-public record Queue(String name, String host, String pathPrefix, String service, QueueTerms terms) {
+public record Queue(String name, String host, String pathPrefix, String service, QueueTerms terms, boolean advised) {
 
 	public Queue {
 		Objects.requireNonNull(name, "name");
--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
@@ -204,6 +204,21 @@
 				this.peers.values().stream().filter((peer) -> isReached(peer, nowNanos)).map((peer) -> peer.state));
 	}
 
+	/**
+	 * Tells how many of the known hosts this host reaches.
+	 * @param self the state of this host, not null
+	 * @param nowNanos the present time, nanoseconds since the Unix epoch
+	 * @return the share, not null
+	 */
+	public Reach reach(HostState self, long nowNanos) {
+		long twice = 2 * reached(self, nowNanos).count();
+		int known = this.peers.size() + 1;
+		if (twice == known) {
+			return Reach.HALF;
+		}
+		return (twice > known) ? Reach.MOST : Reach.FEW;
+	}
+
 	private boolean isWhole(HostState self, long nowNanos) {
 		List<HostState> present = reached(self, nowNanos).toList();
 		if (2 * present.size() >= this.peers.size() + 1) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
@@ -103,15 +103,30 @@
 	// Whether a worker that serves the task may take it now.
 	private boolean isEligible(TaskEntity task, WorkerEntity worker, long nowNanos) {
 		StepSpec step = task.step();
-		if (!step.demand().fits(worker.room())) {
+		if (worker.reserved || !step.demand().fits(worker.room())) {
 			return false;
 		}
 		if (worker.suspectUntilNanos > nowNanos && (task.failures > 0 || !worker.runs.isEmpty())) {
 			return false;
 		}
+		if (disturbs(step, worker)) {
+			return false;
+		}
 		return step.maxPerWorker() <= 0 || runsOfStep(task, worker) < step.maxPerWorker();
 	}
 
+	// Tasks that fill are kept away from those that serve users, since how much they
+	// disturb changes within seconds.
+	private static boolean disturbs(StepSpec step, WorkerEntity worker) {
+		boolean filler = step.has(StepTrait.FILLER);
+		if (!filler && step.latencyTargetMillis() == 0) {
+			return false;
+		}
+		return worker.runs.values()
+			.stream()
+			.anyMatch((run) -> filler ? run.step().latencyTargetMillis() > 0 : run.step().has(StepTrait.FILLER));
+	}
+
 	private static long runsOfStep(TaskEntity task, WorkerEntity worker) {
 		TaskName name = task.name();
 		return worker.runs.keySet()
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -1,8 +1,12 @@
 package org.limpetgate.scheduling;
 
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 import org.limpetgate.HostId;
@@ -53,6 +57,15 @@
 
 	boolean ended;
 
+	/** Whether the acceptance of a stored job is saved. */
+	boolean saved;
+
+	/** The number of the change with which the end of a stored job is saved. */
+	long endChange;
+
+	/** Ends that workers go on listing until the next change of the job is saved. */
+	final List<StoredJobSystem.HeldEnd> heldEnds = new ArrayList<>();
+
 	/** Waiting tasks whose steps may start. */
 	int waitingTasks;
 
@@ -107,6 +120,53 @@
 		return true;
 	}
 
+	// Applies what was saved of an earlier scheduler's work.
+	void restore(JobProgress progress) {
+		for (int number = 0; number < Math.min(progress.steps().size(), this.steps.size()); number++) {
+			StepProgress step = progress.steps().get(number);
+			List<TaskEntity> tasks = this.steps.get(number);
+			step.failures().forEach((index, failures) -> tasks.get(index).failures = failures);
+			step.checkpoints().forEach((index, checkpoint) -> tasks.get(index).checkpoint = checkpoint);
+			step.done().stream().forEach((index) -> {
+				TaskEntity task = tasks.get(index);
+				if (task.state == TaskEntity.State.WAITING) {
+					this.waitingTasks--;
+				}
+				done(task);
+				this.started = true;
+			});
+		}
+	}
+
+	JobProgress progress() {
+		return new JobProgress(StoredState.OPEN, 0, this.steps.stream().map(JobEntity::progress).toList());
+	}
+
+	private static StepProgress progress(List<TaskEntity> tasks) {
+		BitSet done = new BitSet();
+		Map<Integer, Integer> failures = new HashMap<>();
+		Map<Integer, String> checkpoints = new HashMap<>();
+		for (TaskEntity task : tasks) {
+			int index = task.name().index();
+			if (task.state == TaskEntity.State.DONE) {
+				done.set(index);
+				continue;
+			}
+			if (task.failures > 0) {
+				failures.put(index, task.failures);
+			}
+			if (!task.checkpoint.isEmpty()) {
+				checkpoints.put(index, task.checkpoint);
+			}
+		}
+		return new StepProgress(done, failures, checkpoints);
+	}
+
+	// Returns the runs that count for its tasks.
+	List<RunEntity> runs() {
+		return this.steps.stream().flatMap(List::stream).map((task) -> task.run).filter(Objects::nonNull).toList();
+	}
+
 	TaskEntity find(TaskName name) {
 		if (name.occurrence() != 0 || name.step() < 0 || name.step() >= this.steps.size()) {
 			return null;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobOutcome.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobOutcome.java
@@ -3,6 +3,8 @@
 /** How a job ended for the host that submitted it. */
 public enum JobOutcome {
 
+	/** The job is stored. */
+	ACCEPTED,
 	/** All tasks are done. */
 	COMPLETED,
 	/** A task has failed as often as its queue allows. */
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSpec.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSpec.java
@@ -17,8 +17,11 @@
  * @param terms the terms of the queue, not null
  * @param payload what the workers get with each task, not null
  * @param steps the steps, at least one
+ * @param stored whether the job is kept in the platform's store until it has ended, and
+ * answered when it is stored; otherwise it is answered when it has ended
  */
-public record JobSpec(JobId id, String queue, String service, QueueTerms terms, String payload, List<StepSpec> steps) {
+public record JobSpec(JobId id, String queue, String service, QueueTerms terms, String payload, List<StepSpec> steps,
+		boolean stored) {
 
 	public JobSpec {
 		Objects.requireNonNull(id, "id");
@@ -26,6 +29,19 @@
 		steps = List.copyOf(steps);
 	}
 
+	/**
+	 * Creates a job that is not stored.
+	 * @param id the id, not null
+	 * @param queue the queue that took the job, not null
+	 * @param service the service whose workers run the tasks, not null
+	 * @param terms the terms of the queue, not null
+	 * @param payload what the workers get with each task, not null
+	 * @param steps the steps, at least one
+	 */
+	public JobSpec(JobId id, String queue, String service, QueueTerms terms, String payload, List<StepSpec> steps) {
+		this(id, queue, service, terms, payload, steps, false);
+	}
+
 	/**
 	 * Returns the number of tasks of all steps.
 	 * @return the number, at least 1
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -1,8 +1,11 @@
 package org.limpetgate.scheduling;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -13,24 +16,32 @@
  * Takes jobs, places their tasks, and ends them.
  * <p>
  * Invariants: a task starts only while no other run of it may be present on any worker; a
- * job that is refused has started nothing; a job ends once. Not thread-safe.
+ * job that is refused has started nothing; a job that is not stored ends once, and a
+ * stored one starts only when its acceptance is saved. Not thread-safe.
  */
 final class JobSystem implements RunListener {
 
-	/** The longest time to come back after a refusal. */
-	private static final long MAX_RETRY_AFTER_NANOS = TimeUnit.SECONDS.toNanos(3);
+	// The attempts of an earlier scheduler are not known; a few at once are skipped.
+	private static final int ATTEMPT_JUMP = 4;
 
-	/**
-	 * How long a late job waits for room before it is refused, as a share of its
-	 * objective.
-	 */
-	private static final double LATE_WAIT_SHARE = 0.5;
+	/** More stored jobs than this would not fit into the memory of a host. */
+	private static final int MAX_STORED_JOBS = 20_000;
 
-	/** A job is given up when it is this many times its objective late. */
-	private static final int LATE_FACTOR = 3;
+	/** A worker that stays out of reach for longer holds no stored job back. */
+	private static final long MAX_GUARD_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-	// The attempts of an earlier scheduler are not known; a few at once are skipped.
-	private static final int ATTEMPT_JUMP = 4;
+	/** A stored job that is late by more gets a worker kept free for its next task. */
+	private static final long STARVED_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+	/** The share of all workers that are kept free for such jobs. */
+	private static final double MAX_RESERVED_SHARE = 0.1;
+
+	private static final long MIN_RESTART_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private static final int MAX_RESTART_DOUBLINGS = 4;
+
+	/** A perpetual task that ran for this long is restarted at once. */
+	private static final long STABLE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
 	private final SchedulerTables tables;
 
@@ -38,9 +49,17 @@
 
 	private final QueueOrder order;
 
+	private final Admission admission;
+
+	private final StoredJobSystem stored;
+
+	private final RunSystem runs;
+
+	private final GangSystem gangs;
+
 	private final Set<JobEntity> waiting = new LinkedHashSet<>();
 
-	private WorkerSystem workers;
+	private Verification verification;
 
 	private long sequence;
 
@@ -48,16 +67,29 @@
 		this.tables = tables;
 		this.placement = placement;
 		this.order = order;
+		this.admission = new Admission(tables, order);
+		this.stored = new StoredJobSystem(tables);
+		this.runs = new RunSystem(tables, this);
+		this.gangs = new GangSystem(tables, placement, this.runs);
+	}
+
+	void connect(Verification workers) {
+		this.verification = workers;
 	}
 
-	void connect(WorkerSystem system) {
-		this.workers = system;
+	RunSystem runs() {
+		return this.runs;
+	}
+
+	StoredJobSystem stored() {
+		return this.stored;
 	}
 
 	void deactivate() {
 		List<JobEntity> open = List.copyOf(this.tables.jobs.values());
 		this.tables.jobs.clear();
 		this.waiting.clear();
+		this.stored.close();
 		for (JobEntity job : open) {
 			job.ended = true;
 			notifyOrigins(job, JobOutcome.MOVED, "the host no longer schedules", 0);
@@ -67,6 +99,10 @@
 	void submit(HostId origin, JobSpec spec, long waitedNanos, long remainingNanos, boolean resubmitted,
 			long nowNanos) {
 		JobEntity known = this.tables.jobs.get(spec.id());
+		if (spec.stored()) {
+			submitStored(origin, spec, known, waitedNanos, nowNanos);
+			return;
+		}
 		if (known != null) {
 			known.origins.add(origin);
 			return;
@@ -75,113 +111,121 @@
 		job.origins.add(origin);
 		job.resubmitted = resubmitted;
 		job.submittedNanos = nowNanos;
-		job.workNanos = workNanos(spec);
-		job.deadlineNanos = nowNanos + remainingNanos;
-		job.objectiveEndNanos = job.arrivalNanos() + spec.terms().objectiveNanos(job.workNanos);
-		job.latestStartNanos = latestStartNanos(job);
-		this.order.arrived(job, waitingWork(job), nowNanos);
-		if (!resubmitted && !isPossible(spec)) {
-			notifyOrigins(job, JobOutcome.REFUSED, "no worker is large enough or has the required label",
-					MAX_RETRY_AFTER_NANOS);
+		this.admission.measure(job, remainingNanos, nowNanos);
+		if (!resubmitted && !this.admission.isPossible(spec)) {
+			refuseImpossible(job);
 			return;
 		}
-		long wait = waitNanos(job, nowNanos);
+		long wait = this.admission.waitNanos(job, this.waiting, nowNanos);
 		if (!resubmitted && nowNanos + wait > job.latestStartNanos) {
-			notifyOrigins(job, JobOutcome.REFUSED, "the queue is longer than the job can wait", retryAfter(wait));
+			notifyOrigins(job, JobOutcome.REFUSED, "the queue is longer than the job can wait",
+					Admission.retryAfter(wait));
 			return;
 		}
 		this.tables.jobs.put(spec.id(), job);
 		this.waiting.add(job);
 		if (resubmitted) {
-			this.tables.verifyNanos = nowNanos;
-			this.tables.scanDue = true;
+			verifyWorkers(nowNanos);
 		}
-		this.workers.claimRuns(job, nowNanos);
+		this.runs.claimRuns(job, nowNanos);
 		this.tables.placementDue = true;
 	}
 
-	private double workNanos(JobSpec spec) {
-		double[] ends = new double[spec.steps().size()];
-		double longest = 0;
-		for (int number = 0; number < ends.length; number++) {
-			StepSpec step = spec.steps().get(number);
-			double begin = 0;
-			for (int earlier : step.after()) {
-				begin = Math.max(begin, ends[earlier]);
-			}
-			ends[number] = begin + this.tables.model.taskNanos(spec.queue(), step);
-			longest = Math.max(longest, ends[number]);
-		}
-		return longest;
+	private void refuseImpossible(JobEntity job) {
+		notifyOrigins(job, JobOutcome.REFUSED, "no worker is large enough or has the required label",
+				Admission.MAX_RETRY_AFTER_NANOS);
 	}
 
-	private boolean isPossible(JobSpec spec) {
-		return spec.steps().stream().allMatch((step) -> this.tables.workers.values().stream().anyMatch((worker) -> {
-			WorkerInfo info = worker.info;
-			return info.service().equals(spec.service()) && step.demand().fits(info.capacity())
-					&& (step.requiredLabel().isEmpty() || info.labels().contains(step.requiredLabel()));
-		}));
+	private void verifyWorkers(long nowNanos) {
+		this.tables.verifyNanos = nowNanos;
+		this.tables.scanDue = true;
 	}
 
-	// The start from which even the fastest worker would end too late. A job that takes
-	// longer than its estimate has a later objective, so that only the ratio counts.
-	private long latestStartNanos(JobEntity job) {
-		double fastest = Double.MAX_VALUE;
-		for (WorkerEntity worker : this.tables.workers.values()) {
-			if (worker.listed && worker.info.service().equals(job.spec().service())) {
-				fastest = Math.min(fastest, this.tables.model.factor(worker));
-			}
+	private void submitStored(HostId origin, JobSpec spec, JobEntity known, long waitedNanos, long nowNanos) {
+		JobEntity job = (known != null) ? known : new JobEntity(spec, this.sequence++, nowNanos - waitedNanos);
+		job.origins.add(origin);
+		if (this.stored.hasEnded(spec.id()) || job.saved) {
+			notifyAccepted(job);
+		}
+		else if (!this.stored.isOpen()) {
+			notifyOrigins(job, JobOutcome.REFUSED, "jobs that must be kept cannot be stored at present",
+					TimeUnit.SECONDS.toNanos(1));
+		}
+		else if (known == null && this.tables.jobs.size() >= MAX_STORED_JOBS) {
+			notifyOrigins(job, JobOutcome.REFUSED, "too many jobs are open", Admission.MAX_RETRY_AFTER_NANOS);
+		}
+		else if (known == null && !this.admission.isPossible(spec)) {
+			refuseImpossible(job);
+		}
+		else if (known == null) {
+			this.admission.measure(job, 0, nowNanos);
+			this.tables.jobs.put(spec.id(), job);
+			this.stored.accept(job, nowNanos, (savedNanos) -> accepted(job));
 		}
-		double work = (fastest < Double.MAX_VALUE) ? job.workNanos * fastest : job.workNanos;
-		return (long) (job.objectiveEndNanos - work) - SchedulerSettings.OVERHEAD_NANOS;
 	}
 
-	// The work that is placed before the job, spread over all workers of the service.
-	private long waitNanos(JobEntity job, long nowNanos) {
-		List<JobEntity> ordered = new ArrayList<>(this.waiting);
-		if (ordered.isEmpty()) {
-			return 0;
-		}
-		ordered.add(job);
-		this.order.sort(ordered, nowNanos);
-		double ahead = 0;
-		for (JobEntity other : ordered) {
-			if (other == job) {
-				break;
-			}
-			if (other.spec().service().equals(job.spec().service())) {
-				ahead += waitingWork(other);
-			}
+	private void accepted(JobEntity job) {
+		if (!job.saved && !job.ended) {
+			this.waiting.add(job);
+			this.tables.placementDue = true;
 		}
-		double capacity = 0;
-		for (WorkerEntity worker : this.tables.workers.values()) {
-			if (worker.isUsable() && worker.info.service().equals(job.spec().service())) {
-				capacity += worker.info.capacity().cpuMillis() / this.tables.model.factor(worker);
+		job.saved = true;
+		notifyAccepted(job);
+	}
+
+	private void notifyAccepted(JobEntity job) {
+		notifyOrigins(job, JobOutcome.ACCEPTED, "", 0);
+		job.origins.clear();
+	}
+
+	// Takes the jobs that an earlier scheduler left in the store.
+	void open(List<StoredJob> jobs, long nowNanos) {
+		this.stored.open(nowNanos, jobs.stream().filter((job) -> job.progress().state() != StoredState.OPEN).toList());
+		for (StoredJob read : jobs) {
+			if (read.progress().state() == StoredState.OPEN && read.spec() != null) {
+				restore(read, nowNanos);
 			}
 		}
-		return (capacity > 0) ? (long) (ahead / capacity) : 0;
+		this.runs.claimEnds(nowNanos);
+		verifyWorkers(nowNanos);
+		this.tables.placementDue = true;
 	}
 
-	private double waitingWork(JobEntity job) {
-		double work = 0;
-		for (List<TaskEntity> tasks : job.steps()) {
-			for (TaskEntity task : tasks) {
-				if (task.state == TaskEntity.State.WAITING) {
-					work += task.step().demand().cpuMillis()
-							* this.tables.model.taskNanos(job.spec().queue(), task.step());
-				}
-			}
+	private void restore(StoredJob read, long nowNanos) {
+		JobEntity job = new JobEntity(read.spec(), this.sequence++,
+				TimeUnit.MILLISECONDS.toNanos(read.acceptedMillis()));
+		job.restore(read.progress());
+		job.saved = true;
+		job.resubmitted = true;
+		job.submittedNanos = nowNanos;
+		this.admission.measure(job, 0, nowNanos);
+		this.tables.jobs.put(job.id(), job);
+		this.waiting.add(job);
+		this.runs.claimRuns(job, nowNanos);
+		if (job.isDone()) {
+			end(job, JobOutcome.COMPLETED, "", nowNanos);
 		}
-		return work;
 	}
 
-	private static long retryAfter(long waitNanos) {
-		return Math.min(MAX_RETRY_AFTER_NANOS, Math.max(waitNanos, TimeUnit.MILLISECONDS.toNanos(100)));
+	// Gives up the stored jobs, which another scheduler may take from now on.
+	void close(long nowNanos) {
+		this.stored.close();
+		this.runs.listEndsAgain();
+		for (JobEntity job : List.copyOf(this.tables.jobs.values())) {
+			if (job.spec().stored()) {
+				this.tables.jobs.remove(job.id());
+				this.waiting.remove(job);
+				job.ended = true;
+				job.runs().forEach((run) -> run.givenUp = true);
+				stopRuns(job, nowNanos);
+				notifyOrigins(job, JobOutcome.MOVED, "the host no longer keeps stored jobs", 0);
+			}
+		}
 	}
 
 	void withdraw(HostId origin, JobId id, long nowNanos) {
 		JobEntity job = this.tables.jobs.get(id);
-		if (job != null && job.origins.remove(origin) && job.origins.isEmpty()) {
+		if (job != null && job.origins.remove(origin) && job.origins.isEmpty() && !job.spec().stored()) {
 			end(job, null, "", nowNanos);
 		}
 	}
@@ -192,48 +236,60 @@
 		}
 	}
 
+	/**
+	 * Cancels a stored job.
+	 * @param id the job
+	 * @param nowNanos the present time
+	 * @return the number of the change with which its end is saved, 0 if it is, or empty
+	 * if the job is not known
+	 */
+	OptionalLong cancel(JobId id, long nowNanos) {
+		if (this.stored.hasEnded(id)) {
+			return OptionalLong.of(0);
+		}
+		JobEntity job = this.tables.jobs.get(id);
+		if (job == null || !job.spec().stored()) {
+			return OptionalLong.empty();
+		}
+		if (!job.ended) {
+			endStored(job, StoredState.CANCELED, nowNanos);
+		}
+		return OptionalLong.of(job.endChange);
+	}
+
 	void tick(long nowNanos) {
 		if (!this.tables.isActive()) {
 			return;
 		}
-		if (this.waiting.isEmpty()) {
-			return;
-		}
-		giveUpLate(nowNanos);
-		if (this.tables.placementDue) {
-			this.tables.placementDue = false;
-			place(nowNanos);
+		if (!this.waiting.isEmpty()) {
+			giveUpLate(nowNanos);
+			if (this.tables.placementDue) {
+				this.tables.placementDue = false;
+				place(nowNanos);
+			}
 		}
+		this.stored.tick(nowNanos);
 	}
 
 	private void giveUpLate(long nowNanos) {
 		for (JobEntity job : List.copyOf(this.waiting)) {
-			if (job.waitingTasks == 0 || job.latestStartNanos > nowNanos) {
+			if (!Admission.isLate(job, nowNanos)) {
 				continue;
 			}
-			if (!job.started && !job.resubmitted && nowNanos > refusalNanos(job)) {
+			if (Admission.isToBeRefused(job, nowNanos)) {
 				end(job, JobOutcome.REFUSED, "the queue is longer than the job can wait", nowNanos);
 			}
-			else if (nowNanos > giveUpNanos(job)) {
+			else if (Admission.isToBeGivenUp(job, nowNanos)) {
 				end(job, JobOutcome.ABANDONED, "no worker had room in time", nowNanos);
 			}
 		}
 	}
 
-	// A late answer is worth less than one in time, but more than none.
-	private static long refusalNanos(JobEntity job) {
-		long objective = job.spec().terms().objectiveNanos(job.workNanos);
-		return job.latestStartNanos + (long) (LATE_WAIT_SHARE * objective);
-	}
-
-	private static long giveUpNanos(JobEntity job) {
-		return Math.max(job.deadlineNanos,
-				job.arrivalNanos() + LATE_FACTOR * job.spec().terms().objectiveNanos(job.workNanos));
-	}
-
 	private void place(long nowNanos) {
 		List<JobEntity> ordered = new ArrayList<>(this.waiting);
 		this.order.sort(ordered, nowNanos);
+		this.tables.workers.values().forEach((worker) -> worker.reserved = false);
+		int reservations = Math.max(1, (int) (MAX_RESERVED_SHARE * this.tables.workers.size()));
 		for (JobEntity job : ordered) {
 			if (job.resubmitted && !isGuardOver(job, nowNanos)) {
 				this.tables.placementDue = true;
@@ -243,17 +299,50 @@
 			if (job.waitingTasks == 0) {
 				this.waiting.remove(job);
 			}
+			else if (reservations > 0 && isStarved(job, nowNanos) && reserveWorker(job)) {
+				reservations--;
+			}
 		}
 	}
 
+	private static boolean isStarved(JobEntity job, long nowNanos) {
+		return job.spec().stored() && nowNanos - job.latestStartNanos > STARVED_NANOS;
+	}
+
+	// Keeps a worker free of later jobs. Their smaller tasks would use up all room in
+	// which
+	// a large task could start.
+	private boolean reserveWorker(JobEntity job) {
+		Capacity demand = job.steps()
+			.stream()
+			.flatMap(List::stream)
+			.filter((task) -> task.state == TaskEntity.State.WAITING)
+			.map((task) -> task.step().demand())
+			.findFirst()
+			.orElse(Capacity.NONE);
+		Optional<WorkerEntity> best = this.tables.workers.values()
+			.stream()
+			.filter((worker) -> worker.isUsable() && !worker.reserved
+					&& worker.info.service().equals(job.spec().service()) && demand.fits(worker.info.capacity()))
+			.max(Comparator.comparingInt((worker) -> worker.room().cpuMillis()));
+		best.ifPresent((worker) -> worker.reserved = true);
+		return best.isPresent();
+	}
+
 	private boolean isGuardOver(JobEntity job, long nowNanos) {
-		return nowNanos - job.submittedNanos > this.tables.settings.resubmitGuardNanos()
-				|| this.workers.isVerified(job.submittedNanos, nowNanos);
+		SchedulerSettings settings = this.tables.settings;
+		long guard = job.spec().stored() ? settings.storedGuardNanos() : settings.resubmitGuardNanos();
+		return nowNanos - job.submittedNanos > guard || this.verification.isVerified(job.submittedNanos, nowNanos);
 	}
 
 	private void placeTasks(JobEntity job, long nowNanos) {
 		for (List<TaskEntity> tasks : job.steps()) {
-			double taskNanos = this.tables.model.taskNanos(job.spec().queue(), tasks.get(0).step());
+			StepSpec step = tasks.get(0).step();
+			double taskNanos = this.tables.model.taskNanos(job.spec().queue(), step);
+			if (step.has(StepTrait.GANG)) {
+				this.gangs.place(tasks, taskNanos, nowNanos);
+				continue;
+			}
 			for (TaskEntity task : tasks) {
 				if (task.state == TaskEntity.State.WAITING && !place(task, taskNanos, nowNanos)) {
 					break;
@@ -273,7 +362,7 @@
 		}
 		task.job().started = true;
 		task.job().waitingTasks--;
-		this.workers.start(task, worker, taskNanos * this.tables.model.factor(worker), nowNanos);
+		this.runs.start(task, worker, taskNanos * this.tables.model.factor(worker), nowNanos);
 		return true;
 	}
 
@@ -298,32 +387,107 @@
 		}
 		task.run = null;
 		JobEntity job = task.job();
+		keepCheckpoint(job, task, run);
+		if (task.step().has(StepTrait.PERPETUAL)) {
+			restartLater(task, run, nowNanos);
+			return;
+		}
+		if (job.spec().stored() && (end == RunEnd.DONE || end == RunEnd.FAILED)) {
+			this.stored.taskEnded(job, run.worker(), run.endNumber);
+		}
 		if (end == RunEnd.DONE) {
-			run.task = task;
-			this.tables.model.done(run, nowNanos - run.startedNanos());
-			run.task = null;
+			this.tables.model.done(run, task, nowNanos - run.startedNanos());
 			done(job, task, nowNanos);
 			return;
 		}
 		if (end == RunEnd.FAILED) {
-			task.failures++;
 			task.failedOn = run.worker();
-			if (task.failures >= job.spec().terms().attempts()) {
-				end(job, JobOutcome.FAILED, "task " + task.name() + " failed " + task.failures + " times", nowNanos);
+			if (countFailure(job, task, run.id().attempt(), nowNanos)) {
 				return;
 			}
 		}
 		if (end == RunEnd.OLD_ATTEMPT) {
 			task.nextAttempt += ATTEMPT_JUMP;
 		}
+		wait(task);
+		if (task.step().has(StepTrait.GANG)) {
+			this.gangs.stopOthers(job.steps().get(task.name().step()), nowNanos);
+		}
+	}
+
+	private static void keepCheckpoint(JobEntity job, TaskEntity task, RunEntity run) {
+		if (!task.step().has(StepTrait.CHECKPOINTED) || run.checkpoint.isEmpty()) {
+			return;
+		}
+		task.checkpoint = run.checkpoint;
+		if (task.step().has(StepTrait.GANG)) {
+			GangSystem.keepCheckpoint(job.steps().get(task.name().step()), run.checkpoint);
+		}
+	}
+
+	private void wait(TaskEntity task) {
 		task.state = TaskEntity.State.WAITING;
-		job.waitingTasks++;
-		this.waiting.add(job);
+		task.job().waitingTasks++;
+		this.waiting.add(task.job());
 		this.tables.placementDue = true;
 	}
 
+	private void restartLater(TaskEntity task, RunEntity run, long nowNanos) {
+		if (nowNanos - run.startedNanos() > STABLE_NANOS) {
+			task.restarts = 0;
+		}
+		long delay = (task.restarts == 0) ? 0 : MIN_RESTART_NANOS << Math.min(task.restarts - 1, MAX_RESTART_DOUBLINGS);
+		task.restarts++;
+		task.notBeforeNanos = nowNanos + delay;
+		wait(task);
+	}
+
+	// Returns whether the job has failed with it. A gang fails once for each attempt.
+	private boolean countFailure(JobEntity job, TaskEntity task, int attempt, long nowNanos) {
+		TaskEntity counted = task.step().has(StepTrait.GANG) ? job.steps().get(task.name().step()).get(0) : task;
+		if (counted.step().has(StepTrait.GANG) && attempt <= counted.failedAttempt) {
+			return false;
+		}
+		counted.failedAttempt = attempt;
+		counted.failures++;
+		if (counted.failures < job.spec().terms().attempts()) {
+			return false;
+		}
+		end(job, JobOutcome.FAILED, "task " + task.name() + " failed " + counted.failures + " times", nowNanos);
+		return true;
+	}
+
+	@Override
+	public void endedBefore(WorkerEntity worker, WorkerReport.Ended ended, long nowNanos) {
+		JobEntity job = this.tables.jobs.get(ended.run().task().job());
+		TaskEntity task = (job != null) ? job.find(ended.run().task()) : null;
+		if (task == null || job.ended || !job.spec().stored() || task.state == TaskEntity.State.DONE
+				|| task.step().has(StepTrait.PERPETUAL)) {
+			return;
+		}
+		this.stored.taskEnded(job, worker, ended.number());
+		job.started = true;
+		if (ended.kind() == WorkerReport.EndKind.FAILED) {
+			countFailure(job, task, ended.run().attempt(), nowNanos);
+			return;
+		}
+		if (task.state == TaskEntity.State.WAITING) {
+			job.waitingTasks--;
+		}
+		if (task.run != null) {
+			RunEntity needless = task.run;
+			task.run = null;
+			needless.task = null;
+			this.runs.stop(needless, nowNanos);
+		}
+		done(job, task, nowNanos);
+	}
+
 	private void done(JobEntity job, TaskEntity task, long nowNanos) {
 		job.done(task);
+		if (task.step().has(StepTrait.GANG)) {
+			this.gangs.done(job, job.steps().get(task.name().step()));
+		}
 		if (job.isDone()) {
 			end(job, JobOutcome.COMPLETED, "", nowNanos);
 		}
@@ -334,24 +498,31 @@
 	}
 
 	private void end(JobEntity job, JobOutcome outcome, String reason, long nowNanos) {
+		if (job.spec().stored()) {
+			endStored(job, (outcome == JobOutcome.FAILED) ? StoredState.FAILED : StoredState.COMPLETED, nowNanos);
+			return;
+		}
 		this.tables.jobs.remove(job.id());
 		this.waiting.remove(job);
 		job.ended = true;
-		List<RunEntity> runs = new ArrayList<>();
-		for (List<TaskEntity> tasks : job.steps()) {
-			for (TaskEntity task : tasks) {
-				if (task.run != null) {
-					runs.add(task.run);
-				}
-			}
-		}
-		runs.forEach((run) -> this.workers.stop(run, nowNanos));
+		stopRuns(job, nowNanos);
 		if (outcome != null) {
 			notifyOrigins(job, outcome, reason,
-					(outcome == JobOutcome.REFUSED) ? retryAfter(nowNanos - job.arrivalNanos()) : 0);
+					(outcome == JobOutcome.REFUSED) ? Admission.retryAfter(nowNanos - job.arrivalNanos()) : 0);
 		}
 	}
 
+	private void endStored(JobEntity job, StoredState state, long nowNanos) {
+		this.waiting.remove(job);
+		job.ended = true;
+		stopRuns(job, nowNanos);
+		job.endChange = this.stored.jobEnded(job, state, nowNanos);
+	}
+
+	private void stopRuns(JobEntity job, long nowNanos) {
+		job.runs().forEach((run) -> this.runs.stop(run, nowNanos));
+	}
+
 	private void notifyOrigins(JobEntity job, JobOutcome outcome, String reason, long retryAfterNanos) {
 		for (HostId origin : job.origins) {
 			this.tables.emit(new SchedulingEffect.JobEnded(origin, job.id(), outcome, reason, retryAfterNanos));
@@ -362,4 +533,38 @@
 		return this.waiting.size();
 	}
 
+	// Returns the number of stored jobs of a queue of which no task has started.
+	int pendingJobs(String queue) {
+		return (int) this.tables.jobs.values()
+			.stream()
+			.filter((job) -> job.saved && !job.started && !job.ended && job.spec().queue().equals(queue))
+			.count();
+	}
+
+	boolean hasStoredJobs() {
+		return this.tables.jobs.values().stream().anyMatch((job) -> job.spec().stored());
+	}
+
+	/** Tells whether all runs on all workers are known. */
+	interface Verification {
+
+		/**
+		 * Tests whether every worker of the fleet has shown its runs since a time.
+		 * @param sinceNanos the time
+		 * @param nowNanos the present time
+		 * @return true if each has, under a token that fences earlier owners
+		 */
+		boolean isVerified(long sinceNanos, long nowNanos);
+
+		/**
+		 * Tests whether every worker that is not taken for gone has shown its runs since
+		 * a time.
+		 * @param sinceNanos the time
+		 * @param nowNanos the present time
+		 * @return true if each has
+		 */
+		boolean isPresentVerified(long sinceNanos, long nowNanos);
+
+	}
+
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
@@ -25,7 +25,7 @@
 
 	private final WorkerEntity worker;
 
-	private final Capacity demand;
+	private final StepSpec step;
 
 	private final long startedNanos;
 
@@ -47,13 +47,22 @@
 
 	int percent;
 
+	/** The last checkpoint that the worker told, empty if there is none. */
+	String checkpoint = "";
+
+	/** Whether it belongs to a stored job that another scheduler may have taken over. */
+	boolean givenUp;
+
+	/** The number of its end in the worker's list, 0 if it was not listed. */
+	long endNumber;
+
 	/** When the percentage last rose, nanoseconds since the Unix epoch. */
 	long progressNanos;
 
-	RunEntity(RunId id, WorkerEntity worker, Capacity demand, TaskEntity task, long nowNanos) {
+	RunEntity(RunId id, WorkerEntity worker, StepSpec step, TaskEntity task, long nowNanos) {
 		this.id = id;
 		this.worker = worker;
-		this.demand = demand;
+		this.step = step;
 		this.task = task;
 		this.startedNanos = nowNanos;
 		this.stateSinceNanos = nowNanos;
@@ -68,8 +77,12 @@
 		return this.worker;
 	}
 
+	StepSpec step() {
+		return this.step;
+	}
+
 	Capacity demand() {
-		return this.demand;
+		return this.step.demand();
 	}
 
 	long startedNanos() {
@@ -81,6 +94,12 @@
 		this.stateSinceNanos = nowNanos;
 	}
 
+	void checkpoint(String value) {
+		if (!value.isEmpty()) {
+			this.checkpoint = value;
+		}
+	}
+
 	void progressed(int value, long nowNanos) {
 		if (value > this.percent) {
 			this.percent = value;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunListener.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunListener.java
@@ -21,6 +21,14 @@
 	 */
 	TaskEntity adopt(WorkerEntity worker, RunId run);
 
+	/**
+	 * Takes note of the end of a run of an earlier owner.
+	 * @param worker the worker that lists the end
+	 * @param ended the end
+	 * @param nowNanos the present time, nanoseconds since the Unix epoch
+	 */
+	void endedBefore(WorkerEntity worker, WorkerReport.Ended ended, long nowNanos);
+
 	/** How a run ended for its task. */
 	enum RunEnd {
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -160,8 +160,11 @@
 			this.tables.absent(ended.run().task());
 		}
 		RunEntity run = worker.runs.get(ended.run());
-		if (run == null) {
-			endOfEarlierOwner(worker, ended, nowNanos);
+		if (run == null || run.givenUp) {
+			endOfOtherOwner(worker, ended, nowNanos);
+			if (run != null) {
+				finish(run, RunEnd.LOST, nowNanos);
+			}
 			return;
 		}
 		run.checkpoint(ended.checkpoint());
@@ -180,9 +183,9 @@
 		}
 	}
 
-	// The jobs that are stored may not be read yet, so that the end of one of their runs
-	// must go on being listed.
-	private void endOfEarlierOwner(WorkerEntity worker, WorkerReport.Ended ended, long nowNanos) {
+	// The stored jobs may not be read yet, or another scheduler has them, so that the end
+	// of one of their runs must go on being listed.
+	private void endOfOtherOwner(WorkerEntity worker, WorkerReport.Ended ended, long nowNanos) {
 		if (ended.kind() != EndKind.DONE && ended.kind() != EndKind.FAILED) {
 			return;
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunTimeModel.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunTimeModel.java
@@ -74,10 +74,10 @@
 	/**
 	 * Takes note of a run that was done.
 	 * @param run the run
+	 * @param task its task
 	 * @param tookNanos its duration in nanoseconds
 	 */
-	void done(RunEntity run, long tookNanos) {
-		TaskEntity task = run.task;
+	void done(RunEntity run, TaskEntity task, long tookNanos) {
 		String queue = task.job().spec().queue();
 		double ratio = tookNanos / taskNanos(queue, task.step());
 		double factor = factor(run.worker());
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -1,6 +1,9 @@
 package org.limpetgate.scheduling;
 
 import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -33,7 +36,7 @@
 	private Scheduler(SchedulerSettings settings, Function<RunTimeModel, Placement> placement) {
 		this.tables = new SchedulerTables(settings);
 		this.jobs = new JobSystem(this.tables, placement.apply(this.tables.model), new DemandOrder(PRIORITY_FACTOR));
-		this.workers = new WorkerSystem(this.tables, this.jobs);
+		this.workers = new WorkerSystem(this.tables, this.jobs.runs());
 		this.jobs.connect(this.workers);
 	}
 
@@ -127,7 +130,7 @@
 	 * @param nowNanos the present time
 	 */
 	public void startAnswered(UpstreamId worker, RunId run, StartAnswer answer, long nowNanos) {
-		this.workers.startAnswered(worker, run, answer, nowNanos);
+		this.jobs.runs().startAnswered(worker, run, answer, nowNanos);
 	}
 
 	/**
@@ -138,7 +141,7 @@
 	 * @param nowNanos the present time
 	 */
 	public void stopAnswered(UpstreamId worker, RunId run, boolean acknowledged, long nowNanos) {
-		this.workers.stopAnswered(worker, run, acknowledged, nowNanos);
+		this.jobs.runs().stopAnswered(worker, run, acknowledged, nowNanos);
 	}
 
 	/**
@@ -173,9 +176,84 @@
 	public void tick(long nowNanos, Consumer<SchedulingEffect> effects) {
 		this.workers.tick(nowNanos);
 		this.jobs.tick(nowNanos);
+		// Workers that got a start are polled for its end.
+		this.workers.tick(nowNanos);
 		this.tables.drain(effects);
 	}
 
+	/**
+	 * Takes over the stored jobs. No other scheduler can save changes any more.
+	 * @param stored the jobs that are stored, not null
+	 * @param nowNanos the present time
+	 */
+	public void storedJobsRead(List<StoredJob> stored, long nowNanos) {
+		this.jobs.open(stored, nowNanos);
+	}
+
+	/**
+	 * Gives up the stored jobs and stops their runs, since another scheduler may have
+	 * taken them over.
+	 * @param nowNanos the present time
+	 */
+	public void storedJobsLost(long nowNanos) {
+		this.jobs.close(nowNanos);
+	}
+
+	/**
+	 * Tests whether this scheduler knows the stored jobs.
+	 * @return true between {@link #storedJobsRead} and {@link #storedJobsLost}
+	 */
+	public boolean knowsStoredJobs() {
+		return this.jobs.stored().isOpen();
+	}
+
+	/**
+	 * Tests whether there are stored jobs that have not ended.
+	 * @return true if there are
+	 */
+	public boolean hasStoredJobs() {
+		return this.jobs.hasStoredJobs();
+	}
+
+	/**
+	 * Reports that changes are saved.
+	 * @param sequence the number of the last one of {@link SchedulingEffect.SaveChange}
+	 * @param nowNanos the present time
+	 */
+	public void changesSaved(long sequence, long nowNanos) {
+		this.jobs.stored().saved(sequence, nowNanos);
+		this.tables.placementDue = true;
+	}
+
+	/**
+	 * Cancels a stored job.
+	 * @param job the job, not null
+	 * @param nowNanos the present time
+	 * @return the number of the change that must be saved before the caller is told, 0 if
+	 * there is none, or empty if no such job is known
+	 */
+	public OptionalLong cancel(JobId job, long nowNanos) {
+		return this.jobs.cancel(job, nowNanos);
+	}
+
+	/**
+	 * Returns the state of a stored job.
+	 * @param job the job, not null
+	 * @return the state, empty if no such job is known
+	 */
+	public Optional<JobState> state(JobId job) {
+		return Optional.ofNullable(this.jobs.stored().state(job));
+	}
+
+	/**
+	 * Returns the number of stored jobs of a queue of which no task has started.
+	 * @param queue the name of the queue, not null
+	 * @return the number, at least 0
+	 */
+	public int pendingJobs(String queue) {
+		return this.jobs.pendingJobs(queue);
+	}
+
 	/**
 	 * Returns the number of jobs with tasks that wait for a worker.
 	 * @return the number, at least 0
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
@@ -4,7 +4,9 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.limpetgate.JobId;
@@ -39,6 +41,12 @@
 	/** Every worker is to be polled once after this time. */
 	long verifyNanos;
 
+	/** Workers with an event since the last tick. */
+	final Set<WorkerEntity> touched = new LinkedHashSet<>();
+
+	/** Whether the stored jobs were read, so that an unknown job is none of them. */
+	boolean storedJobsKnown;
+
 	/** Whether all workers are to be looked at in the next tick. */
 	boolean scanDue;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
@@ -14,10 +14,11 @@
 	 * @param worker the worker
 	 * @param run the run
 	 * @param payload the payload of the job
+	 * @param checkpoint the checkpoint from which the run resumes, empty for none
 	 * @param leaseEndMillis the end of the lease on the worker's clock, in milliseconds
 	 * @param token the token of the owner
 	 */
-	record StartRun(WorkerInfo worker, RunId run, String payload, long leaseEndMillis,
+	record StartRun(WorkerInfo worker, RunId run, String payload, String checkpoint, long leaseEndMillis,
 			FencingToken token) implements SchedulingEffect {
 
 	}
@@ -50,6 +51,16 @@
 
 	}
 
+	/**
+	 * Saves a change of a stored job. Changes are saved in the order of the effects.
+	 *
+	 * @param sequence the number of the change, rising
+	 * @param change the change
+	 */
+	record SaveChange(long sequence, StoredChange change) implements SchedulingEffect {
+
+	}
+
 	/**
 	 * Tells the host that submitted a job how it ended.
 	 *
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/TaskEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/TaskEntity.java
@@ -29,12 +29,21 @@
 	/** Runs that ended as failed. */
 	int failures;
 
+	/** The highest attempt that was counted as failed, for the first task of a gang. */
+	int failedAttempt;
+
+	/** How often a perpetual task was restarted in a row. */
+	int restarts;
+
 	/** The attempt number of the next run. */
 	int nextAttempt = 1;
 
 	/** The task does not start before this time, nanoseconds since the Unix epoch. */
 	long notBeforeNanos;
 
+	/** The checkpoint from which the next run resumes, empty if there is none. */
+	String checkpoint = "";
+
 	/** The run that counts, null if none is present. */
 	RunEntity run;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -1,8 +1,11 @@
 package org.limpetgate.scheduling;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 
 /**
  * The state of one worker. Belongs to the thread of the scheduler.
@@ -46,7 +49,16 @@
 	private Capacity used = Capacity.NONE;
 
 	/** The number of the last end that was taken note of. */
-	long ackNumber;
+	long lastEnd;
+
+	/** Numbers of ends that the worker must go on listing until they are saved. */
+	final TreeSet<Long> heldEnds = new TreeSet<>();
+
+	/** Ends of earlier owners' runs that wait for the stored jobs to be known. */
+	final List<WorkerReport.Ended> unclaimedEnds = new ArrayList<>();
+
+	/** Whether a poll is due to acknowledge ends. */
+	boolean ackDue;
 
 	/** Polls without an answer: their sequence numbers and when they were sent. */
 	final Map<Long, Long> polls = new HashMap<>();
@@ -72,6 +84,9 @@
 
 	long lastReportNanos;
 
+	/** Whether the present pass over the waiting jobs keeps it free for a large task. */
+	boolean reserved;
+
 	/** Failed runs in a row. */
 	int failuresInRow;
 
@@ -118,6 +133,29 @@
 		return !this.runs.isEmpty() || !this.foreign.isEmpty();
 	}
 
+	// Returns the number up to which the worker may forget ends.
+	long ackNumber() {
+		return this.heldEnds.isEmpty() ? this.lastEnd : this.heldEnds.first() - 1;
+	}
+
+	void release(long endNumber) {
+		this.heldEnds.remove(endNumber);
+		this.ackDue = true;
+	}
+
+	void suspect(long nanos, long nowNanos) {
+		this.suspectUntilNanos = Math.max(this.suspectUntilNanos, nowNanos + nanos);
+	}
+
+	void disown(long retryAtNanos) {
+		this.ownership = Ownership.NOT_OWNED;
+		this.retryNanos = retryAtNanos;
+	}
+
+	long leaseEndMillis(SchedulerSettings settings, long nowNanos) {
+		return clockMillis(nowNanos) + settings.leaseMillis();
+	}
+
 	void clockRead(long millis, long nowNanos) {
 		this.clockMillis = millis;
 		this.clockReadNanos = nowNanos;
@@ -134,7 +172,9 @@
 		this.foreign.clear();
 		this.polls.clear();
 		this.used = Capacity.NONE;
-		this.ackNumber = 0;
+		this.lastEnd = 0;
+		this.heldEnds.clear();
+		this.unclaimedEnds.clear();
 		this.ownership = Ownership.NOT_OWNED;
 		this.retryNanos = 0;
 		this.failuresInRow = 0;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerReport.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerReport.java
@@ -26,8 +26,9 @@
 	 *
 	 * @param run the run
 	 * @param percent how much of its work is done, 0 to 100
+	 * @param checkpoint its last checkpoint, empty if there is none
 	 */
-	public record Running(RunId run, int percent) {
+	public record Running(RunId run, int percent, String checkpoint) {
 
 	}
 
@@ -37,8 +38,9 @@
 	 * @param number its number in the list of the worker's life
 	 * @param run the run
 	 * @param kind how it ended
+	 * @param checkpoint its last checkpoint, empty if there is none
 	 */
-	public record Ended(long number, RunId run, EndKind kind) {
+	public record Ended(long number, RunId run, EndKind kind, String checkpoint) {
 
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
@@ -46,6 +46,11 @@
 
 	private long leaseEndMillis;
 
+	/** When the lease was last renewed after it had ended. */
+	private long leaseBrokenNanos;
+
+	private final Map<Long, Long> endTimes = new HashMap<>();
+
 	boolean draining;
 
 	FakeWorker(String id, long nowNanos, double clockRate, RunWatcher watcher) {
@@ -91,6 +96,9 @@
 	}
 
 	private void extend(long leaseEnd, long nowNanos) {
+		if (this.leaseEndMillis <= clockMillis(nowNanos)) {
+			this.leaseBrokenNanos = nowNanos;
+		}
 		long capped = Math.min(leaseEnd, clockMillis(nowNanos) + MAX_LEASE_MILLIS);
 		this.leaseEndMillis = Math.max(this.leaseEndMillis, capped);
 	}
@@ -117,7 +125,7 @@
 		}
 		this.highestToken = order.token().value();
 		if (order.worker().bornMillis() == this.bornNanos / 1_000_000) {
-			this.ended.removeIf((end) -> end.number() <= order.ackNumber());
+			acknowledge(order.ackNumber(), nowNanos);
 			if (order.leaseEndMillis() > 0) {
 				extend(order.leaseEndMillis(), nowNanos);
 			}
@@ -125,10 +133,25 @@
 		return report(nowNanos);
 	}
 
+	// An end counts as taken note of unless the lease has ended since.
+	private void acknowledge(long number, long nowNanos) {
+		for (WorkerReport.Ended end : List.copyOf(this.ended)) {
+			if (end.number() <= number) {
+				this.ended.remove(end);
+				long endedAt = this.endTimes.remove(end.number());
+				if (end.kind() == EndKind.DONE && this.leaseEndMillis > clockMillis(nowNanos)
+						&& this.leaseBrokenNanos < endedAt) {
+					this.watcher.noted(this, end.run());
+				}
+			}
+		}
+	}
+
 	WorkerReport report(long nowNanos) {
 		advance(nowNanos);
 		return new WorkerReport(this.bornNanos / 1_000_000, clockMillis(nowNanos),
-				this.running.keySet().stream().map((run) -> new WorkerReport.Running(run, 50)).toList(), this.ended);
+				this.running.keySet().stream().map((run) -> new WorkerReport.Running(run, 50, "")).toList(),
+				this.ended);
 	}
 
 	boolean hasEnds(long nowNanos) {
@@ -141,18 +164,19 @@
 		for (RunId id : List.copyOf(this.running.keySet())) {
 			Run run = this.running.get(id);
 			if (run.endNanos() <= nowNanos) {
-				end(id, run.end());
+				end(id, run.end(), run.endNanos());
 			}
 			else if (this.leaseEndMillis <= clockMillis(nowNanos)) {
-				end(id, EndKind.LAPSED);
+				end(id, EndKind.LAPSED, nowNanos);
 			}
 		}
 	}
 
-	private void end(RunId id, EndKind kind) {
+	private void end(RunId id, EndKind kind, long nowNanos) {
 		this.running.remove(id);
 		this.endedAttempts.merge(id.task(), id.attempt(), Math::max);
-		this.ended.add(new WorkerReport.Ended(++this.lastEnd, id, kind));
+		this.ended.add(new WorkerReport.Ended(++this.lastEnd, id, kind, ""));
+		this.endTimes.put(this.lastEnd, nowNanos);
 		this.watcher.ended(this, id, kind);
 	}
 
@@ -161,6 +185,7 @@
 		this.running.keySet().forEach((run) -> this.watcher.ended(this, run, EndKind.LAPSED));
 		this.running.clear();
 		this.ended.clear();
+		this.endTimes.clear();
 		this.endedAttempts.clear();
 		this.highestToken = 0;
 		this.lastEnd = 0;
@@ -187,6 +212,9 @@
 
 		void ended(FakeWorker worker, RunId run, EndKind kind);
 
+		// The end of a run that is done was acknowledged under an unbroken lease.
+		void noted(FakeWorker worker, RunId run);
+
 	}
 
 	private record Run(Capacity demand, long endNanos, EndKind end) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FinishTimePlacementTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FinishTimePlacementTests.java
@@ -78,7 +78,8 @@
 
 	private static void fill(WorkerEntity worker) {
 		RunId run = new RunId(new TaskName(JobId.of("other"), 0, 0, 0), 1);
-		worker.add(new RunEntity(run, worker, worker.info.capacity(), null, NOW));
+		worker.add(new RunEntity(run, worker, new StepSpec(1, worker.info.capacity(), 0, List.of(), "", "", 0), null,
+				NOW));
 	}
 
 	private static WorkerEntity worker(String id, double factor) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/PlacementExperiment.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/PlacementExperiment.java
@@ -322,6 +322,11 @@
 		public void ended(FakeWorker worker, RunId run, EndKind kind) {
 		}
 
+		@Override
+		public void noted(FakeWorker worker, RunId run) {
+			// Nothing is checked here.
+		}
+
 	}
 
 	private record Event(long atNanos, long sequence, Runnable action) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
@@ -20,11 +20,15 @@
 /**
  * Schedulers and workers in virtual time with faults at random: orders whose answers are
  * lost or that are carried out late, cut paths, restarted workers, entries that leave the
- * list, paused and killed schedulers, and two schedulers at the same time.
+ * list, paused and killed schedulers, and two schedulers at the same time. A third of the
+ * jobs are stored, in a log that one scheduler writes at a time and that is away at
+ * times.
  * <p>
  * Checks at every start that no worker holds more than its capacity, that no task runs
  * twice at the same time, that nothing of a refused job runs, and at the end of a job
- * that it was completed only if every task was done. Not thread-safe.
+ * that it was completed only if every task was done; of stored jobs, that no task starts
+ * after its end was taken note of, and that no accepted job is forgotten. Not
+ * thread-safe.
  */
 final class SchedulerSimulation {
 
@@ -56,6 +60,9 @@
 
 	private final Map<JobId, JobSpec> jobs = new HashMap<>();
 
+	/** Jobs that more than one scheduler got, so that one refusal says little. */
+	private final Set<JobId> resubmitted = new HashSet<>();
+
 	private final Map<JobId, Integer> owners = new HashMap<>();
 
 	/** Pairs of scheduler and worker that cannot reach each other. */
@@ -63,6 +70,20 @@
 
 	private final Set<UpstreamId> unlisted = new HashSet<>();
 
+	private final StoredLog log = new StoredLog();
+
+	/** Stored jobs whose callers were told so. */
+	private final Set<JobId> accepted = new HashSet<>();
+
+	/** Tasks of stored jobs whose end was taken note of. */
+	private final Set<TaskName> noted = new HashSet<>();
+
+	/** Runs of stored jobs that are done, by task. */
+	private final Map<TaskName, Set<String>> doneRuns = new HashMap<>();
+
+	/** Runs of stored jobs that were done before another run of their task started. */
+	private final Set<String> superseded = new HashSet<>();
+
 	private final List<String> violations = new ArrayList<>();
 
 	private long now = START;
@@ -73,6 +94,9 @@
 
 	private int steps;
 
+	/** Whether there are no more arrivals and faults. */
+	private boolean quiet;
+
 	private int completed;
 
 	private int refused;
@@ -104,6 +128,22 @@
 		return this;
 	}
 
+	// Ends all faults and arrivals and runs for a time.
+	SchedulerSimulation settle(long nanos) {
+		this.quiet = true;
+		this.log.away = false;
+		this.cuts.clear();
+		this.unlisted.clear();
+		this.workers.values().forEach((worker) -> worker.draining = false);
+		long end = this.now + nanos;
+		while (this.now < end && this.violations.isEmpty()) {
+			Event event = this.events.poll();
+			this.now = Math.max(this.now, event.atNanos());
+			event.action().run();
+		}
+		return this;
+	}
+
 	List<String> violations() {
 		return this.violations;
 	}
@@ -138,16 +178,23 @@
 	}
 
 	private void arrive() {
+		if (this.quiet) {
+			return;
+		}
 		JobId id = JobId.of("j" + this.nextJob++);
 		StepSpec step = new StepSpec(1 + this.random.nextInt(4), new Capacity(3000 + this.random.nextInt(6000), 64, 0),
 				(20 + this.random.nextInt(200)) * MILLI, List.of(), "", "", 0);
-		JobSpec spec = new JobSpec(id, "q", "service", new QueueTerms(0, 3, 1.6, 60 * MILLI), "", List.of(step));
+		JobSpec spec = new JobSpec(id, "q", "service", new QueueTerms(0, 3, 1.6, 60 * MILLI), "", List.of(step),
+				this.random.nextInt(3) == 0);
 		this.jobs.put(id, spec);
 		hand(id, false);
 		at((5 + this.random.nextInt(60)) * MILLI, this::arrive);
 	}
 
 	private void hand(JobId id, boolean resubmitted) {
+		if (resubmitted) {
+			this.resubmitted.add(id);
+		}
 		Host target = this.hosts.stream()
 			.filter((host) -> host.isUp() && host.scheduler.isActive())
 			.findFirst()
@@ -166,7 +213,10 @@
 	}
 
 	private void fault() {
-		switch (this.random.nextInt(9)) {
+		if (this.quiet) {
+			return;
+		}
+		switch (this.random.nextInt(10)) {
 			case 0 -> {
 				FakeWorker worker = anyWorker();
 				worker.restart(this.now);
@@ -180,6 +230,10 @@
 			case 4 -> bothActive();
 			case 5 -> anyHost().pause((100 + this.random.nextInt(4000)) * MILLI);
 			case 6 -> anyHost().kill();
+			case 8 -> {
+				this.log.away = true;
+				at((100 + this.random.nextInt(5000)) * MILLI, () -> this.log.away = false);
+			}
 			case 7 -> {
 				UpstreamId id = anyWorker().id();
 				this.unlisted.add(id);
@@ -227,6 +281,26 @@
 		this.violations.add("at " + (this.now - START) / MILLI + " ms: " + text);
 	}
 
+	private void checkDone(JobId job) {
+		for (int index = 0; index < this.jobs.get(job).steps().get(0).count(); index++) {
+			if (!this.done.containsKey(new TaskName(job, 0, 0, index))) {
+				violation("COMPLETED: task " + index + " of job " + job + " is not done");
+			}
+		}
+	}
+
+	// Stored jobs that have not ended.
+	long storedOpen() {
+		return this.log.jobs.values().stream().filter((job) -> job.progress().state() == StoredState.OPEN).count();
+	}
+
+	int storedCompleted() {
+		return (int) this.log.jobs.values()
+			.stream()
+			.filter((job) -> job.progress().state() == StoredState.COMPLETED)
+			.count();
+	}
+
 	private final class Watcher implements FakeWorker.RunWatcher {
 
 		@Override
@@ -246,6 +320,36 @@
 			}
 			places.add(worker.id() + "#" + run.attempt());
 			simulation.startedJobs.add(run.task().job());
+			if (simulation.jobs.get(run.task().job()).stored()) {
+				checkStoredStart(worker, run);
+			}
+		}
+
+		private void checkStoredStart(FakeWorker worker, RunId run) {
+			SchedulerSimulation simulation = SchedulerSimulation.this;
+			if (!simulation.log.jobs.containsKey(run.task().job())) {
+				violation("UNASKED: " + run + " of a job that is not stored");
+			}
+			if (simulation.noted.contains(run.task())) {
+				violation("TWICE: " + run + " on " + worker.id() + " after its end was taken note of");
+			}
+			simulation.superseded.addAll(simulation.doneRuns.getOrDefault(run.task(), Set.of()));
+		}
+
+		private static String place(FakeWorker worker, RunId run) {
+			return run + " on " + worker.id() + " of " + worker.info().bornMillis();
+		}
+
+		@Override
+		public void noted(FakeWorker worker, RunId run) {
+			SchedulerSimulation simulation = SchedulerSimulation.this;
+			if (!simulation.jobs.get(run.task().job()).stored()) {
+				return;
+			}
+			simulation.noted.add(run.task());
+			if (simulation.superseded.contains(place(worker, run))) {
+				violation("TWICE: the end of " + run + " on " + worker.id() + " was noted after another start");
+			}
 		}
 
 		@Override
@@ -254,6 +358,8 @@
 				.remove(worker.id() + "#" + run.attempt());
 			if (kind == EndKind.DONE) {
 				SchedulerSimulation.this.done.put(run.task(), true);
+				SchedulerSimulation.this.doneRuns.computeIfAbsent(run.task(), (key) -> new HashSet<>())
+					.add(place(worker, run));
 			}
 		}
 
@@ -271,10 +377,92 @@
 
 		private FencingToken claim = FencingToken.NONE;
 
+		/** The epoch with which this host writes the log, 0 if it does not. */
+		private long epoch;
+
+		/** Whether an append is under way; the changes behind it wait. */
+		private boolean appending;
+
+		private final List<SchedulingEffect.SaveChange> unsaved = new ArrayList<>();
+
 		Host(int number) {
 			this.number = number;
 			this.scheduler = newScheduler();
 			at(0, () -> beat(0));
+			at(0, this::keepLog);
+		}
+
+		// Takes the log over while this host schedules, and finds out whether another one
+		// has.
+		private void keepLog() {
+			if (isUp() && this.scheduler.isActive() && !SchedulerSimulation.this.log.away) {
+				if (this.epoch == 0) {
+					openLog();
+				}
+				else if (this.epoch != SchedulerSimulation.this.log.epoch) {
+					logLost();
+				}
+			}
+			at(400 * MILLI, this::keepLog);
+		}
+
+		private void openLog() {
+			SchedulerSimulation simulation = SchedulerSimulation.this;
+			simulation.log.epoch++;
+			this.epoch = simulation.log.epoch;
+			List<StoredJob> read = simulation.log.read();
+			long ofEpoch = this.epoch;
+			answer(this.life, hop(), () -> {
+				if (this.epoch == ofEpoch && this.scheduler.isActive()) {
+					this.scheduler.storedJobsRead(read, simulation.now);
+				}
+			});
+		}
+
+		private void logLost() {
+			this.epoch = 0;
+			this.appending = false;
+			this.unsaved.clear();
+			this.scheduler.storedJobsLost(SchedulerSimulation.this.now);
+			tick();
+		}
+
+		private void append() {
+			if (this.appending || this.unsaved.isEmpty()) {
+				return;
+			}
+			this.appending = true;
+			List<SchedulingEffect.SaveChange> batch = List.copyOf(this.unsaved);
+			this.unsaved.clear();
+			append(batch, this.life, this.epoch);
+		}
+
+		private void append(List<SchedulingEffect.SaveChange> batch, int ofLife, long ofEpoch) {
+			SchedulerSimulation simulation = SchedulerSimulation.this;
+			at(4 * MILLI + hop(), () -> {
+				if (simulation.log.away) {
+					append(batch, ofLife, ofEpoch);
+					return;
+				}
+				boolean kept = simulation.log.epoch == ofEpoch;
+				if (kept) {
+					batch.forEach((change) -> simulation.log.keep(change.change()));
+				}
+				answer(ofLife, hop(), () -> appended(batch, kept, ofEpoch));
+			});
+		}
+
+		private void appended(List<SchedulingEffect.SaveChange> batch, boolean kept, long ofEpoch) {
+			if (ofEpoch != this.epoch) {
+				return;
+			}
+			if (!kept) {
+				logLost();
+				return;
+			}
+			this.appending = false;
+			this.scheduler.changesSaved(batch.get(batch.size() - 1).sequence(), SchedulerSimulation.this.now);
+			append();
 		}
 
 		private Scheduler newScheduler() {
@@ -296,6 +484,9 @@
 			boolean other = SchedulerSimulation.this.hosts.stream()
 				.anyMatch((host) -> host != this && host.isUp() && host.scheduler.isActive());
 			if (this.scheduler.isActive() && isUp() && other) {
+				this.epoch = 0;
+				this.appending = false;
+				this.unsaved.clear();
 				this.scheduler.deactivate();
 				tick();
 			}
@@ -310,6 +501,9 @@
 			at(nanos, () -> {
 				// On waking it learns of the other scheduler and of the lost hosts.
 				this.scheduler.hostLost(origin(), SchedulerSimulation.this.now);
+				if (this.epoch != 0 && nanos > DETECTION_NANOS) {
+					logLost();
+				}
 				stepDown();
 				tick();
 			});
@@ -317,6 +511,9 @@
 
 		void kill() {
 			this.life++;
+			this.epoch = 0;
+			this.appending = false;
+			this.unsaved.clear();
 			this.scheduler = newScheduler();
 			this.pausedUntil = SchedulerSimulation.this.now + 400 * MILLI;
 			at(hop(), this::jobsLost);
@@ -381,6 +578,10 @@
 			else if (effect instanceof SchedulingEffect.PollWorker poll) {
 				carryOut(poll);
 			}
+			else if (effect instanceof SchedulingEffect.SaveChange change) {
+				this.unsaved.add(change);
+				append();
+			}
 			else if (effect instanceof SchedulingEffect.JobEnded ended) {
 				jobEnded(ended);
 			}
@@ -481,11 +682,21 @@
 				at(hop(), () -> hand(ended.job(), true));
 				return;
 			}
+			if (ended.outcome() == JobOutcome.ACCEPTED) {
+				simulation.accepted.add(ended.job());
+				if (!simulation.log.jobs.containsKey(ended.job())) {
+					violation("LOST: job " + ended.job() + " was accepted and is not stored");
+				}
+			}
 			if (ended.outcome() == JobOutcome.COMPLETED) {
 				simulation.completed++;
 				checkDone(ended.job());
 			}
-			if (ended.outcome() == JobOutcome.REFUSED) {
+			if (ended.outcome() == JobOutcome.REFUSED && simulation.jobs.get(ended.job()).stored()
+					&& simulation.resubmitted.contains(ended.job())) {
+				at(500 * MILLI, () -> hand(ended.job(), true));
+			}
+			else if (ended.outcome() == JobOutcome.REFUSED) {
 				simulation.refused++;
 				if (simulation.startedJobs.contains(ended.job())) {
 					violation("REFUSED: job " + ended.job() + " had started");
@@ -493,11 +704,32 @@
 			}
 		}
 
-		private void checkDone(JobId job) {
-			SchedulerSimulation simulation = SchedulerSimulation.this;
-			for (int index = 0; index < simulation.jobs.get(job).steps().get(0).count(); index++) {
-				if (!simulation.done.containsKey(new TaskName(job, 0, 0, index))) {
-					violation("COMPLETED: task " + index + " of job " + job + " is not done");
+	}
+
+	/** What the platform's store holds; it forgets nothing here. */
+	private final class StoredLog {
+
+		private final Map<JobId, StoredJob> jobs = new HashMap<>();
+
+		private long epoch;
+
+		private boolean away;
+
+		List<StoredJob> read() {
+			return List.copyOf(this.jobs.values());
+		}
+
+		void keep(StoredChange change) {
+			if (change instanceof StoredChange.Accepted acceptance) {
+				this.jobs.putIfAbsent(change.job(),
+						new StoredJob(change.job(), acceptance.spec(), acceptance.acceptedMillis(), JobProgress.NONE));
+			}
+			else if (change instanceof StoredChange.Progressed progressed) {
+				StoredJob job = this.jobs.get(change.job());
+				this.jobs.put(change.job(),
+						new StoredJob(job.id(), job.spec(), job.acceptedMillis(), progressed.progress()));
+				if (progressed.progress().state() == StoredState.COMPLETED) {
+					checkDone(change.job());
 				}
 			}
 		}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
@@ -405,16 +405,15 @@
 	}
 
 	private static WorkerReport.Ended end(long number, RunId run, EndKind kind) {
-		return new WorkerReport.Ended(number, run, kind);
+		return new WorkerReport.Ended(number, run, kind, "");
 	}
 
 	private void report(SchedulingEffect.PollWorker poll, List<RunId> running, List<WorkerReport.Ended> ended) {
 		this.now += MILLI;
-		this.scheduler
-			.reported(poll.worker().id(), poll.sequence(), poll.token(),
-					new WorkerReport(poll.worker().bornMillis(), 1000,
-							running.stream().map((run) -> new WorkerReport.Running(run, 10)).toList(), ended),
-					this.now);
+		this.scheduler.reported(poll.worker().id(), poll.sequence(), poll.token(),
+				new WorkerReport(poll.worker().bornMillis(), 1000,
+						running.stream().map((run) -> new WorkerReport.Running(run, 10, "")).toList(), ended),
+				this.now);
 		tick();
 	}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -52,6 +52,15 @@
 	/** A worker gave no report. */
 	WORKER_SILENT(1313, "worker=%s failure=%s"),
 
+	/** The stored jobs were taken over from the platform's store. */
+	STORED_JOBS_READ(1320, "epoch=%s jobs=%s"),
+
+	/** The stored jobs were given up. */
+	STORED_JOBS_LOST(1321, "epoch=%s reason=%s"),
+
+	/** A stored job has ended; its callers are told when that is saved. */
+	STORED_JOB_ENDED(1323, "job=%s state=%s"),
+
 	/** Another configuration is in force. */
 	CONFIGURATION_APPLIED(2001, "configuration version=%s routes=%s pools=%s"),
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -19,6 +20,7 @@
 import org.limpetgate.Outcome;
 import org.limpetgate.fleet.Directory;
 import org.limpetgate.fleet.HostState;
+import org.limpetgate.fleet.JobLog;
 import org.limpetgate.fleet.QueueTable;
 import org.limpetgate.fleet.SchedulerElection;
 import org.limpetgate.fleet.WorkerOrders;
@@ -27,6 +29,8 @@
 import org.limpetgate.host.LogEvent;
 import org.limpetgate.proto.HostBeat;
 import org.limpetgate.proto.JobResult;
+import org.limpetgate.proto.JobStatus;
+import org.limpetgate.proto.QueueStatus;
 import org.limpetgate.proto.SubmitJob;
 import org.limpetgate.scheduling.FencingToken;
 import org.limpetgate.scheduling.JobOutcome;
@@ -87,6 +91,8 @@
 
 	private final PendingJobs pendingJobs;
 
+	private final StoredJobKeeper storedJobs;
+
 	private final Transport transport = new Transport();
 
 	private FleetPeers peers;
@@ -114,7 +120,7 @@
 	private boolean wakeQueued;
 
 	private FleetHost(FleetSettings settings, EventLoopGroup group, LongSupplier clock, Directory directory,
-			WorkerOrders orders, EventLog log, HostMetrics metrics) {
+			JobLog jobLog, WorkerOrders orders, EventLog log, HostMetrics metrics) {
 		this.settings = settings;
 		this.loop = group.next();
 		this.clock = clock;
@@ -125,6 +131,8 @@
 		this.scheduler = Scheduler.of(settings.scheduler());
 		this.election = new SchedulerElection();
 		this.pendingJobs = new PendingJobs(this.transport, clock, new JobEvents(log, metrics));
+		this.storedJobs = new StoredJobKeeper(jobLog, this.scheduler, settings.scheduler().hostNumber(), clock, log,
+				this::wake);
 		metrics.gauge("limpetgate.jobs.open", "Jobs whose callers wait at this host", this.pendingJobs::size);
 		metrics.gauge("limpetgate.jobs.waiting", "Jobs that wait for room on a worker, where this host schedules",
 				this.scheduler::waitingJobs);
@@ -147,14 +155,15 @@
 	 * @param group the event loop, with one thread
 	 * @param clock gives nanoseconds since the Unix epoch that do not decrease, not null
 	 * @param directory the platform's store, not started yet
+	 * @param jobLog keeps the stored jobs, not null
 	 * @param orders carries orders to workers, not null
 	 * @param log receives the events, not null
 	 * @param metrics receives the counts, not null
 	 * @return the host, not null
 	 */
 	public static FleetHost start(FleetSettings settings, EventLoopGroup group, LongSupplier clock, Directory directory,
-			WorkerOrders orders, EventLog log, HostMetrics metrics) {
-		FleetHost host = new FleetHost(settings, group, clock, directory, orders, log, metrics);
+			JobLog jobLog, WorkerOrders orders, EventLog log, HostMetrics metrics) {
+		FleetHost host = new FleetHost(settings, group, clock, directory, jobLog, orders, log, metrics);
 		host.peers = FleetPeers.start(group, settings, host.self, clock, host.new PeerListener());
 		host.loop.execute(() -> {
 			host.peers.learn(settings.seeds());
@@ -180,6 +189,56 @@
 		return this.pendingJobs.contains(job);
 	}
 
+	@Override
+	public CompletableFuture<StoredJobAnswer> storedJob(JobId job) {
+		return query(job, false);
+	}
+
+	@Override
+	public CompletableFuture<StoredJobAnswer> cancelStored(JobId job) {
+		return query(job, true);
+	}
+
+	private CompletableFuture<StoredJobAnswer> query(JobId job, boolean cancel) {
+		HostId host = this.schedulingHost;
+		if (host == null) {
+			return CompletableFuture.completedFuture(StoredJobAnswer.UNAVAILABLE);
+		}
+		CompletableFuture<JobStatus> status = host.equals(this.self.host()) ? answer(job, cancel)
+				: this.peers.query(host, job, cancel);
+		return status
+			.handle((known, failure) -> (failure != null) ? StoredJobAnswer.UNAVAILABLE : JobMessages.toAnswer(known));
+	}
+
+	private CompletableFuture<JobStatus> answer(JobId job, boolean cancel) {
+		long now = this.clock.getAsLong();
+		if (!cancel) {
+			return CompletableFuture.completedFuture(this.storedJobs.status(job, now));
+		}
+		CompletableFuture<JobStatus> status = this.storedJobs.cancel(job, now);
+		wake();
+		return status;
+	}
+
+	@Override
+	public CompletableFuture<OptionalInt> pendingJobs(String queue) {
+		HostId host = this.schedulingHost;
+		if (host == null) {
+			return CompletableFuture.completedFuture(OptionalInt.empty());
+		}
+		CompletableFuture<QueueStatus> status = host.equals(this.self.host())
+				? CompletableFuture.completedFuture(queueStatus(queue)) : this.peers.query(host, queue);
+		return status.handle((known, failure) -> (failure == null && known.getAvailable())
+				? OptionalInt.of(known.getPendingJobs()) : OptionalInt.empty());
+	}
+
+	private QueueStatus queueStatus(String queue) {
+		return QueueStatus.newBuilder()
+			.setAvailable(this.storedJobs.isCertain(this.clock.getAsLong()))
+			.setPendingJobs(this.scheduler.pendingJobs(queue))
+			.build();
+	}
+
 	/**
 	 * Returns the number of jobs whose callers wait.
 	 * @return the number, at least 0
@@ -237,6 +296,8 @@
 		this.overloaded = this.latenessNanos > (this.overloaded ? RECOVERED_NANOS : OVERLOAD_NANOS);
 		try {
 			elect();
+			long now = this.clock.getAsLong();
+			this.storedJobs.tick(this.claim, this.election.reach(state(), now), now);
 			tick();
 		}
 		finally {
@@ -327,6 +388,9 @@
 		else if (effect instanceof SchedulingEffect.PollWorker poll) {
 			this.orders.poll(poll).thenAccept((answer) -> polled(poll, answer));
 		}
+		else if (effect instanceof SchedulingEffect.SaveChange change) {
+			this.storedJobs.save(change);
+		}
 		else if (effect instanceof SchedulingEffect.JobEnded ended) {
 			jobEnded(ended);
 		}
@@ -456,6 +520,16 @@
 			withdraw(peer, job);
 		}
 
+		@Override
+		public CompletableFuture<JobStatus> queried(JobId job, boolean cancel) {
+			return answer(job, cancel);
+		}
+
+		@Override
+		public QueueStatus queueQueried(String queue) {
+			return queueStatus(queue);
+		}
+
 	}
 
 	private final class DirectoryListener implements Directory.Listener {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -34,7 +34,11 @@
 import org.limpetgate.proto.HostBeat;
 import org.limpetgate.proto.IncarnationId;
 import org.limpetgate.proto.JobResult;
+import org.limpetgate.proto.JobStatus;
 import org.limpetgate.proto.PeerFrame;
+import org.limpetgate.proto.QueryJob;
+import org.limpetgate.proto.QueryQueue;
+import org.limpetgate.proto.QueueStatus;
 import org.limpetgate.proto.SubmitJob;
 import org.limpetgate.proto.WithdrawJob;
 import org.limpetgate.scheduling.FencingToken;
@@ -52,6 +56,9 @@
 	/** Of a beat; a later one is due by then. */
 	private static final long BEAT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
+	/** A cancellation is answered when it is saved. */
+	private static final long QUERY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
+
 	private static final long HANDSHAKE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
 	/** Beats show a silent link much sooner; probes only end a half-open one. */
@@ -173,6 +180,15 @@
 			case SUBMIT_JOB -> {
 				return Optional.of(submitted(peer, frame.getSubmitJob()));
 			}
+			case QUERY_JOB -> {
+				QueryJob query = frame.getQueryJob();
+				return Optional.of(this.listener.queried(JobId.of(query.getJobId()), query.getCancel())
+					.thenApply((status) -> PeerFrame.newBuilder().setJobStatus(status)));
+			}
+			case QUERY_QUEUE -> {
+				QueueStatus status = this.listener.queueQueried(frame.getQueryQueue().getQueue());
+				return Optional.of(CompletableFuture.completedFuture(PeerFrame.newBuilder().setQueueStatus(status)));
+			}
 			case WITHDRAW_JOB -> {
 				JobId job = JobId.of(frame.getWithdrawJob().getJobId());
 				awaitedBy(peer).remove(job);
@@ -221,6 +237,18 @@
 			.thenApply(PeerFrame::getJobResult);
 	}
 
+	// Asks the scheduler for a stored job, or cancels it.
+	CompletableFuture<JobStatus> query(HostId scheduler, JobId job, boolean cancel) {
+		PeerFrame.Builder message = PeerFrame.newBuilder()
+			.setQueryJob(QueryJob.newBuilder().setJobId(job.value()).setCancel(cancel));
+		return this.links.request(scheduler, message, QUERY_TIMEOUT_NANOS).thenApply(PeerFrame::getJobStatus);
+	}
+
+	CompletableFuture<QueueStatus> query(HostId scheduler, String queue) {
+		PeerFrame.Builder message = PeerFrame.newBuilder().setQueryQueue(QueryQueue.newBuilder().setQueue(queue));
+		return this.links.request(scheduler, message, QUERY_TIMEOUT_NANOS).thenApply(PeerFrame::getQueueStatus);
+	}
+
 	@Override
 	public void withdraw(HostId scheduler, JobId job) {
 		this.links.send(scheduler,
@@ -275,6 +303,10 @@
 
 		void withdrawn(HostId peer, JobId job);
 
+		CompletableFuture<JobStatus> queried(JobId job, boolean cancel);
+
+		QueueStatus queueQueried(String queue);
+
 	}
 
 	private final class LinkObserver implements PeerMetrics {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobMessages.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobMessages.java
@@ -1,16 +1,21 @@
 package org.limpetgate.host.fleet;
 
+import java.util.EnumSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.JobId;
 import org.limpetgate.proto.JobResult;
+import org.limpetgate.proto.JobStatus;
 import org.limpetgate.proto.JobStep;
 import org.limpetgate.proto.SubmitJob;
 import org.limpetgate.scheduling.Capacity;
 import org.limpetgate.scheduling.JobOutcome;
 import org.limpetgate.scheduling.JobSpec;
+import org.limpetgate.scheduling.JobState;
 import org.limpetgate.scheduling.QueueTerms;
 import org.limpetgate.scheduling.StepSpec;
+import org.limpetgate.scheduling.StepTrait;
 
 /**
  * Converts jobs and results to messages between entry hosts and back.
@@ -29,7 +34,8 @@
 			.setAttempts(spec.terms().attempts())
 			.setStretch(spec.terms().stretch())
 			.setObjectiveMillis(TimeUnit.NANOSECONDS.toMillis(spec.terms().allowanceNanos()))
-			.setPayload(spec.payload());
+			.setPayload(spec.payload())
+			.setStored(spec.stored());
 		spec.steps().forEach((step) -> message.addSteps(toMessage(step)));
 		return message;
 	}
@@ -45,6 +51,12 @@
 			.setRequiredLabel(step.requiredLabel())
 			.setDataRack(step.dataRack())
 			.setMaxPerWorker(step.maxPerWorker())
+			.setLatencyTargetMillis(step.latencyTargetMillis())
+			.addAllTraits(step.traits()
+				.stream()
+				.map((trait) -> org.limpetgate.proto.StepTrait.valueOf(trait.name()))
+				.sorted()
+				.toList())
 			.build();
 	}
 
@@ -52,13 +64,23 @@
 		QueueTerms terms = new QueueTerms(message.getPriority(), message.getAttempts(), message.getStretch(),
 				TimeUnit.MILLISECONDS.toNanos(message.getObjectiveMillis()));
 		return new JobSpec(JobId.of(message.getJobId()), message.getQueue(), message.getService(), terms,
-				message.getPayload(), message.getStepsList().stream().map(JobMessages::toStep).toList());
+				message.getPayload(), message.getStepsList().stream().map(JobMessages::toStep).toList(),
+				message.getStored());
 	}
 
 	private static StepSpec toStep(JobStep message) {
 		Capacity demand = new Capacity(message.getCpuMillis(), message.getMemoryMb(), message.getAccelerators());
 		return new StepSpec(message.getCount(), demand, TimeUnit.MILLISECONDS.toNanos(message.getEstimatedMillis()),
-				message.getAfterList(), message.getRequiredLabel(), message.getDataRack(), message.getMaxPerWorker());
+				message.getAfterList(), message.getRequiredLabel(), message.getDataRack(), message.getMaxPerWorker(),
+				message.getLatencyTargetMillis(), toTraits(message));
+	}
+
+	private static Set<StepTrait> toTraits(JobStep message) {
+		Set<StepTrait> traits = EnumSet.noneOf(StepTrait.class);
+		for (org.limpetgate.proto.StepTrait trait : message.getTraitsList()) {
+			traits.add(StepTrait.valueOf(trait.name()));
+		}
+		return traits;
 	}
 
 	static JobResult toMessage(JobOutcome outcome, String reason, long retryAfterNanos) {
@@ -71,6 +93,7 @@
 
 	static JobOutcome toOutcome(JobResult result) {
 		return switch (result.getState()) {
+			case ACCEPTED -> JobOutcome.ACCEPTED;
 			case COMPLETED -> JobOutcome.COMPLETED;
 			case FAILED -> JobOutcome.FAILED;
 			case REFUSED -> JobOutcome.REFUSED;
@@ -79,4 +102,16 @@
 		};
 	}
 
+	static StoredJobAnswer toAnswer(JobStatus status) {
+		return switch (status.getState()) {
+			case QUEUED -> StoredJobAnswer.of(JobState.QUEUED);
+			case RUNNING -> StoredJobAnswer.of(JobState.RUNNING);
+			case COMPLETED -> StoredJobAnswer.of(JobState.COMPLETED);
+			case FAILED -> StoredJobAnswer.of(JobState.FAILED);
+			case CANCELED -> StoredJobAnswer.of(JobState.CANCELED);
+			case UNKNOWN -> StoredJobAnswer.UNKNOWN;
+			case UNAVAILABLE, UNRECOGNIZED -> StoredJobAnswer.UNAVAILABLE;
+		};
+	}
+
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
@@ -22,7 +22,8 @@
  * <p>
  * A job is submitted to the host that schedules, and resubmitted to the next one when
  * that host is lost or gives up its work. A job is answered as refused only if no
- * scheduler can have received it, or the only one that did declares that nothing ran.
+ * scheduler can have received it, or the only one that did declares that nothing ran. A
+ * stored job waits here only until it is stored.
  * <p>
  * Not thread-safe; used on the event loop.
  */
@@ -78,21 +79,22 @@
 		return answer;
 	}
 
+	// A stored job is not withdrawn, since its caller may have got the answer.
 	private void abandoned(PendingJob job, CompletableFuture<JobAnswer> answer) {
 		job.callers.remove(answer);
-		if (job.callers.isEmpty()) {
+		if (job.callers.isEmpty() && !job.spec.stored()) {
 			withdraw(job);
 		}
 	}
 
 	/**
-	 * Withdraws a job at the wish of its caller.
+	 * Withdraws a job that is not stored at the wish of its caller.
 	 * @param id the job
 	 * @return true if the job was waiting here
 	 */
 	boolean cancel(JobId id) {
 		PendingJob job = this.pending.get(id);
-		if (job == null) {
+		if (job == null || job.spec.stored()) {
 			return false;
 		}
 		withdraw(job);
@@ -110,7 +112,8 @@
 	}
 
 	boolean contains(JobId id) {
-		return this.pending.containsKey(id);
+		PendingJob job = this.pending.get(id);
+		return job != null && !job.spec.stored();
 	}
 
 	int size() {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobKeeper.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobKeeper.java
@@ -18,7 +18,9 @@
 import org.limpetgate.scheduling.JobState;
 import org.limpetgate.scheduling.Scheduler;
 import org.limpetgate.scheduling.SchedulingEffect;
+import org.limpetgate.scheduling.StoredChange;
 import org.limpetgate.scheduling.StoredJob;
+import org.limpetgate.scheduling.StoredState;
 
 /**
  * Decides while its host schedules whether that host keeps the stored jobs, and answers
@@ -134,6 +136,10 @@
 	}
 
 	void save(SchedulingEffect.SaveChange effect) {
+		if (effect.change() instanceof StoredChange.Progressed progressed
+				&& progressed.progress().state() != StoredState.OPEN) {
+			this.events.write(LogEvent.STORED_JOB_ENDED, progressed.job(), progressed.progress().state());
+		}
 		this.journal.save(effect.sequence(), effect.change());
 	}
 
--- /dev/null
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/JobJournalTests.java
@@ -0,0 +1,201 @@
+package org.limpetgate.host.fleet;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import net.jqwik.api.Example;
+import org.limpetgate.JobId;
+import org.limpetgate.scheduling.Capacity;
+import org.limpetgate.scheduling.JobProgress;
+import org.limpetgate.scheduling.JobSpec;
+import org.limpetgate.scheduling.QueueTerms;
+import org.limpetgate.scheduling.StepProgress;
+import org.limpetgate.scheduling.StepSpec;
+import org.limpetgate.scheduling.StepTrait;
+import org.limpetgate.scheduling.StoredChange;
+import org.limpetgate.scheduling.StoredJob;
+import org.limpetgate.scheduling.StoredState;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link JobJournal} over a fake log.
+ */
+class JobJournalTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private final FakeJobLog log = new FakeJobLog();
+
+	private final Recorder recorder = new Recorder();
+
+	private long now = TimeUnit.DAYS.toNanos(21_000);
+
+	private final JobJournal journal = new JobJournal(this.log, () -> this.now, this.recorder);
+
+	private static JobSpec spec(String id) {
+		StepSpec step = new StepSpec(3, new Capacity(500, 64, 1), 40 * MILLI, List.of(), "gpu", "r1", 2, 30,
+				Set.of(StepTrait.GANG, StepTrait.CHECKPOINTED));
+		return new JobSpec(JobId.of(id), "q", "service", new QueueTerms(1, 2, 1.6, 60 * MILLI), "payload",
+				List.of(step), true);
+	}
+
+	private static StoredChange accepted(String id) {
+		return new StoredChange.Accepted(spec(id), 7000);
+	}
+
+	private void open(long epoch) {
+		this.journal.open(epoch);
+		this.log.answerAll();
+	}
+
+	private void pass(long millis) {
+		this.now += millis * MILLI;
+		this.journal.tick(this.now);
+	}
+
+	/** Guards against jobs that are read before earlier writers are excluded. */
+	@Example
+	void readsAfterEarlierWritersAreExcluded() {
+		this.journal.open(5);
+		assertThat(this.log.calls).hasSize(1);
+		assertThat(this.recorder.opened).isNull();
+		this.log.answer();
+		assertThat(this.log.epoch).isEqualTo(5);
+		assertThat(this.recorder.opened).isNull();
+		this.log.answer();
+		assertThat(this.recorder.opened).isEmpty();
+	}
+
+	/** Guards against parts of a job that are lost on the way through the store. */
+	@Example
+	void jobsAreReadAsTheyWereSaved() {
+		open(1);
+		BitSet done = new BitSet();
+		done.set(2);
+		JobProgress progress = new JobProgress(StoredState.OPEN, 0,
+				List.of(new StepProgress(done, Map.of(0, 1), Map.of(1, "cp"))));
+		this.journal.save(1, accepted("a"));
+		this.journal.save(2, new StoredChange.Progressed(JobId.of("a"), progress));
+		this.journal.save(3, accepted("b"));
+		this.journal.save(4,
+				new StoredChange.Progressed(JobId.of("b"), new JobProgress(StoredState.FAILED, 9000, List.of())));
+		this.journal.save(5, accepted("c"));
+		this.journal.save(6,
+				new StoredChange.Progressed(JobId.of("c"), new JobProgress(StoredState.CANCELED, 9000, List.of())));
+		this.journal.save(7, new StoredChange.Forgotten(JobId.of("c")));
+		this.log.answerAll();
+		open(2);
+		assertThat(this.recorder.opened).containsExactlyInAnyOrder(
+				new StoredJob(JobId.of("a"), spec("a"), 7000, progress),
+				new StoredJob(JobId.of("b"), null, 0, new JobProgress(StoredState.FAILED, 9000, List.of())));
+	}
+
+	/** Guards against a call to the store for each job. */
+	@Example
+	void changesThatWaitAreSavedTogether() {
+		open(1);
+		for (int number = 1; number <= 50; number++) {
+			this.journal.save(number, accepted("j" + number));
+		}
+		assertThat(this.log.calls).hasSize(1);
+		this.log.answer();
+		assertThat(this.recorder.saved).containsExactly(1L);
+		this.log.answer();
+		assertThat(this.recorder.saved).containsExactly(1L, 50L);
+		assertThat(this.log.appends).isEqualTo(2);
+	}
+
+	/** Guards against a change that is saved twice or lost when an answer is lost. */
+	@Example
+	void anAppendWithoutAnAnswerIsRepeated() {
+		open(1);
+		this.journal.save(1, accepted("a"));
+		this.journal.save(2, accepted("b"));
+		this.log.loseAnswer();
+		assertThat(this.recorder.saved).isEmpty();
+		pass(30);
+		assertThat(this.log.calls).isEmpty();
+		pass(40);
+		this.log.fail();
+		pass(70);
+		this.log.answerAll();
+		assertThat(this.recorder.saved).containsExactly(1L, 2L);
+		assertThat(this.log.appends).isEqualTo(2);
+	}
+
+	/** Guards against a host that goes on although another one has taken over. */
+	@Example
+	void aWriterThatIsFencedSavesNothing() {
+		open(1);
+		this.log.epoch = 2;
+		this.journal.save(1, accepted("a"));
+		this.log.answer();
+		assertThat(this.recorder.fenced).isTrue();
+		assertThat(this.journal.isClosed()).isTrue();
+		this.journal.save(2, accepted("b"));
+		assertThat(this.log.calls).isEmpty();
+		assertThat(this.log.records).isEmpty();
+	}
+
+	/** Guards against an answer of an earlier period that is taken for a present one. */
+	@Example
+	void answersOfAnEarlierPeriodAreIgnored() {
+		open(1);
+		this.journal.save(1, accepted("a"));
+		this.journal.close();
+		this.log.answerAll();
+		assertThat(this.recorder.saved).isEmpty();
+	}
+
+	/** Guards against a log that counts the call with which the epoch began. */
+	@Example
+	void theFirstAppendFollowsWhatTheLogExpects() {
+		open(1);
+		this.log.next = 1;
+		this.journal.save(1, accepted("a"));
+		this.log.answerAll();
+		assertThat(this.recorder.saved).containsExactly(1L);
+	}
+
+	/** Guards against a proof of being the only writer that is newer than its request. */
+	@Example
+	void aProofCountsFromItsRequest() {
+		open(1);
+		long asked = this.now;
+		this.journal.confirm();
+		pass(300);
+		this.log.answer();
+		assertThat(this.journal.confirmedNanos()).isEqualTo(asked);
+	}
+
+	private static final class Recorder implements JobJournal.Listener {
+
+		private List<StoredJob> opened;
+
+		private final List<Long> saved = new ArrayList<>();
+
+		private boolean fenced;
+
+		@Override
+		public void opened(List<StoredJob> jobs) {
+			this.opened = jobs;
+		}
+
+		@Override
+		public void saved(long sequence) {
+			this.saved.add(sequence);
+		}
+
+		@Override
+		public void fenced(String reason) {
+			this.fenced = true;
+		}
+
+	}
+
+}
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/JobResult.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/JobResult.java
@@ -91,6 +91,14 @@
      * <code>ABANDONED = 5;</code>
      */
     ABANDONED(5),
+    /**
+     * <pre>
+     * The job is stored.
+     * </pre>
+     *
+     * <code>ACCEPTED = 6;</code>
+     */
+    ACCEPTED(6),
     UNRECOGNIZED(-1),
     ;
 
@@ -139,6 +147,14 @@
      * <code>ABANDONED = 5;</code>
      */
     public static final int ABANDONED_VALUE = 5;
+    /**
+     * <pre>
+     * The job is stored.
+     * </pre>
+     *
+     * <code>ACCEPTED = 6;</code>
+     */
+    public static final int ACCEPTED_VALUE = 6;
 
 
     public final int getNumber() {
@@ -171,6 +187,7 @@
         case 3: return REFUSED;
         case 4: return MOVED;
         case 5: return ABANDONED;
+        case 6: return ACCEPTED;
         default: return null;
       }
     }
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/JobStep.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/JobStep.java
@@ -31,6 +31,7 @@
     after_ = emptyIntList();
     requiredLabel_ = "";
     dataRack_ = "";
+    traits_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -225,6 +226,76 @@
     return maxPerWorker_;
   }
 
+  public static final int LATENCY_TARGET_MILLIS_FIELD_NUMBER = 10;
+  private int latencyTargetMillis_ = 0;
+  /**
+   * <code>uint32 latency_target_millis = 10;</code>
+   * @return The latencyTargetMillis.
+   */
+  @java.lang.Override
+  public int getLatencyTargetMillis() {
+    return latencyTargetMillis_;
+  }
+
+  public static final int TRAITS_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList traits_ =
+      emptyIntList();
+  private static final     com.google.protobuf.Internal.IntListAdapter.IntConverter<
+      org.limpetgate.proto.StepTrait> traits_converter_ =
+          new com.google.protobuf.Internal.IntListAdapter.IntConverter<
+              org.limpetgate.proto.StepTrait>() {
+            public org.limpetgate.proto.StepTrait convert(int from) {
+              org.limpetgate.proto.StepTrait result = org.limpetgate.proto.StepTrait.forNumber(from);
+              return result == null ? org.limpetgate.proto.StepTrait.UNRECOGNIZED : result;
+            }
+          };
+  /**
+   * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+   * @return A list containing the traits.
+   */
+  @java.lang.Override
+  public java.util.List<org.limpetgate.proto.StepTrait> getTraitsList() {
+    return new com.google.protobuf.Internal.IntListAdapter<
+        org.limpetgate.proto.StepTrait>(traits_, traits_converter_);
+  }
+  /**
+   * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+   * @return The count of traits.
+   */
+  @java.lang.Override
+  public int getTraitsCount() {
+    return traits_.size();
+  }
+  /**
+   * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+   * @param index The index of the element to return.
+   * @return The traits at the given index.
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.StepTrait getTraits(int index) {
+    return traits_converter_.convert(traits_.getInt(index));
+  }
+  /**
+   * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+   * @return A list containing the enum numeric values on the wire for traits.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+  getTraitsValueList() {
+    return traits_;
+  }
+  /**
+   * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+   * @param index The index of the value to return.
+   * @return The enum numeric value on the wire of traits at the given index.
+   */
+  @java.lang.Override
+  public int getTraitsValue(int index) {
+    return traits_.getInt(index);
+  }
+  private int traitsMemoizedSerializedSize;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -271,6 +342,16 @@
     if (maxPerWorker_ != 0) {
       output.writeUInt32(9, maxPerWorker_);
     }
+    if (latencyTargetMillis_ != 0) {
+      output.writeUInt32(10, latencyTargetMillis_);
+    }
+    if (getTraitsList().size() > 0) {
+      output.writeUInt32NoTag(90);
+      output.writeUInt32NoTag(traitsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < traits_.size(); i++) {
+      output.writeEnumNoTag(traits_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -319,6 +400,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(9, maxPerWorker_);
     }
+    if (latencyTargetMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(10, latencyTargetMillis_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < traits_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeEnumSizeNoTag(traits_.getInt(i));
+      }
+      size += dataSize;
+      if (!getTraitsList().isEmpty()) {  size += 1;
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(dataSize);
+      }traitsMemoizedSerializedSize = dataSize;
+    }
     return size;
   }
   @java.lang.Override
@@ -361,6 +458,9 @@
         .equals(other.getDataRack())) return false;
     if (getMaxPerWorker()
         != other.getMaxPerWorker()) return false;
+    if (getLatencyTargetMillis()
+        != other.getLatencyTargetMillis()) return false;
+    if (!traits_.equals(other.traits_)) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -393,6 +493,12 @@
     hash = (53 * hash) + getDataRack().hashCode();
     hash = (37 * hash) + MAX_PER_WORKER_FIELD_NUMBER;
     hash = (53 * hash) + getMaxPerWorker();
+    hash = (37 * hash) + LATENCY_TARGET_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getLatencyTargetMillis();
+    if (getTraitsCount() > 0) {
+      hash = (37 * hash) + TRAITS_FIELD_NUMBER;
+      hash = (53 * hash) + traits_.hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -533,6 +639,8 @@
       requiredLabel_ = "";
       dataRack_ = "";
       maxPerWorker_ = 0;
+      latencyTargetMillis_ = 0;
+      traits_ = emptyIntList();
       return this;
     }
 
@@ -594,6 +702,13 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.maxPerWorker_ = maxPerWorker_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.latencyTargetMillis_ = latencyTargetMillis_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        traits_.makeImmutable();
+        result.traits_ = traits_;
+      }
     }
 
     @java.lang.Override
@@ -647,6 +762,20 @@
       if (other.getMaxPerWorker() != 0) {
         setMaxPerWorker(other.getMaxPerWorker());
       }
+      if (other.getLatencyTargetMillis() != 0) {
+        setLatencyTargetMillis(other.getLatencyTargetMillis());
+      }
+      if (!other.traits_.isEmpty()) {
+        if (traits_.isEmpty()) {
+          traits_ = other.traits_;
+          traits_.makeImmutable();
+          bitField0_ |= 0x00000400;
+        } else {
+          ensureTraitsIsMutable();
+          traits_.addAll(other.traits_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -727,6 +856,27 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              latencyTargetMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 88: {
+              int tmpRaw = input.readEnum();
+              ensureTraitsIsMutable();
+              traits_.addInt(tmpRaw);
+              break;
+            } // case 88
+            case 90: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureTraitsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                traits_.addInt(input.readEnum());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1164,6 +1314,176 @@
       return this;
     }
 
+    private int latencyTargetMillis_ ;
+    /**
+     * <code>uint32 latency_target_millis = 10;</code>
+     * @return The latencyTargetMillis.
+     */
+    @java.lang.Override
+    public int getLatencyTargetMillis() {
+      return latencyTargetMillis_;
+    }
+    /**
+     * <code>uint32 latency_target_millis = 10;</code>
+     * @param value The latencyTargetMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLatencyTargetMillis(int value) {
+
+      latencyTargetMillis_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint32 latency_target_millis = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLatencyTargetMillis() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      latencyTargetMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.IntList traits_ = emptyIntList();
+    private void ensureTraitsIsMutable() {
+      if (!traits_.isModifiable()) {
+        traits_ = makeMutableCopy(traits_);
+      }
+      bitField0_ |= 0x00000400;
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @return A list containing the traits.
+     */
+    public java.util.List<org.limpetgate.proto.StepTrait> getTraitsList() {
+      return new com.google.protobuf.Internal.IntListAdapter<
+          org.limpetgate.proto.StepTrait>(traits_, traits_converter_);
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @return The count of traits.
+     */
+    public int getTraitsCount() {
+      return traits_.size();
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @param index The index of the element to return.
+     * @return The traits at the given index.
+     */
+    public org.limpetgate.proto.StepTrait getTraits(int index) {
+      return traits_converter_.convert(traits_.getInt(index));
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @param index The index to set the value at.
+     * @param value The traits to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setTraits(
+        int index, org.limpetgate.proto.StepTrait value) {
+      java.util.Objects.requireNonNull(value);
+      ensureTraitsIsMutable();
+      traits_.setInt(index, value.getNumber());
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @param value The traits to add.
+     * @return This builder for chaining.
+     */
+    public Builder addTraits(org.limpetgate.proto.StepTrait value) {
+      java.util.Objects.requireNonNull(value);
+      ensureTraitsIsMutable();
+      traits_.addInt(value.getNumber());
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @param values The traits to add.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder addAllTraits(
+        java.lang.Iterable<? extends org.limpetgate.proto.StepTrait> values) {
+      ensureTraitsIsMutable();
+      for (org.limpetgate.proto.StepTrait value : values) {
+        traits_.addInt(value.getNumber());
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTraits() {
+      traits_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000400);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @return A list containing the enum numeric values on the wire for traits.
+     */
+    public java.util.List<java.lang.Integer>
+    getTraitsValueList() {
+      traits_.makeImmutable();
+      return traits_;
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @param index The index of the value to return.
+     * @return The enum numeric value on the wire of traits at the given index.
+     */
+    public int getTraitsValue(int index) {
+      return traits_.getInt(index);
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @param index The index to set the value at.
+     * @param value The enum numeric value on the wire for traits to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTraitsValue(
+        int index, int value) {
+      ensureTraitsIsMutable();
+      traits_.setInt(index, value);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @param value The enum numeric value on the wire for traits to add.
+     * @return This builder for chaining.
+     */
+    public Builder addTraitsValue(int value) {
+      ensureTraitsIsMutable();
+      traits_.addInt(value);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+     * @param values The enum numeric values on the wire for traits to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllTraitsValue(
+        java.lang.Iterable<java.lang.Integer> values) {
+      ensureTraitsIsMutable();
+      for (int value : values) {
+        traits_.addInt(value);
+      }
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.JobStep)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/JobStepOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/JobStepOrBuilder.java
@@ -86,4 +86,39 @@
    * @return The maxPerWorker.
    */
   int getMaxPerWorker();
+
+  /**
+   * <code>uint32 latency_target_millis = 10;</code>
+   * @return The latencyTargetMillis.
+   */
+  int getLatencyTargetMillis();
+
+  /**
+   * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+   * @return A list containing the traits.
+   */
+  java.util.List<org.limpetgate.proto.StepTrait> getTraitsList();
+  /**
+   * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+   * @return The count of traits.
+   */
+  int getTraitsCount();
+  /**
+   * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+   * @param index The index of the element to return.
+   * @return The traits at the given index.
+   */
+  org.limpetgate.proto.StepTrait getTraits(int index);
+  /**
+   * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+   * @return A list containing the enum numeric values on the wire for traits.
+   */
+  java.util.List<java.lang.Integer>
+  getTraitsValueList();
+  /**
+   * <code>repeated .limpetgate.StepTrait traits = 11;</code>
+   * @param index The index of the value to return.
+   * @return The enum numeric value on the wire of traits at the given index.
+   */
+  int getTraitsValue(int index);
 }
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrame.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrame.java
@@ -74,6 +74,10 @@
     SUBMIT_JOB(16),
     JOB_RESULT(17),
     WITHDRAW_JOB(18),
+    QUERY_JOB(19),
+    JOB_STATUS(20),
+    QUERY_QUEUE(21),
+    QUEUE_STATUS(22),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -107,6 +111,10 @@
         case 16: return SUBMIT_JOB;
         case 17: return JOB_RESULT;
         case 18: return WITHDRAW_JOB;
+        case 19: return QUERY_JOB;
+        case 20: return JOB_STATUS;
+        case 21: return QUERY_QUEUE;
+        case 22: return QUEUE_STATUS;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -644,6 +652,130 @@
     return org.limpetgate.proto.WithdrawJob.getDefaultInstance();
   }
 
+  public static final int QUERY_JOB_FIELD_NUMBER = 19;
+  /**
+   * <code>.limpetgate.QueryJob query_job = 19;</code>
+   * @return Whether the queryJob field is set.
+   */
+  @java.lang.Override
+  public boolean hasQueryJob() {
+    return messageCase_ == 19;
+  }
+  /**
+   * <code>.limpetgate.QueryJob query_job = 19;</code>
+   * @return The queryJob.
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.QueryJob getQueryJob() {
+    if (messageCase_ == 19) {
+       return (org.limpetgate.proto.QueryJob) message_;
+    }
+    return org.limpetgate.proto.QueryJob.getDefaultInstance();
+  }
+  /**
+   * <code>.limpetgate.QueryJob query_job = 19;</code>
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.QueryJobOrBuilder getQueryJobOrBuilder() {
+    if (messageCase_ == 19) {
+       return (org.limpetgate.proto.QueryJob) message_;
+    }
+    return org.limpetgate.proto.QueryJob.getDefaultInstance();
+  }
+
+  public static final int JOB_STATUS_FIELD_NUMBER = 20;
+  /**
+   * <code>.limpetgate.JobStatus job_status = 20;</code>
+   * @return Whether the jobStatus field is set.
+   */
+  @java.lang.Override
+  public boolean hasJobStatus() {
+    return messageCase_ == 20;
+  }
+  /**
+   * <code>.limpetgate.JobStatus job_status = 20;</code>
+   * @return The jobStatus.
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.JobStatus getJobStatus() {
+    if (messageCase_ == 20) {
+       return (org.limpetgate.proto.JobStatus) message_;
+    }
+    return org.limpetgate.proto.JobStatus.getDefaultInstance();
+  }
+  /**
+   * <code>.limpetgate.JobStatus job_status = 20;</code>
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.JobStatusOrBuilder getJobStatusOrBuilder() {
+    if (messageCase_ == 20) {
+       return (org.limpetgate.proto.JobStatus) message_;
+    }
+    return org.limpetgate.proto.JobStatus.getDefaultInstance();
+  }
+
+  public static final int QUERY_QUEUE_FIELD_NUMBER = 21;
+  /**
+   * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+   * @return Whether the queryQueue field is set.
+   */
+  @java.lang.Override
+  public boolean hasQueryQueue() {
+    return messageCase_ == 21;
+  }
+  /**
+   * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+   * @return The queryQueue.
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.QueryQueue getQueryQueue() {
+    if (messageCase_ == 21) {
+       return (org.limpetgate.proto.QueryQueue) message_;
+    }
+    return org.limpetgate.proto.QueryQueue.getDefaultInstance();
+  }
+  /**
+   * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.QueryQueueOrBuilder getQueryQueueOrBuilder() {
+    if (messageCase_ == 21) {
+       return (org.limpetgate.proto.QueryQueue) message_;
+    }
+    return org.limpetgate.proto.QueryQueue.getDefaultInstance();
+  }
+
+  public static final int QUEUE_STATUS_FIELD_NUMBER = 22;
+  /**
+   * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+   * @return Whether the queueStatus field is set.
+   */
+  @java.lang.Override
+  public boolean hasQueueStatus() {
+    return messageCase_ == 22;
+  }
+  /**
+   * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+   * @return The queueStatus.
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.QueueStatus getQueueStatus() {
+    if (messageCase_ == 22) {
+       return (org.limpetgate.proto.QueueStatus) message_;
+    }
+    return org.limpetgate.proto.QueueStatus.getDefaultInstance();
+  }
+  /**
+   * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.QueueStatusOrBuilder getQueueStatusOrBuilder() {
+    if (messageCase_ == 22) {
+       return (org.limpetgate.proto.QueueStatus) message_;
+    }
+    return org.limpetgate.proto.QueueStatus.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -712,6 +844,18 @@
     if (messageCase_ == 18) {
       output.writeMessage(18, (org.limpetgate.proto.WithdrawJob) message_);
     }
+    if (messageCase_ == 19) {
+      output.writeMessage(19, (org.limpetgate.proto.QueryJob) message_);
+    }
+    if (messageCase_ == 20) {
+      output.writeMessage(20, (org.limpetgate.proto.JobStatus) message_);
+    }
+    if (messageCase_ == 21) {
+      output.writeMessage(21, (org.limpetgate.proto.QueryQueue) message_);
+    }
+    if (messageCase_ == 22) {
+      output.writeMessage(22, (org.limpetgate.proto.QueueStatus) message_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -788,6 +932,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(18, (org.limpetgate.proto.WithdrawJob) message_);
     }
+    if (messageCase_ == 19) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, (org.limpetgate.proto.QueryJob) message_);
+    }
+    if (messageCase_ == 20) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, (org.limpetgate.proto.JobStatus) message_);
+    }
+    if (messageCase_ == 21) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(21, (org.limpetgate.proto.QueryQueue) message_);
+    }
+    if (messageCase_ == 22) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(22, (org.limpetgate.proto.QueueStatus) message_);
+    }
     return size;
   }
   @java.lang.Override
@@ -882,6 +1042,22 @@
         if (!getWithdrawJob()
             .equals(other.getWithdrawJob())) return false;
         break;
+      case 19:
+        if (!getQueryJob()
+            .equals(other.getQueryJob())) return false;
+        break;
+      case 20:
+        if (!getJobStatus()
+            .equals(other.getJobStatus())) return false;
+        break;
+      case 21:
+        if (!getQueryQueue()
+            .equals(other.getQueryQueue())) return false;
+        break;
+      case 22:
+        if (!getQueueStatus()
+            .equals(other.getQueueStatus())) return false;
+        break;
       case 0:
       default:
     }
@@ -966,6 +1142,22 @@
         hash = (37 * hash) + WITHDRAW_JOB_FIELD_NUMBER;
         hash = (53 * hash) + getWithdrawJob().hashCode();
         break;
+      case 19:
+        hash = (37 * hash) + QUERY_JOB_FIELD_NUMBER;
+        hash = (53 * hash) + getQueryJob().hashCode();
+        break;
+      case 20:
+        hash = (37 * hash) + JOB_STATUS_FIELD_NUMBER;
+        hash = (53 * hash) + getJobStatus().hashCode();
+        break;
+      case 21:
+        hash = (37 * hash) + QUERY_QUEUE_FIELD_NUMBER;
+        hash = (53 * hash) + getQueryQueue().hashCode();
+        break;
+      case 22:
+        hash = (37 * hash) + QUEUE_STATUS_FIELD_NUMBER;
+        hash = (53 * hash) + getQueueStatus().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1154,6 +1346,18 @@
       if (withdrawJobBuilder_ != null) {
         withdrawJobBuilder_.clear();
       }
+      if (queryJobBuilder_ != null) {
+        queryJobBuilder_.clear();
+      }
+      if (jobStatusBuilder_ != null) {
+        jobStatusBuilder_.clear();
+      }
+      if (queryQueueBuilder_ != null) {
+        queryQueueBuilder_.clear();
+      }
+      if (queueStatusBuilder_ != null) {
+        queueStatusBuilder_.clear();
+      }
       messageCase_ = 0;
       message_ = null;
       return this;
@@ -1265,6 +1469,22 @@
           withdrawJobBuilder_ != null) {
         result.message_ = withdrawJobBuilder_.build();
       }
+      if (messageCase_ == 19 &&
+          queryJobBuilder_ != null) {
+        result.message_ = queryJobBuilder_.build();
+      }
+      if (messageCase_ == 20 &&
+          jobStatusBuilder_ != null) {
+        result.message_ = jobStatusBuilder_.build();
+      }
+      if (messageCase_ == 21 &&
+          queryQueueBuilder_ != null) {
+        result.message_ = queryQueueBuilder_.build();
+      }
+      if (messageCase_ == 22 &&
+          queueStatusBuilder_ != null) {
+        result.message_ = queueStatusBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1350,6 +1570,22 @@
           mergeWithdrawJob(other.getWithdrawJob());
           break;
         }
+        case QUERY_JOB: {
+          mergeQueryJob(other.getQueryJob());
+          break;
+        }
+        case JOB_STATUS: {
+          mergeJobStatus(other.getJobStatus());
+          break;
+        }
+        case QUERY_QUEUE: {
+          mergeQueryQueue(other.getQueryQueue());
+          break;
+        }
+        case QUEUE_STATUS: {
+          mergeQueueStatus(other.getQueueStatus());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -1500,6 +1736,34 @@
               messageCase_ = 18;
               break;
             } // case 146
+            case 154: {
+              input.readMessage(
+                  internalGetQueryJobFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 19;
+              break;
+            } // case 154
+            case 162: {
+              input.readMessage(
+                  internalGetJobStatusFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 20;
+              break;
+            } // case 162
+            case 170: {
+              input.readMessage(
+                  internalGetQueryQueueFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 21;
+              break;
+            } // case 170
+            case 178: {
+              input.readMessage(
+                  internalGetQueueStatusFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 22;
+              break;
+            } // case 178
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3848,6 +4112,566 @@
       return withdrawJobBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetgate.proto.QueryJob, org.limpetgate.proto.QueryJob.Builder, org.limpetgate.proto.QueryJobOrBuilder> queryJobBuilder_;
+    /**
+     * <code>.limpetgate.QueryJob query_job = 19;</code>
+     * @return Whether the queryJob field is set.
+     */
+    @java.lang.Override
+    public boolean hasQueryJob() {
+      return messageCase_ == 19;
+    }
+    /**
+     * <code>.limpetgate.QueryJob query_job = 19;</code>
+     * @return The queryJob.
+     */
+    @java.lang.Override
+    public org.limpetgate.proto.QueryJob getQueryJob() {
+      if (queryJobBuilder_ == null) {
+        if (messageCase_ == 19) {
+          return (org.limpetgate.proto.QueryJob) message_;
+        }
+        return org.limpetgate.proto.QueryJob.getDefaultInstance();
+      } else {
+        if (messageCase_ == 19) {
+          return queryJobBuilder_.getMessage();
+        }
+        return org.limpetgate.proto.QueryJob.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetgate.QueryJob query_job = 19;</code>
+     */
+    public Builder setQueryJob(org.limpetgate.proto.QueryJob value) {
+      if (queryJobBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        message_ = value;
+        onChanged();
+      } else {
+        queryJobBuilder_.setMessage(value);
+      }
+      messageCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueryJob query_job = 19;</code>
+     */
+    public Builder setQueryJob(
+        org.limpetgate.proto.QueryJob.Builder builderForValue) {
+      if (queryJobBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        queryJobBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueryJob query_job = 19;</code>
+     */
+    public Builder mergeQueryJob(org.limpetgate.proto.QueryJob value) {
+      if (queryJobBuilder_ == null) {
+        if (messageCase_ == 19 &&
+            message_ != org.limpetgate.proto.QueryJob.getDefaultInstance()) {
+          message_ = org.limpetgate.proto.QueryJob.newBuilder((org.limpetgate.proto.QueryJob) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 19) {
+          queryJobBuilder_.mergeFrom(value);
+        } else {
+          queryJobBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueryJob query_job = 19;</code>
+     */
+    public Builder clearQueryJob() {
+      if (queryJobBuilder_ == null) {
+        if (messageCase_ == 19) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 19) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        queryJobBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueryJob query_job = 19;</code>
+     */
+    public org.limpetgate.proto.QueryJob.Builder getQueryJobBuilder() {
+      return internalGetQueryJobFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.limpetgate.QueryJob query_job = 19;</code>
+     */
+    @java.lang.Override
+    public org.limpetgate.proto.QueryJobOrBuilder getQueryJobOrBuilder() {
+      if ((messageCase_ == 19) && (queryJobBuilder_ != null)) {
+        return queryJobBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 19) {
+          return (org.limpetgate.proto.QueryJob) message_;
+        }
+        return org.limpetgate.proto.QueryJob.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetgate.QueryJob query_job = 19;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetgate.proto.QueryJob, org.limpetgate.proto.QueryJob.Builder, org.limpetgate.proto.QueryJobOrBuilder> 
+        internalGetQueryJobFieldBuilder() {
+      if (queryJobBuilder_ == null) {
+        if (!(messageCase_ == 19)) {
+          message_ = org.limpetgate.proto.QueryJob.getDefaultInstance();
+        }
+        queryJobBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.limpetgate.proto.QueryJob, org.limpetgate.proto.QueryJob.Builder, org.limpetgate.proto.QueryJobOrBuilder>(
+                (org.limpetgate.proto.QueryJob) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 19;
+      onChanged();
+      return queryJobBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetgate.proto.JobStatus, org.limpetgate.proto.JobStatus.Builder, org.limpetgate.proto.JobStatusOrBuilder> jobStatusBuilder_;
+    /**
+     * <code>.limpetgate.JobStatus job_status = 20;</code>
+     * @return Whether the jobStatus field is set.
+     */
+    @java.lang.Override
+    public boolean hasJobStatus() {
+      return messageCase_ == 20;
+    }
+    /**
+     * <code>.limpetgate.JobStatus job_status = 20;</code>
+     * @return The jobStatus.
+     */
+    @java.lang.Override
+    public org.limpetgate.proto.JobStatus getJobStatus() {
+      if (jobStatusBuilder_ == null) {
+        if (messageCase_ == 20) {
+          return (org.limpetgate.proto.JobStatus) message_;
+        }
+        return org.limpetgate.proto.JobStatus.getDefaultInstance();
+      } else {
+        if (messageCase_ == 20) {
+          return jobStatusBuilder_.getMessage();
+        }
+        return org.limpetgate.proto.JobStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetgate.JobStatus job_status = 20;</code>
+     */
+    public Builder setJobStatus(org.limpetgate.proto.JobStatus value) {
+      if (jobStatusBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        message_ = value;
+        onChanged();
+      } else {
+        jobStatusBuilder_.setMessage(value);
+      }
+      messageCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.JobStatus job_status = 20;</code>
+     */
+    public Builder setJobStatus(
+        org.limpetgate.proto.JobStatus.Builder builderForValue) {
+      if (jobStatusBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        jobStatusBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.JobStatus job_status = 20;</code>
+     */
+    public Builder mergeJobStatus(org.limpetgate.proto.JobStatus value) {
+      if (jobStatusBuilder_ == null) {
+        if (messageCase_ == 20 &&
+            message_ != org.limpetgate.proto.JobStatus.getDefaultInstance()) {
+          message_ = org.limpetgate.proto.JobStatus.newBuilder((org.limpetgate.proto.JobStatus) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 20) {
+          jobStatusBuilder_.mergeFrom(value);
+        } else {
+          jobStatusBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.JobStatus job_status = 20;</code>
+     */
+    public Builder clearJobStatus() {
+      if (jobStatusBuilder_ == null) {
+        if (messageCase_ == 20) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 20) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        jobStatusBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.limpetgate.JobStatus job_status = 20;</code>
+     */
+    public org.limpetgate.proto.JobStatus.Builder getJobStatusBuilder() {
+      return internalGetJobStatusFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.limpetgate.JobStatus job_status = 20;</code>
+     */
+    @java.lang.Override
+    public org.limpetgate.proto.JobStatusOrBuilder getJobStatusOrBuilder() {
+      if ((messageCase_ == 20) && (jobStatusBuilder_ != null)) {
+        return jobStatusBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 20) {
+          return (org.limpetgate.proto.JobStatus) message_;
+        }
+        return org.limpetgate.proto.JobStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetgate.JobStatus job_status = 20;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetgate.proto.JobStatus, org.limpetgate.proto.JobStatus.Builder, org.limpetgate.proto.JobStatusOrBuilder> 
+        internalGetJobStatusFieldBuilder() {
+      if (jobStatusBuilder_ == null) {
+        if (!(messageCase_ == 20)) {
+          message_ = org.limpetgate.proto.JobStatus.getDefaultInstance();
+        }
+        jobStatusBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.limpetgate.proto.JobStatus, org.limpetgate.proto.JobStatus.Builder, org.limpetgate.proto.JobStatusOrBuilder>(
+                (org.limpetgate.proto.JobStatus) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 20;
+      onChanged();
+      return jobStatusBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetgate.proto.QueryQueue, org.limpetgate.proto.QueryQueue.Builder, org.limpetgate.proto.QueryQueueOrBuilder> queryQueueBuilder_;
+    /**
+     * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+     * @return Whether the queryQueue field is set.
+     */
+    @java.lang.Override
+    public boolean hasQueryQueue() {
+      return messageCase_ == 21;
+    }
+    /**
+     * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+     * @return The queryQueue.
+     */
+    @java.lang.Override
+    public org.limpetgate.proto.QueryQueue getQueryQueue() {
+      if (queryQueueBuilder_ == null) {
+        if (messageCase_ == 21) {
+          return (org.limpetgate.proto.QueryQueue) message_;
+        }
+        return org.limpetgate.proto.QueryQueue.getDefaultInstance();
+      } else {
+        if (messageCase_ == 21) {
+          return queryQueueBuilder_.getMessage();
+        }
+        return org.limpetgate.proto.QueryQueue.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+     */
+    public Builder setQueryQueue(org.limpetgate.proto.QueryQueue value) {
+      if (queryQueueBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        message_ = value;
+        onChanged();
+      } else {
+        queryQueueBuilder_.setMessage(value);
+      }
+      messageCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+     */
+    public Builder setQueryQueue(
+        org.limpetgate.proto.QueryQueue.Builder builderForValue) {
+      if (queryQueueBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        queryQueueBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+     */
+    public Builder mergeQueryQueue(org.limpetgate.proto.QueryQueue value) {
+      if (queryQueueBuilder_ == null) {
+        if (messageCase_ == 21 &&
+            message_ != org.limpetgate.proto.QueryQueue.getDefaultInstance()) {
+          message_ = org.limpetgate.proto.QueryQueue.newBuilder((org.limpetgate.proto.QueryQueue) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 21) {
+          queryQueueBuilder_.mergeFrom(value);
+        } else {
+          queryQueueBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+     */
+    public Builder clearQueryQueue() {
+      if (queryQueueBuilder_ == null) {
+        if (messageCase_ == 21) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 21) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        queryQueueBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+     */
+    public org.limpetgate.proto.QueryQueue.Builder getQueryQueueBuilder() {
+      return internalGetQueryQueueFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+     */
+    @java.lang.Override
+    public org.limpetgate.proto.QueryQueueOrBuilder getQueryQueueOrBuilder() {
+      if ((messageCase_ == 21) && (queryQueueBuilder_ != null)) {
+        return queryQueueBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 21) {
+          return (org.limpetgate.proto.QueryQueue) message_;
+        }
+        return org.limpetgate.proto.QueryQueue.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetgate.proto.QueryQueue, org.limpetgate.proto.QueryQueue.Builder, org.limpetgate.proto.QueryQueueOrBuilder> 
+        internalGetQueryQueueFieldBuilder() {
+      if (queryQueueBuilder_ == null) {
+        if (!(messageCase_ == 21)) {
+          message_ = org.limpetgate.proto.QueryQueue.getDefaultInstance();
+        }
+        queryQueueBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.limpetgate.proto.QueryQueue, org.limpetgate.proto.QueryQueue.Builder, org.limpetgate.proto.QueryQueueOrBuilder>(
+                (org.limpetgate.proto.QueryQueue) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 21;
+      onChanged();
+      return queryQueueBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetgate.proto.QueueStatus, org.limpetgate.proto.QueueStatus.Builder, org.limpetgate.proto.QueueStatusOrBuilder> queueStatusBuilder_;
+    /**
+     * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+     * @return Whether the queueStatus field is set.
+     */
+    @java.lang.Override
+    public boolean hasQueueStatus() {
+      return messageCase_ == 22;
+    }
+    /**
+     * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+     * @return The queueStatus.
+     */
+    @java.lang.Override
+    public org.limpetgate.proto.QueueStatus getQueueStatus() {
+      if (queueStatusBuilder_ == null) {
+        if (messageCase_ == 22) {
+          return (org.limpetgate.proto.QueueStatus) message_;
+        }
+        return org.limpetgate.proto.QueueStatus.getDefaultInstance();
+      } else {
+        if (messageCase_ == 22) {
+          return queueStatusBuilder_.getMessage();
+        }
+        return org.limpetgate.proto.QueueStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+     */
+    public Builder setQueueStatus(org.limpetgate.proto.QueueStatus value) {
+      if (queueStatusBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        message_ = value;
+        onChanged();
+      } else {
+        queueStatusBuilder_.setMessage(value);
+      }
+      messageCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+     */
+    public Builder setQueueStatus(
+        org.limpetgate.proto.QueueStatus.Builder builderForValue) {
+      if (queueStatusBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        queueStatusBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+     */
+    public Builder mergeQueueStatus(org.limpetgate.proto.QueueStatus value) {
+      if (queueStatusBuilder_ == null) {
+        if (messageCase_ == 22 &&
+            message_ != org.limpetgate.proto.QueueStatus.getDefaultInstance()) {
+          message_ = org.limpetgate.proto.QueueStatus.newBuilder((org.limpetgate.proto.QueueStatus) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 22) {
+          queueStatusBuilder_.mergeFrom(value);
+        } else {
+          queueStatusBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+     */
+    public Builder clearQueueStatus() {
+      if (queueStatusBuilder_ == null) {
+        if (messageCase_ == 22) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 22) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        queueStatusBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+     */
+    public org.limpetgate.proto.QueueStatus.Builder getQueueStatusBuilder() {
+      return internalGetQueueStatusFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+     */
+    @java.lang.Override
+    public org.limpetgate.proto.QueueStatusOrBuilder getQueueStatusOrBuilder() {
+      if ((messageCase_ == 22) && (queueStatusBuilder_ != null)) {
+        return queueStatusBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 22) {
+          return (org.limpetgate.proto.QueueStatus) message_;
+        }
+        return org.limpetgate.proto.QueueStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetgate.proto.QueueStatus, org.limpetgate.proto.QueueStatus.Builder, org.limpetgate.proto.QueueStatusOrBuilder> 
+        internalGetQueueStatusFieldBuilder() {
+      if (queueStatusBuilder_ == null) {
+        if (!(messageCase_ == 22)) {
+          message_ = org.limpetgate.proto.QueueStatus.getDefaultInstance();
+        }
+        queueStatusBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.limpetgate.proto.QueueStatus, org.limpetgate.proto.QueueStatus.Builder, org.limpetgate.proto.QueueStatusOrBuilder>(
+                (org.limpetgate.proto.QueueStatus) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 22;
+      onChanged();
+      return queueStatusBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.PeerFrame)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrameOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrameOrBuilder.java
@@ -266,5 +266,65 @@
    */
   org.limpetgate.proto.WithdrawJobOrBuilder getWithdrawJobOrBuilder();
 
+  /**
+   * <code>.limpetgate.QueryJob query_job = 19;</code>
+   * @return Whether the queryJob field is set.
+   */
+  boolean hasQueryJob();
+  /**
+   * <code>.limpetgate.QueryJob query_job = 19;</code>
+   * @return The queryJob.
+   */
+  org.limpetgate.proto.QueryJob getQueryJob();
+  /**
+   * <code>.limpetgate.QueryJob query_job = 19;</code>
+   */
+  org.limpetgate.proto.QueryJobOrBuilder getQueryJobOrBuilder();
+
+  /**
+   * <code>.limpetgate.JobStatus job_status = 20;</code>
+   * @return Whether the jobStatus field is set.
+   */
+  boolean hasJobStatus();
+  /**
+   * <code>.limpetgate.JobStatus job_status = 20;</code>
+   * @return The jobStatus.
+   */
+  org.limpetgate.proto.JobStatus getJobStatus();
+  /**
+   * <code>.limpetgate.JobStatus job_status = 20;</code>
+   */
+  org.limpetgate.proto.JobStatusOrBuilder getJobStatusOrBuilder();
+
+  /**
+   * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+   * @return Whether the queryQueue field is set.
+   */
+  boolean hasQueryQueue();
+  /**
+   * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+   * @return The queryQueue.
+   */
+  org.limpetgate.proto.QueryQueue getQueryQueue();
+  /**
+   * <code>.limpetgate.QueryQueue query_queue = 21;</code>
+   */
+  org.limpetgate.proto.QueryQueueOrBuilder getQueryQueueOrBuilder();
+
+  /**
+   * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+   * @return Whether the queueStatus field is set.
+   */
+  boolean hasQueueStatus();
+  /**
+   * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+   * @return The queueStatus.
+   */
+  org.limpetgate.proto.QueueStatus getQueueStatus();
+  /**
+   * <code>.limpetgate.QueueStatus queue_status = 22;</code>
+   */
+  org.limpetgate.proto.QueueStatusOrBuilder getQueueStatusOrBuilder();
+
   org.limpetgate.proto.PeerFrame.MessageCase getMessageCase();
 }
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJob.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJob.java
@@ -351,6 +351,21 @@
     }
   }
 
+  public static final int STORED_FIELD_NUMBER = 13;
+  private boolean stored_ = false;
+  /**
+   * <pre>
+   * Whether the job is kept until it has ended; the reply then tells that it is stored.
+   * </pre>
+   *
+   * <code>bool stored = 13;</code>
+   * @return The stored.
+   */
+  @java.lang.Override
+  public boolean getStored() {
+    return stored_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -401,6 +416,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(queue_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 12, queue_);
     }
+    if (stored_ != false) {
+      output.writeBool(13, stored_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -454,6 +472,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(queue_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(12, queue_);
     }
+    if (stored_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(13, stored_);
+    }
     return size;
   }
   @java.lang.Override
@@ -503,6 +525,8 @@
         != other.getResubmitted()) return false;
     if (!getQueue()
         .equals(other.getQueue())) return false;
+    if (getStored()
+        != other.getStored()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -545,6 +569,9 @@
         getResubmitted());
     hash = (37 * hash) + QUEUE_FIELD_NUMBER;
     hash = (53 * hash) + getQueue().hashCode();
+    hash = (37 * hash) + STORED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getStored());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -698,6 +725,7 @@
       bitField0_ = (bitField0_ & ~0x00000200);
       resubmitted_ = false;
       queue_ = "";
+      stored_ = false;
       return this;
     }
 
@@ -777,6 +805,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.queue_ = queue_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.stored_ = stored_;
+      }
     }
 
     @java.lang.Override
@@ -858,6 +889,9 @@
         bitField0_ |= 0x00000800;
         onChanged();
       }
+      if (other.getStored() != false) {
+        setStored(other.getStored());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -950,6 +984,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 98
+            case 104: {
+              stored_ = input.readBool();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1769,6 +1808,50 @@
       return this;
     }
 
+    private boolean stored_ ;
+    /**
+     * <pre>
+     * Whether the job is kept until it has ended; the reply then tells that it is stored.
+     * </pre>
+     *
+     * <code>bool stored = 13;</code>
+     * @return The stored.
+     */
+    @java.lang.Override
+    public boolean getStored() {
+      return stored_;
+    }
+    /**
+     * <pre>
+     * Whether the job is kept until it has ended; the reply then tells that it is stored.
+     * </pre>
+     *
+     * <code>bool stored = 13;</code>
+     * @param value The stored to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStored(boolean value) {
+
+      stored_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the job is kept until it has ended; the reply then tells that it is stored.
+     * </pre>
+     *
+     * <code>bool stored = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStored() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      stored_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.SubmitJob)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJobOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJobOrBuilder.java
@@ -143,4 +143,14 @@
    */
   com.google.protobuf.ByteString
       getQueueBytes();
+
+  /**
+   * <pre>
+   * Whether the job is kept until it has ended; the reply then tells that it is stored.
+   * </pre>
+   *
+   * <code>bool stored = 13;</code>
+   * @return The stored.
+   */
+  boolean getStored();
 }
