Divide the start of waiting tasks and the carrying out of effects from their systems

PlacementSystem starts the tasks of waiting jobs, EffectRunner carries out what the scheduler wants. No behaviour changes; the tests of both stay as they are.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -1,12 +1,7 @@
 package org.limpetgate.scheduling;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.HostId;
@@ -27,15 +22,6 @@
 	/** More stored jobs than this would not fit into the memory of a host. */
 	private static final int MAX_STORED_JOBS = 20_000;
 
-	/** A worker that stays out of reach for longer holds no stored job back. */
-	private static final long MAX_GUARD_NANOS = TimeUnit.SECONDS.toNanos(10);
-
-	/** A stored job that is late by more gets a worker kept free for its next task. */
-	private static final long STARVED_NANOS = TimeUnit.SECONDS.toNanos(3);
-
-	/** The share of all workers that are kept free for such jobs. */
-	private static final double MAX_RESERVED_SHARE = 0.1;
-
 	private static final long MIN_RESTART_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
 	private static final int MAX_RESTART_DOUBLINGS = 4;
@@ -45,10 +31,6 @@
 
 	private final SchedulerTables tables;
 
-	private final Placement placement;
-
-	private final QueueOrder order;
-
 	private final Admission admission;
 
 	private final StoredJobSystem stored;
@@ -57,24 +39,21 @@
 
 	private final GangSystem gangs;
 
-	private final Set<JobEntity> waiting = new LinkedHashSet<>();
-
-	private Verification verification;
+	private final PlacementSystem placements;
 
 	private long sequence;
 
 	JobSystem(SchedulerTables tables, Placement placement, QueueOrder order) {
 		this.tables = tables;
-		this.placement = placement;
-		this.order = order;
 		this.admission = new Admission(tables, order);
 		this.stored = new StoredJobSystem(tables);
 		this.runs = new RunSystem(tables, this);
 		this.gangs = new GangSystem(tables, placement, this.runs);
+		this.placements = new PlacementSystem(tables, placement, order, this.runs, this.gangs);
 	}
 
 	void connect(Verification workers) {
-		this.verification = workers;
+		this.placements.connect(workers);
 	}
 
 	RunSystem runs() {
@@ -88,7 +67,7 @@
 	void deactivate() {
 		List<JobEntity> open = List.copyOf(this.tables.jobs.values());
 		this.tables.jobs.clear();
-		this.waiting.clear();
+		this.tables.waiting.clear();
 		this.stored.close();
 		for (JobEntity job : open) {
 			job.ended = true;
@@ -116,14 +95,14 @@
 			refuseImpossible(job);
 			return;
 		}
-		long wait = this.admission.waitNanos(job, this.waiting, nowNanos);
+		long wait = this.admission.waitNanos(job, this.tables.waiting, nowNanos);
 		if (!resubmitted && nowNanos + wait > job.latestStartNanos) {
 			notifyOrigins(job, JobOutcome.REFUSED, "the queue is longer than the job can wait",
 					Admission.retryAfter(wait));
 			return;
 		}
 		this.tables.jobs.put(spec.id(), job);
-		this.waiting.add(job);
+		this.tables.waiting.add(job);
 		if (resubmitted) {
 			verifyWorkers(nowNanos);
 		}
@@ -166,7 +145,7 @@
 
 	private void accepted(JobEntity job) {
 		if (!job.saved && !job.ended) {
-			this.waiting.add(job);
+			this.tables.waiting.add(job);
 			this.tables.placementDue = true;
 		}
 		job.saved = true;
@@ -200,7 +179,7 @@
 		job.submittedNanos = nowNanos;
 		this.admission.measure(job, 0, nowNanos);
 		this.tables.jobs.put(job.id(), job);
-		this.waiting.add(job);
+		this.tables.waiting.add(job);
 		this.runs.claimRuns(job, nowNanos);
 		if (job.isDone()) {
 			end(job, JobOutcome.COMPLETED, "", nowNanos);
@@ -214,7 +193,7 @@
 		for (JobEntity job : List.copyOf(this.tables.jobs.values())) {
 			if (job.spec().stored()) {
 				this.tables.jobs.remove(job.id());
-				this.waiting.remove(job);
+				this.tables.waiting.remove(job);
 				job.ended = true;
 				job.runs().forEach((run) -> run.givenUp = true);
 				stopRuns(job, nowNanos);
@@ -261,18 +240,18 @@
 		if (!this.tables.isActive()) {
 			return;
 		}
-		if (!this.waiting.isEmpty()) {
+		if (!this.tables.waiting.isEmpty()) {
 			giveUpLate(nowNanos);
 			if (this.tables.placementDue) {
 				this.tables.placementDue = false;
-				place(nowNanos);
+				this.placements.place(nowNanos);
 			}
 		}
 		this.stored.tick(nowNanos);
 	}
 
 	private void giveUpLate(long nowNanos) {
-		for (JobEntity job : List.copyOf(this.waiting)) {
+		for (JobEntity job : List.copyOf(this.tables.waiting)) {
 			if (!Admission.isLate(job, nowNanos)) {
 				continue;
 			}
@@ -285,87 +264,6 @@
 		}
 	}
 
-	private void place(long nowNanos) {
-		List<JobEntity> ordered = new ArrayList<>(this.waiting);
-		this.order.sort(ordered, nowNanos);
-		this.tables.workers.values().forEach((worker) -> worker.reserved = false);
-		int reservations = Math.max(1, (int) (MAX_RESERVED_SHARE * this.tables.workers.size()));
-		for (JobEntity job : ordered) {
-			if (job.resubmitted && !isGuardOver(job, nowNanos)) {
-				this.tables.placementDue = true;
-				continue;
-			}
-			placeTasks(job, nowNanos);
-			if (job.waitingTasks == 0) {
-				this.waiting.remove(job);
-			}
-			else if (reservations > 0 && isStarved(job, nowNanos) && reserveWorker(job)) {
-				reservations--;
-			}
-		}
-	}
-
-	private static boolean isStarved(JobEntity job, long nowNanos) {
-		return job.spec().stored() && nowNanos - job.latestStartNanos > STARVED_NANOS;
-	}
-
-	// Keeps a worker free of later jobs. Their smaller tasks would use up all room in
-	// which
-	// a large task could start.
-	private boolean reserveWorker(JobEntity job) {
-		Capacity demand = job.steps()
-			.stream()
-			.flatMap(List::stream)
-			.filter((task) -> task.state == TaskEntity.State.WAITING)
-			.map((task) -> task.step().demand())
-			.findFirst()
-			.orElse(Capacity.NONE);
-		Optional<WorkerEntity> best = this.tables.workers.values()
-			.stream()
-			.filter((worker) -> worker.isUsable() && !worker.reserved
-					&& worker.info.service().equals(job.spec().service()) && demand.fits(worker.info.capacity()))
-			.max(Comparator.comparingInt((worker) -> worker.room().cpuMillis()));
-		best.ifPresent((worker) -> worker.reserved = true);
-		return best.isPresent();
-	}
-
-	private boolean isGuardOver(JobEntity job, long nowNanos) {
-		SchedulerSettings settings = this.tables.settings;
-		long guard = job.spec().stored() ? settings.storedGuardNanos() : settings.resubmitGuardNanos();
-		return nowNanos - job.submittedNanos > guard || this.verification.isVerified(job.submittedNanos, nowNanos);
-	}
-
-	private void placeTasks(JobEntity job, long nowNanos) {
-		for (List<TaskEntity> tasks : job.steps()) {
-			StepSpec step = tasks.get(0).step();
-			double taskNanos = this.tables.model.taskNanos(job.spec().queue(), step);
-			if (step.has(StepTrait.GANG)) {
-				this.gangs.place(tasks, taskNanos, nowNanos);
-				continue;
-			}
-			for (TaskEntity task : tasks) {
-				if (task.state == TaskEntity.State.WAITING && !place(task, taskNanos, nowNanos)) {
-					break;
-				}
-			}
-		}
-	}
-
-	private boolean place(TaskEntity task, double taskNanos, long nowNanos) {
-		if (task.notBeforeNanos > nowNanos || this.tables.isPresent(task.name())) {
-			this.tables.placementDue = true;
-			return true;
-		}
-		WorkerEntity worker = this.placement.choose(task, taskNanos, this.tables.workers.values(), nowNanos);
-		if (worker == null) {
-			return false;
-		}
-		task.job().started = true;
-		task.job().waitingTasks--;
-		this.runs.start(task, worker, taskNanos * this.tables.model.factor(worker), nowNanos);
-		return true;
-	}
-
 	@Override
 	public TaskEntity adopt(WorkerEntity worker, RunId run) {
 		JobEntity job = this.tables.jobs.get(run.task().job());
@@ -428,7 +326,7 @@
 	private void wait(TaskEntity task) {
 		task.state = TaskEntity.State.WAITING;
 		task.job().waitingTasks++;
-		this.waiting.add(task.job());
+		this.tables.waiting.add(task.job());
 		this.tables.placementDue = true;
 	}
 
@@ -492,7 +390,7 @@
 			end(job, JobOutcome.COMPLETED, "", nowNanos);
 		}
 		else if (job.waitingTasks > 0) {
-			this.waiting.add(job);
+			this.tables.waiting.add(job);
 			this.tables.placementDue = true;
 		}
 	}
@@ -503,7 +401,7 @@
 			return;
 		}
 		this.tables.jobs.remove(job.id());
-		this.waiting.remove(job);
+		this.tables.waiting.remove(job);
 		job.ended = true;
 		stopRuns(job, nowNanos);
 		if (outcome != null) {
@@ -513,7 +411,7 @@
 	}
 
 	private void endStored(JobEntity job, StoredState state, long nowNanos) {
-		this.waiting.remove(job);
+		this.tables.waiting.remove(job);
 		job.ended = true;
 		stopRuns(job, nowNanos);
 		job.endChange = this.stored.jobEnded(job, state, nowNanos);
@@ -530,7 +428,7 @@
 	}
 
 	int waitingJobs() {
-		return this.waiting.size();
+		return this.tables.waiting.size();
 	}
 
 	// Returns the number of stored jobs of a queue of which no task has started.
@@ -545,26 +443,4 @@
 		return this.tables.jobs.values().stream().anyMatch((job) -> job.spec().stored());
 	}
 
-	/** Tells whether all runs on all workers are known. */
-	interface Verification {
-
-		/**
-		 * Tests whether every worker of the fleet has shown its runs since a time.
-		 * @param sinceNanos the time
-		 * @param nowNanos the present time
-		 * @return true if each has, under a token that fences earlier owners
-		 */
-		boolean isVerified(long sinceNanos, long nowNanos);
-
-		/**
-		 * Tests whether every worker that is not taken for gone has shown its runs since
-		 * a time.
-		 * @param sinceNanos the time
-		 * @param nowNanos the present time
-		 * @return true if each has
-		 */
-		boolean isPresentVerified(long sinceNanos, long nowNanos);
-
-	}
-
 }
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -0,0 +1,133 @@
+package org.limpetgate.scheduling;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Starts tasks of waiting jobs in the order of their queues.
+ * <p>
+ * Invariants: a task starts only while no other run of it may be present on any worker; a
+ * task that an earlier scheduler may have started waits until its runs are known or must
+ * have ended. Not thread-safe.
+ */
+final class PlacementSystem {
+
+	/** A worker that stays out of reach for longer holds no stored job back. */
+	private static final long MAX_GUARD_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+	/** A stored job that is late by more gets a worker kept free for its next task. */
+	private static final long STARVED_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+	/** The share of all workers that are kept free for such jobs. */
+	private static final double MAX_RESERVED_SHARE = 0.1;
+
+	private final SchedulerTables tables;
+
+	private final Placement placement;
+
+	private final QueueOrder order;
+
+	private final RunSystem runs;
+
+	private final GangSystem gangs;
+
+	private Verification verification;
+
+	PlacementSystem(SchedulerTables tables, Placement placement, QueueOrder order, RunSystem runs, GangSystem gangs) {
+		this.tables = tables;
+		this.placement = placement;
+		this.order = order;
+		this.runs = runs;
+		this.gangs = gangs;
+	}
+
+	void connect(Verification workers) {
+		this.verification = workers;
+	}
+
+	// Starts what there is room for.
+	void place(long nowNanos) {
+		List<JobEntity> ordered = new ArrayList<>(this.tables.waiting);
+		this.order.sort(ordered, nowNanos);
+		this.tables.workers.values().forEach((worker) -> worker.reserved = false);
+		int reservations = Math.max(1, (int) (MAX_RESERVED_SHARE * this.tables.workers.size()));
+		for (JobEntity job : ordered) {
+			if (job.resubmitted && !isGuardOver(job, nowNanos)) {
+				this.tables.placementDue = true;
+				continue;
+			}
+			placeTasks(job, nowNanos);
+			if (job.waitingTasks == 0) {
+				this.tables.waiting.remove(job);
+			}
+			else if (reservations > 0 && isStarved(job, nowNanos) && reserveWorker(job)) {
+				reservations--;
+			}
+		}
+	}
+
+	private static boolean isStarved(JobEntity job, long nowNanos) {
+		return job.spec().stored() && nowNanos - job.latestStartNanos > STARVED_NANOS;
+	}
+
+	// Keeps a worker free of later jobs. Their smaller tasks would use up all room in
+	// which
+	// a large task could start.
+	private boolean reserveWorker(JobEntity job) {
+		Capacity demand = job.steps()
+			.stream()
+			.flatMap(List::stream)
+			.filter((task) -> task.state == TaskEntity.State.WAITING)
+			.map((task) -> task.step().demand())
+			.findFirst()
+			.orElse(Capacity.NONE);
+		Optional<WorkerEntity> best = this.tables.workers.values()
+			.stream()
+			.filter((worker) -> worker.isUsable() && !worker.reserved
+					&& worker.info.service().equals(job.spec().service()) && demand.fits(worker.info.capacity()))
+			.max(Comparator.comparingInt((worker) -> worker.room().cpuMillis()));
+		best.ifPresent((worker) -> worker.reserved = true);
+		return best.isPresent();
+	}
+
+	private boolean isGuardOver(JobEntity job, long nowNanos) {
+		SchedulerSettings settings = this.tables.settings;
+		long guard = job.spec().stored() ? settings.storedGuardNanos() : settings.resubmitGuardNanos();
+		return nowNanos - job.submittedNanos > guard || this.verification.isVerified(job.submittedNanos, nowNanos);
+	}
+
+	private void placeTasks(JobEntity job, long nowNanos) {
+		for (List<TaskEntity> tasks : job.steps()) {
+			StepSpec step = tasks.get(0).step();
+			double taskNanos = this.tables.model.taskNanos(job.spec().queue(), step);
+			if (step.has(StepTrait.GANG)) {
+				this.gangs.place(tasks, taskNanos, nowNanos);
+				continue;
+			}
+			for (TaskEntity task : tasks) {
+				if (task.state == TaskEntity.State.WAITING && !place(task, taskNanos, nowNanos)) {
+					break;
+				}
+			}
+		}
+	}
+
+	private boolean place(TaskEntity task, double taskNanos, long nowNanos) {
+		if (task.notBeforeNanos > nowNanos || this.tables.isPresent(task.name())) {
+			this.tables.placementDue = true;
+			return true;
+		}
+		WorkerEntity worker = this.placement.choose(task, taskNanos, this.tables.workers.values(), nowNanos);
+		if (worker == null) {
+			return false;
+		}
+		task.job().started = true;
+		task.job().waitingTasks--;
+		this.runs.start(task, worker, taskNanos * this.tables.model.factor(worker), nowNanos);
+		return true;
+	}
+
+}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
@@ -25,6 +25,9 @@
 
 	final Map<JobId, JobEntity> jobs = new HashMap<>();
 
+	/** Jobs with tasks that wait for a worker. */
+	final Set<JobEntity> waiting = new LinkedHashSet<>();
+
 	/** How many runs of a task may be present on all workers together. */
 	private final Map<TaskName, Integer> presentRuns = new HashMap<>();
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -15,7 +15,7 @@
  * Invariant: no order is sent to a worker before its list of runs was read under a token
  * that fences all earlier owners. Not thread-safe.
  */
-final class WorkerSystem implements JobSystem.Verification {
+final class WorkerSystem implements Verification {
 
 	private static final long FOREIGN_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
--- /dev/null
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectRunner.java
@@ -0,0 +1,91 @@
+package org.limpetgate.host.fleet;
+
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import org.limpetgate.fleet.WorkerOrders;
+import org.limpetgate.host.EventLog;
+import org.limpetgate.host.LogEvent;
+import org.limpetgate.scheduling.Scheduler;
+import org.limpetgate.scheduling.SchedulingEffect;
+
+/**
+ * Carries out what the scheduler wants done and reports the results back to it.
+ * <p>
+ * Not thread-safe; used on the event loop.
+ */
+final class EffectRunner {
+
+	private final Scheduler scheduler;
+
+	private final WorkerOrders orders;
+
+	private final StoredJobKeeper storedJobs;
+
+	private final Consumer<SchedulingEffect.JobEnded> results;
+
+	private final LongSupplier clock;
+
+	private final EventLog log;
+
+	/** Has the scheduler decide on what was reported. */
+	private final Runnable wake;
+
+	EffectRunner(Scheduler scheduler, WorkerOrders orders, StoredJobKeeper storedJobs,
+			Consumer<SchedulingEffect.JobEnded> results, LongSupplier clock, EventLog log, Runnable wake) {
+		this.scheduler = scheduler;
+		this.orders = orders;
+		this.storedJobs = storedJobs;
+		this.results = results;
+		this.clock = clock;
+		this.log = log;
+		this.wake = wake;
+	}
+
+	void carryOut(SchedulingEffect effect) {
+		if (effect instanceof SchedulingEffect.StartRun start) {
+			start(start);
+		}
+		else if (effect instanceof SchedulingEffect.StopRun stop) {
+			stop(stop);
+		}
+		else if (effect instanceof SchedulingEffect.PollWorker poll) {
+			this.orders.poll(poll).thenAccept((answer) -> polled(poll, answer));
+		}
+		else if (effect instanceof SchedulingEffect.SaveChange change) {
+			this.storedJobs.save(change);
+		}
+		else if (effect instanceof SchedulingEffect.JobEnded ended) {
+			this.results.accept(ended);
+		}
+	}
+
+	private void start(SchedulingEffect.StartRun start) {
+		this.log.write(LogEvent.RUN_ORDERED, start.run(), start.worker().id(), start.token().value());
+		this.orders.start(start).thenAccept((answer) -> {
+			this.scheduler.startAnswered(start.worker().id(), start.run(), answer, this.clock.getAsLong());
+			this.wake.run();
+		});
+	}
+
+	private void stop(SchedulingEffect.StopRun stop) {
+		this.log.write(LogEvent.STOP_ORDERED, stop.run(), stop.worker().id());
+		this.orders.stop(stop).thenAccept((confirmed) -> {
+			this.scheduler.stopAnswered(stop.worker().id(), stop.run(), confirmed, this.clock.getAsLong());
+			this.wake.run();
+		});
+	}
+
+	private void polled(SchedulingEffect.PollWorker poll, WorkerOrders.PollAnswer answer) {
+		long now = this.clock.getAsLong();
+		if (answer.report() != null) {
+			this.scheduler.reported(poll.worker().id(), poll.sequence(), poll.token(), answer.report(), now);
+		}
+		else {
+			this.log.write(LogEvent.WORKER_SILENT, poll.worker().id(), answer.failure());
+			this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(), answer.failure(), now);
+		}
+		this.wake.run();
+	}
+
+}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -79,8 +79,6 @@
 
 	private final Directory directory;
 
-	private final WorkerOrders orders;
-
 	private final EventLog log;
 
 	private final Incarnation self;
@@ -93,6 +91,8 @@
 
 	private final StoredJobKeeper storedJobs;
 
+	private final EffectRunner effects;
+
 	private final Transport transport = new Transport();
 
 	private FleetPeers peers;
@@ -125,7 +125,6 @@
 		this.loop = group.next();
 		this.clock = clock;
 		this.directory = directory;
-		this.orders = orders;
 		this.log = log;
 		this.self = Incarnation.of(settings.host(), clock.getAsLong() / 1_000_000);
 		this.scheduler = Scheduler.of(settings.scheduler());
@@ -133,6 +132,8 @@
 		this.pendingJobs = new PendingJobs(this.transport, clock, new JobEvents(log, metrics));
 		this.storedJobs = new StoredJobKeeper(jobLog, this.scheduler, settings.scheduler().hostNumber(), clock, log,
 				this::wake);
+		this.effects = new EffectRunner(this.scheduler, orders, this.storedJobs, this::jobEnded, clock, log,
+				this::wake);
 		metrics.gauge("limpetgate.jobs.open", "Jobs whose callers wait at this host", this.pendingJobs::size);
 		metrics.gauge("limpetgate.jobs.waiting", "Jobs that wait for room on a worker, where this host schedules",
 				this.scheduler::waitingJobs);
@@ -315,9 +316,9 @@
 
 	private void tick() {
 		this.wakeQueued = false;
-		List<SchedulingEffect> effects = new ArrayList<>();
-		this.scheduler.tick(this.clock.getAsLong(), effects::add);
-		effects.forEach(this::carryOut);
+		List<SchedulingEffect> due = new ArrayList<>();
+		this.scheduler.tick(this.clock.getAsLong(), due::add);
+		due.forEach(this.effects::carryOut);
 		this.pendingJobs.tick(this.schedulingHost, this.clock.getAsLong());
 	}
 
@@ -370,44 +371,6 @@
 			.toList();
 	}
 
-	private void carryOut(SchedulingEffect effect) {
-		if (effect instanceof SchedulingEffect.StartRun start) {
-			this.log.write(LogEvent.RUN_ORDERED, start.run(), start.worker().id(), start.token().value());
-			this.orders.start(start).thenAccept((answer) -> {
-				this.scheduler.startAnswered(start.worker().id(), start.run(), answer, this.clock.getAsLong());
-				wake();
-			});
-		}
-		else if (effect instanceof SchedulingEffect.StopRun stop) {
-			this.log.write(LogEvent.STOP_ORDERED, stop.run(), stop.worker().id());
-			this.orders.stop(stop).thenAccept((confirmed) -> {
-				this.scheduler.stopAnswered(stop.worker().id(), stop.run(), confirmed, this.clock.getAsLong());
-				wake();
-			});
-		}
-		else if (effect instanceof SchedulingEffect.PollWorker poll) {
-			this.orders.poll(poll).thenAccept((answer) -> polled(poll, answer));
-		}
-		else if (effect instanceof SchedulingEffect.SaveChange change) {
-			this.storedJobs.save(change);
-		}
-		else if (effect instanceof SchedulingEffect.JobEnded ended) {
-			jobEnded(ended);
-		}
-	}
-
-	private void polled(SchedulingEffect.PollWorker poll, WorkerOrders.PollAnswer answer) {
-		long now = this.clock.getAsLong();
-		if (answer.report() != null) {
-			this.scheduler.reported(poll.worker().id(), poll.sequence(), poll.token(), answer.report(), now);
-		}
-		else {
-			this.log.write(LogEvent.WORKER_SILENT, poll.worker().id(), answer.failure());
-			this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(), answer.failure(), now);
-		}
-		wake();
-	}
-
 	private void jobEnded(SchedulingEffect.JobEnded ended) {
 		JobResult result = JobMessages.toMessage(ended.outcome(), ended.reason(), ended.retryAfterNanos());
 		if (ended.origin().equals(this.self.host())) {
