Poll workers with unclaimed ends slowly

While the stored jobs cannot be read, ends of unknown runs stay in the lists of their workers, which then answer every poll at once: 66 polls a second and worker, each with all these ends. The pause now grows with the number of workers, up to the usual wait of a poll. Ruled out: acknowledging such ends after a while, which the randomised run rejects at once (a task of a stored job starts again after its end was noted). StoredJobTests.workersWithUnclaimedEndsArePolledSlowly fails before.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -139,7 +139,7 @@
 		else if (known == null) {
 			this.admission.measure(job, 0, nowNanos);
 			this.tables.jobs.put(spec.id(), job);
-			this.stored.accept(job, nowNanos, (savedNanos) -> accepted(job));
+			this.stored.accept(job, (savedNanos) -> accepted(job));
 		}
 	}
 
@@ -159,7 +159,7 @@
 
 	// Takes the jobs that an earlier scheduler left in the store.
 	void open(List<StoredJob> jobs, long nowNanos) {
-		this.stored.open(nowNanos, jobs.stream().filter((job) -> job.progress().state() != StoredState.OPEN).toList());
+		this.stored.open(jobs.stream().filter((job) -> job.progress().state() != StoredState.OPEN).toList());
 		for (StoredJob read : jobs) {
 			if (read.progress().state() == StoredState.OPEN && read.spec() != null) {
 				restore(read, nowNanos);
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
@@ -42,7 +42,7 @@
 		return this.tables.storedJobsKnown;
 	}
 
-	void open(long nowNanos, List<StoredJob> endedJobs) {
+	void open(List<StoredJob> endedJobs) {
 		this.tables.storedJobsKnown = true;
 		for (StoredJob job : endedJobs) {
 			this.ended.put(job.id(),
@@ -58,7 +58,7 @@
 	}
 
 	// Has a new job saved.
-	void accept(JobEntity job, long nowNanos, SaveAction onSaved) {
+	void accept(JobEntity job, SaveAction onSaved) {
 		save(new StoredChange.Accepted(job.spec(), TimeUnit.NANOSECONDS.toMillis(job.arrivalNanos())), onSaved);
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -32,6 +32,12 @@
 	/** Ends that are not saved yet are listed at once each time. */
 	private static final long HELD_ENDS_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
 
+	// While the stored jobs cannot be read, every worker may have such ends for seconds,
+	// and answers to polls would take all time of the host that schedules.
+	private static final long UNCLAIMED_ENDS_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
+	private static final long UNCLAIMED_ENDS_PAUSE_PER_WORKER_NANOS = TimeUnit.MICROSECONDS.toNanos(400);
+
 	/** An idle worker is polled this often, which keeps its clock and its life known. */
 	private static final long IDLE_POLL_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -225,13 +231,21 @@
 	}
 
 	private boolean isRenewalDue(WorkerEntity worker, long nowNanos) {
-		if (!worker.heldEnds.isEmpty() && nowNanos - worker.lastReportNanos < HELD_ENDS_PAUSE_NANOS) {
+		if (!worker.heldEnds.isEmpty() && nowNanos - worker.lastReportNanos < heldEndsPauseNanos(worker)) {
 			return false;
 		}
 		boolean due = worker.isBusy() || worker.ackDue || nowNanos - worker.lastReportNanos > IDLE_POLL_NANOS;
 		return due && (worker.pollFailures < 2 || nowNanos >= worker.retryNanos);
 	}
 
+	private long heldEndsPauseNanos(WorkerEntity worker) {
+		if (worker.unclaimedEnds.isEmpty()) {
+			return HELD_ENDS_PAUSE_NANOS;
+		}
+		return Math.min(this.tables.settings.pollWaitNanos(),
+				UNCLAIMED_ENDS_PAUSE_NANOS + UNCLAIMED_ENDS_PAUSE_PER_WORKER_NANOS * this.tables.workers.size());
+	}
+
 	private void renew(WorkerEntity worker, long nowNanos) {
 		worker.renewedNanos = nowNanos;
 		send(worker, worker.runs.isEmpty() ? 0 : worker.leaseEndMillis(this.tables.settings, nowNanos),
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
@@ -150,6 +150,26 @@
 		assertThat(starts()).isEmpty();
 	}
 
+	/**
+	 * Guards against a host that spends all its time on reports that repeat the same ends
+	 * while the store is away.
+	 */
+	@Example
+	void workersWithUnclaimedEndsArePolledSlowly() {
+		this.scheduler.workersListed(List.of(worker("w1")), true, this.now);
+		this.scheduler.activate(FencingToken.draw(this.now, 7, FencingToken.NONE), this.now);
+		tick();
+		RunId unknown = new RunId(new TaskName(JobId.of("u"), 0, 0, 0), 1);
+		List<WorkerReport.Ended> ends = List.of(new WorkerReport.Ended(1, unknown, EndKind.DONE, ""));
+		report(lastPoll(), List.of(new RunId(new TaskName(JobId.of("v"), 0, 0, 0), 1)), ends);
+		int polls = all(SchedulingEffect.PollWorker.class).size();
+		pass(20);
+		pass(19);
+		assertThat(all(SchedulingEffect.PollWorker.class)).hasSize(polls);
+		pass(12);
+		assertThat(all(SchedulingEffect.PollWorker.class)).hasSize(polls + 1);
+	}
+
 	/** Guards against two schedulers that run the tasks of the same job. */
 	@Example
 	void runsAreStoppedWhenTheJobsAreGivenUp() {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobKeeper.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobKeeper.java
@@ -181,7 +181,8 @@
 		return this.waiting.computeIfAbsent(sequence, (key) -> new CompletableFuture<>()).copy();
 	}
 
-	// Whether an unknown job is known to no other host either.
+	// Tests whether a job that is not known here is known to no other host either, and
+	// notes that stored jobs are in use.
 	boolean isCertain(long nowNanos) {
 		boolean recent = isInUse(nowNanos);
 		this.usedNanos = nowNanos;
