Hold stored tasks back while another scheduler may renew their leases

A stored run on a worker out of reach now counts as lost only when the worker is gone, when no other scheduler is possible (all known hosts are reached and none was met), or after 10 s.

--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/Reach.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/Reach.java
@@ -3,7 +3,9 @@
 /** How many of the hosts that a host knows it reaches, itself included. */
 public enum Reach {
 
-	/** More than half. */
+	/** All. */
+	ALL,
+	/** More than half, but not all. */
 	MOST,
 	/** Exactly half. */
 	HALF,
--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
@@ -213,6 +213,9 @@
 	public Reach reach(HostState self, long nowNanos) {
 		long twice = 2 * reached(self, nowNanos).count();
 		int known = this.peers.size() + 1;
+		if (twice == 2L * known) {
+			return Reach.ALL;
+		}
 		if (twice == known) {
 			return Reach.HALF;
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -15,9 +15,6 @@
  */
 final class PlacementSystem {
 
-	/** A worker that stays out of reach for longer holds no stored job back. */
-	private static final long MAX_GUARD_NANOS = TimeUnit.SECONDS.toNanos(10);
-
 	/** A stored job that is late by more gets a worker kept free for its next task. */
 	private static final long STARVED_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -94,9 +91,19 @@
 	}
 
 	private boolean isGuardOver(JobEntity job, long nowNanos) {
+		if (this.verification.isVerified(job.submittedNanos, nowNanos)) {
+			return true;
+		}
+		long waited = nowNanos - job.submittedNanos;
 		SchedulerSettings settings = this.tables.settings;
-		long guard = job.spec().stored() ? settings.storedGuardNanos() : settings.resubmitGuardNanos();
-		return nowNanos - job.submittedNanos > guard || this.verification.isVerified(job.submittedNanos, nowNanos);
+		if (!job.spec().stored()) {
+			return waited > settings.resubmitGuardNanos();
+		}
+		// Another scheduler may go on renewing the lease of a worker that cannot be
+		// reached
+		// from here, and the worker lists what is done there as soon as it can.
+		return waited > SchedulerSettings.MAX_GUARD_NANOS || (waited > settings.storedGuardNanos()
+				&& this.verification.isPresentVerified(job.submittedNanos, nowNanos));
 	}
 
 	private void placeTasks(JobEntity job, long nowNanos) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -129,6 +129,7 @@
 	// The other owner stops or adopts what runs there; until a takeover shows the runs
 	// they may be present.
 	static void fenced(WorkerEntity worker, long nowNanos) {
+		worker.fenced = true;
 		worker.disown(nowNanos + FENCED_RETRY_NANOS);
 	}
 
@@ -368,6 +369,18 @@
 				&& nowNanos - run.startedNanos() > HANG_FACTOR * run.expectedNanos;
 	}
 
+	// Whether another scheduler may go on renewing the lease of a worker that cannot be
+	// reached from here.
+	private boolean isContested(WorkerEntity worker, long nowNanos) {
+		boolean possible = this.tables.contested || worker.fenced;
+		boolean gone = !worker.listed && nowNanos - worker.unlistedNanos > this.tables.settings.storedGuardNanos();
+		return possible && !gone && nowNanos - worker.renewedNanos < SchedulerSettings.MAX_GUARD_NANOS;
+	}
+
+	private static boolean isStored(RunEntity run) {
+		return run.task != null && run.task.job().spec().stored();
+	}
+
 	// Without a renewal all runs end on the worker's own clock. Orders without an answer
 	// stay unsettled, since they may still arrive.
 	private void lapse(WorkerEntity worker, long nowNanos) {
@@ -375,8 +388,11 @@
 				|| nowNanos - worker.renewedNanos < this.tables.settings.leaseEndNanos()) {
 			return;
 		}
+		boolean contested = isContested(worker, nowNanos);
 		for (RunEntity run : new ArrayList<>(worker.runs.values())) {
-			if (run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED || !worker.listed) {
+			boolean settled = run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED
+					|| !worker.listed;
+			if (settled && !(contested && isStored(run))) {
 				finish(run, RunEnd.LOST, nowNanos);
 			}
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -199,6 +199,15 @@
 		this.jobs.close(nowNanos);
 	}
 
+	/**
+	 * Tells whether there may be another scheduler that this host does not hear of. It
+	 * may then go on renewing the leases of workers that cannot be reached from here.
+	 * @param contested whether there may be one; true until it is told
+	 */
+	public void contested(boolean contested) {
+		this.tables.contested = contested;
+	}
+
 	/**
 	 * Tests whether this scheduler knows the stored jobs.
 	 * @return true between {@link #storedJobsRead} and {@link #storedJobsLost}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
@@ -27,6 +27,9 @@
 	// not end the lease.
 	private static final int RENEWALS_PER_LEASE = 5;
 
+	/** A worker that stays out of reach for longer holds no stored job back. */
+	static final long MAX_GUARD_NANOS = TimeUnit.SECONDS.toNanos(10);
+
 	/** For an order of the earlier scheduler that is still under way. */
 	private static final long GUARD_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
@@ -50,6 +50,9 @@
 	/** Whether the stored jobs were read, so that an unknown job is none of them. */
 	boolean storedJobsKnown;
 
+	/** Whether there may be a scheduler that this host does not hear of. */
+	boolean contested = true;
+
 	/** Whether all workers are to be looked at in the next tick. */
 	boolean scanDue;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -63,6 +63,9 @@
 	/** Polls without an answer: their sequence numbers and when they were sent. */
 	final Map<Long, Long> polls = new HashMap<>();
 
+	/** Whether another owner was met since the last report. */
+	boolean fenced;
+
 	/** The worker is to be polled once after this time. */
 	long verifyNanos;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -151,6 +151,7 @@
 			return;
 		}
 		worker.pollFailures = 0;
+		worker.fenced = false;
 		worker.lastReportNanos = nowNanos;
 		worker.clockRead(report.clockMillis(), nowNanos);
 		boolean takeover = worker.ownership == WorkerEntity.Ownership.TAKING_OVER;
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
@@ -170,6 +170,58 @@
 		assertThat(all(SchedulingEffect.PollWorker.class)).hasSize(polls + 1);
 	}
 
+	/**
+	 * Guards against a second run of a task on whose worker another scheduler goes on
+	 * renewing the lease, and against a job that waits for a lost worker for ever.
+	 */
+	@Example
+	void aWorkerOutOfReachHoldsBackWhatAnEarlierSchedulerMayHaveStarted() {
+		activate("w1", "w2");
+		this.scheduler.storedJobsLost(this.now);
+		this.scheduler.storedJobsRead(
+				List.of(new StoredJob(JobId.of("1"), spec("1", step(1)), this.now / MILLI, JobProgress.NONE)),
+				this.now);
+		tick();
+		SchedulingEffect.PollWorker reached = all(SchedulingEffect.PollWorker.class).stream()
+			.filter((poll) -> poll.worker().id().value().equals("w1"))
+			.findFirst()
+			.orElseThrow();
+		report(reached, List.of(), List.of());
+		pass(5000);
+		assertThat(starts()).isEmpty();
+		pass(5100);
+		assertThat(starts()).hasSize(1);
+	}
+
+	/**
+	 * Guards against a second run of a task whose worker another scheduler has taken
+	 * over, renewing its lease, and against a task that waits for a worker that has
+	 * crashed.
+	 */
+	@Example
+	void aRunOnAContestedWorkerIsNotTakenForLostWhenItsLeaseShouldHaveEnded() {
+		activate("w1", "w2");
+		submit("1", step(1));
+		save();
+		SchedulingEffect.StartRun start = starts().get(0);
+		this.scheduler.startAnswered(start.worker().id(), start.run(), StartAnswer.STARTED, this.now);
+		SchedulingEffect.PollWorker poll = pollOf(start.worker().id());
+		this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(), PollFailure.NO_ANSWER, this.now);
+		pass(1500);
+		pass(1500);
+		assertThat(starts()).hasSize(1);
+		this.scheduler.contested(false);
+		pass(20);
+		assertThat(starts()).hasSize(2);
+	}
+
+	private SchedulingEffect.PollWorker pollOf(UpstreamId worker) {
+		return all(SchedulingEffect.PollWorker.class).stream()
+			.filter((sent) -> sent.worker().id().equals(worker))
+			.reduce((first, second) -> second)
+			.orElseThrow();
+	}
+
 	/** Guards against two schedulers that run the tasks of the same job. */
 	@Example
 	void runsAreStoppedWhenTheJobsAreGivenUp() {
@@ -378,10 +430,7 @@
 			.orElseThrow()
 			.worker()
 			.id();
-		SchedulingEffect.PollWorker poll = all(SchedulingEffect.PollWorker.class).stream()
-			.filter((sent) -> sent.worker().id().equals(worker))
-			.reduce((first, second) -> second)
-			.orElseThrow();
+		SchedulingEffect.PollWorker poll = pollOf(worker);
 		List<RunId> others = starts().stream()
 			.filter((start) -> start.worker().id().equals(worker))
 			.map(SchedulingEffect.StartRun::run)
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobKeeper.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobKeeper.java
@@ -92,8 +92,9 @@
 			giveUp("the host does not schedule", nowNanos);
 			return;
 		}
+		this.scheduler.contested(reach != Reach.ALL);
 		if (this.journal.isClosed()) {
-			if (reach == Reach.MOST && nowNanos >= this.openNotBeforeNanos) {
+			if ((reach == Reach.ALL || reach == Reach.MOST) && nowNanos >= this.openNotBeforeNanos) {
 				FencingToken above = (claim.compareTo(this.epoch) > 0) ? claim : this.epoch;
 				this.epoch = FencingToken.draw(nowNanos, this.hostNumber, above);
 				this.journal.open(this.epoch.value());
