--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulationTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulationTests.java
@@ -12,7 +12,7 @@
  */
 class SchedulerSimulationTests {
 
-	private static final int SEEDS = Integer.getInteger("limpetgate.seeds", 12);
+	private static final int SEEDS = Integer.getInteger("limpetgate.seeds", 20);
 
 	private static final int STEPS = Integer.getInteger("limpetgate.steps", 60_000);
 
