--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -46,6 +46,7 @@
 import org.limpetgate.net.http.HttpClientLimits;
 import org.limpetgate.net.http.HttpServer;
 import org.limpetgate.net.http.HttpServerLimits;
+import org.limpetgate.net.peer.InboundLink;
 import org.limpetgate.net.peer.PeerHandler;
 import org.limpetgate.net.peer.PeerIdentity;
 import org.limpetgate.net.peer.PeerKeys;
@@ -280,7 +281,7 @@
 	}
 
 	private PeerSettings peerSettings(PeerIdentity self) {
-		PeerSettings peerSettings = PeerSettings.of(self, this.keys);
+		PeerSettings peerSettings = PeerSettings.of(self, this.keys).withClock(this.clock);
 		InetAddress listenAddress = SettingsMapping.toAddress(this.settings.peers()).getAddress();
 		return listenAddress.isAnyLocalAddress() ? peerSettings : peerSettings.withLocalAddress(listenAddress);
 	}
@@ -469,7 +470,7 @@
 		}, "close-" + this.settings.host()).start();
 	}
 
-	private static Optional<CompletableFuture<PeerFrame.Builder>> refuseUntilStarted(PeerIdentity peer,
+	private static Optional<CompletableFuture<PeerFrame.Builder>> refuseUntilStarted(InboundLink link,
 			PeerFrame frame) {
 		return Optional.of(CompletableFuture
 			.failedFuture(DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, "the host is starting")));
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -43,6 +43,9 @@
 	/** A job was answered. */
 	JOB_ENDED(1304, "job=%s outcome=%s took_ms=%s scheduler=%s reason=%s"),
 
+	/** The scheduler received a job from another host. */
+	SUBMISSION_RECEIVED(1305, "job=%s origin=%s link=%s max_age_ms=%s waited_ms=%s resubmitted=%s"),
+
 	/** A worker was ordered to start a run. */
 	RUN_ORDERED(1311, "run=%s worker=%s token=%s"),
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/PeerService.java
@@ -33,6 +33,7 @@
 import org.limpetgate.membership.Membership;
 import org.limpetgate.membership.MembershipEffect;
 import org.limpetgate.net.http.ErrorReply;
+import org.limpetgate.net.peer.InboundLink;
 import org.limpetgate.net.peer.PeerAddress;
 import org.limpetgate.net.peer.PeerHandler;
 import org.limpetgate.net.peer.PeerIdentity;
@@ -286,7 +287,8 @@
 	}
 
 	@Override
-	public Optional<CompletableFuture<PeerFrame.Builder>> handle(PeerIdentity peer, PeerFrame frame) {
+	public Optional<CompletableFuture<PeerFrame.Builder>> handle(InboundLink link, PeerFrame frame) {
+		PeerIdentity peer = link.peer();
 		switch (frame.getMessageCase()) {
 			case HEARTBEAT:
 				Heartbeat heartbeat = MembershipCodec.toHeartbeat(frame.getHeartbeat());
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -27,6 +27,7 @@
 import org.limpetgate.host.EventLog;
 import org.limpetgate.host.HostMetrics;
 import org.limpetgate.host.LogEvent;
+import org.limpetgate.net.peer.InboundLink;
 import org.limpetgate.proto.HostBeat;
 import org.limpetgate.proto.JobResult;
 import org.limpetgate.proto.JobStatus;
@@ -494,6 +495,12 @@
 			FleetHost.this.directory.offerConfiguration(text);
 		}
 
+		@Override
+		public void submissionReceived(InboundLink link, SubmitJob job, long maxAgeNanos) {
+			FleetHost.this.log.write(LogEvent.SUBMISSION_RECEIVED, job.getJobId(), link.host(), link.number(),
+					TimeUnit.NANOSECONDS.toMillis(maxAgeNanos), job.getWaitedMillis(), job.getResubmitted());
+		}
+
 		@Override
 		public boolean jobSubmitted(HostId peer, SubmitJob job) {
 			return accept(peer, job);
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -23,6 +23,7 @@
 import org.limpetgate.Outcome;
 import org.limpetgate.fleet.HeartbeatPlan;
 import org.limpetgate.fleet.HostState;
+import org.limpetgate.net.peer.InboundLink;
 import org.limpetgate.net.peer.PeerAddress;
 import org.limpetgate.net.peer.PeerIdentity;
 import org.limpetgate.net.peer.PeerKeys;
@@ -93,10 +94,10 @@
 			.of(new PeerIdentity(self, settings.dataCentre()), PeerKeys.of(KEY_ID, Map.of(KEY_ID, settings.peerKey())))
 			.withLimits(PeerLimits.defaults()
 				.withTimeouts(HANDSHAKE_TIMEOUT_NANOS, PROBE_INTERVAL_NANOS, MAX_BACKOFF_NANOS))
-			.withMetrics(new LinkObserver());
+			.withMetrics(new LinkObserver())
+			.withClock(clock);
 		this.links = PeerLinks.of(group, peerSettings, new SplittableRandom(self.number()));
-		this.server = PeerServer.start(group, settings.peerAddress(), peerSettings,
-				(peer, frame) -> handle(peer.host(), frame));
+		this.server = PeerServer.start(group, settings.peerAddress(), peerSettings, this::handle);
 	}
 
 	static FleetPeers start(EventLoopGroup group, FleetSettings settings, Incarnation self, LongSupplier clock,
@@ -173,7 +174,8 @@
 		return reply.build();
 	}
 
-	private Optional<CompletableFuture<PeerFrame.Builder>> handle(HostId peer, PeerFrame frame) {
+	private Optional<CompletableFuture<PeerFrame.Builder>> handle(InboundLink link, PeerFrame frame) {
+		HostId peer = link.host();
 		addHosts(List.of(peer));
 		switch (frame.getMessageCase()) {
 			case HOST_BEAT -> {
@@ -181,7 +183,7 @@
 					.completedFuture(PeerFrame.newBuilder().setHostBeat(handleHeartbeat(frame.getHostBeat()))));
 			}
 			case SUBMIT_JOB -> {
-				return Optional.of(handleSubmit(peer, frame.getSubmitJob()));
+				return Optional.of(handleSubmit(link, frame));
 			}
 			case QUERY_JOB -> {
 				QueryJob query = frame.getQueryJob();
@@ -205,8 +207,11 @@
 		}
 	}
 
-	private CompletableFuture<PeerFrame.Builder> handleSubmit(HostId peer, SubmitJob message) {
+	private CompletableFuture<PeerFrame.Builder> handleSubmit(InboundLink link, PeerFrame frame) {
 		CompletableFuture<PeerFrame.Builder> reply = new CompletableFuture<>();
+		HostId peer = link.host();
+		SubmitJob message = frame.getSubmitJob();
+		this.listener.submissionReceived(link, message, maxAgeNanos(frame));
 		JobId job = JobId.of(message.getJobId());
 		pendingRepliesTo(peer).put(job, reply);
 		if (!this.listener.jobSubmitted(peer, message)) {
@@ -217,6 +222,11 @@
 		return reply;
 	}
 
+	// Returns how long ago the peer can have sent a frame at most.
+	private long maxAgeNanos(PeerFrame frame) {
+		return this.clock.getAsLong() - frame.getAcceptorClockNanos();
+	}
+
 	private Map<JobId, CompletableFuture<PeerFrame.Builder>> pendingRepliesTo(HostId peer) {
 		return this.pendingReplies.computeIfAbsent(peer, (key) -> new HashMap<>());
 	}
@@ -306,6 +316,9 @@
 
 		void configurationOffered(byte[] text);
 
+		// Called for each submission that arrives, before it is decided on.
+		void submissionReceived(InboundLink link, SubmitJob job, long maxAgeNanos);
+
 		boolean jobSubmitted(HostId peer, SubmitJob job);
 
 		void jobWithdrawn(HostId peer, JobId job);
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/InboundConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/InboundConnection.java
@@ -22,6 +22,9 @@
 
 	private PeerIdentity claimedIdentity;
 
+	/** The link that this connection serves, null before the handshake is complete. */
+	private InboundLink link;
+
 	private Hello clientHello;
 
 	private Hello serverHello;
@@ -44,6 +47,11 @@
 		}
 	}
 
+	@Override
+	long acceptorClockNanos() {
+		return settings().clock().getAsLong();
+	}
+
 	@Override
 	void handleHello(Hello hello) {
 		if (this.clientHello == null) {
@@ -88,6 +96,7 @@
 			return;
 		}
 		onAuthenticated(this.claimedIdentity, this.clientHello.getKeyId(), this.key);
+		this.link = new InboundLink(this.claimedIdentity, this.server.nextLinkNumber());
 		writeHello(Hello.getDefaultInstance());
 	}
 
@@ -116,7 +125,7 @@
 
 	private CompletableFuture<PeerFrame.Builder> handle(PeerFrame frame) {
 		try {
-			Optional<CompletableFuture<PeerFrame.Builder>> reply = this.server.handler().handle(peer(), frame);
+			Optional<CompletableFuture<PeerFrame.Builder>> reply = this.server.handler().handle(this.link, frame);
 			return reply.orElseGet(() -> CompletableFuture.failedFuture(DispatchException.of(ErrorKind.INTERNAL,
 					Outcome.UNKNOWN, "the handler returned no reply to " + frame.getMessageCase())));
 		}
@@ -129,19 +138,16 @@
 		if (isRefused() || !context().channel().isActive()) {
 			return;
 		}
-		PeerFrame frame = reply.setProtocolVersion(PeerFrames.PROTOCOL_VERSION)
-			.setCorrelationId(request.getCorrelationId())
-			.build();
-		if (frame.getSerializedSize() > settings().limits().maxFrameBytes()) {
+		int size = reply.setCorrelationId(request.getCorrelationId()).build().getSerializedSize()
+				+ PeerLinks.FRAME_OVERHEAD_BYTES;
+		if (size > settings().limits().maxFrameBytes()) {
 			write(PeerFrames
 				.refusal(DispatchException.of(ErrorKind.INTERNAL, Outcome.UNKNOWN,
-						"the reply has " + frame.getSerializedSize() + " bytes, the limit is "
-								+ settings().limits().maxFrameBytes()))
-				.setCorrelationId(request.getCorrelationId())
-				.build());
+						"the reply has " + size + " bytes, the limit is " + settings().limits().maxFrameBytes()))
+				.setCorrelationId(request.getCorrelationId()));
 			return;
 		}
-		write(frame);
+		write(reply);
 	}
 
 	@Override
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
@@ -9,6 +9,7 @@
 
 import javax.crypto.SecretKey;
 
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.limpetgate.DispatchException;
 import org.limpetgate.ErrorKind;
@@ -33,6 +34,9 @@
 
 	private long lastCorrelationId;
 
+	/** The newest time of the peer's clock that was received on this connection. */
+	private long acceptorClockNanos;
+
 	private boolean ended;
 
 	OutboundConnection(PeerLink link, PeerSettings settings) {
@@ -48,6 +52,17 @@
 		writeHello(this.clientHello);
 	}
 
+	@Override
+	protected void channelRead0(ChannelHandlerContext ctx, PeerFrame frame) {
+		this.acceptorClockNanos = Math.max(this.acceptorClockNanos, frame.getAcceptorClockNanos());
+		super.channelRead0(ctx, frame);
+	}
+
+	@Override
+	long acceptorClockNanos() {
+		return this.acceptorClockNanos;
+	}
+
 	@Override
 	void handleHello(Hello hello) {
 		if (this.serverHello == null) {
@@ -119,12 +134,11 @@
 		ScheduledFuture<?> timeout = context().executor()
 			.schedule(() -> timedOut(id), timeoutNanos, TimeUnit.NANOSECONDS);
 		this.requests.put(id, new Request(reply, timeout));
-		write(message.toBuilder().setProtocolVersion(PeerFrames.PROTOCOL_VERSION).setCorrelationId(id).build())
-			.addListener((written) -> {
-				if (!written.isSuccess()) {
-					failUnsent(id, written.cause());
-				}
-			});
+		write(message.toBuilder().setCorrelationId(id)).addListener((written) -> {
+			if (!written.isSuccess()) {
+				failUnsent(id, written.cause());
+			}
+		});
 	}
 
 	/**
@@ -161,7 +175,7 @@
 		if (!context().channel().isWritable()) {
 			return false;
 		}
-		write(message.toBuilder().setProtocolVersion(PeerFrames.PROTOCOL_VERSION).clearCorrelationId().build());
+		write(message.toBuilder().clearCorrelationId());
 		return true;
 	}
 
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerConnection.java
@@ -98,6 +98,12 @@
 	 */
 	abstract void handleHello(Hello hello);
 
+	/**
+	 * Returns the time of the accepting side's clock that this side sends in its frames.
+	 * @return the time in nanoseconds, 0 if this side does not know it yet
+	 */
+	abstract long acceptorClockNanos();
+
 	/**
 	 * Handles a frame after the handshake.
 	 * @param frame the frame, of the supported protocol version
@@ -170,17 +176,20 @@
 
 	/**
 	 * Writes a frame.
-	 * @param frame the frame
+	 * @param message the frame without version and clock
 	 * @return completes when the operating system has accepted the complete frame
 	 */
-	ChannelFuture write(PeerFrame frame) {
+	ChannelFuture write(PeerFrame.Builder message) {
+		PeerFrame frame = message.setProtocolVersion(PeerFrames.PROTOCOL_VERSION)
+			.setAcceptorClockNanos(acceptorClockNanos())
+			.build();
 		ByteBuf bytes = PeerFrames.encode(this.context.alloc(), frame);
 		this.settings.metrics().bytesSent(bytes.readableBytes());
 		return this.context.writeAndFlush(bytes);
 	}
 
 	void writeHello(Hello hello) {
-		write(PeerFrame.newBuilder().setProtocolVersion(PeerFrames.PROTOCOL_VERSION).setHello(hello).build());
+		write(PeerFrame.newBuilder().setHello(hello));
 	}
 
 	/**
@@ -201,7 +210,7 @@
 			.log("LG5101 PEER_REFUSED refused the connection with %s: %s", this.context.channel().remoteAddress(),
 					reason);
 		DispatchException error = DispatchException.of(ErrorKind.PEER_REFUSED, Outcome.NOT_RUN, reason);
-		write(PeerFrames.refusal(error).build()).addListener((written) -> endOutput());
+		write(PeerFrames.refusal(error)).addListener((written) -> endOutput());
 		this.timer = this.context.executor().schedule(() -> close(reason), LINGER_NANOS, TimeUnit.NANOSECONDS);
 		onClosed(reason);
 	}
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerFrames.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerFrames.java
@@ -47,11 +47,10 @@
 	/**
 	 * Returns the frame that reports a failure to the peer.
 	 * @param error the failure
-	 * @return the frame without a correlation id
+	 * @return the frame without version, clock and correlation id
 	 */
 	static PeerFrame.Builder refusal(DispatchException error) {
 		return PeerFrame.newBuilder()
-			.setProtocolVersion(PROTOCOL_VERSION)
 			.setRefusal(Refusal.newBuilder()
 				.setError(error.kind().name())
 				.setMessage(error.getMessage())
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerHandler.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerHandler.java
@@ -15,11 +15,11 @@
 
 	/**
 	 * Handles a frame from an authenticated peer.
-	 * @param peer the sender, not null
+	 * @param link the link on which the frame arrived, not null
 	 * @param frame the frame, not null; correlation id 0 marks a one-way message
 	 * @return the reply, empty for a one-way message; a failure is sent as a refusal with
 	 * the kind and the outcome of its {@link org.limpetgate.DispatchException}
 	 */
-	Optional<CompletableFuture<PeerFrame.Builder>> handle(PeerIdentity peer, PeerFrame frame);
+	Optional<CompletableFuture<PeerFrame.Builder>> handle(InboundLink link, PeerFrame frame);
 
 }
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
@@ -25,7 +25,7 @@
  */
 public final class PeerLinks {
 
-	/** The bytes reserved for version and correlation id in a frame. */
+	/** The bytes reserved for version, correlation id and clock in a frame. */
 	static final int FRAME_OVERHEAD_BYTES = 32;
 
 	private final EventLoopGroup group;
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerServer.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerServer.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
@@ -27,6 +28,8 @@
 
 	private final Set<HostId> blockedHosts = ConcurrentHashMap.newKeySet();
 
+	private final AtomicLong linkNumbers = new AtomicLong();
+
 	private Channel listener;
 
 	private PeerServer(PeerSettings settings, PeerHandler handler) {
@@ -95,6 +98,10 @@
 		this.blockedHosts.remove(host);
 	}
 
+	long nextLinkNumber() {
+		return this.linkNumbers.incrementAndGet();
+	}
+
 	PeerHandler handler() {
 		return this.handler;
 	}
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerSettings.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.util.Objects;
+import java.util.function.LongSupplier;
 
 /**
  * The settings that {@link PeerLinks} and {@link PeerServer} of one host share.
@@ -13,25 +14,28 @@
  * @param metrics the receiver of metrics events
  * @param localAddress the local address of opened links, null to let the operating system
  * choose
+ * @param clock a clock that never decreases, in nanoseconds
  */
 public record PeerSettings(PeerIdentity self, PeerKeys keys, PeerLimits limits, PeerTls tls, PeerMetrics metrics,
-		InetAddress localAddress) {
+		InetAddress localAddress, LongSupplier clock) {
 
 	public PeerSettings {
 		Objects.requireNonNull(self, "self");
 		Objects.requireNonNull(keys, "keys");
 		Objects.requireNonNull(limits, "limits");
 		Objects.requireNonNull(metrics, "metrics");
+		Objects.requireNonNull(clock, "clock");
 	}
 
 	/**
-	 * Returns settings with the default limits, without TLS and metrics.
+	 * Returns settings with the default limits and the monotonic clock, without TLS and
+	 * metrics.
 	 * @param self the identity of this host, not null
 	 * @param keys the keys that authenticate hosts, not null
 	 * @return the settings, not null
 	 */
 	public static PeerSettings of(PeerIdentity self, PeerKeys keys) {
-		return new PeerSettings(self, keys, PeerLimits.defaults(), null, PeerMetrics.NONE, null);
+		return new PeerSettings(self, keys, PeerLimits.defaults(), null, PeerMetrics.NONE, null, System::nanoTime);
 	}
 
 	/**
@@ -40,7 +44,7 @@
 	 * @return the copy, not null
 	 */
 	public PeerSettings withLimits(PeerLimits limits) {
-		return new PeerSettings(this.self, this.keys, limits, this.tls, this.metrics, this.localAddress);
+		return new PeerSettings(this.self, this.keys, limits, this.tls, this.metrics, this.localAddress, this.clock);
 	}
 
 	/**
@@ -50,7 +54,7 @@
 	 */
 	public PeerSettings withTls(PeerTls tls) {
 		return new PeerSettings(this.self, this.keys, this.limits, Objects.requireNonNull(tls, "tls"), this.metrics,
-				this.localAddress);
+				this.localAddress, this.clock);
 	}
 
 	/**
@@ -59,7 +63,7 @@
 	 * @return the copy, not null
 	 */
 	public PeerSettings withMetrics(PeerMetrics metrics) {
-		return new PeerSettings(this.self, this.keys, this.limits, this.tls, metrics, this.localAddress);
+		return new PeerSettings(this.self, this.keys, this.limits, this.tls, metrics, this.localAddress, this.clock);
 	}
 
 	/**
@@ -69,7 +73,16 @@
 	 * @return the copy, not null
 	 */
 	public PeerSettings withLocalAddress(InetAddress localAddress) {
-		return new PeerSettings(this.self, this.keys, this.limits, this.tls, this.metrics, localAddress);
+		return new PeerSettings(this.self, this.keys, this.limits, this.tls, this.metrics, localAddress, this.clock);
+	}
+
+	/**
+	 * Returns a copy with another clock.
+	 * @param clock a clock that never decreases, in nanoseconds, not null
+	 * @return the copy, not null
+	 */
+	public PeerSettings withClock(LongSupplier clock) {
+		return new PeerSettings(this.self, this.keys, this.limits, this.tls, this.metrics, this.localAddress, clock);
 	}
 
 }
--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
@@ -127,8 +127,8 @@
 		awaitUp();
 	}
 
-	private Optional<CompletableFuture<PeerFrame.Builder>> handle(PeerIdentity peer, PeerFrame frame) {
-		assertThat(peer).isEqualTo(A);
+	private Optional<CompletableFuture<PeerFrame.Builder>> handle(InboundLink link, PeerFrame frame) {
+		assertThat(link.peer()).isEqualTo(A);
 		this.received.add(frame);
 		if (frame.getCorrelationId() == 0) {
 			return Optional.empty();
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -240,157 +240,158 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\020limpetgate.proto\022\nlimpetgate\"\240\010\n\tPeerF" +
+      "\n\020limpetgate.proto\022\nlimpetgate\"\276\010\n\tPeerF" +
       "rame\022\030\n\020protocol_version\030\001 \001(\r\022\026\n\016correl" +
-      "ation_id\030\002 \001(\004\022\"\n\005hello\030\003 \001(\0132\021.limpetga" +
-      "te.HelloH\000\022*\n\theartbeat\030\004 \001(\0132\025.limpetga" +
-      "te.HeartbeatH\000\022;\n\022forward_submission\030\005 \001" +
-      "(\0132\035.limpetgate.ForwardSubmissionH\000\0227\n\020s" +
-      "ubmission_reply\030\006 \001(\0132\033.limpetgate.Submi" +
-      "ssionReplyH\000\0227\n\020query_submission\030\007 \001(\0132\033" +
-      ".limpetgate.QuerySubmissionH\000\0229\n\021cancel_" +
-      "submission\030\010 \001(\0132\034.limpetgate.CancelSubm" +
-      "issionH\000\022=\n\023configuration_offer\030\t \001(\0132\036." +
-      "limpetgate.ConfigurationOfferH\000\022A\n\025confi" +
-      "guration_request\030\n \001(\0132 .limpetgate.Conf" +
-      "igurationRequestH\000\022&\n\007refusal\030\013 \001(\0132\023.li" +
-      "mpetgate.RefusalH\000\022&\n\007digests\030\014 \001(\0132\023.li" +
-      "mpetgate.DigestsH\000\022/\n\014forward_task\030\r \001(\013" +
-      "2\027.limpetgate.ForwardTaskH\000\022+\n\ntask_repl" +
-      "y\030\016 \001(\0132\025.limpetgate.TaskReplyH\000\022)\n\thost" +
-      "_beat\030\017 \001(\0132\024.limpetgate.HostBeatH\000\022+\n\ns" +
-      "ubmit_job\030\020 \001(\0132\025.limpetgate.SubmitJobH\000" +
-      "\022+\n\njob_result\030\021 \001(\0132\025.limpetgate.JobRes" +
-      "ultH\000\022/\n\014withdraw_job\030\022 \001(\0132\027.limpetgate" +
-      ".WithdrawJobH\000\022)\n\tquery_job\030\023 \001(\0132\024.limp" +
-      "etgate.QueryJobH\000\022+\n\njob_status\030\024 \001(\0132\025." +
-      "limpetgate.JobStatusH\000\022-\n\013query_queue\030\025 " +
-      "\001(\0132\026.limpetgate.QueryQueueH\000\022/\n\014queue_s" +
-      "tatus\030\026 \001(\0132\027.limpetgate.QueueStatusH\000B\t" +
-      "\n\007message\"-\n\rIncarnationId\022\014\n\004host\030\001 \001(\t" +
-      "\022\016\n\006number\030\002 \001(\006\"x\n\005Hello\022.\n\013incarnation" +
-      "\030\001 \001(\0132\031.limpetgate.IncarnationId\022\023\n\013dat" +
-      "a_centre\030\002 \001(\t\022\r\n\005nonce\030\003 \001(\014\022\013\n\003mac\030\004 \001" +
-      "(\014\022\016\n\006key_id\030\005 \001(\t\"U\n\007Refusal\022\r\n\005error\030\001" +
-      " \001(\t\022\017\n\007message\030\002 \001(\t\022\017\n\007outcome\030\003 \001(\t\022\031" +
-      "\n\021retry_after_nanos\030\004 \001(\004\"\246\002\n\tHeartbeat\022" +
-      ".\n\013incarnation\030\001 \001(\0132\031.limpetgate.Incarn" +
-      "ationId\022\020\n\010sequence\030\002 \001(\004\022\035\n\025configurati" +
-      "on_version\030\003 \001(\003\022\014\n\004size\030\004 \001(\r\022\017\n\007leavin" +
-      "g\030\005 \001(\010\022&\n\006demand\030\006 \003(\0132\026.limpetgate.Poo" +
-      "lDemand\022\"\n\004seen\030\007 \003(\0132\024.limpetgate.PeerS" +
-      "een\022\031\n\021leaving_upstreams\030\010 \003(\t\022\017\n\007addres" +
-      "s\030\t \001(\t\022\014\n\004port\030\n \001(\r\022\023\n\013data_centre\030\013 \001" +
-      "(\t\"=\n\nPoolDemand\022\014\n\004pool\030\001 \001(\t\022\016\n\006queued" +
-      "\030\002 \001(\r\022\021\n\tin_flight\030\003 \001(\r\"L\n\010PeerSeen\022.\n" +
-      "\013incarnation\030\001 \001(\0132\031.limpetgate.Incarnat" +
-      "ionId\022\020\n\010sequence\030\002 \001(\004\"L\n\021ForwardSubmis" +
-      "sion\022\016\n\006caller\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\014\n\004bod" +
-      "y\030\003 \001(\014\022\014\n\004hops\030\004 \001(\r\"<\n\017QuerySubmission" +
-      "\022\016\n\006caller\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\014\n\004hops\030\003 " +
-      "\001(\r\"=\n\020CancelSubmission\022\016\n\006caller\030\001 \001(\t\022" +
-      "\013\n\003key\030\002 \001(\t\022\014\n\004hops\030\003 \001(\r\"o\n\017Submission" +
-      "Reply\022\023\n\013http_status\030\001 \001(\r\022\017\n\007outcome\030\002 " +
-      "\001(\t\022\r\n\005error\030\003 \001(\t\022\031\n\021retry_after_nanos\030" +
-      "\004 \001(\004\022\014\n\004body\030\005 \001(\014\"\263\002\n\013ForwardTask\022\016\n\006c" +
-      "aller\030\001 \001(\t\022\016\n\006method\030\002 \001(\t\022\016\n\006target\030\003 " +
-      "\001(\t\0225\n\007headers\030\004 \003(\0132$.limpetgate.Forwar" +
-      "dTask.HeadersEntry\022\014\n\004body\030\005 \001(\014\022\026\n\016dead" +
-      "line_nanos\030\006 \001(\006\022\r\n\005route\030\007 \001(\t\022\014\n\004pool\030" +
-      "\010 \001(\t\022\022\n\nidempotent\030\t \001(\010\022\r\n\005cores\030\n \001(\001" +
-      "\022\021\n\tmemory_mb\030\013 \001(\004\022\024\n\014accelerators\030\014 \001(" +
-      "\r\032.\n\014HeadersEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030" +
-      "\002 \001(\t:\0028\001\"\316\001\n\tTaskReply\022\023\n\013http_status\030\001" +
-      " \001(\r\0223\n\007headers\030\002 \003(\0132\".limpetgate.TaskR" +
-      "eply.HeadersEntry\022\014\n\004body\030\003 \001(\014\022\017\n\007outco" +
-      "me\030\004 \001(\t\022\r\n\005error\030\005 \001(\t\022\031\n\021retry_after_n" +
-      "anos\030\006 \001(\004\032.\n\014HeadersEntry\022\013\n\003key\030\001 \001(\t\022" +
-      "\r\n\005value\030\002 \001(\t:\0028\001\"*\n\024ConfigurationReque" +
-      "st\022\022\n\nnewer_than\030\001 \001(\003\"I\n\022ConfigurationO" +
-      "ffer\0223\n\010snapshot\030\001 \001(\0132!.limpetgate.Conf" +
-      "igurationSnapshot\"8\n\007Digests\022-\n\007digests\030" +
-      "\001 \003(\0132\034.limpetgate.DataCentreDigest\"\311\001\n\020" +
-      "DataCentreDigest\022\023\n\013data_centre\030\001 \001(\t\022\022\n" +
-      "\nlive_hosts\030\002 \001(\r\022$\n\034lowest_configuratio" +
-      "n_version\030\003 \001(\003\022$\n\005pools\030\004 \003(\0132\025.limpetg" +
-      "ate.PoolState\022\025\n\rsent_at_nanos\030\005 \001(\006\022)\n\007" +
-      "members\030\006 \003(\0132\030.limpetgate.DigestMember\"" +
-      "G\n\tPoolState\022\014\n\004pool\030\001 \001(\t\022\022\n\nwait_nanos" +
-      "\030\002 \001(\004\022\030\n\020tasks_per_second\030\003 \001(\002\"]\n\014Dige" +
-      "stMember\022.\n\013incarnation\030\001 \001(\0132\031.limpetga" +
-      "te.IncarnationId\022\017\n\007address\030\002 \001(\t\022\014\n\004por" +
-      "t\030\003 \001(\r\"\257\001\n\nClaimBatch\022)\n\006holder\030\001 \001(\0132\031" +
-      ".limpetgate.IncarnationId\022\032\n\022base_expiry" +
-      "_millis\030\003 \001(\004\022\022\n\nkey_hashes\030\004 \001(\014\022\024\n\014fin" +
-      "gerprints\030\005 \001(\014\022\025\n\rexpiry_millis\030\006 \003(\004\022\023" +
-      "\n\013generations\030\007 \003(\rJ\004\010\002\020\003\"x\n\023Configurati" +
-      "onRecord\022 \n\004edit\030\001 \001(\0132\020.limpetgate.Edit" +
-      "H\000\0225\n\010snapshot\030\002 \001(\0132!.limpetgate.Config" +
-      "urationSnapshotH\000B\010\n\006record\"\202\001\n\004Edit\022\017\n\007" +
-      "edit_id\030\001 \001(\t\022\020\n\010operator\030\002 \001(\t\022\027\n\017issue" +
-      "d_at_nanos\030\003 \001(\006\022\r\n\005table\030\004 \001(\t\022\014\n\004name\030" +
-      "\005 \001(\t\022\024\n\014base_version\030\006 \001(\003\022\013\n\003row\030\007 \001(\014" +
-      "\"x\n\025ConfigurationSnapshot\022\017\n\007version\030\001 \001" +
-      "(\003\022&\n\004rows\030\002 \003(\0132\030.limpetgate.VersionedR" +
-      "ow\022&\n\006recent\030\003 \003(\0132\026.limpetgate.EditResu" +
-      "lt\"I\n\014VersionedRow\022\r\n\005table\030\001 \001(\t\022\014\n\004nam" +
-      "e\030\002 \001(\t\022\017\n\007version\030\003 \001(\003\022\013\n\003row\030\004 \001(\014\"\326\001" +
-      "\n\nEditResult\022\017\n\007edit_id\030\001 \001(\t\022\016\n\006offset\030" +
-      "\002 \001(\003\022\r\n\005error\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\020\n\010" +
-      "operator\030\005 \001(\t\022\r\n\005table\030\006 \001(\t\022\014\n\004name\030\007 " +
-      "\001(\t\022\024\n\014base_version\030\010 \001(\022\022\017\n\007removal\030\t \001" +
-      "(\010\022\027\n\017issued_at_nanos\030\n \001(\006\022\031\n\021appended_" +
-      "at_nanos\030\013 \001(\006\"\254\002\n\010HostBeat\022.\n\013incarnati" +
-      "on\030\001 \001(\0132\031.limpetgate.IncarnationId\022\023\n\013d" +
-      "ata_centre\030\002 \001(\t\022\017\n\007leaving\030\003 \001(\010\022\r\n\005rea" +
-      "dy\030\004 \001(\010\022\022\n\noverloaded\030\005 \001(\010\022\022\n\ncpu_mill" +
-      "is\030\006 \001(\r\022\027\n\017scheduler_token\030\007 \001(\004\022\023\n\013who" +
-      "le_scope\030\010 \001(\010\022\023\n\013known_hosts\030\t \003(\t\022\035\n\025c" +
-      "onfiguration_version\030\n \001(\003\022\025\n\rconfigurat" +
-      "ion\030\013 \001(\014\022\032\n\022known_hosts_digest\030\014 \001(\007\"\207\002" +
-      "\n\007JobStep\022\r\n\005count\030\001 \001(\r\022\022\n\ncpu_millis\030\002" +
-      " \001(\r\022\021\n\tmemory_mb\030\003 \001(\r\022\024\n\014accelerators\030" +
-      "\004 \001(\r\022\030\n\020estimated_millis\030\005 \001(\004\022\r\n\005after" +
-      "\030\006 \003(\r\022\026\n\016required_label\030\007 \001(\t\022\021\n\tdata_r" +
-      "ack\030\010 \001(\t\022\026\n\016max_per_worker\030\t \001(\r\022\035\n\025lat" +
-      "ency_target_millis\030\n \001(\r\022%\n\006traits\030\013 \003(\016" +
-      "2\025.limpetgate.StepTrait\"\225\002\n\tSubmitJob\022\016\n" +
-      "\006job_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010priori" +
-      "ty\030\003 \001(\r\022\020\n\010attempts\030\004 \001(\r\022\017\n\007stretch\030\005 " +
-      "\001(\001\022\030\n\020objective_millis\030\006 \001(\004\022\025\n\rwaited_" +
-      "millis\030\007 \001(\004\022\030\n\020remaining_millis\030\010 \001(\004\022\017" +
-      "\n\007payload\030\t \001(\t\022\"\n\005steps\030\n \003(\0132\023.limpetg" +
-      "ate.JobStep\022\023\n\013resubmitted\030\013 \001(\010\022\r\n\005queu" +
-      "e\030\014 \001(\t\022\016\n\006stored\030\r \001(\010\"\315\001\n\tJobResult\022*\n" +
-      "\005state\030\001 \001(\0162\033.limpetgate.JobResult.Stat" +
-      "e\022\016\n\006reason\030\002 \001(\t\022\032\n\022retry_after_millis\030" +
-      "\003 \001(\004\"h\n\005State\022\017\n\013UNSPECIFIED\020\000\022\r\n\tCOMPL" +
-      "ETED\020\001\022\n\n\006FAILED\020\002\022\013\n\007REFUSED\020\003\022\t\n\005MOVED" +
-      "\020\004\022\r\n\tABANDONED\020\005\022\014\n\010ACCEPTED\020\006\"\035\n\013Withd" +
-      "rawJob\022\016\n\006job_id\030\001 \001(\t\"*\n\010QueryJob\022\016\n\006jo" +
-      "b_id\030\001 \001(\t\022\016\n\006cancel\030\002 \001(\010\"\240\001\n\tJobStatus" +
-      "\022*\n\005state\030\001 \001(\0162\033.limpetgate.JobStatus.S" +
-      "tate\"g\n\005State\022\017\n\013UNAVAILABLE\020\000\022\013\n\007UNKNOW" +
-      "N\020\001\022\n\n\006QUEUED\020\002\022\013\n\007RUNNING\020\003\022\r\n\tCOMPLETE" +
-      "D\020\004\022\n\n\006FAILED\020\005\022\014\n\010CANCELED\020\006\"\033\n\nQueryQu" +
-      "eue\022\r\n\005queue\030\001 \001(\t\"6\n\013QueueStatus\022\021\n\tava" +
-      "ilable\030\001 \001(\010\022\024\n\014pending_jobs\030\002 \001(\r\"N\n\017St" +
-      "oredJobRecord\022\"\n\003job\030\001 \001(\0132\025.limpetgate." +
-      "SubmitJob\022\027\n\017accepted_millis\030\002 \001(\004\"\204\001\n\021J" +
-      "obProgressRecord\022*\n\005state\030\001 \001(\0162\033.limpet" +
-      "gate.JobStatus.State\022\024\n\014ended_millis\030\002 \001" +
-      "(\004\022-\n\005steps\030\003 \003(\0132\036.limpetgate.StepProgr" +
-      "essRecord\"\215\002\n\022StepProgressRecord\022\014\n\004done" +
-      "\030\001 \001(\014\022>\n\010failures\030\002 \003(\0132,.limpetgate.St" +
-      "epProgressRecord.FailuresEntry\022D\n\013checkp" +
-      "oints\030\003 \003(\0132/.limpetgate.StepProgressRec" +
-      "ord.CheckpointsEntry\032/\n\rFailuresEntry\022\013\n" +
-      "\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\0322\n\020Checkpo" +
-      "intsEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\t:\0028" +
-      "\001*h\n\tStepTrait\022\025\n\021TRAIT_UNSPECIFIED\020\000\022\010\n" +
-      "\004GANG\020\001\022\r\n\tSAME_RACK\020\002\022\020\n\014CHECKPOINTED\020\003" +
-      "\022\r\n\tPERPETUAL\020\004\022\n\n\006FILLER\020\005B\030\n\024org.limpe" +
-      "tgate.protoP\001b\006proto3"
+      "ation_id\030\002 \001(\004\022\034\n\024acceptor_clock_nanos\030\027" +
+      " \001(\006\022\"\n\005hello\030\003 \001(\0132\021.limpetgate.HelloH\000" +
+      "\022*\n\theartbeat\030\004 \001(\0132\025.limpetgate.Heartbe" +
+      "atH\000\022;\n\022forward_submission\030\005 \001(\0132\035.limpe" +
+      "tgate.ForwardSubmissionH\000\0227\n\020submission_" +
+      "reply\030\006 \001(\0132\033.limpetgate.SubmissionReply" +
+      "H\000\0227\n\020query_submission\030\007 \001(\0132\033.limpetgat" +
+      "e.QuerySubmissionH\000\0229\n\021cancel_submission" +
+      "\030\010 \001(\0132\034.limpetgate.CancelSubmissionH\000\022=" +
+      "\n\023configuration_offer\030\t \001(\0132\036.limpetgate" +
+      ".ConfigurationOfferH\000\022A\n\025configuration_r" +
+      "equest\030\n \001(\0132 .limpetgate.ConfigurationR" +
+      "equestH\000\022&\n\007refusal\030\013 \001(\0132\023.limpetgate.R" +
+      "efusalH\000\022&\n\007digests\030\014 \001(\0132\023.limpetgate.D" +
+      "igestsH\000\022/\n\014forward_task\030\r \001(\0132\027.limpetg" +
+      "ate.ForwardTaskH\000\022+\n\ntask_reply\030\016 \001(\0132\025." +
+      "limpetgate.TaskReplyH\000\022)\n\thost_beat\030\017 \001(" +
+      "\0132\024.limpetgate.HostBeatH\000\022+\n\nsubmit_job\030" +
+      "\020 \001(\0132\025.limpetgate.SubmitJobH\000\022+\n\njob_re" +
+      "sult\030\021 \001(\0132\025.limpetgate.JobResultH\000\022/\n\014w" +
+      "ithdraw_job\030\022 \001(\0132\027.limpetgate.WithdrawJ" +
+      "obH\000\022)\n\tquery_job\030\023 \001(\0132\024.limpetgate.Que" +
+      "ryJobH\000\022+\n\njob_status\030\024 \001(\0132\025.limpetgate" +
+      ".JobStatusH\000\022-\n\013query_queue\030\025 \001(\0132\026.limp" +
+      "etgate.QueryQueueH\000\022/\n\014queue_status\030\026 \001(" +
+      "\0132\027.limpetgate.QueueStatusH\000B\t\n\007message\"" +
+      "-\n\rIncarnationId\022\014\n\004host\030\001 \001(\t\022\016\n\006number" +
+      "\030\002 \001(\006\"x\n\005Hello\022.\n\013incarnation\030\001 \001(\0132\031.l" +
+      "impetgate.IncarnationId\022\023\n\013data_centre\030\002" +
+      " \001(\t\022\r\n\005nonce\030\003 \001(\014\022\013\n\003mac\030\004 \001(\014\022\016\n\006key_" +
+      "id\030\005 \001(\t\"U\n\007Refusal\022\r\n\005error\030\001 \001(\t\022\017\n\007me" +
+      "ssage\030\002 \001(\t\022\017\n\007outcome\030\003 \001(\t\022\031\n\021retry_af" +
+      "ter_nanos\030\004 \001(\004\"\246\002\n\tHeartbeat\022.\n\013incarna" +
+      "tion\030\001 \001(\0132\031.limpetgate.IncarnationId\022\020\n" +
+      "\010sequence\030\002 \001(\004\022\035\n\025configuration_version" +
+      "\030\003 \001(\003\022\014\n\004size\030\004 \001(\r\022\017\n\007leaving\030\005 \001(\010\022&\n" +
+      "\006demand\030\006 \003(\0132\026.limpetgate.PoolDemand\022\"\n" +
+      "\004seen\030\007 \003(\0132\024.limpetgate.PeerSeen\022\031\n\021lea" +
+      "ving_upstreams\030\010 \003(\t\022\017\n\007address\030\t \001(\t\022\014\n" +
+      "\004port\030\n \001(\r\022\023\n\013data_centre\030\013 \001(\t\"=\n\nPool" +
+      "Demand\022\014\n\004pool\030\001 \001(\t\022\016\n\006queued\030\002 \001(\r\022\021\n\t" +
+      "in_flight\030\003 \001(\r\"L\n\010PeerSeen\022.\n\013incarnati" +
+      "on\030\001 \001(\0132\031.limpetgate.IncarnationId\022\020\n\010s" +
+      "equence\030\002 \001(\004\"L\n\021ForwardSubmission\022\016\n\006ca" +
+      "ller\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\014\n" +
+      "\004hops\030\004 \001(\r\"<\n\017QuerySubmission\022\016\n\006caller" +
+      "\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\014\n\004hops\030\003 \001(\r\"=\n\020Can" +
+      "celSubmission\022\016\n\006caller\030\001 \001(\t\022\013\n\003key\030\002 \001" +
+      "(\t\022\014\n\004hops\030\003 \001(\r\"o\n\017SubmissionReply\022\023\n\013h" +
+      "ttp_status\030\001 \001(\r\022\017\n\007outcome\030\002 \001(\t\022\r\n\005err" +
+      "or\030\003 \001(\t\022\031\n\021retry_after_nanos\030\004 \001(\004\022\014\n\004b" +
+      "ody\030\005 \001(\014\"\263\002\n\013ForwardTask\022\016\n\006caller\030\001 \001(" +
+      "\t\022\016\n\006method\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\0225\n\007hea" +
+      "ders\030\004 \003(\0132$.limpetgate.ForwardTask.Head" +
+      "ersEntry\022\014\n\004body\030\005 \001(\014\022\026\n\016deadline_nanos" +
+      "\030\006 \001(\006\022\r\n\005route\030\007 \001(\t\022\014\n\004pool\030\010 \001(\t\022\022\n\ni" +
+      "dempotent\030\t \001(\010\022\r\n\005cores\030\n \001(\001\022\021\n\tmemory" +
+      "_mb\030\013 \001(\004\022\024\n\014accelerators\030\014 \001(\r\032.\n\014Heade" +
+      "rsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"" +
+      "\316\001\n\tTaskReply\022\023\n\013http_status\030\001 \001(\r\0223\n\007he" +
+      "aders\030\002 \003(\0132\".limpetgate.TaskReply.Heade" +
+      "rsEntry\022\014\n\004body\030\003 \001(\014\022\017\n\007outcome\030\004 \001(\t\022\r" +
+      "\n\005error\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006 \001(\004" +
+      "\032.\n\014HeadersEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002" +
+      " \001(\t:\0028\001\"*\n\024ConfigurationRequest\022\022\n\nnewe" +
+      "r_than\030\001 \001(\003\"I\n\022ConfigurationOffer\0223\n\010sn" +
+      "apshot\030\001 \001(\0132!.limpetgate.ConfigurationS" +
+      "napshot\"8\n\007Digests\022-\n\007digests\030\001 \003(\0132\034.li" +
+      "mpetgate.DataCentreDigest\"\311\001\n\020DataCentre" +
+      "Digest\022\023\n\013data_centre\030\001 \001(\t\022\022\n\nlive_host" +
+      "s\030\002 \001(\r\022$\n\034lowest_configuration_version\030" +
+      "\003 \001(\003\022$\n\005pools\030\004 \003(\0132\025.limpetgate.PoolSt" +
+      "ate\022\025\n\rsent_at_nanos\030\005 \001(\006\022)\n\007members\030\006 " +
+      "\003(\0132\030.limpetgate.DigestMember\"G\n\tPoolSta" +
+      "te\022\014\n\004pool\030\001 \001(\t\022\022\n\nwait_nanos\030\002 \001(\004\022\030\n\020" +
+      "tasks_per_second\030\003 \001(\002\"]\n\014DigestMember\022." +
+      "\n\013incarnation\030\001 \001(\0132\031.limpetgate.Incarna" +
+      "tionId\022\017\n\007address\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\"\257\001" +
+      "\n\nClaimBatch\022)\n\006holder\030\001 \001(\0132\031.limpetgat" +
+      "e.IncarnationId\022\032\n\022base_expiry_millis\030\003 " +
+      "\001(\004\022\022\n\nkey_hashes\030\004 \001(\014\022\024\n\014fingerprints\030" +
+      "\005 \001(\014\022\025\n\rexpiry_millis\030\006 \003(\004\022\023\n\013generati" +
+      "ons\030\007 \003(\rJ\004\010\002\020\003\"x\n\023ConfigurationRecord\022 " +
+      "\n\004edit\030\001 \001(\0132\020.limpetgate.EditH\000\0225\n\010snap" +
+      "shot\030\002 \001(\0132!.limpetgate.ConfigurationSna" +
+      "pshotH\000B\010\n\006record\"\202\001\n\004Edit\022\017\n\007edit_id\030\001 " +
+      "\001(\t\022\020\n\010operator\030\002 \001(\t\022\027\n\017issued_at_nanos" +
+      "\030\003 \001(\006\022\r\n\005table\030\004 \001(\t\022\014\n\004name\030\005 \001(\t\022\024\n\014b" +
+      "ase_version\030\006 \001(\003\022\013\n\003row\030\007 \001(\014\"x\n\025Config" +
+      "urationSnapshot\022\017\n\007version\030\001 \001(\003\022&\n\004rows" +
+      "\030\002 \003(\0132\030.limpetgate.VersionedRow\022&\n\006rece" +
+      "nt\030\003 \003(\0132\026.limpetgate.EditResult\"I\n\014Vers" +
+      "ionedRow\022\r\n\005table\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017\n" +
+      "\007version\030\003 \001(\003\022\013\n\003row\030\004 \001(\014\"\326\001\n\nEditResu" +
+      "lt\022\017\n\007edit_id\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\r\n\005e" +
+      "rror\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\020\n\010operator\030\005" +
+      " \001(\t\022\r\n\005table\030\006 \001(\t\022\014\n\004name\030\007 \001(\t\022\024\n\014bas" +
+      "e_version\030\010 \001(\022\022\017\n\007removal\030\t \001(\010\022\027\n\017issu" +
+      "ed_at_nanos\030\n \001(\006\022\031\n\021appended_at_nanos\030\013" +
+      " \001(\006\"\254\002\n\010HostBeat\022.\n\013incarnation\030\001 \001(\0132\031" +
+      ".limpetgate.IncarnationId\022\023\n\013data_centre" +
+      "\030\002 \001(\t\022\017\n\007leaving\030\003 \001(\010\022\r\n\005ready\030\004 \001(\010\022\022" +
+      "\n\noverloaded\030\005 \001(\010\022\022\n\ncpu_millis\030\006 \001(\r\022\027" +
+      "\n\017scheduler_token\030\007 \001(\004\022\023\n\013whole_scope\030\010" +
+      " \001(\010\022\023\n\013known_hosts\030\t \003(\t\022\035\n\025configurati" +
+      "on_version\030\n \001(\003\022\025\n\rconfiguration\030\013 \001(\014\022" +
+      "\032\n\022known_hosts_digest\030\014 \001(\007\"\207\002\n\007JobStep\022" +
+      "\r\n\005count\030\001 \001(\r\022\022\n\ncpu_millis\030\002 \001(\r\022\021\n\tme" +
+      "mory_mb\030\003 \001(\r\022\024\n\014accelerators\030\004 \001(\r\022\030\n\020e" +
+      "stimated_millis\030\005 \001(\004\022\r\n\005after\030\006 \003(\r\022\026\n\016" +
+      "required_label\030\007 \001(\t\022\021\n\tdata_rack\030\010 \001(\t\022" +
+      "\026\n\016max_per_worker\030\t \001(\r\022\035\n\025latency_targe" +
+      "t_millis\030\n \001(\r\022%\n\006traits\030\013 \003(\0162\025.limpetg" +
+      "ate.StepTrait\"\225\002\n\tSubmitJob\022\016\n\006job_id\030\001 " +
+      "\001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010priority\030\003 \001(\r\022\020" +
+      "\n\010attempts\030\004 \001(\r\022\017\n\007stretch\030\005 \001(\001\022\030\n\020obj" +
+      "ective_millis\030\006 \001(\004\022\025\n\rwaited_millis\030\007 \001" +
+      "(\004\022\030\n\020remaining_millis\030\010 \001(\004\022\017\n\007payload\030" +
+      "\t \001(\t\022\"\n\005steps\030\n \003(\0132\023.limpetgate.JobSte" +
+      "p\022\023\n\013resubmitted\030\013 \001(\010\022\r\n\005queue\030\014 \001(\t\022\016\n" +
+      "\006stored\030\r \001(\010\"\315\001\n\tJobResult\022*\n\005state\030\001 \001" +
+      "(\0162\033.limpetgate.JobResult.State\022\016\n\006reaso" +
+      "n\030\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(\004\"h\n\005S" +
+      "tate\022\017\n\013UNSPECIFIED\020\000\022\r\n\tCOMPLETED\020\001\022\n\n\006" +
+      "FAILED\020\002\022\013\n\007REFUSED\020\003\022\t\n\005MOVED\020\004\022\r\n\tABAN" +
+      "DONED\020\005\022\014\n\010ACCEPTED\020\006\"\035\n\013WithdrawJob\022\016\n\006" +
+      "job_id\030\001 \001(\t\"*\n\010QueryJob\022\016\n\006job_id\030\001 \001(\t" +
+      "\022\016\n\006cancel\030\002 \001(\010\"\240\001\n\tJobStatus\022*\n\005state\030" +
+      "\001 \001(\0162\033.limpetgate.JobStatus.State\"g\n\005St" +
+      "ate\022\017\n\013UNAVAILABLE\020\000\022\013\n\007UNKNOWN\020\001\022\n\n\006QUE" +
+      "UED\020\002\022\013\n\007RUNNING\020\003\022\r\n\tCOMPLETED\020\004\022\n\n\006FAI" +
+      "LED\020\005\022\014\n\010CANCELED\020\006\"\033\n\nQueryQueue\022\r\n\005que" +
+      "ue\030\001 \001(\t\"6\n\013QueueStatus\022\021\n\tavailable\030\001 \001" +
+      "(\010\022\024\n\014pending_jobs\030\002 \001(\r\"N\n\017StoredJobRec" +
+      "ord\022\"\n\003job\030\001 \001(\0132\025.limpetgate.SubmitJob\022" +
+      "\027\n\017accepted_millis\030\002 \001(\004\"\204\001\n\021JobProgress" +
+      "Record\022*\n\005state\030\001 \001(\0162\033.limpetgate.JobSt" +
+      "atus.State\022\024\n\014ended_millis\030\002 \001(\004\022-\n\005step" +
+      "s\030\003 \003(\0132\036.limpetgate.StepProgressRecord\"" +
+      "\215\002\n\022StepProgressRecord\022\014\n\004done\030\001 \001(\014\022>\n\010" +
+      "failures\030\002 \003(\0132,.limpetgate.StepProgress" +
+      "Record.FailuresEntry\022D\n\013checkpoints\030\003 \003(" +
+      "\0132/.limpetgate.StepProgressRecord.Checkp" +
+      "ointsEntry\032/\n\rFailuresEntry\022\013\n\003key\030\001 \001(\r" +
+      "\022\r\n\005value\030\002 \001(\r:\0028\001\0322\n\020CheckpointsEntry\022" +
+      "\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\t:\0028\001*h\n\tStepT" +
+      "rait\022\025\n\021TRAIT_UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\r\n" +
+      "\tSAME_RACK\020\002\022\020\n\014CHECKPOINTED\020\003\022\r\n\tPERPET" +
+      "UAL\020\004\022\n\n\006FILLER\020\005B\030\n\024org.limpetgate.prot" +
+      "oP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -401,7 +402,7 @@
     internal_static_limpetgate_PeerFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_PeerFrame_descriptor,
-        new java.lang.String[] { "ProtocolVersion", "CorrelationId", "Hello", "Heartbeat", "ForwardSubmission", "SubmissionReply", "QuerySubmission", "CancelSubmission", "ConfigurationOffer", "ConfigurationRequest", "Refusal", "Digests", "ForwardTask", "TaskReply", "HostBeat", "SubmitJob", "JobResult", "WithdrawJob", "QueryJob", "JobStatus", "QueryQueue", "QueueStatus", "Message", });
+        new java.lang.String[] { "ProtocolVersion", "CorrelationId", "AcceptorClockNanos", "Hello", "Heartbeat", "ForwardSubmission", "SubmissionReply", "QuerySubmission", "CancelSubmission", "ConfigurationOffer", "ConfigurationRequest", "Refusal", "Digests", "ForwardTask", "TaskReply", "HostBeat", "SubmitJob", "JobResult", "WithdrawJob", "QueryJob", "JobStatus", "QueryQueue", "QueueStatus", "Message", });
     internal_static_limpetgate_IncarnationId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_limpetgate_IncarnationId_fieldAccessorTable = new
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrame.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrame.java
@@ -156,6 +156,23 @@
     return correlationId_;
   }
 
+  public static final int ACCEPTOR_CLOCK_NANOS_FIELD_NUMBER = 23;
+  private long acceptorClockNanos_ = 0L;
+  /**
+   * <pre>
+   * The clock of the side that accepted the connection, in nanoseconds. That side sends its current time; the other side
+   * repeats the newest time that it has received on the connection, 0 before the first one. The accepting side derives
+   * the largest possible age of a message from it.
+   * </pre>
+   *
+   * <code>fixed64 acceptor_clock_nanos = 23;</code>
+   * @return The acceptorClockNanos.
+   */
+  @java.lang.Override
+  public long getAcceptorClockNanos() {
+    return acceptorClockNanos_;
+  }
+
   public static final int HELLO_FIELD_NUMBER = 3;
   /**
    * <code>.limpetgate.Hello hello = 3;</code>
@@ -856,6 +873,9 @@
     if (messageCase_ == 22) {
       output.writeMessage(22, (org.limpetgate.proto.QueueStatus) message_);
     }
+    if (acceptorClockNanos_ != 0L) {
+      output.writeFixed64(23, acceptorClockNanos_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -948,6 +968,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(22, (org.limpetgate.proto.QueueStatus) message_);
     }
+    if (acceptorClockNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(23, acceptorClockNanos_);
+    }
     return size;
   }
   @java.lang.Override
@@ -976,6 +1000,8 @@
         != other.getProtocolVersion()) return false;
     if (getCorrelationId()
         != other.getCorrelationId()) return false;
+    if (getAcceptorClockNanos()
+        != other.getAcceptorClockNanos()) return false;
     if (!getMessageCase().equals(other.getMessageCase())) return false;
     switch (messageCase_) {
       case 3:
@@ -1077,6 +1103,9 @@
     hash = (37 * hash) + CORRELATION_ID_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getCorrelationId());
+    hash = (37 * hash) + ACCEPTOR_CLOCK_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAcceptorClockNanos());
     switch (messageCase_) {
       case 3:
         hash = (37 * hash) + HELLO_FIELD_NUMBER;
@@ -1298,6 +1327,7 @@
       bitField0_ = 0;
       protocolVersion_ = 0;
       correlationId_ = 0L;
+      acceptorClockNanos_ = 0L;
       if (helloBuilder_ != null) {
         helloBuilder_.clear();
       }
@@ -1400,6 +1430,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.correlationId_ = correlationId_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.acceptorClockNanos_ = acceptorClockNanos_;
+      }
     }
 
     private void buildPartialOneofs(org.limpetgate.proto.PeerFrame result) {
@@ -1505,6 +1538,9 @@
       if (other.getCorrelationId() != 0L) {
         setCorrelationId(other.getCorrelationId());
       }
+      if (other.getAcceptorClockNanos() != 0L) {
+        setAcceptorClockNanos(other.getAcceptorClockNanos());
+      }
       switch (other.getMessageCase()) {
         case HELLO: {
           mergeHello(other.getHello());
@@ -1764,6 +1800,11 @@
               messageCase_ = 22;
               break;
             } // case 178
+            case 185: {
+              acceptorClockNanos_ = input.readFixed64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 185
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1872,6 +1913,56 @@
       return this;
     }
 
+    private long acceptorClockNanos_ ;
+    /**
+     * <pre>
+     * The clock of the side that accepted the connection, in nanoseconds. That side sends its current time; the other side
+     * repeats the newest time that it has received on the connection, 0 before the first one. The accepting side derives
+     * the largest possible age of a message from it.
+     * </pre>
+     *
+     * <code>fixed64 acceptor_clock_nanos = 23;</code>
+     * @return The acceptorClockNanos.
+     */
+    @java.lang.Override
+    public long getAcceptorClockNanos() {
+      return acceptorClockNanos_;
+    }
+    /**
+     * <pre>
+     * The clock of the side that accepted the connection, in nanoseconds. That side sends its current time; the other side
+     * repeats the newest time that it has received on the connection, 0 before the first one. The accepting side derives
+     * the largest possible age of a message from it.
+     * </pre>
+     *
+     * <code>fixed64 acceptor_clock_nanos = 23;</code>
+     * @param value The acceptorClockNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAcceptorClockNanos(long value) {
+
+      acceptorClockNanos_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The clock of the side that accepted the connection, in nanoseconds. That side sends its current time; the other side
+     * repeats the newest time that it has received on the connection, 0 before the first one. The accepting side derives
+     * the largest possible age of a message from it.
+     * </pre>
+     *
+     * <code>fixed64 acceptor_clock_nanos = 23;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAcceptorClockNanos() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      acceptorClockNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         org.limpetgate.proto.Hello, org.limpetgate.proto.Hello.Builder, org.limpetgate.proto.HelloOrBuilder> helloBuilder_;
     /**
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrameOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/PeerFrameOrBuilder.java
@@ -26,6 +26,18 @@
    */
   long getCorrelationId();
 
+  /**
+   * <pre>
+   * The clock of the side that accepted the connection, in nanoseconds. That side sends its current time; the other side
+   * repeats the newest time that it has received on the connection, 0 before the first one. The accepting side derives
+   * the largest possible age of a message from it.
+   * </pre>
+   *
+   * <code>fixed64 acceptor_clock_nanos = 23;</code>
+   * @return The acceptorClockNanos.
+   */
+  long getAcceptorClockNanos();
+
   /**
    * <code>.limpetgate.Hello hello = 3;</code>
    * @return Whether the hello field is set.
