Refuse messages whose sender may have given them up, and end jobs of silent hosts

What callers saw: a task ran twice at the same time after a partition.

Cause: a host writes SubmitJob into a connection that has gone silent, gives the link up after 0.7 s, and submits the job elsewhere or runs it itself. The kernel keeps the bytes and delivers them when the partition ends. The receiver could not tell such a message from a new one (resubmitted=false) and started the tasks. Ruled out: a job that the scheduler kept from before the partition, and a second submission by the caller.

The class is every message between hosts that comes late, twice, out of order or over a link that is dead in one direction. Change: - The accepting side of a link refuses a message whose repeated time of its own clock is more than 0.7 s old (NOT_RUN); the sender repeats it once with the time that came with the refusal. - A scheduler acts on jobs of another host only under a lease that messages on the link of the submission renew, up to 0.7 s after the time that they repeat.

--- a/limpetgate-core/src/main/java/org/limpetgate/ErrorKind.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/ErrorKind.java
@@ -108,6 +108,9 @@
 	/** The peer does not have a configured key or uses another protocol version. */
 	PEER_REFUSED(403, "check the keys and versions of both hosts"),
 
+	/** The message was delayed so long that its sender may have given it up. */
+	STALE_MESSAGE(503, "retry after the time in Retry-After"),
+
 	/** An internal error, caused by a bug. */
 	INTERNAL(500, "report the message with the log lines around it");
 
--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
@@ -35,7 +35,7 @@
 	 * A peer counts as lost when it has not answered, and as unreachable when it has
 	 * neither answered nor sent a heartbeat, for longer than this.
 	 */
-	private static final long HEARTBEAT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+	static final long HEARTBEAT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
 	/** A lost peer still counts as a known host for this long. */
 	private static final long LOST_PEER_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(8);
--- a/limpetgate-host/src/main/java/org/limpetgate/host/HostMetrics.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/HostMetrics.java
@@ -74,6 +74,25 @@
 		counter("limpetgate.refused", "Tasks refused before their start", pool.value()).increment();
 	}
 
+	/** Counts a message of another host that was refused because it was delayed. */
+	public void staleMessageRefused() {
+		Counter.builder("limpetgate.messages.stale")
+			.description("Messages of other hosts refused because their senders may have given them up")
+			.register(this.registry)
+			.increment();
+	}
+
+	/**
+	 * Counts jobs that were ended because nothing was received from their host.
+	 * @param jobs the number of jobs
+	 */
+	public void submissionLeaseExpired(int jobs) {
+		Counter.builder("limpetgate.leases.expired.jobs")
+			.description("Jobs of other hosts ended because nothing was received from their hosts")
+			.register(this.registry)
+			.increment(jobs);
+	}
+
 	private Counter counter(String name, String description, String pool) {
 		return Counter.builder(name).description(description).tag("pool", pool).register(this.registry);
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -88,6 +88,12 @@
 	/** The link to a host was lost. */
 	HOST_LOST(3204, "host=%s"),
 
+	/** This host ended the jobs of a host from which it received nothing for too long. */
+	SUBMISSION_LEASE_EXPIRED(3205, "origin=%s link=%s jobs=%s"),
+
+	/** A message was refused because its sender may have given it up. */
+	STALE_MESSAGE_REFUSED(3206, "message=%s host=%s link=%s max_age_ms=%s"),
+
 	/** The host started. */
 	STARTED(4001, "host=%s callers=%s operators=%s peers=%s"),
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -23,6 +23,7 @@
 import org.limpetgate.fleet.JobLog;
 import org.limpetgate.fleet.QueueTable;
 import org.limpetgate.fleet.SchedulerElection;
+import org.limpetgate.fleet.SubmissionLeases;
 import org.limpetgate.fleet.WorkerOrders;
 import org.limpetgate.host.EventLog;
 import org.limpetgate.host.HostMetrics;
@@ -89,6 +90,8 @@
 
 	private final EventLog log;
 
+	private final HostMetrics metrics;
+
 	private final Incarnation self;
 
 	private final Scheduler scheduler;
@@ -138,6 +141,7 @@
 		this.clock = clock;
 		this.directory = directory;
 		this.log = log;
+		this.metrics = metrics;
 		this.self = Incarnation.of(settings.host(), clock.getAsLong() / 1_000_000);
 		this.scheduler = Scheduler.of(settings.scheduler());
 		this.election = new SchedulerElection();
@@ -335,6 +339,7 @@
 
 	private void tick() {
 		this.tickRequested = false;
+		this.peers.expireLeases(this.clock.getAsLong());
 		List<SchedulingEffect> effects = new ArrayList<>();
 		this.scheduler.tick(this.clock.getAsLong(), effects::add);
 		effects.forEach(this.effectExecutor::execute);
@@ -490,6 +495,25 @@
 			requestTick();
 		}
 
+		@Override
+		public void leaseExpired(SubmissionLeases.Link link, List<JobId> jobs) {
+			FleetHost.this.log.write(LogEvent.SUBMISSION_LEASE_EXPIRED, link.origin(), link.number(), jobs.size());
+			FleetHost.this.metrics.submissionLeaseExpired(jobs.size());
+			JobResult result = JobMessages.toMessage(JobOutcome.MOVED, "the lease of the submitting host has expired",
+					0);
+			for (JobId job : jobs) {
+				withdraw(link.origin(), job);
+				FleetHost.this.peers.answer(link.origin(), job, result);
+			}
+		}
+
+		@Override
+		public void staleMessage(InboundLink link, String message, long maxAgeNanos) {
+			FleetHost.this.log.write(LogEvent.STALE_MESSAGE_REFUSED, message, link.host(), link.number(),
+					TimeUnit.NANOSECONDS.toMillis(maxAgeNanos));
+			FleetHost.this.metrics.staleMessageRefused();
+		}
+
 		@Override
 		public void configurationOffered(byte[] text) {
 			FleetHost.this.directory.offerConfiguration(text);
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -23,6 +23,7 @@
 import org.limpetgate.Outcome;
 import org.limpetgate.fleet.HeartbeatPlan;
 import org.limpetgate.fleet.HostState;
+import org.limpetgate.fleet.SubmissionLeases;
 import org.limpetgate.net.peer.InboundLink;
 import org.limpetgate.net.peer.PeerAddress;
 import org.limpetgate.net.peer.PeerIdentity;
@@ -81,6 +82,8 @@
 
 	private final HeartbeatPlan heartbeatPlan = new HeartbeatPlan();
 
+	private final SubmissionLeases leases = new SubmissionLeases();
+
 	/** The replies that have not been sent to other hosts yet, by host and job. */
 	private final Map<HostId, Map<JobId, CompletableFuture<PeerFrame.Builder>>> pendingReplies = new HashMap<>();
 
@@ -93,7 +96,8 @@
 		PeerSettings peerSettings = PeerSettings
 			.of(new PeerIdentity(self, settings.dataCentre()), PeerKeys.of(KEY_ID, Map.of(KEY_ID, settings.peerKey())))
 			.withLimits(PeerLimits.defaults()
-				.withTimeouts(HANDSHAKE_TIMEOUT_NANOS, PROBE_INTERVAL_NANOS, MAX_BACKOFF_NANOS))
+				.withTimeouts(HANDSHAKE_TIMEOUT_NANOS, PROBE_INTERVAL_NANOS, MAX_BACKOFF_NANOS)
+				.withMaxMessageAge(SubmissionLeases.DURATION_NANOS))
 			.withMetrics(new LinkObserver())
 			.withClock(clock);
 		this.links = PeerLinks.of(group, peerSettings, new SplittableRandom(self.number()));
@@ -126,8 +130,7 @@
 	void reconnect(HostId host) {
 		this.heartbeatPlan.peerLost(host);
 		if (this.links.isUp(host)) {
-			this.links.block(host);
-			this.links.unblock(host);
+			this.links.reopen(host, "no heartbeat was answered in time");
 		}
 	}
 
@@ -177,6 +180,9 @@
 	private Optional<CompletableFuture<PeerFrame.Builder>> handle(InboundLink link, PeerFrame frame) {
 		HostId peer = link.host();
 		addHosts(List.of(peer));
+		// Before the renewal, so that a message cannot revive a lease that has expired.
+		expireLeases(this.clock.getAsLong());
+		this.leases.renew(leaseOf(link), frame.getAcceptorClockNanos());
 		switch (frame.getMessageCase()) {
 			case HOST_BEAT -> {
 				return Optional.of(CompletableFuture
@@ -196,6 +202,7 @@
 			}
 			case WITHDRAW_JOB -> {
 				JobId job = JobId.of(frame.getWithdrawJob().getJobId());
+				this.leases.remove(peer, job);
 				pendingRepliesTo(peer).remove(job);
 				this.listener.jobWithdrawn(peer, job);
 				return Optional.empty();
@@ -214,7 +221,9 @@
 		this.listener.submissionReceived(link, message, maxAgeNanos(frame));
 		JobId job = JobId.of(message.getJobId());
 		pendingRepliesTo(peer).put(job, reply);
+		this.leases.submitted(leaseOf(link), job);
 		if (!this.listener.jobSubmitted(peer, message)) {
+			this.leases.remove(peer, job);
 			pendingRepliesTo(peer).remove(job);
 			reply.completeExceptionally(
 					DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, "this host is not the scheduler"));
@@ -222,6 +231,19 @@
 		return reply;
 	}
 
+	private static SubmissionLeases.Link leaseOf(InboundLink link) {
+		return new SubmissionLeases.Link(link.host(), link.number());
+	}
+
+	// Ends the jobs of hosts from which this host has received nothing for too long,
+	// since
+	// they may have submitted them to another scheduler.
+	void expireLeases(long nowNanos) {
+		for (SubmissionLeases.Expired expired : this.leases.expire(nowNanos)) {
+			this.listener.leaseExpired(expired.link(), expired.jobs());
+		}
+	}
+
 	// Returns how long ago the peer can have sent a frame at most.
 	private long maxAgeNanos(PeerFrame frame) {
 		return this.clock.getAsLong() - frame.getAcceptorClockNanos();
@@ -233,6 +255,7 @@
 
 	// Sends a host the result of its job.
 	void answer(HostId peer, JobId job, JobResult result) {
+		this.leases.remove(peer, job);
 		CompletableFuture<PeerFrame.Builder> reply = pendingRepliesTo(peer).remove(job);
 		if (reply != null) {
 			reply.complete(PeerFrame.newBuilder().setJobResult(result));
@@ -314,8 +337,15 @@
 
 		void linkLost(HostId peer);
 
+		// Called when this host must not act any longer on jobs of another host.
+		void leaseExpired(SubmissionLeases.Link link, List<JobId> jobs);
+
 		void configurationOffered(byte[] text);
 
+		// Called for each message that is refused because its sender may have given it
+		// up.
+		void staleMessage(InboundLink link, String message, long maxAgeNanos);
+
 		// Called for each submission that arrives, before it is decided on.
 		void submissionReceived(InboundLink link, SubmitJob job, long maxAgeNanos);
 
@@ -331,6 +361,11 @@
 
 	private final class LinkObserver implements PeerMetrics {
 
+		@Override
+		public void staleMessage(InboundLink link, PeerFrame.MessageCase message, long maxAgeNanos) {
+			FleetPeers.this.listener.staleMessage(link, message.name(), maxAgeNanos);
+		}
+
 		@Override
 		public void linkDown(HostId peer) {
 			FleetPeers.this.heartbeatPlan.peerLost(peer);
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/InboundConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/InboundConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import javax.crypto.SecretKey;
 
@@ -97,6 +98,7 @@
 		}
 		onAuthenticated(this.claimedIdentity, this.clientHello.getKeyId(), this.key);
 		this.link = new InboundLink(this.claimedIdentity, this.server.nextLinkNumber());
+		this.server.closeSuperseded(this);
 		writeHello(Hello.getDefaultInstance());
 	}
 
@@ -107,6 +109,11 @@
 			writeHello(Hello.getDefaultInstance());
 			return;
 		}
+		long maxAgeNanos = maxAgeNanos(frame);
+		if (maxAgeNanos > settings().limits().maxMessageAgeNanos()) {
+			refuseStale(frame, maxAgeNanos);
+			return;
+		}
 		if (frame.getCorrelationId() == 0) {
 			handle(frame);
 			return;
@@ -123,6 +130,24 @@
 		}));
 	}
 
+	// Returns how long ago a frame was sent at most: the sender had received the time in
+	// it before it sent the frame. Hosts of earlier versions do not repeat the time.
+	private long maxAgeNanos(PeerFrame frame) {
+		long provenNanos = frame.getAcceptorClockNanos();
+		return (provenNanos != 0) ? acceptorClockNanos() - provenNanos : 0;
+	}
+
+	// Any reply carries the current time, so that the sender can send the message again.
+	private void refuseStale(PeerFrame frame, long maxAgeNanos) {
+		settings().metrics().staleMessage(this.link, frame.getMessageCase(), maxAgeNanos);
+		if (frame.getCorrelationId() == 0) {
+			writeHello(Hello.getDefaultInstance());
+			return;
+		}
+		reply(frame, PeerFrames.refusal(DispatchException.of(ErrorKind.STALE_MESSAGE, Outcome.NOT_RUN, "message "
+				+ frame.getMessageCase() + " may be " + TimeUnit.NANOSECONDS.toMillis(maxAgeNanos) + " ms old")));
+	}
+
 	private CompletableFuture<PeerFrame.Builder> handle(PeerFrame frame) {
 		try {
 			Optional<CompletableFuture<PeerFrame.Builder>> reply = this.server.handler().handle(this.link, frame);
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
@@ -55,6 +55,7 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, PeerFrame frame) {
 		this.acceptorClockNanos = Math.max(this.acceptorClockNanos, frame.getAcceptorClockNanos());
+		this.link.received(settings().clock().getAsLong());
 		super.channelRead0(ctx, frame);
 	}
 
@@ -104,9 +105,16 @@
 			settings().metrics().lateReply();
 			return;
 		}
+		DispatchException error = frame.hasRefusal() ? PeerFrames.toException(frame.getRefusal()) : null;
+		if (error != null && error.kind() == ErrorKind.STALE_MESSAGE && !request.repeated()) {
+			// The refusal brought the peer's current time. On an idle link the known
+			// time is always too old.
+			send(request.repeat());
+			return;
+		}
 		request.timeout().cancel(false);
-		if (frame.hasRefusal()) {
-			request.reply().completeExceptionally(PeerFrames.toException(frame.getRefusal()));
+		if (error != null) {
+			request.reply().completeExceptionally(error);
 		}
 		else {
 			request.reply().complete(frame);
@@ -133,8 +141,13 @@
 		long id = ++this.lastCorrelationId;
 		ScheduledFuture<?> timeout = context().executor()
 			.schedule(() -> timedOut(id), timeoutNanos, TimeUnit.NANOSECONDS);
-		this.requests.put(id, new Request(reply, timeout));
-		write(message.toBuilder().setCorrelationId(id)).addListener((written) -> {
+		send(new Request(id, message, reply, timeout, false));
+	}
+
+	private void send(Request request) {
+		long id = request.id();
+		this.requests.put(id, request);
+		write(request.message().toBuilder().setCorrelationId(id)).addListener((written) -> {
 			if (!written.isSuccess()) {
 				failUnsent(id, written.cause());
 			}
@@ -197,10 +210,18 @@
 	/**
 	 * A request that awaits its reply.
 	 *
+	 * @param id the correlation id
+	 * @param message the message without version, clock and correlation id
 	 * @param reply receives the reply
 	 * @param timeout fails the request when its time limit has passed
+	 * @param repeated whether it was sent again after the peer refused it as stale
 	 */
-	private record Request(CompletableFuture<PeerFrame> reply, ScheduledFuture<?> timeout) {
+	private record Request(long id, PeerFrame message, CompletableFuture<PeerFrame> reply, ScheduledFuture<?> timeout,
+			boolean repeated) {
+
+		Request repeat() {
+			return new Request(this.id, this.message, this.reply, this.timeout, true);
+		}
 
 	}
 
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerConnection.java
@@ -36,12 +36,6 @@
 	/** The frame limit before authentication, enough for any hello or refusal. */
 	private static final int MAX_HANDSHAKE_FRAME_BYTES = 4096;
 
-	/**
-	 * The number of probe intervals without input after which a connection counts as
-	 * dead.
-	 */
-	private static final int MAX_PROBES_WITHOUT_INPUT = 4;
-
 	/** The time for the peer to read a refusal and close. */
 	private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -51,7 +45,7 @@
 
 	private ChannelHandlerContext context;
 
-	private PeerIdentity peer;
+	private volatile PeerIdentity peer;
 
 	private String keyId;
 
@@ -166,8 +160,8 @@
 		if (!this.settings.keys().contains(this.keyId, this.key)) {
 			refuse("the key '" + this.keyId + "' of this link was removed");
 		}
-		else if (this.probesWithoutInput > MAX_PROBES_WITHOUT_INPUT) {
-			close("no input was received during " + MAX_PROBES_WITHOUT_INPUT + " probes");
+		else if (this.probesWithoutInput > PeerLimits.MAX_PROBES_WITHOUT_INPUT) {
+			close("no input was received during " + PeerLimits.MAX_PROBES_WITHOUT_INPUT + " probes");
 		}
 		else {
 			probe();
@@ -229,6 +223,15 @@
 		this.context.close();
 	}
 
+	void runOnLoop(Runnable task) {
+		if (this.context.executor().inEventLoop()) {
+			task.run();
+		}
+		else {
+			this.context.executor().execute(task);
+		}
+	}
+
 	private void cancelTimer() {
 		if (this.timer != null) {
 			this.timer.cancel(false);
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLink.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLink.java
@@ -58,6 +58,9 @@
 
 	private volatile boolean linkUp;
 
+	/** When the last frame arrived, on the clock of the settings, 0 before. */
+	private volatile long lastReceivedNanos;
+
 	private String lastError = "no connection yet";
 
 	PeerLink(PeerAddress peer, EventLoop loop, PeerSettings settings, SplittableRandom random) {
@@ -239,6 +242,11 @@
 		});
 	}
 
+	// Closes the connection and opens a new one.
+	void reopen(String reason) {
+		execute(() -> closeConnection(reason));
+	}
+
 	private void closeConnection(String reason) {
 		if (this.connection != null) {
 			this.connection.close(reason);
@@ -248,6 +256,14 @@
 		}
 	}
 
+	void received(long nowNanos) {
+		this.lastReceivedNanos = nowNanos;
+	}
+
+	long lastReceivedNanos() {
+		return this.lastReceivedNanos;
+	}
+
 	HostId host() {
 		return this.peer.host();
 	}
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
@@ -145,6 +145,30 @@
 		return link != null && link.isUp();
 	}
 
+	/**
+	 * Returns when the last frame of a host arrived.
+	 * @param host the peer, not null
+	 * @return the time on the clock of the settings, in nanoseconds, 0 if none has
+	 * arrived
+	 */
+	public long lastReceivedNanos(HostId host) {
+		PeerLink link = this.links.get(host);
+		return (link != null) ? link.lastReceivedNanos() : 0;
+	}
+
+	/**
+	 * Closes a link that is open and connects it again after the usual delay. Requests
+	 * without a reply fail.
+	 * @param host the peer, not null
+	 * @param reason the reason, for messages
+	 */
+	public void reopen(HostId host, String reason) {
+		PeerLink link = this.links.get(host);
+		if (link != null) {
+			link.reopen(reason);
+		}
+	}
+
 	/**
 	 * Closes a link and prevents it from reconnecting, to simulate a network failure in
 	 * tests.
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerMetrics.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerMetrics.java
@@ -1,6 +1,7 @@
 package org.limpetgate.net.peer;
 
 import org.limpetgate.HostId;
+import org.limpetgate.proto.PeerFrame;
 
 /**
  * Receives the metrics events of {@link PeerLinks} and {@link PeerServer}.
@@ -44,6 +45,15 @@
 	default void lateReply() {
 	}
 
+	/**
+	 * Counts a message that was refused because it was delayed.
+	 * @param link the link on which it arrived
+	 * @param message the type of the message
+	 * @param maxAgeNanos how long ago it was sent at most, in nanoseconds
+	 */
+	default void staleMessage(InboundLink link, PeerFrame.MessageCase message, long maxAgeNanos) {
+	}
+
 	/**
 	 * Counts the bytes of a frame that was sent.
 	 * @param bytes the number of bytes
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerServer.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerServer.java
@@ -72,8 +72,7 @@
 	/** Stops listening and closes all links. */
 	public void close() {
 		this.listener.close().awaitUninterruptibly();
-		this.connections.forEach(
-				(connection) -> connection.context().executor().execute(() -> connection.close("the host is closing")));
+		this.connections.forEach((connection) -> connection.runOnLoop(() -> connection.close("the host is closing")));
 	}
 
 	/**
@@ -83,7 +82,7 @@
 	 */
 	public void block(HostId host) {
 		this.blockedHosts.add(host);
-		this.connections.forEach((connection) -> connection.context().executor().execute(() -> {
+		this.connections.forEach((connection) -> connection.runOnLoop(() -> {
 			if (connection.peer() != null && connection.peer().host().equals(host)) {
 				connection.close("the link is blocked");
 			}
@@ -98,6 +97,17 @@
 		this.blockedHosts.remove(host);
 	}
 
+	// Closes the earlier links of a host that has opened a new one. The host has given
+	// them up, but messages on them may still arrive.
+	void closeSuperseded(InboundConnection current) {
+		HostId host = current.peer().host();
+		for (InboundConnection connection : this.connections) {
+			if (connection != current && connection.peer() != null && connection.peer().host().equals(host)) {
+				connection.runOnLoop(() -> connection.close("a newer link of the host supersedes this one"));
+			}
+		}
+	}
+
 	long nextLinkNumber() {
 		return this.linkNumbers.incrementAndGet();
 	}
--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
@@ -79,6 +80,9 @@
 
 	private PeerLimits limits = LIMITS;
 
+	/** Added to the clock of the server, in nanoseconds. */
+	private final AtomicLong serverClockOffset = new AtomicLong();
+
 	private PeerServer server;
 
 	private PeerLinks links;
@@ -99,7 +103,9 @@
 	}
 
 	private void startServer(PeerTls tls) {
-		PeerSettings settings = PeerSettings.of(B, this.keysOfB).withLimits(this.limits);
+		PeerSettings settings = PeerSettings.of(B, this.keysOfB)
+			.withLimits(this.limits)
+			.withClock(() -> System.nanoTime() + this.serverClockOffset.get());
 		this.server = PeerServer.start(this.group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
 				(tls != null) ? settings.withTls(tls) : settings, this::handle);
 	}
@@ -318,6 +324,67 @@
 		assertThat(this.received.poll(20, TimeUnit.SECONDS).getQuerySubmission().getKey()).isEqualTo("one-way");
 	}
 
+	/**
+	 * Guards against a message that is handled although it was delayed for so long that
+	 * its sender may have given it up (incident TWICE).
+	 */
+	@Example
+	void delayedMessagesAreRefused() throws Exception {
+		startServer(null);
+		try (RawPeer peer = RawPeer.open(this.server.address())) {
+			long clockNanos = peer.openHandshake(A, "k", KEY);
+			this.serverClockOffset.addAndGet(this.limits.maxMessageAgeNanos());
+			peer.send(RawPeer.frame().setAcceptorClockNanos(clockNanos).mergeFrom(query("one-way").build()));
+			clockNanos = peer.read().getAcceptorClockNanos();
+			this.serverClockOffset.addAndGet(this.limits.maxMessageAgeNanos());
+			peer.send(RawPeer.frame()
+				.setAcceptorClockNanos(clockNanos)
+				.setCorrelationId(1)
+				.mergeFrom(query("late").build()));
+			PeerFrame refusal = peer.read();
+			assertThat(refusal.getRefusal().getError()).isEqualTo(ErrorKind.STALE_MESSAGE.name());
+			assertThat(refusal.getRefusal().getOutcome()).isEqualTo(Outcome.NOT_RUN.text());
+			assertThat(this.received).isEmpty();
+			peer.send(RawPeer.frame()
+				.setAcceptorClockNanos(refusal.getAcceptorClockNanos())
+				.setCorrelationId(2)
+				.mergeFrom(query("x").build()));
+			assertThat(peer.read().getSubmissionReply().getBody().toStringUtf8()).isEqualTo("x");
+		}
+	}
+
+	/**
+	 * Guards against requests that fail on an idle link because the peer's time that is
+	 * known there is old.
+	 */
+	@Example
+	void requestOnAnIdleLinkIsSentAgainWithTheCurrentTime() {
+		startBoth();
+		this.serverClockOffset.addAndGet(this.limits.maxMessageAgeNanos());
+		assertThat(result(request("x", LONG_NANOS))).isEqualTo("x");
+		assertThat(this.received).hasSize(1);
+	}
+
+	/**
+	 * Guards against messages on a link that its host has replaced by a new one; the host
+	 * has given them up.
+	 */
+	@Example
+	void newLinkClosesTheEarlierLinkOfTheSameHost() throws Exception {
+		startServer(null);
+		try (RawPeer first = RawPeer.open(this.server.address());
+				RawPeer second = RawPeer.open(this.server.address())) {
+			first.openHandshake(A, "k", KEY);
+			long clockNanos = second.openHandshake(A, "k", KEY);
+			assertThat(first.isAtEnd()).isTrue();
+			second.send(RawPeer.frame()
+				.setAcceptorClockNanos(clockNanos)
+				.setCorrelationId(1)
+				.mergeFrom(query("x").build()));
+			assertThat(second.read().getSubmissionReply().getBody().toStringUtf8()).isEqualTo("x");
+		}
+	}
+
 	/**
 	 * Guards against a key rotation that needs a restart, and against links that stay
 	 * open after the key that authenticated them was removed.
--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/RawPeer.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/RawPeer.java
@@ -84,6 +84,23 @@
 		send(Hello.getDefaultInstance());
 	}
 
+	/**
+	 * Performs the handshake as the opening side.
+	 * @param self the identity to claim
+	 * @param keyId the id of the key
+	 * @param keyBytes the key
+	 * @return the time of the accepting side's clock in its last frame, in nanoseconds
+	 * @throws IOException if the connection breaks
+	 */
+	long openHandshake(PeerIdentity self, String keyId, byte[] keyBytes) throws IOException {
+		SecretKey key = new SecretKeySpec(keyBytes, "HmacSHA256");
+		Hello client = PeerProof.newHello(self, keyId);
+		send(client);
+		Hello server = read().getHello();
+		send(client.toBuilder().setMac(PeerProof.mac(key, PeerProof.Role.CLIENT, client, server)).build());
+		return read().getAcceptorClockNanos();
+	}
+
 	PeerFrame read() throws IOException {
 		return PeerFrame.parseFrom(this.input.readNBytes(this.input.readInt()));
 	}
