Let a resubmitted job wait while its earlier scheduler may still act on it

A host whose connection to the scheduler is reset submits its job to another one at once, while the earlier scheduler, if the reset does not reach it, acts on the job until the lease of the link ends, 0.7 s at most. The next scheduler assumed that no lease was renewed after the resubmission, so that it could start a second run if it could not poll every worker.

The submission now says how much longer the earlier scheduler may hold the job (EarlierSubmission); the wait for leases begins after that. It is 0 when the link was given up because of its silence, so that the usual partition waits no longer.

SchedulerTests#jobThatAnEarlierSchedulerMayHoldWaitsUntilItsLeasesHaveExpired and PendingJobsTests#resubmissionTellsHowLongTheEarlierSchedulerMayHoldTheJob fail without the change (1 of 22 and 1 of 9 tests) and pass with it.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -52,6 +52,11 @@
 	/** When it was submitted to this scheduler, nanoseconds since the Unix epoch. */
 	long submittedNanos;
 
+	/**
+	 * From when on no earlier scheduler acts on it, nanoseconds since the Unix epoch.
+	 */
+	long handedOverNanos;
+
 	/** Whether an earlier scheduler may have started some of its tasks. */
 	boolean resubmitted;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -79,7 +79,7 @@
 		}
 	}
 
-	void submit(HostId origin, JobSpec spec, long waitedNanos, long remainingNanos, boolean resubmitted,
+	void submit(HostId origin, JobSpec spec, long waitedNanos, long remainingNanos, EarlierSubmission earlier,
 			long nowNanos) {
 		JobEntity existing = this.tables.jobs.get(spec.id());
 		if (spec.stored()) {
@@ -92,8 +92,10 @@
 		}
 		JobEntity job = new JobEntity(spec, this.nextSequence++, nowNanos - waitedNanos);
 		job.origins.add(origin);
+		boolean resubmitted = earlier.mayHaveRun();
 		job.resubmitted = resubmitted;
 		job.submittedNanos = nowNanos;
+		job.handedOverNanos = nowNanos + earlier.heldNanos();
 		this.admission.computeTimes(job, remainingNanos, nowNanos);
 		if (!resubmitted && !this.admission.isFeasible(spec)) {
 			refuseInfeasible(job);
@@ -181,6 +183,7 @@
 		job.acceptanceSaved = true;
 		job.resubmitted = true;
 		job.submittedNanos = nowNanos;
+		job.handedOverNanos = nowNanos;
 		this.admission.computeTimes(job, 0, nowNanos);
 		this.tables.jobs.put(job.id(), job);
 		this.tables.waitingJobs.add(job);
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -94,7 +94,7 @@
 		if (this.verification.areAllVerified(job.submittedNanos, nowNanos)) {
 			return true;
 		}
-		long waited = nowNanos - job.submittedNanos;
+		long waited = nowNanos - job.handedOverNanos;
 		SchedulerSettings settings = this.tables.settings;
 		if (!job.spec().stored()) {
 			return waited > settings.resubmitGuardNanos();
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -99,12 +99,12 @@
 	 * @param spec the job, not null
 	 * @param waitedNanos the time since its arrival, in nanoseconds
 	 * @param remainingNanos how much longer its caller waits, in nanoseconds
-	 * @param resubmitted whether an earlier scheduler may have started tasks of it
+	 * @param earlier what its host knows of earlier submissions, not null
 	 * @param nowNanos the current time
 	 */
-	public void submit(HostId origin, JobSpec spec, long waitedNanos, long remainingNanos, boolean resubmitted,
+	public void submit(HostId origin, JobSpec spec, long waitedNanos, long remainingNanos, EarlierSubmission earlier,
 			long nowNanos) {
-		this.jobs.submit(origin, spec, waitedNanos, remainingNanos, resubmitted, nowNanos);
+		this.jobs.submit(origin, spec, waitedNanos, remainingNanos, earlier, nowNanos);
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
@@ -86,9 +86,9 @@
 	}
 
 	/**
-	 * Returns how long a resubmitted job waits if not every worker can be polled for its
-	 * runs. An earlier scheduler has not renewed its leases since the resubmission, so
-	 * they have expired by then.
+	 * Returns how long a resubmitted job waits, after no earlier scheduler acts on it any
+	 * longer, if not every worker can be polled for its runs. Their leases have expired
+	 * by then.
 	 * @return the time in nanoseconds
 	 */
 	public long resubmitGuardNanos() {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/PlacementExperiment.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/PlacementExperiment.java
@@ -159,7 +159,7 @@
 		Scheduler scheduler = this.schedulers.get(this.random.nextInt(this.schedulers.size()));
 		this.results.get(jobClass.name()).submitted++;
 		scheduler.submit(ORIGIN, new JobSpec(id, jobClass.name(), "service", terms, "", List.of(step)), 0,
-				TimeUnit.SECONDS.toNanos(6), false, this.nowNanos);
+				TimeUnit.SECONDS.toNanos(6), EarlierSubmission.NONE, this.nowNanos);
 		tick(scheduler);
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
@@ -207,8 +207,8 @@
 			return;
 		}
 		this.jobHosts.put(id, target.number);
-		target.scheduler.submit(origin(), this.jobs.get(id), 0, TimeUnit.SECONDS.toNanos(5), resubmitted,
-				this.nowNanos);
+		target.scheduler.submit(origin(), this.jobs.get(id), 0, TimeUnit.SECONDS.toNanos(5),
+				resubmitted ? EarlierSubmission.heldFor(0) : EarlierSubmission.NONE, this.nowNanos);
 		target.tick();
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
@@ -115,6 +115,26 @@
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).isEmpty();
 	}
 
+	/**
+	 * Guards against a second run of a task while an earlier scheduler, whose connection
+	 * was reset, still acts on the job and renews the lease of the first run on a worker
+	 * that this scheduler cannot reach.
+	 */
+	@Example
+	void jobThatAnEarlierSchedulerMayHoldWaitsUntilItsLeasesHaveExpired() {
+		activate("w1", "w2");
+		advance(6_001);
+		this.effects.clear();
+		this.scheduler.submit(HOST, job("1", 1), 0, TimeUnit.SECONDS.toNanos(5), EarlierSubmission.heldFor(600 * MILLI),
+				this.nowNanos);
+		tick();
+		reportAllOf("w1");
+		advance(600 + 1_060);
+		assertThat(effectsOf(SchedulingEffect.StartRun.class)).isEmpty();
+		advance(200);
+		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
+	}
+
 	/**
 	 * Guards against a second run of a task while a first one is present on a worker
 	 * whose entry expired during an outage of the store. That run continues until its
@@ -128,10 +148,7 @@
 		this.effects.clear();
 		submit("1", 1, true);
 		tick();
-		polls().stream()
-			.filter((poll) -> poll.worker().id().value().equals("w1"))
-			.toList()
-			.forEach((poll) -> report(poll, List.of(), List.of()));
+		reportAllOf("w1");
 		advance(1_060);
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).isEmpty();
 		advance(200);
@@ -278,7 +295,7 @@
 		StepSpec first = step(1, List.of());
 		StepSpec second = step(1, List.of(0));
 		this.scheduler.submit(HOST, new JobSpec(JobId.of("1"), "q", "service", terms(), "", List.of(first, second)), 0,
-				TimeUnit.SECONDS.toNanos(5), false, this.nowNanos);
+				TimeUnit.SECONDS.toNanos(5), EarlierSubmission.NONE, this.nowNanos);
 		tick();
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
 		report(lastPoll(), List.of(),
@@ -311,7 +328,7 @@
 		activate("w1");
 		StepSpec tooLarge = new StepSpec(1, new Capacity(17_000, 64, 0), 100 * MILLI, List.of(), "", "", 0);
 		this.scheduler.submit(HOST, new JobSpec(JobId.of("1"), "q", "service", terms(), "", List.of(tooLarge)), 0,
-				TimeUnit.SECONDS.toNanos(5), false, this.nowNanos);
+				TimeUnit.SECONDS.toNanos(5), EarlierSubmission.NONE, this.nowNanos);
 		tick();
 		assertThat(jobEnds()).extracting(SchedulingEffect.JobEnded::outcome).containsExactly(JobOutcome.REFUSED);
 	}
@@ -323,7 +340,8 @@
 		activate("w1");
 		submit("1", 1, false);
 		submit("2", 1, false);
-		this.scheduler.submit(OTHER_HOST, job("2", 1), 0, TimeUnit.SECONDS.toNanos(5), false, this.nowNanos);
+		this.scheduler.submit(OTHER_HOST, job("2", 1), 0, TimeUnit.SECONDS.toNanos(5), EarlierSubmission.NONE,
+				this.nowNanos);
 		tick();
 		this.scheduler.hostLost(HOST, this.nowNanos);
 		tick();
@@ -402,7 +420,8 @@
 	}
 
 	private void submit(String id, int tasks, boolean resubmitted) {
-		this.scheduler.submit(HOST, job(id, tasks), 0, TimeUnit.SECONDS.toNanos(5), resubmitted, this.nowNanos);
+		this.scheduler.submit(HOST, job(id, tasks), 0, TimeUnit.SECONDS.toNanos(5),
+				resubmitted ? EarlierSubmission.heldFor(0) : EarlierSubmission.NONE, this.nowNanos);
 	}
 
 	private static RunId run(String job, int attempt) {
@@ -413,6 +432,14 @@
 		return new WorkerReport.Ended(number, run, kind, "");
 	}
 
+	// Answers all polls of an idle worker.
+	private void reportAllOf(String worker) {
+		polls().stream()
+			.filter((poll) -> poll.worker().id().value().equals(worker))
+			.toList()
+			.forEach((poll) -> report(poll, List.of(), List.of()));
+	}
+
 	private void report(SchedulingEffect.PollWorker poll, List<RunId> running, List<WorkerReport.Ended> ended) {
 		this.nowNanos += MILLI;
 		this.scheduler.reported(poll.worker().id(), poll.sequence(), poll.token(),
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
@@ -418,7 +418,8 @@
 	}
 
 	private void submit(String id, StepSpec step) {
-		this.scheduler.submit(HOST, spec(id, step), 0, TimeUnit.SECONDS.toNanos(5), false, this.nowNanos);
+		this.scheduler.submit(HOST, spec(id, step), 0, TimeUnit.SECONDS.toNanos(5), EarlierSubmission.NONE,
+				this.nowNanos);
 		tick();
 	}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -412,7 +412,8 @@
 			return false;
 		}
 		this.scheduler.submit(origin, JobMessages.toSpec(job), TimeUnit.MILLISECONDS.toNanos(job.getWaitedMillis()),
-				TimeUnit.MILLISECONDS.toNanos(job.getRemainingMillis()), job.getResubmitted(), this.clock.getAsLong());
+				TimeUnit.MILLISECONDS.toNanos(job.getRemainingMillis()), JobMessages.earlierSubmission(job),
+				this.clock.getAsLong());
 		requestTick();
 		return true;
 	}
@@ -454,6 +455,11 @@
 			}
 		}
 
+		@Override
+		public long heldUntilNanos(HostId host) {
+			return host.equals(FleetHost.this.self.host()) ? 0 : FleetHost.this.peers.heldUntilNanos(host);
+		}
+
 		void complete(JobId job, JobResult result) {
 			CompletableFuture<JobResult> pending = this.localResults.remove(job);
 			if (pending != null) {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -273,6 +273,13 @@
 			.thenApply(PeerFrame::getJobResult);
 	}
 
+	// The lease of the jobs that were submitted over a link lasts from a time that this
+	// host received on the link.
+	@Override
+	public long heldUntilNanos(HostId scheduler) {
+		return this.links.lastReceivedNanos(scheduler) + SubmissionLeases.DURATION_NANOS;
+	}
+
 	// Queries the state of a stored job at the scheduler, or requests its cancellation.
 	CompletableFuture<JobStatus> query(HostId scheduler, JobId job, boolean cancel) {
 		PeerFrame.Builder message = PeerFrame.newBuilder()
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobMessages.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobMessages.java
@@ -10,6 +10,7 @@
 import org.limpetgate.proto.JobStep;
 import org.limpetgate.proto.SubmitJob;
 import org.limpetgate.scheduling.Capacity;
+import org.limpetgate.scheduling.EarlierSubmission;
 import org.limpetgate.scheduling.JobOutcome;
 import org.limpetgate.scheduling.JobSpec;
 import org.limpetgate.scheduling.JobState;
@@ -68,6 +69,12 @@
 				message.getStored());
 	}
 
+	static EarlierSubmission earlierSubmission(SubmitJob message) {
+		return message.getResubmitted()
+				? EarlierSubmission.heldFor(TimeUnit.MILLISECONDS.toNanos(message.getHeldMillis()))
+				: EarlierSubmission.NONE;
+	}
+
 	private static StepSpec toStep(JobStep message) {
 		Capacity demand = new Capacity(message.getCpuMillis(), message.getMemoryMb(), message.getAccelerators());
 		return new StepSpec(message.getCount(), demand, TimeUnit.MILLISECONDS.toNanos(message.getEstimatedMillis()),
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobTransport.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobTransport.java
@@ -29,4 +29,13 @@
 	 */
 	void withdraw(HostId scheduler, JobId job);
 
+	/**
+	 * Returns until when a host may act on jobs that were submitted to it, although it
+	 * does not receive anything from this host any longer.
+	 * @param scheduler the host, not null
+	 * @return the time in nanoseconds since the Unix epoch, in the past if the host does
+	 * not act on them any longer
+	 */
+	long heldUntilNanos(HostId scheduler);
+
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
@@ -34,6 +34,8 @@
 
 	private static final long RETRY_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private static final long RESUBMIT_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
 	private final Map<JobId, PendingJob> pending = new LinkedHashMap<>();
@@ -149,6 +151,7 @@
 						.setWaitedMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivalNanos))
 						.setRemainingMillis(TimeUnit.NANOSECONDS.toMillis(remaining))
 						.setResubmitted(job.mayHaveRun)
+						.setHeldMillis(job.heldMillis(nowNanos))
 						.build(),
 					remaining)
 			.whenComplete((result, failure) -> {
@@ -160,8 +163,7 @@
 
 	private void handleReply(PendingJob job, JobResult result, Throwable failure, long nowNanos) {
 		if (failure != null) {
-			DispatchException error = ErrorReply.toDispatchException(failure);
-			scheduleResubmission(job, error.outcome() != Outcome.NOT_RUN, error.getMessage(), nowNanos);
+			handleFailure(job, ErrorReply.toDispatchException(failure), nowNanos);
 			return;
 		}
 		JobOutcome outcome = JobMessages.toOutcome(result);
@@ -176,6 +178,14 @@
 				TimeUnit.MILLISECONDS.toNanos(result.getRetryAfterMillis())));
 	}
 
+	private void handleFailure(PendingJob job, DispatchException error, long nowNanos) {
+		boolean mayHaveRun = error.outcome() != Outcome.NOT_RUN;
+		if (mayHaveRun) {
+			job.heldUntilNanos = Math.max(job.heldUntilNanos, this.transport.heldUntilNanos(job.submittedTo));
+		}
+		scheduleResubmission(job, mayHaveRun, error.getMessage(), nowNanos);
+	}
+
 	private void scheduleResubmission(PendingJob job, boolean mayHaveRun, String reason, long nowNanos) {
 		this.events.resubmissionScheduled(job.spec.id(), job.submittedTo, reason);
 		job.mayHaveRun |= mayHaveRun;
@@ -217,6 +227,9 @@
 
 		private boolean mayHaveRun;
 
+		/** Until when an earlier scheduler may act on the job. */
+		private long heldUntilNanos;
+
 		private long earliestSubmitNanos;
 
 		PendingJob(JobSpec spec, long arrivalNanos, long deadlineNanos) {
@@ -225,6 +238,12 @@
 			this.deadlineNanos = deadlineNanos;
 		}
 
+		// Rounds up, so that the time is never too short.
+		long heldMillis(long nowNanos) {
+			return this.mayHaveRun
+					? Math.max(0, (this.heldUntilNanos - nowNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI) : 0;
+		}
+
 		void answer(JobAnswer answer) {
 			List.copyOf(this.callers).forEach((caller) -> caller.complete(answer));
 		}
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
@@ -65,6 +65,21 @@
 		assertThat(answer.join().outcome()).isEqualTo(JobOutcome.COMPLETED);
 	}
 
+	/**
+	 * Guards against a second run while the scheduler that lost its link to this host
+	 * still acts on the job.
+	 */
+	@Example
+	void resubmissionTellsHowLongTheEarlierSchedulerMayHoldTheJob() {
+		this.pendingJobs.tick(FIRST, this.now);
+		submit("1");
+		this.transport.heldUntilNanos = this.now + 500 * NANOS_PER_MILLI;
+		this.transport.fail(0, Outcome.UNKNOWN);
+		this.now += 50 * NANOS_PER_MILLI;
+		this.pendingJobs.tick(SECOND, this.now);
+		assertThat(this.transport.jobs.get(1).getHeldMillis()).isEqualTo(450);
+	}
+
 	/**
 	 * Guards against the delay for possible duplicates when no scheduler can have
 	 * received the job.
@@ -145,6 +160,8 @@
 
 		private final List<JobId> withdrawn = new ArrayList<>();
 
+		private long heldUntilNanos;
+
 		@Override
 		public CompletableFuture<JobResult> submit(HostId scheduler, SubmitJob job, long timeoutNanos) {
 			this.targets.add(scheduler);
@@ -159,13 +176,21 @@
 			this.withdrawn.add(job);
 		}
 
+		@Override
+		public long heldUntilNanos(HostId scheduler) {
+			return this.heldUntilNanos;
+		}
+
 		void complete(int number, JobResult.State state) {
 			this.replies.get(number).complete(JobResult.newBuilder().setState(state).build());
 		}
 
 		void fail(int number, Outcome outcome) {
-			this.replies.get(number)
-				.completeExceptionally(DispatchException.of(ErrorKind.HOLDER_UNREACHABLE, outcome, "lost"));
+			fail(number, ErrorKind.HOLDER_UNREACHABLE, outcome);
+		}
+
+		void fail(int number, ErrorKind kind, Outcome outcome) {
+			this.replies.get(number).completeExceptionally(DispatchException.of(kind, outcome, "lost"));
 		}
 
 	}
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/StoredJobServiceTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/StoredJobServiceTests.java
@@ -16,6 +16,7 @@
 import org.limpetgate.host.EventLog;
 import org.limpetgate.proto.JobStatus;
 import org.limpetgate.scheduling.Capacity;
+import org.limpetgate.scheduling.EarlierSubmission;
 import org.limpetgate.scheduling.FencingToken;
 import org.limpetgate.scheduling.JobOutcome;
 import org.limpetgate.scheduling.JobSpec;
@@ -83,7 +84,7 @@
 	private void submit() {
 		StepSpec step = new StepSpec(1, new Capacity(500, 64, 0), 40 * NANOS_PER_MILLI, List.of(), "", "", 0);
 		this.scheduler.submit(HOST, new JobSpec(JOB, "q", "service", new QueueTerms(0, 2, 1.6, 60 * NANOS_PER_MILLI),
-				"", List.of(step), true), 0, TimeUnit.SECONDS.toNanos(5), false, this.now);
+				"", List.of(step), true), 0, TimeUnit.SECONDS.toNanos(5), EarlierSubmission.NONE, this.now);
 		tick();
 	}
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -355,43 +355,43 @@
       "required_label\030\007 \001(\t\022\021\n\tdata_rack\030\010 \001(\t\022" +
       "\026\n\016max_per_worker\030\t \001(\r\022\035\n\025latency_targe" +
       "t_millis\030\n \001(\r\022%\n\006traits\030\013 \003(\0162\025.limpetg" +
-      "ate.StepTrait\"\225\002\n\tSubmitJob\022\016\n\006job_id\030\001 " +
+      "ate.StepTrait\"\252\002\n\tSubmitJob\022\016\n\006job_id\030\001 " +
       "\001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010priority\030\003 \001(\r\022\020" +
       "\n\010attempts\030\004 \001(\r\022\017\n\007stretch\030\005 \001(\001\022\030\n\020obj" +
       "ective_millis\030\006 \001(\004\022\025\n\rwaited_millis\030\007 \001" +
       "(\004\022\030\n\020remaining_millis\030\010 \001(\004\022\017\n\007payload\030" +
       "\t \001(\t\022\"\n\005steps\030\n \003(\0132\023.limpetgate.JobSte" +
       "p\022\023\n\013resubmitted\030\013 \001(\010\022\r\n\005queue\030\014 \001(\t\022\016\n" +
-      "\006stored\030\r \001(\010\"\315\001\n\tJobResult\022*\n\005state\030\001 \001" +
-      "(\0162\033.limpetgate.JobResult.State\022\016\n\006reaso" +
-      "n\030\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(\004\"h\n\005S" +
-      "tate\022\017\n\013UNSPECIFIED\020\000\022\r\n\tCOMPLETED\020\001\022\n\n\006" +
-      "FAILED\020\002\022\013\n\007REFUSED\020\003\022\t\n\005MOVED\020\004\022\r\n\tABAN" +
-      "DONED\020\005\022\014\n\010ACCEPTED\020\006\"\035\n\013WithdrawJob\022\016\n\006" +
-      "job_id\030\001 \001(\t\"*\n\010QueryJob\022\016\n\006job_id\030\001 \001(\t" +
-      "\022\016\n\006cancel\030\002 \001(\010\"\240\001\n\tJobStatus\022*\n\005state\030" +
-      "\001 \001(\0162\033.limpetgate.JobStatus.State\"g\n\005St" +
-      "ate\022\017\n\013UNAVAILABLE\020\000\022\013\n\007UNKNOWN\020\001\022\n\n\006QUE" +
-      "UED\020\002\022\013\n\007RUNNING\020\003\022\r\n\tCOMPLETED\020\004\022\n\n\006FAI" +
-      "LED\020\005\022\014\n\010CANCELED\020\006\"\033\n\nQueryQueue\022\r\n\005que" +
-      "ue\030\001 \001(\t\"6\n\013QueueStatus\022\021\n\tavailable\030\001 \001" +
-      "(\010\022\024\n\014pending_jobs\030\002 \001(\r\"N\n\017StoredJobRec" +
-      "ord\022\"\n\003job\030\001 \001(\0132\025.limpetgate.SubmitJob\022" +
-      "\027\n\017accepted_millis\030\002 \001(\004\"\204\001\n\021JobProgress" +
-      "Record\022*\n\005state\030\001 \001(\0162\033.limpetgate.JobSt" +
-      "atus.State\022\024\n\014ended_millis\030\002 \001(\004\022-\n\005step" +
-      "s\030\003 \003(\0132\036.limpetgate.StepProgressRecord\"" +
-      "\215\002\n\022StepProgressRecord\022\014\n\004done\030\001 \001(\014\022>\n\010" +
-      "failures\030\002 \003(\0132,.limpetgate.StepProgress" +
-      "Record.FailuresEntry\022D\n\013checkpoints\030\003 \003(" +
-      "\0132/.limpetgate.StepProgressRecord.Checkp" +
-      "ointsEntry\032/\n\rFailuresEntry\022\013\n\003key\030\001 \001(\r" +
-      "\022\r\n\005value\030\002 \001(\r:\0028\001\0322\n\020CheckpointsEntry\022" +
-      "\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\t:\0028\001*h\n\tStepT" +
-      "rait\022\025\n\021TRAIT_UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\r\n" +
-      "\tSAME_RACK\020\002\022\020\n\014CHECKPOINTED\020\003\022\r\n\tPERPET" +
-      "UAL\020\004\022\n\n\006FILLER\020\005B\030\n\024org.limpetgate.prot" +
-      "oP\001b\006proto3"
+      "\006stored\030\r \001(\010\022\023\n\013held_millis\030\016 \001(\004\"\315\001\n\tJ" +
+      "obResult\022*\n\005state\030\001 \001(\0162\033.limpetgate.Job" +
+      "Result.State\022\016\n\006reason\030\002 \001(\t\022\032\n\022retry_af" +
+      "ter_millis\030\003 \001(\004\"h\n\005State\022\017\n\013UNSPECIFIED" +
+      "\020\000\022\r\n\tCOMPLETED\020\001\022\n\n\006FAILED\020\002\022\013\n\007REFUSED" +
+      "\020\003\022\t\n\005MOVED\020\004\022\r\n\tABANDONED\020\005\022\014\n\010ACCEPTED" +
+      "\020\006\"\035\n\013WithdrawJob\022\016\n\006job_id\030\001 \001(\t\"*\n\010Que" +
+      "ryJob\022\016\n\006job_id\030\001 \001(\t\022\016\n\006cancel\030\002 \001(\010\"\240\001" +
+      "\n\tJobStatus\022*\n\005state\030\001 \001(\0162\033.limpetgate." +
+      "JobStatus.State\"g\n\005State\022\017\n\013UNAVAILABLE\020" +
+      "\000\022\013\n\007UNKNOWN\020\001\022\n\n\006QUEUED\020\002\022\013\n\007RUNNING\020\003\022" +
+      "\r\n\tCOMPLETED\020\004\022\n\n\006FAILED\020\005\022\014\n\010CANCELED\020\006" +
+      "\"\033\n\nQueryQueue\022\r\n\005queue\030\001 \001(\t\"6\n\013QueueSt" +
+      "atus\022\021\n\tavailable\030\001 \001(\010\022\024\n\014pending_jobs\030" +
+      "\002 \001(\r\"N\n\017StoredJobRecord\022\"\n\003job\030\001 \001(\0132\025." +
+      "limpetgate.SubmitJob\022\027\n\017accepted_millis\030" +
+      "\002 \001(\004\"\204\001\n\021JobProgressRecord\022*\n\005state\030\001 \001" +
+      "(\0162\033.limpetgate.JobStatus.State\022\024\n\014ended" +
+      "_millis\030\002 \001(\004\022-\n\005steps\030\003 \003(\0132\036.limpetgat" +
+      "e.StepProgressRecord\"\215\002\n\022StepProgressRec" +
+      "ord\022\014\n\004done\030\001 \001(\014\022>\n\010failures\030\002 \003(\0132,.li" +
+      "mpetgate.StepProgressRecord.FailuresEntr" +
+      "y\022D\n\013checkpoints\030\003 \003(\0132/.limpetgate.Step" +
+      "ProgressRecord.CheckpointsEntry\032/\n\rFailu" +
+      "resEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001" +
+      "\0322\n\020CheckpointsEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005val" +
+      "ue\030\002 \001(\t:\0028\001*h\n\tStepTrait\022\025\n\021TRAIT_UNSPE" +
+      "CIFIED\020\000\022\010\n\004GANG\020\001\022\r\n\tSAME_RACK\020\002\022\020\n\014CHE" +
+      "CKPOINTED\020\003\022\r\n\tPERPETUAL\020\004\022\n\n\006FILLER\020\005B\030" +
+      "\n\024org.limpetgate.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -576,7 +576,7 @@
     internal_static_limpetgate_SubmitJob_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_SubmitJob_descriptor,
-        new java.lang.String[] { "JobId", "Service", "Priority", "Attempts", "Stretch", "ObjectiveMillis", "WaitedMillis", "RemainingMillis", "Payload", "Steps", "Resubmitted", "Queue", "Stored", });
+        new java.lang.String[] { "JobId", "Service", "Priority", "Attempts", "Stretch", "ObjectiveMillis", "WaitedMillis", "RemainingMillis", "Payload", "Steps", "Resubmitted", "Queue", "Stored", "HeldMillis", });
     internal_static_limpetgate_JobResult_descriptor =
       getDescriptor().getMessageType(28);
     internal_static_limpetgate_JobResult_fieldAccessorTable = new
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJob.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJob.java
@@ -366,6 +366,21 @@
     return stored_;
   }
 
+  public static final int HELD_MILLIS_FIELD_NUMBER = 14;
+  private long heldMillis_ = 0L;
+  /**
+   * <pre>
+   * How much longer an earlier scheduler may act on the job without having learned that it lost the job, in milliseconds.
+   * </pre>
+   *
+   * <code>uint64 held_millis = 14;</code>
+   * @return The heldMillis.
+   */
+  @java.lang.Override
+  public long getHeldMillis() {
+    return heldMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -419,6 +434,9 @@
     if (stored_ != false) {
       output.writeBool(13, stored_);
     }
+    if (heldMillis_ != 0L) {
+      output.writeUInt64(14, heldMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -476,6 +494,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(13, stored_);
     }
+    if (heldMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(14, heldMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -527,6 +549,8 @@
         .equals(other.getQueue())) return false;
     if (getStored()
         != other.getStored()) return false;
+    if (getHeldMillis()
+        != other.getHeldMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -572,6 +596,9 @@
     hash = (37 * hash) + STORED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getStored());
+    hash = (37 * hash) + HELD_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getHeldMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -726,6 +753,7 @@
       resubmitted_ = false;
       queue_ = "";
       stored_ = false;
+      heldMillis_ = 0L;
       return this;
     }
 
@@ -808,6 +836,9 @@
       if (((from_bitField0_ & 0x00001000) != 0)) {
         result.stored_ = stored_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.heldMillis_ = heldMillis_;
+      }
     }
 
     @java.lang.Override
@@ -892,6 +923,9 @@
       if (other.getStored() != false) {
         setStored(other.getStored());
       }
+      if (other.getHeldMillis() != 0L) {
+        setHeldMillis(other.getHeldMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -989,6 +1023,11 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 104
+            case 112: {
+              heldMillis_ = input.readUInt64();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1852,6 +1891,50 @@
       return this;
     }
 
+    private long heldMillis_ ;
+    /**
+     * <pre>
+     * How much longer an earlier scheduler may act on the job without having learned that it lost the job, in milliseconds.
+     * </pre>
+     *
+     * <code>uint64 held_millis = 14;</code>
+     * @return The heldMillis.
+     */
+    @java.lang.Override
+    public long getHeldMillis() {
+      return heldMillis_;
+    }
+    /**
+     * <pre>
+     * How much longer an earlier scheduler may act on the job without having learned that it lost the job, in milliseconds.
+     * </pre>
+     *
+     * <code>uint64 held_millis = 14;</code>
+     * @param value The heldMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldMillis(long value) {
+
+      heldMillis_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How much longer an earlier scheduler may act on the job without having learned that it lost the job, in milliseconds.
+     * </pre>
+     *
+     * <code>uint64 held_millis = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeldMillis() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      heldMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.SubmitJob)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJobOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJobOrBuilder.java
@@ -153,4 +153,14 @@
    * @return The stored.
    */
   boolean getStored();
+
+  /**
+   * <pre>
+   * How much longer an earlier scheduler may act on the job without having learned that it lost the job, in milliseconds.
+   * </pre>
+   *
+   * <code>uint64 held_millis = 14;</code>
+   * @return The heldMillis.
+   */
+  long getHeldMillis();
 }
