Withdraw a job from the scheduler when its caller is answered without a result

A host answered the caller when the deadline had passed, but the scheduler was not told and went on running the tasks.

PendingJobsTests#jobWithoutAnAnswerInTimeIsWithdrawnFromTheScheduler fails without the change and passes with it.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 
 import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
 import org.limpetgate.HostId;
 import org.limpetgate.JobId;
 import org.limpetgate.Outcome;
@@ -180,6 +181,10 @@
 
 	private void handleFailure(PendingJob job, DispatchException error, long nowNanos) {
 		boolean mayHaveRun = error.outcome() != Outcome.NOT_RUN;
+		if (error.kind() == ErrorKind.DEADLINE_EXCEEDED) {
+			// The link is up, so the scheduler would continue to act on the job.
+			this.transport.withdraw(job.submittedTo, job.spec.id());
+		}
 		if (mayHaveRun) {
 			job.heldUntilNanos = Math.max(job.heldUntilNanos, this.transport.heldUntilNanos(job.submittedTo));
 		}
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
@@ -65,6 +65,18 @@
 		assertThat(answer.join().outcome()).isEqualTo(JobOutcome.COMPLETED);
 	}
 
+	/**
+	 * Guards against a scheduler that continues to run a job after its caller was
+	 * answered; the caller may send the job again at another host.
+	 */
+	@Example
+	void jobWithoutAnAnswerInTimeIsWithdrawnFromTheScheduler() {
+		this.pendingJobs.tick(FIRST, this.now);
+		submit("1");
+		this.transport.fail(0, ErrorKind.DEADLINE_EXCEEDED, Outcome.UNKNOWN);
+		assertThat(this.transport.withdrawn).containsExactly(JobId.of("1"));
+	}
+
 	/**
 	 * Guards against a second run while the scheduler that lost its link to this host
 	 * still acts on the job.
