Log runs that count as ended without a listed end

Change: the effect RunGivenUp with a typed reason, the time since the last renewal and whether the host was fenced at the worker; it is logged as LG1314 RUN_GIVEN_UP, one line an event, also for orphan runs. A rejected start is reported too, since the line RUN_ORDERED does not tell that it was rejected.

Result: SchedulerTests and StoredJobTests pass; LogEventTests and StoredJobServiceTests of the host pass.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -2,13 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.UpstreamId;
 import org.limpetgate.scheduling.RunListener.RunEnd;
+import org.limpetgate.scheduling.SchedulingEffect.RunGivenUp;
 import org.limpetgate.scheduling.WorkerReport.EndKind;
 
 /**
@@ -128,9 +128,13 @@
 				stop(run, nowNanos);
 			}
 			case FENCED -> markFenced(worker, nowNanos);
-			case OLD_ATTEMPT -> finish(run, RunEnd.OLD_ATTEMPT, nowNanos);
+			case OLD_ATTEMPT -> {
+				emitGivenUp(worker, id, RunGivenUp.Reason.START_REJECTED, nowNanos);
+				finish(run, RunEnd.OLD_ATTEMPT, nowNanos);
+			}
 			case LEASE_EXPIRED, NO_CAPACITY, REFUSED, OTHER_INCARNATION, NOT_SENT -> {
 				worker.markSuspect(START_FAILURE_SUSPECT_NANOS, nowNanos);
+				emitGivenUp(worker, id, RunGivenUp.Reason.START_REJECTED, nowNanos);
 				finish(run, RunEnd.REJECTED, nowNanos);
 			}
 		}
@@ -246,6 +250,8 @@
 		Map<RunId, WorkerReport.Running> running = new HashMap<>();
 		report.running().forEach((reportedRun) -> running.put(reportedRun.run(), reportedRun));
 		boolean complete = report.ended().size() < MAX_REPORTED_ENDS;
+		RunGivenUp.Reason reason = takeover ? RunGivenUp.Reason.NOT_IN_TAKEOVER_REPORT
+				: RunGivenUp.Reason.NOT_IN_REPORT;
 		for (RunEntity run : List.copyOf(worker.runs.values())) {
 			WorkerReport.Running reportedRun = running.remove(run.id());
 			if (reportedRun != null) {
@@ -256,16 +262,14 @@
 				}
 			}
 			else if (takeover || (complete && mustHaveEnded(run, sentNanos))) {
-				finish(run, RunEnd.LOST, nowNanos);
+				giveUp(run, reason, nowNanos);
 			}
 		}
-		worker.orphanRuns.keySet().removeIf((run) -> {
-			boolean ended = !running.containsKey(run);
-			if (ended) {
-				this.tables.removeRun(run.task());
+		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
+			if (!running.containsKey(run)) {
+				giveUpOrphan(worker, run, reason, nowNanos);
 			}
-			return ended;
-		});
+		}
 		for (WorkerReport.Running reportedRun : running.values()) {
 			adoptOrAddOrphan(worker, reportedRun, nowNanos);
 		}
@@ -323,6 +327,23 @@
 		this.listener.runEnded(run, end, nowNanos);
 	}
 
+	// Handles a run that must have ended although the worker has not listed its end.
+	void giveUp(RunEntity run, RunGivenUp.Reason reason, long nowNanos) {
+		emitGivenUp(run.worker(), run.id(), reason, nowNanos);
+		finish(run, RunEnd.LOST, nowNanos);
+	}
+
+	void giveUpOrphan(WorkerEntity worker, RunId run, RunGivenUp.Reason reason, long nowNanos) {
+		emitGivenUp(worker, run, reason, nowNanos);
+		worker.orphanRuns.remove(run);
+		this.tables.removeRun(run.task());
+	}
+
+	private void emitGivenUp(WorkerEntity worker, RunId run, RunGivenUp.Reason reason, long nowNanos) {
+		long sinceRenewalNanos = (worker.renewedNanos != 0) ? nowNanos - worker.renewedNanos : -1;
+		this.tables.emit(new RunGivenUp(worker.info, run, reason, sinceRenewalNanos, worker.fenced));
+	}
+
 	// Applies the time-outs of the runs on a worker.
 	void process(WorkerEntity worker, long nowNanos) {
 		retryStops(worker, nowNanos);
@@ -406,13 +427,11 @@
 			boolean settled = run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED
 					|| !worker.listed;
 			if (settled && !(mayHaveOtherOwner && isStored(run))) {
-				finish(run, RunEnd.LOST, nowNanos);
+				giveUp(run, RunGivenUp.Reason.LEASE_EXPIRED, nowNanos);
 			}
 		}
-		Iterator<RunId> orphanRuns = worker.orphanRuns.keySet().iterator();
-		while (orphanRuns.hasNext()) {
-			this.tables.removeRun(orphanRuns.next().task());
-			orphanRuns.remove();
+		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
+			giveUpOrphan(worker, run, RunGivenUp.Reason.LEASE_EXPIRED, nowNanos);
 		}
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
@@ -52,6 +52,39 @@
 
 	}
 
+	/**
+	 * Tells that the scheduler concluded that a run has ended although its worker has not
+	 * listed the end. It requires no action and is meant for the log.
+	 *
+	 * @param worker the worker
+	 * @param run the run
+	 * @param reason what the conclusion rests on
+	 * @param sinceRenewalNanos the time since this scheduler last renewed the lease of
+	 * the worker, in nanoseconds, or -1 if it has not renewed it
+	 * @param fenced whether the worker has rejected this scheduler's token since its last
+	 * report
+	 */
+	record RunGivenUp(WorkerInfo worker, RunId run, Reason reason, long sinceRenewalNanos,
+			boolean fenced) implements SchedulingEffect {
+
+		/** What the conclusion that a run has ended rests on. */
+		public enum Reason {
+
+			/** The lease was not renewed in time, and the worker does not report. */
+			LEASE_EXPIRED,
+			/** The first report after a takeover does not list the run. */
+			NOT_IN_TAKEOVER_REPORT,
+			/** A later report does not list the run. */
+			NOT_IN_REPORT,
+			/** The worker has a new incarnation. */
+			NEW_INCARNATION,
+			/** The worker rejected the order to start the run. */
+			START_REJECTED
+
+		}
+
+	}
+
 	/**
 	 * Saves a change of a stored job. Changes are saved in the order of the effects.
 	 *
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.UpstreamId;
-import org.limpetgate.scheduling.RunListener.RunEnd;
+import org.limpetgate.scheduling.SchedulingEffect.RunGivenUp;
 
 /**
  * Takes over workers, renews their leases and processes their reports.
@@ -107,9 +107,11 @@
 			return;
 		}
 		List<RunEntity> lost = List.copyOf(worker.runs.values());
-		worker.orphanRuns.keySet().forEach((run) -> this.tables.removeRun(run.task()));
+		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
+			this.runs.giveUpOrphan(worker, run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos);
+		}
 		worker.startIncarnation(info);
-		lost.forEach((run) -> this.runs.finish(run, RunEnd.LOST, nowNanos));
+		lost.forEach((run) -> this.runs.giveUp(run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos));
 	}
 
 	void activate(long nowNanos) {
@@ -164,12 +166,12 @@
 			return;
 		}
 		worker.pollFailures = 0;
-		worker.fenced = false;
 		worker.lastReportNanos = nowNanos;
 		worker.updateClock(report.clockMillis(), nowNanos);
 		boolean takeover = worker.ownership == WorkerEntity.Ownership.TAKING_OVER;
 		worker.ownership = WorkerEntity.Ownership.OWNED;
 		this.runs.applyReport(worker, report, takeover, sentNanos, nowNanos);
+		worker.fenced = false;
 		worker.verifiedNanos = Math.max(worker.verifiedNanos, sentNanos);
 		this.tables.placementDue = true;
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
@@ -286,6 +286,33 @@
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(2);
 	}
 
+	/** Guards against a run that is given up without a trace in the log. */
+	@Example
+	void runMissingInAReportIsReportedAsGivenUp() {
+		activate("w1");
+		submit("1", 1, false);
+		tick();
+		RunId run = confirmStart(lastStart());
+		report(lastPoll(), List.of(), List.of());
+		assertThat(effectsOf(SchedulingEffect.RunGivenUp.class)).singleElement().satisfies((givenUp) -> {
+			assertThat(givenUp.run()).isEqualTo(run);
+			assertThat(givenUp.worker().id().value()).isEqualTo("w1");
+			assertThat(givenUp.reason()).isEqualTo(SchedulingEffect.RunGivenUp.Reason.NOT_IN_REPORT);
+			assertThat(givenUp.sinceRenewalNanos()).isEqualTo(MILLI);
+			assertThat(givenUp.fenced()).isFalse();
+		});
+	}
+
+	/** Guards against a log line for each run that ends as it should. */
+	@Example
+	void listedEndIsNotReportedAsGivenUp() {
+		activate("w1");
+		submit("1", 1, false);
+		tick();
+		report(lastPoll(), List.of(), List.of(end(1, lastStart().run(), EndKind.DONE)));
+		assertThat(effectsOf(SchedulingEffect.RunGivenUp.class)).isEmpty();
+	}
+
 	// --- overload
 
 	/**
@@ -422,6 +449,11 @@
 		tick();
 	}
 
+	private RunId confirmStart(SchedulingEffect.StartRun start) {
+		this.scheduler.startAnswered(start.worker().id(), start.run(), StartAnswer.STARTED, this.nowNanos);
+		return start.run();
+	}
+
 	private void advance(long millis) {
 		this.nowNanos += millis * MILLI;
 		tick();
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -52,6 +52,9 @@
 	/** A worker did not report. */
 	WORKER_SILENT(1313, "worker=%s failure=%s"),
 
+	/** A run counts as ended although its worker has not listed the end. */
+	RUN_GIVEN_UP(1314, "run=%s worker=%s reason=%s since_renewal_ms=%s fenced=%s"),
+
 	/** The stored jobs were taken over from the platform's store. */
 	STORED_JOBS_READ(1320, "epoch=%s jobs=%s"),
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
@@ -1,5 +1,6 @@
 package org.limpetgate.host.fleet;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -58,6 +59,16 @@
 		else if (effect instanceof SchedulingEffect.JobEnded ended) {
 			this.jobEndHandler.accept(ended);
 		}
+		else if (effect instanceof SchedulingEffect.RunGivenUp givenUp) {
+			logGivenUp(givenUp);
+		}
+	}
+
+	private void logGivenUp(SchedulingEffect.RunGivenUp givenUp) {
+		long sinceRenewalNanos = givenUp.sinceRenewalNanos();
+		long sinceRenewalMillis = (sinceRenewalNanos < 0) ? -1 : TimeUnit.NANOSECONDS.toMillis(sinceRenewalNanos);
+		this.log.write(LogEvent.RUN_GIVEN_UP, givenUp.run(), givenUp.worker().id(), givenUp.reason(),
+				sinceRenewalMillis, givenUp.fenced());
 	}
 
 	private void start(SchedulingEffect.StartRun start) {
