--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
@@ -242,6 +242,26 @@
 		assertThat(lastPoll().ackNumber()).isZero();
 	}
 
+	/**
+	 * Guards against a run that outlives its lease although another scheduler may have
+	 * taken over its job.
+	 */
+	@Example
+	void leaseIsNotRenewedWhileReleasedRunsArePresent() {
+		activate("w1");
+		submit("1", step(1));
+		save();
+		RunId run = starts().get(0).run();
+		this.scheduler.startAnswered(starts().get(0).worker().id(), run, StartAnswer.STARTED, this.nowNanos);
+		this.scheduler.releaseStoredJobs(this.nowNanos);
+		SchedulingEffect.PollWorker sentBefore = lastPoll();
+		this.effects.clear();
+		report(sentBefore, List.of(run), List.of());
+		report(lastPoll(), List.of(run), List.of());
+		assertThat(effectsOf(SchedulingEffect.PollWorker.class)).hasSize(2)
+			.allMatch((poll) -> poll.leaseEndMillis() == 0);
+	}
+
 	/**
 	 * Guards against starvation: a steady load of small jobs would use up all capacity in
 	 * which a large task of an overdue job could start.
