Give a run up only when no owner can have renewed its lease

Cause: expireLease counted a best-effort run on a worker that does not report as lost 1.07 s after the last renewal of this host, also if the worker had rejected its token or another scheduler was possible.

Change: the time after which a run counts as lost follows from who may have renewed its lease. Fenced at the worker: only the worker's report counts, which the takeover 2 s later asks for, or 10 s without any. Another scheduler possible: 2.42 s for best-effort jobs, 10 s for stored ones as before. No other scheduler possible: 1.07 s as before. Orphan runs are forgotten no earlier than runs of stored jobs.

Cost: a task on a fenced worker waits about 2 s instead of 1.07 s, and one on a worker that is lost together with a host 2.42 s instead of 1.07 s.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -1,6 +1,5 @@
 package org.limpetgate.scheduling;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -401,38 +400,57 @@
 				&& nowNanos - run.startedNanos() > HANG_DURATION_FACTOR * run.expectedNanos;
 	}
 
-	// Tests whether another scheduler may keep renewing the lease of a worker that this
-	// host cannot reach.
-	private boolean mayHaveOtherOwner(WorkerEntity worker, long nowNanos) {
-		boolean otherOwnerPossible = this.tables.otherSchedulerPossible || worker.fenced;
-		boolean leaseExpired = !worker.listed
-				&& nowNanos - worker.unlistedNanos > this.tables.settings.storedGuardNanos();
-		return otherOwnerPossible && !leaseExpired
-				&& nowNanos - worker.renewedNanos < SchedulerSettings.MAX_GUARD_NANOS;
-	}
-
-	private static boolean isStored(RunEntity run) {
-		return run.task != null && run.task.job().spec().stored();
-	}
-
-	// Without a renewal all runs end when the lease expires on the worker's own clock.
-	// Orders without an answer stay unresolved, since they may still arrive.
+	// Counts runs on a worker that does not report as lost, once no owner can have
+	// renewed their lease. Orders without an answer stay unresolved, since they may still
+	// arrive.
 	private void expireLease(WorkerEntity worker, long nowNanos) {
-		if (worker.pollFailures == 0 || worker.runs.isEmpty()
-				|| nowNanos - worker.renewedNanos < this.tables.settings.leaseEndNanos()) {
+		if (worker.pollFailures == 0 || worker.runs.isEmpty()) {
 			return;
 		}
-		boolean mayHaveOtherOwner = mayHaveOtherOwner(worker, nowNanos);
-		for (RunEntity run : new ArrayList<>(worker.runs.values())) {
+		long sinceRenewalNanos = nowNanos - worker.renewedNanos;
+		for (RunEntity run : List.copyOf(worker.runs.values())) {
 			boolean settled = run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED
 					|| !worker.listed;
-			if (settled && !(mayHaveOtherOwner && isStored(run))) {
+			if (settled && sinceRenewalNanos >= lossNanos(worker, isStored(run), nowNanos)) {
 				giveUp(run, RunGivenUp.Reason.LEASE_EXPIRED, nowNanos);
 			}
 		}
-		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
-			giveUpOrphan(worker, run, RunGivenUp.Reason.LEASE_EXPIRED, nowNanos);
+		// An orphan run may belong to a stored job.
+		if (sinceRenewalNanos >= lossNanos(worker, true, nowNanos)) {
+			for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
+				giveUpOrphan(worker, run, RunGivenUp.Reason.LEASE_EXPIRED, nowNanos);
+			}
+		}
+	}
+
+	private static boolean isStored(RunEntity run) {
+		return run.task != null && run.task.job().spec().stored();
+	}
+
+	/**
+	 * Returns how long after the last renewal by this scheduler a run on a worker that
+	 * does not report must have ended. Another scheduler renews its lease only after
+	 * adopting it.
+	 * @param worker the worker
+	 * @param stored whether the run may belong to a stored job
+	 * @param nowNanos the current time
+	 * @return the time in nanoseconds
+	 */
+	private long lossNanos(WorkerEntity worker, boolean stored, long nowNanos) {
+		SchedulerSettings settings = this.tables.settings;
+		if (worker.fenced) {
+			return SchedulerSettings.MAX_GUARD_NANOS;
+		}
+		if (!this.tables.otherSchedulerPossible) {
+			return settings.leaseEndNanos();
+		}
+		// A best-effort job that its host has submitted to another scheduler is
+		// withdrawn here by then, since the loss of that host is noticed.
+		if (!stored) {
+			return settings.storedGuardNanos();
 		}
+		boolean removed = !worker.listed && nowNanos - worker.unlistedNanos > settings.storedGuardNanos();
+		return removed ? settings.leaseEndNanos() : SchedulerSettings.MAX_GUARD_NANOS;
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
@@ -98,7 +98,8 @@
 	/**
 	 * Returns how long a stored job waits if not every worker can be polled for its runs.
 	 * An unreachable earlier owner of the stored jobs renews leases until it notices that
-	 * it lost them. After this time those leases have expired too.
+	 * it lost them. After this time those leases have expired too. The loss of a host is
+	 * noticed in less time.
 	 * @return the time in nanoseconds
 	 */
 	public long storedGuardNanos() {
