Renew a lease only while all runs on the worker are own runs

Cause: a lease applies to all runs on a worker. After a takeover the first adopted run made the host renew it, which also prolonged the orphan runs beside it, and the runs of released stored jobs were renewed while their stop was not confirmed.

Change: WorkerEntity.hasOnlyOwnRuns decides; renewedNanos moves only with a renewal, or with the report of a takeover, until which the earlier owner may have renewed the lease. Weighed: a renewal for 0.35 s after the takeover, in which orphans are stopped. It would prolong a run to 1.43 s after the last renewal of its owner, more than the guard of 1.22 s and the 1.3 s of callers.

Cost: an adopted run beside an orphan is lost if its lease has less than about 0.3 s left at the takeover: 0.25 s until orphans are stopped, 0.05 s for the stop, and a poll.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
@@ -60,7 +60,8 @@
 	 * @param run the run
 	 * @param reason what the conclusion rests on
 	 * @param sinceRenewalNanos the time since this scheduler last renewed the lease of
-	 * the worker, in nanoseconds, or -1 if it has not renewed it
+	 * the worker or completed a takeover of it, in nanoseconds, or -1 if it has done
+	 * neither
 	 * @param fenced whether the worker has rejected this scheduler's token since its last
 	 * report
 	 */
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -95,8 +95,9 @@
 	private long clockReadNanos;
 
 	/**
-	 * When the last order that renews the lease was sent, nanoseconds since the Unix
-	 * epoch.
+	 * When the last order that renews the lease was sent, or the report of the last
+	 * takeover arrived if that is later, nanoseconds since the Unix epoch. Earlier owners
+	 * cannot renew the lease after this time.
 	 */
 	long renewedNanos;
 
@@ -159,6 +160,14 @@
 		return !this.runs.isEmpty() || !this.orphanRuns.isEmpty();
 	}
 
+	// Tests whether there are runs, and all of them belong to jobs of this scheduler. The
+	// lease applies to all runs on the worker, and other hosts rely on the end of the
+	// lease of a run that is not renewed by its owner.
+	boolean hasOnlyOwnRuns() {
+		return !this.runs.isEmpty() && this.orphanRuns.isEmpty()
+				&& this.runs.values().stream().noneMatch((run) -> run.released);
+	}
+
 	// Returns the sequence number up to which ends are acknowledged to the worker.
 	long ackNumber() {
 		return this.unsavedEnds.isEmpty() ? this.lastEndNumber : this.unsavedEnds.first() - 1;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -172,6 +172,10 @@
 		worker.ownership = WorkerEntity.Ownership.OWNED;
 		this.runs.applyReport(worker, report, takeover, sentNanos, nowNanos);
 		worker.fenced = false;
+		if (takeover) {
+			// An earlier owner may have renewed the lease until now.
+			worker.renewedNanos = nowNanos;
+		}
 		worker.verifiedNanos = Math.max(worker.verifiedNanos, sentNanos);
 		this.tables.placementDue = true;
 	}
@@ -264,13 +268,16 @@
 	}
 
 	private void renew(WorkerEntity worker, long nowNanos) {
-		worker.renewedNanos = nowNanos;
-		sendPoll(worker, worker.runs.isEmpty() ? 0 : worker.leaseEndMillis(this.tables.settings, nowNanos),
-				pollWaitNanos(worker), nowNanos);
+		long leaseEndMillis = 0;
+		if (worker.hasOnlyOwnRuns()) {
+			leaseEndMillis = worker.leaseEndMillis(this.tables.settings, nowNanos);
+			worker.renewedNanos = nowNanos;
+		}
+		sendPoll(worker, leaseEndMillis, pollWaitNanos(worker), nowNanos);
 	}
 
-	// Orphan runs alone do not renew the lease, and the wait for their ends is short,
-	// since the worker's free capacity is unknown until then.
+	// The wait for the ends of orphan runs is short, since until then the worker's free
+	// capacity is unknown and its lease is not renewed.
 	private long pollWaitNanos(WorkerEntity worker) {
 		if (worker.pollFailures > 0) {
 			return 0;
