Forget orphan runs on a worker that does not report

Cause: expireLease returned early for a worker with orphan runs only, so that they counted as present until the worker reported or was replaced, and their tasks could not start. Since runs of the host are now given up earlier than the orphans beside them, this would also have kept those orphans.

Change: the early return applies to a worker without any run.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -404,7 +404,7 @@
 	// renewed their lease. Orders without an answer stay unresolved, since they may still
 	// arrive.
 	private void expireLease(WorkerEntity worker, long nowNanos) {
-		if (worker.pollFailures == 0 || worker.runs.isEmpty()) {
+		if (worker.pollFailures == 0 || !worker.isBusy()) {
 			return;
 		}
 		long sinceRenewalNanos = nowNanos - worker.renewedNanos;
