Test that an overtaken report starts no second run

Cause: answers on different connections overtake each other. An older answer may still show a run whose end a later one has listed.

Change: a test; it passes, so that no logic changes. The constant for the longest guard applies to best-effort jobs too and says so.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
@@ -31,7 +31,7 @@
 	private static final int RENEWALS_PER_LEASE = 5;
 
 	/**
-	 * A worker that is unreachable for longer than this no longer delays a stored job.
+	 * A worker that is unreachable for longer than this no longer delays a job.
 	 */
 	static final long MAX_GUARD_NANOS = TimeUnit.SECONDS.toNanos(10);
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
@@ -475,6 +475,27 @@
 		assertThat(effectsOf(SchedulingEffect.RunGivenUp.class)).isEmpty();
 	}
 
+	/**
+	 * Guards against a second run of a task because an answer that still shows its ended
+	 * run arrives after the answer that lists the end.
+	 */
+	@Example
+	void overtakenReportThatShowsAnEndedRunStartsNoOther() {
+		activate("w1", "w2");
+		SchedulingEffect.StartRun start = startOneRun();
+		SchedulingEffect.PollWorker earlier = lastPollOf(start);
+		submit("2", 1, true);
+		tick();
+		report(lastPollOf(start), List.of(), List.of(end(1, start.run(), EndKind.FAILED)));
+		assertThat(starts("1")).hasSize(2);
+		RunId second = starts("1").get(1).run();
+		report(earlier, List.of(start.run()), List.of());
+		advanceInSteps(100);
+		assertThat(starts("1")).hasSize(2);
+		assertThat(effectsOf(SchedulingEffect.StopRun.class)).extracting(SchedulingEffect.StopRun::run)
+			.doesNotContain(second);
+	}
+
 	/**
 	 * Guards against a task that never starts again, since a run of an earlier owner on
 	 * an unreachable worker counts as present for ever.
