Stop renewing the lease of a worker that does not answer

Each renewal without an answer may have arrived, so it moved the time from which the end of the lease counts. A scheduler polls a silent worker every 250 ms, so the tasks of a crashed worker never counted as lost until it was listed again, and their callers got no answer.

After three failed polls in a row the worker is polled without a renewal. If it answers, the next poll renews the lease again.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -19,6 +19,13 @@
 
 	private static final long ORPHAN_RUNS_POLL_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
+	/**
+	 * After more failed polls in a row a worker is polled without renewing its lease.
+	 * Each renewal without an answer may have arrived, so that its runs could never be
+	 * given up.
+	 */
+	private static final int MAX_POLL_FAILURES_BEFORE_RENEWAL = 2;
+
 	private static final long MIN_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
 	private static final long MAX_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
@@ -269,7 +276,7 @@
 
 	private void renew(WorkerEntity worker, long nowNanos) {
 		long leaseEndMillis = 0;
-		if (worker.hasOnlyOwnRuns()) {
+		if (worker.hasOnlyOwnRuns() && worker.pollFailures <= MAX_POLL_FAILURES_BEFORE_RENEWAL) {
 			leaseEndMillis = worker.leaseEndMillis(this.tables.settings, nowNanos);
 			worker.renewedNanos = nowNanos;
 		}
