--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorker.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorker.java
@@ -29,7 +29,7 @@
  */
 final class FakeWorker {
 
-	private static final Capacity CAPACITY = new Capacity(16_000, 32_768, 0);
+	static final Capacity CAPACITY = new Capacity(16_000, 32_768, 0);
 
 	private static final long MAX_LEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
 
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkerOrders.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkerOrders.java
@@ -84,7 +84,7 @@
 			complete(answer, new PollAnswer(null, PollFailure.NO_ANSWER), TIMEOUT_MILLIS);
 			return;
 		}
-		WorkerReport report = this.workers.poll(this.host, order);
+		WorkerReport report = this.workers.poll(order);
 		if (report == null) {
 			complete(answer, new PollAnswer(null, PollFailure.FENCED), LATENCY_MILLIS);
 		}
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkers.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkers.java
@@ -33,8 +33,6 @@
 
 	private final Map<UpstreamId, FakeWorker> workers = new LinkedHashMap<>();
 
-	private final Map<UpstreamId, Set<HostId>> ownersByWorker = new LinkedHashMap<>();
-
 	private final Set<TaskName> doneTasks = new HashSet<>();
 
 	private final List<Start> starts = new ArrayList<>();
@@ -49,7 +47,6 @@
 	synchronized void add(String id, DataCentreId dataCentre) {
 		FakeWorker worker = new FakeWorker(id, dataCentre, this.doneTasks, this.clock.getAsLong());
 		this.workers.put(worker.info().id(), worker);
-		this.ownersByWorker.put(worker.info().id(), new HashSet<>());
 	}
 
 	synchronized List<WorkerInfo> infos() {
@@ -82,12 +79,8 @@
 	}
 
 	// Returns the report, or null if the token is fenced.
-	synchronized WorkerReport poll(HostId host, SchedulingEffect.PollWorker order) {
-		WorkerReport report = this.workers.get(order.worker().id()).poll(order, this.clock.getAsLong());
-		if (report != null) {
-			this.ownersByWorker.get(order.worker().id()).add(host);
-		}
-		return report;
+	synchronized WorkerReport poll(SchedulingEffect.PollWorker order) {
+		return this.workers.get(order.worker().id()).poll(order, this.clock.getAsLong());
 	}
 
 	// Returns the starts that a host ordered.
@@ -99,11 +92,6 @@
 		return List.copyOf(this.starts);
 	}
 
-	// Returns the hosts that have owned a worker.
-	synchronized Set<HostId> owners(UpstreamId worker) {
-		return Set.copyOf(this.ownersByWorker.get(worker));
-	}
-
 	// Returns the starts of tasks of which another run was present, as text.
 	synchronized List<String> overlaps() {
 		return List.copyOf(this.overlaps);
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -24,16 +24,42 @@
 
 	private static final int TASKS = 2;
 
-	private static final long TASK_MILLIS = 3000;
+	private static final long TASK_MILLIS = 1500;
+
+	/** Lasts until an old connection delivers what it has kept. */
+	private static final long LONG_TASK_MILLIS = 2500;
+
+	private static final long SHORT_TASK_MILLIS = 500;
 
 	/** The entry host is the next scheduler if the first one is lost. */
 	private static final int LARGER_THAN_THIRD = 700;
 
+	/** The entry host is not the next scheduler. */
+	private static final int SMALLER_THAN_THIRD = 300;
+
 	// A peer is lost 700 ms after its last answer to a heartbeat, and heartbeats are sent
 	// every 200 ms. The peer is therefore not lost before 500 ms of silence.
 	private static final long SILENCE_BEFORE_SUBMISSION_MILLIS = 300;
 
-	private static final Duration CALLER_PATIENCE = Duration.ofSeconds(20);
+	/**
+	 * Longer than the heartbeat timeout of 700 ms and the 1,210 ms after which a
+	 * resubmitted job starts although its earlier runs are unknown.
+	 */
+	private static final long LONG_SILENCE_MILLIS = 2500;
+
+	/** Longer than the heartbeat timeout of 700 ms. */
+	private static final long LONG_PAUSE_MILLIS = 1000;
+
+	/** Shorter than the heartbeat timeout of 700 ms. */
+	private static final long SHORT_PAUSE_MILLIS = 500;
+
+	/** The time for messages to arrive at the machine of a host. */
+	private static final long DELIVERY_MILLIS = 50;
+
+	/** The time for a late message to start tasks. */
+	private static final long LATE_START_MILLIS = 500;
+
+	private static final Duration CALLER_PATIENCE = Duration.ofSeconds(8);
 
 	private static final JobId JOB = JobId.of("0123456789abcdef");
 
@@ -44,28 +70,62 @@
 			fleet.cutOffSecondDataCentre();
 			TestFleet.sleep(SILENCE_BEFORE_SUBMISSION_MILLIS);
 			CompletableFuture<JobAnswer> answer = submit(fleet);
-			awaitStartsByEntryHost(fleet);
+			awaitStartsBy(fleet, fleet.entry());
 			assertThat(fleet.log()).as("log").contains("JOB_TAKEN_BACK");
 			fleet.reconnectSecondDataCentre();
 			assertRunsOnceAndCompletes(fleet, answer);
 		}
 	}
 
+	/** Guards against a late withdrawal that ends a job which was submitted again. */
+	@Example
+	void withdrawalOverAnOldConnectionDoesNotEndAJobSubmittedAgain() {
+		try (TestFleet fleet = TestFleet.start(LONG_TASK_MILLIS, SMALLER_THAN_THIRD)) {
+			CompletableFuture<JobAnswer> disconnected = submit(fleet);
+			awaitStartsBy(fleet, fleet.scheduler());
+			silenceConnectionToScheduler(fleet);
+			fleet.entry().disconnect(disconnected);
+			awaitNewConnectionToScheduler(fleet);
+			CompletableFuture<JobAnswer> answer = submit(fleet);
+			TestFleet.sleep(DELIVERY_MILLIS);
+			deliverOldConnectionToScheduler(fleet);
+			assertRunsOnceAndCompletes(fleet, answer);
+		}
+	}
+
+	// The entry host opens a new connection when the scheduler has not answered for 700
+	// ms.
+	private static void silenceConnectionToScheduler(TestFleet fleet) {
+		fleet.relay().silenceOpenConnections(fleet.entry().id(), fleet.scheduler().id());
+		TestFleet.sleep(SILENCE_BEFORE_SUBMISSION_MILLIS);
+	}
+
+	private static void awaitNewConnectionToScheduler(TestFleet fleet) {
+		String hostLost = "HOST_LOST host=" + fleet.scheduler().id();
+		assertThat(TestFleet.await(CALLER_PATIENCE,
+				() -> fleet.log().contains(hostLost) && fleet.entry().knowsScheduler()))
+			.as("new connection; log:%n%s", fleet.log())
+			.isTrue();
+	}
+
+	private static void deliverOldConnectionToScheduler(TestFleet fleet) {
+		fleet.relay().deliverOpenConnections(fleet.entry().id(), fleet.scheduler().id());
+	}
+
 	private static CompletableFuture<JobAnswer> submit(TestFleet fleet) {
-		return fleet.entry().submit(job(), CALLER_PATIENCE.toNanos());
+		return fleet.entry().submit(job(TASKS, new Capacity(4000, 1024, 0)), CALLER_PATIENCE.toNanos());
 	}
 
-	private static JobSpec job() {
+	private static JobSpec job(int tasks, Capacity demand) {
 		QueueTerms terms = new QueueTerms(0, 3, 10, TimeUnit.SECONDS.toNanos(60));
-		StepSpec step = new StepSpec(TASKS, new Capacity(4000, 1024, 0), TimeUnit.MILLISECONDS.toNanos(TASK_MILLIS),
-				List.of(), "", "", 0, 0, Set.of());
+		StepSpec step = new StepSpec(tasks, demand, TimeUnit.MILLISECONDS.toNanos(TASK_MILLIS), List.of(), "", "", 0, 0,
+				Set.of());
 		return new JobSpec(JOB, "queue", "service", terms, "payload", List.of(step));
 	}
 
-	private static void awaitStartsByEntryHost(TestFleet fleet) {
-		assertThat(TestFleet.await(CALLER_PATIENCE,
-				() -> fleet.workers().startsOrderedBy(fleet.entry().id()).size() == TASKS))
-			.as("the entry host starts the tasks; log:%n%s", fleet.log())
+	private static void awaitStartsBy(TestFleet fleet, TestHost host) {
+		assertThat(TestFleet.await(CALLER_PATIENCE, () -> fleet.workers().startsOrderedBy(host.id()).size() == TASKS))
+			.as("starts by %s; log:%n%s", host.id(), fleet.log())
 			.isTrue();
 	}
 
@@ -74,7 +134,7 @@
 		assertThat(fleet.workers().overlaps()).as("two runs at the same time; log:%n%s", fleet.log()).isEmpty();
 		assertThat(answer).as("answer; log:%n%s", fleet.log()).isCompleted();
 		assertThat(answer.join().outcome()).as("answer; log:%n%s", fleet.log()).isEqualTo(JobOutcome.COMPLETED);
-		assertThat(fleet.workers().doneTasks(JOB)).isEqualTo(TASKS);
+		assertThat(fleet.workers().doneTasks(JOB)).as("done tasks").isEqualTo(TASKS);
 	}
 
 }
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/Relay.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/Relay.java
@@ -99,6 +99,11 @@
 		onLoop(() -> this.links.get(new Route(source, target)).setOpenConnectionsSilent(true));
 	}
 
+	// Keeps the bytes that arrive at the source of the connections that are open now.
+	void silenceReplies(HostId source, HostId target) {
+		onLoop(() -> this.links.get(new Route(source, target)).setOpenRepliesSilent());
+	}
+
 	// Ends the silence of all open connections.
 	void deliverOpenConnections(HostId source, HostId target) {
 		onLoop(() -> this.links.get(new Route(source, target)).setOpenConnectionsSilent(false));
@@ -181,6 +186,10 @@
 			}
 		}
 
+		void setOpenRepliesSilent() {
+			this.connections.forEach((connection) -> connection.backward.setSilent(true));
+		}
+
 		void reset() {
 			this.connections.forEach(Connection::reset);
 		}
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestFleet.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestFleet.java
@@ -17,6 +17,7 @@
 
 import org.limpetgate.DataCentreId;
 import org.limpetgate.HostId;
+import org.limpetgate.UpstreamId;
 import org.limpetgate.scheduling.SchedulerSettings;
 
 /**
@@ -41,6 +42,12 @@
 
 	private static final int WORKERS_PER_DATA_CENTRE = 2;
 
+	/**
+	 * A host may be elected 700 ms after its workers are listed; an idle host decides
+	 * every 100 ms.
+	 */
+	private static final long STARTUP_DELAY_MILLIS = 800;
+
 	/** Fails a test that would hang; no assertion depends on it. */
 	private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
 
@@ -161,16 +168,42 @@
 		return this.relay;
 	}
 
+	boolean isInSecondDataCentre(UpstreamId worker) {
+		return this.workers.infos()
+			.stream()
+			.anyMatch((info) -> info.id().equals(worker) && info.dataCentre().equals(SECOND_DATA_CENTRE));
+	}
+
+	// Waits until every host may be elected.
+	void awaitElectable() {
+		sleep(STARTUP_DELAY_MILLIS);
+	}
+
 	// Returns the event logs of all hosts.
 	String log() {
 		return this.log.toString(StandardCharsets.UTF_8);
 	}
 
-	// Cuts the second data centre off from the first one silently.
-	void cutOffSecondDataCentre() {
+	// Silences the links between the data centres.
+	void silenceSecondDataCentre() {
 		for (TestHost host : List.of(this.scheduler, this.third)) {
 			this.relay.silence(host.id(), this.entry.id());
 			this.relay.silence(this.entry.id(), host.id());
+		}
+	}
+
+	// Delivers what was sent to the second data centre; the links stay silent.
+	void deliverKeptToSecondDataCentre() {
+		for (TestHost host : List.of(this.scheduler, this.third)) {
+			this.relay.deliverKept(host.id(), this.entry.id());
+		}
+	}
+
+	// Silences the links between the data centres and makes the workers of the other data
+	// centre unreachable.
+	void cutOffSecondDataCentre() {
+		silenceSecondDataCentre();
+		for (TestHost host : List.of(this.scheduler, this.third)) {
 			host.orders().cutOff(SECOND_DATA_CENTRE);
 		}
 		this.entry.orders().cutOff(FIRST_DATA_CENTRE);
