--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -93,6 +93,27 @@
 		}
 	}
 
+	/** Guards against a host that uses workers out of its scope after late heartbeats. */
+	@Example
+	void lateHeartbeatsDoNotMakeALostHostReachable() {
+		try (TestFleet fleet = TestFleet.start(TASK_MILLIS, LARGER_THAN_THIRD)) {
+			fleet.silenceSecondDataCentre();
+			TestFleet.await(CALLER_PATIENCE, fleet.entry()::isScheduling);
+			TestFleet.sleep(LATE_START_MILLIS);
+			fleet.entry().submit(job(2 * TASKS, FakeWorker.CAPACITY), CALLER_PATIENCE.toNanos());
+			awaitStartsBy(fleet, fleet.entry());
+			assertEntryHostUsesOwnDataCentre(fleet);
+			fleet.deliverKeptToSecondDataCentre();
+			assertEntryHostUsesOwnDataCentre(fleet);
+		}
+	}
+
+	private static void assertEntryHostUsesOwnDataCentre(TestFleet fleet) {
+		TestFleet.sleep(LATE_START_MILLIS);
+		assertThat(fleet.workers().startsOrderedBy(fleet.entry().id())).as("starts; log:%n%s", fleet.log())
+			.allMatch((start) -> fleet.isInSecondDataCentre(start.worker()));
+	}
+
 	// The entry host opens a new connection when the scheduler has not answered for 700
 	// ms.
 	private static void silenceConnectionToScheduler(TestFleet fleet) {
