--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -114,6 +114,19 @@
 			.allMatch((start) -> fleet.isInSecondDataCentre(start.worker()));
 	}
 
+	/** Guards against an answer that is sent over a connection which is given up. */
+	@Example
+	void submissionOverAnOldConnectionDoesNotTakeTheAnswer() {
+		try (TestFleet fleet = TestFleet.start(TASK_MILLIS, SMALLER_THAN_THIRD)) {
+			silenceConnectionToScheduler(fleet);
+			CompletableFuture<JobAnswer> answer = submit(fleet);
+			awaitStartsBy(fleet, fleet.scheduler());
+			assertThat(fleet.log()).as("log").contains("JOB_TAKEN_BACK");
+			deliverOldConnectionToScheduler(fleet);
+			assertRunsOnceAndCompletes(fleet, answer);
+		}
+	}
+
 	// The entry host opens a new connection when the scheduler has not answered for 700
 	// ms.
 	private static void silenceConnectionToScheduler(TestFleet fleet) {
