--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -127,6 +127,20 @@
 		}
 	}
 
+	/** Guards against a late copy of a submission that starts a completed job again. */
+	@Example
+	void submissionOverAnOldConnectionDoesNotStartACompletedJobAgain() {
+		try (TestFleet fleet = TestFleet.start(SHORT_TASK_MILLIS, SMALLER_THAN_THIRD)) {
+			silenceConnectionToScheduler(fleet);
+			CompletableFuture<JobAnswer> answer = submit(fleet);
+			assertRunsOnceAndCompletes(fleet, answer);
+			assertThat(fleet.log()).as("log").contains("JOB_TAKEN_BACK");
+			deliverOldConnectionToScheduler(fleet);
+			TestFleet.sleep(LATE_START_MILLIS);
+			assertThat(fleet.workers().starts()).as("starts; log:%n%s", fleet.log()).hasSize(TASKS);
+		}
+	}
+
 	// The entry host opens a new connection when the scheduler has not answered for 700
 	// ms.
 	private static void silenceConnectionToScheduler(TestFleet fleet) {
