--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -141,6 +141,22 @@
 		}
 	}
 
+	/** Guards against a late submission that starts a withdrawn job again. */
+	@Example
+	void submissionOverAnOldConnectionDoesNotStartAWithdrawnJobAgain() {
+		try (TestFleet fleet = TestFleet.start(TASK_MILLIS, SMALLER_THAN_THIRD)) {
+			silenceConnectionToScheduler(fleet);
+			CompletableFuture<JobAnswer> answer = submit(fleet);
+			awaitStartsBy(fleet, fleet.scheduler());
+			assertThat(fleet.log()).as("log").contains("JOB_TAKEN_BACK");
+			fleet.entry().disconnect(answer);
+			TestFleet.sleep(DELIVERY_MILLIS);
+			deliverOldConnectionToScheduler(fleet);
+			TestFleet.sleep(LATE_START_MILLIS);
+			assertThat(fleet.workers().starts()).as("starts; log:%n%s", fleet.log()).hasSize(TASKS);
+		}
+	}
+
 	// The entry host opens a new connection when the scheduler has not answered for 700
 	// ms.
 	private static void silenceConnectionToScheduler(TestFleet fleet) {
