--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -157,6 +157,20 @@
 		}
 	}
 
+	/** Guards against a second run if the entry host does not hear the scheduler. */
+	@Example
+	void linkThatIsDeadFromTheSchedulerStartsNoSecondRun() {
+		try (TestFleet fleet = TestFleet.start(TASK_MILLIS, LARGER_THAN_THIRD)) {
+			CompletableFuture<JobAnswer> answer = submit(fleet);
+			awaitStartsBy(fleet, fleet.scheduler());
+			fleet.relay().silence(fleet.scheduler().id(), fleet.entry().id());
+			TestFleet.sleep(LONG_SILENCE_MILLIS);
+			assertThat(fleet.log()).as("log").contains("JOB_TAKEN_BACK");
+			fleet.relay().deliver(fleet.scheduler().id(), fleet.entry().id());
+			assertRunsOnceAndCompletes(fleet, answer);
+		}
+	}
+
 	// The entry host opens a new connection when the scheduler has not answered for 700
 	// ms.
 	private static void silenceConnectionToScheduler(TestFleet fleet) {
