--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -171,6 +171,20 @@
 		}
 	}
 
+	/** Guards against a second run if the scheduler does not hear the entry host. */
+	@Example
+	void linkThatIsDeadToTheSchedulerStartsNoSecondRun() {
+		try (TestFleet fleet = TestFleet.start(TASK_MILLIS, LARGER_THAN_THIRD)) {
+			CompletableFuture<JobAnswer> answer = submit(fleet);
+			awaitStartsBy(fleet, fleet.scheduler());
+			fleet.relay().silence(fleet.entry().id(), fleet.scheduler().id());
+			TestFleet.sleep(LONG_SILENCE_MILLIS);
+			assertThat(fleet.log()).as("log").contains("JOB_TAKEN_BACK");
+			fleet.relay().deliver(fleet.entry().id(), fleet.scheduler().id());
+			assertRunsOnceAndCompletes(fleet, answer);
+		}
+	}
+
 	// The entry host opens a new connection when the scheduler has not answered for 700
 	// ms.
 	private static void silenceConnectionToScheduler(TestFleet fleet) {
