--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -185,6 +185,22 @@
 		}
 	}
 
+	/**
+	 * Guards against a second run if only the entry host loses its connection, and does
+	 * not reach the workers of the runs.
+	 */
+	@Example
+	void connectionThatIsDeadFromTheSchedulerStartsNoSecondRun() {
+		try (TestFleet fleet = TestFleet.start(TASK_MILLIS, LARGER_THAN_THIRD)) {
+			fleet.entry().orders().cutOff(TestFleet.FIRST_DATA_CENTRE);
+			CompletableFuture<JobAnswer> answer = submit(fleet);
+			awaitStartsBy(fleet, fleet.scheduler());
+			fleet.relay().silenceReplies(fleet.entry().id(), fleet.scheduler().id());
+			assertRunsOnceAndCompletes(fleet, answer);
+			assertThat(fleet.log()).as("log").contains("JOB_TAKEN_BACK");
+		}
+	}
+
 	// The entry host opens a new connection when the scheduler has not answered for 700
 	// ms.
 	private static void silenceConnectionToScheduler(TestFleet fleet) {
