--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -201,6 +201,24 @@
 		}
 	}
 
+	/** Guards against a submission that a paused host reads after a reset. */
+	@Example
+	void submissionReadAfterAResetStartsNoSecondRun() {
+		try (TestFleet fleet = TestFleet.start(TASK_MILLIS, LARGER_THAN_THIRD)) {
+			fleet.awaitElectable();
+			resetAfterSubmission(fleet, LONG_PAUSE_MILLIS);
+		}
+	}
+
+	private static void resetAfterSubmission(TestFleet fleet, long pauseMillis) {
+		fleet.scheduler().pause(pauseMillis);
+		CompletableFuture<JobAnswer> answer = submit(fleet);
+		TestFleet.sleep(DELIVERY_MILLIS);
+		fleet.relay().reset(fleet.entry().id(), fleet.scheduler().id());
+		assertRunsOnceAndCompletes(fleet, answer);
+		assertThat(fleet.log()).as("log").contains("JOB_TAKEN_BACK");
+	}
+
 	// The entry host opens a new connection when the scheduler has not answered for 700
 	// ms.
 	private static void silenceConnectionToScheduler(TestFleet fleet) {
