--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -210,6 +210,16 @@
 		}
 	}
 
+	/** Guards against the same if the next scheduler does not reach all workers. */
+	@Example
+	void submissionReadAfterAResetStartsNoSecondRunOnUnreachableWorkers() {
+		try (TestFleet fleet = TestFleet.start(TASK_MILLIS, LARGER_THAN_THIRD)) {
+			fleet.awaitElectable();
+			fleet.entry().orders().cutOff(TestFleet.FIRST_DATA_CENTRE);
+			resetAfterSubmission(fleet, SHORT_PAUSE_MILLIS);
+		}
+	}
+
 	private static void resetAfterSubmission(TestFleet fleet, long pauseMillis) {
 		fleet.scheduler().pause(pauseMillis);
 		CompletableFuture<JobAnswer> answer = submit(fleet);
