--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -12,15 +10,13 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import org.limpetgate.DispatchException;
-import org.limpetgate.ErrorKind;
 import org.limpetgate.HostId;
 import org.limpetgate.Incarnation;
 import org.limpetgate.JobId;
-import org.limpetgate.Outcome;
 import org.limpetgate.fleet.Directory;
 import org.limpetgate.fleet.HostState;
 import org.limpetgate.fleet.JobLog;
+import org.limpetgate.fleet.OverloadDetector;
 import org.limpetgate.fleet.QueueTable;
 import org.limpetgate.fleet.SchedulerElection;
 import org.limpetgate.fleet.SubmissionLeases;
@@ -68,18 +64,6 @@
 	/** The tick interval otherwise. */
 	private static final long IDLE_TICK_INTERVAL_MILLIS = 100;
 
-	/**
-	 * Mean tick lateness above which this host is overloaded and should not schedule for
-	 * others.
-	 */
-	private static final double OVERLOAD_LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
-
-	/** Mean tick lateness at or below which an overloaded host has recovered. */
-	private static final double RECOVERY_LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
-
-	/** The weight of the newest sample in the moving average of the tick lateness. */
-	private static final double LATENESS_WEIGHT = 0.04;
-
 	private final FleetSettings settings;
 
 	private final EventLoop loop;
@@ -98,13 +82,15 @@
 
 	private final SchedulerElection election;
 
+	private final OverloadDetector overload = new OverloadDetector();
+
 	private final PendingJobs pendingJobs;
 
 	private final StoredJobService storedJobs;
 
 	private final EffectExecutor effectExecutor;
 
-	private final Transport transport = new Transport();
+	private final SchedulerTransport transport;
 
 	private FleetPeers peers;
 
@@ -122,13 +108,6 @@
 
 	private boolean leaving;
 
-	private boolean overloaded;
-
-	/** Moving average of the tick lateness. */
-	private double latenessNanos;
-
-	private long expectedTickNanos;
-
 	/** The host that schedules, null if none is known. */
 	private HostId schedulingHost;
 
@@ -145,6 +124,7 @@
 		this.self = Incarnation.of(settings.host(), clock.getAsLong() / 1_000_000);
 		this.scheduler = Scheduler.of(settings.scheduler());
 		this.election = new SchedulerElection();
+		this.transport = new SchedulerTransport(this.self.host(), new LocalScheduler(), () -> this.peers);
 		this.pendingJobs = new PendingJobs(this.transport, clock, new JobEvents(log, metrics));
 		this.storedJobs = new StoredJobService(jobLog, this.scheduler, settings.scheduler().hostNumber(), clock, log,
 				this::requestTick);
@@ -302,21 +282,19 @@
 
 	private HostState state() {
 		return new HostState(this.self, this.settings.dataCentre(), this.leaving,
-				this.queues != null && this.workersKnown, this.overloaded, this.settings.cpuMillis(),
+				this.queues != null && this.workersKnown, this.overload.isOverloaded(), this.settings.cpuMillis(),
 				this.schedulerToken, this.allDataCentres);
 	}
 
 	private void scheduleTick() {
 		long millis = (this.schedulerToken.isNone() && this.pendingJobs.size() == 0) ? IDLE_TICK_INTERVAL_MILLIS
 				: TICK_INTERVAL_MILLIS;
-		this.expectedTickNanos = this.clock.getAsLong() + TimeUnit.MILLISECONDS.toNanos(millis);
+		this.overload.tickScheduled(this.clock.getAsLong() + TimeUnit.MILLISECONDS.toNanos(millis));
 		this.loop.schedule(this::timedTick, millis, TimeUnit.MILLISECONDS);
 	}
 
 	private void timedTick() {
-		long lateNanos = this.clock.getAsLong() - this.expectedTickNanos;
-		this.latenessNanos += (lateNanos - this.latenessNanos) * LATENESS_WEIGHT;
-		this.overloaded = this.latenessNanos > (this.overloaded ? RECOVERY_LATENESS_NANOS : OVERLOAD_LATENESS_NANOS);
+		this.overload.tickStarted(this.clock.getAsLong());
 		try {
 			runElection();
 			long now = this.clock.getAsLong();
@@ -423,48 +401,17 @@
 		requestTick();
 	}
 
-	/** Submits jobs to the scheduler of this host or to that of a peer. */
-	private final class Transport implements JobTransport {
-
-		private final Map<JobId, CompletableFuture<JobResult>> localResults = new HashMap<>();
+	/** The scheduler of this host, for the jobs of its own callers. */
+	private final class LocalScheduler implements SchedulerTransport.LocalScheduler {
 
 		@Override
-		public CompletableFuture<JobResult> submit(HostId host, SubmitJob job, long timeoutNanos) {
-			if (!host.equals(FleetHost.this.self.host())) {
-				return FleetHost.this.peers.submit(host, job, timeoutNanos);
-			}
-			CompletableFuture<JobResult> result = new CompletableFuture<>();
-			JobId id = JobId.of(job.getJobId());
-			this.localResults.put(id, result);
-			if (!accept(host, job)) {
-				this.localResults.remove(id);
-				result.completeExceptionally(
-						DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, "this host is not the scheduler"));
-			}
-			return result;
-		}
-
-		@Override
-		public void withdraw(HostId host, JobId job) {
-			if (host.equals(FleetHost.this.self.host())) {
-				this.localResults.remove(job);
-				FleetHost.this.withdraw(host, job);
-			}
-			else {
-				FleetHost.this.peers.withdraw(host, job);
-			}
+		public boolean accept(HostId origin, SubmitJob job) {
+			return FleetHost.this.accept(origin, job);
 		}
 
 		@Override
-		public long heldUntilNanos(HostId host) {
-			return host.equals(FleetHost.this.self.host()) ? 0 : FleetHost.this.peers.heldUntilNanos(host);
-		}
-
-		void complete(JobId job, JobResult result) {
-			CompletableFuture<JobResult> pending = this.localResults.remove(job);
-			if (pending != null) {
-				pending.complete(result);
-			}
+		public void withdraw(HostId origin, JobId job) {
+			FleetHost.this.withdraw(origin, job);
 		}
 
 	}
