--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/Relay.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/Relay.java
@@ -212,9 +212,12 @@
 			this.backward.reverse = this.forward;
 		}
 
+		// Does nothing if the host has closed the connection already.
 		void reset() {
-			this.accepted.config().setSoLinger(0);
-			this.accepted.close();
+			if (this.accepted.isOpen()) {
+				this.accepted.config().setSoLinger(0);
+				this.accepted.close();
+			}
 		}
 
 	}
