Let a resubmitted job wait for its earlier scheduler also if all workers are verified

Verification fences an earlier scheduler only at the workers that this one has listed, and only until the earlier one takes a worker over again. A review showed by unit runs that a job starts here at once while its earlier scheduler, which lost the link by a reset, starts it on a new worker.

The polls that count are now sent after the time for which the earlier scheduler may hold the job. A later submission of an open job adds what its host knows of earlier schedulers, where it only added the host. A worker with a run of a withdrawn job whose stop is not confirmed gets no renewal of its lease, since other hosts rely on the end of that lease.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -49,11 +49,9 @@
 	 */
 	long latestStartNanos;
 
-	/** When it was submitted to this scheduler, nanoseconds since the Unix epoch. */
-	long submittedNanos;
-
 	/**
-	 * From when on no earlier scheduler acts on it, nanoseconds since the Unix epoch.
+	 * When it was submitted to this scheduler, or when the latest earlier scheduler stops
+	 * acting on it if that is later, nanoseconds since the Unix epoch.
 	 */
 	long handedOverNanos;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -88,14 +88,12 @@
 		}
 		if (existing != null) {
 			existing.origins.add(origin);
+			recordEarlierSubmission(existing, earlier, nowNanos);
 			return;
 		}
 		JobEntity job = new JobEntity(spec, this.nextSequence++, nowNanos - waitedNanos);
 		job.origins.add(origin);
 		boolean resubmitted = earlier.mayHaveRun();
-		job.resubmitted = resubmitted;
-		job.submittedNanos = nowNanos;
-		job.handedOverNanos = nowNanos + earlier.heldNanos();
 		this.admission.computeTimes(job, remainingNanos, nowNanos);
 		if (!resubmitted && !this.admission.isFeasible(spec)) {
 			refuseInfeasible(job);
@@ -109,13 +107,19 @@
 		}
 		this.tables.jobs.put(spec.id(), job);
 		this.tables.waitingJobs.add(job);
-		if (resubmitted) {
-			verifyWorkers(nowNanos);
-		}
+		recordEarlierSubmission(job, earlier, nowNanos);
 		this.runs.adoptRuns(job, nowNanos);
 		this.tables.placementDue = true;
 	}
 
+	private void recordEarlierSubmission(JobEntity job, EarlierSubmission earlier, long nowNanos) {
+		if (earlier.mayHaveRun()) {
+			job.resubmitted = true;
+			job.handedOverNanos = Math.max(job.handedOverNanos, nowNanos + earlier.heldNanos());
+			verifyWorkers(nowNanos);
+		}
+	}
+
 	private void refuseInfeasible(JobEntity job) {
 		notifyOrigins(job, JobOutcome.REFUSED, "no worker has both the capacity and the label that a task requires",
 				Admission.MAX_RETRY_AFTER_NANOS);
@@ -182,7 +186,6 @@
 		job.restore(storedJob.progress());
 		job.acceptanceSaved = true;
 		job.resubmitted = true;
-		job.submittedNanos = nowNanos;
 		job.handedOverNanos = nowNanos;
 		this.admission.computeTimes(job, 0, nowNanos);
 		this.tables.jobs.put(job.id(), job);
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -91,7 +91,14 @@
 	}
 
 	private boolean isSafeToPlace(JobEntity job, long nowNanos) {
-		if (this.verification.areAllVerified(job.submittedNanos, nowNanos)) {
+		if (nowNanos < job.handedOverNanos) {
+			return false;
+		}
+		if (this.tables.verifySinceNanos < job.handedOverNanos) {
+			this.tables.verifySinceNanos = nowNanos;
+			this.tables.scanDue = true;
+		}
+		if (this.verification.areAllVerified(job.handedOverNanos, nowNanos)) {
 			return true;
 		}
 		long waited = nowNanos - job.handedOverNanos;
@@ -102,7 +109,7 @@
 		// Another scheduler may keep renewing the lease of a worker that this host
 		// cannot reach. The worker reports the ends of its runs once it is reachable.
 		return waited > SchedulerSettings.MAX_GUARD_NANOS || (waited > settings.storedGuardNanos()
-				&& this.verification.areRemainingVerified(job.submittedNanos, nowNanos));
+				&& this.verification.areRemainingVerified(job.handedOverNanos, nowNanos));
 	}
 
 	private void placeTasks(JobEntity job, long nowNanos) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
@@ -98,6 +98,12 @@
 		return this.startedNanos;
 	}
 
+	// Tests whether another scheduler may have its job, and rely on the end of its lease.
+	boolean isForeign() {
+		boolean withdrawn = this.task == null || this.task.job().ended;
+		return this.released || (withdrawn && this.stopsSent > 1);
+	}
+
 	void enter(State next, long nowNanos) {
 		this.state = next;
 		this.stateSinceNanos = nowNanos;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -165,7 +165,7 @@
 	// lease of a run that is not renewed by its owner.
 	boolean hasOnlyOwnRuns() {
 		return !this.runs.isEmpty() && this.orphanRuns.isEmpty()
-				&& this.runs.values().stream().noneMatch((run) -> run.released);
+				&& this.runs.values().stream().noneMatch(RunEntity::isForeign);
 	}
 
 	// Returns the sequence number up to which ends are acknowledged to the worker.
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
@@ -138,6 +138,54 @@
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
 	}
 
+	/**
+	 * Guards against a second run of a task while an earlier scheduler still acts on the
+	 * job and takes over a worker that this one has verified or does not know yet.
+	 */
+	@Example
+	void jobThatAnEarlierSchedulerMayHoldWaitsAlsoIfAllWorkersAreVerified() {
+		activate("w1", "w2");
+		advance(6_001);
+		this.effects.clear();
+		this.scheduler.submit(HOST, job("1", 1), 0, TimeUnit.SECONDS.toNanos(5), EarlierSubmission.heldFor(600 * MILLI),
+				this.nowNanos);
+		tick();
+		reportAllOf("w1");
+		reportAllOf("w2");
+		advance(590);
+		assertThat(effectsOf(SchedulingEffect.StartRun.class)).isEmpty();
+		this.effects.clear();
+		advance(20);
+		reportAllOf("w1");
+		assertThat(effectsOf(SchedulingEffect.StartRun.class)).isEmpty();
+		reportAllOf("w2");
+		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
+	}
+
+	/**
+	 * Guards against a second run of a task that a caller sent again before the first
+	 * host resubmitted it.
+	 */
+	@Example
+	void laterSubmissionThatMayHaveRunDelaysAWaitingJob() {
+		activate("w1");
+		advance(6_001);
+		submit("f", 2, false);
+		submit("1", 1, false);
+		tick();
+		this.scheduler.submit(OTHER_HOST, job("1", 1), 0, TimeUnit.SECONDS.toNanos(5),
+				EarlierSubmission.heldFor(600 * MILLI), this.nowNanos);
+		SchedulingEffect.StartRun start = effectsOf(SchedulingEffect.StartRun.class).get(0);
+		SchedulingEffect.StartRun second = effectsOf(SchedulingEffect.StartRun.class).get(1);
+		tick();
+		report(lastPoll(), List.of(), List.of(end(1, start.run(), EndKind.DONE), end(2, second.run(), EndKind.DONE)));
+		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(2);
+		this.effects.clear();
+		advance(610);
+		reportAllOf("w1");
+		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
+	}
+
 	/**
 	 * Guards against a second run of a task while a first one is present on a worker
 	 * whose entry expired during an outage of the store. That run continues until its
