--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -113,6 +113,8 @@
 
 	private boolean tickRequested;
 
+	private long lastTickNanos;
+
 	private FleetHost(FleetSettings settings, EventLoopGroup group, LongSupplier clock, Directory directory,
 			JobLog jobLog, WorkerOrders orders, EventLog log, HostMetrics metrics) {
 		this.settings = settings;
@@ -317,9 +319,17 @@
 
 	private void tick() {
 		this.tickRequested = false;
-		this.peers.expireLeases(this.clock.getAsLong());
+		long now = this.clock.getAsLong();
+		boolean paused = now - this.lastTickNanos > SubmissionLeases.DURATION_NANOS;
+		this.lastTickNanos = now;
+		if (paused) {
+			// Input that arrived during the pause is read before the next tick. It may
+			// show that a caller has disconnected and sent its job again elsewhere.
+			return;
+		}
+		this.peers.expireLeases(now);
 		List<SchedulingEffect> effects = new ArrayList<>();
-		this.scheduler.tick(this.clock.getAsLong(), effects::add);
+		this.scheduler.tick(now, effects::add);
 		effects.forEach(this.effectExecutor::execute);
 		this.pendingJobs.tick(this.schedulingHost, this.clock.getAsLong());
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -44,6 +44,7 @@
 import org.limpetgate.proto.SubmitJob;
 import org.limpetgate.proto.WithdrawJob;
 import org.limpetgate.scheduling.FencingToken;
+import org.limpetgate.scheduling.JobOutcome;
 
 /**
  * The links to the other entry hosts. They carry heartbeats to the hosts that the
@@ -181,8 +182,9 @@
 		HostId peer = link.host();
 		addHosts(List.of(peer));
 		// Before the renewal, so that a message cannot revive a lease that has expired.
-		expireLeases(this.clock.getAsLong());
-		this.leases.renew(leaseOf(link), frame.getAcceptorClockNanos());
+		long now = this.clock.getAsLong();
+		expireLeases(now);
+		this.leases.renew(leaseOf(link), now - maxAgeNanos(frame, now));
 		switch (frame.getMessageCase()) {
 			case HOST_BEAT -> {
 				return Optional.of(CompletableFuture
@@ -202,9 +204,8 @@
 			}
 			case WITHDRAW_JOB -> {
 				JobId job = JobId.of(frame.getWithdrawJob().getJobId());
-				this.leases.remove(peer, job);
-				pendingRepliesTo(peer).remove(job);
 				this.listener.jobWithdrawn(peer, job);
+				answer(peer, job, JobMessages.toMessage(JobOutcome.ABANDONED, "the job was withdrawn", 0));
 				return Optional.empty();
 			}
 			default -> {
@@ -218,9 +219,13 @@
 		CompletableFuture<PeerFrame.Builder> reply = new CompletableFuture<>();
 		HostId peer = link.host();
 		SubmitJob message = frame.getSubmitJob();
-		this.listener.submissionReceived(link, message, maxAgeNanos(frame));
+		this.listener.submissionReceived(link, message, maxAgeNanos(frame, this.clock.getAsLong()));
 		JobId job = JobId.of(message.getJobId());
-		pendingRepliesTo(peer).put(job, reply);
+		CompletableFuture<PeerFrame.Builder> earlierReply = pendingRepliesTo(peer).put(job, reply);
+		if (earlierReply != null) {
+			earlierReply.completeExceptionally(
+					DispatchException.of(ErrorKind.CANCELLED, Outcome.UNKNOWN, "the job was submitted again"));
+		}
 		this.leases.submitted(leaseOf(link), job);
 		if (!this.listener.jobSubmitted(peer, message)) {
 			this.leases.remove(peer, job);
@@ -244,9 +249,11 @@
 		}
 	}
 
-	// Returns how long ago the peer can have sent a frame at most.
-	private long maxAgeNanos(PeerFrame frame) {
-		return this.clock.getAsLong() - frame.getAcceptorClockNanos();
+	// Returns how long ago the peer can have sent a frame at most, 0 for a host of an
+	// earlier version, which does not repeat the time of this host.
+	private static long maxAgeNanos(PeerFrame frame, long nowNanos) {
+		long provenNanos = frame.getAcceptorClockNanos();
+		return (provenNanos != 0) ? nowNanos - provenNanos : 0;
 	}
 
 	private Map<JobId, CompletableFuture<PeerFrame.Builder>> pendingRepliesTo(HostId peer) {
@@ -280,6 +287,11 @@
 		return this.links.lastReceivedNanos(scheduler) + SubmissionLeases.DURATION_NANOS;
 	}
 
+	@Override
+	public boolean hasEndedSince(HostId scheduler, long sinceNanos) {
+		return this.links.endedNanos(scheduler) >= sinceNanos;
+	}
+
 	// Queries the state of a stored job at the scheduler, or requests its cancellation.
 	CompletableFuture<JobStatus> query(HostId scheduler, JobId job, boolean cancel) {
 		PeerFrame.Builder message = PeerFrame.newBuilder()
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobTransport.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobTransport.java
@@ -38,4 +38,13 @@
 	 */
 	long heldUntilNanos(HostId scheduler);
 
+	/**
+	 * Tests whether the process of a host is known to have ended, so that it does not act
+	 * on any job that was submitted to it before.
+	 * @param scheduler the host, not null
+	 * @param sinceNanos a time, nanoseconds since the Unix epoch
+	 * @return true if it ended at or after that time
+	 */
+	boolean hasEndedSince(HostId scheduler, long sinceNanos);
+
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
@@ -1,6 +1,7 @@
 package org.limpetgate.host.fleet;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +34,8 @@
 	/** How long a job waits until a scheduler is known before it is refused. */
 	private static final long MAX_SCHEDULER_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+	private static final String NO_SCHEDULER = "no scheduler is currently available";
+
 	private static final long RETRY_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
@@ -133,12 +136,24 @@
 		this.scheduler = host;
 		for (PendingJob job : List.copyOf(this.pending.values())) {
 			if (job.submittedTo == null) {
-				submitToScheduler(job, nowNanos);
-				endIfOverdue(job, nowNanos);
+				submitOrEnd(job, nowNanos);
 			}
 		}
 	}
 
+	private void submitOrEnd(PendingJob job, long nowNanos) {
+		if (nowNanos >= job.deadlineNanos) {
+			end(job, new JobAnswer(job.mayHaveRun ? JobOutcome.ABANDONED : JobOutcome.REFUSED, NO_SCHEDULER,
+					RETRY_AFTER_NANOS));
+			return;
+		}
+		submitToScheduler(job, nowNanos);
+		boolean waitedTooLong = nowNanos - job.arrivalNanos > MAX_SCHEDULER_WAIT_NANOS;
+		if (job.submittedTo == null && !job.mayHaveRun && waitedTooLong) {
+			end(job, new JobAnswer(JobOutcome.REFUSED, NO_SCHEDULER, RETRY_AFTER_NANOS));
+		}
+	}
+
 	private void submitToScheduler(PendingJob job, long nowNanos) {
 		if (job.submittedTo != null || this.scheduler == null || nowNanos < job.earliestSubmitNanos) {
 			return;
@@ -152,7 +167,7 @@
 						.setWaitedMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivalNanos))
 						.setRemainingMillis(TimeUnit.NANOSECONDS.toMillis(remaining))
 						.setResubmitted(job.mayHaveRun)
-						.setHeldMillis(job.heldMillis(nowNanos))
+						.setHeldMillis(heldMillis(job, target, nowNanos))
 						.build(),
 					remaining)
 			.whenComplete((result, failure) -> {
@@ -186,11 +201,24 @@
 			this.transport.withdraw(job.submittedTo, job.spec.id());
 		}
 		if (mayHaveRun) {
-			job.heldUntilNanos = Math.max(job.heldUntilNanos, this.transport.heldUntilNanos(job.submittedTo));
+			job.holders.put(job.submittedTo, new Holder(nowNanos, this.transport.heldUntilNanos(job.submittedTo)));
 		}
 		scheduleResubmission(job, mayHaveRun, error.getMessage(), nowNanos);
 	}
 
+	// Returns how much longer earlier schedulers other than the target may act on a job.
+	// Rounds up, so that the time is never too short.
+	private long heldMillis(PendingJob job, HostId target, long nowNanos) {
+		long heldNanos = 0;
+		for (Map.Entry<HostId, Holder> entry : job.holders.entrySet()) {
+			Holder holder = entry.getValue();
+			if (!entry.getKey().equals(target) && !this.transport.hasEndedSince(entry.getKey(), holder.lostNanos())) {
+				heldNanos = Math.max(heldNanos, holder.untilNanos() - nowNanos);
+			}
+		}
+		return (heldNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
+	}
+
 	private void scheduleResubmission(PendingJob job, boolean mayHaveRun, String reason, long nowNanos) {
 		this.events.resubmissionScheduled(job.spec.id(), job.submittedTo, reason);
 		job.mayHaveRun |= mayHaveRun;
@@ -198,19 +226,6 @@
 		job.earliestSubmitNanos = nowNanos + RESUBMIT_DELAY_NANOS;
 	}
 
-	private void endIfOverdue(PendingJob job, long nowNanos) {
-		if (job.submittedTo != null) {
-			return;
-		}
-		if (nowNanos >= job.deadlineNanos) {
-			end(job, new JobAnswer(job.mayHaveRun ? JobOutcome.ABANDONED : JobOutcome.REFUSED,
-					"no scheduler is currently available", RETRY_AFTER_NANOS));
-		}
-		else if (!job.mayHaveRun && nowNanos - job.arrivalNanos > MAX_SCHEDULER_WAIT_NANOS) {
-			end(job, new JobAnswer(JobOutcome.REFUSED, "no scheduler is currently available", RETRY_AFTER_NANOS));
-		}
-	}
-
 	private void end(PendingJob job, JobAnswer answer) {
 		this.pending.remove(job.spec.id());
 		this.events.ended(job.spec.id(), answer, this.clock.getAsLong() - job.arrivalNanos, job.submittedTo);
@@ -232,8 +247,8 @@
 
 		private boolean mayHaveRun;
 
-		/** Until when an earlier scheduler may act on the job. */
-		private long heldUntilNanos;
+		/** Earlier schedulers that may still act on the job. */
+		private final Map<HostId, Holder> holders = new HashMap<>();
 
 		private long earliestSubmitNanos;
 
@@ -243,16 +258,21 @@
 			this.deadlineNanos = deadlineNanos;
 		}
 
-		// Rounds up, so that the time is never too short.
-		long heldMillis(long nowNanos) {
-			return this.mayHaveRun
-					? Math.max(0, (this.heldUntilNanos - nowNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI) : 0;
-		}
-
 		void answer(JobAnswer answer) {
 			List.copyOf(this.callers).forEach((caller) -> caller.complete(answer));
 		}
 
 	}
 
+	/**
+	 * An earlier scheduler of a job.
+	 *
+	 * @param lostNanos when the link to it was lost, nanoseconds since the Unix epoch
+	 * @param untilNanos until when it may act on the job, nanoseconds since the Unix
+	 * epoch
+	 */
+	private record Holder(long lostNanos, long untilNanos) {
+
+	}
+
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/SchedulerTransport.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/SchedulerTransport.java
@@ -71,6 +71,11 @@
 		return host.equals(this.self) ? 0 : this.peers.get().heldUntilNanos(host);
 	}
 
+	@Override
+	public boolean hasEndedSince(HostId host, long sinceNanos) {
+		return !host.equals(this.self) && this.peers.get().hasEndedSince(host, sinceNanos);
+	}
+
 	// Completes a job that was submitted to the scheduler of this host.
 	void complete(JobId job, JobResult result) {
 		CompletableFuture<JobResult> pending = this.localResults.remove(job);
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
@@ -1,7 +1,9 @@
 package org.limpetgate.host.fleet;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -92,6 +94,51 @@
 		assertThat(this.transport.jobs.get(1).getHeldMillis()).isEqualTo(450);
 	}
 
+	/** Guards against a needless wait after the process of the scheduler has ended. */
+	@Example
+	void schedulerThatHasEndedHoldsNoJob() {
+		this.pendingJobs.tick(FIRST, this.now);
+		submit("1");
+		this.transport.heldUntilNanos = this.now + 500 * NANOS_PER_MILLI;
+		this.transport.fail(0, Outcome.UNKNOWN);
+		this.transport.endedHosts.add(FIRST);
+		this.now += 50 * NANOS_PER_MILLI;
+		this.pendingJobs.tick(SECOND, this.now);
+		assertThat(this.transport.jobs.get(1).getResubmitted()).isTrue();
+		assertThat(this.transport.jobs.get(1).getHeldMillis()).isZero();
+	}
+
+	/**
+	 * Guards against a second run of a job that is moved twice while its first scheduler
+	 * still acts on it.
+	 */
+	@Example
+	void resubmissionCountsAllEarlierSchedulersButTheTarget() {
+		this.pendingJobs.tick(FIRST, this.now);
+		submit("1");
+		this.transport.heldUntilNanos = this.now + 500 * NANOS_PER_MILLI;
+		this.transport.fail(0, Outcome.UNKNOWN);
+		this.now += 50 * NANOS_PER_MILLI;
+		this.pendingJobs.tick(SECOND, this.now);
+		this.transport.heldUntilNanos = this.now + 600 * NANOS_PER_MILLI;
+		this.transport.fail(1, Outcome.UNKNOWN);
+		this.now += 50 * NANOS_PER_MILLI;
+		this.pendingJobs.tick(SECOND, this.now);
+		assertThat(this.transport.jobs.get(2).getHeldMillis()).isEqualTo(400);
+	}
+
+	/** Guards against a job that is submitted after its caller stopped waiting. */
+	@Example
+	void jobPastItsDeadlineIsNotSubmittedAgain() {
+		this.pendingJobs.tick(FIRST, this.now);
+		CompletableFuture<JobAnswer> answer = submit("1");
+		this.transport.fail(0, ErrorKind.DEADLINE_EXCEEDED, Outcome.UNKNOWN);
+		this.now += TimeUnit.SECONDS.toNanos(60);
+		this.pendingJobs.tick(SECOND, this.now);
+		assertThat(this.transport.targets).containsExactly(FIRST);
+		assertThat(answer.join().outcome()).isEqualTo(JobOutcome.ABANDONED);
+	}
+
 	/**
 	 * Guards against the delay for possible duplicates when no scheduler can have
 	 * received the job.
@@ -172,6 +219,8 @@
 
 		private final List<JobId> withdrawn = new ArrayList<>();
 
+		private final Set<HostId> endedHosts = new HashSet<>();
+
 		private long heldUntilNanos;
 
 		@Override
@@ -193,6 +242,11 @@
 			return this.heldUntilNanos;
 		}
 
+		@Override
+		public boolean hasEndedSince(HostId scheduler, long sinceNanos) {
+			return this.endedHosts.contains(scheduler);
+		}
+
 		void complete(int number, JobResult.State state) {
 			this.replies.get(number).complete(JobResult.newBuilder().setState(state).build());
 		}
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/InboundConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/InboundConnection.java
@@ -23,6 +23,8 @@
 
 	private PeerIdentity claimedIdentity;
 
+	private final long number;
+
 	/** The link that this connection serves, null before the handshake is complete. */
 	private InboundLink link;
 
@@ -39,6 +41,7 @@
 	InboundConnection(PeerServer server, PeerSettings settings) {
 		super(settings);
 		this.server = server;
+		this.number = server.nextLinkNumber();
 	}
 
 	@Override
@@ -48,6 +51,10 @@
 		}
 	}
 
+	long number() {
+		return this.number;
+	}
+
 	@Override
 	long acceptorClockNanos() {
 		return settings().clock().getAsLong();
@@ -97,7 +104,7 @@
 			return;
 		}
 		onAuthenticated(this.claimedIdentity, this.clientHello.getKeyId(), this.key);
-		this.link = new InboundLink(this.claimedIdentity, this.server.nextLinkNumber());
+		this.link = new InboundLink(this.claimedIdentity, this.number);
 		this.server.closeSuperseded(this);
 		writeHello(Hello.getDefaultInstance());
 	}
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
@@ -106,7 +106,7 @@
 			return;
 		}
 		DispatchException error = frame.hasRefusal() ? PeerFrames.toException(frame.getRefusal()) : null;
-		if (error != null && error.kind() == ErrorKind.STALE_MESSAGE && !request.repeated()) {
+		if (isStale(error) && !request.repeated()) {
 			// The refusal brought the peer's current time. On an idle link the known
 			// time is always too old.
 			send(request.repeat());
@@ -121,6 +121,10 @@
 		}
 	}
 
+	private static boolean isStale(DispatchException error) {
+		return error != null && error.kind() == ErrorKind.STALE_MESSAGE && error.outcome() == Outcome.NOT_RUN;
+	}
+
 	@Override
 	void probe() {
 		writeHello(Hello.getDefaultInstance());
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLink.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLink.java
@@ -1,5 +1,6 @@
 package org.limpetgate.net.peer;
 
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.SplittableRandom;
@@ -13,6 +14,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -58,6 +60,12 @@
 
 	private volatile boolean linkUp;
 
+	/** The incarnation of the last connection, null before the first one. */
+	private Incarnation incarnation;
+
+	/** When an incarnation of the peer was last found to have ended, 0 before. */
+	private volatile long endedNanos;
+
 	/** When the last frame arrived, on the clock of the settings, 0 before. */
 	private volatile long lastReceivedNanos;
 
@@ -95,6 +103,7 @@
 		this.connecting.addListener((connected) -> {
 			if (!connected.isSuccess()) {
 				this.lastError = connected.cause().getMessage();
+				connectionFailed(connected.cause());
 			}
 		});
 		this.connecting.channel().closeFuture().addListener((end) -> {
@@ -103,6 +112,13 @@
 		});
 	}
 
+	// A refused connection shows that no process listens at the address of the peer.
+	private void connectionFailed(Throwable cause) {
+		if (cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)) {
+			this.endedNanos = this.settings.clock().getAsLong();
+		}
+	}
+
 	private InetSocketAddress localAddress() {
 		InetAddress address = this.settings.localAddress();
 		return (address != null) ? new InetSocketAddress(address, 0) : null;
@@ -134,6 +150,11 @@
 	}
 
 	void linkUp(OutboundConnection opened) {
+		Incarnation previous = this.incarnation;
+		this.incarnation = opened.peer().incarnation();
+		if (previous != null && !previous.equals(this.incarnation)) {
+			this.endedNanos = this.settings.clock().getAsLong();
+		}
 		this.connection = opened;
 		this.linkUp = true;
 		this.failures = 0;
@@ -260,6 +281,10 @@
 		this.lastReceivedNanos = nowNanos;
 	}
 
+	long endedNanos() {
+		return this.endedNanos;
+	}
+
 	long lastReceivedNanos() {
 		return this.lastReceivedNanos;
 	}
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
@@ -156,6 +156,17 @@
 		return (link != null) ? link.lastReceivedNanos() : 0;
 	}
 
+	/**
+	 * Returns when an incarnation of a host was last found to have ended: its address
+	 * refused a connection, or another incarnation answered.
+	 * @param host the peer, not null
+	 * @return the time on the clock of the settings, in nanoseconds, 0 if none was
+	 */
+	public long endedNanos(HostId host) {
+		PeerLink link = this.links.get(host);
+		return (link != null) ? link.endedNanos() : 0;
+	}
+
 	/**
 	 * Closes a link that is open and connects it again after the usual delay. Requests
 	 * without a reply fail.
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerServer.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerServer.java
@@ -97,13 +97,15 @@
 		this.blockedHosts.remove(host);
 	}
 
-	// Closes the earlier links of a host that has opened a new one. The host has given
-	// them up, but messages on them may still arrive.
-	void closeSuperseded(InboundConnection current) {
-		HostId host = current.peer().host();
-		for (InboundConnection connection : this.connections) {
-			if (connection != current && connection.peer() != null && connection.peer().host().equals(host)) {
-				connection.runOnLoop(() -> connection.close("a newer link of the host supersedes this one"));
+	// Leaves only the newest link of a host, since the host has given up the earlier
+	// ones,
+	// but messages on them may still arrive.
+	void closeSuperseded(InboundConnection authenticated) {
+		HostId host = authenticated.peer().host();
+		for (InboundConnection other : this.connections) {
+			if (other != authenticated && other.peer() != null && other.peer().host().equals(host)) {
+				InboundConnection earlier = (other.number() < authenticated.number()) ? other : authenticated;
+				earlier.runOnLoop(() -> earlier.close("a newer link of the host supersedes this one"));
 			}
 		}
 	}
--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
@@ -372,19 +372,38 @@
 	@Example
 	void newLinkClosesTheEarlierLinkOfTheSameHost() throws Exception {
 		startServer(null);
-		try (RawPeer first = RawPeer.open(this.server.address());
-				RawPeer second = RawPeer.open(this.server.address())) {
+		try (RawPeer first = RawPeer.open(this.server.address())) {
 			first.openHandshake(A, "k", KEY);
-			long clockNanos = second.openHandshake(A, "k", KEY);
-			assertThat(first.isAtEnd()).isTrue();
-			second.send(RawPeer.frame()
-				.setAcceptorClockNanos(clockNanos)
-				.setCorrelationId(1)
-				.mergeFrom(query("x").build()));
-			assertThat(second.read().getSubmissionReply().getBody().toStringUtf8()).isEqualTo("x");
+			try (RawPeer second = RawPeer.open(this.server.address())) {
+				long clockNanos = second.openHandshake(A, "k", KEY);
+				assertThat(first.isAtEnd()).isTrue();
+				assertAnswers(second, clockNanos);
+			}
+		}
+	}
+
+	/** Guards against a handshake that is completed late and closes the newer link. */
+	@Example
+	void earlierLinkWithALateHandshakeIsClosed() throws Exception {
+		startServer(null);
+		try (RawPeer first = RawPeer.open(this.server.address())) {
+			Hello client = PeerProof.newHello(A, "k");
+			first.send(client);
+			Hello server = first.read().getHello();
+			try (RawPeer second = RawPeer.open(this.server.address())) {
+				long clockNanos = second.openHandshake(A, "k", KEY);
+				first.sendClientProof(client, server, KEY);
+				first.awaitEnd();
+				assertAnswers(second, clockNanos);
+			}
 		}
 	}
 
+	private static void assertAnswers(RawPeer peer, long clockNanos) throws IOException {
+		peer.send(RawPeer.frame().setAcceptorClockNanos(clockNanos).setCorrelationId(1).mergeFrom(query("x").build()));
+		assertThat(peer.read().getSubmissionReply().getBody().toStringUtf8()).isEqualTo("x");
+	}
+
 	/**
 	 * Guards against a key rotation that needs a restart, and against links that stay
 	 * open after the key that authenticated them was removed.
--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/RawPeer.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/RawPeer.java
@@ -93,14 +93,22 @@
 	 * @throws IOException if the connection breaks
 	 */
 	long openHandshake(PeerIdentity self, String keyId, byte[] keyBytes) throws IOException {
-		SecretKey key = new SecretKeySpec(keyBytes, "HmacSHA256");
 		Hello client = PeerProof.newHello(self, keyId);
 		send(client);
-		Hello server = read().getHello();
-		send(client.toBuilder().setMac(PeerProof.mac(key, PeerProof.Role.CLIENT, client, server)).build());
+		sendClientProof(client, read().getHello(), keyBytes);
 		return read().getAcceptorClockNanos();
 	}
 
+	void sendClientProof(Hello client, Hello server, byte[] keyBytes) throws IOException {
+		SecretKey key = new SecretKeySpec(keyBytes, "HmacSHA256");
+		send(client.toBuilder().setMac(PeerProof.mac(key, PeerProof.Role.CLIENT, client, server)).build());
+	}
+
+	// Reads frames until the peer closes the connection.
+	void awaitEnd() throws IOException {
+		this.input.readAllBytes();
+	}
+
 	PeerFrame read() throws IOException {
 		return PeerFrame.parseFrom(this.input.readNBytes(this.input.readInt()));
 	}
