--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
@@ -28,6 +28,8 @@
 
 	private final UpstreamId id;
 
+	private final DataCentreId dataCentre;
+
 	/** Nanoseconds of the worker's clock for each nanosecond of real time. */
 	private final double clockRate;
 
@@ -55,7 +57,12 @@
 	boolean draining;
 
 	FakeWorker(String id, long nowNanos, double clockRate, RunObserver observer) {
+		this(id, DataCentreId.of("dc"), nowNanos, clockRate, observer);
+	}
+
+	FakeWorker(String id, DataCentreId dataCentre, long nowNanos, double clockRate, RunObserver observer) {
 		this.id = UpstreamId.of(id);
+		this.dataCentre = dataCentre;
 		this.incarnationNanos = nowNanos;
 		this.clockRate = clockRate;
 		this.observer = observer;
@@ -63,7 +70,7 @@
 
 	WorkerInfo info() {
 		return new WorkerInfo(this.id, this.incarnationNanos / 1_000_000, "service",
-				InetSocketAddress.createUnresolved("worker", 1), DataCentreId.of("dc"), CAPACITY, Set.of("a", "r1-1"),
+				InetSocketAddress.createUnresolved("worker", 1), this.dataCentre, CAPACITY, Set.of("a", "r1-1"),
 				this.draining);
 	}
 
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
@@ -0,0 +1,224 @@
+package org.limpetgate.scheduling;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Predicate;
+
+/**
+ * Injects random faults into {@link FleetSimulation}, in series that overlap. Not
+ * thread-safe.
+ */
+final class FleetFaults {
+
+	private static final int MIN_PARTITION_MILLIS = 100;
+
+	private static final int MAX_PARTITION_MILLIS = 10_000;
+
+	private static final int MAX_PAUSE_MILLIS = 4000;
+
+	private static final int MIN_RESTART_MILLIS = 300;
+
+	private static final int MAX_RESTART_MILLIS = 3000;
+
+	private static final int MIN_INTERVAL_MILLIS = 1500;
+
+	private static final int MAX_INTERVAL_MILLIS = 8000;
+
+	private final FleetSimulation fleet;
+
+	private final FleetNetwork network;
+
+	private final Random random;
+
+	private final FleetTrace.Writer trace;
+
+	/** The longest time between two faults of this simulation. */
+	private final int intervalMillis;
+
+	private boolean stopped;
+
+	FleetFaults(FleetSimulation fleet, FleetNetwork network, FleetTrace trace) {
+		this.fleet = fleet;
+		this.network = network;
+		this.random = network.random();
+		this.trace = trace.writer("net");
+		this.intervalMillis = MIN_INTERVAL_MILLIS + this.random.nextInt(MAX_INTERVAL_MILLIS - MIN_INTERVAL_MILLIS);
+	}
+
+	void start() {
+		scheduleNext();
+	}
+
+	// Starts no more faults; those that last end by themselves.
+	void stop() {
+		this.stopped = true;
+	}
+
+	private void scheduleNext() {
+		this.network.time().schedule(this.random.nextInt(this.intervalMillis) * FleetNetwork.MILLI, () -> {
+			if (!this.stopped) {
+				inject();
+				scheduleNext();
+			}
+		});
+	}
+
+	private void inject() {
+		switch (this.random.nextInt(12)) {
+			case 0, 1 -> partitionDataCentre();
+			case 2 -> partitionHost();
+			case 3 -> partitionHosts();
+			case 4 -> silenceHost();
+			case 5 -> resetLink();
+			case 6 -> silenceLink();
+			case 7 -> pauseHost();
+			case 8 -> killHost();
+			case 9, 10 -> partitionWorker();
+			default -> restartWorker();
+		}
+	}
+
+	private long randomNanos(int minMillis, int maxMillis) {
+		return (minMillis + this.random.nextInt(maxMillis - minMillis)) * FleetNetwork.MILLI;
+	}
+
+	private String anyHost() {
+		return this.fleet.hostNames().get(this.random.nextInt(this.fleet.hostNames().size()));
+	}
+
+	private String anyWorker() {
+		return this.fleet.workerNames().get(this.random.nextInt(this.fleet.workerNames().size()));
+	}
+
+	private List<String> select(Predicate<String> condition) {
+		List<String> names = new ArrayList<>(this.fleet.hostNames());
+		names.addAll(this.fleet.workerNames());
+		return names.stream().filter(condition).toList();
+	}
+
+	private void partitionDataCentre() {
+		String dataCentre = this.fleet.dataCentre(anyHost());
+		interrupt("data centre " + dataCentre, select((name) -> this.fleet.dataCentre(name).equals(dataCentre)),
+				select((name) -> !this.fleet.dataCentre(name).equals(dataCentre)), true);
+	}
+
+	private void partitionHost() {
+		String host = anyHost();
+		interrupt("host " + host, List.of(host), select((name) -> !name.equals(host)), true);
+	}
+
+	private void partitionHosts() {
+		String host = anyHost();
+		String other = anyHost();
+		if (!host.equals(other)) {
+			interrupt("hosts", List.of(host), List.of(other), true);
+		}
+	}
+
+	private void silenceHost() {
+		String host = anyHost();
+		boolean outgoing = this.random.nextBoolean();
+		List<String> others = select((name) -> !name.equals(host) && this.random.nextBoolean());
+		interrupt("one way", outgoing ? List.of(host) : others, outgoing ? others : List.of(host), false);
+	}
+
+	private void partitionWorker() {
+		String worker = anyWorker();
+		interrupt("worker", List.of(worker),
+				this.fleet.hostNames().stream().filter((host) -> this.random.nextBoolean()).toList(), true);
+	}
+
+	private void interrupt(String kind, List<String> side, List<String> others, boolean bothWays) {
+		String text = kind + " " + side + (bothWays ? " and " : " to ") + others;
+		this.trace.event("INTERRUPTED " + text);
+		for (String name : side) {
+			for (String other : others) {
+				this.network.interrupt(name, other);
+				if (bothWays) {
+					this.network.interrupt(other, name);
+				}
+			}
+		}
+		this.network.time().schedule(randomNanos(MIN_PARTITION_MILLIS, MAX_PARTITION_MILLIS), () -> {
+			this.trace.event("HEALED " + text);
+			for (String name : side) {
+				for (String other : others) {
+					this.network.heal(name, other);
+					if (bothWays) {
+						this.network.heal(other, name);
+					}
+				}
+			}
+		});
+	}
+
+	private FleetLink anyLink() {
+		return this.network.links().get(this.random.nextInt(this.network.links().size()));
+	}
+
+	private void resetLink() {
+		FleetLink link = anyLink();
+		this.trace.event("RESET link " + link);
+		link.reset();
+	}
+
+	private void silenceLink() {
+		FleetLink link = anyLink();
+		this.trace.event("SILENT link " + link);
+		link.silence();
+		if (this.random.nextBoolean()) {
+			this.network.time().schedule(randomNanos(MIN_PARTITION_MILLIS, MAX_PARTITION_MILLIS), link::resume);
+		}
+	}
+
+	private void pauseHost() {
+		SimulatedHost host = this.fleet.host(anyHost());
+		if (host.isUp() && !host.isPaused()) {
+			host.pause();
+			this.network.time().schedule(randomNanos(MIN_PARTITION_MILLIS, MAX_PAUSE_MILLIS), host::resume);
+		}
+	}
+
+	private void killHost() {
+		String name = anyHost();
+		if (!this.fleet.host(name).isUp()) {
+			return;
+		}
+		this.fleet.host(name).kill();
+		this.fleet.callers().hostKilled(this.fleet.host(name));
+		endLinks(name);
+		this.network.time()
+			.schedule(randomNanos(MIN_RESTART_MILLIS, MAX_RESTART_MILLIS), () -> this.fleet.startHost(name));
+	}
+
+	// The kernel of a killed process closes its links; a lost machine does not.
+	private void endLinks(String name) {
+		int kind = this.random.nextInt(3);
+		for (FleetLink link : this.network.links()) {
+			boolean opener = link.opener().equals(name);
+			if (!opener && !link.acceptor().equals(name)) {
+				continue;
+			}
+			if (kind == 0 && opener) {
+				link.closeByOpener();
+			}
+			else if (kind == 0) {
+				link.closeByAcceptor();
+			}
+			else if (kind == 1 && opener) {
+				link.resetByOpener();
+			}
+			else if (kind == 1) {
+				link.resetByAcceptor();
+			}
+		}
+	}
+
+	private void restartWorker() {
+		String name = anyWorker();
+		this.trace.event("RESTARTED worker " + name);
+		this.fleet.worker(name).restart(this.network.time().nowNanos());
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulation.java
@@ -0,0 +1,194 @@
+package org.limpetgate.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.limpetgate.DataCentreId;
+import org.limpetgate.JobId;
+import org.limpetgate.UpstreamId;
+import org.limpetgate.scheduling.FleetLink.LinkEnd;
+import org.limpetgate.scheduling.SimulatedHost.Place;
+
+/**
+ * Simulates a fleet in virtual time: entry hosts in several data centres, each with a
+ * real election and a real scheduler, the links between them, workers, and callers that
+ * send jobs again. The faults are random: partitions that delay messages, links that are
+ * reset or go silent, hosts that pause or are killed, and orders that workers carry out
+ * late.
+ * <p>
+ * Checks that no task has two runs at the same time, that no worker is overcommitted,
+ * that no task of a refused job has started and that every task of a completed job is
+ * done. Not thread-safe.
+ */
+final class FleetSimulation {
+
+	private static final long START_NANOS = TimeUnit.DAYS.toNanos(21_000);
+
+	private static final int MIN_HOSTS = 3;
+
+	private static final int MAX_HOSTS = 5;
+
+	private static final int WORKERS_PER_DATA_CENTRE = 3;
+
+	private static final int MAX_CLOCK_OFFSET_MILLIS = 40;
+
+	private static final double MAX_CLOCK_DRIFT = 0.02;
+
+	private static final long LIST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+	/** How long the workers have run when the simulation starts. */
+	private static final long WORKER_AGE_NANOS = TimeUnit.SECONDS.toNanos(100);
+
+	/** Longer than any fault lasts. */
+	private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(15);
+
+	private final VirtualTime time = new VirtualTime(START_NANOS);
+
+	private final Random random;
+
+	private final Supplier<SubmissionRules> rules;
+
+	private final FleetTrace trace = new FleetTrace(this.time);
+
+	private final FleetNetwork network;
+
+	private final Map<UpstreamId, FakeWorker> workers = new TreeMap<>();
+
+	private final Map<String, Place> places = new TreeMap<>();
+
+	private final Map<String, SimulatedHost> hosts = new HashMap<>();
+
+	private final Map<String, String> dataCentres = new HashMap<>();
+
+	private final List<String> violations = new ArrayList<>();
+
+	private final RunChecks checks = new RunChecks(this.workers.values(), this::addViolation);
+
+	private final SimulatedCallers callers;
+
+	private final FleetFaults faults;
+
+	FleetSimulation(long seed, Supplier<SubmissionRules> rules) {
+		this.random = new Random(seed);
+		this.rules = rules;
+		this.network = new FleetNetwork(this.time, this.random);
+		this.network.setAcceptor(this::accept);
+		this.callers = new SimulatedCallers(this.network, this.trace, this::anyHost, this.checks, this::addViolation);
+		this.faults = new FleetFaults(this, this.network, this.trace);
+		createPlaces();
+		publishWorkers();
+		this.callers.start();
+		this.faults.start();
+	}
+
+	private void createPlaces() {
+		int hostCount = MIN_HOSTS + this.random.nextInt(MAX_HOSTS - MIN_HOSTS + 1);
+		int dataCentreCount = 2 + this.random.nextInt(2);
+		for (int number = 0; number < WORKERS_PER_DATA_CENTRE * dataCentreCount; number++) {
+			DataCentreId dataCentre = DataCentreId.of("dc" + number % dataCentreCount);
+			FakeWorker worker = new FakeWorker("w" + number, dataCentre, START_NANOS - WORKER_AGE_NANOS,
+					1 - MAX_CLOCK_DRIFT * this.random.nextDouble(), this.checks);
+			this.workers.put(worker.id(), worker);
+			this.dataCentres.put(worker.id().value(), dataCentre.value());
+		}
+		for (int number = 0; number < hostCount; number++) {
+			DataCentreId dataCentre = DataCentreId.of("dc" + number % dataCentreCount);
+			long offset = this.random.nextInt(MAX_CLOCK_OFFSET_MILLIS) * FleetNetwork.MILLI;
+			Place place = new Place(number, dataCentre, offset);
+			this.places.put(place.name(), place);
+			this.dataCentres.put(place.name(), dataCentre.value());
+		}
+		this.places.keySet().forEach(this::startHost);
+	}
+
+	void startHost(String name) {
+		List<String> peers = this.places.keySet().stream().filter((peer) -> !peer.equals(name)).toList();
+		SimulatedHost host = new SimulatedHost(this.places.get(name), peers, this.network, this.workers,
+				this.rules.get(), this.trace);
+		this.hosts.put(name, host);
+	}
+
+	private LinkEnd accept(FleetLink link) {
+		SimulatedHost host = this.hosts.get(link.acceptor());
+		if (host == null || !host.isUp()) {
+			link.closeByAcceptor();
+			return null;
+		}
+		return host.accept(link);
+	}
+
+	private void publishWorkers() {
+		List<WorkerInfo> listed = this.workers.values().stream().map(FakeWorker::info).toList();
+		this.hosts.values().forEach((host) -> host.handle(() -> host.workersListed(listed)));
+		this.time.schedule(LIST_INTERVAL_NANOS, this::publishWorkers);
+	}
+
+	private SimulatedHost anyHost() {
+		return host(hostNames().get(this.random.nextInt(this.places.size())));
+	}
+
+	List<String> hostNames() {
+		return List.copyOf(this.places.keySet());
+	}
+
+	List<String> workerNames() {
+		return this.workers.keySet().stream().map(UpstreamId::value).toList();
+	}
+
+	SimulatedHost host(String name) {
+		return this.hosts.get(name);
+	}
+
+	FakeWorker worker(String name) {
+		return this.workers.get(UpstreamId.of(name));
+	}
+
+	String dataCentre(String name) {
+		return this.dataCentres.get(name);
+	}
+
+	SimulatedCallers callers() {
+		return this.callers;
+	}
+
+	FleetTrace trace() {
+		return this.trace;
+	}
+
+	private void addViolation(JobId job, String text) {
+		this.violations.add("at " + (this.time.nowNanos() - START_NANOS) / FleetNetwork.MILLI + " ms: " + text + "\n"
+				+ String.join("\n", this.trace.events(job)));
+	}
+
+	// Injects faults for a time, unless a check fails before.
+	FleetSimulation run(long nanos) {
+		runEvents(nanos);
+		return this;
+	}
+
+	// Waits until all faults are over.
+	FleetSimulation settle() {
+		this.faults.stop();
+		runEvents(SETTLE_NANOS);
+		return this;
+	}
+
+	private void runEvents(long nanos) {
+		long end = this.time.nowNanos() + nanos;
+		while (this.time.nowNanos() < end && this.violations.isEmpty()) {
+			this.time.runNextEvent();
+		}
+	}
+
+	// Returns each violation with the events before it.
+	List<String> violations() {
+		return this.violations;
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/OutgoingLink.java
@@ -0,0 +1,207 @@
+package org.limpetgate.scheduling;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.Outcome;
+import org.limpetgate.scheduling.FleetLink.LinkEnd;
+import org.limpetgate.scheduling.FleetMessage.Frame;
+import org.limpetgate.scheduling.FleetMessage.Hello;
+import org.limpetgate.scheduling.FleetMessage.Refusal;
+
+/**
+ * The link of a host of {@link FleetSimulation} to one peer, which reconnects after each
+ * loss. It carries the requests of the host and the replies of the peer. Follows
+ * {@code PeerLink} and {@code OutboundConnection} of the network module. Not thread-safe.
+ */
+final class OutgoingLink {
+
+	private static final long HANDSHAKE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+	private static final long MIN_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+	private static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+	private final SimulatedHost host;
+
+	private final String peer;
+
+	private final FleetNetwork network;
+
+	private final LinkListener listener;
+
+	/** The connection that passed the handshake, null while there is none. */
+	private Connection connection;
+
+	private int failures;
+
+	/** When the newest message of the peer arrived, by the clock of this host. */
+	private long newestReplyNanos;
+
+	OutgoingLink(SimulatedHost host, String peer, FleetNetwork network, LinkListener listener) {
+		this.host = host;
+		this.peer = peer;
+		this.network = network;
+		this.listener = listener;
+	}
+
+	void connect() {
+		Connection opening = new Connection();
+		opening.link = this.network.open(this.host.name(), this.peer, opening);
+		opening.send(new Hello(true, this.host.name(), false), 0);
+		this.host.schedule(HANDSHAKE_TIMEOUT_NANOS, () -> {
+			if (opening != this.connection && !opening.ended) {
+				opening.end("the handshake took too long");
+			}
+		});
+	}
+
+	private void reconnectLater() {
+		long longest = Math.min(MAX_BACKOFF_NANOS, MIN_BACKOFF_NANOS << Math.min(this.failures, 4));
+		this.failures++;
+		this.host.schedule(longest / 2 + (long) (this.network.random().nextDouble() * longest / 2), this::connect);
+	}
+
+	boolean isUp() {
+		return this.connection != null;
+	}
+
+	long newestReplyNanos() {
+		return this.newestReplyNanos;
+	}
+
+	// Closes a silent connection; a new one is opened.
+	void reconnect() {
+		if (this.connection != null) {
+			this.connection.end("the link is blocked");
+		}
+	}
+
+	CompletableFuture<FleetMessage> request(FleetMessage message, long timeoutNanos) {
+		CompletableFuture<FleetMessage> reply = new CompletableFuture<>();
+		if (this.connection == null) {
+			reply.completeExceptionally(
+					DispatchException.of(ErrorKind.HOLDER_UNREACHABLE, Outcome.NOT_RUN, "no link to " + this.peer));
+			return reply;
+		}
+		this.connection.request(message, timeoutNanos, reply);
+		return reply;
+	}
+
+	void send(FleetMessage message) {
+		if (this.connection != null) {
+			this.connection.send(message, 0);
+		}
+	}
+
+	/** Is notified when a link is lost. */
+	interface LinkListener {
+
+		void linkDown(String peer, String reason);
+
+	}
+
+	private final class Connection implements LinkEnd {
+
+		private final Map<Long, CompletableFuture<FleetMessage>> requests = new LinkedHashMap<>();
+
+		private FleetLink link;
+
+		private long lastCorrelationId;
+
+		/** The newest clock of the peer that arrived on this connection. */
+		private long peerClockNanos;
+
+		private boolean ended;
+
+		void send(FleetMessage message, long correlationId) {
+			this.link.sendToAcceptor(
+					new Frame(message, correlationId, OutgoingLink.this.host.clockNanos(), this.peerClockNanos));
+		}
+
+		void request(FleetMessage message, long timeoutNanos, CompletableFuture<FleetMessage> reply) {
+			long id = ++this.lastCorrelationId;
+			this.requests.put(id, reply);
+			OutgoingLink.this.host.schedule(timeoutNanos,
+					() -> fail(id, ErrorKind.DEADLINE_EXCEEDED, "no reply from " + OutgoingLink.this.peer));
+			send(message, id);
+		}
+
+		private void fail(long id, ErrorKind kind, String reason) {
+			CompletableFuture<FleetMessage> request = this.requests.remove(id);
+			if (request != null) {
+				request.completeExceptionally(DispatchException.of(kind, Outcome.UNKNOWN, reason));
+			}
+		}
+
+		@Override
+		public void received(Frame frame) {
+			OutgoingLink.this.host.handle(() -> {
+				if (!this.ended) {
+					handle(frame);
+				}
+			});
+		}
+
+		private void handle(Frame frame) {
+			OutgoingLink outer = OutgoingLink.this;
+			this.peerClockNanos = Math.max(this.peerClockNanos, frame.clockNanos());
+			if (frame.message() instanceof Hello hello && !hello.last()) {
+				send(new Hello(true, outer.host.name(), true), 0);
+			}
+			else if (frame.message() instanceof Hello) {
+				outer.connection = this;
+				outer.failures = 0;
+				outer.newestReplyNanos = outer.host.clockNanos();
+			}
+			else {
+				outer.newestReplyNanos = outer.host.clockNanos();
+				reply(frame);
+			}
+		}
+
+		private void reply(Frame frame) {
+			CompletableFuture<FleetMessage> request = this.requests.remove(frame.correlationId());
+			if (request == null) {
+				return;
+			}
+			if (frame.message() instanceof Refusal refusal) {
+				request.completeExceptionally(
+						DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, refusal.reason()));
+			}
+			else {
+				request.complete(frame.message());
+			}
+		}
+
+		@Override
+		public void closed() {
+			OutgoingLink.this.host.handle(() -> {
+				if (!this.ended) {
+					end("the connection was closed");
+				}
+			});
+		}
+
+		void end(String reason) {
+			OutgoingLink outer = OutgoingLink.this;
+			this.ended = true;
+			this.link.closeByOpener();
+			if (outer.connection == this) {
+				outer.connection = null;
+				outer.listener.linkDown(outer.peer, reason);
+			}
+			List.copyOf(this.requests.keySet())
+				.forEach((id) -> fail(id, ErrorKind.HOLDER_UNREACHABLE,
+						"the link to " + outer.peer + " was lost: " + reason));
+			outer.reconnectLater();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedCallers.java
@@ -0,0 +1,201 @@
+package org.limpetgate.scheduling;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.limpetgate.JobId;
+import org.limpetgate.scheduling.FleetMessage.JobResult;
+
+/**
+ * The callers of {@link FleetSimulation}. Each sends a job to a random host, waits for
+ * the answer until a deadline, and sends the job again, to any host, after a broken
+ * connection or an answer that is not final. Not thread-safe.
+ */
+final class SimulatedCallers {
+
+	private static final long RESEND_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(1300);
+
+	/** A caller that has less time left does not send its job again. */
+	private static final long MIN_REMAINING_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+	private static final int MIN_DEADLINE_MILLIS = 1500;
+
+	private static final int MAX_DEADLINE_MILLIS = 7000;
+
+	private static final int MAX_INTERVAL_MILLIS = 400;
+
+	/** One in so many connections breaks. */
+	private static final int BROKEN_CONNECTIONS = 12;
+
+	private static final int MAX_CONNECTION_MILLIS = 2000;
+
+	/** One in so many jobs has a second step. */
+	private static final int TWO_STEP_JOBS = 3;
+
+	private final VirtualTime time;
+
+	private final Random random;
+
+	private final FleetTrace.Writer trace;
+
+	private final Supplier<SimulatedHost> randomHost;
+
+	private final RunChecks checks;
+
+	private final RunChecks.ViolationListener listener;
+
+	private final List<Attempt> openAttempts = new ArrayList<>();
+
+	private int submitted;
+
+	private int completed;
+
+	private int refused;
+
+	SimulatedCallers(FleetNetwork network, FleetTrace trace, Supplier<SimulatedHost> randomHost, RunChecks checks,
+			RunChecks.ViolationListener listener) {
+		this.time = network.time();
+		this.random = network.random();
+		this.trace = trace.writer("call");
+		this.randomHost = randomHost;
+		this.checks = checks;
+		this.listener = listener;
+	}
+
+	void start() {
+		sendNewJob();
+	}
+
+	int submitted() {
+		return this.submitted;
+	}
+
+	int completed() {
+		return this.completed;
+	}
+
+	int refused() {
+		return this.refused;
+	}
+
+	private void sendNewJob() {
+		JobId id = JobId.of("j" + this.submitted++);
+		List<StepSpec> steps = new ArrayList<>();
+		steps.add(newStep(List.of()));
+		if (this.random.nextInt(TWO_STEP_JOBS) == 0) {
+			steps.add(newStep(List.of(0)));
+		}
+		JobSpec spec = new JobSpec(id, "q", "service", new QueueTerms(0, 3, 3, TimeUnit.MILLISECONDS.toNanos(500)), "",
+				steps);
+		long deadlineNanos = this.time.nowNanos()
+				+ (MIN_DEADLINE_MILLIS + this.random.nextInt(MAX_DEADLINE_MILLIS - MIN_DEADLINE_MILLIS))
+						* FleetNetwork.MILLI;
+		send(spec, deadlineNanos, true);
+		this.time.schedule(this.random.nextInt(MAX_INTERVAL_MILLIS) * FleetNetwork.MILLI, this::sendNewJob);
+	}
+
+	private StepSpec newStep(List<Integer> after) {
+		Capacity demand = new Capacity(1000 + this.random.nextInt(3000), 64, 0);
+		long estimatedNanos = (50 + this.random.nextInt(2000)) * FleetNetwork.MILLI;
+		return new StepSpec(1 + this.random.nextInt(4), demand, estimatedNanos, after, "", "", 0);
+	}
+
+	private void send(JobSpec spec, long deadlineNanos, boolean first) {
+		SimulatedHost host = this.randomHost.get();
+		this.trace.job(spec.id(), "sends the job to " + host.name());
+		Attempt attempt = new Attempt(spec, deadlineNanos, first, host);
+		if (!host.isUp()) {
+			attempt.end("the host is down");
+			return;
+		}
+		this.openAttempts.add(attempt);
+		host.handle(attempt::submit);
+		this.time.schedule(deadlineNanos - this.time.nowNanos(), attempt::breakConnection);
+		if (this.random.nextInt(BROKEN_CONNECTIONS) == 0) {
+			this.time.schedule(this.random.nextInt(MAX_CONNECTION_MILLIS) * FleetNetwork.MILLI,
+					attempt::breakConnection);
+		}
+	}
+
+	// Breaks the connections to a host that was killed.
+	void hostKilled(SimulatedHost host) {
+		List.copyOf(this.openAttempts)
+			.stream()
+			.filter((attempt) -> attempt.host == host)
+			.forEach(Attempt::breakConnection);
+	}
+
+	private final class Attempt {
+
+		private final JobSpec spec;
+
+		private final long deadlineNanos;
+
+		private final boolean first;
+
+		private final SimulatedHost host;
+
+		private CompletableFuture<JobResult> answer = new CompletableFuture<>();
+
+		private boolean ended;
+
+		Attempt(JobSpec spec, long deadlineNanos, boolean first, SimulatedHost host) {
+			this.spec = spec;
+			this.deadlineNanos = deadlineNanos;
+			this.first = first;
+			this.host = host;
+		}
+
+		void submit() {
+			this.answer = this.host.submit(this.spec, this.deadlineNanos - SimulatedCallers.this.time.nowNanos());
+			this.answer.thenAccept(this::answered);
+		}
+
+		private void answered(JobResult result) {
+			if (this.ended) {
+				return;
+			}
+			SimulatedCallers callers = SimulatedCallers.this;
+			if (result.outcome() == JobOutcome.COMPLETED) {
+				callers.completed++;
+				callers.checks.checkAllTasksDone(this.spec);
+			}
+			if (result.outcome() == JobOutcome.REFUSED) {
+				callers.refused++;
+				if (this.first && callers.checks.hasStarted(this.spec.id())) {
+					callers.listener.violated(this.spec.id(), "REFUSED: job " + this.spec.id() + " had started");
+				}
+			}
+			if (result.outcome() == JobOutcome.COMPLETED || result.outcome() == JobOutcome.FAILED) {
+				this.ended = true;
+				callers.openAttempts.remove(this);
+			}
+			else {
+				end("answered " + result.outcome());
+			}
+		}
+
+		void breakConnection() {
+			if (!this.ended) {
+				this.host.handle(() -> this.answer.cancel(true));
+				end("the connection is broken");
+			}
+		}
+
+		void end(String reason) {
+			SimulatedCallers callers = SimulatedCallers.this;
+			this.ended = true;
+			callers.openAttempts.remove(this);
+			callers.trace.job(this.spec.id(), reason);
+			if (callers.time.nowNanos() + RESEND_DELAY_NANOS + MIN_REMAINING_NANOS < this.deadlineNanos) {
+				callers.time.schedule(RESEND_DELAY_NANOS, () -> send(this.spec, this.deadlineNanos, false));
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
@@ -0,0 +1,468 @@
+package org.limpetgate.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.limpetgate.DataCentreId;
+import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
+import org.limpetgate.HostId;
+import org.limpetgate.Incarnation;
+import org.limpetgate.JobId;
+import org.limpetgate.Outcome;
+import org.limpetgate.UpstreamId;
+import org.limpetgate.fleet.HostState;
+import org.limpetgate.fleet.SchedulerElection;
+import org.limpetgate.scheduling.FleetLink.LinkEnd;
+import org.limpetgate.scheduling.FleetMessage.JobResult;
+import org.limpetgate.scheduling.FleetMessage.SubmitJob;
+
+/**
+ * One incarnation of an entry host in {@link FleetSimulation}, with a real election and a
+ * real scheduler. Follows {@code org.limpetgate.host.fleet.FleetHost} without stored
+ * jobs.
+ * <p>
+ * While it is paused, messages and timers are queued; all of them are processed when it
+ * continues. Not thread-safe.
+ */
+final class SimulatedHost {
+
+	private static final long HEARTBEAT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+	private static final long TICK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+	private static final long IDLE_TICK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private static final double OVERLOAD_LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
+
+	private static final double RECOVERY_LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
+
+	private static final double LATENESS_WEIGHT = 0.04;
+
+	private static final int CPU_MILLIS = 500;
+
+	private static final long LEASE_MILLIS = 1000;
+
+	private static final long STOP_MILLIS = 50;
+
+	private static final double REMOTE_FACTOR = 2;
+
+	private final Place place;
+
+	private final VirtualTime time;
+
+	private final FleetTrace.Writer trace;
+
+	private final Incarnation self;
+
+	private final Scheduler scheduler;
+
+	private final SchedulerElection election = new SchedulerElection();
+
+	private final SubmissionRules rules;
+
+	private final SimulatedPeers peers;
+
+	private final SimulatedPendingJobs pendingJobs;
+
+	private final SimulatedOrders orders;
+
+	private final Transport transport = new Transport();
+
+	/** The specifications of the jobs that were submitted to the scheduler. */
+	private final Map<JobId, JobSpec> specs = new HashMap<>();
+
+	private Collection<WorkerInfo> workers = List.of();
+
+	private boolean workersKnown;
+
+	private FencingToken schedulerToken = FencingToken.NONE;
+
+	private boolean allDataCentres = true;
+
+	private boolean overloaded;
+
+	private double latenessNanos;
+
+	private long expectedTickNanos;
+
+	private long nextHeartbeatNanos;
+
+	private HostId schedulingHost;
+
+	private boolean tickRequested;
+
+	private boolean killed;
+
+	private boolean paused;
+
+	private final List<Runnable> queue = new ArrayList<>();
+
+	SimulatedHost(Place place, List<String> peers, FleetNetwork network, Map<UpstreamId, FakeWorker> workers,
+			SubmissionRules rules, FleetTrace trace) {
+		this.place = place;
+		this.time = network.time();
+		this.trace = trace.writer(place.name());
+		this.self = Incarnation.of(HostId.of(place.name()), clockNanos());
+		this.scheduler = Scheduler.of(SchedulerSettings.of(place.number(), LEASE_MILLIS, STOP_MILLIS, REMOTE_FACTOR));
+		this.rules = rules;
+		this.orders = new SimulatedOrders(this, network, workers, this.scheduler);
+		this.pendingJobs = new SimulatedPendingJobs(this.transport, this::clockNanos, this.trace);
+		this.peers = new SimulatedPeers(this, peers, network, rules, new PeerListener());
+		this.nextHeartbeatNanos = this.time.nowNanos() + HEARTBEAT_INTERVAL_NANOS;
+		this.trace.event("HOST_STARTED " + this.self);
+		this.peers.start();
+		scheduleTick();
+		schedule(HEARTBEAT_INTERVAL_NANOS, this::sendHeartbeatsPeriodically);
+	}
+
+	String name() {
+		return this.place.name();
+	}
+
+	HostId id() {
+		return this.self.host();
+	}
+
+	FleetTrace.Writer trace() {
+		return this.trace;
+	}
+
+	// Returns the clock of this host, nanoseconds since the Unix epoch.
+	long clockNanos() {
+		return this.time.nowNanos() + this.place.clockOffsetNanos();
+	}
+
+	boolean isUp() {
+		return !this.killed;
+	}
+
+	boolean isPaused() {
+		return this.paused;
+	}
+
+	LinkEnd accept(FleetLink link) {
+		return this.peers.accept(link);
+	}
+
+	CompletableFuture<JobResult> submit(JobSpec spec, long remainingNanos) {
+		CompletableFuture<JobResult> answer = this.pendingJobs.submit(spec, remainingNanos, clockNanos());
+		requestTick();
+		return answer;
+	}
+
+	void schedule(long delayNanos, Runnable action) {
+		this.time.schedule(delayNanos, () -> handle(action));
+	}
+
+	// Runs an action as soon as this host is not paused, unless it was killed before.
+	void handle(Runnable action) {
+		if (this.killed) {
+			return;
+		}
+		if (this.paused) {
+			this.queue.add(action);
+			return;
+		}
+		action.run();
+		requestTick();
+	}
+
+	void pause() {
+		this.trace.event("PAUSED");
+		this.paused = true;
+	}
+
+	void resume() {
+		this.trace.event("RESUMED");
+		this.paused = false;
+		List<Runnable> actions = List.copyOf(this.queue);
+		this.queue.clear();
+		actions.forEach(this::handle);
+	}
+
+	void kill() {
+		this.trace.event("KILLED");
+		this.killed = true;
+	}
+
+	void workersListed(Collection<WorkerInfo> listed) {
+		this.workers = List.copyOf(listed);
+		this.workersKnown = true;
+		this.scheduler.workersListed(workersInScope(), this.allDataCentres, clockNanos());
+	}
+
+	private void sendHeartbeatsPeriodically() {
+		sendHeartbeats();
+		// Heartbeats that were missed are sent too, as scheduleAtFixedRate does.
+		this.nextHeartbeatNanos += HEARTBEAT_INTERVAL_NANOS;
+		schedule(Math.max(0, this.nextHeartbeatNanos - this.time.nowNanos()), this::sendHeartbeatsPeriodically);
+	}
+
+	private void sendHeartbeats() {
+		this.election.setHeartbeatTargets(this.peers.sendHeartbeats(state()), clockNanos());
+	}
+
+	private HostState state() {
+		return new HostState(this.self, this.place.dataCentre(), false, this.workersKnown, this.overloaded, CPU_MILLIS,
+				this.schedulerToken, this.allDataCentres);
+	}
+
+	private void scheduleTick() {
+		long nanos = (this.schedulerToken.isNone() && this.pendingJobs.size() == 0) ? IDLE_TICK_INTERVAL_NANOS
+				: TICK_INTERVAL_NANOS;
+		this.expectedTickNanos = clockNanos() + nanos;
+		schedule(nanos, this::timedTick);
+	}
+
+	private void timedTick() {
+		long lateNanos = clockNanos() - this.expectedTickNanos;
+		this.latenessNanos += (lateNanos - this.latenessNanos) * LATENESS_WEIGHT;
+		this.overloaded = this.latenessNanos > (this.overloaded ? RECOVERY_LATENESS_NANOS : OVERLOAD_LATENESS_NANOS);
+		runElection();
+		tick();
+		scheduleTick();
+	}
+
+	// Queues a tick behind the events of the same time, so that one tick processes all of
+	// them.
+	private void requestTick() {
+		if (!this.tickRequested) {
+			this.tickRequested = true;
+			this.time.schedule(0, this::requestedTick);
+		}
+	}
+
+	private void requestedTick() {
+		if (this.killed) {
+			return;
+		}
+		if (this.paused) {
+			this.queue.add(this::requestedTick);
+			return;
+		}
+		tick();
+	}
+
+	private void tick() {
+		this.tickRequested = false;
+		withdrawExpiredJobs();
+		List<SchedulingEffect> effects = new ArrayList<>();
+		this.scheduler.tick(clockNanos(), effects::add);
+		effects.forEach(this::execute);
+		this.pendingJobs.tick(this.schedulingHost, clockNanos());
+	}
+
+	private void withdrawExpiredJobs() {
+		for (SubmissionRules.SubmittedJob expired : this.rules.takeExpired(clockNanos())) {
+			this.trace.job(expired.job(), "withdraws the job of " + expired.peer() + ", whose lease has expired");
+			this.scheduler.withdraw(expired.peer(), expired.job(), clockNanos());
+			this.peers.answer(expired.peer(), expired.job(), new JobResult(JobOutcome.MOVED, "the lease has expired"));
+		}
+	}
+
+	private void execute(SchedulingEffect effect) {
+		if (effect instanceof SchedulingEffect.StartRun start) {
+			RunId run = start.run();
+			this.orders.start(start, this.specs.get(run.task().job()).steps().get(run.task().step()));
+		}
+		else if (effect instanceof SchedulingEffect.StopRun stop) {
+			this.orders.stop(stop);
+		}
+		else if (effect instanceof SchedulingEffect.PollWorker poll) {
+			this.orders.poll(poll);
+		}
+		else if (effect instanceof SchedulingEffect.JobEnded ended) {
+			jobEnded(ended);
+		}
+	}
+
+	private void runElection() {
+		long now = clockNanos();
+		this.election.detectTimedOutPeers(now).forEach((peer) -> this.time.schedule(0, () -> reconnect(peer)));
+		SchedulerElection.Decision decision = this.election.decide(state(), now);
+		boolean scopeChanged = decision.allDataCentres() != this.allDataCentres;
+		this.allDataCentres = decision.allDataCentres();
+		if (decision.activate() && this.schedulerToken.isNone()) {
+			startScheduling(now);
+			return;
+		}
+		if (!this.schedulerToken.isNone() && !id().equals(decision.scheduler())) {
+			stopScheduling(decision.scheduler());
+		}
+		else if (!this.schedulerToken.isNone() && scopeChanged) {
+			this.scheduler.workersListed(workersInScope(), this.allDataCentres, now);
+		}
+		setSchedulingHost(decision.scheduler());
+	}
+
+	private void reconnect(HostId peer) {
+		handle(() -> this.peers.reconnect(peer));
+	}
+
+	private void startScheduling(long nowNanos) {
+		this.schedulerToken = FencingToken.create(nowNanos, this.place.number(), this.election.highestSchedulerToken());
+		this.trace
+			.event("SCHEDULING_STARTED " + this.schedulerToken.value() + ", all data centres " + this.allDataCentres);
+		this.scheduler.workersListed(workersInScope(), this.allDataCentres, nowNanos);
+		this.scheduler.activate(this.schedulerToken, nowNanos);
+		setSchedulingHost(id());
+		sendHeartbeats();
+	}
+
+	private void stopScheduling(HostId successor) {
+		this.schedulerToken = FencingToken.NONE;
+		this.trace.event("SCHEDULING_ENDED, successor " + successor);
+		this.scheduler.deactivate();
+	}
+
+	private void setSchedulingHost(HostId host) {
+		if (host != null && !host.equals(this.schedulingHost)) {
+			this.trace.event("SCHEDULER_KNOWN " + host);
+		}
+		this.schedulingHost = host;
+	}
+
+	private List<WorkerInfo> workersInScope() {
+		return this.workers.stream()
+			.filter((worker) -> this.allDataCentres || this.place.dataCentre().equals(worker.dataCentre()))
+			.toList();
+	}
+
+	private void jobEnded(SchedulingEffect.JobEnded ended) {
+		JobResult result = new JobResult(ended.outcome(), ended.reason());
+		if (ended.origin().equals(id())) {
+			this.transport.complete(ended.job(), result);
+		}
+		else {
+			this.peers.answer(ended.origin(), ended.job(), result);
+		}
+	}
+
+	// An earlier scheduler may act on the job for the time that the message names, so
+	// that it is submitted as if it arrived after that time.
+	private boolean accept(HostId origin, SubmitJob message) {
+		if (!this.scheduler.isActive()) {
+			return false;
+		}
+		JobId job = message.spec().id();
+		this.trace.job(job, "accepts the job of " + origin + ", resubmitted " + message.resubmitted());
+		this.specs.put(job, message.spec());
+		this.scheduler.submit(origin, message.spec(), message.waitedNanos() + message.heldNanos(),
+				message.remainingNanos() - message.heldNanos(), message.resubmitted(),
+				clockNanos() + message.heldNanos());
+		requestTick();
+		return true;
+	}
+
+	private void withdraw(HostId origin, JobId job) {
+		this.scheduler.withdraw(origin, job, clockNanos());
+		requestTick();
+	}
+
+	/**
+	 * The properties of a host that a restart does not change.
+	 *
+	 * @param number the number of the host
+	 * @param dataCentre its data centre
+	 * @param clockOffsetNanos how far its clock is ahead, in nanoseconds
+	 */
+	record Place(int number, DataCentreId dataCentre, long clockOffsetNanos) {
+
+		String name() {
+			return "h" + this.number;
+		}
+
+	}
+
+	/** Submits jobs to the scheduler of this host or to that of a peer. */
+	private final class Transport implements SimulatedPendingJobs.Transport {
+
+		private final Map<JobId, CompletableFuture<JobResult>> localResults = new HashMap<>();
+
+		@Override
+		public CompletableFuture<JobResult> submit(HostId host, SubmitJob job, long timeoutNanos) {
+			if (!host.equals(id())) {
+				return SimulatedHost.this.peers.submit(host, job, timeoutNanos);
+			}
+			CompletableFuture<JobResult> result = new CompletableFuture<>();
+			this.localResults.put(job.spec().id(), result);
+			if (!accept(host, job)) {
+				this.localResults.remove(job.spec().id());
+				result.completeExceptionally(
+						DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, "this host is not the scheduler"));
+			}
+			return result;
+		}
+
+		@Override
+		public void withdraw(HostId host, JobId job) {
+			if (host.equals(id())) {
+				this.localResults.remove(job);
+				SimulatedHost.this.withdraw(host, job);
+			}
+			else {
+				SimulatedHost.this.peers.withdraw(host, job);
+			}
+		}
+
+		@Override
+		public long heldNanos(HostId host, long nowNanos) {
+			return host.equals(id()) ? 0
+					: SimulatedHost.this.rules.heldNanos(SimulatedHost.this.peers.newestReplyNanos(host), nowNanos);
+		}
+
+		void complete(JobId job, JobResult result) {
+			CompletableFuture<JobResult> pending = this.localResults.remove(job);
+			if (pending != null) {
+				pending.complete(result);
+			}
+		}
+
+	}
+
+	private final class PeerListener implements SimulatedPeers.Listener {
+
+		@Override
+		public HostState state() {
+			return SimulatedHost.this.state();
+		}
+
+		@Override
+		public void heartbeatAnswered(HostState state) {
+			SimulatedHost.this.election.answerReceived(state, clockNanos());
+		}
+
+		@Override
+		public void heartbeatReceived(HostState state) {
+			SimulatedHost.this.election.heartbeatReceived(state, clockNanos());
+		}
+
+		@Override
+		public void linkLost(String peer, String reason) {
+			HostId host = HostId.of(peer);
+			SimulatedHost.this.trace.event("HOST_LOST " + peer + ": " + reason);
+			SimulatedHost.this.election.peerLost(host);
+			SimulatedHost.this.scheduler.hostLost(host, clockNanos());
+			SimulatedHost.this.peers.answerAll(peer, new JobResult(JobOutcome.MOVED, "the link to the peer was lost"));
+			requestTick();
+		}
+
+		@Override
+		public boolean jobSubmitted(HostId peer, SubmitJob job) {
+			return accept(peer, job);
+		}
+
+		@Override
+		public void jobWithdrawn(HostId peer, JobId job) {
+			withdraw(peer, job);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedOrders.java
@@ -0,0 +1,192 @@
+package org.limpetgate.scheduling;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.limpetgate.UpstreamId;
+import org.limpetgate.scheduling.WorkerReport.EndKind;
+
+/**
+ * Sends the orders of a host of {@link FleetSimulation} to the workers and reports the
+ * answers to its scheduler. An order may be lost, or carried out long after its timeout.
+ * Not thread-safe.
+ */
+final class SimulatedOrders {
+
+	/** Timeout of an order, as in {@code WorkerClient} of the platform module. */
+	private static final long ORDER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+	/** How frequently a worker checks whether a waiting poll can be answered. */
+	private static final long POLL_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
+	/** How frequently an order that a partition holds up is retransmitted. */
+	private static final long RETRANSMISSION_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	/** One in so many orders is carried out late. */
+	private static final int LATE_ORDERS = 60;
+
+	private static final int MAX_LATE_MILLIS = 8000;
+
+	/** One in so many runs fails. */
+	private static final int FAILED_RUNS = 40;
+
+	private final SimulatedHost host;
+
+	private final FleetNetwork network;
+
+	private final Map<UpstreamId, FakeWorker> workers;
+
+	private final Scheduler scheduler;
+
+	SimulatedOrders(SimulatedHost host, FleetNetwork network, Map<UpstreamId, FakeWorker> workers,
+			Scheduler scheduler) {
+		this.host = host;
+		this.network = network;
+		this.workers = workers;
+		this.scheduler = scheduler;
+	}
+
+	void start(SchedulingEffect.StartRun start, StepSpec step) {
+		this.host.trace()
+			.job(start.run().task().job(),
+					"RUN_ORDERED " + start.run() + " on " + start.worker().id() + " with " + start.token().value());
+		long durationNanos = durationNanos(step);
+		EndKind end = (this.network.random().nextInt(FAILED_RUNS) == 0) ? EndKind.FAILED : EndKind.DONE;
+		exchange(start.worker(), ORDER_TIMEOUT_NANOS,
+				(worker, reply) -> reply
+					.accept(worker.start(start, step.demand(), durationNanos, end, this.network.time().nowNanos())),
+				StartAnswer.UNKNOWN, (answer) -> this.scheduler.startAnswered(start.worker().id(), start.run(), answer,
+						this.host.clockNanos()));
+	}
+
+	private long durationNanos(StepSpec step) {
+		return (long) (step.estimatedNanos() * (0.5 + this.network.random().nextDouble()));
+	}
+
+	void stop(SchedulingEffect.StopRun stop) {
+		this.host.trace().job(stop.run().task().job(), "STOP_ORDERED " + stop.run() + " on " + stop.worker().id());
+		exchange(stop.worker(), ORDER_TIMEOUT_NANOS,
+				(worker, reply) -> reply.accept(worker.stop(stop, this.network.time().nowNanos())), false,
+				(confirmed) -> this.scheduler.stopAnswered(stop.worker().id(), stop.run(), confirmed,
+						this.host.clockNanos()));
+	}
+
+	void poll(SchedulingEffect.PollWorker poll) {
+		exchange(poll.worker(), poll.waitNanos() + ORDER_TIMEOUT_NANOS,
+				(worker, reply) -> poll(worker, poll, this.network.time().nowNanos() + poll.waitNanos(), reply),
+				PollAnswer.of(PollFailure.NO_ANSWER), (answer) -> pollAnswered(poll, answer));
+	}
+
+	private void poll(FakeWorker worker, SchedulingEffect.PollWorker poll, long waitUntilNanos,
+			Consumer<PollAnswer> reply) {
+		long now = this.network.time().nowNanos();
+		if (poll.worker().incarnationMillis() != worker.info().incarnationMillis()) {
+			reply.accept(PollAnswer.of(PollFailure.OTHER_LIFE));
+			return;
+		}
+		WorkerReport report = worker.poll(poll, now);
+		if (report == null) {
+			reply.accept(PollAnswer.of(PollFailure.FENCED));
+		}
+		else if (!report.ended().isEmpty() || now >= waitUntilNanos) {
+			reply.accept(new PollAnswer(report, null));
+		}
+		else {
+			// The poll was carried out already; only its answer is delayed.
+			SchedulingEffect.PollWorker continuation = new SchedulingEffect.PollWorker(poll.worker(), poll.sequence(),
+					poll.token(), poll.ackNumber(), 0, poll.waitNanos());
+			this.network.time().schedule(POLL_CHECK_NANOS, () -> poll(worker, continuation, waitUntilNanos, reply));
+		}
+	}
+
+	private void pollAnswered(SchedulingEffect.PollWorker poll, PollAnswer answer) {
+		UpstreamId id = poll.worker().id();
+		if (answer.report() != null) {
+			this.scheduler.reported(id, poll.sequence(), poll.token(), answer.report(), this.host.clockNanos());
+			return;
+		}
+		this.host.trace().event("poll of " + id + " failed: " + answer.failure());
+		this.scheduler.pollFailed(id, poll.sequence(), poll.token(), answer.failure(), this.host.clockNanos());
+	}
+
+	private <T> void exchange(WorkerInfo target, long timeoutNanos, Order<T> order, T noAnswer, Consumer<T> answered) {
+		Exchange<T> exchange = new Exchange<>(this.workers.get(target.id()), order, answered);
+		this.host.schedule(timeoutNanos, () -> exchange.complete(noAnswer));
+		boolean late = this.network.random().nextInt(LATE_ORDERS) == 0;
+		boolean lost = this.network.random().nextBoolean();
+		long delayNanos = late ? this.network.random().nextInt(MAX_LATE_MILLIS) * FleetNetwork.MILLI
+				: this.network.delayNanos();
+		this.network.time().schedule(delayNanos, () -> exchange.deliver(lost));
+	}
+
+	/**
+	 * An order that a worker carries out.
+	 *
+	 * @param <T> the type of its answer
+	 */
+	private interface Order<T> {
+
+		void carryOut(FakeWorker worker, Consumer<T> reply);
+
+	}
+
+	/** An order on its way, or its answer. */
+	private final class Exchange<T> {
+
+		private final FakeWorker worker;
+
+		private final Order<T> order;
+
+		private final Consumer<T> answered;
+
+		private boolean completed;
+
+		Exchange(FakeWorker worker, Order<T> order, Consumer<T> answered) {
+			this.worker = worker;
+			this.order = order;
+			this.answered = answered;
+		}
+
+		// An order that meets a partition is lost, or delivered when that has ended.
+		void deliver(boolean lostInPartition) {
+			SimulatedOrders outer = SimulatedOrders.this;
+			if (outer.network.isOpen(outer.host.name(), this.worker.id().value())) {
+				this.order.carryOut(this.worker, this::reply);
+			}
+			else if (!lostInPartition) {
+				outer.network.time().schedule(RETRANSMISSION_NANOS, () -> deliver(false));
+			}
+		}
+
+		private void reply(T answer) {
+			SimulatedOrders outer = SimulatedOrders.this;
+			if (outer.network.isOpen(this.worker.id().value(), outer.host.name())) {
+				outer.host.schedule(outer.network.delayNanos(), () -> complete(answer));
+			}
+		}
+
+		void complete(T answer) {
+			if (!this.completed) {
+				this.completed = true;
+				this.answered.accept(answer);
+			}
+		}
+
+	}
+
+	/**
+	 * The answer to a poll.
+	 *
+	 * @param report the report, null if the poll failed
+	 * @param failure why it failed, null if it did not
+	 */
+	private record PollAnswer(WorkerReport report, PollFailure failure) {
+
+		static PollAnswer of(PollFailure failure) {
+			return new PollAnswer(null, failure);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPeers.java
@@ -0,0 +1,241 @@
+package org.limpetgate.scheduling;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.limpetgate.HostId;
+import org.limpetgate.JobId;
+import org.limpetgate.fleet.HostState;
+import org.limpetgate.scheduling.FleetLink.LinkEnd;
+import org.limpetgate.scheduling.FleetMessage.Frame;
+import org.limpetgate.scheduling.FleetMessage.Heartbeat;
+import org.limpetgate.scheduling.FleetMessage.Hello;
+import org.limpetgate.scheduling.FleetMessage.JobResult;
+import org.limpetgate.scheduling.FleetMessage.Refusal;
+import org.limpetgate.scheduling.FleetMessage.SubmitJob;
+import org.limpetgate.scheduling.FleetMessage.WithdrawJob;
+import org.limpetgate.scheduling.SubmissionRules.AcceptedLink;
+
+/**
+ * The links of a host of {@link FleetSimulation} to the other hosts. Follows
+ * {@code org.limpetgate.host.fleet.FleetPeers} for fleets in which every host sends
+ * heartbeats to all others. Not thread-safe.
+ */
+final class SimulatedPeers {
+
+	private static final long HEARTBEAT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+	private final SimulatedHost host;
+
+	private final Listener listener;
+
+	private final SubmissionRules rules;
+
+	private final Map<String, OutgoingLink> links = new TreeMap<>();
+
+	/** The replies that have not been sent to other hosts yet, by host and job. */
+	private final Map<String, Map<JobId, InboundConnection.Reply>> pendingReplies = new TreeMap<>();
+
+	private long nextLinkNumber;
+
+	SimulatedPeers(SimulatedHost host, List<String> peers, FleetNetwork network, SubmissionRules rules,
+			Listener listener) {
+		this.host = host;
+		this.listener = listener;
+		this.rules = rules;
+		peers.forEach((peer) -> this.links.put(peer, new OutgoingLink(host, peer, network, listener::linkLost)));
+	}
+
+	void start() {
+		this.links.values().forEach(OutgoingLink::connect);
+	}
+
+	void reconnect(HostId peer) {
+		this.links.get(peer.value()).reconnect();
+	}
+
+	// Sends a heartbeat to all connected peers and returns all peers.
+	Set<HostId> sendHeartbeats(HostState state) {
+		Set<HostId> targets = new HashSet<>();
+		this.links.forEach((peer, link) -> {
+			targets.add(HostId.of(peer));
+			if (link.isUp()) {
+				link.request(new Heartbeat(state), HEARTBEAT_TIMEOUT_NANOS)
+					.thenAccept((reply) -> this.listener.heartbeatAnswered(((Heartbeat) reply).state()));
+			}
+		});
+		return targets;
+	}
+
+	CompletableFuture<JobResult> submit(HostId scheduler, SubmitJob job, long timeoutNanos) {
+		CompletableFuture<JobResult> result = new CompletableFuture<>();
+		this.links.get(scheduler.value()).request(job, timeoutNanos).whenComplete((reply, failure) -> {
+			if (failure != null) {
+				result.completeExceptionally(failure);
+			}
+			else {
+				result.complete((JobResult) reply);
+			}
+		});
+		return result;
+	}
+
+	void withdraw(HostId scheduler, JobId job) {
+		this.links.get(scheduler.value()).send(new WithdrawJob(job));
+	}
+
+	long newestReplyNanos(HostId peer) {
+		return this.links.get(peer.value()).newestReplyNanos();
+	}
+
+	LinkEnd accept(FleetLink link) {
+		return new InboundConnection(link);
+	}
+
+	// Sends a host the result of its job.
+	void answer(HostId peer, JobId job, JobResult result) {
+		InboundConnection.Reply reply = pendingRepliesTo(peer.value()).remove(job);
+		this.rules.answered(peer, job);
+		if (reply != null) {
+			reply.send(result);
+		}
+	}
+
+	// Sends a host the same result for all of its jobs that have no reply yet.
+	void answerAll(String peer, JobResult result) {
+		List.copyOf(pendingRepliesTo(peer).keySet()).forEach((job) -> answer(HostId.of(peer), job, result));
+	}
+
+	private Map<JobId, InboundConnection.Reply> pendingRepliesTo(String peer) {
+		return this.pendingReplies.computeIfAbsent(peer, (key) -> new TreeMap<>());
+	}
+
+	/** Handles the messages of peers. */
+	interface Listener {
+
+		HostState state();
+
+		void heartbeatAnswered(HostState state);
+
+		void heartbeatReceived(HostState state);
+
+		void linkLost(String peer, String reason);
+
+		boolean jobSubmitted(HostId peer, SubmitJob job);
+
+		void jobWithdrawn(HostId peer, JobId job);
+
+	}
+
+	/** The accepting side of a link, which receives requests and one-way messages. */
+	private final class InboundConnection implements LinkEnd {
+
+		private final FleetLink link;
+
+		/** Set when the opener has passed the handshake. */
+		private AcceptedLink accepted;
+
+		private boolean ended;
+
+		InboundConnection(FleetLink link) {
+			this.link = link;
+		}
+
+		@Override
+		public void received(Frame frame) {
+			SimulatedPeers.this.host.handle(() -> {
+				if (!this.ended) {
+					handle(frame);
+				}
+			});
+		}
+
+		@Override
+		public void closed() {
+			SimulatedPeers.this.host.handle(() -> {
+				this.ended = true;
+				this.link.closeByAcceptor();
+			});
+		}
+
+		private void handle(Frame frame) {
+			if (frame.message() instanceof Hello hello) {
+				if (hello.last()) {
+					this.accepted = new AcceptedLink(HostId.of(hello.host()), SimulatedPeers.this.nextLinkNumber++);
+				}
+				write(new Hello(false, SimulatedPeers.this.host.name(), hello.last()), 0);
+				return;
+			}
+			long now = SimulatedPeers.this.host.clockNanos();
+			if (!SimulatedPeers.this.rules.isTimely(this.accepted, frame.echoedNanos(), now)) {
+				refuse(frame, "the message is late");
+			}
+			else if (frame.message() instanceof Heartbeat heartbeat) {
+				SimulatedPeers.this.listener.heartbeatReceived(heartbeat.state());
+				write(new Heartbeat(SimulatedPeers.this.listener.state()), frame.correlationId());
+			}
+			else if (frame.message() instanceof SubmitJob job) {
+				handleSubmit(frame, job);
+			}
+			else if (frame.message() instanceof WithdrawJob withdrawal) {
+				handleWithdrawal(withdrawal.job());
+			}
+		}
+
+		private void refuse(Frame frame, String reason) {
+			SimulatedPeers.this.host.trace().event("refuses a message of " + this.accepted.peer() + ": " + reason);
+			if (frame.correlationId() != 0) {
+				write(new Refusal(reason), frame.correlationId());
+			}
+		}
+
+		private void handleSubmit(Frame frame, SubmitJob message) {
+			JobId job = message.spec().id();
+			HostId peer = this.accepted.peer();
+			pendingRepliesTo(peer.value()).put(job, new Reply(frame.correlationId()));
+			if (SimulatedPeers.this.listener.jobSubmitted(peer, message)) {
+				SimulatedPeers.this.rules.submitted(this.accepted, job);
+			}
+			else {
+				pendingRepliesTo(peer.value()).remove(job);
+				write(new Refusal("this host is not the scheduler"), frame.correlationId());
+			}
+		}
+
+		private void handleWithdrawal(JobId job) {
+			HostId peer = this.accepted.peer();
+			if (SimulatedPeers.this.rules.withdrawn(this.accepted, job)) {
+				pendingRepliesTo(peer.value()).remove(job);
+				SimulatedPeers.this.listener.jobWithdrawn(peer, job);
+			}
+		}
+
+		private void write(FleetMessage message, long correlationId) {
+			if (!this.ended) {
+				this.link.sendToOpener(new Frame(message, correlationId, SimulatedPeers.this.host.clockNanos(), 0));
+			}
+		}
+
+		/** A reply to a submission that is sent later. */
+		private final class Reply {
+
+			private final long correlationId;
+
+			Reply(long correlationId) {
+				this.correlationId = correlationId;
+			}
+
+			void send(JobResult result) {
+				write(result, this.correlationId);
+			}
+
+		}
+
+	}
+
+}
