--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
@@ -15,13 +15,15 @@
 
 	private static final int MAX_PARTITION_MILLIS = 10_000;
 
+	private static final int MIN_PAUSE_MILLIS = 50;
+
 	private static final int MAX_PAUSE_MILLIS = 4000;
 
 	private static final int MIN_RESTART_MILLIS = 300;
 
 	private static final int MAX_RESTART_MILLIS = 3000;
 
-	private static final int MIN_INTERVAL_MILLIS = 1500;
+	private static final int MIN_INTERVAL_MILLIS = 800;
 
 	private static final int MAX_INTERVAL_MILLIS = 8000;
 
@@ -65,22 +67,24 @@
 	}
 
 	private void inject() {
-		switch (this.random.nextInt(12)) {
+		switch (this.random.nextInt(16)) {
 			case 0, 1 -> partitionDataCentre();
 			case 2 -> partitionHost();
-			case 3 -> partitionHosts();
-			case 4 -> silenceHost();
-			case 5 -> resetLink();
-			case 6 -> silenceLink();
-			case 7 -> pauseHost();
-			case 8 -> killHost();
-			case 9, 10 -> partitionWorker();
+			case 3, 4 -> partitionHosts();
+			case 5, 6 -> silenceHost();
+			case 7 -> resetLink();
+			case 8, 9 -> silenceLink();
+			case 10, 11 -> pauseHost();
+			case 12 -> killHost();
+			case 13, 14 -> partitionWorker();
 			default -> restartWorker();
 		}
 	}
 
+	// Returns a time whose logarithm is uniformly distributed.
 	private long randomNanos(int minMillis, int maxMillis) {
-		return (minMillis + this.random.nextInt(maxMillis - minMillis)) * FleetNetwork.MILLI;
+		double millis = minMillis * Math.pow((double) maxMillis / minMillis, this.random.nextDouble());
+		return (long) (millis * FleetNetwork.MILLI);
 	}
 
 	private String anyHost() {
@@ -176,7 +180,7 @@
 		SimulatedHost host = this.fleet.host(anyHost());
 		if (host.isUp() && !host.isPaused()) {
 			host.pause();
-			this.network.time().schedule(randomNanos(MIN_PARTITION_MILLIS, MAX_PAUSE_MILLIS), host::resume);
+			this.network.time().schedule(randomNanos(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS), host::resume);
 		}
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
@@ -72,4 +72,9 @@
 		return Math.max(0, newestReplyNanos + LEASE_NANOS - nowNanos);
 	}
 
+	@Override
+	public boolean withdrawsOverdueJobs() {
+		return true;
+	}
+
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedCallers.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedCallers.java
@@ -33,6 +33,9 @@
 
 	private static final int MAX_CONNECTION_MILLIS = 2000;
 
+	/** One in so many callers sends its job again after its deadline. */
+	private static final int PERSISTENT_CALLERS = 4;
+
 	/** One in so many jobs has a second step. */
 	private static final int TWO_STEP_JOBS = 3;
 
@@ -91,13 +94,15 @@
 		}
 		JobSpec spec = new JobSpec(id, "q", "service", new QueueTerms(0, 3, 3, TimeUnit.MILLISECONDS.toNanos(500)), "",
 				steps);
-		long deadlineNanos = this.time.nowNanos()
-				+ (MIN_DEADLINE_MILLIS + this.random.nextInt(MAX_DEADLINE_MILLIS - MIN_DEADLINE_MILLIS))
-						* FleetNetwork.MILLI;
-		send(spec, deadlineNanos, true);
+		send(spec, newDeadlineNanos(), true);
 		this.time.schedule(this.random.nextInt(MAX_INTERVAL_MILLIS) * FleetNetwork.MILLI, this::sendNewJob);
 	}
 
+	private long newDeadlineNanos() {
+		int millis = MIN_DEADLINE_MILLIS + this.random.nextInt(MAX_DEADLINE_MILLIS - MIN_DEADLINE_MILLIS);
+		return this.time.nowNanos() + millis * FleetNetwork.MILLI;
+	}
+
 	private StepSpec newStep(List<Integer> after) {
 		Capacity demand = new Capacity(1000 + this.random.nextInt(3000), 64, 0);
 		long estimatedNanos = (50 + this.random.nextInt(2000)) * FleetNetwork.MILLI;
@@ -194,6 +199,9 @@
 			if (callers.time.nowNanos() + RESEND_DELAY_NANOS + MIN_REMAINING_NANOS < this.deadlineNanos) {
 				callers.time.schedule(RESEND_DELAY_NANOS, () -> send(this.spec, this.deadlineNanos, false));
 			}
+			else if (callers.random.nextInt(PERSISTENT_CALLERS) == 0) {
+				callers.time.schedule(RESEND_DELAY_NANOS, () -> send(this.spec, callers.newDeadlineNanos(), false));
+			}
 		}
 
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
@@ -411,6 +411,11 @@
 			}
 		}
 
+		@Override
+		public boolean withdrawsOverdueJobs() {
+			return SimulatedHost.this.rules.withdrawsOverdueJobs();
+		}
+
 		@Override
 		public long heldNanos(HostId host, long nowNanos) {
 			return host.equals(id()) ? 0
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPendingJobs.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPendingJobs.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 
 import org.limpetgate.DispatchException;
+import org.limpetgate.ErrorKind;
 import org.limpetgate.HostId;
 import org.limpetgate.JobId;
 import org.limpetgate.Outcome;
@@ -118,6 +119,9 @@
 				long heldUntil = nowNanos + this.transport.heldNanos(job.submittedTo, nowNanos);
 				job.heldUntilNanos = Math.max(job.heldUntilNanos, heldUntil);
 			}
+			if (error.kind() == ErrorKind.DEADLINE_EXCEEDED && this.transport.withdrawsOverdueJobs()) {
+				this.transport.withdraw(job.submittedTo, job.spec.id());
+			}
 			scheduleResubmission(job, mayHaveRun, error.getMessage(), nowNanos);
 			return;
 		}
@@ -165,6 +169,10 @@
 
 		void withdraw(HostId scheduler, JobId job);
 
+		// Tests whether a job is withdrawn when its caller has stopped waiting without an
+		// answer of the scheduler.
+		boolean withdrawsOverdueJobs();
+
 		// Returns how much longer a scheduler that was lost may act on the jobs that were
 		// submitted to it.
 		long heldNanos(HostId scheduler, long nowNanos);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SubmissionRules.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SubmissionRules.java
@@ -61,6 +61,13 @@
 	 */
 	long heldNanos(long newestReplyNanos, long nowNanos);
 
+	/**
+	 * Tests whether this host withdraws a job when its caller has stopped waiting and the
+	 * scheduler has not answered.
+	 * @return true if it does
+	 */
+	boolean withdrawsOverdueJobs();
+
 	/**
 	 * A link that this host has accepted.
 	 *
@@ -112,6 +119,11 @@
 			return 0;
 		}
 
+		@Override
+		public boolean withdrawsOverdueJobs() {
+			return false;
+		}
+
 	}
 
 }
