--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
@@ -19,6 +19,9 @@
 
 	private static final int MAX_PAUSE_MILLIS = 4000;
 
+	/** One in so many interruptions resets the links that it interrupts. */
+	private static final int RESETTING_INTERRUPTIONS = 3;
+
 	private static final int MIN_RESTART_MILLIS = 300;
 
 	private static final int MAX_RESTART_MILLIS = 3000;
@@ -144,6 +147,9 @@
 				}
 			}
 		}
+		if (this.random.nextInt(RESETTING_INTERRUPTIONS) == 0) {
+			resetLinks(side, others);
+		}
 		this.network.time().schedule(randomNanos(MIN_PARTITION_MILLIS, MAX_PARTITION_MILLIS), () -> {
 			this.trace.event("HEALED " + text);
 			for (String name : side) {
@@ -157,6 +163,18 @@
 		});
 	}
 
+	// Resets links as a firewall does, which answers the first frame after an
+	// interruption
+	// instead of the peer.
+	private void resetLinks(List<String> side, List<String> others) {
+		for (FleetLink link : List.copyOf(this.network.links())) {
+			if (side.contains(link.opener()) && others.contains(link.acceptor())) {
+				this.trace.event("RESET link " + link + " at its opener");
+				link.resetOpener();
+			}
+		}
+	}
+
 	private FleetLink anyLink() {
 		return this.network.links().get(this.random.nextInt(this.network.links().size()));
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetLink.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetLink.java
@@ -86,6 +86,17 @@
 		this.toOpener.write(null);
 	}
 
+	// Closes the opener's end as after a reset that does not reach the acceptor.
+	void resetOpener() {
+		this.toAcceptor.items.clear();
+		this.toOpener.items.clear();
+		LinkEnd closed = this.toOpener.receiver;
+		this.toOpener.receiver = null;
+		if (closed != null) {
+			closed.closed();
+		}
+	}
+
 	// Tests whether both ends are closed.
 	boolean isClosed() {
 		return this.toAcceptor.refused && this.toOpener.receiver == null;
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
@@ -40,6 +40,15 @@
 		keepsItsInvariants(LeasedSubmissionRules::new);
 	}
 
+	/**
+	 * Guards against tasks that run twice although submissions are leased, because a job
+	 * stays at a scheduler after its caller has left.
+	 */
+	@Example
+	void keepsItsInvariantsWithAmendedLeases() {
+		keepsItsInvariants(LeasedSubmissionRules.Amended::new);
+	}
+
 	private static void keepsItsInvariants(Supplier<SubmissionRules> rules) {
 		for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
 			FleetSimulation simulation = new FleetSimulation(seed, rules).run(RUN_NANOS).settle();
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
@@ -14,7 +14,7 @@
  * <p>
  * The receiver compares times of its own clock only. Not thread-safe.
  */
-final class LeasedSubmissionRules implements SubmissionRules {
+class LeasedSubmissionRules implements SubmissionRules {
 
 	/** The longest time between the echoed clock and the use of a message. */
 	private static final long LEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
@@ -74,7 +74,31 @@
 
 	@Override
 	public boolean withdrawsOverdueJobs() {
-		return true;
+		return false;
+	}
+
+	@Override
+	public boolean isPauseTooLong(long nanos) {
+		return false;
+	}
+
+	/**
+	 * Adds two rules for jobs whose lease does not end although their callers have left:
+	 * one for those that the scheduler has not answered in time, one for those of a host
+	 * that submitted them to its own scheduler and was paused.
+	 */
+	static final class Amended extends LeasedSubmissionRules {
+
+		@Override
+		public boolean withdrawsOverdueJobs() {
+			return true;
+		}
+
+		@Override
+		public boolean isPauseTooLong(long nanos) {
+			return nanos > LEASE_NANOS;
+		}
+
 	}
 
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedCallers.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedCallers.java
@@ -37,7 +37,7 @@
 	private static final int PERSISTENT_CALLERS = 4;
 
 	/** One in so many jobs has a second step. */
-	private static final int TWO_STEP_JOBS = 3;
+	private static final int TWO_STEP_JOBS = 2;
 
 	private final VirtualTime time;
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -93,6 +94,8 @@
 
 	private long nextHeartbeatNanos;
 
+	private long lastTickNanos;
+
 	private HostId schedulingHost;
 
 	private boolean tickRequested;
@@ -114,6 +117,7 @@
 		this.orders = new SimulatedOrders(this, network, workers, this.scheduler);
 		this.pendingJobs = new SimulatedPendingJobs(this.transport, this::clockNanos, this.trace);
 		this.peers = new SimulatedPeers(this, peers, network, rules, new PeerListener());
+		this.lastTickNanos = clockNanos();
 		this.nextHeartbeatNanos = this.time.nowNanos() + HEARTBEAT_INTERVAL_NANOS;
 		this.trace.event("HOST_STARTED " + this.self);
 		this.peers.start();
@@ -251,6 +255,10 @@
 
 	private void tick() {
 		this.tickRequested = false;
+		if (this.rules.isPauseTooLong(clockNanos() - this.lastTickNanos)) {
+			takeBackOwnJobs();
+		}
+		this.lastTickNanos = clockNanos();
 		withdrawExpiredJobs();
 		List<SchedulingEffect> effects = new ArrayList<>();
 		this.scheduler.tick(clockNanos(), effects::add);
@@ -258,6 +266,12 @@
 		this.pendingJobs.tick(this.schedulingHost, clockNanos());
 	}
 
+	private void takeBackOwnJobs() {
+		this.trace.event("takes its jobs back from its own scheduler after a pause");
+		this.scheduler.hostLost(id(), clockNanos());
+		this.transport.completeAll(new JobResult(JobOutcome.MOVED, "the host was paused"));
+	}
+
 	private void withdrawExpiredJobs() {
 		for (SubmissionRules.SubmittedJob expired : this.rules.takeExpired(clockNanos())) {
 			this.trace.job(expired.job(), "withdraws the job of " + expired.peer() + ", whose lease has expired");
@@ -383,7 +397,7 @@
 	/** Submits jobs to the scheduler of this host or to that of a peer. */
 	private final class Transport implements SimulatedPendingJobs.Transport {
 
-		private final Map<JobId, CompletableFuture<JobResult>> localResults = new HashMap<>();
+		private final Map<JobId, CompletableFuture<JobResult>> localResults = new TreeMap<>();
 
 		@Override
 		public CompletableFuture<JobResult> submit(HostId host, SubmitJob job, long timeoutNanos) {
@@ -422,6 +436,10 @@
 					: SimulatedHost.this.rules.heldNanos(SimulatedHost.this.peers.newestReplyNanos(host), nowNanos);
 		}
 
+		void completeAll(JobResult result) {
+			List.copyOf(this.localResults.keySet()).forEach((job) -> complete(job, result));
+		}
+
 		void complete(JobId job, JobResult result) {
 			CompletableFuture<JobResult> pending = this.localResults.remove(job);
 			if (pending != null) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SubmissionRules.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SubmissionRules.java
@@ -68,6 +68,14 @@
 	 */
 	boolean withdrawsOverdueJobs();
 
+	/**
+	 * Tests whether this host was paused for so long that it must take its jobs back from
+	 * its own scheduler before that one acts again.
+	 * @param nanos the time between two ticks of this host, in nanoseconds
+	 * @return true if it must
+	 */
+	boolean isPauseTooLong(long nanos);
+
 	/**
 	 * A link that this host has accepted.
 	 *
@@ -124,6 +132,11 @@
 			return false;
 		}
 
+		@Override
+		public boolean isPauseTooLong(long nanos) {
+			return false;
+		}
+
 	}
 
 }
