--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulation.java
@@ -45,8 +45,8 @@
 	/** How long the workers have run when the simulation starts. */
 	private static final long WORKER_AGE_NANOS = TimeUnit.SECONDS.toNanos(100);
 
-	/** Longer than any fault lasts. */
-	private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(15);
+	/** Longer than any fault lasts, and than it takes to close a silent link. */
+	private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(25);
 
 	private final VirtualTime time = new VirtualTime(START_NANOS);
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/OutgoingLink.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/OutgoingLink.java
@@ -27,6 +27,10 @@
 
 	private static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+	private static final long PROBE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+	private static final int MAX_PROBES_WITHOUT_INPUT = 4;
+
 	private final SimulatedHost host;
 
 	private final String peer;
@@ -117,6 +121,8 @@
 		/** The newest clock of the peer that arrived on this connection. */
 		private long peerClockNanos;
 
+		private int probesWithoutInput;
+
 		private boolean ended;
 
 		void send(FleetMessage message, long correlationId) {
@@ -150,6 +156,7 @@
 
 		private void handle(Frame frame) {
 			OutgoingLink outer = OutgoingLink.this;
+			this.probesWithoutInput = 0;
 			this.peerClockNanos = Math.max(this.peerClockNanos, frame.clockNanos());
 			if (frame.message() instanceof Hello hello && !hello.last()) {
 				send(new Hello(true, outer.host.name(), true), 0);
@@ -158,6 +165,7 @@
 				outer.connection = this;
 				outer.failures = 0;
 				outer.newestReplyNanos = outer.host.clockNanos();
+				outer.host.schedule(PROBE_INTERVAL_NANOS, this::checkLiveness);
 			}
 			else {
 				outer.newestReplyNanos = outer.host.clockNanos();
@@ -165,6 +173,19 @@
 			}
 		}
 
+		// The probes themselves are not sent, since heartbeats are more frequent.
+		private void checkLiveness() {
+			if (this.ended) {
+				return;
+			}
+			this.probesWithoutInput++;
+			if (this.probesWithoutInput > MAX_PROBES_WITHOUT_INPUT) {
+				end("no input was received");
+				return;
+			}
+			OutgoingLink.this.host.schedule(PROBE_INTERVAL_NANOS, this::checkLiveness);
+		}
+
 		private void reply(Frame frame) {
 			CompletableFuture<FleetMessage> request = this.requests.remove(frame.correlationId());
 			if (request == null) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
@@ -1,12 +1,10 @@
 package org.limpetgate.scheduling;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -45,18 +43,13 @@
 
 	private final Random random;
 
-	private final PriorityQueue<Event> events = new PriorityQueue<>(
-			Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::sequence));
+	private final VirtualTime time = new VirtualTime(START);
 
 	private final Map<UpstreamId, FakeWorker> workers = new TreeMap<>();
 
 	private final List<Host> hosts = new ArrayList<>();
 
-	private final Map<TaskName, Set<String>> running = new HashMap<>();
-
-	private final Map<TaskName, Boolean> done = new HashMap<>();
-
-	private final Set<JobId> startedJobs = new HashSet<>();
+	private final RunChecks checks = new RunChecks(this.workers.values(), (job, text) -> addViolation(text));
 
 	private final Map<JobId, JobSpec> jobs = new HashMap<>();
 
@@ -89,10 +82,6 @@
 
 	private final List<String> violations = new ArrayList<>();
 
-	private long nowNanos = START;
-
-	private long sequence;
-
 	private int nextJob;
 
 	private int processedEvents;
@@ -123,9 +112,7 @@
 	// Processes events until their total number reaches a limit.
 	SchedulerSimulation run(int limit) {
 		while (this.processedEvents < limit && this.violations.isEmpty()) {
-			Event event = this.events.poll();
-			this.nowNanos = Math.max(this.nowNanos, event.atNanos());
-			event.action().run();
+			this.time.runNextEvent();
 			this.processedEvents++;
 		}
 		return this;
@@ -138,11 +125,9 @@
 		this.partitions.clear();
 		this.unlisted.clear();
 		this.workers.values().forEach((worker) -> worker.draining = false);
-		long end = this.nowNanos + nanos;
-		while (this.nowNanos < end && this.violations.isEmpty()) {
-			Event event = this.events.poll();
-			this.nowNanos = Math.max(this.nowNanos, event.atNanos());
-			event.action().run();
+		long end = this.time.nowNanos() + nanos;
+		while (this.time.nowNanos() < end && this.violations.isEmpty()) {
+			this.time.runNextEvent();
 		}
 		return this;
 	}
@@ -160,7 +145,7 @@
 	}
 
 	private void schedule(long delayNanos, Runnable action) {
-		this.events.add(new Event(this.nowNanos + delayNanos, this.sequence++, action));
+		this.time.schedule(delayNanos, action);
 	}
 
 	private long networkDelayNanos() {
@@ -168,7 +153,7 @@
 	}
 
 	private void publishWorkers() {
-		this.hosts.forEach((host) -> host.scheduler.workersListed(listedWorkers(), true, this.nowNanos));
+		this.hosts.forEach((host) -> host.scheduler.workersListed(listedWorkers(), true, this.time.nowNanos()));
 		schedule(400 * MILLI, this::publishWorkers);
 	}
 
@@ -208,7 +193,7 @@
 		}
 		this.jobHosts.put(id, target.number);
 		target.scheduler.submit(origin(), this.jobs.get(id), 0, TimeUnit.SECONDS.toNanos(5), resubmitted,
-				this.nowNanos);
+				this.time.nowNanos());
 		target.tick();
 	}
 
@@ -223,7 +208,7 @@
 		switch (this.random.nextInt(10)) {
 			case 0 -> {
 				FakeWorker worker = anyWorker();
-				worker.restart(this.nowNanos);
+				worker.restart(this.time.nowNanos());
 			}
 			case 1 -> {
 				String partition = this.random.nextInt(SCHEDULERS) + "/" + anyWorker().id();
@@ -282,15 +267,11 @@
 	}
 
 	private void addViolation(String text) {
-		this.violations.add("at " + (this.nowNanos - START) / MILLI + " ms: " + text);
+		this.violations.add("at " + (this.time.nowNanos() - START) / MILLI + " ms: " + text);
 	}
 
 	private void checkAllTasksDone(JobId job) {
-		for (int index = 0; index < this.jobs.get(job).steps().get(0).count(); index++) {
-			if (!this.done.containsKey(new TaskName(job, 0, 0, index))) {
-				addViolation("COMPLETED: task " + index + " of job " + job + " is not done");
-			}
-		}
+		this.checks.checkAllTasksDone(this.jobs.get(job));
 	}
 
 	// Returns the number of stored jobs that have not ended.
@@ -310,20 +291,7 @@
 		@Override
 		public void started(FakeWorker worker, RunId run, long nowNanos) {
 			SchedulerSimulation simulation = SchedulerSimulation.this;
-			simulation.workers.values().forEach((other) -> {
-				if (other != worker) {
-					other.advance(nowNanos);
-				}
-			});
-			if (!worker.used().fits(FakeWorker.CAPACITY)) {
-				addViolation("LIMIT on " + worker.id() + " by " + run);
-			}
-			Set<String> locations = simulation.running.computeIfAbsent(run.task(), (key) -> new HashSet<>());
-			if (!locations.isEmpty()) {
-				addViolation("TWICE: " + run + " on " + worker.id() + " while present on " + locations);
-			}
-			locations.add(worker.id() + "#" + run.attempt());
-			simulation.startedJobs.add(run.task().job());
+			simulation.checks.started(worker, run, nowNanos);
 			if (simulation.jobs.get(run.task().job()).stored()) {
 				checkStoredStart(worker, run);
 			}
@@ -359,10 +327,8 @@
 
 		@Override
 		public void ended(FakeWorker worker, RunId run, EndKind kind) {
-			SchedulerSimulation.this.running.getOrDefault(run.task(), new HashSet<>())
-				.remove(worker.id() + "#" + run.attempt());
+			SchedulerSimulation.this.checks.ended(worker, run, kind);
 			if (kind == EndKind.DONE) {
-				SchedulerSimulation.this.done.put(run.task(), true);
 				SchedulerSimulation.this.doneRuns.computeIfAbsent(run.task(), (key) -> new HashSet<>())
 					.add(describe(worker, run));
 			}
@@ -419,7 +385,7 @@
 			long readEpoch = this.epoch;
 			receive(this.incarnation, networkDelayNanos(), () -> {
 				if (this.epoch == readEpoch && this.scheduler.isActive()) {
-					this.scheduler.loadStoredJobs(storedJobs, simulation.nowNanos);
+					this.scheduler.loadStoredJobs(storedJobs, simulation.time.nowNanos());
 				}
 			});
 		}
@@ -428,7 +394,7 @@
 			this.epoch = 0;
 			this.appending = false;
 			this.unsavedChanges.clear();
-			this.scheduler.releaseStoredJobs(SchedulerSimulation.this.nowNanos);
+			this.scheduler.releaseStoredJobs(SchedulerSimulation.this.time.nowNanos());
 			tick();
 		}
 
@@ -466,7 +432,8 @@
 				return;
 			}
 			this.appending = false;
-			this.scheduler.changesSaved(batch.get(batch.size() - 1).sequence(), SchedulerSimulation.this.nowNanos);
+			this.scheduler.changesSaved(batch.get(batch.size() - 1).sequence(),
+					SchedulerSimulation.this.time.nowNanos());
 			append();
 		}
 
@@ -475,14 +442,14 @@
 		}
 
 		boolean isUp() {
-			return SchedulerSimulation.this.nowNanos >= this.pausedUntilNanos;
+			return SchedulerSimulation.this.time.nowNanos() >= this.pausedUntilNanos;
 		}
 
 		void activate() {
-			this.scheduler.workersListed(listedWorkers(), true, SchedulerSimulation.this.nowNanos);
-			this.schedulerToken = FencingToken.create(SchedulerSimulation.this.nowNanos, this.number,
+			this.scheduler.workersListed(listedWorkers(), true, SchedulerSimulation.this.time.nowNanos());
+			this.schedulerToken = FencingToken.create(SchedulerSimulation.this.time.nowNanos(), this.number,
 					this.schedulerToken);
-			this.scheduler.activate(this.schedulerToken, SchedulerSimulation.this.nowNanos);
+			this.scheduler.activate(this.schedulerToken, SchedulerSimulation.this.time.nowNanos());
 			tick();
 		}
 
@@ -501,14 +468,14 @@
 		// Pauses this host. If the pause is long enough, another host detects the loss,
 		// takes over and gets the jobs.
 		void pause(long nanos) {
-			this.pausedUntilNanos = SchedulerSimulation.this.nowNanos + nanos;
+			this.pausedUntilNanos = SchedulerSimulation.this.time.nowNanos() + nanos;
 			if (nanos > HEARTBEAT_TIMEOUT_NANOS) {
 				schedule(HEARTBEAT_TIMEOUT_NANOS, this::failOver);
 			}
 			schedule(nanos, () -> {
 				// After the pause it learns of the other scheduler and of the lost
 				// hosts.
-				this.scheduler.hostLost(origin(), SchedulerSimulation.this.nowNanos);
+				this.scheduler.hostLost(origin(), SchedulerSimulation.this.time.nowNanos());
 				if (this.epoch != 0 && nanos > HEARTBEAT_TIMEOUT_NANOS) {
 					logLost();
 				}
@@ -523,7 +490,7 @@
 			this.appending = false;
 			this.unsavedChanges.clear();
 			this.scheduler = newScheduler();
-			this.pausedUntilNanos = SchedulerSimulation.this.nowNanos + 400 * MILLI;
+			this.pausedUntilNanos = SchedulerSimulation.this.time.nowNanos() + 400 * MILLI;
 			schedule(networkDelayNanos(), this::failOver);
 		}
 
@@ -554,7 +521,7 @@
 
 		void tick() {
 			if (isUp()) {
-				this.scheduler.tick(SchedulerSimulation.this.nowNanos, this::carryOut);
+				this.scheduler.tick(SchedulerSimulation.this.time.nowNanos(), this::carryOut);
 			}
 		}
 
@@ -564,7 +531,8 @@
 					return;
 				}
 				if (!isUp()) {
-					receive(senderIncarnation, this.pausedUntilNanos - SchedulerSimulation.this.nowNanos, action);
+					receive(senderIncarnation, this.pausedUntilNanos - SchedulerSimulation.this.time.nowNanos(),
+							action);
 					return;
 				}
 				action.run();
@@ -620,11 +588,13 @@
 			Capacity demand = simulation.jobs.get(order.run().task().job()).steps().get(0).demand();
 			long duration = (10 + simulation.random.nextInt(300)) * MILLI;
 			EndKind end = (simulation.random.nextInt(40) == 0) ? EndKind.FAILED : EndKind.DONE;
-			return simulation.workers.get(order.worker().id()).start(order, demand, duration, end, simulation.nowNanos);
+			return simulation.workers.get(order.worker().id())
+				.start(order, demand, duration, end, simulation.time.nowNanos());
 		}
 
 		private void startAnswered(SchedulingEffect.StartRun start, StartAnswer answer) {
-			this.scheduler.startAnswered(start.worker().id(), start.run(), answer, SchedulerSimulation.this.nowNanos);
+			this.scheduler.startAnswered(start.worker().id(), start.run(), answer,
+					SchedulerSimulation.this.time.nowNanos());
 		}
 
 		private void carryOut(SchedulingEffect.StopRun stop) {
@@ -633,13 +603,13 @@
 			UpstreamId id = stop.worker().id();
 			if (isPartitioned(id) || simulation.random.nextInt(20) == 0) {
 				receive(senderIncarnation, 200 * MILLI,
-						() -> this.scheduler.stopAnswered(id, stop.run(), false, simulation.nowNanos));
+						() -> this.scheduler.stopAnswered(id, stop.run(), false, simulation.time.nowNanos()));
 				return;
 			}
 			schedule(networkDelayNanos(), () -> {
-				boolean confirmed = simulation.workers.get(id).stop(stop, simulation.nowNanos);
+				boolean confirmed = simulation.workers.get(id).stop(stop, simulation.time.nowNanos());
 				receive(senderIncarnation, networkDelayNanos(),
-						() -> this.scheduler.stopAnswered(id, stop.run(), confirmed, simulation.nowNanos));
+						() -> this.scheduler.stopAnswered(id, stop.run(), confirmed, simulation.time.nowNanos()));
 			});
 		}
 
@@ -653,7 +623,7 @@
 			long delayNanos = networkDelayNanos();
 			int senderIncarnation = this.incarnation;
 			schedule(delayNanos,
-					() -> poll(poll, senderIncarnation, SchedulerSimulation.this.nowNanos + poll.waitNanos()));
+					() -> poll(poll, senderIncarnation, SchedulerSimulation.this.time.nowNanos() + poll.waitNanos()));
 		}
 
 		private void poll(SchedulingEffect.PollWorker poll, int senderIncarnation, long waitUntilNanos) {
@@ -663,13 +633,13 @@
 				receive(senderIncarnation, networkDelayNanos(), () -> pollFailed(poll, PollFailure.OTHER_LIFE));
 				return;
 			}
-			WorkerReport report = worker.poll(poll, simulation.nowNanos);
+			WorkerReport report = worker.poll(poll, simulation.time.nowNanos());
 			if (report == null) {
 				receive(senderIncarnation, networkDelayNanos(), () -> pollFailed(poll, PollFailure.FENCED));
 			}
-			else if (!report.ended().isEmpty() || simulation.nowNanos >= waitUntilNanos) {
+			else if (!report.ended().isEmpty() || simulation.time.nowNanos() >= waitUntilNanos) {
 				receive(senderIncarnation, networkDelayNanos(), () -> this.scheduler.reported(worker.id(),
-						poll.sequence(), poll.token(), report, simulation.nowNanos));
+						poll.sequence(), poll.token(), report, simulation.time.nowNanos()));
 			}
 			else {
 				// The poll was carried out already; only its answer is delayed.
@@ -681,7 +651,7 @@
 
 		private void pollFailed(SchedulingEffect.PollWorker poll, PollFailure failure) {
 			this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(), failure,
-					SchedulerSimulation.this.nowNanos);
+					SchedulerSimulation.this.time.nowNanos());
 		}
 
 		private void jobEnded(SchedulingEffect.JobEnded ended) {
@@ -710,7 +680,7 @@
 			}
 			else if (ended.outcome() == JobOutcome.REFUSED) {
 				simulation.refused++;
-				if (simulation.startedJobs.contains(ended.job())) {
+				if (simulation.checks.hasStarted(ended.job())) {
 					addViolation("REFUSED: job " + ended.job() + " had started");
 				}
 			}
@@ -748,8 +718,4 @@
 
 	}
 
-	private record Event(long atNanos, long sequence, Runnable action) {
-
-	}
-
 }
