--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -1,14 +1,13 @@
 package org.limpetgate.scheduling;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.UpstreamId;
 import org.limpetgate.scheduling.RunListener.RunEnd;
+import org.limpetgate.scheduling.SchedulingEffect.RunGivenUp;
 import org.limpetgate.scheduling.WorkerReport.EndKind;
 
 /**
@@ -128,9 +127,13 @@
 				stop(run, nowNanos);
 			}
 			case FENCED -> markFenced(worker, nowNanos);
-			case OLD_ATTEMPT -> finish(run, RunEnd.OLD_ATTEMPT, nowNanos);
+			case OLD_ATTEMPT -> {
+				emitGivenUp(worker, id, RunGivenUp.Reason.START_REJECTED, nowNanos);
+				finish(run, RunEnd.OLD_ATTEMPT, nowNanos);
+			}
 			case LEASE_EXPIRED, NO_CAPACITY, REFUSED, OTHER_INCARNATION, NOT_SENT -> {
 				worker.markSuspect(START_FAILURE_SUSPECT_NANOS, nowNanos);
+				emitGivenUp(worker, id, RunGivenUp.Reason.START_REJECTED, nowNanos);
 				finish(run, RunEnd.REJECTED, nowNanos);
 			}
 		}
@@ -246,6 +249,8 @@
 		Map<RunId, WorkerReport.Running> running = new HashMap<>();
 		report.running().forEach((reportedRun) -> running.put(reportedRun.run(), reportedRun));
 		boolean complete = report.ended().size() < MAX_REPORTED_ENDS;
+		RunGivenUp.Reason reason = takeover ? RunGivenUp.Reason.NOT_IN_TAKEOVER_REPORT
+				: RunGivenUp.Reason.NOT_IN_REPORT;
 		for (RunEntity run : List.copyOf(worker.runs.values())) {
 			WorkerReport.Running reportedRun = running.remove(run.id());
 			if (reportedRun != null) {
@@ -256,16 +261,14 @@
 				}
 			}
 			else if (takeover || (complete && mustHaveEnded(run, sentNanos))) {
-				finish(run, RunEnd.LOST, nowNanos);
+				giveUp(run, reason, nowNanos);
 			}
 		}
-		worker.orphanRuns.keySet().removeIf((run) -> {
-			boolean ended = !running.containsKey(run);
-			if (ended) {
-				this.tables.removeRun(run.task());
+		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
+			if (!running.containsKey(run)) {
+				giveUpOrphan(worker, run, reason, nowNanos);
 			}
-			return ended;
-		});
+		}
 		for (WorkerReport.Running reportedRun : running.values()) {
 			adoptOrAddOrphan(worker, reportedRun, nowNanos);
 		}
@@ -323,6 +326,23 @@
 		this.listener.runEnded(run, end, nowNanos);
 	}
 
+	// Handles a run that must have ended although the worker has not listed its end.
+	void giveUp(RunEntity run, RunGivenUp.Reason reason, long nowNanos) {
+		emitGivenUp(run.worker(), run.id(), reason, nowNanos);
+		finish(run, RunEnd.LOST, nowNanos);
+	}
+
+	void giveUpOrphan(WorkerEntity worker, RunId run, RunGivenUp.Reason reason, long nowNanos) {
+		emitGivenUp(worker, run, reason, nowNanos);
+		worker.orphanRuns.remove(run);
+		this.tables.removeRun(run.task());
+	}
+
+	private void emitGivenUp(WorkerEntity worker, RunId run, RunGivenUp.Reason reason, long nowNanos) {
+		long sinceRenewalNanos = (worker.renewedNanos != 0) ? nowNanos - worker.renewedNanos : -1;
+		this.tables.emit(new RunGivenUp(worker.info, run, reason, sinceRenewalNanos, worker.fenced));
+	}
+
 	// Applies the time-outs of the runs on a worker.
 	void process(WorkerEntity worker, long nowNanos) {
 		retryStops(worker, nowNanos);
@@ -380,40 +400,57 @@
 				&& nowNanos - run.startedNanos() > HANG_DURATION_FACTOR * run.expectedNanos;
 	}
 
-	// Tests whether another scheduler may keep renewing the lease of a worker that this
-	// host cannot reach.
-	private boolean mayHaveOtherOwner(WorkerEntity worker, long nowNanos) {
-		boolean otherOwnerPossible = this.tables.otherSchedulerPossible || worker.fenced;
-		boolean leaseExpired = !worker.listed
-				&& nowNanos - worker.unlistedNanos > this.tables.settings.storedGuardNanos();
-		return otherOwnerPossible && !leaseExpired
-				&& nowNanos - worker.renewedNanos < SchedulerSettings.MAX_GUARD_NANOS;
+	// Counts runs on a worker that does not report as lost, once no owner can have
+	// renewed their lease. Orders without an answer stay unresolved, since they may still
+	// arrive.
+	private void expireLease(WorkerEntity worker, long nowNanos) {
+		if (worker.pollFailures == 0 || !worker.isBusy()) {
+			return;
+		}
+		long sinceRenewalNanos = nowNanos - worker.renewedNanos;
+		for (RunEntity run : List.copyOf(worker.runs.values())) {
+			boolean settled = run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED
+					|| !worker.listed;
+			if (settled && sinceRenewalNanos >= lossNanos(worker, isStored(run), nowNanos)) {
+				giveUp(run, RunGivenUp.Reason.LEASE_EXPIRED, nowNanos);
+			}
+		}
+		// An orphan run may belong to a stored job.
+		if (sinceRenewalNanos >= lossNanos(worker, true, nowNanos)) {
+			for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
+				giveUpOrphan(worker, run, RunGivenUp.Reason.LEASE_EXPIRED, nowNanos);
+			}
+		}
 	}
 
 	private static boolean isStored(RunEntity run) {
 		return run.task != null && run.task.job().spec().stored();
 	}
 
-	// Without a renewal all runs end when the lease expires on the worker's own clock.
-	// Orders without an answer stay unresolved, since they may still arrive.
-	private void expireLease(WorkerEntity worker, long nowNanos) {
-		if (worker.pollFailures == 0 || worker.runs.isEmpty()
-				|| nowNanos - worker.renewedNanos < this.tables.settings.leaseEndNanos()) {
-			return;
+	/**
+	 * Returns how long after the last renewal by this scheduler a run on a worker that
+	 * does not report must have ended. Another scheduler renews its lease only after
+	 * adopting it.
+	 * @param worker the worker
+	 * @param stored whether the run may belong to a stored job
+	 * @param nowNanos the current time
+	 * @return the time in nanoseconds
+	 */
+	private long lossNanos(WorkerEntity worker, boolean stored, long nowNanos) {
+		SchedulerSettings settings = this.tables.settings;
+		if (worker.fenced) {
+			return SchedulerSettings.MAX_GUARD_NANOS;
 		}
-		boolean mayHaveOtherOwner = mayHaveOtherOwner(worker, nowNanos);
-		for (RunEntity run : new ArrayList<>(worker.runs.values())) {
-			boolean settled = run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED
-					|| !worker.listed;
-			if (settled && !(mayHaveOtherOwner && isStored(run))) {
-				finish(run, RunEnd.LOST, nowNanos);
-			}
+		if (!this.tables.otherSchedulerPossible) {
+			return settings.leaseEndNanos();
 		}
-		Iterator<RunId> orphanRuns = worker.orphanRuns.keySet().iterator();
-		while (orphanRuns.hasNext()) {
-			this.tables.removeRun(orphanRuns.next().task());
-			orphanRuns.remove();
+		// A best-effort job that its host has submitted to another scheduler is
+		// withdrawn here by then, since the loss of that host is noticed.
+		if (!stored) {
+			return settings.storedGuardNanos();
 		}
+		boolean removed = !worker.listed && nowNanos - worker.unlistedNanos > settings.storedGuardNanos();
+		return removed ? settings.leaseEndNanos() : SchedulerSettings.MAX_GUARD_NANOS;
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
@@ -31,7 +31,7 @@
 	private static final int RENEWALS_PER_LEASE = 5;
 
 	/**
-	 * A worker that is unreachable for longer than this no longer delays a stored job.
+	 * A worker that is unreachable for longer than this no longer delays a job.
 	 */
 	static final long MAX_GUARD_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -86,9 +86,9 @@
 	}
 
 	/**
-	 * Returns how long a resubmitted job waits if not every worker can be polled for its
-	 * runs. An earlier scheduler has not renewed its leases since the resubmission, so
-	 * they have expired by then.
+	 * Returns how long a resubmitted job waits, after no earlier scheduler acts on it any
+	 * longer, if not every worker can be polled for its runs. Their leases have expired
+	 * by then.
 	 * @return the time in nanoseconds
 	 */
 	public long resubmitGuardNanos() {
@@ -98,7 +98,8 @@
 	/**
 	 * Returns how long a stored job waits if not every worker can be polled for its runs.
 	 * An unreachable earlier owner of the stored jobs renews leases until it notices that
-	 * it lost them. After this time those leases have expired too.
+	 * it lost them. After this time those leases have expired too. The loss of a host is
+	 * noticed in less time.
 	 * @return the time in nanoseconds
 	 */
 	public long storedGuardNanos() {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
@@ -358,8 +358,6 @@
 		}
 	}
 
-	// An earlier scheduler may act on the job for the time that the message names, so
-	// that it is submitted as if it arrived after that time.
 	private boolean accept(HostId origin, SubmitJob message) {
 		if (!this.scheduler.isActive()) {
 			return false;
@@ -367,9 +365,10 @@
 		JobId job = message.spec().id();
 		this.trace.job(job, "accepts the job of " + origin + ", resubmitted " + message.resubmitted());
 		this.specs.put(job, message.spec());
-		this.scheduler.submit(origin, message.spec(), message.waitedNanos() + message.heldNanos(),
-				message.remainingNanos() - message.heldNanos(), message.resubmitted(),
-				clockNanos() + message.heldNanos());
+		EarlierSubmission earlier = message.resubmitted() ? EarlierSubmission.heldFor(message.heldNanos())
+				: EarlierSubmission.NONE;
+		this.scheduler.submit(origin, message.spec(), message.waitedNanos(), message.remainingNanos(), earlier,
+				clockNanos());
 		requestTick();
 		return true;
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -43,6 +43,9 @@
 	/** A job was answered. */
 	JOB_ENDED(1304, "job=%s outcome=%s took_ms=%s scheduler=%s reason=%s"),
 
+	/** The scheduler received a job from another host. */
+	SUBMISSION_RECEIVED(1305, "job=%s origin=%s link=%s max_age_ms=%s waited_ms=%s resubmitted=%s"),
+
 	/** A worker was ordered to start a run. */
 	RUN_ORDERED(1311, "run=%s worker=%s token=%s"),
 
@@ -52,6 +55,9 @@
 	/** A worker did not report. */
 	WORKER_SILENT(1313, "worker=%s failure=%s"),
 
+	/** A run counts as ended although its worker has not listed the end. */
+	RUN_GIVEN_UP(1314, "run=%s worker=%s reason=%s since_renewal_ms=%s fenced=%s"),
+
 	/** The stored jobs were taken over from the platform's store. */
 	STORED_JOBS_READ(1320, "epoch=%s jobs=%s"),
 
@@ -85,6 +91,12 @@
 	/** The link to a host was lost. */
 	HOST_LOST(3204, "host=%s"),
 
+	/** This host ended the jobs of a host from which it received nothing for too long. */
+	SUBMISSION_LEASE_EXPIRED(3205, "origin=%s link=%s jobs=%s"),
+
+	/** A message was refused because its sender may have given it up. */
+	STALE_MESSAGE_REFUSED(3206, "message=%s host=%s link=%s max_age_ms=%s"),
+
 	/** The host started. */
 	STARTED(4001, "host=%s callers=%s operators=%s peers=%s"),
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -12,21 +10,21 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import org.limpetgate.DispatchException;
-import org.limpetgate.ErrorKind;
 import org.limpetgate.HostId;
 import org.limpetgate.Incarnation;
 import org.limpetgate.JobId;
-import org.limpetgate.Outcome;
 import org.limpetgate.fleet.Directory;
 import org.limpetgate.fleet.HostState;
 import org.limpetgate.fleet.JobLog;
+import org.limpetgate.fleet.OverloadDetector;
 import org.limpetgate.fleet.QueueTable;
 import org.limpetgate.fleet.SchedulerElection;
+import org.limpetgate.fleet.SubmissionLeases;
 import org.limpetgate.fleet.WorkerOrders;
 import org.limpetgate.host.EventLog;
 import org.limpetgate.host.HostMetrics;
 import org.limpetgate.host.LogEvent;
+import org.limpetgate.net.peer.InboundLink;
 import org.limpetgate.proto.HostBeat;
 import org.limpetgate.proto.JobResult;
 import org.limpetgate.proto.JobStatus;
@@ -66,18 +64,6 @@
 	/** The tick interval otherwise. */
 	private static final long IDLE_TICK_INTERVAL_MILLIS = 100;
 
-	/**
-	 * Mean tick lateness above which this host is overloaded and should not schedule for
-	 * others.
-	 */
-	private static final double OVERLOAD_LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
-
-	/** Mean tick lateness at or below which an overloaded host has recovered. */
-	private static final double RECOVERY_LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
-
-	/** The weight of the newest sample in the moving average of the tick lateness. */
-	private static final double LATENESS_WEIGHT = 0.04;
-
 	private final FleetSettings settings;
 
 	private final EventLoop loop;
@@ -88,19 +74,23 @@
 
 	private final EventLog log;
 
+	private final HostMetrics metrics;
+
 	private final Incarnation self;
 
 	private final Scheduler scheduler;
 
 	private final SchedulerElection election;
 
+	private final OverloadDetector overload = new OverloadDetector();
+
 	private final PendingJobs pendingJobs;
 
 	private final StoredJobService storedJobs;
 
 	private final EffectExecutor effectExecutor;
 
-	private final Transport transport = new Transport();
+	private final SchedulerTransport transport;
 
 	private FleetPeers peers;
 
@@ -118,13 +108,6 @@
 
 	private boolean leaving;
 
-	private boolean overloaded;
-
-	/** Moving average of the tick lateness. */
-	private double latenessNanos;
-
-	private long expectedTickNanos;
-
 	/** The host that schedules, null if none is known. */
 	private HostId schedulingHost;
 
@@ -137,9 +120,11 @@
 		this.clock = clock;
 		this.directory = directory;
 		this.log = log;
+		this.metrics = metrics;
 		this.self = Incarnation.of(settings.host(), clock.getAsLong() / 1_000_000);
 		this.scheduler = Scheduler.of(settings.scheduler());
 		this.election = new SchedulerElection();
+		this.transport = new SchedulerTransport(this.self.host(), new LocalScheduler(), () -> this.peers);
 		this.pendingJobs = new PendingJobs(this.transport, clock, new JobEvents(log, metrics));
 		this.storedJobs = new StoredJobService(jobLog, this.scheduler, settings.scheduler().hostNumber(), clock, log,
 				this::requestTick);
@@ -297,21 +282,19 @@
 
 	private HostState state() {
 		return new HostState(this.self, this.settings.dataCentre(), this.leaving,
-				this.queues != null && this.workersKnown, this.overloaded, this.settings.cpuMillis(),
+				this.queues != null && this.workersKnown, this.overload.isOverloaded(), this.settings.cpuMillis(),
 				this.schedulerToken, this.allDataCentres);
 	}
 
 	private void scheduleTick() {
 		long millis = (this.schedulerToken.isNone() && this.pendingJobs.size() == 0) ? IDLE_TICK_INTERVAL_MILLIS
 				: TICK_INTERVAL_MILLIS;
-		this.expectedTickNanos = this.clock.getAsLong() + TimeUnit.MILLISECONDS.toNanos(millis);
+		this.overload.tickScheduled(this.clock.getAsLong() + TimeUnit.MILLISECONDS.toNanos(millis));
 		this.loop.schedule(this::timedTick, millis, TimeUnit.MILLISECONDS);
 	}
 
 	private void timedTick() {
-		long lateNanos = this.clock.getAsLong() - this.expectedTickNanos;
-		this.latenessNanos += (lateNanos - this.latenessNanos) * LATENESS_WEIGHT;
-		this.overloaded = this.latenessNanos > (this.overloaded ? RECOVERY_LATENESS_NANOS : OVERLOAD_LATENESS_NANOS);
+		this.overload.tickStarted(this.clock.getAsLong());
 		try {
 			runElection();
 			long now = this.clock.getAsLong();
@@ -334,6 +317,7 @@
 
 	private void tick() {
 		this.tickRequested = false;
+		this.peers.expireLeases(this.clock.getAsLong());
 		List<SchedulingEffect> effects = new ArrayList<>();
 		this.scheduler.tick(this.clock.getAsLong(), effects::add);
 		effects.forEach(this.effectExecutor::execute);
@@ -406,7 +390,8 @@
 			return false;
 		}
 		this.scheduler.submit(origin, JobMessages.toSpec(job), TimeUnit.MILLISECONDS.toNanos(job.getWaitedMillis()),
-				TimeUnit.MILLISECONDS.toNanos(job.getRemainingMillis()), job.getResubmitted(), this.clock.getAsLong());
+				TimeUnit.MILLISECONDS.toNanos(job.getRemainingMillis()), JobMessages.earlierSubmission(job),
+				this.clock.getAsLong());
 		requestTick();
 		return true;
 	}
@@ -416,43 +401,17 @@
 		requestTick();
 	}
 
-	/** Submits jobs to the scheduler of this host or to that of a peer. */
-	private final class Transport implements JobTransport {
-
-		private final Map<JobId, CompletableFuture<JobResult>> localResults = new HashMap<>();
+	/** The scheduler of this host, for the jobs of its own callers. */
+	private final class LocalScheduler implements SchedulerTransport.LocalScheduler {
 
 		@Override
-		public CompletableFuture<JobResult> submit(HostId host, SubmitJob job, long timeoutNanos) {
-			if (!host.equals(FleetHost.this.self.host())) {
-				return FleetHost.this.peers.submit(host, job, timeoutNanos);
-			}
-			CompletableFuture<JobResult> result = new CompletableFuture<>();
-			JobId id = JobId.of(job.getJobId());
-			this.localResults.put(id, result);
-			if (!accept(host, job)) {
-				this.localResults.remove(id);
-				result.completeExceptionally(
-						DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, "this host is not the scheduler"));
-			}
-			return result;
+		public boolean accept(HostId origin, SubmitJob job) {
+			return FleetHost.this.accept(origin, job);
 		}
 
 		@Override
-		public void withdraw(HostId host, JobId job) {
-			if (host.equals(FleetHost.this.self.host())) {
-				this.localResults.remove(job);
-				FleetHost.this.withdraw(host, job);
-			}
-			else {
-				FleetHost.this.peers.withdraw(host, job);
-			}
-		}
-
-		void complete(JobId job, JobResult result) {
-			CompletableFuture<JobResult> pending = this.localResults.remove(job);
-			if (pending != null) {
-				pending.complete(result);
-			}
+		public void withdraw(HostId origin, JobId job) {
+			FleetHost.this.withdraw(origin, job);
 		}
 
 	}
@@ -489,11 +448,36 @@
 			requestTick();
 		}
 
+		@Override
+		public void leaseExpired(SubmissionLeases.Link link, List<JobId> jobs) {
+			FleetHost.this.log.write(LogEvent.SUBMISSION_LEASE_EXPIRED, link.origin(), link.number(), jobs.size());
+			FleetHost.this.metrics.submissionLeaseExpired(jobs.size());
+			JobResult result = JobMessages.toMessage(JobOutcome.MOVED, "the lease of the submitting host has expired",
+					0);
+			for (JobId job : jobs) {
+				withdraw(link.origin(), job);
+				FleetHost.this.peers.answer(link.origin(), job, result);
+			}
+		}
+
+		@Override
+		public void staleMessage(InboundLink link, String message, long maxAgeNanos) {
+			FleetHost.this.log.write(LogEvent.STALE_MESSAGE_REFUSED, message, link.host(), link.number(),
+					TimeUnit.NANOSECONDS.toMillis(maxAgeNanos));
+			FleetHost.this.metrics.staleMessageRefused();
+		}
+
 		@Override
 		public void configurationOffered(byte[] text) {
 			FleetHost.this.directory.offerConfiguration(text);
 		}
 
+		@Override
+		public void submissionReceived(InboundLink link, SubmitJob job, long maxAgeNanos) {
+			FleetHost.this.log.write(LogEvent.SUBMISSION_RECEIVED, job.getJobId(), link.host(), link.number(),
+					TimeUnit.NANOSECONDS.toMillis(maxAgeNanos), job.getWaitedMillis(), job.getResubmitted());
+		}
+
 		@Override
 		public boolean jobSubmitted(HostId peer, SubmitJob job) {
 			return accept(peer, job);
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/InboundConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/InboundConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import javax.crypto.SecretKey;
 
@@ -22,6 +23,9 @@
 
 	private PeerIdentity claimedIdentity;
 
+	/** The link that this connection serves, null before the handshake is complete. */
+	private InboundLink link;
+
 	private Hello clientHello;
 
 	private Hello serverHello;
@@ -44,6 +48,11 @@
 		}
 	}
 
+	@Override
+	long acceptorClockNanos() {
+		return settings().clock().getAsLong();
+	}
+
 	@Override
 	void handleHello(Hello hello) {
 		if (this.clientHello == null) {
@@ -88,6 +97,8 @@
 			return;
 		}
 		onAuthenticated(this.claimedIdentity, this.clientHello.getKeyId(), this.key);
+		this.link = new InboundLink(this.claimedIdentity, this.server.nextLinkNumber());
+		this.server.closeSuperseded(this);
 		writeHello(Hello.getDefaultInstance());
 	}
 
@@ -98,6 +109,11 @@
 			writeHello(Hello.getDefaultInstance());
 			return;
 		}
+		long maxAgeNanos = maxAgeNanos(frame);
+		if (maxAgeNanos > settings().limits().maxMessageAgeNanos()) {
+			refuseStale(frame, maxAgeNanos);
+			return;
+		}
 		if (frame.getCorrelationId() == 0) {
 			handle(frame);
 			return;
@@ -114,9 +130,27 @@
 		}));
 	}
 
+	// Returns how long ago a frame was sent at most: the sender had received the time in
+	// it before it sent the frame. Hosts of earlier versions do not repeat the time.
+	private long maxAgeNanos(PeerFrame frame) {
+		long provenNanos = frame.getAcceptorClockNanos();
+		return (provenNanos != 0) ? acceptorClockNanos() - provenNanos : 0;
+	}
+
+	// Any reply carries the current time, so that the sender can send the message again.
+	private void refuseStale(PeerFrame frame, long maxAgeNanos) {
+		settings().metrics().staleMessage(this.link, frame.getMessageCase(), maxAgeNanos);
+		if (frame.getCorrelationId() == 0) {
+			writeHello(Hello.getDefaultInstance());
+			return;
+		}
+		reply(frame, PeerFrames.refusal(DispatchException.of(ErrorKind.STALE_MESSAGE, Outcome.NOT_RUN, "message "
+				+ frame.getMessageCase() + " may be " + TimeUnit.NANOSECONDS.toMillis(maxAgeNanos) + " ms old")));
+	}
+
 	private CompletableFuture<PeerFrame.Builder> handle(PeerFrame frame) {
 		try {
-			Optional<CompletableFuture<PeerFrame.Builder>> reply = this.server.handler().handle(peer(), frame);
+			Optional<CompletableFuture<PeerFrame.Builder>> reply = this.server.handler().handle(this.link, frame);
 			return reply.orElseGet(() -> CompletableFuture.failedFuture(DispatchException.of(ErrorKind.INTERNAL,
 					Outcome.UNKNOWN, "the handler returned no reply to " + frame.getMessageCase())));
 		}
@@ -129,19 +163,16 @@
 		if (isRefused() || !context().channel().isActive()) {
 			return;
 		}
-		PeerFrame frame = reply.setProtocolVersion(PeerFrames.PROTOCOL_VERSION)
-			.setCorrelationId(request.getCorrelationId())
-			.build();
-		if (frame.getSerializedSize() > settings().limits().maxFrameBytes()) {
+		int size = reply.setCorrelationId(request.getCorrelationId()).build().getSerializedSize()
+				+ PeerLinks.FRAME_OVERHEAD_BYTES;
+		if (size > settings().limits().maxFrameBytes()) {
 			write(PeerFrames
 				.refusal(DispatchException.of(ErrorKind.INTERNAL, Outcome.UNKNOWN,
-						"the reply has " + frame.getSerializedSize() + " bytes, the limit is "
-								+ settings().limits().maxFrameBytes()))
-				.setCorrelationId(request.getCorrelationId())
-				.build());
+						"the reply has " + size + " bytes, the limit is " + settings().limits().maxFrameBytes()))
+				.setCorrelationId(request.getCorrelationId()));
 			return;
 		}
-		write(frame);
+		write(reply);
 	}
 
 	@Override
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerConnection.java
@@ -36,12 +36,6 @@
 	/** The frame limit before authentication, enough for any hello or refusal. */
 	private static final int MAX_HANDSHAKE_FRAME_BYTES = 4096;
 
-	/**
-	 * The number of probe intervals without input after which a connection counts as
-	 * dead.
-	 */
-	private static final int MAX_PROBES_WITHOUT_INPUT = 4;
-
 	/** The time for the peer to read a refusal and close. */
 	private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -51,7 +45,7 @@
 
 	private ChannelHandlerContext context;
 
-	private PeerIdentity peer;
+	private volatile PeerIdentity peer;
 
 	private String keyId;
 
@@ -98,6 +92,12 @@
 	 */
 	abstract void handleHello(Hello hello);
 
+	/**
+	 * Returns the time of the accepting side's clock that this side sends in its frames.
+	 * @return the time in nanoseconds, 0 if this side does not know it yet
+	 */
+	abstract long acceptorClockNanos();
+
 	/**
 	 * Handles a frame after the handshake.
 	 * @param frame the frame, of the supported protocol version
@@ -160,8 +160,8 @@
 		if (!this.settings.keys().contains(this.keyId, this.key)) {
 			refuse("the key '" + this.keyId + "' of this link was removed");
 		}
-		else if (this.probesWithoutInput > MAX_PROBES_WITHOUT_INPUT) {
-			close("no input was received during " + MAX_PROBES_WITHOUT_INPUT + " probes");
+		else if (this.probesWithoutInput > PeerLimits.MAX_PROBES_WITHOUT_INPUT) {
+			close("no input was received during " + PeerLimits.MAX_PROBES_WITHOUT_INPUT + " probes");
 		}
 		else {
 			probe();
@@ -170,17 +170,20 @@
 
 	/**
 	 * Writes a frame.
-	 * @param frame the frame
+	 * @param message the frame without version and clock
 	 * @return completes when the operating system has accepted the complete frame
 	 */
-	ChannelFuture write(PeerFrame frame) {
+	ChannelFuture write(PeerFrame.Builder message) {
+		PeerFrame frame = message.setProtocolVersion(PeerFrames.PROTOCOL_VERSION)
+			.setAcceptorClockNanos(acceptorClockNanos())
+			.build();
 		ByteBuf bytes = PeerFrames.encode(this.context.alloc(), frame);
 		this.settings.metrics().bytesSent(bytes.readableBytes());
 		return this.context.writeAndFlush(bytes);
 	}
 
 	void writeHello(Hello hello) {
-		write(PeerFrame.newBuilder().setProtocolVersion(PeerFrames.PROTOCOL_VERSION).setHello(hello).build());
+		write(PeerFrame.newBuilder().setHello(hello));
 	}
 
 	/**
@@ -201,7 +204,7 @@
 			.log("LG5101 PEER_REFUSED refused the connection with %s: %s", this.context.channel().remoteAddress(),
 					reason);
 		DispatchException error = DispatchException.of(ErrorKind.PEER_REFUSED, Outcome.NOT_RUN, reason);
-		write(PeerFrames.refusal(error).build()).addListener((written) -> endOutput());
+		write(PeerFrames.refusal(error)).addListener((written) -> endOutput());
 		this.timer = this.context.executor().schedule(() -> close(reason), LINGER_NANOS, TimeUnit.NANOSECONDS);
 		onClosed(reason);
 	}
@@ -220,6 +223,15 @@
 		this.context.close();
 	}
 
+	void runOnLoop(Runnable task) {
+		if (this.context.executor().inEventLoop()) {
+			task.run();
+		}
+		else {
+			this.context.executor().execute(task);
+		}
+	}
+
 	private void cancelTimer() {
 		if (this.timer != null) {
 			this.timer.cancel(false);
