--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
@@ -218,10 +218,8 @@
 
 	private void timedTick() {
 		this.overload.tickStarted(clockNanos());
-		if (!skipsTick()) {
-			runElection();
-			tick();
-		}
+		runElection();
+		tick();
 		scheduleTick();
 	}
 
@@ -245,20 +243,15 @@
 		tick();
 	}
 
-	// Skips the first tick after a long pause, so that the input that waited is processed
-	// before this host acts.
-	private boolean skipsTick() {
-		boolean skipped = this.rules.isPauseTooLong(clockNanos() - this.lastTickNanos);
-		if (skipped) {
-			this.trace.event("skips a tick after a pause");
-			this.lastTickNanos = clockNanos();
-		}
-		return skipped;
-	}
-
 	private void tick() {
 		this.tickRequested = false;
+		boolean paused = this.rules.isPauseTooLong(clockNanos() - this.lastTickNanos);
 		this.lastTickNanos = clockNanos();
+		if (paused) {
+			// Input that waited during the pause is processed before the next tick.
+			this.trace.event("skips a tick after a pause");
+			return;
+		}
 		expireLeases();
 		List<SchedulingEffect> effects = new ArrayList<>();
 		this.scheduler.tick(clockNanos(), effects::add);
