--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetMessage.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetMessage.java
@@ -63,8 +63,9 @@
 	 * Answers a request that the receiver has not carried out.
 	 *
 	 * @param reason a message that explains the refusal
+	 * @param stale whether the request was too old, so that it may be sent again
 	 */
-	record Refusal(String reason) implements FleetMessage {
+	record Refusal(String reason, boolean stale) implements FleetMessage {
 
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/OutgoingLink.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/OutgoingLink.java
@@ -112,7 +112,7 @@
 
 	private final class Connection implements LinkEnd {
 
-		private final Map<Long, CompletableFuture<FleetMessage>> requests = new LinkedHashMap<>();
+		private final Map<Long, Request> requests = new LinkedHashMap<>();
 
 		private FleetLink link;
 
@@ -132,16 +132,16 @@
 
 		void request(FleetMessage message, long timeoutNanos, CompletableFuture<FleetMessage> reply) {
 			long id = ++this.lastCorrelationId;
-			this.requests.put(id, reply);
+			this.requests.put(id, new Request(message, reply, false));
 			OutgoingLink.this.host.schedule(timeoutNanos,
 					() -> fail(id, ErrorKind.DEADLINE_EXCEEDED, "no reply from " + OutgoingLink.this.peer));
 			send(message, id);
 		}
 
 		private void fail(long id, ErrorKind kind, String reason) {
-			CompletableFuture<FleetMessage> request = this.requests.remove(id);
+			Request request = this.requests.remove(id);
 			if (request != null) {
-				request.completeExceptionally(DispatchException.of(kind, Outcome.UNKNOWN, reason));
+				request.reply().completeExceptionally(DispatchException.of(kind, Outcome.UNKNOWN, reason));
 			}
 		}
 
@@ -161,7 +161,7 @@
 			if (frame.message() instanceof Hello hello && !hello.last()) {
 				send(new Hello(true, outer.host.name(), true), 0);
 			}
-			else if (frame.message() instanceof Hello) {
+			else if (frame.message() instanceof Hello && outer.connection != this) {
 				outer.connection = this;
 				outer.failures = 0;
 				outer.newestReplyNanos = outer.host.clockNanos();
@@ -187,16 +187,21 @@
 		}
 
 		private void reply(Frame frame) {
-			CompletableFuture<FleetMessage> request = this.requests.remove(frame.correlationId());
+			Request request = this.requests.remove(frame.correlationId());
 			if (request == null) {
 				return;
 			}
-			if (frame.message() instanceof Refusal refusal) {
-				request.completeExceptionally(
-						DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, refusal.reason()));
+			if (frame.message() instanceof Refusal refusal && refusal.stale() && !request.repeated()) {
+				this.requests.put(frame.correlationId(), request.repeat());
+				send(request.message(), frame.correlationId());
+			}
+			else if (frame.message() instanceof Refusal refusal) {
+				request.reply()
+					.completeExceptionally(
+							DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, refusal.reason()));
 			}
 			else {
-				request.complete(frame.message());
+				request.reply().complete(frame.message());
 			}
 		}
 
@@ -225,4 +230,19 @@
 
 	}
 
+	/**
+	 * A request that awaits its reply.
+	 *
+	 * @param message the message
+	 * @param reply receives the reply
+	 * @param repeated whether it was sent again after the peer refused it as stale
+	 */
+	private record Request(FleetMessage message, CompletableFuture<FleetMessage> reply, boolean repeated) {
+
+		Request repeat() {
+			return new Request(this.message, this.reply, true);
+		}
+
+	}
+
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPeers.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPeers.java
@@ -118,11 +118,21 @@
 		return this.pendingReplies.computeIfAbsent(peer, (key) -> new TreeMap<>());
 	}
 
-	// Closes the earlier link of a host that has opened a new one.
-	private void closeSuperseded(InboundConnection current) {
-		InboundConnection earlier = this.newestConnections.put(current.accepted.origin(), current);
-		if (earlier != null && this.rules.closesSupersededLinks()) {
-			earlier.close();
+	// Leaves only the newest link of a host, even if an older one completes its handshake
+	// later.
+	private void closeSuperseded(InboundConnection authenticated) {
+		if (!this.rules.closesSupersededLinks()) {
+			return;
+		}
+		HostId peer = authenticated.accepted.origin();
+		InboundConnection newest = this.newestConnections.get(peer);
+		if (newest != null && newest.number > authenticated.number) {
+			authenticated.close();
+			return;
+		}
+		this.newestConnections.put(peer, authenticated);
+		if (newest != null) {
+			newest.close();
 		}
 	}
 
@@ -151,6 +161,8 @@
 
 		private final FleetLink link;
 
+		private final long number = SimulatedPeers.this.nextLinkNumber++;
+
 		/** Set when the opener has passed the handshake. */
 		private Link accepted;
 
@@ -184,7 +196,7 @@
 		private void handle(Frame frame) {
 			if (frame.message() instanceof Hello hello) {
 				if (hello.last()) {
-					this.accepted = new Link(HostId.of(hello.host()), SimulatedPeers.this.nextLinkNumber++);
+					this.accepted = new Link(HostId.of(hello.host()), this.number);
 					closeSuperseded(this);
 				}
 				write(new Hello(false, SimulatedPeers.this.host.name(), hello.last()), 0);
@@ -211,7 +223,10 @@
 		private void refuse(Frame frame, String reason) {
 			SimulatedPeers.this.host.trace().event("refuses a message of " + this.accepted.origin() + ": " + reason);
 			if (frame.correlationId() != 0) {
-				write(new Refusal(reason), frame.correlationId());
+				write(new Refusal(reason, true), frame.correlationId());
+			}
+			else {
+				write(new Hello(false, SimulatedPeers.this.host.name(), true), 0);
 			}
 		}
 
@@ -224,7 +239,7 @@
 			}
 			else {
 				pendingRepliesTo(peer.value()).remove(job);
-				write(new Refusal("this host is not the scheduler"), frame.correlationId());
+				write(new Refusal("this host is not the scheduler", false), frame.correlationId());
 			}
 		}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPendingJobs.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPendingJobs.java
@@ -1,6 +1,7 @@
 package org.limpetgate.scheduling;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,8 @@
 
 	private static final long MAX_SCHEDULER_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+	private static final String NO_SCHEDULER = "no scheduler is currently available";
+
 	private static final long RESUBMIT_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
 	private final Map<JobId, PendingJob> pending = new LinkedHashMap<>();
@@ -87,12 +90,23 @@
 		this.scheduler = host;
 		for (PendingJob job : List.copyOf(this.pending.values())) {
 			if (job.submittedTo == null) {
-				submitToScheduler(job, nowNanos);
-				endIfOverdue(job, nowNanos);
+				submitOrEnd(job, nowNanos);
 			}
 		}
 	}
 
+	private void submitOrEnd(PendingJob job, long nowNanos) {
+		if (nowNanos >= job.deadlineNanos) {
+			end(job, new JobResult(job.mayHaveRun ? JobOutcome.ABANDONED : JobOutcome.REFUSED, NO_SCHEDULER));
+			return;
+		}
+		submitToScheduler(job, nowNanos);
+		boolean waitedTooLong = nowNanos - job.arrivalNanos > MAX_SCHEDULER_WAIT_NANOS;
+		if (job.submittedTo == null && !job.mayHaveRun && waitedTooLong) {
+			end(job, new JobResult(JobOutcome.REFUSED, NO_SCHEDULER));
+		}
+	}
+
 	private void submitToScheduler(PendingJob job, long nowNanos) {
 		if (job.submittedTo != null || this.scheduler == null || nowNanos < job.earliestSubmitNanos) {
 			return;
@@ -100,7 +114,7 @@
 		HostId target = this.scheduler;
 		job.submittedTo = target;
 		long remaining = Math.max(1, job.deadlineNanos - nowNanos);
-		long held = Math.max(0, job.heldUntilNanos - nowNanos);
+		long held = job.heldNanos(target, nowNanos);
 		this.trace.job(job.spec.id(), "submits to " + target + ", resubmitted " + job.mayHaveRun + ", held " + held);
 		this.transport
 			.submit(target, new SubmitJob(job.spec, nowNanos - job.arrivalNanos, remaining, job.mayHaveRun, held),
@@ -116,8 +130,7 @@
 		if (failure instanceof DispatchException error) {
 			boolean mayHaveRun = error.outcome() != Outcome.NOT_RUN;
 			if (mayHaveRun) {
-				long heldUntil = nowNanos + this.transport.heldNanos(job.submittedTo, nowNanos);
-				job.heldUntilNanos = Math.max(job.heldUntilNanos, heldUntil);
+				job.heldUntilNanos.put(job.submittedTo, nowNanos + this.transport.heldNanos(job.submittedTo, nowNanos));
 			}
 			if (error.kind() == ErrorKind.DEADLINE_EXCEEDED && this.transport.withdrawsOverdueJobs()) {
 				this.transport.withdraw(job.submittedTo, job.spec.id());
@@ -143,18 +156,6 @@
 		job.earliestSubmitNanos = nowNanos + RESUBMIT_DELAY_NANOS;
 	}
 
-	private void endIfOverdue(PendingJob job, long nowNanos) {
-		if (job.submittedTo != null) {
-			return;
-		}
-		boolean overdue = nowNanos >= job.deadlineNanos
-				|| (!job.mayHaveRun && nowNanos - job.arrivalNanos > MAX_SCHEDULER_WAIT_NANOS);
-		if (overdue) {
-			end(job, new JobResult(job.mayHaveRun ? JobOutcome.ABANDONED : JobOutcome.REFUSED,
-					"no scheduler is currently available"));
-		}
-	}
-
 	private void end(PendingJob job, JobResult answer) {
 		this.pending.remove(job.spec.id());
 		this.trace.job(job.spec.id(), "JOB_ENDED " + answer);
@@ -196,8 +197,8 @@
 
 		private long earliestSubmitNanos;
 
-		/** Until when an earlier scheduler may act on the job. */
-		private long heldUntilNanos;
+		/** Until when each earlier scheduler may act on the job. */
+		private final Map<HostId, Long> heldUntilNanos = new HashMap<>();
 
 		PendingJob(JobSpec spec, long arrivalNanos, long deadlineNanos) {
 			this.spec = spec;
@@ -205,6 +206,17 @@
 			this.deadlineNanos = deadlineNanos;
 		}
 
+		// Returns how much longer earlier schedulers other than the target may act on
+		// this job.
+		long heldNanos(HostId target, long nowNanos) {
+			return this.heldUntilNanos.entrySet()
+				.stream()
+				.filter((entry) -> !entry.getKey().equals(target))
+				.mapToLong((entry) -> Math.max(0, entry.getValue() - nowNanos))
+				.max()
+				.orElse(0);
+		}
+
 	}
 
 }
