--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
@@ -0,0 +1,65 @@
+package org.limpetgate.scheduling;
+
+import java.util.List;
+
+import org.limpetgate.HostId;
+import org.limpetgate.JobId;
+import org.limpetgate.fleet.SubmissionLeases;
+import org.limpetgate.fleet.SubmissionLeases.Expired;
+import org.limpetgate.fleet.SubmissionLeases.Link;
+
+/**
+ * The rules of the entry hosts: a message is obeyed only while the clock that it echoes
+ * is recent, and a scheduler acts on the jobs of other hosts under
+ * {@link SubmissionLeases}. Not thread-safe.
+ */
+final class LeasedSubmissionRules implements SubmissionRules {
+
+	private final SubmissionLeases leases = new SubmissionLeases();
+
+	@Override
+	public boolean isTimely(long echoedNanos, long nowNanos) {
+		return nowNanos - echoedNanos <= SubmissionLeases.DURATION_NANOS;
+	}
+
+	@Override
+	public void renew(Link link, long echoedNanos) {
+		this.leases.renew(link, echoedNanos);
+	}
+
+	@Override
+	public void submitted(Link link, JobId job) {
+		this.leases.submitted(link, job);
+	}
+
+	@Override
+	public void remove(HostId origin, JobId job) {
+		this.leases.remove(origin, job);
+	}
+
+	@Override
+	public List<Expired> expire(long nowNanos) {
+		return this.leases.expire(nowNanos);
+	}
+
+	@Override
+	public long heldNanos(long newestReplyNanos, long nowNanos) {
+		return Math.max(0, newestReplyNanos + SubmissionLeases.DURATION_NANOS - nowNanos);
+	}
+
+	@Override
+	public boolean closesSupersededLinks() {
+		return true;
+	}
+
+	@Override
+	public boolean withdrawsOverdueJobs() {
+		return true;
+	}
+
+	@Override
+	public boolean isPauseTooLong(long nanos) {
+		return nanos > SubmissionLeases.DURATION_NANOS;
+	}
+
+}
