Do not repeat a submission that was withdrawn meanwhile

A submission that was refused as stale is sent once more.

The withdrawal cancels the request, and a cancelled request is not repeated. PeerLinksTests#cancelledRequestIsNotSentAgain fails without the check.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -83,6 +83,9 @@
 
 	private final HeartbeatPlan heartbeatPlan = new HeartbeatPlan();
 
+	/** The submissions of this host that have no reply yet. */
+	private final Map<JobId, CompletableFuture<PeerFrame>> submissions = new HashMap<>();
+
 	private final SubmissionLeases leases = new SubmissionLeases();
 
 	/** The replies that have not been sent to other hosts yet, by host and job. */
@@ -276,7 +279,11 @@
 
 	@Override
 	public CompletableFuture<JobResult> submit(HostId scheduler, SubmitJob job, long timeoutNanos) {
-		return this.links.request(scheduler, PeerFrame.newBuilder().setSubmitJob(job), timeoutNanos)
+		JobId id = JobId.of(job.getJobId());
+		CompletableFuture<PeerFrame> reply = this.links.request(scheduler, PeerFrame.newBuilder().setSubmitJob(job),
+				timeoutNanos);
+		this.submissions.put(id, reply);
+		return reply.whenComplete((frame, failure) -> this.submissions.remove(id, reply))
 			.thenApply(PeerFrame::getJobResult);
 	}
 
@@ -306,6 +313,10 @@
 
 	@Override
 	public void withdraw(HostId scheduler, JobId job) {
+		CompletableFuture<PeerFrame> submission = this.submissions.remove(job);
+		if (submission != null) {
+			submission.cancel(false);
+		}
 		this.links.send(scheduler,
 				PeerFrame.newBuilder().setWithdrawJob(WithdrawJob.newBuilder().setJobId(job.value())));
 	}
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
@@ -106,7 +106,7 @@
 			return;
 		}
 		DispatchException error = frame.hasRefusal() ? PeerFrames.toException(frame.getRefusal()) : null;
-		if (isStale(error) && !request.repeated()) {
+		if (isStale(error) && !request.repeated() && !request.reply().isDone()) {
 			// The refusal brought the peer's current time. On an idle link the known
 			// time is always too old.
 			send(request.repeat());
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
@@ -84,7 +84,8 @@
 	}
 
 	/**
-	 * Sends a request.
+	 * Sends a request. If the peer refuses it because the time that it repeats is too
+	 * old, it is sent once more, unless the reply was cancelled.
 	 * @param host the peer, not null
 	 * @param message the message; version and correlation id are set here
 	 * @param timeoutNanos the time limit for the reply, in nanoseconds
--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
@@ -365,6 +365,32 @@
 		assertThat(this.received).hasSize(1);
 	}
 
+	/** Guards against a submission that is sent again after it was withdrawn. */
+	@Example
+	void cancelledRequestIsNotSentAgain() throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+			startLinks((InetSocketAddress) listener.getLocalSocketAddress(), null);
+			try (RawPeer peer = new RawPeer(listener.accept())) {
+				peer.acceptHandshake(B, KEY);
+				awaitUp();
+				CompletableFuture<PeerFrame> cancelled = request("cancelled", LONG_NANOS);
+				long cancelledId = peer.read().getCorrelationId();
+				cancelled.cancel(false);
+				CompletableFuture<PeerFrame> other = request("other", LONG_NANOS);
+				long otherId = peer.read().getCorrelationId();
+				peer.send(PeerFrames.refusal(DispatchException.of(ErrorKind.STALE_MESSAGE, Outcome.NOT_RUN, "late"))
+					.setProtocolVersion(PeerFrames.PROTOCOL_VERSION)
+					.setCorrelationId(cancelledId));
+				peer.send(RawPeer.frame()
+					.setSubmissionReply(SubmissionReply.newBuilder().setBody(ByteString.copyFromUtf8("x")))
+					.setCorrelationId(otherId));
+				assertThat(result(other)).isEqualTo("x");
+				this.links.send(B.host(), query("next"));
+				assertThat(peer.read().getQuerySubmission().getKey()).isEqualTo("next");
+			}
+		}
+	}
+
 	/**
 	 * Guards against messages on a link that its host has replaced by a new one; the host
 	 * has given them up.
