--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
@@ -29,6 +29,9 @@
 
 	private static final long MILLI = 1_000_000;
 
+	/** How long an earlier scheduler may act on a job. */
+	private static final long HELD_MILLIS = 600;
+
 	/** The interval between ticks, in milliseconds. */
 	private static final long STEP_MILLIS = 20;
 
@@ -128,11 +131,10 @@
 		activate("w1", "w2");
 		advance(6_001);
 		this.effects.clear();
-		this.scheduler.submit(HOST, job("1", 1), 0, TimeUnit.SECONDS.toNanos(5), EarlierSubmission.heldFor(600 * MILLI),
-				this.nowNanos);
+		submitHeld(HOST);
 		tick();
 		reportAllOf("w1");
-		advance(600 + 1_060);
+		advance(HELD_MILLIS + 1_060);
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).isEmpty();
 		advance(200);
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
@@ -147,12 +149,11 @@
 		activate("w1", "w2");
 		advance(6_001);
 		this.effects.clear();
-		this.scheduler.submit(HOST, job("1", 1), 0, TimeUnit.SECONDS.toNanos(5), EarlierSubmission.heldFor(600 * MILLI),
-				this.nowNanos);
+		submitHeld(HOST);
 		tick();
 		reportAllOf("w1");
 		reportAllOf("w2");
-		advance(590);
+		advance(HELD_MILLIS - 10);
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).isEmpty();
 		this.effects.clear();
 		advance(20);
@@ -173,15 +174,14 @@
 		submit("f", 2, false);
 		submit("1", 1, false);
 		tick();
-		this.scheduler.submit(OTHER_HOST, job("1", 1), 0, TimeUnit.SECONDS.toNanos(5),
-				EarlierSubmission.heldFor(600 * MILLI), this.nowNanos);
+		submitHeld(OTHER_HOST);
 		SchedulingEffect.StartRun start = effectsOf(SchedulingEffect.StartRun.class).get(0);
 		SchedulingEffect.StartRun second = effectsOf(SchedulingEffect.StartRun.class).get(1);
 		tick();
 		report(lastPoll(), List.of(), List.of(end(1, start.run(), EndKind.DONE), end(2, second.run(), EndKind.DONE)));
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(2);
 		this.effects.clear();
-		advance(610);
+		advance(HELD_MILLIS + 10);
 		reportAllOf("w1");
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
 	}
@@ -705,6 +705,12 @@
 		return new JobSpec(JobId.of(id), "q", "service", terms(), "payload", List.of(step(tasks, List.of())));
 	}
 
+	// Submits a job of one task that an earlier scheduler may hold.
+	private void submitHeld(HostId origin) {
+		this.scheduler.submit(origin, job("1", 1), 0, TimeUnit.SECONDS.toNanos(5),
+				EarlierSubmission.heldFor(HELD_MILLIS * MILLI), this.nowNanos);
+	}
+
 	private void submit(String id, int tasks, boolean resubmitted) {
 		this.scheduler.submit(HOST, job(id, tasks), 0, TimeUnit.SECONDS.toNanos(5),
 				resubmitted ? EarlierSubmission.heldFor(0) : EarlierSubmission.NONE, this.nowNanos);
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -187,7 +187,7 @@
 		// Before the renewal, so that a message cannot revive a lease that has expired.
 		long now = this.clock.getAsLong();
 		expireLeases(now);
-		this.leases.renew(leaseOf(link), now - maxAgeNanos(frame, now));
+		this.leases.renew(leaseLink(link), now - maxAgeNanos(frame, now));
 		switch (frame.getMessageCase()) {
 			case HOST_BEAT -> {
 				return Optional.of(CompletableFuture
@@ -229,7 +229,7 @@
 			earlierReply.completeExceptionally(
 					DispatchException.of(ErrorKind.CANCELLED, Outcome.UNKNOWN, "the job was submitted again"));
 		}
-		this.leases.submitted(leaseOf(link), job);
+		this.leases.submitted(leaseLink(link), job);
 		if (!this.listener.jobSubmitted(peer, message)) {
 			this.leases.remove(peer, job);
 			pendingRepliesTo(peer).remove(job);
@@ -239,13 +239,12 @@
 		return reply;
 	}
 
-	private static SubmissionLeases.Link leaseOf(InboundLink link) {
+	private static SubmissionLeases.Link leaseLink(InboundLink link) {
 		return new SubmissionLeases.Link(link.host(), link.number());
 	}
 
-	// Ends the jobs of hosts from which this host has received nothing for too long,
-	// since
-	// they may have submitted them to another scheduler.
+	// Ends the jobs of hosts that this host has not heard for too long, since they may
+	// have submitted them to another scheduler.
 	void expireLeases(long nowNanos) {
 		for (SubmissionLeases.Expired expired : this.leases.expire(nowNanos)) {
 			this.listener.leaseExpired(expired.link(), expired.jobs());
