--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobJournal.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobJournal.java
@@ -228,7 +228,8 @@
 
 	private void handleFailure(Throwable failure, long delayNanos) {
 		Throwable cause = cause(failure);
-		if (cause instanceof JobLog.SequenceException sequenceError && !this.appendedInEpoch) {
+		boolean firstAppend = !this.appendedInEpoch && !this.batch.isEmpty();
+		if (cause instanceof JobLog.SequenceException sequenceError && firstAppend) {
 			// The log may count the fencing request as the first append of the epoch.
 			this.nextAppendSequence = sequenceError.expected();
 			append();
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeJobLog.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeJobLog.java
@@ -100,7 +100,11 @@
 
 	// Fails the oldest call without executing it.
 	void failNext() {
-		this.calls.remove(0).future.completeExceptionally(new IllegalStateException("the log is unavailable"));
+		failNext(new IllegalStateException("the log is unavailable"));
+	}
+
+	void failNext(RuntimeException failure) {
+		this.calls.remove(0).future.completeExceptionally(failure);
 	}
 
 	void answerAll() {
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/JobJournalTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/JobJournalTests.java
@@ -9,6 +9,7 @@
 
 import net.jqwik.api.Example;
 import org.limpetgate.JobId;
+import org.limpetgate.fleet.JobLog;
 import org.limpetgate.scheduling.Capacity;
 import org.limpetgate.scheduling.JobProgress;
 import org.limpetgate.scheduling.JobSpec;
@@ -165,6 +166,17 @@
 		assertThat(this.listener.saved).containsExactly(1L);
 	}
 
+	/**
+	 * Guards against a journal that hangs because it appends nothing before it is open.
+	 */
+	@Example
+	void sequenceErrorBeforeTheJournalIsOpenEndsTheEpoch() {
+		this.journal.open(5);
+		this.log.failNext(new JobLog.SequenceException(3));
+		assertThat(this.log.calls).isEmpty();
+		assertThat(this.listener.fenced).isTrue();
+	}
+
 	/** Guards against dating a confirmation from the arrival of its answer. */
 	@Example
 	void ownershipIsConfirmedAsOfTheRequest() {
