--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -392,7 +392,11 @@
 
 		@Override
 		public void staleMessage(InboundLink link, PeerFrame.MessageCase message, long maxAgeNanos) {
-			FleetPeers.this.listener.staleMessage(link, message.name(), maxAgeNanos);
+			// In a large fleet most links are idle between two heartbeats, so that each
+			// heartbeat is refused and sent again with the current time.
+			if (message != PeerFrame.MessageCase.HOST_BEAT) {
+				FleetPeers.this.listener.staleMessage(link, message.name(), maxAgeNanos);
+			}
 		}
 
 		@Override
