End the start-up delay once every known peer is accounted for

Cause: after the loss of all hosts every host waits 700 ms from its own readiness before it can be elected, and the preferred candidate is often the host that is ready last.

Change: the delay ends early when each known peer has answered a heartbeat that was sent after this host became ready, or has refused a connection and was not heard since. Of two hosts that start at the same time one then knows that the other is ready. A host sends heartbeats when a link opens and when it becomes ready. Without the list of hosts, or with a peer that neither answers nor refuses, the delay is as before.

Ruled out: reporting a host as ready only after its delay.

Tests: four of SchedulerElectionTests.

--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/HostState.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/HostState.java
@@ -29,7 +29,7 @@
 	public HostState {
 		Objects.requireNonNull(incarnation, "incarnation");
 		Objects.requireNonNull(dataCentre, "dataCentre");
-		Objects.requireNonNull(schedulerToken, "claim");
+		Objects.requireNonNull(schedulerToken, "schedulerToken");
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
@@ -43,14 +43,21 @@
 	/** How long there must be no active scheduler before a new one is elected. */
 	private static final long VACANCY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
 
-	// The minimum time between the readiness of this host and its first activation. Its
+	// The longest time between the readiness of this host and its first activation. Its
 	// links open one after the other while the process is still warming up, and its
 	// new, higher scheduler token would replace a scheduler that it does not know of
-	// yet.
+	// yet. The delay ends early once no known peer can schedule
+	// without this host knowing it.
 	private static final long STARTUP_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
 	private final Map<HostId, Peer> peers = new HashMap<>();
 
+	/** The peers of the fleet, null until their list is known. */
+	private Set<HostId> knownPeers;
+
+	/** The peers that did not run when this host tried to connect to them. */
+	private final Set<HostId> endedPeers = new HashSet<>();
+
 	/** When this host was first ready, 0 before. */
 	private long readyNanos;
 
@@ -61,11 +68,13 @@
 	/**
 	 * Records the state in a peer's answer to a heartbeat of this host.
 	 * @param state the state, not null
+	 * @param sentNanos when the heartbeat was sent, nanoseconds since the Unix epoch
 	 * @param nowNanos the current time, nanoseconds since the Unix epoch
 	 */
-	public void answerReceived(HostState state, long nowNanos) {
+	public void answerReceived(HostState state, long sentNanos, long nowNanos) {
 		Peer peer = peer(state);
 		peer.answeredNanos = nowNanos;
+		peer.answeredHeartbeatNanos = Math.max(peer.answeredHeartbeatNanos, sentNanos);
 		peer.lost = false;
 	}
 
@@ -99,6 +108,23 @@
 		});
 	}
 
+	/**
+	 * Sets the peers of the fleet, as the directory and other hosts list them.
+	 * @param hosts the peers, reachable or not, not null
+	 */
+	public void setKnownPeers(Set<HostId> hosts) {
+		this.knownPeers = Set.copyOf(hosts);
+	}
+
+	/**
+	 * Records that no process runs at the address of a peer. If the peer starts later, it
+	 * contacts this host before it can become the scheduler.
+	 * @param host the peer, not null
+	 */
+	public void peerEnded(HostId host) {
+		this.endedPeers.add(host);
+	}
+
 	/**
 	 * Records that the link to a peer is broken.
 	 * @param host the peer, not null
@@ -163,8 +189,7 @@
 			this.vacant = true;
 			this.vacantSinceNanos = nowNanos;
 		}
-		boolean mayBecomeScheduler = (allDataCentres || reachesHalfOfDataCentre(self, nowNanos)) && this.readyNanos != 0
-				&& nowNanos - this.readyNanos >= STARTUP_DELAY_NANOS
+		boolean mayBecomeScheduler = (allDataCentres || reachesHalfOfDataCentre(self, nowNanos)) && isSettled(nowNanos)
 				&& nowNanos - this.vacantSinceNanos >= ((scheduler != null) ? 0 : VACANCY_DELAY_NANOS);
 		boolean firstCandidate = liveHosts(self, nowNanos).filter(HostState::ready)
 			.min(candidateOrder())
@@ -174,6 +199,30 @@
 		return new Decision(schedulerHost, mayBecomeScheduler && firstCandidate, allDataCentres);
 	}
 
+	/**
+	 * Tests whether the start-up delay of this host is over.
+	 * @param nowNanos the current time, nanoseconds since the Unix epoch
+	 * @return true if it is over, false also before the host is ready
+	 */
+	public boolean isSettled(long nowNanos) {
+		return this.readyNanos != 0 && (nowNanos - this.readyNanos >= STARTUP_DELAY_NANOS || areAllPeersAccountedFor());
+	}
+
+	// Each peer must have answered a heartbeat that was sent when this host was ready, or
+	// have been found not to run. Of two hosts that start at the same time, at least one
+	// then knows that the other one is ready, so that not both become the scheduler.
+	private boolean areAllPeersAccountedFor() {
+		return this.knownPeers != null && this.knownPeers.stream().allMatch(this::isAccountedFor);
+	}
+
+	private boolean isAccountedFor(HostId host) {
+		Peer peer = this.peers.get(host);
+		if (peer == null) {
+			return this.endedPeers.contains(host);
+		}
+		return peer.answeredHeartbeatNanos >= this.readyNanos;
+	}
+
 	private static boolean isEligible(HostState state) {
 		return !state.leaving() && !state.overloaded();
 	}
@@ -280,6 +329,9 @@
 		/** When its last answer to a heartbeat of this host arrived. */
 		private long answeredNanos;
 
+		/** When the newest heartbeat that it has answered was sent. */
+		private long answeredHeartbeatNanos;
+
 		/** When its last heartbeat arrived. */
 		private long heartbeatNanos;
 
--- a/limpetgate-core/src/test/java/org/limpetgate/fleet/SchedulerElectionTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/fleet/SchedulerElectionTests.java
@@ -58,6 +58,58 @@
 		assertThat(slowElection.decide(this.self, START + 2800 * MILLI).activate()).isTrue();
 	}
 
+	/**
+	 * Guards against a fleet that waits for the start-up delay after the loss of all
+	 * hosts although every host knows that no other one schedules.
+	 */
+	@Example
+	void startupDelayEndsWhenAllPeersAreAccountedFor() {
+		this.election.setKnownPeers(Set.of(id(1), id(2)));
+		this.election.answerReceived(host(1, "a", 0), START + 50 * MILLI, START + 52 * MILLI);
+		assertThat(this.election.decide(this.self, START + 200 * MILLI).activate()).isFalse();
+		this.election.peerEnded(id(2));
+		assertThat(this.election.decide(this.self, START + 220 * MILLI).activate()).isTrue();
+	}
+
+	/**
+	 * Guards against two hosts that both become the scheduler because each of them has
+	 * received a state of the other one from before its readiness.
+	 */
+	@Example
+	void startupDelayContinuesUntilPeersKnowOfTheReadiness() {
+		this.election.setKnownPeers(Set.of(id(1)));
+		this.election.answerReceived(host(1, "a", 0), START - 2 * MILLI, START + 10 * MILLI);
+		assertThat(this.election.decide(this.self, START + 200 * MILLI).activate()).isFalse();
+		this.election.answerReceived(host(1, "a", 0), START + 210 * MILLI, START + 212 * MILLI);
+		assertThat(this.election.decide(this.self, START + 220 * MILLI).activate()).isTrue();
+	}
+
+	/**
+	 * Guards against a host that replaces a scheduler that started after this host found
+	 * its address unused, and that has not answered this host yet.
+	 */
+	@Example
+	void peerThatHasStartedSinceIsNotAccountedForAsEnded() {
+		this.election.setKnownPeers(Set.of(id(1)));
+		this.election.peerEnded(id(1));
+		this.election.heartbeatReceived(host(1, "a", 9), START + 100 * MILLI);
+		assertThat(this.election.decide(this.self, START + 200 * MILLI).activate()).isFalse();
+		assertThat(this.election.decide(this.self, START + 400 * MILLI).activate()).isFalse();
+	}
+
+	/**
+	 * Guards against a host that becomes the scheduler before it knows which hosts could
+	 * be one already, and before it is ready.
+	 */
+	@Example
+	void startupDelayDoesNotEndEarlyWithoutTheListOfHosts() {
+		this.election.answerReceived(host(1, "a", 0), START + 50 * MILLI, START + 52 * MILLI);
+		assertThat(this.election.isSettled(START + 200 * MILLI)).isFalse();
+		SchedulerElection startingElection = new SchedulerElection();
+		startingElection.setKnownPeers(Set.of());
+		assertThat(startingElection.isSettled(START + 2000 * MILLI)).isFalse();
+	}
+
 	/**
 	 * Guards against two hosts that become schedulers at the same time although they have
 	 * received the same states.
@@ -75,19 +127,21 @@
 	private static boolean electsItself(HostState state, List<HostState> states) {
 		SchedulerElection hostElection = startedElection(state);
 		long now = START + 800 * MILLI;
-		states.stream().filter((other) -> other != state).forEach((other) -> hostElection.answerReceived(other, now));
+		states.stream()
+			.filter((other) -> other != state)
+			.forEach((other) -> hostElection.answerReceived(other, now, now));
 		hostElection.decide(state, now);
 		states.stream()
 			.filter((other) -> other != state)
-			.forEach((other) -> hostElection.answerReceived(other, now + 200 * MILLI));
+			.forEach((other) -> hostElection.answerReceived(other, now + 200 * MILLI, now + 200 * MILLI));
 		return hostElection.decide(state, now + 200 * MILLI).activate();
 	}
 
 	/** Guards against two schedulers that stay active at the same time. */
 	@Example
 	void higherSchedulerTokenWins() {
-		this.election.answerReceived(host(1, "a", 7), START);
-		this.election.answerReceived(host(2, "b", 9), START);
+		this.election.answerReceived(host(1, "a", 7), START, START);
+		this.election.answerReceived(host(2, "b", 9), START, START);
 		assertThat(this.election.decide(host(0, "a", 8), START + MILLI).scheduler()).isEqualTo(id(2));
 	}
 
@@ -96,7 +150,7 @@
 	void leavingSchedulerIsReplaced() {
 		HostState leaving = new HostState(Incarnation.of(id(1), 1), DataCentreId.of("a"), true, true, false, 750,
 				new FencingToken(9), true);
-		this.election.answerReceived(leaving, START + 900 * MILLI);
+		this.election.answerReceived(leaving, START + 900 * MILLI, START + 900 * MILLI);
 		SchedulerElection.Decision decision = this.election.decide(this.self, START + 900 * MILLI);
 		assertThat(decision.activate()).isTrue();
 		assertThat(decision.scheduler()).isEqualTo(id(1));
@@ -116,7 +170,7 @@
 	@Example
 	void minorityDoesNotScheduleOnTheWholeFleet() {
 		for (int number = 1; number < 6; number++) {
-			this.election.answerReceived(host(number, "abc".substring(number / 2, number / 2 + 1), 0), START);
+			this.election.answerReceived(host(number, "abc".substring(number / 2, number / 2 + 1), 0), START, START);
 		}
 		SchedulerElection.Decision decision = this.election.decide(this.self, START + 2000 * MILLI);
 		assertThat(decision.allDataCentres()).isFalse();
@@ -126,19 +180,19 @@
 	@Example
 	void partitionedDataCentreSchedulesOnItsOwnWorkers() {
 		for (int number = 1; number < 6; number++) {
-			this.election.answerReceived(host(number, "abc".substring(number / 2, number / 2 + 1), 0), START);
+			this.election.answerReceived(host(number, "abc".substring(number / 2, number / 2 + 1), 0), START, START);
 		}
-		this.election.answerReceived(host(1, "a", 0), START + 2000 * MILLI);
+		this.election.answerReceived(host(1, "a", 0), START + 2000 * MILLI, START + 2000 * MILLI);
 		this.election.decide(this.self, START + 2000 * MILLI);
-		this.election.answerReceived(host(1, "a", 0), START + 2200 * MILLI);
+		this.election.answerReceived(host(1, "a", 0), START + 2200 * MILLI, START + 2200 * MILLI);
 		SchedulerElection.Decision selfDecision = this.election.decide(this.self, START + 2200 * MILLI);
 		SchedulerElection peerElection = startedElection(host(1, "a", 0));
 		for (int number = 2; number < 6; number++) {
-			peerElection.answerReceived(host(number, "abc".substring(number / 2, number / 2 + 1), 0), START);
+			peerElection.answerReceived(host(number, "abc".substring(number / 2, number / 2 + 1), 0), START, START);
 		}
-		peerElection.answerReceived(this.self, START + 2000 * MILLI);
+		peerElection.answerReceived(this.self, START + 2000 * MILLI, START + 2000 * MILLI);
 		peerElection.decide(host(1, "a", 0), START + 2000 * MILLI);
-		peerElection.answerReceived(this.self, START + 2200 * MILLI);
+		peerElection.answerReceived(this.self, START + 2200 * MILLI, START + 2200 * MILLI);
 		SchedulerElection.Decision peerDecision = peerElection.decide(host(1, "a", 0), START + 2200 * MILLI);
 		assertThat(selfDecision.allDataCentres()).isFalse();
 		assertThat(selfDecision.activate() != peerDecision.activate()).isTrue();
@@ -149,7 +203,7 @@
 	 */
 	@Example
 	void timedOutPeerIsReportedOnceAndCountsAsLost() {
-		this.election.answerReceived(host(1, "a", 9), START);
+		this.election.answerReceived(host(1, "a", 9), START, START);
 		this.election.setHeartbeatTargets(Set.of(id(1)), START);
 		assertThat(this.election.detectTimedOutPeers(START + 600 * MILLI)).isEmpty();
 		assertThat(this.election.detectTimedOutPeers(START + 800 * MILLI)).containsExactly(id(1));
@@ -190,7 +244,7 @@
 	 */
 	@Example
 	void onlyPeersThatAreSentHeartbeatsCanTimeOut() {
-		this.election.answerReceived(host(1, "a", 0), START);
+		this.election.answerReceived(host(1, "a", 0), START, START);
 		assertThat(this.election.detectTimedOutPeers(START + 800 * MILLI)).isEmpty();
 		this.election.setHeartbeatTargets(Set.of(id(1)), START + 800 * MILLI);
 		assertThat(this.election.detectTimedOutPeers(START + 1400 * MILLI)).isEmpty();
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.limpetgate.DataCentreId;
 import org.limpetgate.DispatchException;
@@ -111,6 +112,7 @@
 		this.peers = new SimulatedPeers(this, peers, network, rules, new PeerListener());
 		this.lastTickNanos = clockNanos();
 		this.nextHeartbeatNanos = this.time.nowNanos() + HEARTBEAT_INTERVAL_NANOS;
+		this.election.setKnownPeers(peers.stream().map(HostId::of).collect(Collectors.toSet()));
 		this.trace.event("HOST_STARTED " + this.self);
 		this.peers.start();
 		scheduleTick();
@@ -448,8 +450,8 @@
 		}
 
 		@Override
-		public void heartbeatAnswered(HostState state) {
-			SimulatedHost.this.election.answerReceived(state, clockNanos());
+		public void heartbeatAnswered(HostState state, long sentNanos) {
+			SimulatedHost.this.election.answerReceived(state, sentNanos, clockNanos());
 		}
 
 		@Override
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPeers.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPeers.java
@@ -65,11 +65,12 @@
 	// Sends a heartbeat to all connected peers and returns all peers.
 	Set<HostId> sendHeartbeats(HostState state) {
 		Set<HostId> targets = new HashSet<>();
+		long sentNanos = this.host.clockNanos();
 		this.links.forEach((peer, link) -> {
 			targets.add(HostId.of(peer));
 			if (link.isUp()) {
 				link.request(new Heartbeat(state), HEARTBEAT_TIMEOUT_NANOS)
-					.thenAccept((reply) -> this.listener.heartbeatAnswered(((Heartbeat) reply).state()));
+					.thenAccept((reply) -> this.listener.heartbeatAnswered(((Heartbeat) reply).state(), sentNanos));
 			}
 		});
 		return targets;
@@ -144,7 +145,7 @@
 		// Called before a message of a peer is carried out.
 		void expireLeases();
 
-		void heartbeatAnswered(HostState state);
+		void heartbeatAnswered(HostState state, long sentNanos);
 
 		void heartbeatReceived(HostState state);
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -100,6 +101,11 @@
 
 	private boolean workersKnown;
 
+	/** Whether the directory has listed the hosts of the fleet. */
+	private boolean hostsKnown;
+
+	private boolean readinessAnnounced;
+
 	/** The token with which this host schedules, NONE if it does not schedule. */
 	private FencingToken schedulerToken = FencingToken.NONE;
 
@@ -275,6 +281,21 @@
 		this.election.setHeartbeatTargets(this.peers.sendHeartbeats(state()), this.clock.getAsLong());
 	}
 
+	// Tests whether this host can become the scheduler, once its start-up delay is over.
+	private boolean isCandidate() {
+		return this.queues != null && this.workersKnown;
+	}
+
+	// Tells the peers of this host's readiness, since the start-up delay ends early when
+	// they have answered.
+	private void announceReadiness() {
+		if (isCandidate() && !this.readinessAnnounced) {
+			this.readinessAnnounced = true;
+			runElection();
+			sendHeartbeats();
+		}
+	}
+
 	/**
 	 * Closes the links to the other hosts.
 	 */
@@ -283,9 +304,8 @@
 	}
 
 	private HostState state() {
-		return new HostState(this.self, this.settings.dataCentre(), this.leaving,
-				this.queues != null && this.workersKnown, this.overload.isOverloaded(), this.settings.cpuMillis(),
-				this.schedulerToken, this.allDataCentres);
+		return new HostState(this.self, this.settings.dataCentre(), this.leaving, isCandidate(),
+				this.overload.isOverloaded(), this.settings.cpuMillis(), this.schedulerToken, this.allDataCentres);
 	}
 
 	private void scheduleTick() {
@@ -337,6 +357,9 @@
 	private void runElection() {
 		long now = this.clock.getAsLong();
 		this.election.detectTimedOutPeers(now).forEach(this.peers::reconnect);
+		if (!this.election.isSettled(now)) {
+			this.peers.endedHosts().forEach(this.election::peerEnded);
+		}
 		SchedulerElection.Decision decision = this.election.decide(state(), now);
 		boolean scopeChanged = decision.allDataCentres() != this.allDataCentres;
 		this.allDataCentres = decision.allDataCentres();
@@ -439,8 +462,8 @@
 		}
 
 		@Override
-		public void heartbeatAnswered(HostState state, long nowNanos) {
-			FleetHost.this.election.answerReceived(state, nowNanos);
+		public void heartbeatAnswered(HostState state, long sentNanos, long nowNanos) {
+			FleetHost.this.election.answerReceived(state, sentNanos, nowNanos);
 		}
 
 		@Override
@@ -448,6 +471,13 @@
 			FleetHost.this.election.heartbeatReceived(state, nowNanos);
 		}
 
+		@Override
+		public void peersAdded(Set<HostId> known) {
+			if (FleetHost.this.hostsKnown) {
+				FleetHost.this.election.setKnownPeers(known);
+			}
+		}
+
 		@Override
 		public void linkLost(HostId peer) {
 			FleetHost.this.log.write(LogEvent.HOST_LOST, peer);
@@ -516,6 +546,7 @@
 		public void configurationChanged(QueueTable table) {
 			FleetHost.this.queues = table;
 			FleetHost.this.log.write(LogEvent.CONFIGURATION_APPLIED, table.version(), table.size(), 0);
+			announceReadiness();
 		}
 
 		@Override
@@ -524,12 +555,15 @@
 			FleetHost.this.workersKnown = true;
 			FleetHost.this.scheduler.workersListed(workersInScope(), FleetHost.this.allDataCentres,
 					FleetHost.this.clock.getAsLong());
+			announceReadiness();
 			requestTick();
 		}
 
 		@Override
 		public void hostsListed(List<HostId> hosts) {
+			FleetHost.this.hostsKnown = true;
 			FleetHost.this.peers.addHosts(hosts);
+			FleetHost.this.election.setKnownPeers(FleetHost.this.peers.knownHosts());
 		}
 
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -121,9 +121,20 @@
 		}
 		if (added) {
 			this.links.configure(this.heartbeatPlan.peers().stream().map(FleetPeers::address).toList());
+			this.listener.peersAdded(knownHosts());
 		}
 	}
 
+	// Returns the hosts that were found not to run since this host started.
+	List<HostId> endedHosts() {
+		return knownHosts().stream().filter((host) -> this.links.endedNanos(host) != 0).toList();
+	}
+
+	// Returns the other hosts, reachable or not.
+	Set<HostId> knownHosts() {
+		return this.heartbeatPlan.peers();
+	}
+
 	private static PeerAddress address(HostId host) {
 		int colon = host.value().lastIndexOf(':');
 		return new PeerAddress(host, new InetSocketAddress(host.value().substring(0, colon),
@@ -143,20 +154,23 @@
 	Set<HostId> sendHeartbeats(HostState state) {
 		Set<HostId> targets = this.heartbeatPlan.nextTargets(!state.schedulerToken().isNone());
 		HostBeat heartbeat = this.listener.heartbeat(Long.MAX_VALUE);
-		for (HostId host : targets) {
-			if (this.links.isUp(host)) {
-				this.links.request(host, PeerFrame.newBuilder().setHostBeat(heartbeat), HEARTBEAT_TIMEOUT_NANOS)
-					.thenAccept((reply) -> handleHeartbeatReply(reply.getHostBeat()));
-			}
-		}
+		targets.forEach((host) -> sendHeartbeat(host, heartbeat));
 		return targets;
 	}
 
-	private void handleHeartbeatReply(HostBeat heartbeat) {
+	private void sendHeartbeat(HostId host, HostBeat heartbeat) {
+		if (this.links.isUp(host)) {
+			long sentNanos = this.clock.getAsLong();
+			this.links.request(host, PeerFrame.newBuilder().setHostBeat(heartbeat), HEARTBEAT_TIMEOUT_NANOS)
+				.thenAccept((reply) -> handleHeartbeatReply(reply.getHostBeat(), sentNanos));
+		}
+	}
+
+	private void handleHeartbeatReply(HostBeat heartbeat, long sentNanos) {
 		HostState state = stateOf(heartbeat);
 		this.heartbeatPlan.stateReceived(state);
 		addHosts(heartbeat.getKnownHostsList().stream().map(HostId::of).toList());
-		this.listener.heartbeatAnswered(state, this.clock.getAsLong());
+		this.listener.heartbeatAnswered(state, sentNanos, this.clock.getAsLong());
 		if (!heartbeat.getConfiguration().isEmpty()) {
 			this.listener.configurationOffered(heartbeat.getConfiguration().toByteArray());
 		}
@@ -359,11 +373,14 @@
 		HostBeat heartbeat(long peerVersion);
 
 		// Called when a peer has answered a heartbeat of this host.
-		void heartbeatAnswered(HostState state, long nowNanos);
+		void heartbeatAnswered(HostState state, long sentNanos, long nowNanos);
 
 		// Called when a peer has sent a heartbeat of its own.
 		void heartbeatReceived(HostState state, long nowNanos);
 
+		// Called with all known hosts when some were added.
+		void peersAdded(Set<HostId> known);
+
 		void linkLost(HostId peer);
 
 		// Called when this host must not act any longer on jobs of another host.
@@ -390,6 +407,13 @@
 
 	private final class LinkObserver implements PeerMetrics {
 
+		// A host that starts learns from the replies which host schedules, so it does not
+		// wait for the next round of heartbeats.
+		@Override
+		public void linkUp(HostId peer) {
+			sendHeartbeat(peer, FleetPeers.this.listener.heartbeat(Long.MAX_VALUE));
+		}
+
 		@Override
 		public void staleMessage(InboundLink link, PeerFrame.MessageCase message, long maxAgeNanos) {
 			// In a large fleet most links are idle between two heartbeats, so that each
