Serve jobs that waited for a scheduler while their answers are of use

Cause: while no host schedules, an entry host refuses every job after 400 ms, whatever its objective, and the next scheduler refuses those that are late already although its workers are idle.

Change: a job waits for a scheduler as long as its answer can be of use, at most 1 s; short jobs are refused sooner than before. A scheduler accepts a job that was late on arrival if spare capacity can complete it within three times its objective; jobs that can be on time still go first.

Tests: delayedJobStartsWhileThereIsCapacity and delayedJobsWaitBehindJobsThatCanBeOnTime fail on the code before; jobWaitsForASchedulerWhileItsAnswerIsOfUse, jobThatCameTooLateToBeOfUseIsRefusedImmediately.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Admission.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Admission.java
@@ -23,12 +23,6 @@
 	 */
 	private static final double LATE_WAIT_SHARE = 0.5;
 
-	/**
-	 * A job is abandoned once this many times its objective has passed since its arrival
-	 * and its caller has stopped waiting.
-	 */
-	private static final int ABANDON_FACTOR = 3;
-
 	private final SchedulerTables tables;
 
 	private final QueueOrder order;
@@ -40,26 +34,17 @@
 
 	// Sets the work, deadline, objective and latest start of a job.
 	void computeTimes(JobEntity job, long remainingNanos, long nowNanos) {
-		job.workNanos = workNanos(job.spec());
+		JobSpec spec = job.spec();
+		job.workNanos = spec.longestChainNanos((step) -> this.tables.runTimeModel.taskNanos(spec.queue(), step));
 		job.deadlineNanos = nowNanos + remainingNanos;
-		job.objectiveEndNanos = job.arrivalNanos() + job.spec().terms().objectiveNanos(job.workNanos);
+		long objective = spec.terms().objectiveNanos(job.workNanos);
+		job.objectiveEndNanos = job.arrivalNanos() + objective;
 		job.latestStartNanos = latestStartNanos(job);
-		this.order.jobArrived(job, waitingWork(job), nowNanos);
-	}
-
-	private double workNanos(JobSpec spec) {
-		double[] stepEnds = new double[spec.steps().size()];
-		double longest = 0;
-		for (int number = 0; number < stepEnds.length; number++) {
-			StepSpec step = spec.steps().get(number);
-			double stepStart = 0;
-			for (int predecessor : step.after()) {
-				stepStart = Math.max(stepStart, stepEnds[predecessor]);
-			}
-			stepEnds[number] = stepStart + this.tables.runTimeModel.taskNanos(spec.queue(), step);
-			longest = Math.max(longest, stepEnds[number]);
+		job.refusalNanos = job.latestStartNanos + (long) (LATE_WAIT_SHARE * objective);
+		if (wasDelayed(job, nowNanos)) {
+			job.refusalNanos = job.latestStartNanos + (QueueTerms.USEFUL_FACTOR - 1) * objective;
 		}
-		return longest;
+		this.order.jobArrived(job, waitingWork(job), nowNanos);
 	}
 
 	boolean isFeasible(JobSpec spec) {
@@ -124,6 +109,20 @@
 		return work;
 	}
 
+	// Tests whether a job was late already when it was submitted, for example because no
+	// host scheduled when it arrived.
+	private static boolean wasDelayed(JobEntity job, long nowNanos) {
+		return job.latestStartNanos < nowNanos;
+	}
+
+	// Tests whether a job that has just been submitted should be refused. A job that the
+	// queue would make late leaves the capacity to others. A job that came late waits for
+	// spare capacity, since a late answer is worth more to its caller than none.
+	static boolean shouldRefuseOnArrival(JobEntity job, long queueWaitNanos, long nowNanos) {
+		long limit = wasDelayed(job, nowNanos) ? job.refusalNanos : job.latestStartNanos;
+		return nowNanos + queueWaitNanos > limit;
+	}
+
 	static long retryAfterNanos(long waitNanos) {
 		return Math.min(MAX_RETRY_AFTER_NANOS, Math.max(waitNanos, TimeUnit.MILLISECONDS.toNanos(100)));
 	}
@@ -136,14 +135,13 @@
 	// A late answer is worth less than one in time but more than none, so a late job is
 	// refused only after a further wait.
 	static boolean shouldRefuse(JobEntity job, long nowNanos) {
-		long objective = job.spec().terms().objectiveNanos(job.workNanos);
-		return !job.started && !job.resubmitted
-				&& nowNanos > job.latestStartNanos + (long) (LATE_WAIT_SHARE * objective);
+		return !job.started && !job.resubmitted && nowNanos > job.refusalNanos;
 	}
 
+	// A job is abandoned once it is of no use and its caller has stopped waiting.
 	static boolean shouldAbandon(JobEntity job, long nowNanos) {
 		return nowNanos > Math.max(job.deadlineNanos,
-				job.arrivalNanos() + ABANDON_FACTOR * job.spec().terms().objectiveNanos(job.workNanos));
+				job.arrivalNanos() + QueueTerms.USEFUL_FACTOR * job.spec().terms().objectiveNanos(job.workNanos));
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -49,6 +49,12 @@
 	 */
 	long latestStartNanos;
 
+	/**
+	 * When it is refused if none of its tasks has started, nanoseconds since the Unix
+	 * epoch.
+	 */
+	long refusalNanos;
+
 	/**
 	 * When it was submitted to this scheduler, or when the latest earlier scheduler stops
 	 * acting on it if that is later, nanoseconds since the Unix epoch.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSpec.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSpec.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.function.ToDoubleFunction;
 
 import org.limpetgate.JobId;
 
@@ -42,6 +43,26 @@
 		this(id, queue, service, terms, payload, steps, false);
 	}
 
+	/**
+	 * Returns the duration of the longest chain of dependent steps.
+	 * @param taskNanos the duration of the tasks of a step, in nanoseconds, not null
+	 * @return the duration in nanoseconds
+	 */
+	public double longestChainNanos(ToDoubleFunction<StepSpec> taskNanos) {
+		double[] stepEnds = new double[this.steps.size()];
+		double longest = 0;
+		for (int number = 0; number < stepEnds.length; number++) {
+			StepSpec step = this.steps.get(number);
+			double stepStart = 0;
+			for (int predecessor : step.after()) {
+				stepStart = Math.max(stepStart, stepEnds[predecessor]);
+			}
+			stepEnds[number] = stepStart + taskNanos.applyAsDouble(step);
+			longest = Math.max(longest, stepEnds[number]);
+		}
+		return longest;
+	}
+
 	/**
 	 * Returns the total number of tasks.
 	 * @return the number, at least 1
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -100,7 +100,7 @@
 			return;
 		}
 		long queueWaitNanos = this.admission.queueWaitNanos(job, this.tables.waitingJobs, nowNanos);
-		if (!resubmitted && nowNanos + queueWaitNanos > job.latestStartNanos) {
+		if (!resubmitted && Admission.shouldRefuseOnArrival(job, queueWaitNanos, nowNanos)) {
 			notifyOrigins(job, JobOutcome.REFUSED, "the queueing delay exceeds the time that the job can wait",
 					Admission.retryAfterNanos(queueWaitNanos));
 			return;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/QueueTerms.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/QueueTerms.java
@@ -13,6 +13,9 @@
  */
 public record QueueTerms(int priority, int attempts, double stretch, long allowanceNanos) {
 
+	/** A job that ends after this many times its objective is of no use to its caller. */
+	public static final int USEFUL_FACTOR = 3;
+
 	/**
 	 * Returns the time within which a job is on time.
 	 * @param workNanos the duration of its longest chain of tasks, in nanoseconds
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
@@ -609,6 +609,50 @@
 			.allSatisfy((end) -> assertThat(end.retryAfterNanos()).isPositive());
 	}
 
+	// --- jobs that waited while no host scheduled
+
+	/**
+	 * Guards against refusing all jobs that arrived while a lost scheduler was replaced,
+	 * although the workers are idle. A late answer is worth more than none.
+	 */
+	@Example
+	void delayedJobStartsWhileThereIsCapacity() {
+		activate("w1");
+		submitDelayed("1", 2, 400);
+		tick();
+		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(2);
+		assertThat(jobEnds()).isEmpty();
+	}
+
+	/**
+	 * Guards against a backlog of jobs that are late anyway and delay those that arrive
+	 * after it.
+	 */
+	@Example
+	void delayedJobsWaitBehindJobsThatCanBeOnTime() {
+		activate("w1");
+		submitDelayed("late", 2, 300);
+		submit("timely", 2, false);
+		tick();
+		List<SchedulingEffect.StartRun> starts = effectsOf(SchedulingEffect.StartRun.class);
+		assertThat(starts).extracting((start) -> start.run().task().job()).containsOnly(JobId.of("timely")).hasSize(2);
+		assertThat(jobEnds()).isEmpty();
+		advance(100);
+		report(lastPoll(), List.of(),
+				List.of(end(1, starts.get(0).run(), EndKind.DONE), end(2, starts.get(1).run(), EndKind.DONE)));
+		assertThat(lastStart().run().task().job()).isEqualTo(JobId.of("late"));
+	}
+
+	/** Guards against work whose answer is of no use to the caller any longer. */
+	@Example
+	void jobThatCameTooLateToBeOfUseIsRefusedImmediately() {
+		activate("w1");
+		submitDelayed("1", 2, 600);
+		tick();
+		assertThat(jobEnds()).extracting(SchedulingEffect.JobEnded::outcome).containsExactly(JobOutcome.REFUSED);
+		assertThat(effectsOf(SchedulingEffect.StartRun.class)).isEmpty();
+	}
+
 	@Example
 	void jobThatExceedsEveryWorkerIsRefused() {
 		activate("w1");
@@ -716,6 +760,12 @@
 				resubmitted ? EarlierSubmission.heldFor(0) : EarlierSubmission.NONE, this.nowNanos);
 	}
 
+	// Submits a job that has waited for a scheduler.
+	private void submitDelayed(String id, int tasks, long waitedMillis) {
+		this.scheduler.submit(HOST, job(id, tasks), waitedMillis * MILLI, TimeUnit.SECONDS.toNanos(5),
+				EarlierSubmission.NONE, this.nowNanos);
+	}
+
 	private static RunId run(String job, int attempt) {
 		return new RunId(new TaskName(JobId.of(job), 0, 0, 0), attempt);
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
@@ -18,6 +18,8 @@
 import org.limpetgate.proto.JobResult;
 import org.limpetgate.scheduling.JobOutcome;
 import org.limpetgate.scheduling.JobSpec;
+import org.limpetgate.scheduling.QueueTerms;
+import org.limpetgate.scheduling.StepSpec;
 
 /**
  * The jobs whose callers wait at this host.
@@ -31,8 +33,14 @@
  */
 final class PendingJobs {
 
-	/** How long a job waits until a scheduler is known before it is refused. */
-	private static final long MAX_SCHEDULER_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+	/**
+	 * How long a job waits at most until a scheduler is known before it is refused. A
+	 * lost scheduler is usually replaced within this time.
+	 */
+	private static final long MAX_SCHEDULER_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/** How long a new scheduler takes to learn what runs on the workers. */
+	private static final long TAKEOVER_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
 	private static final String NO_SCHEDULER = "no scheduler is currently available";
 
@@ -148,12 +156,23 @@
 			return;
 		}
 		submitToScheduler(job, nowNanos);
-		boolean waitedTooLong = nowNanos - job.arrivalNanos > MAX_SCHEDULER_WAIT_NANOS;
+		boolean waitedTooLong = nowNanos - job.arrivalNanos > schedulerWaitNanos(job.spec);
 		if (job.submittedTo == null && !job.mayHaveRun && waitedTooLong) {
 			end(job, new JobAnswer(JobOutcome.REFUSED, NO_SCHEDULER, RETRY_AFTER_NANOS));
 		}
 	}
 
+	// Returns how long a job waits for a scheduler. Afterwards its answer would be of no
+	// use to its caller, so that it is refused without further delay.
+	private static long schedulerWaitNanos(JobSpec spec) {
+		double workNanos = spec.longestChainNanos(StepSpec::estimatedNanos);
+		if (spec.stored() || workNanos <= 0) {
+			return MAX_SCHEDULER_WAIT_NANOS;
+		}
+		long usefulNanos = QueueTerms.USEFUL_FACTOR * spec.terms().objectiveNanos(workNanos);
+		return Math.min(MAX_SCHEDULER_WAIT_NANOS, usefulNanos - (long) workNanos - TAKEOVER_NANOS);
+	}
+
 	private void submitToScheduler(PendingJob job, long nowNanos) {
 		if (job.submittedTo != null || this.scheduler == null || nowNanos < job.earliestSubmitNanos) {
 			return;
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
@@ -53,6 +53,24 @@
 		assertThat(answer.join().retryAfterNanos()).isPositive();
 	}
 
+	/**
+	 * Guards against refusing the jobs that arrive while a lost scheduler is replaced,
+	 * although their answers would still be of use.
+	 */
+	@Example
+	void jobWaitsForASchedulerWhileItsAnswerIsOfUse() {
+		CompletableFuture<JobAnswer> shortJob = submit("1", 20);
+		CompletableFuture<JobAnswer> longJob = submit("2", 760);
+		this.now += 300 * NANOS_PER_MILLI;
+		this.pendingJobs.tick(null, this.now);
+		assertThat(shortJob).isCompletedWithValueMatching((answer) -> answer.outcome() == JobOutcome.REFUSED);
+		this.now += 650 * NANOS_PER_MILLI;
+		this.pendingJobs.tick(null, this.now);
+		assertThat(longJob).isNotDone();
+		this.pendingJobs.tick(FIRST, this.now);
+		assertThat(this.transport.jobs).extracting(SubmitJob::getJobId).containsExactly("2");
+	}
+
 	/** Guards against losing a job when the host that schedules is lost. */
 	@Example
 	void jobIsResubmittedToTheNextScheduler() {
@@ -203,9 +221,13 @@
 	}
 
 	private CompletableFuture<JobAnswer> submit(String id) {
+		return submit(id, 100);
+	}
+
+	private CompletableFuture<JobAnswer> submit(String id, long estimatedMillis) {
 		JobSpec spec = new JobSpec(JobId.of(id), "q", "service", new QueueTerms(0, 2, 1.6, 60 * NANOS_PER_MILLI),
-				"payload",
-				List.of(new StepSpec(1, new Capacity(1000, 64, 0), 100 * NANOS_PER_MILLI, List.of(), "", "", 0)));
+				"payload", List.of(new StepSpec(1, new Capacity(1000, 64, 0), estimatedMillis * NANOS_PER_MILLI,
+						List.of(), "", "", 0)));
 		return this.pendingJobs.submit(spec, TimeUnit.SECONDS.toNanos(3), this.now);
 	}
 
