Spread the callers that are refused while no host schedules

Cause: every caller that is refused because no host schedules gets a Retry-After of 1 s, so that all of them return in the same second in which a new scheduler is still taking the workers over.

Change: the delay is 1, 2 or 3 s, chosen by the id of the job.

Test: refusedCallersReturnAtDifferentTimes, whose delays are all equal on the code before.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
@@ -44,7 +44,11 @@
 
 	private static final String NO_SCHEDULER = "no scheduler is currently available";
 
-	private static final long RETRY_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
+	/** The shortest retry delay of a job that is refused because no host schedules. */
+	private static final int MIN_RETRY_AFTER_SECONDS = 1;
+
+	/** The number of retry delays over which the callers that are refused are spread. */
+	private static final int RETRY_AFTER_STEPS = 3;
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -151,17 +155,23 @@
 
 	private void submitOrEnd(PendingJob job, long nowNanos) {
 		if (nowNanos >= job.deadlineNanos) {
-			end(job, new JobAnswer(job.mayHaveRun ? JobOutcome.ABANDONED : JobOutcome.REFUSED, NO_SCHEDULER,
-					RETRY_AFTER_NANOS));
+			endWithoutScheduler(job, job.mayHaveRun ? JobOutcome.ABANDONED : JobOutcome.REFUSED);
 			return;
 		}
 		submitToScheduler(job, nowNanos);
 		boolean waitedTooLong = nowNanos - job.arrivalNanos > schedulerWaitNanos(job.spec);
 		if (job.submittedTo == null && !job.mayHaveRun && waitedTooLong) {
-			end(job, new JobAnswer(JobOutcome.REFUSED, NO_SCHEDULER, RETRY_AFTER_NANOS));
+			endWithoutScheduler(job, JobOutcome.REFUSED);
 		}
 	}
 
+	// The retry delays depend on the job, so that the callers do not all return at the
+	// moment at which a new scheduler starts.
+	private void endWithoutScheduler(PendingJob job, JobOutcome outcome) {
+		int seconds = MIN_RETRY_AFTER_SECONDS + Math.floorMod(job.spec.id().hashCode(), RETRY_AFTER_STEPS);
+		end(job, new JobAnswer(outcome, NO_SCHEDULER, TimeUnit.SECONDS.toNanos(seconds)));
+	}
+
 	// Returns how long a job waits for a scheduler. Afterwards its answer would be of no
 	// use to its caller, so that it is refused without further delay.
 	private static long schedulerWaitNanos(JobSpec spec) {
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
@@ -3,9 +3,12 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import net.jqwik.api.Example;
 import org.limpetgate.DispatchException;
@@ -71,6 +74,23 @@
 		assertThat(this.transport.jobs).extracting(SubmitJob::getJobId).containsExactly("2");
 	}
 
+	/**
+	 * Guards against callers that all return at the same moment after the jobs that they
+	 * sent while no host scheduled were refused.
+	 */
+	@Example
+	void refusedCallersReturnAtDifferentTimes() {
+		List<CompletableFuture<JobAnswer>> answers = IntStream.range(0, 300)
+			.mapToObj((number) -> submit("job" + number))
+			.toList();
+		this.now += 500 * NANOS_PER_MILLI;
+		this.pendingJobs.tick(null, this.now);
+		Map<Long, Long> callersByDelay = answers.stream()
+			.collect(Collectors.groupingBy((answer) -> answer.join().retryAfterNanos(), Collectors.counting()));
+		assertThat(callersByDelay).hasSizeGreaterThan(1);
+		assertThat(callersByDelay.values()).allSatisfy((callers) -> assertThat(callers).isLessThan(150));
+	}
+
 	/** Guards against losing a job when the host that schedules is lost. */
 	@Example
 	void jobIsResubmittedToTheNextScheduler() {
