Log the id of the caller's request with the job

Cause: callers know their requests by the header Request-Id, which differs from the id of the job.

Change: LG1301 ends with request=; LG1306 JOB_JOINED is written for a further request for a job that is pending.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -32,7 +32,7 @@
 	SUBMISSION(1201, "submission key=%s decision=%s"),
 
 	/** A job of a caller was accepted. */
-	JOB_ACCEPTED(1301, "job=%s queue=%s tasks=%s estimate_ms=%s"),
+	JOB_ACCEPTED(1301, "job=%s queue=%s tasks=%s estimate_ms=%s request=%s"),
 
 	/** A job must be resubmitted: its submission failed or the scheduler returned it. */
 	JOB_TAKEN_BACK(1302, "job=%s scheduler=%s reason=%s"),
@@ -46,6 +46,9 @@
 	/** The scheduler received a job from another host. */
 	SUBMISSION_RECEIVED(1305, "job=%s origin=%s link=%s max_age_ms=%s waited_ms=%s resubmitted=%s"),
 
+	/** A further request of a caller waits for the answer to a job. */
+	JOB_JOINED(1306, "job=%s request=%s"),
+
 	/** A worker was ordered to start a run. */
 	RUN_ORDERED(1311, "run=%s worker=%s token=%s"),
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -14,6 +14,7 @@
 import org.limpetgate.HostId;
 import org.limpetgate.Incarnation;
 import org.limpetgate.JobId;
+import org.limpetgate.RequestId;
 import org.limpetgate.fleet.Directory;
 import org.limpetgate.fleet.HostState;
 import org.limpetgate.fleet.JobLog;
@@ -182,8 +183,8 @@
 	}
 
 	@Override
-	public CompletableFuture<JobAnswer> submit(JobSpec spec, long remainingNanos) {
-		return this.pendingJobs.submit(spec, remainingNanos, this.clock.getAsLong());
+	public CompletableFuture<JobAnswer> submit(JobSpec spec, RequestId request, long remainingNanos) {
+		return this.pendingJobs.submit(spec, request, remainingNanos, this.clock.getAsLong());
 	}
 
 	@Override
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobEvents.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobEvents.java
@@ -2,6 +2,7 @@
 
 import org.limpetgate.HostId;
 import org.limpetgate.JobId;
+import org.limpetgate.RequestId;
 import org.limpetgate.host.EventLog;
 import org.limpetgate.host.HostMetrics;
 import org.limpetgate.host.LogEvent;
@@ -21,9 +22,13 @@
 		this.metrics = metrics;
 	}
 
-	void accepted(JobSpec spec) {
+	void accepted(JobSpec spec, RequestId request) {
 		this.log.write(LogEvent.JOB_ACCEPTED, spec.id(), spec.queue(), spec.taskCount(),
-				spec.steps().get(0).estimatedNanos() / 1_000_000);
+				spec.steps().get(0).estimatedNanos() / 1_000_000, request);
+	}
+
+	void joined(JobId job, RequestId request) {
+		this.log.write(LogEvent.JOB_JOINED, job, request);
 	}
 
 	void resubmissionScheduled(JobId job, HostId scheduler, String reason) {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobService.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.limpetgate.JobId;
+import org.limpetgate.RequestId;
 import org.limpetgate.fleet.QueueTable;
 import org.limpetgate.scheduling.JobSpec;
 
@@ -16,11 +17,12 @@
 	/**
 	 * Submits a job.
 	 * @param spec the job, not null
+	 * @param request the request of the caller, for the log, not null
 	 * @param remainingNanos how long the caller waits, in nanoseconds
 	 * @return the answer, not null; cancelling it withdraws the job, unless the job is
 	 * stored or other callers wait for it
 	 */
-	CompletableFuture<JobAnswer> submit(JobSpec spec, long remainingNanos);
+	CompletableFuture<JobAnswer> submit(JobSpec spec, RequestId request, long remainingNanos);
 
 	/**
 	 * Cancels a job that is not stored and whose callers wait at this host.
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
@@ -14,6 +14,7 @@
 import org.limpetgate.HostId;
 import org.limpetgate.JobId;
 import org.limpetgate.Outcome;
+import org.limpetgate.RequestId;
 import org.limpetgate.net.http.ErrorReply;
 import org.limpetgate.proto.JobResult;
 import org.limpetgate.scheduling.JobOutcome;
@@ -73,17 +74,21 @@
 	/**
 	 * Submits a job, or joins the pending job with the same id.
 	 * @param spec the job
+	 * @param request the request of the caller, for the log
 	 * @param remainingNanos how long the caller waits, in nanoseconds
 	 * @param nowNanos the current time, in nanoseconds since the Unix epoch
 	 * @return the answer; cancelling it withdraws the job, unless the job is stored or
 	 * other callers wait for it
 	 */
-	CompletableFuture<JobAnswer> submit(JobSpec spec, long remainingNanos, long nowNanos) {
+	CompletableFuture<JobAnswer> submit(JobSpec spec, RequestId request, long remainingNanos, long nowNanos) {
 		PendingJob job = this.pending.get(spec.id());
 		if (job == null) {
 			job = new PendingJob(spec, nowNanos, nowNanos + remainingNanos);
 			this.pending.put(spec.id(), job);
-			this.events.accepted(spec);
+			this.events.accepted(spec, request);
+		}
+		else {
+			this.events.joined(spec.id(), request);
 		}
 		CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
 		job.callers.add(answer);
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
@@ -16,6 +16,7 @@
 import org.limpetgate.HostId;
 import org.limpetgate.JobId;
 import org.limpetgate.Outcome;
+import org.limpetgate.RequestId;
 import org.limpetgate.host.EventLog;
 import org.limpetgate.host.HostMetrics;
 import org.limpetgate.proto.JobResult;
@@ -248,7 +249,7 @@
 		JobSpec spec = new JobSpec(JobId.of(id), "q", "service", new QueueTerms(0, 2, 1.6, 60 * NANOS_PER_MILLI),
 				"payload", List.of(new StepSpec(1, new Capacity(1000, 64, 0), estimatedMillis * NANOS_PER_MILLI,
 						List.of(), "", "", 0)));
-		return this.pendingJobs.submit(spec, TimeUnit.SECONDS.toNanos(3), this.now);
+		return this.pendingJobs.submit(spec, RequestId.NONE, TimeUnit.SECONDS.toNanos(3), this.now);
 	}
 
 	private static final class FakeTransport implements JobTransport {
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestHost.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestHost.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoopGroup;
 import org.limpetgate.DataCentreId;
 import org.limpetgate.HostId;
+import org.limpetgate.RequestId;
 import org.limpetgate.host.EventLog;
 import org.limpetgate.host.HostMetrics;
 import org.limpetgate.scheduling.JobSpec;
@@ -72,7 +73,10 @@
 
 	// Submits a job. The answer may be cancelled on any thread.
 	CompletableFuture<JobAnswer> submit(JobSpec job, long remainingNanos) {
-		return this.group.next().submit(() -> this.host.submit(job, remainingNanos)).syncUninterruptibly().getNow();
+		return this.group.next()
+			.submit(() -> this.host.submit(job, RequestId.NONE, remainingNanos))
+			.syncUninterruptibly()
+			.getNow();
 	}
 
 	// Cancels a caller's request, as the end of its connection does.
