--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/SchedulerElection.java
@@ -46,8 +46,8 @@
 	// The longest time between the readiness of this host and its first activation. Its
 	// links open one after the other while the process is still warming up, and its
 	// new, higher scheduler token would replace a scheduler that it does not know of
-	// yet. The delay ends early once no known peer can schedule
-	// without this host knowing it.
+	// yet. The delay ends early once no known peer can be a scheduler without this
+	// host knowing it.
 	private static final long STARTUP_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
 	private final Map<HostId, Peer> peers = new HashMap<>();
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -210,8 +210,8 @@
 	}
 
 	// While no other scheduler is possible, the worker knows the token of an earlier
-	// owner
-	// whose wall clock was ahead. The next takeover soon uses a much higher token.
+	// owner whose wall clock was ahead. The takeover is soon repeated with a much higher
+	// token.
 	private void handleFenced(WorkerEntity worker, long nowNanos) {
 		boolean takingOver = worker.ownership == WorkerEntity.Ownership.TAKING_OVER;
 		RunSystem.markFenced(worker, nowNanos);
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -51,9 +51,6 @@
 
 	private static final long HEARTBEAT_INTERVAL_MILLIS = 200;
 
-	/** Passed instead of a peer's version to omit the configuration from a heartbeat. */
-	private static final long OMIT_CONFIGURATION = Long.MAX_VALUE;
-
 	/** The configuration version of a host that has no configuration yet. */
 	private static final long NO_VERSION = -1;
 
@@ -456,7 +453,7 @@
 		public HostBeat heartbeat(long peerVersion) {
 			long version = configurationVersion();
 			HostBeat.Builder heartbeat = FleetHost.this.peers.newHeartbeat(state()).setConfigurationVersion(version);
-			if (peerVersion != OMIT_CONFIGURATION && peerVersion < version) {
+			if (peerVersion != FleetPeers.OMIT_CONFIGURATION && peerVersion < version) {
 				heartbeat.setConfiguration(FleetPeers.toByteString(FleetHost.this.directory.configurationText()));
 			}
 			return heartbeat.build();
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -54,6 +54,9 @@
  */
 final class FleetPeers implements JobTransport {
 
+	/** Passed instead of a peer's version to omit the configuration from a heartbeat. */
+	static final long OMIT_CONFIGURATION = Long.MAX_VALUE;
+
 	private static final String KEY_ID = "fleet";
 
 	/** When a heartbeat times out, a later one has already been sent. */
@@ -153,7 +156,7 @@
 	// returns all of them.
 	Set<HostId> sendHeartbeats(HostState state) {
 		Set<HostId> targets = this.heartbeatPlan.nextTargets(!state.schedulerToken().isNone());
-		HostBeat heartbeat = this.listener.heartbeat(Long.MAX_VALUE);
+		HostBeat heartbeat = this.listener.heartbeat(OMIT_CONFIGURATION);
 		targets.forEach((host) -> sendHeartbeat(host, heartbeat));
 		return targets;
 	}
@@ -369,7 +372,7 @@
 	interface Listener {
 
 		// Returns a heartbeat, with the configuration if the version of the peer is lower
-		// than that of this host. Long.MAX_VALUE omits the configuration.
+		// than that of this host. OMIT_CONFIGURATION omits it.
 		HostBeat heartbeat(long peerVersion);
 
 		// Called when a peer has answered a heartbeat of this host.
@@ -411,7 +414,7 @@
 		// wait for the next round of heartbeats.
 		@Override
 		public void linkUp(HostId peer) {
-			sendHeartbeat(peer, FleetPeers.this.listener.heartbeat(Long.MAX_VALUE));
+			sendHeartbeat(peer, FleetPeers.this.listener.heartbeat(OMIT_CONFIGURATION));
 		}
 
 		@Override
