Log why a worker is told to stop a run, and withdrawals that arrive

LG1312 gets a reason, and LG1307 is new. SchedulerTests, StoredJobTests and SchedulerSimulationTests pass; no decision changes.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/GangSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/GangSystem.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 
+import org.limpetgate.scheduling.SchedulingEffect.StopRun;
+
 /**
  * Starts and ends the tasks of a gang together.
  * <p>
@@ -110,7 +112,7 @@
 	void stopOthers(List<TaskEntity> tasks, long nowNanos) {
 		for (TaskEntity member : tasks) {
 			if (member.run != null) {
-				this.runs.stop(member.run, nowNanos);
+				this.runs.stop(member.run, StopRun.Reason.GANG_MEMBER_ENDED, nowNanos);
 			}
 		}
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -6,6 +6,7 @@
 
 import org.limpetgate.HostId;
 import org.limpetgate.JobId;
+import org.limpetgate.scheduling.SchedulingEffect.StopRun;
 
 /**
  * Admits jobs, has their tasks placed, handles the ends of their runs, and ends the jobs.
@@ -207,7 +208,7 @@
 				this.tables.waitingJobs.remove(job);
 				job.ended = true;
 				job.runs().forEach((run) -> run.released = true);
-				stopRuns(job, nowNanos);
+				stopRuns(job, StopRun.Reason.JOB_RELEASED, nowNanos);
 				notifyOrigins(job, JobOutcome.MOVED, "the host has lost ownership of the stored jobs", 0);
 			}
 		}
@@ -389,7 +390,7 @@
 			RunEntity redundantRun = task.run;
 			task.run = null;
 			redundantRun.task = null;
-			this.runs.stop(redundantRun, nowNanos);
+			this.runs.stop(redundantRun, StopRun.Reason.REDUNDANT, nowNanos);
 		}
 		taskDone(job, task, nowNanos);
 	}
@@ -416,7 +417,7 @@
 		this.tables.jobs.remove(job.id());
 		this.tables.waitingJobs.remove(job);
 		job.ended = true;
-		stopRuns(job, nowNanos);
+		stopRuns(job, (outcome != null) ? StopRun.Reason.JOB_ENDED : StopRun.Reason.JOB_WITHDRAWN, nowNanos);
 		if (outcome != null) {
 			notifyOrigins(job, outcome, reason,
 					(outcome == JobOutcome.REFUSED) ? Admission.retryAfterNanos(nowNanos - job.arrivalNanos()) : 0);
@@ -426,12 +427,12 @@
 	private void endStored(JobEntity job, StoredState state, long nowNanos) {
 		this.tables.waitingJobs.remove(job);
 		job.ended = true;
-		stopRuns(job, nowNanos);
+		stopRuns(job, StopRun.Reason.JOB_ENDED, nowNanos);
 		job.endChange = this.storedJobs.jobEnded(job, state, nowNanos);
 	}
 
-	private void stopRuns(JobEntity job, long nowNanos) {
-		job.runs().forEach((run) -> this.runs.stop(run, nowNanos));
+	private void stopRuns(JobEntity job, StopRun.Reason reason, long nowNanos) {
+		job.runs().forEach((run) -> this.runs.stop(run, reason, nowNanos));
 	}
 
 	private void notifyOrigins(JobEntity job, JobOutcome outcome, String reason, long retryAfterNanos) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
@@ -1,5 +1,7 @@
 package org.limpetgate.scheduling;
 
+import org.limpetgate.scheduling.SchedulingEffect.StopRun;
+
 /**
  * One run, which occupies capacity on a worker until the worker no longer reports it.
  * Confined to the thread of the scheduler.
@@ -49,6 +51,9 @@
 
 	int stopsSent;
 
+	/** Why it must end, null if no stop was sent. */
+	StopRun.Reason stopReason;
+
 	int progressPercent;
 
 	/** The last checkpoint that the worker reported, empty if there is none. */
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -8,6 +8,7 @@
 import org.limpetgate.UpstreamId;
 import org.limpetgate.scheduling.RunListener.RunEnd;
 import org.limpetgate.scheduling.SchedulingEffect.RunGivenUp;
+import org.limpetgate.scheduling.SchedulingEffect.StopRun;
 import org.limpetgate.scheduling.WorkerReport.EndKind;
 
 /**
@@ -100,9 +101,10 @@
 	}
 
 	// Stops a run that its task no longer needs, or that must run elsewhere.
-	void stop(RunEntity run, long nowNanos) {
+	void stop(RunEntity run, StopRun.Reason reason, long nowNanos) {
 		if (run.state == RunEntity.State.STARTING || run.state == RunEntity.State.RUNNING) {
 			run.enter(RunEntity.State.STOPPING, nowNanos);
+			run.stopReason = reason;
 			sendStop(run, nowNanos);
 		}
 	}
@@ -110,7 +112,7 @@
 	private void sendStop(RunEntity run, long nowNanos) {
 		run.stopSentNanos = nowNanos;
 		run.stopsSent++;
-		this.tables.emit(new SchedulingEffect.StopRun(run.worker().info, run.id(), run.worker().token));
+		this.tables.emit(new StopRun(run.worker().info, run.id(), run.worker().token, run.stopReason));
 	}
 
 	void startAnswered(UpstreamId workerId, RunId id, StartAnswer answer, long nowNanos) {
@@ -124,7 +126,7 @@
 			case STARTED -> run.enter(RunEntity.State.RUNNING, nowNanos);
 			case UNKNOWN -> {
 				worker.markSuspect(START_FAILURE_SUSPECT_NANOS, nowNanos);
-				stop(run, nowNanos);
+				stop(run, StopRun.Reason.START_UNANSWERED, nowNanos);
 			}
 			case FENCED -> markFenced(worker, nowNanos);
 			case OLD_ATTEMPT -> {
@@ -374,7 +376,7 @@
 		for (Map.Entry<RunId, Long> entry : worker.orphanRuns.entrySet()) {
 			if (nowNanos - entry.getValue() >= ADOPTION_TIMEOUT_NANOS) {
 				entry.setValue(nowNanos - ADOPTION_TIMEOUT_NANOS + STOP_RETRY_NANOS);
-				this.tables.emit(new SchedulingEffect.StopRun(worker.info, entry.getKey(), worker.token));
+				this.tables.emit(new StopRun(worker.info, entry.getKey(), worker.token, StopRun.Reason.ORPHAN));
 			}
 		}
 	}
@@ -384,7 +386,7 @@
 			if (run.state == RunEntity.State.RUNNING && isHanging(run, nowNanos)
 					&& worker.lastReportNanos > run.progressNanos) {
 				worker.markSuspect(SUSPECT_NANOS, nowNanos);
-				stop(run, nowNanos);
+				stop(run, StopRun.Reason.HANGING, nowNanos);
 			}
 		}
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
@@ -29,8 +29,31 @@
 	 * @param worker the worker
 	 * @param run the run
 	 * @param token the fencing token of the owner
+	 * @param reason why the run must end, for the log
 	 */
-	record StopRun(WorkerInfo worker, RunId run, FencingToken token) implements SchedulingEffect {
+	record StopRun(WorkerInfo worker, RunId run, FencingToken token, Reason reason) implements SchedulingEffect {
+
+		/** Why a run must end. */
+		public enum Reason {
+
+			/** No host waits for its job any longer. */
+			JOB_WITHDRAWN,
+			/** Its job has ended or was cancelled. */
+			JOB_ENDED,
+			/** Its stored job belongs to another scheduler. */
+			JOB_RELEASED,
+			/** It was started by an earlier owner and no job has adopted it. */
+			ORPHAN,
+			/** The order to start it was not answered. */
+			START_UNANSWERED,
+			/** It makes no progress. */
+			HANGING,
+			/** Another member of its gang has ended. */
+			GANG_MEMBER_ENDED,
+			/** Another run of its task succeeded. */
+			REDUNDANT
+
+		}
 
 	}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -49,11 +49,14 @@
 	/** A further request of a caller waits for the answer to a job. */
 	JOB_JOINED(1306, "job=%s request=%s"),
 
+	/** The scheduler received the withdrawal of a job from another host. */
+	WITHDRAWAL_RECEIVED(1307, "job=%s origin=%s"),
+
 	/** A worker was ordered to start a run. */
 	RUN_ORDERED(1311, "run=%s worker=%s token=%s"),
 
 	/** A worker was ordered to stop a run. */
-	STOP_ORDERED(1312, "run=%s worker=%s"),
+	STOP_ORDERED(1312, "run=%s worker=%s reason=%s"),
 
 	/** A worker did not report. */
 	WORKER_SILENT(1313, "worker=%s failure=%s"),
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
@@ -80,7 +80,7 @@
 	}
 
 	private void stop(SchedulingEffect.StopRun stop) {
-		this.log.write(LogEvent.STOP_ORDERED, stop.run(), stop.worker().id());
+		this.log.write(LogEvent.STOP_ORDERED, stop.run(), stop.worker().id(), stop.reason());
 		this.orders.stop(stop).thenAccept((confirmed) -> {
 			this.scheduler.stopAnswered(stop.worker().id(), stop.run(), confirmed, this.clock.getAsLong());
 			this.requestTick.run();
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -523,6 +523,7 @@
 
 		@Override
 		public void jobWithdrawn(HostId peer, JobId job) {
+			FleetHost.this.log.write(LogEvent.WITHDRAWAL_RECEIVED, job, peer);
 			withdraw(peer, job);
 		}
 
