--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkerOrders.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkerOrders.java
@@ -18,7 +18,7 @@
 
 /**
  * The orders of one host to the {@link FakeWorkers}. Workers of some data centres can be
- * unreachable; orders to them have no effect and time out.
+ * unreachable; orders to them have no effect and time out. So do stops that are lost.
  * <p>
  * Used on the event loop of the host; reachability may be changed by any thread.
  */
@@ -41,6 +41,8 @@
 
 	private final Set<DataCentreId> unreachable = ConcurrentHashMap.newKeySet();
 
+	private volatile boolean losingStops;
+
 	FakeWorkerOrders(HostId host, FakeWorkers workers, EventLoop loop, LongSupplier clock) {
 		this.host = host;
 		this.workers = workers;
@@ -56,6 +58,11 @@
 		this.unreachable.remove(dataCentre);
 	}
 
+	// From now on stops have no effect and time out.
+	void loseStops() {
+		this.losingStops = true;
+	}
+
 	private boolean isReachable(WorkerInfo worker) {
 		return !this.unreachable.contains(worker.dataCentre());
 	}
@@ -68,7 +75,7 @@
 
 	@Override
 	public CompletableFuture<Boolean> stop(SchedulingEffect.StopRun order) {
-		return isReachable(order.worker()) ? answer(this.workers.stop(order), LATENCY_MILLIS)
+		return (isReachable(order.worker()) && !this.losingStops) ? answer(this.workers.stop(order), LATENCY_MILLIS)
 				: answer(false, TIMEOUT_MILLIS);
 	}
 
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkers.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkers.java
@@ -104,6 +104,17 @@
 		return this.doneTasks.stream().filter((task) -> task.job().equals(job)).count();
 	}
 
+	// Returns the runs of a job that are present, as text.
+	synchronized List<String> presentRuns(JobId job) {
+		long now = this.clock.getAsLong();
+		return this.starts.stream()
+			.map((start) -> start.run().task())
+			.filter((task) -> task.job().equals(job))
+			.distinct()
+			.flatMap((task) -> presentRuns(task, now).stream())
+			.toList();
+	}
+
 	/**
 	 * The start of a run.
 	 *
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -227,6 +227,24 @@
 		}
 	}
 
+	/**
+	 * Guards against a run that is still present when its caller, whose connection broke
+	 * with its host, sends the job again, because the scheduler cannot stop it.
+	 */
+	@Example
+	void runOfALostHostEndsBeforeItsCallerRetriesAlthoughNoStopArrives() {
+		try (TestFleet fleet = TestFleet.start(LONG_TASK_MILLIS, SMALLER_THAN_THIRD)) {
+			submit(fleet);
+			awaitStartsBy(fleet, fleet.scheduler());
+			fleet.scheduler().orders().loseStops();
+			long lostNanos = System.nanoTime();
+			fleet.cutOffSecondDataCentre();
+			long remainingNanos = lostNanos + RESEND_DELAY.toNanos() - System.nanoTime();
+			TestFleet.sleep(TimeUnit.NANOSECONDS.toMillis(remainingNanos));
+			assertThat(fleet.workers().presentRuns(JOB)).as("runs; log:%n%s", fleet.log()).isEmpty();
+		}
+	}
+
 	/**
 	 * Guards against a link that refuses requests after many withdrawals because their
 	 * replies are never sent.
