End each run before its caller sends the job again

Callers saw one task with two runs at the same time under two schedulers, 1.294 s apart. A caller whose connection breaks sends its job again after 1.3 s, to any host, and its scheduler may not know of the first run. That was safe only if a stop reached the worker: the lease alone lasted 0.7 s (submission lease) and 1.02 s (lease of the worker) after the caller's host was last heard, and starts and polls prolonged the lease of a withdrawn run without end while its stops were lost.

The lease of a best-effort run now ends at most 1.23 s after its host was last known to wait for the job, on the worker's clock; no order prolongs it beyond that, and a job starts only while its host was heard in the last 0.4 s. Stored jobs are as before, but a start no longer prolongs the lease of a released run.

FinishTimePlacementTests gives its occupying run a task, since each run has a job now.

--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/SubmissionLeases.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/SubmissionLeases.java
@@ -71,6 +71,18 @@
 		}
 	}
 
+	/**
+	 * Returns when a host was last known to wait for a job.
+	 * @param origin the host that submitted it, not null
+	 * @param job the job, not null
+	 * @return the newest time of this host's clock that the host had received on the link
+	 * of the job, nanoseconds since the Unix epoch; 0 if it has not submitted the job
+	 */
+	public long provenNanos(HostId origin, JobId job) {
+		Link link = this.links.getOrDefault(origin, Map.of()).get(job);
+		return (link != null) ? this.leases.get(link).provenNanos : 0;
+	}
+
 	/**
 	 * Ends the leases that have expired.
 	 * @param nowNanos the current time, nanoseconds since the Unix epoch
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -26,6 +26,12 @@
 	/** The hosts to notify of the outcome. */
 	final Set<HostId> origins = new LinkedHashSet<>();
 
+	/**
+	 * The newest time at which a host that waits for it no longer was known to wait,
+	 * nanoseconds since the Unix epoch.
+	 */
+	private long formerlyWantedNanos;
+
 	/** The tasks of each step, by step number. */
 	private final List<List<TaskEntity>> steps = new ArrayList<>();
 
@@ -103,6 +109,30 @@
 		unblockSteps();
 	}
 
+	// Returns when a host was last known to wait for it, nanoseconds since the Unix
+	// epoch.
+	long lastWantedNanos(OriginHeartbeats heartbeats, long nowNanos) {
+		long newestNanos = this.formerlyWantedNanos;
+		if (!this.ended) {
+			for (HostId origin : this.origins) {
+				newestNanos = Math.max(newestNanos, heartbeats.lastNanos(origin, id(), nowNanos));
+			}
+		}
+		return newestNanos;
+	}
+
+	// Removes a host that no longer waits for it; returns false if the host did not wait.
+	boolean removeOrigin(HostId origin, OriginHeartbeats heartbeats, long nowNanos) {
+		this.formerlyWantedNanos = lastWantedNanos(heartbeats, nowNanos);
+		return this.origins.remove(origin);
+	}
+
+	// Ends it; what its hosts do from now on does not prolong the leases of its runs.
+	void end(OriginHeartbeats heartbeats, long nowNanos) {
+		this.formerlyWantedNanos = lastWantedNanos(heartbeats, nowNanos);
+		this.ended = true;
+	}
+
 	private void unblockSteps() {
 		for (int number = 0; number < this.unfinishedTasks.length; number++) {
 			if (isUnblocked(this.spec.steps().get(number))) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -216,7 +216,8 @@
 
 	void withdraw(HostId origin, JobId id, long nowNanos) {
 		JobEntity job = this.tables.jobs.get(id);
-		if (job != null && job.origins.remove(origin) && job.origins.isEmpty() && !job.spec().stored()) {
+		if (job != null && job.removeOrigin(origin, this.tables.heartbeats, nowNanos) && job.origins.isEmpty()
+				&& !job.spec().stored()) {
 			end(job, null, "", nowNanos);
 		}
 	}
@@ -416,7 +417,7 @@
 		}
 		this.tables.jobs.remove(job.id());
 		this.tables.waitingJobs.remove(job);
-		job.ended = true;
+		job.end(this.tables.heartbeats, nowNanos);
 		stopRuns(job, (outcome != null) ? StopRun.Reason.JOB_ENDED : StopRun.Reason.JOB_WITHDRAWN, nowNanos);
 		if (outcome != null) {
 			notifyOrigins(job, outcome, reason,
@@ -426,7 +427,7 @@
 
 	private void endStored(JobEntity job, StoredState state, long nowNanos) {
 		this.tables.waitingJobs.remove(job);
-		job.ended = true;
+		job.end(this.tables.heartbeats, nowNanos);
 		stopRuns(job, StopRun.Reason.JOB_ENDED, nowNanos);
 		job.endChange = this.storedJobs.jobEnded(job, state, nowNanos);
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
@@ -32,6 +32,8 @@
 
 	private final long startedNanos;
 
+	private final JobEntity job;
+
 	/**
 	 * The task whose current run this is, null once the result of the run no longer
 	 * counts.
@@ -51,6 +53,9 @@
 
 	int stopsSent;
 
+	/** Whether a stop was sent again because the first one was not confirmed. */
+	boolean stopRepeated;
+
 	/** Why it must end, null if no stop was sent. */
 	StopRun.Reason stopReason;
 
@@ -78,6 +83,7 @@
 		this.worker = worker;
 		this.step = step;
 		this.task = task;
+		this.job = task.job();
 		this.startedNanos = nowNanos;
 		this.stateSinceNanos = nowNanos;
 		this.progressNanos = nowNanos;
@@ -103,10 +109,20 @@
 		return this.startedNanos;
 	}
 
-	// Tests whether another scheduler may have its job, and rely on the end of its lease.
+	// Returns the job for which it was started or adopted, which may have ended since.
+	JobEntity job() {
+		return this.job;
+	}
+
+	boolean isStored() {
+		return this.job.spec().stored();
+	}
+
+	// Tests whether another scheduler may have its stored job, and rely on the end of its
+	// lease.
 	boolean isForeign() {
-		boolean withdrawn = this.task == null || this.task.job().ended;
-		return this.released || (withdrawn && this.stopsSent > 1);
+		boolean ended = this.task == null || this.job.ended;
+		return this.released || (isStored() && ended && this.stopRepeated);
 	}
 
 	void enter(State next, long nowNanos) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -65,9 +65,12 @@
 
 	private final RunListener listener;
 
+	private final LeaseLimits leaseLimits;
+
 	RunSystem(SchedulerTables tables, RunListener listener) {
 		this.tables = tables;
 		this.listener = listener;
+		this.leaseLimits = new LeaseLimits(tables);
 	}
 
 	void start(TaskEntity task, WorkerEntity worker, double expectedNanos, long nowNanos) {
@@ -94,10 +97,32 @@
 		task.run = run;
 		task.state = TaskEntity.State.ACTIVE;
 		this.tables.addRun(task.name());
-		worker.renewedNanos = nowNanos;
+		extendLease(worker, nowNanos);
 		this.tables.changedWorkers.add(worker);
 		this.tables.emit(new SchedulingEffect.StartRun(worker.info, run.id(), task.job().spec().payload(),
-				task.checkpoint, worker.leaseEndMillis(this.tables.settings, nowNanos), worker.token));
+				task.checkpoint, worker.clockMillis(worker.grantedEndNanos), worker.token));
+	}
+
+	/**
+	 * Prolongs the lease of a worker as far as its runs allow.
+	 * @param worker the worker
+	 * @param nowNanos the current time
+	 * @return false if the lease stays as it is
+	 */
+	boolean extendLease(WorkerEntity worker, long nowNanos) {
+		long endNanos = this.leaseLimits.latestEndNanos(worker, nowNanos);
+		if (endNanos <= Math.max(nowNanos, worker.grantedEndNanos)) {
+			return false;
+		}
+		worker.grantedEndNanos = endNanos;
+		worker.renewedNanos = nowNanos;
+		return true;
+	}
+
+	// Tests whether tasks of a job may start, as far as the leases of its runs are
+	// concerned.
+	boolean mayStart(JobEntity job, long nowNanos) {
+		return this.leaseLimits.mayStart(job, nowNanos);
 	}
 
 	// Stops a run that its task no longer needs, or that must run elsewhere.
@@ -112,6 +137,7 @@
 	private void sendStop(RunEntity run, long nowNanos) {
 		run.stopSentNanos = nowNanos;
 		run.stopsSent++;
+		run.stopRepeated |= run.stopsSent > 1;
 		this.tables.emit(new StopRun(run.worker().info, run.id(), run.worker().token, run.stopReason));
 	}
 
@@ -347,6 +373,7 @@
 
 	// Applies the time-outs of the runs on a worker.
 	void process(WorkerEntity worker, long nowNanos) {
+		worker.leaseTooShort = this.leaseLimits.isTooShort(worker, nowNanos);
 		retryStops(worker, nowNanos);
 		stopOrphanRuns(worker, nowNanos);
 		stopHanging(worker, nowNanos);
@@ -413,7 +440,7 @@
 		for (RunEntity run : List.copyOf(worker.runs.values())) {
 			boolean settled = run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED
 					|| !worker.listed;
-			if (settled && sinceRenewalNanos >= lossNanos(worker, isStored(run), nowNanos)) {
+			if (settled && sinceRenewalNanos >= lossNanos(worker, run.isStored(), nowNanos)) {
 				giveUp(run, RunGivenUp.Reason.LEASE_EXPIRED, nowNanos);
 			}
 		}
@@ -425,10 +452,6 @@
 		}
 	}
 
-	private static boolean isStored(RunEntity run) {
-		return run.task != null && run.task.job().spec().stored();
-	}
-
 	/**
 	 * Returns how long after the last renewal by this scheduler a run on a worker that
 	 * does not report must have ended. Another scheduler renews its lease only after
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -216,6 +216,16 @@
 		this.tables.otherSchedulerPossible = possible;
 	}
 
+	/**
+	 * Sets how this scheduler learns when the hosts of its jobs were last known to wait
+	 * for them.
+	 * @param heartbeats the heartbeats, not null; {@link OriginHeartbeats#CURRENT} until
+	 * set
+	 */
+	public void setOriginHeartbeats(OriginHeartbeats heartbeats) {
+		this.tables.heartbeats = heartbeats;
+	}
+
 	/**
 	 * Tests whether this scheduler has loaded the stored jobs.
 	 * @return true between {@link #loadStoredJobs} and {@link #releaseStoredJobs}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
@@ -16,9 +16,11 @@
  * its data
  * @param retentionNanos how long the state of a stored job stays available after its end,
  * in nanoseconds
+ * @param callerRetryNanos how long after its connection broke a caller sends its job
+ * again, in nanoseconds
  */
 public record SchedulerSettings(int hostNumber, long leaseNanos, long pollWaitNanos, long stopNanos,
-		double remoteFactor, long retentionNanos) {
+		double remoteFactor, long retentionNanos, long callerRetryNanos) {
 
 	/**
 	 * The time for messages and polls between the end of a task and the answer to its
@@ -47,6 +49,18 @@
 	/** Applies unless the settings of the host name another retention. */
 	private static final long DEFAULT_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(120);
 
+	/** Applies unless the settings of the host name another delay. */
+	private static final long DEFAULT_CALLER_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1300);
+
+	/** The time by which the runs of a job end before its caller sends it again. */
+	private static final long CALLER_RETRY_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+	/**
+	 * The time since a host was last heard within which its jobs may start. Hosts send
+	 * heartbeats every 200 ms, which may be delayed.
+	 */
+	private static final long MAX_HEARTBEAT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
 	/** The largest share by which a worker's clock may run slow. */
 	private static final double CLOCK_DRIFT = 0.02;
 
@@ -62,7 +76,8 @@
 	public static SchedulerSettings of(int hostNumber, long leaseMillis, long stopMillis, double remoteFactor) {
 		long lease = TimeUnit.MILLISECONDS.toNanos(leaseMillis);
 		return new SchedulerSettings(hostNumber, lease, lease / RENEWALS_PER_LEASE,
-				TimeUnit.MILLISECONDS.toNanos(stopMillis), remoteFactor, DEFAULT_RETENTION_NANOS);
+				TimeUnit.MILLISECONDS.toNanos(stopMillis), remoteFactor, DEFAULT_RETENTION_NANOS,
+				DEFAULT_CALLER_RETRY_NANOS);
 	}
 
 	/**
@@ -73,7 +88,36 @@
 	 */
 	public SchedulerSettings withRetentionSeconds(long seconds) {
 		return new SchedulerSettings(this.hostNumber, this.leaseNanos, this.pollWaitNanos, this.stopNanos,
-				this.remoteFactor, TimeUnit.SECONDS.toNanos(seconds));
+				this.remoteFactor, TimeUnit.SECONDS.toNanos(seconds), this.callerRetryNanos);
+	}
+
+	/**
+	 * Returns a copy with another delay of callers.
+	 * @param millis how long after its connection broke a caller sends its job again, in
+	 * milliseconds
+	 * @return the copy, not null
+	 */
+	public SchedulerSettings withCallerRetryMillis(long millis) {
+		return new SchedulerSettings(this.hostNumber, this.leaseNanos, this.pollWaitNanos, this.stopNanos,
+				this.remoteFactor, this.retentionNanos, TimeUnit.MILLISECONDS.toNanos(millis));
+	}
+
+	/**
+	 * Returns how long after a host was last known to wait for a job the leases of its
+	 * runs may last on the workers' clocks. The runs have ended then before a caller that
+	 * lost its connection to the host sends the job again.
+	 * @return the time in nanoseconds
+	 */
+	public long runLimitNanos() {
+		return (long) ((this.callerRetryNanos - CALLER_RETRY_MARGIN_NANOS) / (1 + CLOCK_DRIFT));
+	}
+
+	/**
+	 * Returns how long a lease lasts that is granted now.
+	 * @return the time in nanoseconds, at most {@link #leaseNanos}
+	 */
+	public long grantNanos() {
+		return Math.min(this.leaseNanos, runLimitNanos() - MAX_HEARTBEAT_AGE_NANOS);
 	}
 
 	/**
@@ -106,12 +150,4 @@
 		return resubmitGuardNanos() + OWNER_LOSS_NANOS;
 	}
 
-	/**
-	 * Returns the duration of a lease in milliseconds.
-	 * @return the duration in milliseconds
-	 */
-	public long leaseMillis() {
-		return TimeUnit.NANOSECONDS.toMillis(this.leaseNanos);
-	}
-
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
@@ -60,6 +60,9 @@
 	 */
 	boolean otherSchedulerPossible = true;
 
+	/** When the hosts of the jobs were last known to wait for them. */
+	OriginHeartbeats heartbeats = OriginHeartbeats.CURRENT;
+
 	/** Whether the next tick processes all workers. */
 	boolean scanDue;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -101,6 +101,15 @@
 	 */
 	long renewedNanos;
 
+	/**
+	 * The latest end of the lease that this scheduler has granted, nanoseconds since the
+	 * Unix epoch.
+	 */
+	long grantedEndNanos;
+
+	/** Whether its lease is too short for new runs and may not be prolonged. */
+	boolean leaseTooShort;
+
 	long lastReportNanos;
 
 	/**
@@ -153,21 +162,13 @@
 	// Tests whether new runs may be placed on the worker.
 	boolean isUsable() {
 		return this.listed && !this.info.draining() && this.ownership == Ownership.OWNED && this.orphanRuns.isEmpty()
-				&& this.pollFailures <= MAX_POLL_FAILURES;
+				&& this.pollFailures <= MAX_POLL_FAILURES && !this.leaseTooShort;
 	}
 
 	boolean isBusy() {
 		return !this.runs.isEmpty() || !this.orphanRuns.isEmpty();
 	}
 
-	// Tests whether there are runs, and all of them belong to jobs of this scheduler. The
-	// lease applies to all runs on the worker, and other hosts rely on the end of the
-	// lease of a run that is not renewed by its owner.
-	boolean hasOnlyOwnRuns() {
-		return !this.runs.isEmpty() && this.orphanRuns.isEmpty()
-				&& this.runs.values().stream().noneMatch(RunEntity::isForeign);
-	}
-
 	// Returns the sequence number up to which ends are acknowledged to the worker.
 	long ackNumber() {
 		return this.unsavedEnds.isEmpty() ? this.lastEndNumber : this.unsavedEnds.first() - 1;
@@ -187,17 +188,14 @@
 		this.retryNanos = retryAtNanos;
 	}
 
-	long leaseEndMillis(SchedulerSettings settings, long nowNanos) {
-		return clockMillis(nowNanos) + settings.leaseMillis();
-	}
-
 	void updateClock(long millis, long nowNanos) {
 		this.clockMillis = millis;
 		this.clockReadNanos = nowNanos;
 	}
 
-	long clockMillis(long nowNanos) {
-		return this.clockMillis + (nowNanos - this.clockReadNanos) / 1_000_000;
+	// Converts a time to the worker's clock, which is at that time or later then.
+	long clockMillis(long timeNanos) {
+		return this.clockMillis + (timeNanos - this.clockReadNanos) / 1_000_000;
 	}
 
 	// Resets the state for a new incarnation, which has no tokens, runs or ends of the
@@ -213,6 +211,8 @@
 		this.deferredEnds.clear();
 		this.ownership = Ownership.NOT_OWNED;
 		this.retryNanos = 0;
+		this.grantedEndNanos = 0;
+		this.leaseTooShort = false;
 		this.consecutiveFailures = 0;
 		this.suspectUntilNanos = 0;
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -291,9 +291,9 @@
 
 	private void renew(WorkerEntity worker, long nowNanos) {
 		long leaseEndMillis = 0;
-		if (worker.hasOnlyOwnRuns() && worker.pollFailures <= MAX_POLL_FAILURES_BEFORE_RENEWAL) {
-			leaseEndMillis = worker.leaseEndMillis(this.tables.settings, nowNanos);
-			worker.renewedNanos = nowNanos;
+		boolean renewable = !worker.runs.isEmpty() && worker.pollFailures <= MAX_POLL_FAILURES_BEFORE_RENEWAL;
+		if (renewable && this.runs.extendLease(worker, nowNanos)) {
+			leaseEndMillis = worker.clockMillis(worker.grantedEndNanos);
 		}
 		sendPoll(worker, leaseEndMillis, pollWaitNanos(worker), nowNanos);
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FinishTimePlacementTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FinishTimePlacementTests.java
@@ -81,9 +81,11 @@
 	}
 
 	private static void occupy(WorkerEntity worker) {
-		RunId run = new RunId(new TaskName(JobId.of("other"), 0, 0, 0), 1);
-		worker.add(new RunEntity(run, worker, new StepSpec(1, worker.info.capacity(), 0, List.of(), "", "", 0), null,
-				NOW));
+		QueueTerms terms = new QueueTerms(0, 2, 1.6, 0);
+		StepSpec step = new StepSpec(1, worker.info.capacity(), 0, List.of(), "", "", 0);
+		JobSpec spec = new JobSpec(JobId.of("other"), "q", "service", terms, "", List.of(step));
+		TaskEntity task = new JobEntity(spec, 0, NOW).steps().get(0).get(0);
+		worker.add(new RunEntity(new RunId(task.name(), 1), worker, step, task, NOW));
 	}
 
 	private static WorkerEntity worker(String id, double factor) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
@@ -42,6 +42,11 @@
 		return this.leases.expire(nowNanos);
 	}
 
+	@Override
+	public long lastWaitedNanos(HostId origin, JobId job, long nowNanos) {
+		return this.leases.provenNanos(origin, job);
+	}
+
 	@Override
 	public long heldNanos(long newestReplyNanos, long nowNanos) {
 		return Math.max(0, newestReplyNanos + SubmissionLeases.DURATION_NANOS - nowNanos);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
@@ -89,6 +89,11 @@
 
 	private long lastTickNanos;
 
+	private long lastTimedTickNanos;
+
+	/** All input that arrived before this time was processed. */
+	private long inputProcessedNanos;
+
 	private HostId schedulingHost;
 
 	private boolean tickRequested;
@@ -107,6 +112,7 @@
 		this.self = Incarnation.of(HostId.of(place.name()), clockNanos());
 		this.scheduler = Scheduler.of(SchedulerSettings.of(place.number(), LEASE_MILLIS, STOP_MILLIS, REMOTE_FACTOR));
 		this.rules = rules;
+		this.scheduler.setOriginHeartbeats(this::lastWaitedNanos);
 		this.orders = new SimulatedOrders(this, network, workers, this.scheduler);
 		this.pendingJobs = new SimulatedPendingJobs(this.transport, this::clockNanos, this.trace);
 		this.peers = new SimulatedPeers(this, peers, network, rules, new PeerListener());
@@ -219,6 +225,8 @@
 	}
 
 	private void timedTick() {
+		this.inputProcessedNanos = this.lastTimedTickNanos;
+		this.lastTimedTickNanos = clockNanos();
 		this.overload.tickStarted(clockNanos());
 		runElection();
 		tick();
@@ -366,6 +374,10 @@
 		return true;
 	}
 
+	private long lastWaitedNanos(HostId origin, JobId job, long nowNanos) {
+		return origin.equals(id()) ? this.inputProcessedNanos : this.rules.lastWaitedNanos(origin, job, nowNanos);
+	}
+
 	private void withdraw(HostId origin, JobId job) {
 		this.scheduler.withdraw(origin, job, clockNanos());
 		requestTick();
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SubmissionRules.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SubmissionRules.java
@@ -52,6 +52,15 @@
 	 */
 	List<Expired> expire(long nowNanos);
 
+	/**
+	 * Returns when a host was last known to wait for a job.
+	 * @param origin the host that submitted it
+	 * @param job the job
+	 * @param nowNanos the clock of this host
+	 * @return the time by the clock of this host, 0 if it is not known to wait
+	 */
+	long lastWaitedNanos(HostId origin, JobId job, long nowNanos);
+
 	/**
 	 * Returns how much longer the scheduler to which a job was submitted may act on it
 	 * after this host has taken it back.
@@ -108,6 +117,11 @@
 			return List.of();
 		}
 
+		@Override
+		public long lastWaitedNanos(HostId origin, JobId job, long nowNanos) {
+			return nowNanos;
+		}
+
 		@Override
 		public long heldNanos(long newestReplyNanos, long nowNanos) {
 			return 0;
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -119,6 +119,14 @@
 
 	private long lastTickNanos;
 
+	private long lastTimedTickNanos;
+
+	/**
+	 * All input that arrived before this time was processed, so that callers that
+	 * disconnected before have had their jobs withdrawn.
+	 */
+	private long inputProcessedNanos;
+
 	private FleetHost(FleetSettings settings, EventLoopGroup group, LongSupplier clock, Directory directory,
 			JobLog jobLog, WorkerOrders orders, EventLog log, HostMetrics metrics) {
 		this.settings = settings;
@@ -169,6 +177,7 @@
 			JobLog jobLog, WorkerOrders orders, EventLog log, HostMetrics metrics) {
 		FleetHost host = new FleetHost(settings, group, clock, directory, jobLog, orders, log, metrics);
 		host.peers = FleetPeers.start(group, settings, host.self, clock, host.new PeerListener());
+		host.scheduler.setOriginHeartbeats(host::lastWaitedNanos);
 		host.loop.execute(() -> {
 			host.peers.addHosts(settings.seeds());
 			directory.start(host.new DirectoryListener());
@@ -314,6 +323,9 @@
 	}
 
 	private void timedTick() {
+		// The event loop reads all input between two of these ticks.
+		this.inputProcessedNanos = this.lastTimedTickNanos;
+		this.lastTimedTickNanos = this.clock.getAsLong();
 		this.overload.tickStarted(this.clock.getAsLong());
 		try {
 			runElection();
@@ -427,6 +439,10 @@
 		return true;
 	}
 
+	private long lastWaitedNanos(HostId origin, JobId job, long nowNanos) {
+		return origin.equals(this.self.host()) ? this.inputProcessedNanos : this.peers.lastWaitedNanos(origin, job);
+	}
+
 	private void withdraw(HostId origin, JobId job) {
 		this.scheduler.withdraw(origin, job, this.clock.getAsLong());
 		requestTick();
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -260,6 +260,12 @@
 		return new SubmissionLeases.Link(link.host(), link.number());
 	}
 
+	// Returns when a host was last known to wait for a job that it submitted, 0 if it is
+	// not known to wait.
+	long lastWaitedNanos(HostId origin, JobId job) {
+		return this.leases.provenNanos(origin, job);
+	}
+
 	// Ends the jobs of hosts that this host has not heard for too long, since they may
 	// have submitted them to another scheduler.
 	void expireLeases(long nowNanos) {
