Do not prolong leases for what was heard before a suspension

The clock of a process stands still while its machine is suspended. A scheduler that wakes takes a host that was lost meanwhile for one that it heard just before, and prolongs the leases of its runs: they are present when their caller sends the job again, and two runs of one task overlap. FleetHost compares its clock with the wall clock in each tick; if the wall clock has run ahead, the scheduler forgets the leases that it granted and prolongs none until it has heard the hosts again.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/LeaseLimits.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/LeaseLimits.java
@@ -47,7 +47,13 @@
 		if (run.isStored()) {
 			return Long.MAX_VALUE;
 		}
-		return run.job().lastWantedNanos(this.tables.heartbeats, nowNanos) + this.tables.settings.runLimitNanos();
+		return limitNanos(run.job(), nowNanos);
+	}
+
+	private long limitNanos(JobEntity job, long nowNanos) {
+		long wantedNanos = job.lastWantedNanos(this.tables.heartbeats, nowNanos);
+		return (wantedNanos > this.tables.suspendedNanos) ? wantedNanos + this.tables.settings.runLimitNanos()
+				: NO_LIMIT_LEFT;
 	}
 
 	/**
@@ -58,11 +64,7 @@
 	 * @return false if its host was not heard for too long
 	 */
 	boolean mayStart(JobEntity job, long nowNanos) {
-		if (job.spec().stored()) {
-			return true;
-		}
-		long limitNanos = job.lastWantedNanos(this.tables.heartbeats, nowNanos) + this.tables.settings.runLimitNanos();
-		return limitNanos >= nowNanos + this.tables.settings.grantNanos();
+		return job.spec().stored() || limitNanos(job, nowNanos) >= nowNanos + this.tables.settings.grantNanos();
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -226,6 +226,17 @@
 		this.tables.heartbeats = heartbeats;
 	}
 
+	/**
+	 * Reports that the machine of this host may have been suspended, during which its
+	 * clock stood still. What it learned before may be older than it seems, so that no
+	 * lease is prolonged for it.
+	 * @param nowNanos the current time
+	 */
+	public void machineSuspended(long nowNanos) {
+		this.tables.suspendedNanos = nowNanos;
+		this.workers.forgetGrants();
+	}
+
 	/**
 	 * Tests whether this scheduler has loaded the stored jobs.
 	 * @return true between {@link #loadStoredJobs} and {@link #releaseStoredJobs}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
@@ -63,6 +63,12 @@
 	/** When the hosts of the jobs were last known to wait for them. */
 	OriginHeartbeats heartbeats = OriginHeartbeats.CURRENT;
 
+	/**
+	 * When the machine of this host was last found to have been suspended, nanoseconds
+	 * since the Unix epoch, 0 if never.
+	 */
+	long suspendedNanos;
+
 	/** Whether the next tick processes all workers. */
 	boolean scanDue;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -134,6 +134,12 @@
 		}
 	}
 
+	// Forgets the granted leases, whose ends are unknown after the clock stood still.
+	void forgetGrants() {
+		this.tables.workers.values().forEach((worker) -> worker.grantedEndNanos = 0);
+		this.tables.scanDue = true;
+	}
+
 	void deactivate() {
 		for (WorkerEntity worker : this.tables.workers.values()) {
 			worker.ownership = WorkerEntity.Ownership.NOT_OWNED;
--- a/limpetgate-host/src/main/java/org/limpetgate/host/EpochClock.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EpochClock.java
@@ -1,14 +1,12 @@
 package org.limpetgate.host;
 
-import java.util.function.LongSupplier;
-
 /**
  * The clock of one process, in nanoseconds since the Unix epoch.
  * <p>
  * It is initialised from the wall clock and advances with the monotonic clock, so it
  * never decreases, even when the wall clock is set back. Thread-safe.
  */
-public final class EpochClock implements LongSupplier {
+public final class EpochClock implements HostClock {
 
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -38,4 +36,9 @@
 		return this.startEpochNanos + (System.nanoTime() - this.startMonotonicNanos);
 	}
 
+	@Override
+	public long wallNanos() {
+		return System.currentTimeMillis() * NANOS_PER_MILLI;
+	}
+
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -22,8 +21,10 @@
 import org.limpetgate.fleet.QueueTable;
 import org.limpetgate.fleet.SchedulerElection;
 import org.limpetgate.fleet.SubmissionLeases;
+import org.limpetgate.fleet.SuspensionDetector;
 import org.limpetgate.fleet.WorkerOrders;
 import org.limpetgate.host.EventLog;
+import org.limpetgate.host.HostClock;
 import org.limpetgate.host.HostMetrics;
 import org.limpetgate.host.LogEvent;
 import org.limpetgate.net.peer.InboundLink;
@@ -67,7 +68,7 @@
 
 	private final EventLoop loop;
 
-	private final LongSupplier clock;
+	private final HostClock clock;
 
 	private final Directory directory;
 
@@ -83,6 +84,8 @@
 
 	private final OverloadDetector overload = new OverloadDetector();
 
+	private final SuspensionDetector suspension = new SuspensionDetector();
+
 	private final PendingJobs pendingJobs;
 
 	private final StoredJobService storedJobs;
@@ -127,8 +130,8 @@
 	 */
 	private long inputProcessedNanos;
 
-	private FleetHost(FleetSettings settings, EventLoopGroup group, LongSupplier clock, Directory directory,
-			JobLog jobLog, WorkerOrders orders, EventLog log, HostMetrics metrics) {
+	private FleetHost(FleetSettings settings, EventLoopGroup group, HostClock clock, Directory directory, JobLog jobLog,
+			WorkerOrders orders, EventLog log, HostMetrics metrics) {
 		this.settings = settings;
 		this.loop = group.next();
 		this.clock = clock;
@@ -164,8 +167,7 @@
 	 * Starts a host.
 	 * @param settings the settings, not null
 	 * @param group the event loop, with one thread
-	 * @param clock a clock that never decreases, in nanoseconds since the Unix epoch, not
-	 * null
+	 * @param clock the clocks of the machine, not null
 	 * @param directory the directory of configuration, workers and hosts, not started yet
 	 * @param jobLog the log of the stored jobs, not null
 	 * @param orders sends orders to workers, not null
@@ -173,7 +175,7 @@
 	 * @param metrics the metrics of the host, not null
 	 * @return the host, not null
 	 */
-	public static FleetHost start(FleetSettings settings, EventLoopGroup group, LongSupplier clock, Directory directory,
+	public static FleetHost start(FleetSettings settings, EventLoopGroup group, HostClock clock, Directory directory,
 			JobLog jobLog, WorkerOrders orders, EventLog log, HostMetrics metrics) {
 		FleetHost host = new FleetHost(settings, group, clock, directory, jobLog, orders, log, metrics);
 		host.peers = FleetPeers.start(group, settings, host.self, clock, host.new PeerListener());
@@ -352,6 +354,9 @@
 		long now = this.clock.getAsLong();
 		boolean paused = now - this.lastTickNanos > SubmissionLeases.DURATION_NANOS;
 		this.lastTickNanos = now;
+		if (this.suspension.observe(now, this.clock.wallNanos())) {
+			this.scheduler.machineSuspended(now);
+		}
 		if (paused) {
 			// Input that arrived during the pause is read before the next tick. It may
 			// show that a caller has disconnected and sent its job again elsewhere.
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -245,6 +245,25 @@
 		}
 	}
 
+	/**
+	 * Guards against the same if the machine of the scheduler is suspended meanwhile, so
+	 * that its clock stands still and the lost host seems to have been heard just before.
+	 */
+	@Example
+	void runOfALostHostEndsBeforeItsCallerRetriesAlthoughTheSchedulerWasSuspended() {
+		try (TestFleet fleet = TestFleet.start(LONG_TASK_MILLIS, SMALLER_THAN_THIRD)) {
+			submit(fleet);
+			awaitStartsBy(fleet, fleet.scheduler());
+			fleet.scheduler().orders().loseStops();
+			long lostNanos = System.nanoTime();
+			fleet.cutOffSecondDataCentre();
+			fleet.scheduler().suspend(SHORT_PAUSE_MILLIS);
+			long remainingNanos = lostNanos + RESEND_DELAY.toNanos() - System.nanoTime();
+			TestFleet.sleep(TimeUnit.NANOSECONDS.toMillis(remainingNanos));
+			assertThat(fleet.workers().presentRuns(JOB)).as("runs; log:%n%s", fleet.log()).isEmpty();
+		}
+	}
+
 	/**
 	 * Guards against a link that refuses requests after many withdrawals because their
 	 * replies are never sent.
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestHost.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestHost.java
@@ -35,14 +35,17 @@
 
 	private final FleetHost host;
 
-	TestHost(FleetSettings settings, EventLoopGroup group, LongSupplier clock, FakeWorkers workers,
+	private final SuspendableClock clock;
+
+	TestHost(FleetSettings settings, EventLoopGroup group, LongSupplier wallClock, FakeWorkers workers,
 			OutputStream logOutput) {
 		this.settings = settings;
 		this.group = group;
-		this.orders = new FakeWorkerOrders(settings.host(), workers, group.next(), clock);
+		this.clock = new SuspendableClock(wallClock);
+		this.orders = new FakeWorkerOrders(settings.host(), workers, group.next(), this.clock);
 		this.log = EventLog.writingTo(logOutput);
-		this.host = FleetHost.start(settings, group, clock, this.directory, new FakeJobLog(), this.orders, this.log,
-				new HostMetrics());
+		this.host = FleetHost.start(settings, group, this.clock, this.directory, new FakeJobLog(), this.orders,
+				this.log, new HostMetrics());
 	}
 
 	HostId id() {
@@ -89,6 +92,15 @@
 		this.group.next().execute(() -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis)));
 	}
 
+	// Blocks the event loop and stops the host's clock, as a suspension of the machine
+	// does.
+	void suspend(long millis) {
+		this.group.next().execute(() -> {
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+			this.clock.suspended(millis);
+		});
+	}
+
 	@Override
 	public void close() {
 		this.host.close();
