Simulate faults that meet at the same job

Cause: FleetSimulation injected independent faults, which almost never meet at one job.

Change: CorrelatedFaults injects sequences that aim at one job: a partition with a scheduler on each side, a caller that loses its connection or passes its deadline and sends the job to the other side 1.3 s later, and meanwhile workers that cannot be reached, lost orders, slow or full links, paused hosts or the loss of the job's host. One example for each purpose. There are five to seven hosts in two or three data centres. FakeWorker now also takes the lease from a start that it answers with OLD_ATTEMPT, as PROTOCOL.md specifies. SimulatedPeers cancels the request of a withdrawn submission, as FleetPeers does.

--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.limpetgate.DataCentreId;
+import org.limpetgate.JobId;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.scheduling.WorkerReport.EndKind;
 
@@ -92,6 +94,7 @@
 			return StartAnswer.STARTED;
 		}
 		if (order.run().attempt() <= this.endedAttempts.getOrDefault(order.run().task(), 0)) {
+			extendLease(order.leaseEndMillis(), nowNanos);
 			return StartAnswer.OLD_ATTEMPT;
 		}
 		if (order.leaseEndMillis() <= clockMillis(nowNanos)) {
@@ -206,6 +209,11 @@
 		return this.running.values().stream().map(Run::demand).reduce(Capacity.NONE, Capacity::plus);
 	}
 
+	// Returns the jobs that have runs here.
+	Set<JobId> jobs() {
+		return this.running.keySet().stream().map((run) -> run.task().job()).collect(Collectors.toSet());
+	}
+
 	boolean isRunning(RunId run) {
 		return this.running.containsKey(run);
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
@@ -3,11 +3,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 
+import org.limpetgate.scheduling.FleetNetwork.Impairment;
+
 /**
- * Injects random faults into {@link FleetSimulation}, in series that overlap. Not
- * thread-safe.
+ * The faults of {@link FleetSimulation}, which it can inject at random, in series that
+ * overlap. Not thread-safe.
  */
 final class FleetFaults {
 
@@ -137,32 +140,119 @@
 	}
 
 	private void interrupt(String kind, List<String> side, List<String> others, boolean bothWays) {
+		Runnable healing = beginInterruption(kind, side, others, bothWays);
+		if (this.random.nextInt(RESETTING_INTERRUPTIONS) == 0) {
+			resetLinks(side, others);
+		}
+		this.network.time().schedule(randomNanos(MIN_PARTITION_MILLIS, MAX_PARTITION_MILLIS), healing);
+	}
+
+	// Returns the action that ends the interruption.
+	private Runnable beginInterruption(String kind, List<String> side, List<String> others, boolean bothWays) {
 		String text = kind + " " + side + (bothWays ? " and " : " to ") + others;
 		this.trace.event("INTERRUPTED " + text);
+		forEachDirection(side, others, bothWays, this.network::interrupt);
+		return () -> {
+			this.trace.event("HEALED " + text);
+			forEachDirection(side, others, bothWays, this.network::heal);
+		};
+	}
+
+	private static void forEachDirection(List<String> side, List<String> others, boolean bothWays,
+			BiConsumer<String, String> action) {
 		for (String name : side) {
 			for (String other : others) {
-				this.network.interrupt(name, other);
+				action.accept(name, other);
 				if (bothWays) {
-					this.network.interrupt(other, name);
+					action.accept(other, name);
 				}
 			}
 		}
-		if (this.random.nextInt(RESETTING_INTERRUPTIONS) == 0) {
-			resetLinks(side, others);
-		}
-		this.network.time().schedule(randomNanos(MIN_PARTITION_MILLIS, MAX_PARTITION_MILLIS), () -> {
-			this.trace.event("HEALED " + text);
-			for (String name : side) {
-				for (String other : others) {
-					this.network.heal(name, other);
-					if (bothWays) {
-						this.network.heal(other, name);
-					}
-				}
-			}
+	}
+
+	/**
+	 * Interrupts a part of the network silently.
+	 * @param kind what is cut off, for the trace
+	 * @param side the hosts and workers on one side
+	 * @param others the hosts and workers on the other side
+	 * @param bothWays whether nothing passes from the other side either
+	 * @param nanos the duration
+	 */
+	void interrupt(String kind, List<String> side, List<String> others, boolean bothWays, long nanos) {
+		this.network.time().schedule(nanos, beginInterruption(kind, side, others, bothWays));
+	}
+
+	/**
+	 * Makes half of the orders between hosts and workers, and of their answers, get lost
+	 * or late.
+	 * @param workers the workers
+	 * @param hosts the hosts
+	 * @param nanos the duration
+	 */
+	void disturbOrders(List<String> workers, List<String> hosts, long nanos) {
+		impair(Impairment.UNRELIABLE, workers, hosts, true, nanos);
+	}
+
+	/**
+	 * Fills the write buffers of the links from one host to others.
+	 * @param host the host
+	 * @param others the hosts to which it opened the links
+	 * @param nanos the duration
+	 */
+	void fillLinks(String host, List<String> others, long nanos) {
+		impair(Impairment.FULL, List.of(host), others, false, nanos);
+	}
+
+	private void impair(Impairment kind, List<String> side, List<String> others, boolean bothWays, long nanos) {
+		this.trace.event(kind + " " + side + " to " + others);
+		forEachDirection(side, others, bothWays, (from, to) -> this.network.impair(kind, from, to));
+		this.network.time().schedule(nanos, () -> {
+			this.trace.event("no longer " + kind + " " + side + " to " + others);
+			forEachDirection(side, others, bothWays, (from, to) -> this.network.repair(kind, from, to));
+		});
+	}
+
+	/**
+	 * Slows the links between hosts down; the order of the messages stays.
+	 * @param host the host on one side
+	 * @param others the hosts on the other side
+	 * @param delayNanos the queueing delay in each direction, in nanoseconds
+	 * @param nanos the duration
+	 */
+	void slowLinks(String host, List<String> others, long delayNanos, long nanos) {
+		this.trace.event("SLOW " + host + " and " + others + " by " + delayNanos / FleetNetwork.MILLI + " ms");
+		forEachDirection(List.of(host), others, true,
+				(from, to) -> this.network.setQueueingDelay(from, to, delayNanos));
+		this.network.time().schedule(nanos, () -> {
+			this.trace.event("no longer SLOW " + host + " and " + others);
+			forEachDirection(List.of(host), others, true, (from, to) -> this.network.setQueueingDelay(from, to, 0));
 		});
 	}
 
+	/**
+	 * Loses the machine of a host: its peers notice that by its silence only.
+	 * @param name the host
+	 */
+	void loseHost(String name) {
+		if (this.fleet.host(name).isUp()) {
+			kill(name);
+			restartLater(name);
+		}
+	}
+
+	/**
+	 * Pauses a host unless it is paused already.
+	 * @param name the host
+	 * @param nanos the duration
+	 */
+	void pauseHost(String name, long nanos) {
+		SimulatedHost host = this.fleet.host(name);
+		if (host.isUp() && !host.isPaused()) {
+			host.pause();
+			this.network.time().schedule(nanos, host::resume);
+		}
+	}
+
 	// Resets links as a firewall does, which answers the first frame after an
 	// interruption
 	// instead of the peer.
@@ -207,9 +297,17 @@
 		if (!this.fleet.host(name).isUp()) {
 			return;
 		}
+		kill(name);
+		endLinks(name);
+		restartLater(name);
+	}
+
+	private void kill(String name) {
 		this.fleet.host(name).kill();
 		this.fleet.callers().hostKilled(this.fleet.host(name));
-		endLinks(name);
+	}
+
+	private void restartLater(String name) {
 		this.network.time()
 			.schedule(randomNanos(MIN_RESTART_MILLIS, MAX_RESTART_MILLIS), () -> this.fleet.restartHost(name));
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetLink.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetLink.java
@@ -157,7 +157,8 @@
 		}
 
 		void write(Frame frame) {
-			long arrivalNanos = FleetLink.this.network.time().nowNanos() + FleetLink.this.network.delayNanos();
+			long arrivalNanos = FleetLink.this.network.time().nowNanos()
+					+ FleetLink.this.network.delayNanos(this.from, this.to);
 			this.items.add(new Item(frame, arrivalNanos));
 			deliverNext();
 		}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetNetwork.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetNetwork.java
@@ -1,6 +1,7 @@
 package org.limpetgate.scheduling;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,8 +26,11 @@
 
 	private final Random random;
 
-	/** The number of interruptions by direction. */
-	private final Map<Direction, Integer> interruptions = new HashMap<>();
+	/** How often each direction is impaired, by the kind of impairment. */
+	private final Map<Impairment, Map<Direction, Integer>> impairments = new EnumMap<>(Impairment.class);
+
+	/** The queueing delay of slow directions, in nanoseconds. */
+	private final Map<Direction, Long> queueingNanos = new HashMap<>();
 
 	private final List<FleetLink> links = new ArrayList<>();
 
@@ -54,6 +58,11 @@
 		return (MIN_DELAY_MICROS + this.random.nextInt(MAX_EXTRA_DELAY_MICROS)) * 1000L;
 	}
 
+	// Returns the delay of a frame that is written now.
+	long delayNanos(String from, String to) {
+		return delayNanos() + this.queueingNanos.getOrDefault(new Direction(from, to), 0L);
+	}
+
 	FleetLink open(String opener, String peer, LinkEnd openerEnd) {
 		FleetLink link = new FleetLink(this, opener, peer, openerEnd);
 		this.links.removeIf(FleetLink::isClosed);
@@ -70,16 +79,37 @@
 	}
 
 	boolean isOpen(String from, String to) {
-		return !this.interruptions.containsKey(new Direction(from, to));
+		return !isImpaired(Impairment.INTERRUPTED, from, to);
+	}
+
+	boolean isImpaired(Impairment kind, String from, String to) {
+		return impaired(kind).containsKey(new Direction(from, to));
+	}
+
+	private Map<Direction, Integer> impaired(Impairment kind) {
+		return this.impairments.computeIfAbsent(kind, (key) -> new HashMap<>());
+	}
+
+	// Impairs a direction until repair has been called as often.
+	void impair(Impairment kind, String from, String to) {
+		impaired(kind).merge(new Direction(from, to), 1, Integer::sum);
+	}
+
+	void repair(Impairment kind, String from, String to) {
+		impaired(kind).computeIfPresent(new Direction(from, to), (key, count) -> (count > 1) ? count - 1 : null);
+	}
+
+	// Delays the frames that are written from now on; 0 ends the delay.
+	void setQueueingDelay(String from, String to, long nanos) {
+		this.queueingNanos.put(new Direction(from, to), nanos);
 	}
 
-	// Interrupts a direction until heal has been called as often.
 	void interrupt(String from, String to) {
-		this.interruptions.merge(new Direction(from, to), 1, Integer::sum);
+		impair(Impairment.INTERRUPTED, from, to);
 	}
 
 	void heal(String from, String to) {
-		this.interruptions.computeIfPresent(new Direction(from, to), (key, count) -> (count > 1) ? count - 1 : null);
+		repair(Impairment.INTERRUPTED, from, to);
 		if (isOpen(from, to)) {
 			List.copyOf(this.links)
 				.stream()
@@ -92,6 +122,18 @@
 		return link.opener().equals(opener) && link.acceptor().equals(acceptor);
 	}
 
+	/** What impairs a direction. */
+	enum Impairment {
+
+		/** Nothing is delivered. */
+		INTERRUPTED,
+		/** Orders to workers, and their answers, are lost or late. */
+		UNRELIABLE,
+		/** The write buffers of the links are full. */
+		FULL
+
+	}
+
 	private record Direction(String from, String to) {
 
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulation.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -12,6 +13,7 @@
 import org.limpetgate.DataCentreId;
 import org.limpetgate.JobId;
 import org.limpetgate.UpstreamId;
+import org.limpetgate.scheduling.CorrelatedFaults.Trouble;
 import org.limpetgate.scheduling.FleetLink.LinkEnd;
 import org.limpetgate.scheduling.SimulatedHost.Place;
 
@@ -20,7 +22,8 @@
  * real election and a real scheduler, the links between them, workers, and callers that
  * send jobs again. The faults are random: partitions that delay messages, links that are
  * reset or go silent, hosts that pause or are killed, and orders that workers carry out
- * late.
+ * late. They are independent of each other, or correlated as {@link CorrelatedFaults}
+ * tells.
  * <p>
  * Checks that no task has two runs at the same time, that no worker is overcommitted,
  * that no task of a refused job has started and that every task of a completed job is
@@ -34,6 +37,9 @@
 
 	private static final int MAX_HOSTS = 5;
 
+	/** Added to the number of hosts if the faults are correlated. */
+	private static final int EXTRA_HOSTS = 2;
+
 	private static final int WORKERS_PER_DATA_CENTRE = 3;
 
 	private static final int MAX_CLOCK_OFFSET_MILLIS = 40;
@@ -77,26 +83,42 @@
 
 	private final FleetFaults faults;
 
+	/** Null unless the faults are correlated. */
+	private CorrelatedFaults correlatedFaults;
+
 	FleetSimulation(long seed, Supplier<SubmissionRules> rules) {
+		this(seed, rules, 0);
+		this.faults.start();
+	}
+
+	// Returns a simulation whose faults meet at the same jobs. Most data centres have
+	// several hosts.
+	static FleetSimulation withCorrelatedFaults(long seed, Supplier<SubmissionRules> rules, Set<Trouble> troubles) {
+		FleetSimulation fleet = new FleetSimulation(seed, rules, EXTRA_HOSTS);
+		fleet.correlatedFaults = new CorrelatedFaults(fleet, fleet.faults, fleet.network, troubles);
+		fleet.correlatedFaults.start();
+		return fleet;
+	}
+
+	private FleetSimulation(long seed, Supplier<SubmissionRules> rules, int extraHosts) {
 		this.random = new Random(seed);
 		this.rules = rules;
 		this.network = new FleetNetwork(this.time, this.random);
 		this.network.setAcceptor(this::accept);
 		this.callers = new SimulatedCallers(this.network, this.trace, this::anyHost, this.checks, this::addViolation);
 		this.faults = new FleetFaults(this, this.network, this.trace);
-		createPlaces();
+		createPlaces(extraHosts);
 		publishWorkers();
 		this.callers.start();
-		this.faults.start();
 	}
 
-	private void createPlaces() {
-		int hostCount = MIN_HOSTS + this.random.nextInt(MAX_HOSTS - MIN_HOSTS + 1);
+	private void createPlaces(int extraHosts) {
+		int hostCount = extraHosts + MIN_HOSTS + this.random.nextInt(MAX_HOSTS - MIN_HOSTS + 1);
 		int dataCentreCount = 2 + this.random.nextInt(2);
 		for (int number = 0; number < WORKERS_PER_DATA_CENTRE * dataCentreCount; number++) {
 			DataCentreId dataCentre = DataCentreId.of("dc" + number % dataCentreCount);
 			FakeWorker worker = new FakeWorker("w" + number, dataCentre, START_NANOS - WORKER_AGE_NANOS,
-					1 - MAX_CLOCK_DRIFT * this.random.nextDouble(), this.checks);
+					1 - MAX_CLOCK_DRIFT * this.random.nextDouble(), new TracedRuns(this.trace, this.checks));
 			this.workers.put(worker.id(), worker);
 			this.dataCentres.put(worker.id().value(), dataCentre.value());
 		}
@@ -160,6 +182,15 @@
 		return this.workers.get(UpstreamId.of(name));
 	}
 
+	// Returns the workers on which a job has runs.
+	List<String> workersOf(JobId job) {
+		return this.workers.values()
+			.stream()
+			.filter((worker) -> worker.jobs().contains(job))
+			.map((worker) -> worker.id().value())
+			.toList();
+	}
+
 	String dataCentre(String name) {
 		return this.dataCentres.get(name);
 	}
@@ -186,6 +217,9 @@
 	// Waits until all faults are over.
 	FleetSimulation settle() {
 		this.faults.stop();
+		if (this.correlatedFaults != null) {
+			this.correlatedFaults.stop();
+		}
 		runEvents(SETTLE_NANOS);
 		return this;
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
@@ -1,9 +1,12 @@
 package org.limpetgate.scheduling;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import net.jqwik.api.Example;
+import org.limpetgate.scheduling.CorrelatedFaults.Trouble;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -20,6 +23,11 @@
 	/** Seeds at which a late message starts a task twice if every message is obeyed. */
 	private static final List<Integer> INCIDENT_SEEDS = List.of(3, 10, 12);
 
+	/** Runs with correlated faults are short, so that there can be more of them. */
+	private static final int CORRELATED_SEEDS = Integer.getInteger("limpetgate.seeds", 20);
+
+	private static final long CORRELATED_RUN_NANOS = TimeUnit.SECONDS.toNanos(30);
+
 	private static final long RUN_NANOS = TimeUnit.SECONDS.toNanos(60);
 
 	/** How long jobs are counted after the faults are over. */
@@ -55,4 +63,84 @@
 		assertThat(violations).anyMatch((violation) -> violation.contains(": TWICE: "));
 	}
 
+	/**
+	 * Guards against runs that outlast the 1.3 s after which a caller sends its job to
+	 * the other side of a partition.
+	 */
+	@Example
+	void keepsItsInvariantsWhenCallersRetryDuringAPartition() {
+		assertInvariantsHold();
+	}
+
+	/**
+	 * Guards against runs that are not stopped, or whose lease is renewed, while orders
+	 * do not reach their workers.
+	 */
+	@Example
+	void keepsItsInvariantsWhenWorkersAreUnreachable() {
+		assertInvariantsHold(Trouble.WORKERS_CUT_OFF, Trouble.ORDERS_LOST);
+	}
+
+	/**
+	 * Guards against withdrawals that come late or are refused as stale.
+	 */
+	@Example
+	void keepsItsInvariantsWithSlowLinks() {
+		assertInvariantsHold(Trouble.LINKS_SLOW);
+	}
+
+	/**
+	 * Guards against a late withdrawal whose stop orders come late too.
+	 */
+	@Example
+	void keepsItsInvariantsWithSlowLinksAndLostOrders() {
+		assertInvariantsHold(Trouble.LINKS_SLOW, Trouble.ORDERS_LOST);
+	}
+
+	/**
+	 * Guards against withdrawals that are dropped because the link is full, while later
+	 * messages renew the lease of the job.
+	 */
+	@Example
+	void keepsItsInvariantsWithFullLinks() {
+		assertInvariantsHold(Trouble.LINKS_FULL);
+	}
+
+	/**
+	 * Guards against hosts that act on a job after a pause.
+	 */
+	@Example
+	void keepsItsInvariantsWhenHostsArePaused() {
+		assertInvariantsHold(Trouble.HOST_PAUSED);
+	}
+
+	/**
+	 * Guards against runs whose host is lost, and whose caller sends the job again before
+	 * the scheduler has stopped them.
+	 */
+	@Example
+	void keepsItsInvariantsWhenHostsAreLost() {
+		assertInvariantsHold(Trouble.HOST_LOST);
+	}
+
+	/**
+	 * Guards against faults that show only if several troubles meet.
+	 */
+	@Example
+	void keepsItsInvariantsWithSeveralTroubles() {
+		assertInvariantsHold(Trouble.values());
+	}
+
+	private static void assertInvariantsHold(Trouble... troubles) {
+		List<String> violations = new ArrayList<>();
+		for (int seed = FIRST_SEED; seed < FIRST_SEED + CORRELATED_SEEDS; seed++) {
+			String name = "seed " + seed + " ";
+			FleetSimulation.withCorrelatedFaults(seed, LeasedSubmissionRules::new, Set.copyOf(List.of(troubles)))
+				.run(CORRELATED_RUN_NANOS)
+				.violations()
+				.forEach((violation) -> violations.add(name + violation));
+		}
+		assertThat(violations).isEmpty();
+	}
+
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/OutgoingLink.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/OutgoingLink.java
@@ -13,6 +13,7 @@
 import org.limpetgate.scheduling.FleetMessage.Frame;
 import org.limpetgate.scheduling.FleetMessage.Hello;
 import org.limpetgate.scheduling.FleetMessage.Refusal;
+import org.limpetgate.scheduling.FleetNetwork.Impairment;
 
 /**
  * The link of a host of {@link FleetSimulation} to one peer, which reconnects after each
@@ -93,14 +94,26 @@
 					DispatchException.of(ErrorKind.HOLDER_UNREACHABLE, Outcome.NOT_RUN, "no link to " + this.peer));
 			return reply;
 		}
+		if (isFull()) {
+			reply.completeExceptionally(DispatchException.of(ErrorKind.OVERLOADED, Outcome.NOT_RUN,
+					"the link to " + this.peer + " has too many unsent bytes"));
+			return reply;
+		}
 		this.connection.request(message, timeoutNanos, reply);
 		return reply;
 	}
 
-	void send(FleetMessage message) {
-		if (this.connection != null) {
-			this.connection.send(message, 0);
+	// Sends a one-way message and returns false if it was dropped.
+	boolean send(FleetMessage message) {
+		if (this.connection == null || isFull()) {
+			return false;
 		}
+		this.connection.send(message, 0);
+		return true;
+	}
+
+	private boolean isFull() {
+		return this.network.isImpaired(Impairment.FULL, this.host.name(), this.peer);
 	}
 
 	/** Is notified when a link is lost. */
@@ -191,7 +204,8 @@
 			if (request == null) {
 				return;
 			}
-			if (frame.message() instanceof Refusal refusal && refusal.stale() && !request.repeated()) {
+			if (frame.message() instanceof Refusal refusal && refusal.stale() && !request.repeated()
+					&& !request.reply().isDone()) {
 				this.requests.put(frame.correlationId(), request.repeat());
 				send(request.message(), frame.correlationId());
 			}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedCallers.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedCallers.java
@@ -33,6 +33,9 @@
 
 	private static final int MAX_CONNECTION_MILLIS = 2000;
 
+	/** Added to the estimated duration of long tasks. */
+	private static final int LONG_TASK_MILLIS = 2000;
+
 	/** One in so many callers sends its job again after its deadline. */
 	private static final int PERSISTENT_CALLERS = 4;
 
@@ -86,16 +89,18 @@
 	}
 
 	private void sendNewJob() {
+		send(new Caller(newJob(false), this.randomHost, false), newDeadlineNanos(), true);
+		this.time.schedule(this.random.nextInt(MAX_INTERVAL_MILLIS) * FleetNetwork.MILLI, this::sendNewJob);
+	}
+
+	private JobSpec newJob(boolean longTasks) {
 		JobId id = JobId.of("j" + this.submitted++);
 		List<StepSpec> steps = new ArrayList<>();
-		steps.add(newStep(List.of()));
+		steps.add(newStep(List.of(), longTasks ? LONG_TASK_MILLIS : 0));
 		if (this.random.nextInt(TWO_STEP_JOBS) == 0) {
-			steps.add(newStep(List.of(0)));
+			steps.add(newStep(List.of(0), 0));
 		}
-		JobSpec spec = new JobSpec(id, "q", "service", new QueueTerms(0, 3, 3, TimeUnit.MILLISECONDS.toNanos(500)), "",
-				steps);
-		send(spec, newDeadlineNanos(), true);
-		this.time.schedule(this.random.nextInt(MAX_INTERVAL_MILLIS) * FleetNetwork.MILLI, this::sendNewJob);
+		return new JobSpec(id, "q", "service", new QueueTerms(0, 3, 3, TimeUnit.MILLISECONDS.toNanos(500)), "", steps);
 	}
 
 	private long newDeadlineNanos() {
@@ -103,19 +108,19 @@
 		return this.time.nowNanos() + millis * FleetNetwork.MILLI;
 	}
 
-	private StepSpec newStep(List<Integer> after) {
+	private StepSpec newStep(List<Integer> after, int minMillis) {
 		Capacity demand = new Capacity(1000 + this.random.nextInt(3000), 64, 0);
-		long estimatedNanos = (50 + this.random.nextInt(2000)) * FleetNetwork.MILLI;
+		long estimatedNanos = (minMillis + 50 + this.random.nextInt(2000)) * FleetNetwork.MILLI;
 		return new StepSpec(1 + this.random.nextInt(4), demand, estimatedNanos, after, "", "", 0);
 	}
 
-	private void send(JobSpec spec, long deadlineNanos, boolean first) {
-		SimulatedHost host = this.randomHost.get();
-		this.trace.job(spec.id(), "sends the job to " + host.name());
-		Attempt attempt = new Attempt(spec, deadlineNanos, first, host);
+	private Attempt send(Caller caller, long deadlineNanos, boolean first) {
+		SimulatedHost host = caller.hosts().get();
+		this.trace.job(caller.spec().id(), "sends the job to " + host.name());
+		Attempt attempt = new Attempt(caller, deadlineNanos, first, host);
 		if (!host.isUp()) {
 			attempt.end("the host is down");
-			return;
+			return attempt;
 		}
 		this.openAttempts.add(attempt);
 		host.handle(attempt::submit);
@@ -124,6 +129,36 @@
 			this.time.schedule(this.random.nextInt(MAX_CONNECTION_MILLIS) * FleetNetwork.MILLI,
 					attempt::breakConnection);
 		}
+		return attempt;
+	}
+
+	/**
+	 * Sends a job whose tasks are long. Its caller sends it again until it has ended.
+	 * @param hosts supplies the host of each attempt
+	 * @param connectionNanos when the connection of the first attempt breaks, in
+	 * nanoseconds from now
+	 * @return the job
+	 */
+	JobId sendUnstable(Supplier<SimulatedHost> hosts, long connectionNanos) {
+		Caller caller = new Caller(newJob(true), hosts, true);
+		this.trace.job(caller.spec().id(), "AIMED at by a sequence of faults");
+		Attempt attempt = send(caller, this.time.nowNanos() + MAX_DEADLINE_MILLIS * FleetNetwork.MILLI, true);
+		this.time.schedule(connectionNanos, attempt::breakConnection);
+		return caller.spec().id();
+	}
+
+	/**
+	 * Sends a job whose tasks are long and whose caller waits for a short time. It sends
+	 * the job again until it has ended.
+	 * @param hosts supplies the host of each attempt
+	 * @param waitNanos how long the first attempt waits, in nanoseconds
+	 * @return the job
+	 */
+	JobId sendUrgent(Supplier<SimulatedHost> hosts, long waitNanos) {
+		Caller caller = new Caller(newJob(true), hosts, true);
+		this.trace.job(caller.spec().id(), "AIMED at by a sequence of faults");
+		send(caller, this.time.nowNanos() + waitNanos, true);
+		return caller.spec().id();
 	}
 
 	// Breaks the connections to a host that was killed.
@@ -134,8 +169,21 @@
 			.forEach(Attempt::breakConnection);
 	}
 
+	/**
+	 * A caller with one job.
+	 *
+	 * @param spec the job
+	 * @param hosts supplies the host of each attempt
+	 * @param persistent whether it always sends its job again after its deadline
+	 */
+	private record Caller(JobSpec spec, Supplier<SimulatedHost> hosts, boolean persistent) {
+
+	}
+
 	private final class Attempt {
 
+		private final Caller caller;
+
 		private final JobSpec spec;
 
 		private final long deadlineNanos;
@@ -148,8 +196,9 @@
 
 		private boolean ended;
 
-		Attempt(JobSpec spec, long deadlineNanos, boolean first, SimulatedHost host) {
-			this.spec = spec;
+		Attempt(Caller caller, long deadlineNanos, boolean first, SimulatedHost host) {
+			this.caller = caller;
+			this.spec = caller.spec();
 			this.deadlineNanos = deadlineNanos;
 			this.first = first;
 			this.host = host;
@@ -197,10 +246,10 @@
 			callers.openAttempts.remove(this);
 			callers.trace.job(this.spec.id(), reason);
 			if (callers.time.nowNanos() + RESEND_DELAY_NANOS + MIN_REMAINING_NANOS < this.deadlineNanos) {
-				callers.time.schedule(RESEND_DELAY_NANOS, () -> send(this.spec, this.deadlineNanos, false));
+				callers.time.schedule(RESEND_DELAY_NANOS, () -> send(this.caller, this.deadlineNanos, false));
 			}
-			else if (callers.random.nextInt(PERSISTENT_CALLERS) == 0) {
-				callers.time.schedule(RESEND_DELAY_NANOS, () -> send(this.spec, callers.newDeadlineNanos(), false));
+			else if (this.caller.persistent() || callers.random.nextInt(PERSISTENT_CALLERS) == 0) {
+				callers.time.schedule(RESEND_DELAY_NANOS, () -> send(this.caller, callers.newDeadlineNanos(), false));
 			}
 		}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
@@ -131,6 +131,11 @@
 		return this.trace;
 	}
 
+	// Returns the host that schedules in the view of this host, null if none is known.
+	HostId schedulingHost() {
+		return this.schedulingHost;
+	}
+
 	// Returns the clock of this host, nanoseconds since the Unix epoch.
 	long clockNanos() {
 		return this.time.nowNanos() + this.place.clockOffsetNanos();
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedOrders.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedOrders.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 
 import org.limpetgate.UpstreamId;
+import org.limpetgate.scheduling.FleetNetwork.Impairment;
 import org.limpetgate.scheduling.WorkerReport.EndKind;
 
 /**
@@ -28,6 +29,9 @@
 
 	private static final int MAX_LATE_MILLIS = 8000;
 
+	/** One in so many orders over an unreliable path is lost, and as many are late. */
+	private static final int UNRELIABLE_ORDERS = 4;
+
 	/** One in so many runs fails. */
 	private static final int FAILED_RUNS = 40;
 
@@ -53,11 +57,14 @@
 					"RUN_ORDERED " + start.run() + " on " + start.worker().id() + " with " + start.token().value());
 		long durationNanos = durationNanos(step);
 		EndKind end = (this.network.random().nextInt(FAILED_RUNS) == 0) ? EndKind.FAILED : EndKind.DONE;
-		exchange(start.worker(), ORDER_TIMEOUT_NANOS,
-				(worker, reply) -> reply
-					.accept(worker.start(start, step.demand(), durationNanos, end, this.network.time().nowNanos())),
-				StartAnswer.UNKNOWN, (answer) -> this.scheduler.startAnswered(start.worker().id(), start.run(), answer,
-						this.host.clockNanos()));
+		exchange(start.worker(), ORDER_TIMEOUT_NANOS, (worker, reply) -> {
+			StartAnswer answer = worker.start(start, step.demand(), durationNanos, end, this.network.time().nowNanos());
+			if (answer == StartAnswer.STARTED || answer == StartAnswer.OLD_ATTEMPT) {
+				traceRenewal(worker, start.token(), "start of " + start.run());
+			}
+			reply.accept(answer);
+		}, StartAnswer.UNKNOWN, (answer) -> this.scheduler.startAnswered(start.worker().id(), start.run(), answer,
+				this.host.clockNanos()));
 	}
 
 	private long durationNanos(StepSpec step) {
@@ -86,6 +93,9 @@
 			return;
 		}
 		WorkerReport report = worker.poll(poll, now);
+		if (report != null && poll.leaseEndMillis() > 0) {
+			traceRenewal(worker, poll.token(), "poll");
+		}
 		if (report == null) {
 			reply.accept(PollAnswer.of(PollFailure.FENCED));
 		}
@@ -100,6 +110,12 @@
 		}
 	}
 
+	private void traceRenewal(FakeWorker worker, FencingToken token, String order) {
+		worker.jobs()
+			.forEach((job) -> this.host.trace()
+				.job(job, "order renews the lease of " + worker.id() + ": " + order + " with " + token.value()));
+	}
+
 	private void pollAnswered(SchedulingEffect.PollWorker poll, PollAnswer answer) {
 		UpstreamId id = poll.worker().id();
 		if (answer.report() != null) {
@@ -115,6 +131,13 @@
 		this.host.schedule(timeoutNanos, () -> exchange.complete(noAnswer));
 		boolean late = this.network.random().nextInt(LATE_ORDERS) == 0;
 		boolean lost = this.network.random().nextBoolean();
+		if (this.network.isImpaired(Impairment.UNRELIABLE, this.host.name(), target.id().value())) {
+			int fate = this.network.random().nextInt(UNRELIABLE_ORDERS);
+			if (fate == 0) {
+				return;
+			}
+			late |= fate == 1;
+		}
 		long delayNanos = late ? this.network.random().nextInt(MAX_LATE_MILLIS) * FleetNetwork.MILLI
 				: this.network.delayNanos();
 		this.network.time().schedule(delayNanos, () -> exchange.deliver(lost));
@@ -161,7 +184,9 @@
 
 		private void reply(T answer) {
 			SimulatedOrders outer = SimulatedOrders.this;
-			if (outer.network.isOpen(this.worker.id().value(), outer.host.name())) {
+			boolean lost = outer.network.isImpaired(Impairment.UNRELIABLE, this.worker.id().value(), outer.host.name())
+					&& outer.network.random().nextBoolean();
+			if (!lost && outer.network.isOpen(this.worker.id().value(), outer.host.name())) {
 				outer.host.schedule(outer.network.delayNanos(), () -> complete(answer));
 			}
 		}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPeers.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPeers.java
@@ -1,5 +1,6 @@
 package org.limpetgate.scheduling;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +39,9 @@
 
 	private final Map<String, OutgoingLink> links = new TreeMap<>();
 
+	/** The submissions of this host that have no reply yet. */
+	private final Map<JobId, CompletableFuture<FleetMessage>> submissions = new HashMap<>();
+
 	/** The replies that have not been sent to other hosts yet, by host and job. */
 	private final Map<String, Map<JobId, InboundConnection.Reply>> pendingReplies = new TreeMap<>();
 
@@ -77,20 +81,30 @@
 	}
 
 	CompletableFuture<JobResult> submit(HostId scheduler, SubmitJob job, long timeoutNanos) {
+		JobId id = job.spec().id();
+		CompletableFuture<FleetMessage> reply = this.links.get(scheduler.value()).request(job, timeoutNanos);
+		this.submissions.put(id, reply);
 		CompletableFuture<JobResult> result = new CompletableFuture<>();
-		this.links.get(scheduler.value()).request(job, timeoutNanos).whenComplete((reply, failure) -> {
+		reply.whenComplete((message, failure) -> {
+			this.submissions.remove(id, reply);
 			if (failure != null) {
 				result.completeExceptionally(failure);
 			}
 			else {
-				result.complete((JobResult) reply);
+				result.complete((JobResult) message);
 			}
 		});
 		return result;
 	}
 
 	void withdraw(HostId scheduler, JobId job) {
-		this.links.get(scheduler.value()).send(new WithdrawJob(job));
+		CompletableFuture<FleetMessage> submission = this.submissions.remove(job);
+		if (submission != null) {
+			submission.cancel(false);
+		}
+		if (!this.links.get(scheduler.value()).send(new WithdrawJob(job))) {
+			this.host.trace().job(job, "drops the withdrawal to " + scheduler);
+		}
 	}
 
 	long newestReplyNanos(HostId peer) {
@@ -222,7 +236,11 @@
 		}
 
 		private void refuse(Frame frame, String reason) {
-			SimulatedPeers.this.host.trace().event("refuses a message of " + this.accepted.origin() + ": " + reason);
+			FleetTrace.Writer trace = SimulatedPeers.this.host.trace();
+			trace.event("refuses a message of " + this.accepted.origin() + ": " + reason);
+			if (frame.message() instanceof WithdrawJob withdrawal) {
+				trace.job(withdrawal.job(), "refuses the withdrawal of " + this.accepted.origin());
+			}
 			if (frame.correlationId() != 0) {
 				write(new Refusal(reason, true), frame.correlationId());
 			}
@@ -246,6 +264,7 @@
 
 		private void handleWithdrawal(JobId job) {
 			HostId peer = this.accepted.origin();
+			SimulatedPeers.this.host.trace().job(job, "receives the withdrawal of " + peer);
 			SimulatedPeers.this.rules.remove(peer, job);
 			pendingRepliesTo(peer.value()).remove(job);
 			SimulatedPeers.this.listener.jobWithdrawn(peer, job);
