--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -65,6 +65,9 @@
 	/** A link has at most 4,096 requests in flight. */
 	private static final int MORE_THAN_REQUESTS_IN_FLIGHT = 4500;
 
+	/** Longer than the 700 ms after which a message is refused. */
+	private static final long TOO_OLD_MILLIS = 750;
+
 	private static final Duration CALLER_PATIENCE = Duration.ofSeconds(12);
 
 	private static final JobId JOB = JobId.of("0123456789abcdef");
@@ -244,6 +247,32 @@
 		}
 	}
 
+	/**
+	 * Guards against a scheduler that keeps a job because it has refused its withdrawal
+	 * as too old (second incident TWICE).
+	 */
+	@Example
+	void withdrawalThatIsRefusedAsTooOldStopsTheRuns() {
+		try (TestFleet fleet = TestFleet.start(LONG_TASK_MILLIS, SMALLER_THAN_THIRD)) {
+			CompletableFuture<JobAnswer> answer = submit(fleet);
+			awaitStartsBy(fleet, fleet.scheduler());
+			fleet.relay().silenceLink(fleet.entry().id(), fleet.scheduler().id());
+			fleet.entry().disconnect(answer);
+			// Without the pause the entry host would close the link.
+			fleet.entry().pause(LONG_PAUSE_MILLIS);
+			TestFleet.sleep(TOO_OLD_MILLIS);
+			fleet.relay().deliverLink(fleet.entry().id(), fleet.scheduler().id());
+			assertThat(TestFleet.await(RESEND_DELAY.minusMillis(TOO_OLD_MILLIS),
+					() -> fleet.workers().presentRuns(JOB) == 0))
+				.as("runs stopped; log:%n%s", fleet.log())
+				.isTrue();
+			assertThat(TestFleet.await(CALLER_PATIENCE,
+					() -> fleet.log().contains("STALE_MESSAGE_REFUSED message=WITHDRAW_JOB")))
+				.as("refusal; log:%n%s", fleet.log())
+				.isTrue();
+		}
+	}
+
 	/** Guards against a submission that a paused host reads after a reset. */
 	@Example
 	void submissionReadAfterAResetStartsNoSecondRun() {
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/Relay.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/Relay.java
@@ -40,6 +40,9 @@
  */
 final class Relay implements AutoCloseable {
 
+	/** Small, so that few bytes fill the connections of a host that is not read from. */
+	private static final int RECEIVE_BUFFER_BYTES = 65_536;
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = this.group.next();
@@ -56,6 +59,7 @@
 		Link link = new Link(new Route(source, target), TestFleet.address(target));
 		Channel listener = new ServerBootstrap().group(this.group)
 			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childHandler(new ChannelInitializer<SocketChannel>() {
 				@Override
@@ -126,6 +130,17 @@
 		onLoop(() -> this.links.get(new Route(source, target)).reset());
 	}
 
+	// Reads nothing from the connections that one host has opened to another, so that the
+	// buffers between them fill up.
+	void stopReading(HostId source, HostId target) {
+		onLoop(() -> this.links.get(new Route(source, target)).setReading(false));
+	}
+
+	// Reads from such connections again.
+	void resumeReading(HostId source, HostId target) {
+		onLoop(() -> this.links.get(new Route(source, target)).setReading(true));
+	}
+
 	private void onLoop(Runnable action) {
 		this.loop.submit(action).syncUninterruptibly();
 	}
@@ -206,6 +221,10 @@
 			this.connections.forEach((connection) -> connection.backward.setSilent(true));
 		}
 
+		void setReading(boolean reading) {
+			this.connections.forEach((connection) -> connection.accepted.config().setAutoRead(reading));
+		}
+
 		void reset() {
 			this.connections.forEach(Connection::reset);
 		}
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestFleet.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestFleet.java
@@ -126,7 +126,7 @@
 
 	// Each host has a loopback address of its own, so that its port is not in use by
 	// another process.
-	private static InetSocketAddress freeAddress(int number) {
+	static InetSocketAddress freeAddress(int number) {
 		try {
 			InetAddress address = InetAddress.getByAddress(new byte[] { 127, 77, 0, (byte) number });
 			try (ServerSocket socket = new ServerSocket(0, 1, address)) {
@@ -138,7 +138,7 @@
 		}
 	}
 
-	private static HostId id(InetSocketAddress address) {
+	static HostId id(InetSocketAddress address) {
 		return HostId.of(address.getAddress().getHostAddress() + ":" + address.getPort());
 	}
 
