Do not drop the withdrawal of a job while its link is up

What callers saw: two runs of one task. A caller that broke off sends its job again after 1.3 s, to any host; if the first scheduler has not learned of the withdrawal, its run lasts on beside the new one.

Cause: a withdrawal was sent like a heartbeat, as a one-way message that a later one replaces. PeerLink.send dropped it if 4,096 messages were queued, OutboundConnection.send if 8 MB were unsent; only a counter showed it. The link lived on, and later messages on it renewed the lease of the job.

Why the fix works: PeerLinks.sendUnlessDown writes the message in order before all later messages of the link, whatever is queued or unsent. So either the scheduler receives it before anything that renews the lease, or it refuses it as too old, in which case the lease has expired, or the link is lost, and nothing renews the lease of that link. There is at most one for each submission. LG1308 WITHDRAWAL_NOT_SENT and limpetgate_withdrawals_unsent_total show withdrawals that were lost with their link.

PeerLinksTests#messageThatNoLaterOneReplacesIsSentOverAFullLink is new with the method that it tests.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/HostMetrics.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/HostMetrics.java
@@ -82,6 +82,14 @@
 			.increment();
 	}
 
+	/** Counts a withdrawal of a job that was lost together with the link. */
+	public void withdrawalNotSent() {
+		Counter.builder("limpetgate.withdrawals.unsent")
+			.description("Withdrawals of jobs that were lost together with the link to the scheduler")
+			.register(this.registry)
+			.increment();
+	}
+
 	/**
 	 * Counts jobs that were ended because nothing was received from their host.
 	 * @param jobs the number of jobs
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -49,6 +49,9 @@
 	/** A further request of a caller waits for the answer to a job. */
 	JOB_JOINED(1306, "job=%s request=%s"),
 
+	/** The withdrawal of a job was lost together with the link to its scheduler. */
+	WITHDRAWAL_NOT_SENT(1308, "job=%s scheduler=%s reason=%s"),
+
 	/** A worker was ordered to start a run. */
 	RUN_ORDERED(1311, "run=%s worker=%s token=%s"),
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -526,6 +526,12 @@
 			withdraw(peer, job);
 		}
 
+		@Override
+		public void withdrawalNotSent(HostId scheduler, JobId job, String reason) {
+			FleetHost.this.log.write(LogEvent.WITHDRAWAL_NOT_SENT, job, scheduler, reason);
+			FleetHost.this.metrics.withdrawalNotSent();
+		}
+
 		@Override
 		public CompletableFuture<JobStatus> jobQueried(JobId job, boolean cancel) {
 			return queryLocally(job, cancel);
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -333,8 +333,16 @@
 		if (submission != null) {
 			submission.cancel(false);
 		}
-		this.links.send(scheduler,
-				PeerFrame.newBuilder().setWithdrawJob(WithdrawJob.newBuilder().setJobId(job.value())));
+		// While later messages renew the lease of the job, the withdrawal must not be
+		// lost.
+		// There is at most one for each submission.
+		PeerFrame.Builder message = PeerFrame.newBuilder()
+			.setWithdrawJob(WithdrawJob.newBuilder().setJobId(job.value()));
+		this.links.sendUnlessDown(scheduler, message).whenComplete((sent, failure) -> {
+			if (failure != null) {
+				this.listener.withdrawalNotSent(scheduler, job, failure.getMessage());
+			}
+		});
 	}
 
 	// Returns a heartbeat with the state of this host and the digest of its known hosts,
@@ -402,6 +410,10 @@
 
 		void jobWithdrawn(HostId peer, JobId job);
 
+		// Called when a withdrawal of this host was lost together with the link to the
+		// scheduler.
+		void withdrawalNotSent(HostId scheduler, JobId job, String reason);
+
 		CompletableFuture<JobStatus> jobQueried(JobId job, boolean cancel);
 
 		QueueStatus queueQueried(String queue);
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestPeer.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestPeer.java
@@ -156,6 +156,10 @@
 			TestPeer.this.jobs.remove(job);
 		}
 
+		@Override
+		public void withdrawalNotSent(HostId scheduler, JobId job, String reason) {
+		}
+
 		@Override
 		public CompletableFuture<JobStatus> jobQueried(JobId job, boolean cancel) {
 			throw new UnsupportedOperationException();
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/OutboundConnection.java
@@ -196,6 +196,23 @@
 		return true;
 	}
 
+	/**
+	 * Sends a one-way message even if the write buffer is full.
+	 * @param message the message without version
+	 * @param sent completes when the operating system has accepted the message, and fails
+	 * if the connection is closed before
+	 */
+	void sendAlways(PeerFrame message, CompletableFuture<Void> sent) {
+		write(message.toBuilder().clearCorrelationId()).addListener((written) -> {
+			if (written.isSuccess()) {
+				sent.complete(null);
+			}
+			else {
+				sent.completeExceptionally(this.link.unreachable(written.cause().getMessage()));
+			}
+		});
+	}
+
 	@Override
 	void onClosed(String reason) {
 		if (this.ended) {
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLink.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLink.java
@@ -214,7 +214,7 @@
 		}
 	}
 
-	private DispatchException unreachable(String reason) {
+	DispatchException unreachable(String reason) {
 		return DispatchException.of(ErrorKind.HOLDER_UNREACHABLE, Outcome.NOT_RUN,
 				"no link to " + host() + ": " + reason);
 	}
@@ -234,6 +234,28 @@
 		}
 	}
 
+	/**
+	 * Sends a one-way message that is lost only with the connection.
+	 * @param message the message without version
+	 * @return completes when the message is sent
+	 */
+	CompletableFuture<Void> sendUnlessDown(PeerFrame message) {
+		CompletableFuture<Void> sent = new CompletableFuture<>();
+		if (!execute(() -> sendAlwaysOnLoop(message, sent))) {
+			sent.completeExceptionally(unreachable("the host is closing"));
+		}
+		return sent;
+	}
+
+	private void sendAlwaysOnLoop(PeerFrame message, CompletableFuture<Void> sent) {
+		if (this.connection != null) {
+			this.connection.sendAlways(message, sent);
+		}
+		else {
+			sent.completeExceptionally(unreachable(this.lastError));
+		}
+	}
+
 	private boolean execute(Runnable task) {
 		try {
 			this.loop.execute(task);
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
@@ -114,8 +114,7 @@
 			long timeoutNanos) {
 		PeerLink link = this.links.get(host);
 		if (link == null) {
-			return CompletableFuture.failedFuture(DispatchException.of(ErrorKind.HOLDER_UNREACHABLE, Outcome.NOT_RUN,
-					"'" + host + "' is not a configured peer"));
+			return notConfigured(host);
 		}
 		return link.request(target, message.build(), timeoutNanos);
 	}
@@ -136,6 +135,27 @@
 		}
 	}
 
+	/**
+	 * Sends a one-way message that no later message replaces. It is lost only with the
+	 * connection: what is sent to the same peer afterwards arrives after it, or on a
+	 * newer link. Neither the requests in flight nor the write buffer limit it, so that
+	 * the caller must bound the number of such messages.
+	 * @param host the peer, not null
+	 * @param message the message; version and correlation id are set here
+	 * @return completes when the operating system has accepted the message; fails with a
+	 * {@link DispatchException} of outcome {@link Outcome#NOT_RUN} if the link is down or
+	 * is closed before; not null
+	 */
+	public CompletableFuture<Void> sendUnlessDown(HostId host, PeerFrame.Builder message) {
+		PeerLink link = this.links.get(host);
+		return (link != null) ? link.sendUnlessDown(message.build()) : notConfigured(host);
+	}
+
+	private static <T> CompletableFuture<T> notConfigured(HostId host) {
+		return CompletableFuture.failedFuture(DispatchException.of(ErrorKind.HOLDER_UNREACHABLE, Outcome.NOT_RUN,
+				"'" + host + "' is not a configured peer"));
+	}
+
 	/**
 	 * Tests whether a link has passed the handshake and is open.
 	 * @param host the peer, not null
--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +53,15 @@
 
 	private static final int MAX_FRAME_BYTES = 2_000_000;
 
+	/** Small, so that few bytes fill a link that is not read from. */
+	private static final int RECEIVE_BUFFER_BYTES = 65_536;
+
+	/** More messages of a quarter of the frame limit than the buffers of a link take. */
+	private static final int MORE_THAN_UNSENT_MESSAGES = 40;
+
+	/** Fails a test that would hang; no assertion depends on it. */
+	private static final Duration LIMIT = Duration.ofSeconds(20);
+
 	private static final byte[] KEY = new byte[32];
 
 	private static final byte[] OTHER_KEY = "another key of at least 32 bytes".getBytes();
@@ -324,6 +334,41 @@
 		assertThat(this.received.poll(20, TimeUnit.SECONDS).getQuerySubmission().getKey()).isEqualTo("one-way");
 	}
 
+	/**
+	 * Guards against a message that is dropped although later messages arrive on the same
+	 * link (second incident TWICE), or that counts as sent although the link was down.
+	 */
+	@Example
+	void messageThatNoLaterOneReplacesIsSentOverAFullLink() throws Exception {
+		try (ServerSocket listener = new ServerSocket()) {
+			listener.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+			listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+			startLinks((InetSocketAddress) listener.getLocalSocketAddress(), null);
+			assertThat(this.links.sendUnlessDown(B.host(), query("before"))).failsWithin(LIMIT);
+			try (RawPeer peer = new RawPeer(listener.accept())) {
+				peer.acceptHandshake(B, KEY);
+				awaitUp();
+				for (int i = 0; i < MORE_THAN_UNSENT_MESSAGES; i++) {
+					this.links.send(B.host(), query("x".repeat(MAX_FRAME_BYTES / 4)));
+				}
+				await(() -> this.dropped.get() > 0);
+				CompletableFuture<Void> sent = this.links.sendUnlessDown(B.host(), query("last"));
+				assertThat(sent).isNotDone();
+				String key = "";
+				while (!key.equals("last")) {
+					key = peer.read().getQuerySubmission().getKey();
+				}
+				assertThat(sent).succeedsWithin(LIMIT);
+				this.links.block(B.host());
+				assertThat(this.links.sendUnlessDown(B.host(), query("after"))).failsWithin(LIMIT)
+					.withThrowableThat()
+					.havingCause()
+					.isInstanceOfSatisfying(DispatchException.class,
+							(error) -> assertThat(error.outcome()).isEqualTo(Outcome.NOT_RUN));
+			}
+		}
+	}
+
 	/**
 	 * Guards against a message that is handled although it was delayed for so long that
 	 * its sender may have given it up (incident TWICE).
