--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -52,6 +52,9 @@
 	/** The scheduler received the withdrawal of a job from another host. */
 	WITHDRAWAL_RECEIVED(1307, "job=%s origin=%s"),
 
+	/** The withdrawal of a job was lost together with the link to its scheduler. */
+	WITHDRAWAL_NOT_SENT(1308, "job=%s scheduler=%s reason=%s"),
+
 	/** A worker was ordered to start a run. */
 	RUN_ORDERED(1311, "run=%s worker=%s token=%s"),
 
