Count the crashes of workers under each task, and log them

A run that ended because its worker came back as another incarnation could not be told from one whose worker fell silent, and nothing showed how many workers a task had crashed. A run that ends with its worker's incarnation is now a crash under its task; a run on a worker that fell silent is a loss that is resolved when the worker is heard of again: by its report under the same incarnation (no crash) or by its entry with a later one (a crash). CrashHistory keeps both for each task, and LG1315 WORKER_CRASHED shows the count. Workers that were draining have left as planned and don't count.

--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
@@ -0,0 +1,117 @@
+package org.limpetgate.scheduling;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+
+import org.limpetgate.UpstreamId;
+import org.limpetgate.scheduling.CrashHistory.Loss;
+import org.limpetgate.scheduling.RunListener.RunEnd;
+
+/**
+ * Keeps the {@link CrashHistory} of each task and finds the tasks that crash their
+ * workers.
+ * <p>
+ * Invariant: every open task with a history other than {@link CrashHistory#NONE} is in
+ * {@link #suspects}. Not thread-safe.
+ */
+final class CrashSystem {
+
+	/** The interval at which histories are checked for what has expired. */
+	private static final long SCAN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private final SchedulerTables tables;
+
+	/** Is called with the job of a history that changed. */
+	private final Consumer<JobEntity> changeListener;
+
+	private final Set<TaskEntity> suspects = new LinkedHashSet<>();
+
+	/** Workers with losses that may not be resolved. */
+	private final Set<UpstreamId> lostWorkers = new HashSet<>();
+
+	private long lastScanNanos;
+
+	CrashSystem(SchedulerTables tables, Consumer<JobEntity> changeListener) {
+		this.tables = tables;
+		this.changeListener = changeListener;
+	}
+
+	// Records the end of a run through the loss of its worker.
+	void runEnded(RunEntity run, TaskEntity task, RunEnd end, long nowNanos) {
+		WorkerInfo worker = run.worker().info;
+		if (end == RunEnd.WORKER_CRASHED) {
+			addCrashes(task, worker.id(), (history) -> history.withCrash(run.alone));
+		}
+		else if (end == RunEnd.WORKER_SILENT) {
+			Loss loss = new Loss(worker.id(), worker.incarnationMillis(), run.alone, nowNanos);
+			this.lostWorkers.add(worker.id());
+			change(task, task.crashes.withLoss(loss));
+		}
+	}
+
+	// Resolves the losses of earlier incarnations of a worker in the list.
+	void workerListed(WorkerInfo worker) {
+		if (!this.lostWorkers.contains(worker.id())) {
+			return;
+		}
+		for (TaskEntity task : this.suspects) {
+			addCrashes(task, worker.id(),
+					(history) -> history.withIncarnation(worker.id(), worker.incarnationMillis()));
+		}
+	}
+
+	// Resolves the losses of the incarnation of a worker that has reported.
+	void workerReported(WorkerInfo worker) {
+		if (!this.lostWorkers.contains(worker.id())) {
+			return;
+		}
+		for (TaskEntity task : this.suspects) {
+			change(task, task.crashes.withReport(worker.id(), worker.incarnationMillis()));
+		}
+	}
+
+	private void addCrashes(TaskEntity task, UpstreamId worker, UnaryOperator<CrashHistory> operator) {
+		CrashHistory changed = operator.apply(task.crashes);
+		if (changed != task.crashes) {
+			change(task, changed);
+			this.tables.emit(new SchedulingEffect.WorkerCrashed(worker, task.name(), changed));
+		}
+	}
+
+	private void change(TaskEntity task, CrashHistory history) {
+		if (history == task.crashes || task.job().ended) {
+			return;
+		}
+		task.crashes = history;
+		this.suspects.add(task);
+		this.tables.placementDue = true;
+		this.changeListener.accept(task.job());
+	}
+
+	// Forgets losses that are not resolved in time and tasks that have ended.
+	void tick(long nowNanos) {
+		if (this.suspects.isEmpty() || nowNanos - this.lastScanNanos < SCAN_INTERVAL_NANOS) {
+			return;
+		}
+		this.lastScanNanos = nowNanos;
+		for (TaskEntity task : this.suspects) {
+			change(task, task.crashes.withoutExpired(nowNanos));
+		}
+		this.suspects
+			.removeIf((task) -> task.job().ended || task.state == TaskEntity.State.DONE || !task.crashes.isSuspect());
+		this.lostWorkers.clear();
+		for (TaskEntity task : this.suspects) {
+			task.crashes.losses().forEach((loss) -> this.lostWorkers.add(loss.worker()));
+		}
+	}
+
+	void clear() {
+		this.suspects.clear();
+		this.lostWorkers.clear();
+	}
+
+}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -45,12 +45,15 @@
 
 	private final PlacementSystem placements;
 
+	private final CrashSystem crashes;
+
 	private long nextSequence;
 
 	JobSystem(SchedulerTables tables, Placement placement, QueueOrder order) {
 		this.tables = tables;
 		this.admission = new Admission(tables, order);
 		this.storedJobs = new StoredJobSystem(tables);
+		this.crashes = new CrashSystem(tables, this.storedJobs::progressChanged);
 		this.runs = new RunSystem(tables, this);
 		this.gangs = new GangSystem(tables, placement, this.runs);
 		this.placements = new PlacementSystem(tables, placement, order, this.runs, this.gangs);
@@ -64,6 +67,10 @@
 		return this.runs;
 	}
 
+	CrashSystem crashes() {
+		return this.crashes;
+	}
+
 	StoredJobSystem storedJobs() {
 		return this.storedJobs;
 	}
@@ -73,6 +80,7 @@
 		this.tables.jobs.clear();
 		this.tables.waitingJobs.clear();
 		this.storedJobs.clear();
+		this.crashes.clear();
 		for (JobEntity job : openJobs) {
 			job.ended = true;
 			notifyOrigins(job, JobOutcome.MOVED, "the host is no longer the active scheduler", 0);
@@ -251,6 +259,7 @@
 		if (!this.tables.isActive()) {
 			return;
 		}
+		this.crashes.tick(nowNanos);
 		if (!this.tables.waitingJobs.isEmpty()) {
 			endLateJobs(nowNanos);
 			if (this.tables.placementDue) {
@@ -297,6 +306,7 @@
 		task.run = null;
 		JobEntity job = task.job();
 		keepCheckpoint(job, task, run);
+		this.crashes.runEnded(run, task, end, nowNanos);
 		if (task.step().has(StepTrait.PERPETUAL)) {
 			restartLater(task, run, nowNanos);
 			return;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
@@ -65,6 +65,11 @@
 	 */
 	long endSequence;
 
+	/**
+	 * Whether no other run may have been on the worker when the worker was lost.
+	 */
+	boolean alone;
+
 	/** When the percentage last rose, nanoseconds since the Unix epoch. */
 	long progressNanos;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunListener.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunListener.java
@@ -44,7 +44,13 @@
 		 */
 		OLD_ATTEMPT,
 		/** The run was stopped or lost; the task may run again. */
-		LOST
+		LOST,
+		/**
+		 * The worker has started another incarnation and may have crashed under the run.
+		 */
+		WORKER_CRASHED,
+		/** The run was lost since its worker does not report; it may have crashed. */
+		WORKER_SILENT
 
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -167,6 +167,7 @@
 			}
 		}
 		applyRunning(worker, report, takeover, sentNanos, nowNanos);
+		worker.runsLost = false;
 	}
 
 	private void applyEnd(WorkerEntity worker, WorkerReport.Ended ended, long nowNanos) {
@@ -261,7 +262,7 @@
 				}
 			}
 			else if (takeover || (complete && mustHaveEnded(run, sentNanos))) {
-				giveUp(run, reason, nowNanos);
+				giveUp(run, reason, RunEnd.LOST, nowNanos);
 			}
 		}
 		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
@@ -327,9 +328,22 @@
 	}
 
 	// Handles a run that must have ended although the worker has not listed its end.
-	void giveUp(RunEntity run, RunGivenUp.Reason reason, long nowNanos) {
+	private void giveUp(RunEntity run, RunGivenUp.Reason reason, RunEnd end, long nowNanos) {
 		emitGivenUp(run.worker(), run.id(), reason, nowNanos);
-		finish(run, RunEnd.LOST, nowNanos);
+		finish(run, end, nowNanos);
+	}
+
+	// Gives up the runs of the previous incarnation of a worker. A worker that was
+	// draining has left as planned.
+	void startIncarnation(WorkerEntity worker, WorkerInfo next, long nowNanos) {
+		RunEnd end = worker.info.draining() ? RunEnd.LOST : RunEnd.WORKER_CRASHED;
+		List<RunEntity> lost = List.copyOf(worker.runs.values());
+		lost.forEach((run) -> run.alone = worker.isAlone(run));
+		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
+			giveUpOrphan(worker, run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos);
+		}
+		worker.startIncarnation(next);
+		lost.forEach((run) -> giveUp(run, RunGivenUp.Reason.NEW_INCARNATION, end, nowNanos));
 	}
 
 	void giveUpOrphan(WorkerEntity worker, RunId run, RunGivenUp.Reason reason, long nowNanos) {
@@ -412,7 +426,7 @@
 			boolean settled = run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED
 					|| !worker.listed;
 			if (settled && sinceRenewalNanos >= lossNanos(worker, isStored(run), nowNanos)) {
-				giveUp(run, RunGivenUp.Reason.LEASE_EXPIRED, nowNanos);
+				giveUpOnSilence(run, nowNanos);
 			}
 		}
 		// An orphan run may belong to a stored job.
@@ -423,6 +437,14 @@
 		}
 	}
 
+	private void giveUpOnSilence(RunEntity run, long nowNanos) {
+		WorkerEntity worker = run.worker();
+		run.alone = worker.isAlone(run);
+		worker.runsLost = true;
+		RunEnd end = worker.info.draining() ? RunEnd.LOST : RunEnd.WORKER_SILENT;
+		giveUp(run, RunGivenUp.Reason.LEASE_EXPIRED, end, nowNanos);
+	}
+
 	private static boolean isStored(RunEntity run) {
 		return run.task != null && run.task.job().spec().stored();
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -38,7 +38,7 @@
 		this.tables = new SchedulerTables(settings);
 		this.jobs = new JobSystem(this.tables, placement.apply(this.tables.runTimeModel),
 				new DemandOrder(PRIORITY_FACTOR));
-		this.workers = new WorkerSystem(this.tables, this.jobs.runs());
+		this.workers = new WorkerSystem(this.tables, this.jobs.runs(), this.jobs.crashes());
 		this.jobs.connect(this.workers);
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
@@ -2,6 +2,7 @@
 
 import org.limpetgate.HostId;
 import org.limpetgate.JobId;
+import org.limpetgate.UpstreamId;
 
 /**
  * An action that the scheduler requests. Its result is reported back to the scheduler.
@@ -86,6 +87,18 @@
 
 	}
 
+	/**
+	 * Tells that a worker has crashed while a task may have run on it. It requires no
+	 * action and is meant for the log.
+	 *
+	 * @param worker the worker
+	 * @param task the task
+	 * @param history the crashes under the task, this one included
+	 */
+	record WorkerCrashed(UpstreamId worker, TaskName task, CrashHistory history) implements SchedulingEffect {
+
+	}
+
 	/**
 	 * Saves a change of a stored job. Changes are saved in the order of the effects.
 	 *
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
@@ -75,6 +75,13 @@
 		this.changedJobs.add(job);
 	}
 
+	// Requests that the progress of a job be saved in the next tick.
+	void progressChanged(JobEntity job) {
+		if (job.spec().stored() && !job.ended) {
+			this.changedJobs.add(job);
+		}
+	}
+
 	/**
 	 * Requests that the end of a job be saved.
 	 * @param job the job
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/TaskEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/TaskEntity.java
@@ -47,6 +47,9 @@
 	/** The checkpoint from which the next run resumes, empty if there is none. */
 	String checkpoint = "";
 
+	/** The workers that crashed or fell silent under it. */
+	CrashHistory crashes = CrashHistory.NONE;
+
 	/** The current run, whose result counts for the task; null if there is none. */
 	RunEntity run;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -53,6 +53,9 @@
 
 	private Capacity used = Capacity.NONE;
 
+	/** Whether a run was given up since the last report because the worker is silent. */
+	boolean runsLost;
+
 	/** The sequence number of the last end that was processed. */
 	long lastEndNumber;
 
@@ -156,6 +159,11 @@
 				&& this.pollFailures <= MAX_POLL_FAILURES;
 	}
 
+	// Tests whether nothing but the run may be present on the worker.
+	boolean isAlone(RunEntity run) {
+		return this.runs.size() == 1 && this.runs.containsKey(run.id()) && this.orphanRuns.isEmpty() && !this.runsLost;
+	}
+
 	boolean isBusy() {
 		return !this.runs.isEmpty() || !this.orphanRuns.isEmpty();
 	}
@@ -206,6 +214,7 @@
 		this.info = next;
 		this.runs.clear();
 		this.orphanRuns.clear();
+		this.runsLost = false;
 		this.pendingPolls.clear();
 		this.used = Capacity.NONE;
 		this.lastEndNumber = 0;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.UpstreamId;
-import org.limpetgate.scheduling.SchedulingEffect.RunGivenUp;
 
 /**
  * Takes over workers, renews their leases and processes their reports.
@@ -65,6 +64,8 @@
 
 	private final RunSystem runs;
 
+	private final CrashSystem crashes;
+
 	private long nextSequence;
 
 	private long lastScanNanos;
@@ -72,9 +73,10 @@
 	/** When the first worker was listed, nanoseconds since the Unix epoch, 0 before. */
 	private long firstListedNanos;
 
-	WorkerSystem(SchedulerTables tables, RunSystem runs) {
+	WorkerSystem(SchedulerTables tables, RunSystem runs, CrashSystem crashes) {
 		this.tables = tables;
 		this.runs = runs;
+		this.crashes = crashes;
 	}
 
 	// Replaces the list of workers.
@@ -90,6 +92,7 @@
 			else {
 				updateInfo(worker, info, nowNanos);
 			}
+			this.crashes.workerListed(info);
 		}
 		for (WorkerEntity worker : this.tables.workers.values()) {
 			boolean listed = listedIds.contains(worker.info.id());
@@ -116,12 +119,7 @@
 			worker.info = info;
 			return;
 		}
-		List<RunEntity> lost = List.copyOf(worker.runs.values());
-		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
-			this.runs.giveUpOrphan(worker, run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos);
-		}
-		worker.startIncarnation(info);
-		lost.forEach((run) -> this.runs.giveUp(run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos));
+		this.runs.startIncarnation(worker, info, nowNanos);
 	}
 
 	void activate(long nowNanos) {
@@ -182,6 +180,7 @@
 		worker.ownership = WorkerEntity.Ownership.OWNED;
 		this.runs.applyReport(worker, report, takeover, sentNanos, nowNanos);
 		worker.fenced = false;
+		this.crashes.workerReported(worker.info);
 		if (takeover) {
 			// An earlier owner may have renewed the lease until now.
 			worker.renewedNanos = nowNanos;
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashHistoryTests.java
@@ -0,0 +1,93 @@
+package org.limpetgate.scheduling;
+
+import java.util.concurrent.TimeUnit;
+
+import net.jqwik.api.Example;
+import org.limpetgate.UpstreamId;
+import org.limpetgate.scheduling.CrashHistory.Loss;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link CrashHistory}.
+ */
+class CrashHistoryTests {
+
+	private static final UpstreamId WORKER = UpstreamId.of("w1");
+
+	private static final UpstreamId OTHER_WORKER = UpstreamId.of("w2");
+
+	private static final long LOST_NANOS = TimeUnit.DAYS.toNanos(21_000);
+
+	/** Guards against tasks of silent workers that count as those of crashed ones. */
+	@Example
+	void lossIsResolvedByAReportOfTheSameIncarnation() {
+		CrashHistory history = CrashHistory.NONE.withLoss(loss(WORKER, 5));
+		assertThat(history.isSuspect()).isTrue();
+		assertThat(history.withReport(OTHER_WORKER, 5)).isSameAs(history);
+		assertThat(history.withReport(WORKER, 6)).isSameAs(history);
+		assertThat(history.withReport(WORKER, 5)).isEqualTo(CrashHistory.NONE);
+	}
+
+	@Example
+	void lossIsACrashOnceTheWorkerHasALaterIncarnation() {
+		CrashHistory history = CrashHistory.NONE.withLoss(new Loss(WORKER, 5, true, LOST_NANOS));
+		assertThat(history.withIncarnation(WORKER, 5)).isSameAs(history);
+		assertThat(history.withIncarnation(WORKER, 4)).isSameAs(history);
+		assertThat(history.withIncarnation(OTHER_WORKER, 6)).isSameAs(history);
+		assertThat(history.withIncarnation(WORKER, 6)).isEqualTo(CrashHistory.NONE.withCrash(true));
+	}
+
+	/** Guards against two losses on one worker of which only one is resolved. */
+	@Example
+	void everyLossOfAnEarlierIncarnationIsACrash() {
+		CrashHistory history = CrashHistory.NONE.withLoss(loss(WORKER, 5)).withLoss(loss(WORKER, 6));
+		CrashHistory resolved = history.withIncarnation(WORKER, 7);
+		assertThat(resolved.crashes()).isEqualTo(2);
+		assertThat(resolved.losses()).isEmpty();
+	}
+
+	/** Guards against a worker that never comes back and counts as crashed. */
+	@Example
+	void lossIsForgottenAfterItsRetention() {
+		CrashHistory history = CrashHistory.NONE.withLoss(loss(WORKER, 5));
+		assertThat(history.withoutExpired(LOST_NANOS + CrashHistory.RETENTION_NANOS - 1)).isSameAs(history);
+		assertThat(history.withoutExpired(LOST_NANOS + CrashHistory.RETENTION_NANOS)).isEqualTo(CrashHistory.NONE);
+	}
+
+	/** Guards against a job that stands still since a worker does not come back. */
+	@Example
+	void unresolvedLossHoldsTheTaskBackForABoundedTime() {
+		CrashHistory one = CrashHistory.NONE.withLoss(loss(WORKER, 5));
+		assertThat(one.isHeldBack(LOST_NANOS)).isFalse();
+		CrashHistory two = one.withLoss(loss(OTHER_WORKER, 5));
+		assertThat(two.isHeldBack(LOST_NANOS + CrashHistory.HOLD_NANOS - 1)).isTrue();
+		assertThat(two.isHeldBack(LOST_NANOS + CrashHistory.HOLD_NANOS)).isFalse();
+		assertThat(one.withCrash(false).isHeldBack(LOST_NANOS)).isTrue();
+		assertThat(CrashHistory.NONE.withCrash(false).withCrash(false).isHeldBack(LOST_NANOS)).isFalse();
+	}
+
+	/**
+	 * Guards against an innocent task that is given up for the crashes of another one.
+	 */
+	@Example
+	void twoCrashesProveNothingUnlessTheTaskRanAlone() {
+		CrashHistory one = CrashHistory.NONE.withCrash(true);
+		assertThat(one.isDeadly()).isFalse();
+		assertThat(one.withCrash(false).isDeadly()).isTrue();
+		CrashHistory shared = CrashHistory.NONE.withCrash(false).withCrash(false);
+		assertThat(shared.isDeadly()).isFalse();
+		assertThat(shared.mustRunAlone()).isTrue();
+		assertThat(shared.withCrash(true).isDeadly()).isTrue();
+	}
+
+	@Example
+	void threeCrashesAreEnoughInAnyCase() {
+		assertThat(CrashHistory.NONE.withCrash(false).withCrash(false).withCrash(false).isDeadly()).isTrue();
+	}
+
+	private static Loss loss(UpstreamId worker, long incarnationMillis) {
+		return new Loss(worker, incarnationMillis, false, LOST_NANOS);
+	}
+
+}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -61,6 +61,9 @@
 	/** A run counts as ended although its worker has not listed the end. */
 	RUN_GIVEN_UP(1314, "run=%s worker=%s reason=%s since_renewal_ms=%s fenced=%s"),
 
+	/** A worker crashed while a task may have run on it. */
+	WORKER_CRASHED(1315, "task=%s worker=%s crashes=%s alone=%s unresolved=%s"),
+
 	/** The stored jobs were taken over from the platform's store. */
 	STORED_JOBS_READ(1320, "epoch=%s jobs=%s"),
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
@@ -7,6 +7,7 @@
 import org.limpetgate.fleet.WorkerOrders;
 import org.limpetgate.host.EventLog;
 import org.limpetgate.host.LogEvent;
+import org.limpetgate.scheduling.CrashHistory;
 import org.limpetgate.scheduling.Scheduler;
 import org.limpetgate.scheduling.SchedulingEffect;
 
@@ -62,6 +63,9 @@
 		else if (effect instanceof SchedulingEffect.RunGivenUp givenUp) {
 			logGivenUp(givenUp);
 		}
+		else if (effect instanceof SchedulingEffect.WorkerCrashed crashed) {
+			logCrash(crashed);
+		}
 	}
 
 	private void logGivenUp(SchedulingEffect.RunGivenUp givenUp) {
@@ -71,6 +75,12 @@
 				sinceRenewalMillis, givenUp.fenced());
 	}
 
+	private void logCrash(SchedulingEffect.WorkerCrashed crashed) {
+		CrashHistory history = crashed.history();
+		this.log.write(LogEvent.WORKER_CRASHED, crashed.task(), crashed.worker(), history.crashes(),
+				history.crashedAlone(), history.losses().size());
+	}
+
 	private void start(SchedulingEffect.StartRun start) {
 		this.log.write(LogEvent.RUN_ORDERED, start.run(), start.worker().id(), start.token().value());
 		this.orders.start(start).thenAccept((answer) -> {
