Poll a silent worker that has lost its runs until it reports again

Callers saw less capacity than there was, for up to 10 s after workers had been cut off. A worker that fell silent is not usable until it has answered a poll; once its runs were given up it was idle, and idle workers are polled every 10 s only. So it stayed unusable long after the cut, and nothing could show that it had not crashed. Failed before: CrashingTaskTests#silentWorkerThatComesBackUnchangedHasNotCrashed (3 starts instead of 6 with three workers).

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -204,7 +204,7 @@
 			worker.loseOwnership(nowNanos + retryNanos(worker));
 		}
 		else if (worker.pollFailures > 1) {
-			worker.retryNanos = nowNanos + MIN_RETRY_NANOS;
+			worker.retryNanos = nowNanos + (worker.isBusy() ? MIN_RETRY_NANOS : MAX_RETRY_NANOS);
 		}
 	}
 
@@ -272,11 +272,13 @@
 		sendPoll(worker, 0, 0, nowNanos);
 	}
 
+	// A silent worker is polled until it reports again, since it is not usable before.
 	private boolean isRenewalDue(WorkerEntity worker, long nowNanos) {
 		if (!worker.unsavedEnds.isEmpty() && nowNanos - worker.lastReportNanos < unsavedEndsPollIntervalNanos(worker)) {
 			return false;
 		}
-		boolean due = worker.isBusy() || worker.ackDue || nowNanos - worker.lastReportNanos > IDLE_POLL_INTERVAL_NANOS;
+		boolean due = worker.isBusy() || worker.ackDue || worker.pollFailures > 0
+				|| nowNanos - worker.lastReportNanos > IDLE_POLL_INTERVAL_NANOS;
 		return due && (worker.pollFailures < 2 || nowNanos >= worker.retryNanos);
 	}
 
