Give up tasks that crash their workers, and keep suspects apart

Callers of stored jobs saw BUDGET: a task that crashes every worker that starts it was started again and again, and each start took the other runs of its worker along.

A run that ended with its worker was queued again without a limit. Now the count of crashes decides. All runs of a crashed worker are suspects, and mostly one is to blame, so that: - suspects never share a worker, except the members of one gang, which stand and fall together; - a task under which a worker has crashed gets a worker of its own if there is one, on a fifth of the workers of its service at most, and with two crashes or unresolved losses it starts only alone; - a task with two crashes or losses waits until silent workers are heard of again, for 6 s at most, since a stored job must not stand still; - a task is given up, and its job fails, after two crashes if it was the only run of one of the workers, and after three in any case. This keeps two starts in reserve of those that the rule allows, for crashes that no scheduler notices. Perpetual tasks are treated alike, but a run of 30 s proves them innocent, since they would reach any count in their long life. Best-effort jobs are treated alike in memory; their deadline still ends them.

The test workerIsVacatedForATaskThatMustRunAlone was rewritten, since its task was given up in its set-up; it guards the reservation for overdue jobs, which covers such tasks without a change.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
@@ -1,7 +1,9 @@
 package org.limpetgate.scheduling;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -23,6 +25,12 @@
 	/** The interval at which histories are checked for what has expired. */
 	private static final long SCAN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+	/**
+	 * A perpetual task that has run for this long does not crash its workers. It would
+	 * otherwise reach any number of crashes in its long life.
+	 */
+	private static final long PROVEN_RUN_NANOS = TimeUnit.SECONDS.toNanos(30);
+
 	private final SchedulerTables tables;
 
 	/** Is called with the job of a history that changed. */
@@ -30,6 +38,9 @@
 
 	private final Set<TaskEntity> suspects = new LinkedHashSet<>();
 
+	/** Tasks that were found to crash their workers since they were last taken. */
+	private final List<TaskEntity> deadlyTasks = new ArrayList<>();
+
 	/** Workers with losses that may not be resolved. */
 	private final Set<UpstreamId> lostWorkers = new HashSet<>();
 
@@ -42,6 +53,9 @@
 
 	// Records the end of a run through the loss of its worker.
 	void runEnded(RunEntity run, TaskEntity task, RunEnd end, long nowNanos) {
+		if (isPerpetual(task) && nowNanos - run.startedNanos() >= PROVEN_RUN_NANOS) {
+			return;
+		}
 		WorkerInfo worker = run.worker().info;
 		if (end == RunEnd.WORKER_CRASHED) {
 			addCrashes(task, worker.id(), (history) -> history.withCrash(run.alone));
@@ -87,9 +101,26 @@
 			return;
 		}
 		task.crashes = history;
+		this.changeListener.accept(task.job());
+		track(task);
+	}
+
+	private void track(TaskEntity task) {
 		this.suspects.add(task);
 		this.tables.placementDue = true;
-		this.changeListener.accept(task.job());
+		if (task.crashes.isDeadly()) {
+			this.deadlyTasks.add(task);
+		}
+	}
+
+	// Returns the tasks that were found to crash their workers, each one once or more.
+	List<TaskEntity> takeDeadlyTasks() {
+		if (this.deadlyTasks.isEmpty()) {
+			return List.of();
+		}
+		List<TaskEntity> taken = List.copyOf(this.deadlyTasks);
+		this.deadlyTasks.clear();
+		return taken;
 	}
 
 	// Forgets losses that are not resolved in time and tasks that have ended.
@@ -100,7 +131,12 @@
 		this.lastScanNanos = nowNanos;
 		for (TaskEntity task : this.suspects) {
 			change(task, task.crashes.withoutExpired(nowNanos));
+			if (isProven(task, nowNanos)) {
+				change(task, CrashHistory.NONE);
+			}
 		}
+		// What a loss holds back, or what must run alone, may have become possible.
+		this.tables.placementDue = true;
 		this.suspects
 			.removeIf((task) -> task.job().ended || task.state == TaskEntity.State.DONE || !task.crashes.isSuspect());
 		this.lostWorkers.clear();
@@ -109,9 +145,18 @@
 		}
 	}
 
+	private static boolean isProven(TaskEntity task, long nowNanos) {
+		return isPerpetual(task) && task.run != null && nowNanos - task.run.startedNanos() >= PROVEN_RUN_NANOS;
+	}
+
+	private static boolean isPerpetual(TaskEntity task) {
+		return task.step().has(StepTrait.PERPETUAL);
+	}
+
 	void clear() {
 		this.suspects.clear();
 		this.lostWorkers.clear();
+		this.deadlyTasks.clear();
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
@@ -23,6 +23,9 @@
 
 	private static final double SUSPECT_DURATION_FACTOR = 100;
 
+	/** Exceeds the difference in cost of any two workers that complete a task in time. */
+	private static final double SHARED_COST = 100;
+
 	/** Exceeds the cost of any worker that completes a task in time. */
 	private static final double LATE_COST = 1000;
 
@@ -60,6 +63,9 @@
 				continue;
 			}
 			double cost = cost(task, worker, factor, scarce && onTime) + (onTime ? 0 : LATE_COST);
+			if (!worker.runs.isEmpty() && CrashIsolation.prefersToRunAlone(task)) {
+				cost += SHARED_COST;
+			}
 			if (cost < bestCost) {
 				best = worker;
 				bestCost = cost;
@@ -110,7 +116,7 @@
 		if (worker.suspectUntilNanos > nowNanos && (task.failures > 0 || !worker.runs.isEmpty())) {
 			return false;
 		}
-		if (interferes(step, worker)) {
+		if (interferes(step, worker) || !CrashIsolation.permits(task, worker)) {
 			return false;
 		}
 		return step.maxPerWorker() <= 0 || runsOfStep(task, worker) < step.maxPerWorker();
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/GangSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/GangSystem.java
@@ -38,7 +38,7 @@
 	void place(List<TaskEntity> tasks, double taskNanos, long nowNanos) {
 		for (TaskEntity task : tasks) {
 			if (task.state != TaskEntity.State.WAITING || task.notBeforeNanos > nowNanos
-					|| this.tables.mayBeRunning(task.name())) {
+					|| task.crashes.isHeldBack(nowNanos) || this.tables.mayBeRunning(task.name())) {
 				return;
 			}
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -260,6 +260,7 @@
 			return;
 		}
 		this.crashes.tick(nowNanos);
+		this.crashes.takeDeadlyTasks().forEach((task) -> giveUp(task, nowNanos));
 		if (!this.tables.waitingJobs.isEmpty()) {
 			endLateJobs(nowNanos);
 			if (this.tables.placementDue) {
@@ -270,6 +271,13 @@
 		this.storedJobs.tick(nowNanos);
 	}
 
+	private void giveUp(TaskEntity task, long nowNanos) {
+		if (!task.job().ended) {
+			String reason = "task " + task.name() + " crashed " + task.crashes.crashes() + " workers";
+			end(task.job(), JobOutcome.FAILED, reason, nowNanos);
+		}
+	}
+
 	private void endLateJobs(long nowNanos) {
 		for (JobEntity job : List.copyOf(this.tables.waitingJobs)) {
 			if (!Admission.isLate(job, nowNanos)) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -128,19 +128,34 @@
 		}
 	}
 
+	// Returns whether the next task of the step may find a worker.
 	private boolean place(TaskEntity task, double taskNanos, long nowNanos) {
 		if (task.notBeforeNanos > nowNanos || this.tables.mayBeRunning(task.name())) {
 			this.tables.placementDue = true;
 			return true;
 		}
+		if (task.crashes.isHeldBack(nowNanos)) {
+			return true;
+		}
+		boolean isolationPossible = isIsolationPossible(task);
+		if (CrashIsolation.mustRunAlone(task) && !isolationPossible) {
+			return true;
+		}
 		WorkerEntity worker = this.placement.choose(task, taskNanos, this.tables.workers.values(), nowNanos);
 		if (worker == null) {
-			return false;
+			return task.crashes.isSuspect();
 		}
 		task.job().started = true;
 		task.job().waitingTasks--;
+		boolean isolated = isolationPossible && worker.runs.isEmpty();
 		this.runs.start(task, worker, taskNanos * this.tables.runTimeModel.factor(worker), nowNanos);
+		worker.isolated = isolated;
 		return true;
 	}
 
+	private boolean isIsolationPossible(TaskEntity task) {
+		return (CrashIsolation.mustRunAlone(task) || CrashIsolation.prefersToRunAlone(task))
+				&& CrashIsolation.hasRoom(task.job().spec().service(), this.tables.workers.values());
+	}
+
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -53,6 +53,9 @@
 
 	private Capacity used = Capacity.NONE;
 
+	/** Whether no other run is added to the present one. */
+	boolean isolated;
+
 	/** Whether a run was given up since the last report because the worker is silent. */
 	boolean runsLost;
 
@@ -147,6 +150,7 @@
 		if (this.runs.remove(run.id()) != null) {
 			this.used = this.used.minus(run.demand());
 		}
+		this.isolated &= !this.runs.isEmpty();
 	}
 
 	Capacity freeCapacity() {
@@ -215,6 +219,7 @@
 		this.runs.clear();
 		this.orphanRuns.clear();
 		this.runsLost = false;
+		this.isolated = false;
 		this.pendingPolls.clear();
 		this.used = Capacity.NONE;
 		this.lastEndNumber = 0;
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashingTaskTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashingTaskTests.java
@@ -265,18 +265,20 @@
 	/** Guards against a task that must run alone and never finds an empty worker. */
 	@Example
 	void workerIsVacatedForATaskThatMustRunAlone() {
-		activate("w1", "w2", "w3");
-		submit("0", step(4));
+		activate("w1", "w2", "w3", "w4");
 		submit("1", step(1));
-		RunId suspect = lastStart().run();
-		crashWorkerOfLastStart();
-		crashWorkerOf(suspect.task());
-		for (int round = 0; round < 40 && !runsAlone(suspect.task()); round++) {
+		TaskName suspect = lastStart().run().task();
+		loseWorkerOfLastStart().running.clear();
+		loseWorkerOfLastStart().running.clear();
+		submit("f", step(8));
+		advance(HOLD_MILLIS);
+		assertThat(this.starts).hasSize(10);
+		for (int round = 0; round < 40 && !runsAlone(suspect); round++) {
 			submit("n" + round, step(1));
 			finishFirstRun();
 			advance(SHORT_MILLIS);
 		}
-		assertThat(runsAlone(suspect.task())).isTrue();
+		assertThat(runsAlone(suspect)).isTrue();
 	}
 
 	/**
@@ -363,14 +365,6 @@
 		crash(workerOfLastStart());
 	}
 
-	private void crashWorkerOf(TaskName task) {
-		crash(this.workers.values()
-			.stream()
-			.filter((worker) -> worker.running.stream().anyMatch((run) -> run.task().equals(task)))
-			.findFirst()
-			.orElseThrow());
-	}
-
 	// Replaces a worker by its next incarnation before its lease has expired.
 	private void crash(Worker worker) {
 		worker.restart();
@@ -391,7 +385,7 @@
 			.anyMatch((worker) -> worker.running.size() == 1 && worker.running.get(0).task().equals(task));
 	}
 
-	// Ends the oldest run that shares its worker.
+	// Ends the oldest run of the first busy worker.
 	private void finishFirstRun() {
 		this.workers.values()
 			.stream()
