Save the crashes of workers under the tasks of stored jobs

The record of a job's progress now has the crashes and the unresolved losses of each task, and a change of them is saved like an end. The next scheduler resolves the losses of the one before: an entry of the lost worker with a later incarnation is a crash. A loss that its clock places in the future counts as present. A crash that happens while no scheduler knows of the run is not counted; the limit of three crashes leaves room for two of them.

The fields are new, with new numbers (StepProgressRecord.crashes = 4), so that records of earlier versions are read as before (JobJournalTests#progressWithoutCrashesIsRead).

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashHistory.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashHistory.java
@@ -101,6 +101,16 @@
 		return withoutLosses((loss) -> nowNanos - loss.lostNanos() >= RETENTION_NANOS);
 	}
 
+	/**
+	 * Returns a copy in which no loss is later than a time.
+	 * @param nowNanos the time, nanoseconds since the Unix epoch
+	 * @return the copy, not null
+	 */
+	public CrashHistory withLossesUntil(long nowNanos) {
+		return new CrashHistory(this.crashes, this.crashedAlone,
+				this.losses.stream().map((loss) -> loss.until(nowNanos)).toList());
+	}
+
 	private CrashHistory withoutLosses(Predicate<Loss> removed) {
 		if (this.losses.stream().noneMatch(removed)) {
 			return this;
@@ -158,6 +168,10 @@
 			Objects.requireNonNull(worker, "worker");
 		}
 
+		private Loss until(long nowNanos) {
+			return new Loss(this.worker, this.incarnationMillis, this.alone, Math.min(this.lostNanos, nowNanos));
+		}
+
 		private boolean isOfEarlierIncarnation(UpstreamId other, long otherIncarnationMillis) {
 			return this.worker.equals(other) && this.incarnationMillis < otherIncarnationMillis;
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
@@ -51,6 +51,21 @@
 		this.changeListener = changeListener;
 	}
 
+	// Takes over the histories of a job that an earlier scheduler left. Its clock may
+	// have
+	// been ahead.
+	void restored(JobEntity job, long nowNanos) {
+		for (List<TaskEntity> tasks : job.steps()) {
+			for (TaskEntity task : tasks) {
+				if (task.crashes.isSuspect() && task.state != TaskEntity.State.DONE) {
+					task.crashes = task.crashes.withLossesUntil(nowNanos);
+					track(task);
+					task.crashes.losses().forEach((loss) -> this.lostWorkers.add(loss.worker()));
+				}
+			}
+		}
+	}
+
 	// Records the end of a run through the loss of its worker.
 	void runEnded(RunEntity run, TaskEntity task, RunEnd end, long nowNanos) {
 		if (isPerpetual(task) && nowNanos - run.startedNanos() >= PROVEN_RUN_NANOS) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -144,6 +144,7 @@
 			List<TaskEntity> tasks = this.steps.get(number);
 			step.failures().forEach((index, failures) -> tasks.get(index).failures = failures);
 			step.checkpoints().forEach((index, checkpoint) -> tasks.get(index).checkpoint = checkpoint);
+			step.crashes().forEach((index, crashes) -> tasks.get(index).crashes = crashes);
 			step.done().stream().forEach((index) -> {
 				TaskEntity task = tasks.get(index);
 				if (task.state == TaskEntity.State.WAITING) {
@@ -163,6 +164,7 @@
 		BitSet done = new BitSet();
 		Map<Integer, Integer> failures = new HashMap<>();
 		Map<Integer, String> checkpoints = new HashMap<>();
+		Map<Integer, CrashHistory> crashes = new HashMap<>();
 		for (TaskEntity task : tasks) {
 			int index = task.name().index();
 			if (task.state == TaskEntity.State.DONE) {
@@ -175,8 +177,11 @@
 			if (!task.checkpoint.isEmpty()) {
 				checkpoints.put(index, task.checkpoint);
 			}
+			if (task.crashes.isSuspect()) {
+				crashes.put(index, task.crashes);
+			}
 		}
-		return new StepProgress(done, failures, checkpoints);
+		return new StepProgress(done, failures, checkpoints, crashes);
 	}
 
 	// Returns the current runs of its tasks.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -199,6 +199,7 @@
 		this.admission.computeTimes(job, 0, nowNanos);
 		this.tables.jobs.put(job.id(), job);
 		this.tables.waitingJobs.add(job);
+		this.crashes.restored(job, nowNanos);
 		this.runs.adoptRuns(job, nowNanos);
 		if (job.isDone()) {
 			end(job, JobOutcome.COMPLETED, "", nowNanos);
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/StepProgress.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/StepProgress.java
@@ -11,16 +11,20 @@
  * @param done the indexes of the tasks that are done, not null
  * @param failures the number of failed runs of tasks that have any, by index, not null
  * @param checkpoints the last checkpoints of tasks that have any, by index, not null
+ * @param crashes the crashes and losses of workers under tasks that have any, by index,
+ * not null
  */
-public record StepProgress(BitSet done, Map<Integer, Integer> failures, Map<Integer, String> checkpoints) {
+public record StepProgress(BitSet done, Map<Integer, Integer> failures, Map<Integer, String> checkpoints,
+		Map<Integer, CrashHistory> crashes) {
 
-	/** The progress of a step without done tasks, failures or checkpoints. */
-	public static final StepProgress NONE = new StepProgress(new BitSet(), Map.of(), Map.of());
+	/** The progress of a step without done tasks, failures, checkpoints or crashes. */
+	public static final StepProgress NONE = new StepProgress(new BitSet(), Map.of(), Map.of(), Map.of());
 
 	public StepProgress {
 		done = (BitSet) done.clone();
 		failures = Map.copyOf(failures);
 		checkpoints = Map.copyOf(checkpoints);
+		crashes = Map.copyOf(crashes);
 	}
 
 	@Override
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashHistoryTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashHistoryTests.java
@@ -55,6 +55,15 @@
 		assertThat(history.withoutExpired(LOST_NANOS + CrashHistory.RETENTION_NANOS)).isEqualTo(CrashHistory.NONE);
 	}
 
+	/** Guards against a hold without an end after a scheduler whose clock was ahead. */
+	@Example
+	void lossesOfTheFutureCountAsPresent() {
+		CrashHistory history = CrashHistory.NONE.withLoss(loss(WORKER, 5));
+		assertThat(history.withLossesUntil(LOST_NANOS)).isEqualTo(history);
+		assertThat(history.withLossesUntil(LOST_NANOS - 7).losses()).extracting(Loss::lostNanos)
+			.containsExactly(LOST_NANOS - 7);
+	}
+
 	/** Guards against a job that stands still since a worker does not come back. */
 	@Example
 	void unresolvedLossHoldsTheTaskBackForABoundedTime() {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredRecords.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredRecords.java
@@ -17,6 +17,7 @@
 import org.limpetgate.proto.JobStatus;
 import org.limpetgate.proto.StepProgressRecord;
 import org.limpetgate.proto.StoredJobRecord;
+import org.limpetgate.scheduling.CrashHistory;
 import org.limpetgate.scheduling.JobProgress;
 import org.limpetgate.scheduling.StepProgress;
 import org.limpetgate.scheduling.StoredChange;
@@ -65,10 +66,12 @@
 			.setState(toState(progress.state()))
 			.setEndedMillis(progress.endedMillis());
 		for (StepProgress step : progress.steps()) {
-			record.addSteps(StepProgressRecord.newBuilder()
+			StepProgressRecord.Builder stepRecord = StepProgressRecord.newBuilder()
 				.setDone(ByteString.copyFrom(step.done().toByteArray()))
 				.putAllFailures(step.failures())
-				.putAllCheckpoints(step.checkpoints()));
+				.putAllCheckpoints(step.checkpoints());
+			step.crashes().forEach((index, history) -> stepRecord.putCrashes(index, CrashRecords.toRecord(history)));
+			record.addSteps(stepRecord);
 		}
 		return record.build();
 	}
@@ -124,12 +127,15 @@
 			case CANCELED -> StoredState.CANCELED;
 			case UNAVAILABLE, UNKNOWN, QUEUED, RUNNING, UNRECOGNIZED -> StoredState.OPEN;
 		};
-		List<StepProgress> steps = record.getStepsList()
-			.stream()
-			.map((step) -> new StepProgress(BitSet.valueOf(step.getDone().toByteArray()), step.getFailuresMap(),
-					step.getCheckpointsMap()))
-			.toList();
+		List<StepProgress> steps = record.getStepsList().stream().map(StoredRecords::toProgress).toList();
 		return new JobProgress(state, record.getEndedMillis(), steps);
 	}
 
+	private static StepProgress toProgress(StepProgressRecord record) {
+		Map<Integer, CrashHistory> crashes = new HashMap<>();
+		record.getCrashesMap().forEach((index, history) -> crashes.put(index, CrashRecords.toHistory(history)));
+		return new StepProgress(BitSet.valueOf(record.getDone().toByteArray()), record.getFailuresMap(),
+				record.getCheckpointsMap(), crashes);
+	}
+
 }
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/JobJournalTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/JobJournalTests.java
@@ -9,8 +9,12 @@
 
 import net.jqwik.api.Example;
 import org.limpetgate.JobId;
+import org.limpetgate.UpstreamId;
 import org.limpetgate.fleet.JobLog;
+import org.limpetgate.proto.JobProgressRecord;
+import org.limpetgate.proto.StepProgressRecord;
 import org.limpetgate.scheduling.Capacity;
+import org.limpetgate.scheduling.CrashHistory;
 import org.limpetgate.scheduling.JobProgress;
 import org.limpetgate.scheduling.JobSpec;
 import org.limpetgate.scheduling.QueueTerms;
@@ -79,7 +83,7 @@
 		BitSet done = new BitSet();
 		done.set(2);
 		JobProgress progress = new JobProgress(StoredState.OPEN, 0,
-				List.of(new StepProgress(done, Map.of(0, 1), Map.of(1, "cp"))));
+				List.of(new StepProgress(done, Map.of(0, 1), Map.of(1, "cp"), Map.of(0, crashes()))));
 		this.journal.save(1, accepted("a"));
 		this.journal.save(2, new StoredChange.Progressed(JobId.of("a"), progress));
 		this.journal.save(3, accepted("b"));
@@ -96,6 +100,24 @@
 				new StoredJob(JobId.of("b"), null, 0, new JobProgress(StoredState.FAILED, 9000, List.of())));
 	}
 
+	private static CrashHistory crashes() {
+		long lostNanos = TimeUnit.MILLISECONDS.toNanos(8000);
+		return CrashHistory.NONE.withCrash(true)
+			.withLoss(new CrashHistory.Loss(UpstreamId.of("w1"), 4000, true, lostNanos))
+			.withLoss(new CrashHistory.Loss(UpstreamId.of("w2"), 5000, false, lostNanos));
+	}
+
+	/** Guards against records of an earlier version that cannot be read any more. */
+	@Example
+	void progressWithoutCrashesIsRead() {
+		StepProgressRecord earlier = StepProgressRecord.newBuilder().putFailures(0, 1).build();
+		byte[] record = JobProgressRecord.newBuilder().addSteps(earlier).build().toByteArray();
+		List<StoredJob> jobs = StoredRecords.toJobs(Map.of("progress/a", record));
+		assertThat(jobs).singleElement()
+			.extracting((job) -> job.progress().steps())
+			.isEqualTo(List.of(new StepProgress(new BitSet(), Map.of(0, 1), Map.of(), Map.of())));
+	}
+
 	/** Guards against a separate call to the store for each change. */
 	@Example
 	void pendingChangesAreSavedInOneAppend() {
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -231,6 +231,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_limpetgate_StepProgressRecord_CheckpointsEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetgate_StepProgressRecord_CrashesEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_limpetgate_StepProgressRecord_CrashesEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetgate_CrashHistoryRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_limpetgate_CrashHistoryRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetgate_WorkerLossRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_limpetgate_WorkerLossRecord_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -381,17 +396,26 @@
       "\002 \001(\004\"\204\001\n\021JobProgressRecord\022*\n\005state\030\001 \001" +
       "(\0162\033.limpetgate.JobStatus.State\022\024\n\014ended" +
       "_millis\030\002 \001(\004\022-\n\005steps\030\003 \003(\0132\036.limpetgat" +
-      "e.StepProgressRecord\"\215\002\n\022StepProgressRec" +
+      "e.StepProgressRecord\"\233\003\n\022StepProgressRec" +
       "ord\022\014\n\004done\030\001 \001(\014\022>\n\010failures\030\002 \003(\0132,.li" +
       "mpetgate.StepProgressRecord.FailuresEntr" +
       "y\022D\n\013checkpoints\030\003 \003(\0132/.limpetgate.Step" +
-      "ProgressRecord.CheckpointsEntry\032/\n\rFailu" +
-      "resEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001" +
-      "\0322\n\020CheckpointsEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005val" +
-      "ue\030\002 \001(\t:\0028\001*h\n\tStepTrait\022\025\n\021TRAIT_UNSPE" +
-      "CIFIED\020\000\022\010\n\004GANG\020\001\022\r\n\tSAME_RACK\020\002\022\020\n\014CHE" +
-      "CKPOINTED\020\003\022\r\n\tPERPETUAL\020\004\022\n\n\006FILLER\020\005B\030" +
-      "\n\024org.limpetgate.protoP\001b\006proto3"
+      "ProgressRecord.CheckpointsEntry\022<\n\007crash" +
+      "es\030\004 \003(\0132+.limpetgate.StepProgressRecord" +
+      ".CrashesEntry\032/\n\rFailuresEntry\022\013\n\003key\030\001 " +
+      "\001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\0322\n\020CheckpointsEnt" +
+      "ry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\t:\0028\001\032N\n\014Cr" +
+      "ashesEntry\022\013\n\003key\030\001 \001(\r\022-\n\005value\030\002 \001(\0132\036" +
+      ".limpetgate.CrashHistoryRecord:\0028\001\"j\n\022Cr" +
+      "ashHistoryRecord\022\017\n\007crashes\030\001 \001(\r\022\025\n\rcra" +
+      "shed_alone\030\002 \001(\010\022,\n\006losses\030\003 \003(\0132\034.limpe" +
+      "tgate.WorkerLossRecord\"b\n\020WorkerLossReco" +
+      "rd\022\016\n\006worker\030\001 \001(\t\022\032\n\022incarnation_millis" +
+      "\030\002 \001(\004\022\r\n\005alone\030\003 \001(\010\022\023\n\013lost_millis\030\004 \001" +
+      "(\004*h\n\tStepTrait\022\025\n\021TRAIT_UNSPECIFIED\020\000\022\010" +
+      "\n\004GANG\020\001\022\r\n\tSAME_RACK\020\002\022\020\n\014CHECKPOINTED\020" +
+      "\003\022\r\n\tPERPETUAL\020\004\022\n\n\006FILLER\020\005B\030\n\024org.limp" +
+      "etgate.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -630,7 +654,7 @@
     internal_static_limpetgate_StepProgressRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_StepProgressRecord_descriptor,
-        new java.lang.String[] { "Done", "Failures", "Checkpoints", });
+        new java.lang.String[] { "Done", "Failures", "Checkpoints", "Crashes", });
     internal_static_limpetgate_StepProgressRecord_FailuresEntry_descriptor =
       internal_static_limpetgate_StepProgressRecord_descriptor.getNestedType(0);
     internal_static_limpetgate_StepProgressRecord_FailuresEntry_fieldAccessorTable = new
@@ -643,6 +667,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_StepProgressRecord_CheckpointsEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
+    internal_static_limpetgate_StepProgressRecord_CrashesEntry_descriptor =
+      internal_static_limpetgate_StepProgressRecord_descriptor.getNestedType(2);
+    internal_static_limpetgate_StepProgressRecord_CrashesEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_limpetgate_StepProgressRecord_CrashesEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_limpetgate_CrashHistoryRecord_descriptor =
+      getDescriptor().getMessageType(37);
+    internal_static_limpetgate_CrashHistoryRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_limpetgate_CrashHistoryRecord_descriptor,
+        new java.lang.String[] { "Crashes", "CrashedAlone", "Losses", });
+    internal_static_limpetgate_WorkerLossRecord_descriptor =
+      getDescriptor().getMessageType(38);
+    internal_static_limpetgate_WorkerLossRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_limpetgate_WorkerLossRecord_descriptor,
+        new java.lang.String[] { "Worker", "IncarnationMillis", "Alone", "LostMillis", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/StepProgressRecord.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/StepProgressRecord.java
@@ -50,6 +50,8 @@
         return internalGetFailures();
       case 3:
         return internalGetCheckpoints();
+      case 4:
+        return internalGetCrashes();
       default:
         throw new RuntimeException(
             "Invalid map field number: " + number);
@@ -234,6 +236,85 @@
     return map.get(key);
   }
 
+  public static final int CRASHES_FIELD_NUMBER = 4;
+  private static final class CrashesDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord>newDefaultInstance(
+                org.limpetgate.proto.Limpetgate.internal_static_limpetgate_StepProgressRecord_CrashesEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.UINT32,
+                0,
+                com.google.protobuf.WireFormat.FieldType.MESSAGE,
+                org.limpetgate.proto.CrashHistoryRecord.getDefaultInstance());
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> crashes_;
+  private com.google.protobuf.MapField<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord>
+  internalGetCrashes() {
+    if (crashes_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          CrashesDefaultEntryHolder.defaultEntry);
+    }
+    return crashes_;
+  }
+  public int getCrashesCount() {
+    return internalGetCrashes().getMap().size();
+  }
+  /**
+   * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+   */
+  @java.lang.Override
+  public boolean containsCrashes(
+      int key) {
+
+    return internalGetCrashes().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getCrashesMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> getCrashes() {
+    return getCrashesMap();
+  }
+  /**
+   * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> getCrashesMap() {
+    return internalGetCrashes().getMap();
+  }
+  /**
+   * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+   */
+  @java.lang.Override
+  public /* nullable */
+org.limpetgate.proto.CrashHistoryRecord getCrashesOrDefault(
+      int key,
+      /* nullable */
+org.limpetgate.proto.CrashHistoryRecord defaultValue) {
+
+    java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> map =
+        internalGetCrashes().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.CrashHistoryRecord getCrashesOrThrow(
+      int key) {
+
+    java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> map =
+        internalGetCrashes().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -263,6 +344,12 @@
         internalGetCheckpoints(),
         CheckpointsDefaultEntryHolder.defaultEntry,
         3);
+    com.google.protobuf.GeneratedMessage
+      .serializeIntegerMapTo(
+        output,
+        internalGetCrashes(),
+        CrashesDefaultEntryHolder.defaultEntry,
+        4);
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -291,6 +378,16 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(3, checkpoints__);
     }
+    for (java.util.Map.Entry<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> entry
+         : internalGetCrashes().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord>
+      crashes__ = CrashesDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, crashes__);
+    }
     return size;
   }
   @java.lang.Override
@@ -321,6 +418,8 @@
         other.internalGetFailures())) return false;
     if (!internalGetCheckpoints().equals(
         other.internalGetCheckpoints())) return false;
+    if (!internalGetCrashes().equals(
+        other.internalGetCrashes())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -342,6 +441,10 @@
       hash = (37 * hash) + CHECKPOINTS_FIELD_NUMBER;
       hash = (53 * hash) + internalGetCheckpoints().hashCode();
     }
+    if (!internalGetCrashes().getMap().isEmpty()) {
+      hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetCrashes().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -459,6 +562,8 @@
           return internalGetFailures();
         case 3:
           return internalGetCheckpoints();
+        case 4:
+          return internalGetCrashes();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -472,6 +577,8 @@
           return internalGetMutableFailures();
         case 3:
           return internalGetMutableCheckpoints();
+        case 4:
+          return internalGetMutableCrashes();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -502,6 +609,7 @@
       done_ = com.google.protobuf.ByteString.EMPTY;
       internalGetMutableFailures().clear();
       internalGetMutableCheckpoints().clear();
+      internalGetMutableCrashes().clear();
       return this;
     }
 
@@ -546,6 +654,9 @@
         result.checkpoints_ = internalGetCheckpoints();
         result.checkpoints_.makeImmutable();
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.crashes_ = internalGetCrashes().build(CrashesDefaultEntryHolder.defaultEntry);
+      }
     }
 
     @java.lang.Override
@@ -569,6 +680,9 @@
       internalGetMutableCheckpoints().mergeFrom(
           other.internalGetCheckpoints());
       bitField0_ |= 0x00000004;
+      internalGetMutableCrashes().mergeFrom(
+          other.internalGetCrashes());
+      bitField0_ |= 0x00000008;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -616,6 +730,15 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 34: {
+              com.google.protobuf.MapEntry<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord>
+              crashes__ = input.readMessage(
+                  CrashesDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableCrashes().ensureBuilderMap().put(
+                  crashes__.getKey(), crashes__.getValue());
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -929,6 +1052,160 @@
       return this;
     }
 
+    private static final class CrashesConverter implements com.google.protobuf.MapFieldBuilder.Converter<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecordOrBuilder, org.limpetgate.proto.CrashHistoryRecord> {
+      @java.lang.Override
+      public org.limpetgate.proto.CrashHistoryRecord build(org.limpetgate.proto.CrashHistoryRecordOrBuilder val) {
+        if (val instanceof org.limpetgate.proto.CrashHistoryRecord) { return (org.limpetgate.proto.CrashHistoryRecord) val; }
+        return ((org.limpetgate.proto.CrashHistoryRecord.Builder) val).build();
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.MapEntry<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> defaultEntry() {
+        return CrashesDefaultEntryHolder.defaultEntry;
+      }
+    };
+    private static final CrashesConverter crashesConverter = new CrashesConverter();
+
+    private com.google.protobuf.MapFieldBuilder<
+        java.lang.Integer, org.limpetgate.proto.CrashHistoryRecordOrBuilder, org.limpetgate.proto.CrashHistoryRecord, org.limpetgate.proto.CrashHistoryRecord.Builder> crashes_;
+    private com.google.protobuf.MapFieldBuilder<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecordOrBuilder, org.limpetgate.proto.CrashHistoryRecord, org.limpetgate.proto.CrashHistoryRecord.Builder>
+        internalGetCrashes() {
+      if (crashes_ == null) {
+        return new com.google.protobuf.MapFieldBuilder<>(crashesConverter);
+      }
+      return crashes_;
+    }
+    private com.google.protobuf.MapFieldBuilder<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecordOrBuilder, org.limpetgate.proto.CrashHistoryRecord, org.limpetgate.proto.CrashHistoryRecord.Builder>
+        internalGetMutableCrashes() {
+      if (crashes_ == null) {
+        crashes_ = new com.google.protobuf.MapFieldBuilder<>(crashesConverter);
+      }
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return crashes_;
+    }
+    public int getCrashesCount() {
+      return internalGetCrashes().ensureBuilderMap().size();
+    }
+    /**
+     * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+     */
+    @java.lang.Override
+    public boolean containsCrashes(
+        int key) {
+
+      return internalGetCrashes().ensureBuilderMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getCrashesMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> getCrashes() {
+      return getCrashesMap();
+    }
+    /**
+     * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> getCrashesMap() {
+      return internalGetCrashes().getImmutableMap();
+    }
+    /**
+     * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+     */
+    @java.lang.Override
+    public /* nullable */
+org.limpetgate.proto.CrashHistoryRecord getCrashesOrDefault(
+        int key,
+        /* nullable */
+org.limpetgate.proto.CrashHistoryRecord defaultValue) {
+
+      java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecordOrBuilder> map = internalGetMutableCrashes().ensureBuilderMap();
+      return map.containsKey(key) ? crashesConverter.build(map.get(key)) : defaultValue;
+    }
+    /**
+     * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+     */
+    @java.lang.Override
+    public org.limpetgate.proto.CrashHistoryRecord getCrashesOrThrow(
+        int key) {
+
+      java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecordOrBuilder> map = internalGetMutableCrashes().ensureBuilderMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return crashesConverter.build(map.get(key));
+    }
+    public Builder clearCrashes() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      internalGetMutableCrashes().clear();
+      return this;
+    }
+    /**
+     * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+     */
+    public Builder removeCrashes(
+        int key) {
+
+      internalGetMutableCrashes().ensureBuilderMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord>
+        getMutableCrashes() {
+      bitField0_ |= 0x00000008;
+      return internalGetMutableCrashes().ensureMessageMap();
+    }
+    /**
+     * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+     */
+    public Builder putCrashes(
+        int key,
+        org.limpetgate.proto.CrashHistoryRecord value) {
+
+      java.util.Objects.requireNonNull(value, "map value");
+      internalGetMutableCrashes().ensureBuilderMap()
+          .put(key, value);
+      bitField0_ |= 0x00000008;
+      return this;
+    }
+    /**
+     * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+     */
+    public Builder putAllCrashes(
+        java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> values) {
+      for (java.util.Map.Entry<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord> e : values.entrySet()) {
+        java.util.Objects.requireNonNull(e.getKey());
+        java.util.Objects.requireNonNull(e.getValue());
+      }
+      internalGetMutableCrashes().ensureBuilderMap()
+          .putAll(values);
+      bitField0_ |= 0x00000008;
+      return this;
+    }
+    /**
+     * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+     */
+    public org.limpetgate.proto.CrashHistoryRecord.Builder putCrashesBuilderIfAbsent(
+        int key) {
+      java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecordOrBuilder> builderMap = internalGetMutableCrashes().ensureBuilderMap();
+      org.limpetgate.proto.CrashHistoryRecordOrBuilder entry = builderMap.get(key);
+      if (entry == null) {
+        entry = org.limpetgate.proto.CrashHistoryRecord.newBuilder();
+        builderMap.put(key, entry);
+      }
+      if (entry instanceof org.limpetgate.proto.CrashHistoryRecord) {
+        entry = ((org.limpetgate.proto.CrashHistoryRecord) entry).toBuilder();
+        builderMap.put(key, entry);
+      }
+      return (org.limpetgate.proto.CrashHistoryRecord.Builder) entry;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.StepProgressRecord)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/StepProgressRecordOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/StepProgressRecordOrBuilder.java
@@ -85,4 +85,38 @@
    */
   java.lang.String getCheckpointsOrThrow(
       int key);
+
+  /**
+   * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+   */
+  int getCrashesCount();
+  /**
+   * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+   */
+  boolean containsCrashes(
+      int key);
+  /**
+   * Use {@link #getCrashesMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord>
+  getCrashes();
+  /**
+   * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+   */
+  java.util.Map<java.lang.Integer, org.limpetgate.proto.CrashHistoryRecord>
+  getCrashesMap();
+  /**
+   * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+   */
+  /* nullable */
+org.limpetgate.proto.CrashHistoryRecord getCrashesOrDefault(
+      int key,
+      /* nullable */
+org.limpetgate.proto.CrashHistoryRecord defaultValue);
+  /**
+   * <code>map&lt;uint32, .limpetgate.CrashHistoryRecord&gt; crashes = 4;</code>
+   */
+  org.limpetgate.proto.CrashHistoryRecord getCrashesOrThrow(
+      int key);
 }
