--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -46,12 +46,15 @@
 
 	private final PlacementSystem placements;
 
+	private final CrashSystem crashes;
+
 	private long nextSequence;
 
 	JobSystem(SchedulerTables tables, Placement placement, QueueOrder order) {
 		this.tables = tables;
 		this.admission = new Admission(tables, order);
 		this.storedJobs = new StoredJobSystem(tables);
+		this.crashes = new CrashSystem(tables, this.storedJobs::progressChanged);
 		this.runs = new RunSystem(tables, this);
 		this.gangs = new GangSystem(tables, placement, this.runs);
 		this.placements = new PlacementSystem(tables, placement, order, this.runs, this.gangs);
@@ -65,6 +68,10 @@
 		return this.runs;
 	}
 
+	CrashSystem crashes() {
+		return this.crashes;
+	}
+
 	StoredJobSystem storedJobs() {
 		return this.storedJobs;
 	}
@@ -74,6 +81,7 @@
 		this.tables.jobs.clear();
 		this.tables.waitingJobs.clear();
 		this.storedJobs.clear();
+		this.crashes.clear();
 		for (JobEntity job : openJobs) {
 			job.ended = true;
 			notifyOrigins(job, JobOutcome.MOVED, "the host is no longer the active scheduler", 0);
@@ -192,6 +200,7 @@
 		this.admission.computeTimes(job, 0, nowNanos);
 		this.tables.jobs.put(job.id(), job);
 		this.tables.waitingJobs.add(job);
+		this.crashes.restored(job, nowNanos);
 		this.runs.adoptRuns(job, nowNanos);
 		if (job.isDone()) {
 			end(job, JobOutcome.COMPLETED, "", nowNanos);
@@ -253,6 +262,8 @@
 		if (!this.tables.isActive()) {
 			return;
 		}
+		this.crashes.tick(nowNanos);
+		this.crashes.takeDeadlyTasks().forEach((task) -> giveUp(task, nowNanos));
 		if (!this.tables.waitingJobs.isEmpty()) {
 			endLateJobs(nowNanos);
 			if (this.tables.placementDue) {
@@ -263,6 +274,13 @@
 		this.storedJobs.tick(nowNanos);
 	}
 
+	private void giveUp(TaskEntity task, long nowNanos) {
+		if (!task.job().ended) {
+			String reason = "task " + task.name() + " crashed " + task.crashes.crashes() + " workers";
+			end(task.job(), JobOutcome.FAILED, reason, nowNanos);
+		}
+	}
+
 	private void endLateJobs(long nowNanos) {
 		for (JobEntity job : List.copyOf(this.tables.waitingJobs)) {
 			if (!Admission.isLate(job, nowNanos)) {
@@ -299,6 +317,7 @@
 		task.run = null;
 		JobEntity job = task.job();
 		keepCheckpoint(job, task, run);
+		this.crashes.runEnded(run, task, end, nowNanos);
 		if (task.step().has(StepTrait.PERPETUAL)) {
 			restartLater(task, run, nowNanos);
 			return;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -53,6 +53,12 @@
 
 	private Capacity used = Capacity.NONE;
 
+	/** Whether no other run is added to the present one. */
+	boolean isolated;
+
+	/** Whether a run was given up since the last report because the worker is silent. */
+	boolean runsLost;
+
 	/** The sequence number of the last end that was processed. */
 	long lastEndNumber;
 
@@ -153,6 +159,7 @@
 		if (this.runs.remove(run.id()) != null) {
 			this.used = this.used.minus(run.demand());
 		}
+		this.isolated &= !this.runs.isEmpty();
 	}
 
 	Capacity freeCapacity() {
@@ -165,6 +172,11 @@
 				&& this.pollFailures <= MAX_POLL_FAILURES && !this.leaseTooShort;
 	}
 
+	// Tests whether nothing but the run may be present on the worker.
+	boolean isAlone(RunEntity run) {
+		return this.runs.size() == 1 && this.runs.containsKey(run.id()) && this.orphanRuns.isEmpty() && !this.runsLost;
+	}
+
 	boolean isBusy() {
 		return !this.runs.isEmpty() || !this.orphanRuns.isEmpty();
 	}
@@ -204,6 +216,8 @@
 		this.info = next;
 		this.runs.clear();
 		this.orphanRuns.clear();
+		this.runsLost = false;
+		this.isolated = false;
 		this.pendingPolls.clear();
 		this.used = Capacity.NONE;
 		this.lastEndNumber = 0;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.UpstreamId;
-import org.limpetgate.scheduling.SchedulingEffect.RunGivenUp;
 
 /**
  * Takes over workers, renews their leases and processes their reports.
@@ -65,6 +64,8 @@
 
 	private final RunSystem runs;
 
+	private final CrashSystem crashes;
+
 	private long nextSequence;
 
 	private long lastScanNanos;
@@ -72,9 +73,10 @@
 	/** When the first worker was listed, nanoseconds since the Unix epoch, 0 before. */
 	private long firstListedNanos;
 
-	WorkerSystem(SchedulerTables tables, RunSystem runs) {
+	WorkerSystem(SchedulerTables tables, RunSystem runs, CrashSystem crashes) {
 		this.tables = tables;
 		this.runs = runs;
+		this.crashes = crashes;
 	}
 
 	// Replaces the list of workers.
@@ -90,6 +92,7 @@
 			else {
 				updateInfo(worker, info, nowNanos);
 			}
+			this.crashes.workerListed(info);
 		}
 		for (WorkerEntity worker : this.tables.workers.values()) {
 			boolean listed = listedIds.contains(worker.info.id());
@@ -116,12 +119,7 @@
 			worker.info = info;
 			return;
 		}
-		List<RunEntity> lost = List.copyOf(worker.runs.values());
-		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
-			this.runs.giveUpOrphan(worker, run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos);
-		}
-		worker.startIncarnation(info);
-		lost.forEach((run) -> this.runs.giveUp(run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos));
+		this.runs.startIncarnation(worker, info, nowNanos);
 	}
 
 	void activate(long nowNanos) {
@@ -188,6 +186,7 @@
 		worker.ownership = WorkerEntity.Ownership.OWNED;
 		this.runs.applyReport(worker, report, takeover, sentNanos, nowNanos);
 		worker.fenced = false;
+		this.crashes.workerReported(worker.info);
 		if (takeover) {
 			// An earlier owner may have renewed the lease until now.
 			worker.renewedNanos = nowNanos;
@@ -211,7 +210,7 @@
 			worker.loseOwnership(nowNanos + retryNanos(worker));
 		}
 		else if (worker.pollFailures > 1) {
-			worker.retryNanos = nowNanos + MIN_RETRY_NANOS;
+			worker.retryNanos = nowNanos + (worker.isBusy() ? MIN_RETRY_NANOS : MAX_RETRY_NANOS);
 		}
 	}
 
@@ -279,11 +278,13 @@
 		sendPoll(worker, 0, 0, nowNanos);
 	}
 
+	// A silent worker is polled until it reports again, since it is not usable before.
 	private boolean isRenewalDue(WorkerEntity worker, long nowNanos) {
 		if (!worker.unsavedEnds.isEmpty() && nowNanos - worker.lastReportNanos < unsavedEndsPollIntervalNanos(worker)) {
 			return false;
 		}
-		boolean due = worker.isBusy() || worker.ackDue || nowNanos - worker.lastReportNanos > IDLE_POLL_INTERVAL_NANOS;
+		boolean due = worker.isBusy() || worker.ackDue || worker.pollFailures > 0
+				|| nowNanos - worker.lastReportNanos > IDLE_POLL_INTERVAL_NANOS;
 		return due && (worker.pollFailures < 2 || nowNanos >= worker.retryNanos);
 	}
 
