Test that a withdrawal refused as too old does not keep its job

FleetNetworkFailureTests#withdrawalThatIsRefusedAsTooOldStopsTheRuns does not show it alone: with a planted fault, leases that last three times as long, it passes too, since the scheduler counts the paused host as lost through its own link. The new FleetPeersTests#withdrawalThatIsRefusedAsTooOldTakesEffect has no such second path: it sets the clock ahead while the link is silent and then lets the heartbeats go on.

--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetPeersTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetPeersTests.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.stream.IntStream;
 
@@ -17,7 +18,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests of {@link FleetPeers} over a link that takes no more messages.
+ * Tests of {@link FleetPeers} over a link that is full or that delivers messages late.
  */
 class FleetPeersTests {
 
@@ -46,6 +47,9 @@
 
 	private final Relay relay = new Relay();
 
+	/** Added to the clocks of the hosts, in nanoseconds. */
+	private final AtomicLong clockOffset = new AtomicLong();
+
 	private final TestPeer scheduler;
 
 	private final TestPeer entry;
@@ -57,7 +61,7 @@
 		HostId entryId = TestFleet.id(entryAddress);
 		InetSocketAddress toScheduler = this.relay.open(entryId, schedulerId);
 		InetSocketAddress toEntry = this.relay.open(schedulerId, entryId);
-		LongSupplier clock = () -> System.nanoTime() / CLOCK_SLOWDOWN;
+		LongSupplier clock = () -> System.nanoTime() / CLOCK_SLOWDOWN + this.clockOffset.get();
 		this.scheduler = new TestPeer(schedulerAddress, entryId, (address) -> toEntry, clock);
 		this.entry = new TestPeer(entryAddress, schedulerId, (address) -> toScheduler, clock);
 	}
@@ -93,15 +97,34 @@
 		assertJobIsNotKept();
 	}
 
+	/** Guards against the same because the withdrawal was refused as too old. */
+	@Example
+	void withdrawalThatIsRefusedAsTooOldTakesEffect() {
+		submitJob();
+		this.relay.silenceLink(this.entry.id(), this.scheduler.id());
+		this.entry.submitAndWithdraw(this.scheduler.id(), List.of(), List.of(JOB));
+		this.clockOffset.addAndGet(2 * SubmissionLeases.DURATION_NANOS);
+		this.relay.deliverLink(this.entry.id(), this.scheduler.id());
+		awaitHeartbeats();
+		assertThat(this.scheduler.refusedMessages()).containsExactly("WITHDRAW_JOB");
+		assertThat(this.scheduler.keeps(JOB)).as("scheduler keeps the withdrawn job").isFalse();
+	}
+
 	// The heartbeats before the submission show that the link is up.
 	private void submitJob() {
-		int before = this.scheduler.heartbeatsReceived();
-		TestFleet.await(LIMIT, () -> this.scheduler.heartbeatsReceived() >= before + HEARTBEATS);
+		awaitHeartbeats();
 		SubmitJob job = SubmitJob.newBuilder().setJobId(JOB.value()).build();
 		this.entry.submitAndWithdraw(this.scheduler.id(), List.of(job), List.of());
 		assertThat(TestFleet.await(LIMIT, () -> this.scheduler.keeps(JOB))).as("job was submitted").isTrue();
 	}
 
+	private void awaitHeartbeats() {
+		int before = this.scheduler.heartbeatsReceived();
+		assertThat(TestFleet.await(LIMIT, () -> this.scheduler.heartbeatsReceived() >= before + HEARTBEATS))
+			.as("heartbeats are received")
+			.isTrue();
+	}
+
 	private void assertJobIsNotKept() {
 		assertThat(TestFleet.await(SUBMISSION_LEASE, () -> !this.scheduler.keeps(JOB)))
 			.as("scheduler has given up the withdrawn job")
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestPeer.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestPeer.java
@@ -1,6 +1,7 @@
 package org.limpetgate.host.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -54,6 +55,8 @@
 
 	private final Set<JobId> jobs = new HashSet<>();
 
+	private final List<String> refusedMessages = new ArrayList<>();
+
 	private int heartbeatsReceived;
 
 	TestPeer(InetSocketAddress address, HostId peer, UnaryOperator<InetSocketAddress> route, LongSupplier clock) {
@@ -95,6 +98,12 @@
 		return this.loop.submit(() -> this.heartbeatsReceived).syncUninterruptibly().getNow();
 	}
 
+	// Returns the types of the messages that were refused as too old, heartbeats
+	// excepted.
+	List<String> refusedMessages() {
+		return this.loop.submit(() -> List.copyOf(this.refusedMessages)).syncUninterruptibly().getNow();
+	}
+
 	private void onLoop(Runnable task) {
 		this.loop.submit(task).syncUninterruptibly();
 	}
@@ -140,6 +149,7 @@
 
 		@Override
 		public void staleMessage(InboundLink link, String message, long maxAgeNanos) {
+			TestPeer.this.refusedMessages.add(message);
 		}
 
 		@Override
