--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkers.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkers.java
@@ -97,15 +97,6 @@
 		return List.copyOf(this.overlaps);
 	}
 
-	// Returns the number of runs of a job that are present on the workers.
-	synchronized long presentRuns(JobId job) {
-		long now = this.clock.getAsLong();
-		return this.starts.stream()
-			.filter((start) -> start.run().task().job().equals(job))
-			.filter((start) -> this.workers.get(start.worker()).runsOf(start.run().task(), now).contains(start.run()))
-			.count();
-	}
-
 	// Returns the number of tasks of a job that are done.
 	synchronized long doneTasks(JobId job) {
 		long now = this.clock.getAsLong();
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -300,7 +300,7 @@
 			TestFleet.sleep(TOO_OLD_MILLIS);
 			fleet.relay().deliverLink(fleet.entry().id(), fleet.scheduler().id());
 			assertThat(TestFleet.await(RESEND_DELAY.minusMillis(TOO_OLD_MILLIS),
-					() -> fleet.workers().presentRuns(JOB) == 0))
+					() -> fleet.workers().presentRuns(JOB).isEmpty()))
 				.as("runs stopped; log:%n%s", fleet.log())
 				.isTrue();
 			assertThat(TestFleet.await(CALLER_PATIENCE,
