Recognise a crashed worker by the later one at its address

A crash counted only if the worker came back under its id. A loss now keeps the address, and a worker at that address that has started since shows that the lost one has ended without draining. The address is saved with the loss (WorkerLossRecord.host, port; new numbers).

With the comparison of addresses taken out CrashingTaskTests#silentWorkerWhoseAddressBelongsToALaterOneHasCrashed and CrashHistoryTests#lossIsACrashOnceALaterWorkerHasItsAddress fail; with it all tests of both classes, CrashReplayTests, JobJournalTests, StoredJobTests and SchedulerTests pass.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashHistory.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashHistory.java
@@ -1,5 +1,6 @@
 package org.limpetgate.scheduling;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -11,9 +12,10 @@
 /**
  * The workers that crashed while a task ran on them, and those that fell silent.
  * <p>
- * A worker that comes back as another incarnation has crashed. One that falls silent is a
- * loss, of which it is not known yet whether it is a crash: it is resolved when the
- * worker is heard of again, or forgotten after a time.
+ * A worker that comes back as another incarnation, or whose address belongs to a worker
+ * that has started since, has crashed. One that falls silent is a loss, of which it is
+ * not known yet whether it is a crash: it is resolved when the worker is heard of again,
+ * or forgotten after a time.
  * <p>
  * Immutable and thread-safe.
  *
@@ -66,19 +68,19 @@
 	}
 
 	/**
-	 * Returns a copy in which the losses of earlier incarnations of a worker are crashes.
-	 * @param worker the worker, not null
-	 * @param incarnationMillis its present incarnation
+	 * Returns a copy in which the losses of workers that a later incarnation, of the same
+	 * id or at the same address, has replaced are crashes.
+	 * @param worker the later incarnation, not null
 	 * @return the copy, or this history if it has no such loss
 	 */
-	public CrashHistory withIncarnation(UpstreamId worker, long incarnationMillis) {
+	public CrashHistory withIncarnation(WorkerInfo worker) {
 		CrashHistory changed = this;
 		for (Loss loss : this.losses) {
-			if (loss.isOfEarlierIncarnation(worker, incarnationMillis)) {
+			if (loss.isReplacedBy(worker)) {
 				changed = changed.withCrash(loss.alone());
 			}
 		}
-		return changed.withoutLosses((loss) -> loss.isOfEarlierIncarnation(worker, incarnationMillis));
+		return changed.withoutLosses((loss) -> loss.isReplacedBy(worker));
 	}
 
 	/**
@@ -158,22 +160,27 @@
 	 * A worker that fell silent while a task may have run on it.
 	 *
 	 * @param worker the worker, not null
+	 * @param address its address without the result of a name lookup, not null
 	 * @param incarnationMillis its incarnation at that time
 	 * @param alone whether the task was the only run on it
 	 * @param lostNanos when the run was given up, nanoseconds since the Unix epoch
 	 */
-	public record Loss(UpstreamId worker, long incarnationMillis, boolean alone, long lostNanos) {
+	public record Loss(UpstreamId worker, InetSocketAddress address, long incarnationMillis, boolean alone,
+			long lostNanos) {
 
 		public Loss {
 			Objects.requireNonNull(worker, "worker");
+			Objects.requireNonNull(address, "address");
 		}
 
 		private Loss until(long nowNanos) {
-			return new Loss(this.worker, this.incarnationMillis, this.alone, Math.min(this.lostNanos, nowNanos));
+			return new Loss(this.worker, this.address, this.incarnationMillis, this.alone,
+					Math.min(this.lostNanos, nowNanos));
 		}
 
-		private boolean isOfEarlierIncarnation(UpstreamId other, long otherIncarnationMillis) {
-			return this.worker.equals(other) && this.incarnationMillis < otherIncarnationMillis;
+		private boolean isReplacedBy(WorkerInfo other) {
+			boolean samePlace = this.worker.equals(other.id()) || this.address.equals(other.unresolvedAddress());
+			return samePlace && this.incarnationMillis < other.incarnationMillis();
 		}
 
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
@@ -1,5 +1,6 @@
 package org.limpetgate.scheduling;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -44,6 +45,9 @@
 	/** Workers with losses that may not be resolved. */
 	private final Set<UpstreamId> lostWorkers = new HashSet<>();
 
+	/** The addresses of these workers. */
+	private final Set<InetSocketAddress> lostAddresses = new HashSet<>();
+
 	private long lastScanNanos;
 
 	CrashSystem(SchedulerTables tables, Consumer<JobEntity> changeListener) {
@@ -51,21 +55,25 @@
 		this.changeListener = changeListener;
 	}
 
-	// Takes over the histories of a job that an earlier scheduler left. Its clock may
-	// have
-	// been ahead.
+	// Takes over the histories of a job that an earlier scheduler left, whose clock may
+	// have been ahead.
 	void restored(JobEntity job, long nowNanos) {
 		for (List<TaskEntity> tasks : job.steps()) {
 			for (TaskEntity task : tasks) {
 				if (task.crashes.isSuspect() && task.state != TaskEntity.State.DONE) {
 					task.crashes = task.crashes.withLossesUntil(nowNanos);
 					track(task);
-					task.crashes.losses().forEach((loss) -> this.lostWorkers.add(loss.worker()));
+					task.crashes.losses().forEach(this::addLost);
 				}
 			}
 		}
 	}
 
+	private void addLost(Loss loss) {
+		this.lostWorkers.add(loss.worker());
+		this.lostAddresses.add(loss.address());
+	}
+
 	// Records the end of a run through the loss of its worker.
 	void runEnded(RunEntity run, TaskEntity task, RunEnd end, long nowNanos) {
 		if (isPerpetual(task) && nowNanos - run.startedNanos() >= PROVEN_RUN_NANOS) {
@@ -76,20 +84,20 @@
 			addCrashes(task, worker.id(), (history) -> history.withCrash(run.alone));
 		}
 		else if (end == RunEnd.WORKER_SILENT) {
-			Loss loss = new Loss(worker.id(), worker.incarnationMillis(), run.alone, nowNanos);
-			this.lostWorkers.add(worker.id());
+			Loss loss = new Loss(worker.id(), worker.unresolvedAddress(), worker.incarnationMillis(), run.alone,
+					nowNanos);
+			addLost(loss);
 			change(task, task.crashes.withLoss(loss));
 		}
 	}
 
-	// Resolves the losses of earlier incarnations of a worker in the list.
+	// Resolves the losses of workers that a worker in the list has replaced.
 	void workerListed(WorkerInfo worker) {
-		if (!this.lostWorkers.contains(worker.id())) {
+		if (!this.lostWorkers.contains(worker.id()) && !this.lostAddresses.contains(worker.unresolvedAddress())) {
 			return;
 		}
 		for (TaskEntity task : this.suspects) {
-			addCrashes(task, worker.id(),
-					(history) -> history.withIncarnation(worker.id(), worker.incarnationMillis()));
+			addCrashes(task, worker.id(), (history) -> history.withIncarnation(worker));
 		}
 	}
 
@@ -155,9 +163,8 @@
 		this.suspects
 			.removeIf((task) -> task.job().ended || task.state == TaskEntity.State.DONE || !task.crashes.isSuspect());
 		this.lostWorkers.clear();
-		for (TaskEntity task : this.suspects) {
-			task.crashes.losses().forEach((loss) -> this.lostWorkers.add(loss.worker()));
-		}
+		this.lostAddresses.clear();
+		this.suspects.forEach((task) -> task.crashes.losses().forEach(this::addLost));
 	}
 
 	private static boolean isProven(TaskEntity task, long nowNanos) {
@@ -171,6 +178,7 @@
 	void clear() {
 		this.suspects.clear();
 		this.lostWorkers.clear();
+		this.lostAddresses.clear();
 		this.deadlyTasks.clear();
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerInfo.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerInfo.java
@@ -32,4 +32,13 @@
 		labels = Set.copyOf(labels);
 	}
 
+	/**
+	 * Returns the address without the result of a name lookup, for comparisons with
+	 * addresses that were saved.
+	 * @return the address, not null
+	 */
+	InetSocketAddress unresolvedAddress() {
+		return InetSocketAddress.createUnresolved(this.address.getHostString(), this.address.getPort());
+	}
+
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashHistoryTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashHistoryTests.java
@@ -1,8 +1,11 @@
 package org.limpetgate.scheduling;
 
+import java.net.InetSocketAddress;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import net.jqwik.api.Example;
+import org.limpetgate.DataCentreId;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.scheduling.CrashHistory.Loss;
 
@@ -17,6 +20,10 @@
 
 	private static final UpstreamId OTHER_WORKER = UpstreamId.of("w2");
 
+	private static final InetSocketAddress ADDRESS = InetSocketAddress.createUnresolved("10.0.0.1", 1);
+
+	private static final InetSocketAddress OTHER_ADDRESS = InetSocketAddress.createUnresolved("10.0.0.2", 1);
+
 	private static final long LOST_NANOS = TimeUnit.DAYS.toNanos(21_000);
 
 	/** Guards against tasks of silent workers that count as those of crashed ones. */
@@ -31,18 +38,28 @@
 
 	@Example
 	void lossIsACrashOnceTheWorkerHasALaterIncarnation() {
-		CrashHistory history = CrashHistory.NONE.withLoss(new Loss(WORKER, 5, true, LOST_NANOS));
-		assertThat(history.withIncarnation(WORKER, 5)).isSameAs(history);
-		assertThat(history.withIncarnation(WORKER, 4)).isSameAs(history);
-		assertThat(history.withIncarnation(OTHER_WORKER, 6)).isSameAs(history);
-		assertThat(history.withIncarnation(WORKER, 6)).isEqualTo(CrashHistory.NONE.withCrash(true));
+		CrashHistory history = CrashHistory.NONE.withLoss(new Loss(WORKER, ADDRESS, 5, true, LOST_NANOS));
+		assertThat(history.withIncarnation(info(WORKER, ADDRESS, 5))).isSameAs(history);
+		assertThat(history.withIncarnation(info(WORKER, ADDRESS, 4))).isSameAs(history);
+		assertThat(history.withIncarnation(info(OTHER_WORKER, OTHER_ADDRESS, 6))).isSameAs(history);
+		assertThat(history.withIncarnation(info(WORKER, OTHER_ADDRESS, 6)))
+			.isEqualTo(CrashHistory.NONE.withCrash(true));
+	}
+
+	/** Guards against a crashed worker that is not recognised under its next id. */
+	@Example
+	void lossIsACrashOnceALaterWorkerHasItsAddress() {
+		CrashHistory history = CrashHistory.NONE.withLoss(loss(WORKER, 5));
+		assertThat(history.withIncarnation(info(OTHER_WORKER, ADDRESS, 5))).isSameAs(history);
+		assertThat(history.withIncarnation(info(OTHER_WORKER, ADDRESS, 6)))
+			.isEqualTo(CrashHistory.NONE.withCrash(false));
 	}
 
 	/** Guards against two losses on one worker of which only one is resolved. */
 	@Example
 	void everyLossOfAnEarlierIncarnationIsACrash() {
 		CrashHistory history = CrashHistory.NONE.withLoss(loss(WORKER, 5)).withLoss(loss(WORKER, 6));
-		CrashHistory resolved = history.withIncarnation(WORKER, 7);
+		CrashHistory resolved = history.withIncarnation(info(WORKER, ADDRESS, 7));
 		assertThat(resolved.crashes()).isEqualTo(2);
 		assertThat(resolved.losses()).isEmpty();
 	}
@@ -95,8 +112,13 @@
 		assertThat(CrashHistory.NONE.withCrash(false).withCrash(false).withCrash(false).isDeadly()).isTrue();
 	}
 
+	private static WorkerInfo info(UpstreamId id, InetSocketAddress address, long incarnationMillis) {
+		return new WorkerInfo(id, incarnationMillis, "service", address, DataCentreId.of("dc"), FakeWorker.CAPACITY,
+				Set.of("a"), false);
+	}
+
 	private static Loss loss(UpstreamId worker, long incarnationMillis) {
-		return new Loss(worker, incarnationMillis, false, LOST_NANOS);
+		return new Loss(worker, ADDRESS, incarnationMillis, false, LOST_NANOS);
 	}
 
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashingTaskTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashingTaskTests.java
@@ -92,6 +92,22 @@
 		assertThat(state("1")).isEqualTo(JobState.FAILED);
 	}
 
+	/**
+	 * Guards against a crash that is not counted because the worker comes back at its
+	 * address under another id.
+	 */
+	@Example
+	void silentWorkerWhoseAddressBelongsToALaterOneHasCrashed() {
+		activate("w1", "w2", "w3");
+		submit("1", step(1));
+		for (int crash = 0; crash < 2; crash++) {
+			replaceByAnotherId(loseWorkerOfLastStart());
+			advance(SHORT_MILLIS);
+		}
+		assertThat(state("1")).isEqualTo(JobState.FAILED);
+		assertThat(this.starts).hasSize(2);
+	}
+
 	/** Guards against a best-effort job whose task crashes workers until its deadline. */
 	@Example
 	void bestEffortJobWithADeadlyTaskFails() {
@@ -323,7 +339,9 @@
 	}
 
 	private void listWorkers() {
-		this.scheduler.workersListed(this.workers.values().stream().map(Worker::info).toList(), true, this.nowNanos);
+		this.scheduler.workersListed(
+				this.workers.values().stream().filter((worker) -> worker.listed).map(Worker::info).toList(), true,
+				this.nowNanos);
 	}
 
 	private static StepSpec step(int count, StepTrait... traits) {
@@ -372,6 +390,13 @@
 		advance(SHORT_MILLIS);
 	}
 
+	private void replaceByAnotherId(Worker worker) {
+		worker.listed = false;
+		Worker successor = new Worker(worker.id + "-next", worker.address, worker.incarnationMillis + 1000);
+		this.workers.put(successor.id, successor);
+		listWorkers();
+	}
+
 	private Worker loseWorkerOfLastStart() {
 		Worker worker = workerOfLastStart();
 		worker.silent = true;
@@ -450,7 +475,9 @@
 
 		private final Set<RunId> known = new HashSet<>();
 
-		private long incarnationMillis = 1000;
+		private final InetSocketAddress address;
+
+		private long incarnationMillis;
 
 		private long lastEndNumber;
 
@@ -460,14 +487,21 @@
 
 		private boolean draining;
 
+		private boolean listed = true;
+
 		Worker(String id) {
+			this(id, InetSocketAddress.createUnresolved(id, 1), 1000);
+		}
+
+		Worker(String id, InetSocketAddress address, long incarnationMillis) {
 			this.id = id;
+			this.address = address;
+			this.incarnationMillis = incarnationMillis;
 		}
 
 		WorkerInfo info() {
-			return new WorkerInfo(UpstreamId.of(this.id), this.incarnationMillis, "service",
-					InetSocketAddress.createUnresolved(this.id, 1), DataCentreId.of("dc"), FakeWorker.CAPACITY,
-					Set.of("a"), this.draining);
+			return new WorkerInfo(UpstreamId.of(this.id), this.incarnationMillis, "service", this.address,
+					DataCentreId.of("dc"), FakeWorker.CAPACITY, Set.of("a"), this.draining);
 		}
 
 		StartAnswer start(SchedulingEffect.StartRun start) {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/CrashRecords.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/CrashRecords.java
@@ -1,5 +1,6 @@
 package org.limpetgate.host.fleet;
 
+import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.UpstreamId;
@@ -23,6 +24,8 @@
 		for (CrashHistory.Loss loss : history.losses()) {
 			record.addLosses(WorkerLossRecord.newBuilder()
 				.setWorker(loss.worker().value())
+				.setHost(loss.address().getHostString())
+				.setPort(loss.address().getPort())
 				.setIncarnationMillis(loss.incarnationMillis())
 				.setAlone(loss.alone())
 				.setLostMillis(TimeUnit.NANOSECONDS.toMillis(loss.lostNanos())));
@@ -36,7 +39,8 @@
 	}
 
 	private static CrashHistory.Loss toLoss(WorkerLossRecord record) {
-		return new CrashHistory.Loss(UpstreamId.of(record.getWorker()), record.getIncarnationMillis(),
+		InetSocketAddress address = InetSocketAddress.createUnresolved(record.getHost(), record.getPort());
+		return new CrashHistory.Loss(UpstreamId.of(record.getWorker()), address, record.getIncarnationMillis(),
 				record.getAlone(), TimeUnit.MILLISECONDS.toNanos(record.getLostMillis()));
 	}
 
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/JobJournalTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/JobJournalTests.java
@@ -1,5 +1,6 @@
 package org.limpetgate.host.fleet;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
@@ -103,8 +104,10 @@
 	private static CrashHistory crashes() {
 		long lostNanos = TimeUnit.MILLISECONDS.toNanos(8000);
 		return CrashHistory.NONE.withCrash(true)
-			.withLoss(new CrashHistory.Loss(UpstreamId.of("w1"), 4000, true, lostNanos))
-			.withLoss(new CrashHistory.Loss(UpstreamId.of("w2"), 5000, false, lostNanos));
+			.withLoss(new CrashHistory.Loss(UpstreamId.of("w1"), InetSocketAddress.createUnresolved("10.0.0.1", 8045),
+					4000, true, lostNanos))
+			.withLoss(new CrashHistory.Loss(UpstreamId.of("w2"), InetSocketAddress.createUnresolved("10.0.0.2", 8045),
+					5000, false, lostNanos));
 	}
 
 	/** Guards against records of an earlier version that cannot be read any more. */
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -409,13 +409,14 @@
       ".limpetgate.CrashHistoryRecord:\0028\001\"j\n\022Cr" +
       "ashHistoryRecord\022\017\n\007crashes\030\001 \001(\r\022\025\n\rcra" +
       "shed_alone\030\002 \001(\010\022,\n\006losses\030\003 \003(\0132\034.limpe" +
-      "tgate.WorkerLossRecord\"b\n\020WorkerLossReco" +
+      "tgate.WorkerLossRecord\"~\n\020WorkerLossReco" +
       "rd\022\016\n\006worker\030\001 \001(\t\022\032\n\022incarnation_millis" +
       "\030\002 \001(\004\022\r\n\005alone\030\003 \001(\010\022\023\n\013lost_millis\030\004 \001" +
-      "(\004*h\n\tStepTrait\022\025\n\021TRAIT_UNSPECIFIED\020\000\022\010" +
-      "\n\004GANG\020\001\022\r\n\tSAME_RACK\020\002\022\020\n\014CHECKPOINTED\020" +
-      "\003\022\r\n\tPERPETUAL\020\004\022\n\n\006FILLER\020\005B\030\n\024org.limp" +
-      "etgate.protoP\001b\006proto3"
+      "(\004\022\014\n\004host\030\005 \001(\t\022\014\n\004port\030\006 \001(\r*h\n\tStepTr" +
+      "ait\022\025\n\021TRAIT_UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\r\n\t" +
+      "SAME_RACK\020\002\022\020\n\014CHECKPOINTED\020\003\022\r\n\tPERPETU" +
+      "AL\020\004\022\n\n\006FILLER\020\005B\030\n\024org.limpetgate.proto" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -684,7 +685,7 @@
     internal_static_limpetgate_WorkerLossRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_WorkerLossRecord_descriptor,
-        new java.lang.String[] { "Worker", "IncarnationMillis", "Alone", "LostMillis", });
+        new java.lang.String[] { "Worker", "IncarnationMillis", "Alone", "LostMillis", "Host", "Port", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/WorkerLossRecord.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/WorkerLossRecord.java
@@ -33,6 +33,7 @@
   }
   private WorkerLossRecord() {
     worker_ = "";
+    host_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -129,6 +130,64 @@
     return lostMillis_;
   }
 
+  public static final int HOST_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object host_ = "";
+  /**
+   * <pre>
+   * The address at which the worker accepted orders.
+   * </pre>
+   *
+   * <code>string host = 5;</code>
+   * @return The host.
+   */
+  @java.lang.Override
+  public java.lang.String getHost() {
+    java.lang.Object ref = host_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      host_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The address at which the worker accepted orders.
+   * </pre>
+   *
+   * <code>string host = 5;</code>
+   * @return The bytes for host.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getHostBytes() {
+    java.lang.Object ref = host_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      host_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int PORT_FIELD_NUMBER = 6;
+  private int port_ = 0;
+  /**
+   * <code>uint32 port = 6;</code>
+   * @return The port.
+   */
+  @java.lang.Override
+  public int getPort() {
+    return port_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -155,6 +214,12 @@
     if (lostMillis_ != 0L) {
       output.writeUInt64(4, lostMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, host_);
+    }
+    if (port_ != 0) {
+      output.writeUInt32(6, port_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -174,6 +239,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(4, lostMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, host_);
+    }
+    if (port_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, port_);
+    }
     return size;
   }
   @java.lang.Override
@@ -206,6 +278,10 @@
         != other.getAlone()) return false;
     if (getLostMillis()
         != other.getLostMillis()) return false;
+    if (!getHost()
+        .equals(other.getHost())) return false;
+    if (getPort()
+        != other.getPort()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -228,6 +304,10 @@
     hash = (37 * hash) + LOST_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getLostMillis());
+    hash = (37 * hash) + HOST_FIELD_NUMBER;
+    hash = (53 * hash) + getHost().hashCode();
+    hash = (37 * hash) + PORT_FIELD_NUMBER;
+    hash = (53 * hash) + getPort();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -367,6 +447,8 @@
       incarnationMillis_ = 0L;
       alone_ = false;
       lostMillis_ = 0L;
+      host_ = "";
+      port_ = 0;
       return this;
     }
 
@@ -412,6 +494,12 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.lostMillis_ = lostMillis_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.host_ = host_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.port_ = port_;
+      }
     }
 
     @java.lang.Override
@@ -440,6 +528,14 @@
       if (other.getLostMillis() != 0L) {
         setLostMillis(other.getLostMillis());
       }
+      if (!other.getHost().isEmpty()) {
+        host_ = other.host_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      if (other.getPort() != 0) {
+        setPort(other.getPort());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -484,6 +580,16 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              host_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 48: {
+              port_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -681,6 +787,130 @@
       return this;
     }
 
+    private java.lang.Object host_ = "";
+    /**
+     * <pre>
+     * The address at which the worker accepted orders.
+     * </pre>
+     *
+     * <code>string host = 5;</code>
+     * @return The host.
+     */
+    public java.lang.String getHost() {
+      java.lang.Object ref = host_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        host_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The address at which the worker accepted orders.
+     * </pre>
+     *
+     * <code>string host = 5;</code>
+     * @return The bytes for host.
+     */
+    public com.google.protobuf.ByteString
+        getHostBytes() {
+      java.lang.Object ref = host_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        host_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The address at which the worker accepted orders.
+     * </pre>
+     *
+     * <code>string host = 5;</code>
+     * @param value The host to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHost(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      host_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The address at which the worker accepted orders.
+     * </pre>
+     *
+     * <code>string host = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHost() {
+      host_ = getDefaultInstance().getHost();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The address at which the worker accepted orders.
+     * </pre>
+     *
+     * <code>string host = 5;</code>
+     * @param value The bytes for host to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHostBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      host_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private int port_ ;
+    /**
+     * <code>uint32 port = 6;</code>
+     * @return The port.
+     */
+    @java.lang.Override
+    public int getPort() {
+      return port_;
+    }
+    /**
+     * <code>uint32 port = 6;</code>
+     * @param value The port to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPort(int value) {
+
+      port_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint32 port = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPort() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      port_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.WorkerLossRecord)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/WorkerLossRecordOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/WorkerLossRecordOrBuilder.java
@@ -43,4 +43,30 @@
    * @return The lostMillis.
    */
   long getLostMillis();
+
+  /**
+   * <pre>
+   * The address at which the worker accepted orders.
+   * </pre>
+   *
+   * <code>string host = 5;</code>
+   * @return The host.
+   */
+  java.lang.String getHost();
+  /**
+   * <pre>
+   * The address at which the worker accepted orders.
+   * </pre>
+   *
+   * <code>string host = 5;</code>
+   * @return The bytes for host.
+   */
+  com.google.protobuf.ByteString
+      getHostBytes();
+
+  /**
+   * <code>uint32 port = 6;</code>
+   * @return The port.
+   */
+  int getPort();
 }
