Acknowledge ends of a stored job that has ended only after its end is saved

A job that is cancelled, has failed or is given up counts as ended at once, and its end is saved some milliseconds later. The end of another of its runs was acknowledged to the worker in between. If the scheduler was lost before the save, the next one found the job open and the worker had forgotten the end, so that a task that was done started again (TWICE). Such ends are now unsaved ends of the job, and are acknowledged with the job's end. Jobs that are given up make the case more frequent. Found by reading. Failed before: StoredJobTests#endsOfACancelledJobAreAcknowledgedOnlyAfterItsEndIsSaved.

Also adds three tests of workers whose capacity changes while they run: placement, gangs included, stays within the capacity that was listed last, and a worker over it gets nothing. They pass without a change of the code, since WorkerInfo is replaced by each list and free capacity is computed from it.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -309,6 +309,9 @@
 	public void runEnded(RunEntity run, RunEnd end, long nowNanos) {
 		TaskEntity task = run.task;
 		run.task = null;
+		if (task != null && task.job().ended) {
+			this.storedJobs.runOfEndedJobEnded(task.job(), run.worker(), run.endSequence);
+		}
 		if (task == null || task.run != run || task.job().ended) {
 			return;
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
@@ -68,11 +68,24 @@
 
 	// Records the end of a run. It is not acknowledged to the worker until it is saved.
 	void taskEnded(JobEntity job, WorkerEntity worker, long endNumber) {
+		addUnsavedEnd(job, worker, endNumber);
+		this.changedJobs.add(job);
+	}
+
+	// Records the end of a run of a job that has ended. It is not acknowledged to the
+	// worker until the end of the job is saved, since another scheduler may find the job
+	// open.
+	void runOfEndedJobEnded(JobEntity job, WorkerEntity worker, long endNumber) {
+		if (job.spec().stored() && isLoaded() && this.tables.jobs.get(job.id()) == job) {
+			addUnsavedEnd(job, worker, endNumber);
+		}
+	}
+
+	private static void addUnsavedEnd(JobEntity job, WorkerEntity worker, long endNumber) {
 		if (endNumber > 0) {
 			worker.unsavedEnds.add(endNumber);
 			job.unsavedEnds.add(new UnsavedEnd(worker, worker.info.incarnationMillis(), endNumber));
 		}
-		this.changedJobs.add(job);
 	}
 
 	// Requests that the progress of a job be saved in the next tick.
@@ -91,11 +104,10 @@
 	 */
 	long jobEnded(JobEntity job, StoredState state, long nowNanos) {
 		this.changedJobs.remove(job);
-		List<UnsavedEnd> unsavedEnds = List.copyOf(job.unsavedEnds);
-		job.unsavedEnds.clear();
 		JobProgress progress = new JobProgress(state, TimeUnit.NANOSECONDS.toMillis(nowNanos), List.of());
 		return save(new StoredChange.Progressed(job.id(), progress), (savedNanos) -> {
-			unsavedEnds.forEach(UnsavedEnd::markSaved);
+			job.unsavedEnds.forEach(UnsavedEnd::markSaved);
+			job.unsavedEnds.clear();
 			this.tables.jobs.remove(job.id(), job);
 			this.endedJobs.put(job.id(), new EndedJob(state, nowNanos));
 		});
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
@@ -73,6 +73,27 @@
 		assertThat(lastPoll().ackNumber()).isEqualTo(1);
 	}
 
+	/**
+	 * Guards against a task of a cancelled job that is done, forgotten by its worker and
+	 * started again by a scheduler that finds the job open.
+	 */
+	@Example
+	void endsOfACancelledJobAreAcknowledgedOnlyAfterItsEndIsSaved() {
+		activate("w1");
+		submit("1", step(2));
+		save();
+		this.scheduler.cancel(JobId.of("1"), this.nowNanos);
+		tick();
+		reportEnd(0, EndKind.DONE);
+		advance(20);
+		assertThat(lastPoll().ackNumber()).isZero();
+		save();
+		RunId done = starts().get(0).run();
+		report(lastPoll(), List.of(starts().get(1).run()), List.of(new WorkerReport.Ended(1, done, EndKind.DONE, "")));
+		advance(20);
+		assertThat(lastPoll().ackNumber()).isEqualTo(1);
+	}
+
 	/** Guards against a job that is shown as completed and then runs again. */
 	@Example
 	void jobIsShownAsCompletedOnlyAfterItsEndIsSaved() {
@@ -374,6 +395,56 @@
 		assertThat(this.scheduler.state(JobId.of("1"))).contains(JobState.COMPLETED);
 	}
 
+	// --- capacity that changes
+
+	/**
+	 * Guards against a worker that is given more than its capacity after it has shrunk.
+	 */
+	@Example
+	void workerWhoseCapacityHasShrunkGetsNoMoreThanItHolds() {
+		activate("w1");
+		submit("1", smallStep(1));
+		save();
+		listWithCpu(7_000);
+		submit("2", smallStep(2));
+		save();
+		assertThat(starts()).hasSize(1);
+		reportEnd(0, EndKind.DONE);
+		save();
+		assertThat(starts()).hasSize(2);
+		listWithCpu(16_000);
+		assertThat(starts()).hasSize(3);
+	}
+
+	/** Guards against runs on a worker whose capacity is already exceeded. */
+	@Example
+	void workerWithMoreRunsThanItsCapacityGetsNone() {
+		activate("w1");
+		submit("1", smallStep(2));
+		save();
+		listWithCpu(5_000);
+		submit("2", new StepSpec(1, new Capacity(0, 64, 0), 100 * MILLI, List.of(), "", "", 0));
+		save();
+		assertThat(starts()).hasSize(2);
+	}
+
+	/** Guards against a gang that gets more capacity than its workers still have. */
+	@Example
+	void gangGetsNoMoreThanAShrunkenWorkerHolds() {
+		activate("w1");
+		listWithCpu(13_000);
+		submit("1", gangStep(2));
+		save();
+		assertThat(starts()).isEmpty();
+		listWithCpu(14_000);
+		assertThat(starts()).hasSize(2);
+	}
+
+	private void listWithCpu(int cpuMillis) {
+		this.scheduler.workersListed(List.of(worker("w1", new Capacity(cpuMillis, 32_768, 0))), true, this.nowNanos);
+		tick();
+	}
+
 	// --- perpetual and filler tasks
 
 	/**
@@ -428,8 +499,12 @@
 	}
 
 	private WorkerInfo worker(String id) {
+		return worker(id, FakeWorker.CAPACITY);
+	}
+
+	private WorkerInfo worker(String id, Capacity capacity) {
 		return new WorkerInfo(UpstreamId.of(id), 1, "service", InetSocketAddress.createUnresolved("w", 1),
-				DataCentreId.of("dc"), FakeWorker.CAPACITY, Set.of("a"), false);
+				DataCentreId.of("dc"), capacity, Set.of("a"), false);
 	}
 
 	private static StepSpec step(int count) {
