Aim retries in the simulation at the other scheduler

Cause: the caller of a sequence of faults sent its job to the side on which its first host was not. If the scheduler was on that side already, it joined the two submissions. A withdrawal that is written to a full link arrived without delay.

Change: the caller sends its job to the side on which the first scheduler is not. Links stay full for up to 1 s, longer than it takes to lose them, and what is written to a full link waits 20 to 500 ms behind the bytes in it.

--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CorrelatedFaults.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CorrelatedFaults.java
@@ -13,8 +13,9 @@
 /**
  * Injects sequences of faults that meet at the same job of {@link FleetSimulation}, which
  * independent faults almost never do: the network is partitioned, so that two hosts
- * schedule, the caller of a job loses its connection and sends the job to the other side,
- * and meanwhile the first scheduler has trouble to end the runs. Not thread-safe.
+ * schedule, the caller of a job loses its connection and sends the job to the side of the
+ * other scheduler, and meanwhile the first one has trouble to end the runs. Not
+ * thread-safe.
  */
 final class CorrelatedFaults {
 
@@ -60,6 +61,11 @@
 	/** Links with a longer queueing delay are lost. */
 	private static final int MAX_BORNE_QUEUEING_MILLIS = 400;
 
+	/** How long a message waits behind the bytes in a full write buffer. */
+	private static final int MIN_DRAINING_MILLIS = 20;
+
+	private static final int MAX_DRAINING_MILLIS = 500;
+
 	/** How long a host lives after the job was sent to it. */
 	private static final int MIN_SURVIVAL_MILLIS = 3;
 
@@ -71,7 +77,7 @@
 	/** One in so many callers of a sequence loses its job to a deadline. */
 	private static final int EARLY_DEADLINES = 4;
 
-	/** One in so many repeated jobs may stay on the side of the first host. */
+	/** One in so many repeated jobs may stay on the side of the first scheduler. */
 	private static final int SAME_SIDE_RETRIES = 4;
 
 	private final FleetSimulation fleet;
@@ -144,7 +150,7 @@
 		/** Messages between the host of the job and others wait in queues. */
 		LINKS_SLOW(-2000, 100, 500, 4000),
 		/** The links of the host of the job carry no more one-way messages. */
-		LINKS_FULL(-100, 10, 100, 700),
+		LINKS_FULL(-100, 10, 100, 1000),
 		/** The host of the job, or its scheduler, is paused. */
 		HOST_PAUSED(-500, 800, 100, 2000),
 		/** The machine of the host is lost soon after it has submitted the job. */
@@ -179,7 +185,8 @@
 
 		private JobId job;
 
-		private boolean sent;
+		/** The scheduler when the job is sent for the first time, null before. */
+		private String firstScheduler;
 
 		// Returns the time until the partition is over.
 		long begin() {
@@ -253,16 +260,19 @@
 					: callers.sendUnstable(this::nextHost, connectionNanos);
 		}
 
-		// The first attempt goes to the first host, the others mostly to the other side.
+		// The first attempt goes to the first host, the others mostly to the side of the
+		// partition on which the first scheduler is not.
 		private SimulatedHost nextHost() {
 			FleetSimulation fleet = CorrelatedFaults.this.fleet;
-			if (!this.sent) {
-				this.sent = true;
+			if (this.firstScheduler == null) {
+				this.firstScheduler = scheduler();
 				return fleet.host(this.first);
 			}
-			List<String> candidates = oneIn(SAME_SIDE_RETRIES) ? hosts((name) -> !name.equals(this.first))
-					: hosts((name) -> !this.side.contains(name));
-			return fleet.host(any(candidates));
+			List<String> others = hosts((name) -> !name.equals(this.first));
+			List<String> otherSide = others.stream()
+				.filter((name) -> this.side.contains(name) != this.side.contains(this.firstScheduler))
+				.toList();
+			return fleet.host(any((otherSide.isEmpty() || oneIn(SAME_SIDE_RETRIES)) ? others : otherSide));
 		}
 
 		private void cause(Trouble trouble, long nanos) {
@@ -272,7 +282,8 @@
 				case WORKERS_CUT_OFF -> cutWorkersOff(nanos);
 				case ORDERS_LOST -> outer.faults.disturbOrders(affectedWorkers(), outer.fleet.hostNames(), nanos);
 				case LINKS_SLOW -> outer.faults.slowLinks(this.first, others, queueingNanos(), nanos);
-				case LINKS_FULL -> outer.faults.fillLinks(this.first, others, nanos);
+				case LINKS_FULL -> outer.faults.fillLinks(this.first, others,
+						randomNanos(MIN_DRAINING_MILLIS, MAX_DRAINING_MILLIS), nanos);
 				default -> outer.faults.pauseHost(outer.random.nextBoolean() ? this.first : scheduler(), nanos);
 			}
 		}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
@@ -194,13 +194,18 @@
 	}
 
 	/**
-	 * Fills the write buffers of the links from one host to others.
+	 * Fills the write buffers of the links from one host to others. What is written
+	 * nevertheless waits behind the bytes in the buffers.
 	 * @param host the host
 	 * @param others the hosts to which it opened the links
+	 * @param delayNanos how long it waits, in nanoseconds
 	 * @param nanos the duration
 	 */
-	void fillLinks(String host, List<String> others, long nanos) {
+	void fillLinks(String host, List<String> others, long delayNanos, long nanos) {
 		impair(Impairment.FULL, List.of(host), others, false, nanos);
+		others.forEach((other) -> this.network.setQueueingDelay(host, other, delayNanos));
+		this.network.time()
+			.schedule(nanos, () -> others.forEach((other) -> this.network.setQueueingDelay(host, other, 0)));
 	}
 
 	private void impair(Impairment kind, List<String> side, List<String> others, boolean bothWays, long nanos) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedCallers.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedCallers.java
@@ -141,7 +141,7 @@
 	 */
 	JobId sendUnstable(Supplier<SimulatedHost> hosts, long connectionNanos) {
 		Caller caller = new Caller(newJob(true), hosts, true);
-		this.trace.job(caller.spec().id(), "AIMED at by a sequence of faults");
+		this.trace.job(caller.spec().id(), "is the job of a sequence of faults");
 		Attempt attempt = send(caller, this.time.nowNanos() + MAX_DEADLINE_MILLIS * FleetNetwork.MILLI, true);
 		this.time.schedule(connectionNanos, attempt::breakConnection);
 		return caller.spec().id();
@@ -156,7 +156,7 @@
 	 */
 	JobId sendUrgent(Supplier<SimulatedHost> hosts, long waitNanos) {
 		Caller caller = new Caller(newJob(true), hosts, true);
-		this.trace.job(caller.spec().id(), "AIMED at by a sequence of faults");
+		this.trace.job(caller.spec().id(), "is the job of a sequence of faults");
 		send(caller, this.time.nowNanos() + waitNanos, true);
 		return caller.spec().id();
 	}
