Let suspects share a worker after a second without one

Suspects never shared a worker, and a task with two losses ran only alone for up to 30 s. When many workers crash or are cut off at once, there are more suspects than workers, and the rest would stand still: a stored job, or a task that lasts, must not (rule LOST: 3 s). A suspect that has waited for a second may now share a worker with others, and losses that are not resolved in time no longer make a task run alone; only two crashes do.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
@@ -66,8 +66,9 @@
 		}
 	}
 
-	// Records the end of a run through the loss of its worker.
+	// Records the end of a run, which may be due to the loss of its worker.
 	void runEnded(RunEntity run, TaskEntity task, RunEnd end, long nowNanos) {
+		task.lastRunEndNanos = nowNanos;
 		if (isPerpetual(task) && nowNanos - run.startedNanos() >= PROVEN_RUN_NANOS) {
 			return;
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
@@ -116,7 +116,7 @@
 		if (worker.suspectUntilNanos > nowNanos && (task.failures > 0 || !worker.runs.isEmpty())) {
 			return false;
 		}
-		if (interferes(step, worker) || !CrashIsolation.permits(task, worker)) {
+		if (interferes(step, worker) || !CrashIsolation.permits(task, worker, nowNanos)) {
 			return false;
 		}
 		return step.maxPerWorker() <= 0 || runsOfStep(task, worker) < step.maxPerWorker();
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/TaskEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/TaskEntity.java
@@ -50,6 +50,9 @@
 	/** The workers that crashed or fell silent under it. */
 	CrashHistory crashes = CrashHistory.NONE;
 
+	/** When its last run ended, nanoseconds since the Unix epoch, 0 if none did. */
+	long lastRunEndNanos;
+
 	/** The current run, whose result counts for the task; null if there is none. */
 	RunEntity run;
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashHistoryTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashHistoryTests.java
@@ -70,6 +70,7 @@
 		CrashHistory one = CrashHistory.NONE.withLoss(loss(WORKER, 5));
 		assertThat(one.isHeldBack(LOST_NANOS)).isFalse();
 		CrashHistory two = one.withLoss(loss(OTHER_WORKER, 5));
+		assertThat(two.mustRunAlone()).isFalse();
 		assertThat(two.isHeldBack(LOST_NANOS + CrashHistory.HOLD_NANOS - 1)).isTrue();
 		assertThat(two.isHeldBack(LOST_NANOS + CrashHistory.HOLD_NANOS)).isFalse();
 		assertThat(one.withCrash(false).isHeldBack(LOST_NANOS)).isTrue();
