Share the worker of a perpetual task once the task is proven innocent

A perpetual task under which a worker had crashed kept the worker that it got for itself for as long as it ran. After 30 s its history is cleared, and now its worker takes other runs again.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
@@ -149,6 +149,7 @@
 			change(task, task.crashes.withoutExpired(nowNanos));
 			if (isProven(task, nowNanos)) {
 				change(task, CrashHistory.NONE);
+				task.run.worker().isolated = false;
 			}
 		}
 		// What a loss holds back, or what must run alone, may have become possible.
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashingTaskTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashingTaskTests.java
@@ -131,6 +131,18 @@
 		assertThat(this.starts).hasSize(5);
 	}
 
+	/** Guards against a worker that is kept for a single perpetual task for ever. */
+	@Example
+	void workerOfAPerpetualTaskIsSharedOnceTheTaskIsProven() {
+		activate("w1");
+		submit("1", step(1, StepTrait.PERPETUAL));
+		crashWorkerOfLastStart();
+		submit("2", step(1));
+		assertThat(this.starts).hasSize(2);
+		advance(31_000);
+		assertThat(this.starts).hasSize(3);
+	}
+
 	// --- what is no crash
 
 	/** Guards against a task that is given up because its workers are cut off. */
