--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
@@ -74,8 +74,9 @@
 		this.lostAddresses.add(loss.address());
 	}
 
-	// Records the end of a run through the loss of its worker.
+	// Records the end of a run, which may be due to the loss of its worker.
 	void runEnded(RunEntity run, TaskEntity task, RunEnd end, long nowNanos) {
+		task.lastRunEndNanos = nowNanos;
 		if (isPerpetual(task) && nowNanos - run.startedNanos() >= PROVEN_RUN_NANOS) {
 			return;
 		}
@@ -156,6 +157,7 @@
 			change(task, task.crashes.withoutExpired(nowNanos));
 			if (isProven(task, nowNanos)) {
 				change(task, CrashHistory.NONE);
+				task.run.worker().isolated = false;
 			}
 		}
 		// What a loss holds back, or what must run alone, may have become possible.
