Start stored tasks only as the confirmed owner after a worker was taken back

A scheduler that is fenced at a worker takes it back 2 s later. While the store does not answer, it may not know that the other one owns the stored jobs by now, has adopted its runs there and has acknowledged their ends, which the worker no longer lists. After a worker was taken back, tasks of stored jobs now wait until the store has confirmed the ownership to a request sent since; StoredJobService passes the time on in each tick.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -52,7 +52,8 @@
 		this.tables.workers.values().forEach((worker) -> worker.reserved = false);
 		int remainingReservations = Math.max(1, (int) (MAX_RESERVED_SHARE * this.tables.workers.size()));
 		for (JobEntity job : ordered) {
-			if (!this.runs.mayStart(job, nowNanos) || (job.resubmitted && !isSafeToPlace(job, nowNanos))) {
+			if (!this.runs.mayStart(job, nowNanos) || mayBelongToAnother(job)
+					|| (job.resubmitted && !isSafeToPlace(job, nowNanos))) {
 				this.tables.placementDue = true;
 				continue;
 			}
@@ -90,6 +91,13 @@
 		return best.isPresent();
 	}
 
+	// Tests whether another scheduler may own a stored job. Until a worker was taken back
+	// from it, it may have run tasks there and have acknowledged their ends, which the
+	// worker then no longer lists.
+	private boolean mayBelongToAnother(JobEntity job) {
+		return job.spec().stored() && this.tables.ownershipConfirmedNanos < this.tables.retakenNanos;
+	}
+
 	private boolean isSafeToPlace(JobEntity job, long nowNanos) {
 		if (nowNanos < job.handedOverNanos) {
 			return false;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -197,6 +197,15 @@
 		this.jobs.loadStoredJobs(stored, nowNanos);
 	}
 
+	/**
+	 * Reports until when this host certainly owned the stored jobs.
+	 * @param provenNanos the time at which the newest request was sent whose answer
+	 * confirmed it; unlimited until set
+	 */
+	public void ownershipConfirmed(long provenNanos) {
+		this.tables.ownershipConfirmedNanos = provenNanos;
+	}
+
 	/**
 	 * Releases the stored jobs and stops their runs, since another scheduler may have
 	 * taken them over.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
@@ -54,6 +54,18 @@
 	 */
 	boolean storedJobsLoaded;
 
+	/**
+	 * When a worker was last taken back from another owner, nanoseconds since the Unix
+	 * epoch, 0 if never. That owner may have run tasks of stored jobs there.
+	 */
+	long retakenNanos;
+
+	/**
+	 * The newest time at which this host certainly owned the stored jobs, nanoseconds
+	 * since the Unix epoch.
+	 */
+	long ownershipConfirmedNanos = Long.MAX_VALUE;
+
 	/**
 	 * Whether there may be another active scheduler whose heartbeats do not reach this
 	 * host.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -185,6 +185,9 @@
 		boolean takeover = worker.ownership == WorkerEntity.Ownership.TAKING_OVER;
 		worker.ownership = WorkerEntity.Ownership.OWNED;
 		this.runs.applyReport(worker, report, takeover, sentNanos, nowNanos);
+		if (takeover && worker.fenced) {
+			this.tables.retakenNanos = nowNanos;
+		}
 		worker.fenced = false;
 		this.crashes.workerReported(worker.info);
 		if (takeover) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
@@ -373,6 +373,9 @@
 				else if (this.epoch != SchedulerSimulation.this.log.epoch) {
 					logLost();
 				}
+				else {
+					this.scheduler.ownershipConfirmed(SchedulerSimulation.this.time.nowNanos());
+				}
 			}
 			schedule(400 * MILLI, this::maintainLogOwnership);
 		}
@@ -381,6 +384,7 @@
 			SchedulerSimulation simulation = SchedulerSimulation.this;
 			simulation.log.epoch++;
 			this.epoch = simulation.log.epoch;
+			this.scheduler.ownershipConfirmed(simulation.time.nowNanos());
 			List<StoredJob> storedJobs = simulation.log.read();
 			long readEpoch = this.epoch;
 			receive(this.incarnation, networkDelayNanos(), () -> {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobService.java
@@ -113,6 +113,7 @@
 			return;
 		}
 		this.journal.tick(nowNanos);
+		this.scheduler.ownershipConfirmed(this.journal.ownershipConfirmedNanos());
 		if (!this.scheduler.hasLoadedStoredJobs() || !isInUse(nowNanos)) {
 			return;
 		}
