Allow for a slow worker clock that was read seconds ago

The clock of an idle worker is read every 10 s. The clock is now taken to run as slow as it may since the reading, and the limit of a run leaves 50 ms for the stop at the end of its lease beside 50 ms to spare.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
@@ -52,7 +52,9 @@
 	/** Applies unless the settings of the host name another delay. */
 	private static final long DEFAULT_CALLER_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1300);
 
-	/** The time by which the runs of a job end before its caller sends it again. */
+	/**
+	 * The time by which the runs of a job have ended before its caller sends it again.
+	 */
 	private static final long CALLER_RETRY_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
 	/**
@@ -62,7 +64,7 @@
 	private static final long MAX_HEARTBEAT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
 	/** The largest share by which a worker's clock may run slow. */
-	private static final double CLOCK_DRIFT = 0.02;
+	static final double CLOCK_DRIFT = 0.02;
 
 	/**
 	 * Returns settings for a lease.
@@ -104,12 +106,12 @@
 
 	/**
 	 * Returns how long after a host was last known to wait for a job the leases of its
-	 * runs may last on the workers' clocks. The runs have ended then before a caller that
-	 * lost its connection to the host sends the job again.
+	 * runs may last. The workers have stopped the runs then before a caller that lost its
+	 * connection to the host sends the job again.
 	 * @return the time in nanoseconds
 	 */
 	public long runLimitNanos() {
-		return (long) ((this.callerRetryNanos - CALLER_RETRY_MARGIN_NANOS) / (1 + CLOCK_DRIFT));
+		return this.callerRetryNanos - this.stopNanos - CALLER_RETRY_MARGIN_NANOS;
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -205,9 +205,11 @@
 		this.clockReadNanos = nowNanos;
 	}
 
-	// Converts a time to the worker's clock, which is at that time or later then.
+	// Converts a time to the worker's clock, which shows that or more then, even if it
+	// runs as slow as it may.
 	long clockMillis(long timeNanos) {
-		return this.clockMillis + (timeNanos - this.clockReadNanos) / 1_000_000;
+		long sinceReadMillis = (timeNanos - this.clockReadNanos) / 1_000_000;
+		return this.clockMillis + (long) (sinceReadMillis * (1 - SchedulerSettings.CLOCK_DRIFT));
 	}
 
 	// Resets the state for a new incarnation, which has no tokens, runs or ends of the
