Poll workers as often as their shorter leases need

A worker's lease is granted for 0.8 s since the leases are limited by the retry of the caller, but polls still waited a fifth of the former 1 s. Two lost polls in a row then ended all runs on a worker, as did one lost poll if another run there belonged to a host that is heard late (found in the review). The wait of a poll is now a fifth of what is granted. LostPollsLeaseTests: two of its three examples failed before. It costs a quarter more polls of busy workers.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
@@ -9,8 +9,6 @@
  *
  * @param hostNumber a number of which the low 16 bits differ between hosts
  * @param leaseNanos how long a worker keeps its runs without a renewal, in nanoseconds
- * @param pollWaitNanos how long a worker waits for the end of a run before it answers a
- * poll, in nanoseconds; a renewal is sent at least this often
  * @param stopNanos how long a worker takes at most to stop a run, in nanoseconds
  * @param remoteFactor the factor on the duration of a task that runs on another rack than
  * its data
@@ -19,8 +17,8 @@
  * @param callerRetryNanos how long after its connection broke a caller sends its job
  * again, in nanoseconds
  */
-public record SchedulerSettings(int hostNumber, long leaseNanos, long pollWaitNanos, long stopNanos,
-		double remoteFactor, long retentionNanos, long callerRetryNanos) {
+public record SchedulerSettings(int hostNumber, long leaseNanos, long stopNanos, double remoteFactor,
+		long retentionNanos, long callerRetryNanos) {
 
 	/**
 	 * The time for messages and polls between the end of a task and the answer to its
@@ -77,9 +75,8 @@
 	 */
 	public static SchedulerSettings of(int hostNumber, long leaseMillis, long stopMillis, double remoteFactor) {
 		long lease = TimeUnit.MILLISECONDS.toNanos(leaseMillis);
-		return new SchedulerSettings(hostNumber, lease, lease / RENEWALS_PER_LEASE,
-				TimeUnit.MILLISECONDS.toNanos(stopMillis), remoteFactor, DEFAULT_RETENTION_NANOS,
-				DEFAULT_CALLER_RETRY_NANOS);
+		return new SchedulerSettings(hostNumber, lease, TimeUnit.MILLISECONDS.toNanos(stopMillis), remoteFactor,
+				DEFAULT_RETENTION_NANOS, DEFAULT_CALLER_RETRY_NANOS);
 	}
 
 	/**
@@ -89,8 +86,8 @@
 	 * @return the copy, not null
 	 */
 	public SchedulerSettings withRetentionSeconds(long seconds) {
-		return new SchedulerSettings(this.hostNumber, this.leaseNanos, this.pollWaitNanos, this.stopNanos,
-				this.remoteFactor, TimeUnit.SECONDS.toNanos(seconds), this.callerRetryNanos);
+		return new SchedulerSettings(this.hostNumber, this.leaseNanos, this.stopNanos, this.remoteFactor,
+				TimeUnit.SECONDS.toNanos(seconds), this.callerRetryNanos);
 	}
 
 	/**
@@ -100,8 +97,8 @@
 	 * @return the copy, not null
 	 */
 	public SchedulerSettings withCallerRetryMillis(long millis) {
-		return new SchedulerSettings(this.hostNumber, this.leaseNanos, this.pollWaitNanos, this.stopNanos,
-				this.remoteFactor, this.retentionNanos, TimeUnit.MILLISECONDS.toNanos(millis));
+		return new SchedulerSettings(this.hostNumber, this.leaseNanos, this.stopNanos, this.remoteFactor,
+				this.retentionNanos, TimeUnit.MILLISECONDS.toNanos(millis));
 	}
 
 	/**
@@ -122,6 +119,15 @@
 		return Math.min(this.leaseNanos, runLimitNanos() - MAX_HEARTBEAT_AGE_NANOS);
 	}
 
+	/**
+	 * Returns how long a worker waits for the end of a run before it answers a poll. A
+	 * renewal is sent at least this often.
+	 * @return the time in nanoseconds
+	 */
+	public long pollWaitNanos() {
+		return grantNanos() / RENEWALS_PER_LEASE;
+	}
+
 	/**
 	 * Returns the time from the last renewal of a lease until its runs have ended on any
 	 * worker. It allows for the largest clock drift and for the time to stop a run.
