Start jobs of hosts that are heard late

A job started only while its host was heard in the last 0.4 s. What matters is that the lease of the chosen worker ends within the limit of the job, so that is now checked for each worker, with what an earlier owner can have granted. LostPollsLeaseTests#jobOfAHostThatIsHeardLateStarts failed before.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
@@ -113,6 +113,9 @@
 		if (worker.reserved || !step.demand().fits(worker.freeCapacity())) {
 			return false;
 		}
+		if (worker.latestLeaseEndNanos() > task.job().leaseLimitNanos) {
+			return false;
+		}
 		if (worker.suspectUntilNanos > nowNanos && (task.failures > 0 || !worker.runs.isEmpty())) {
 			return false;
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -67,6 +67,12 @@
 	 */
 	long handedOverNanos;
 
+	/**
+	 * Until when the lease of its runs may last, as of the last placement pass. It starts
+	 * only on workers whose lease ends before.
+	 */
+	long leaseLimitNanos = Long.MAX_VALUE;
+
 	/** Whether an earlier scheduler may have started some of its tasks. */
 	boolean resubmitted;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/LeaseLimits.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/LeaseLimits.java
@@ -14,8 +14,8 @@
  */
 final class LeaseLimits {
 
-	/** Nothing may prolong the lease. */
-	private static final long NO_LIMIT_LEFT = Long.MIN_VALUE;
+	/** The end of a lease that nothing may prolong. */
+	private static final long NOT_RENEWABLE = Long.MIN_VALUE;
 
 	private final SchedulerTables tables;
 
@@ -31,7 +31,7 @@
 	 */
 	long latestEndNanos(WorkerEntity worker, long nowNanos) {
 		if (!worker.orphanRuns.isEmpty()) {
-			return NO_LIMIT_LEFT;
+			return NOT_RENEWABLE;
 		}
 		long latestNanos = nowNanos + this.tables.settings.grantNanos();
 		for (RunEntity run : worker.runs.values()) {
@@ -42,29 +42,34 @@
 
 	private long runLimitNanos(RunEntity run, long nowNanos) {
 		if (run.isForeign()) {
-			return NO_LIMIT_LEFT;
-		}
-		if (run.isStored()) {
-			return Long.MAX_VALUE;
+			return NOT_RENEWABLE;
 		}
 		return limitNanos(run.job(), nowNanos);
 	}
 
-	private long limitNanos(JobEntity job, long nowNanos) {
+	/**
+	 * Returns until when the lease of the runs of a job may last.
+	 * @param job the job
+	 * @param nowNanos the current time
+	 * @return the time, which may have passed
+	 */
+	long limitNanos(JobEntity job, long nowNanos) {
+		if (job.spec().stored()) {
+			return Long.MAX_VALUE;
+		}
 		long wantedNanos = job.lastWantedNanos(this.tables.heartbeats, nowNanos);
 		return (wantedNanos > this.tables.suspendedNanos) ? wantedNanos + this.tables.settings.runLimitNanos()
-				: NO_LIMIT_LEFT;
+				: NOT_RENEWABLE;
 	}
 
 	/**
-	 * Tests whether tasks of a job may start. The lease that any worker has now ends
-	 * within the limit of such a run.
-	 * @param job the job
+	 * Tests whether a run may have a lease of a useful length.
+	 * @param limitNanos until when its lease may last
 	 * @param nowNanos the current time
-	 * @return false if its host was not heard for too long
+	 * @return false if the run should not start
 	 */
-	boolean mayStart(JobEntity job, long nowNanos) {
-		return job.spec().stored() || limitNanos(job, nowNanos) >= nowNanos + this.tables.settings.grantNanos();
+	boolean isUseful(long limitNanos, long nowNanos) {
+		return limitNanos - nowNanos >= this.tables.settings.grantNanos() / 2;
 	}
 
 	/**
@@ -79,7 +84,7 @@
 			return false;
 		}
 		long endNanos = Math.max(worker.grantedEndNanos, latestEndNanos(worker, nowNanos));
-		return endNanos - nowNanos < this.tables.settings.grantNanos() / 2;
+		return !isUseful(endNanos, nowNanos);
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -52,7 +52,7 @@
 		this.tables.workers.values().forEach((worker) -> worker.reserved = false);
 		int remainingReservations = Math.max(1, (int) (MAX_RESERVED_SHARE * this.tables.workers.size()));
 		for (JobEntity job : ordered) {
-			if (!this.runs.mayStart(job, nowNanos) || mayBelongToAnother(job)
+			if (!this.runs.updateLeaseLimit(job, nowNanos) || mayBelongToAnother(job)
 					|| (job.resubmitted && !isSafeToPlace(job, nowNanos))) {
 				this.tables.placementDue = true;
 				continue;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -119,10 +119,10 @@
 		return true;
 	}
 
-	// Tests whether tasks of a job may start, as far as the leases of its runs are
-	// concerned.
-	boolean mayStart(JobEntity job, long nowNanos) {
-		return this.leaseLimits.mayStart(job, nowNanos);
+	// Updates the limit of the leases of a job's runs and tests whether runs may start.
+	boolean updateLeaseLimit(JobEntity job, long nowNanos) {
+		job.leaseLimitNanos = this.leaseLimits.limitNanos(job, nowNanos);
+		return this.leaseLimits.isUseful(job.leaseLimitNanos, nowNanos);
 	}
 
 	// Stops a run that its task no longer needs, or that must run elsewhere.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -243,7 +243,7 @@
 	 */
 	public void machineSuspended(long nowNanos) {
 		this.tables.suspendedNanos = nowNanos;
-		this.workers.forgetGrants();
+		this.workers.forgetGrants(nowNanos);
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
@@ -56,10 +56,11 @@
 	private static final long CALLER_RETRY_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
 	/**
-	 * The time since a host was last heard within which its jobs may start. Hosts send
-	 * heartbeats every 200 ms, which may be delayed.
+	 * The time since a host was last heard up to which its jobs may share the newest
+	 * leases of other runs. Hosts send heartbeats every 200 ms, each of which proves when
+	 * the one before was answered.
 	 */
-	private static final long MAX_HEARTBEAT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+	private static final long SHARING_HEARTBEAT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
 	/** The largest share by which a worker's clock may run slow. */
 	static final double CLOCK_DRIFT = 0.02;
@@ -116,7 +117,7 @@
 	 * @return the time in nanoseconds, at most {@link #leaseNanos}
 	 */
 	public long grantNanos() {
-		return Math.min(this.leaseNanos, runLimitNanos() - MAX_HEARTBEAT_AGE_NANOS);
+		return Math.min(this.leaseNanos, runLimitNanos() - SHARING_HEARTBEAT_AGE_NANOS);
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -113,6 +113,12 @@
 	 */
 	long grantedEndNanos;
 
+	/**
+	 * The latest end of the lease that an earlier owner can have granted, nanoseconds
+	 * since the Unix epoch.
+	 */
+	long inheritedEndNanos;
+
 	/** Whether its lease is too short for new runs and may not be prolonged. */
 	boolean leaseTooShort;
 
@@ -205,6 +211,11 @@
 		this.clockReadNanos = nowNanos;
 	}
 
+	// Returns when its lease ends at the latest, whoever granted it.
+	long latestLeaseEndNanos() {
+		return Math.max(this.grantedEndNanos, this.inheritedEndNanos);
+	}
+
 	// Converts a time to the worker's clock, which shows that or more then, even if it
 	// runs as slow as it may.
 	long clockMillis(long timeNanos) {
@@ -228,6 +239,7 @@
 		this.ownership = Ownership.NOT_OWNED;
 		this.retryNanos = 0;
 		this.grantedEndNanos = 0;
+		this.inheritedEndNanos = 0;
 		this.leaseTooShort = false;
 		this.consecutiveFailures = 0;
 		this.suspectUntilNanos = 0;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -133,8 +133,11 @@
 	}
 
 	// Forgets the granted leases, whose ends are unknown after the clock stood still.
-	void forgetGrants() {
-		this.tables.workers.values().forEach((worker) -> worker.grantedEndNanos = 0);
+	void forgetGrants(long nowNanos) {
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			worker.grantedEndNanos = 0;
+			worker.inheritedEndNanos = nowNanos + this.tables.settings.grantNanos();
+		}
 		this.tables.scanDue = true;
 	}
 
@@ -193,6 +196,7 @@
 		if (takeover) {
 			// An earlier owner may have renewed the lease until now.
 			worker.renewedNanos = nowNanos;
+			worker.inheritedEndNanos = nowNanos + this.tables.settings.grantNanos();
 		}
 		worker.verifiedNanos = Math.max(worker.verifiedNanos, sentNanos);
 		this.tables.placementDue = true;
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/LostPollsLeaseTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/LostPollsLeaseTests.java
@@ -85,6 +85,19 @@
 		assertThat(this.worker.isRunning(healthy)).as("the run is present").isTrue();
 	}
 
+	/**
+	 * Guards against a job that never starts because its host is always heard later than
+	 * 0.4 s, but within the 0.7 s that a link bears.
+	 */
+	@Example
+	void jobOfAHostThatIsHeardLateStarts() {
+		begin();
+		this.slowAgeNanos = TimeUnit.MILLISECONDS.toNanos(450);
+		RunId run = submit(SLOW_HOST, "late");
+		advance(TimeUnit.SECONDS.toNanos(5));
+		assertThat(this.worker.isRunning(run)).as("the run has started").isTrue();
+	}
+
 	private void begin() {
 		this.events.clear();
 		this.pollsToLose = 0;
