--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import net.jqwik.api.Example;
 import org.limpetgate.scheduling.CorrelatedFaults.Trouble;
@@ -98,14 +99,23 @@
 	}
 
 	/**
-	 * Guards against withdrawals that are dropped because the link is full, while later
-	 * messages renew the lease of the job.
+	 * Guards against withdrawals that a full link delays or loses, while other messages
+	 * renew the lease of the job.
 	 */
 	@Example
 	void keepsItsInvariantsWithFullLinks() {
 		assertInvariantsHold(Trouble.LINKS_FULL);
 	}
 
+	/**
+	 * Guards against a simulation that does not see withdrawals which full links drop.
+	 */
+	@Example
+	void findsWithdrawalsThatFullLinksDrop() {
+		List<String> violations = violations(LeasedSubmissionRules::droppingWithdrawals, Trouble.LINKS_FULL);
+		assertThat(violations).anyMatch((violation) -> violation.contains(": TWICE: "));
+	}
+
 	/**
 	 * Guards against hosts that act on a job after a pause.
 	 */
@@ -132,15 +142,19 @@
 	}
 
 	private static void assertInvariantsHold(Trouble... troubles) {
+		assertThat(violations(LeasedSubmissionRules::new, troubles)).isEmpty();
+	}
+
+	private static List<String> violations(Supplier<SubmissionRules> rules, Trouble... troubles) {
 		List<String> violations = new ArrayList<>();
 		for (int seed = FIRST_SEED; seed < FIRST_SEED + CORRELATED_SEEDS; seed++) {
 			String name = "seed " + seed + " ";
-			FleetSimulation.withCorrelatedFaults(seed, LeasedSubmissionRules::new, Set.copyOf(List.of(troubles)))
+			FleetSimulation.withCorrelatedFaults(seed, rules, Set.copyOf(List.of(troubles)))
 				.run(CORRELATED_RUN_NANOS)
 				.violations()
 				.forEach((violation) -> violations.add(name + violation));
 		}
-		assertThat(violations).isEmpty();
+		return violations;
 	}
 
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
@@ -17,6 +17,21 @@
 
 	private final SubmissionLeases leases = new SubmissionLeases();
 
+	private final boolean dropsWithdrawals;
+
+	private LeasedSubmissionRules(boolean dropsWithdrawals) {
+		this.dropsWithdrawals = dropsWithdrawals;
+	}
+
+	LeasedSubmissionRules() {
+		this(false);
+	}
+
+	// Returns rules under which withdrawals are lost on full links, as they once were.
+	static LeasedSubmissionRules droppingWithdrawals() {
+		return new LeasedSubmissionRules(true);
+	}
+
 	@Override
 	public boolean isTimely(long echoedNanos, long nowNanos) {
 		return nowNanos - echoedNanos <= SubmissionLeases.DURATION_NANOS;
@@ -62,6 +77,11 @@
 		return true;
 	}
 
+	@Override
+	public boolean dropsWithdrawalsOnFullLinks() {
+		return this.dropsWithdrawals;
+	}
+
 	@Override
 	public boolean isPauseTooLong(long nanos) {
 		return nanos > SubmissionLeases.DURATION_NANOS;
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/OutgoingLink.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/OutgoingLink.java
@@ -113,7 +113,7 @@
 		return true;
 	}
 
-	private boolean isFull() {
+	boolean isFull() {
 		return this.network.isImpaired(Impairment.FULL, this.host.name(), this.peer);
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPeers.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPeers.java
@@ -102,7 +102,9 @@
 		if (submission != null) {
 			submission.cancel(false);
 		}
-		if (!this.links.get(scheduler.value()).send(new WithdrawJob(job))) {
+		OutgoingLink link = this.links.get(scheduler.value());
+		boolean dropped = link.isFull() && this.rules.dropsWithdrawalsOnFullLinks();
+		if (dropped || !link.send(new WithdrawJob(job))) {
 			this.host.trace().job(job, "drops the withdrawal to " + scheduler);
 		}
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SubmissionRules.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SubmissionRules.java
@@ -84,6 +84,12 @@
 	 */
 	boolean withdrawsOverdueJobs();
 
+	/**
+	 * Tests whether a withdrawal is dropped when its link is full.
+	 * @return true if it is
+	 */
+	boolean dropsWithdrawalsOnFullLinks();
+
 	/**
 	 * Tests whether this host was paused for so long that it must read the input that
 	 * waited before it acts.
@@ -137,6 +143,11 @@
 			return false;
 		}
 
+		@Override
+		public boolean dropsWithdrawalsOnFullLinks() {
+			return true;
+		}
+
 		@Override
 		public boolean isPauseTooLong(long nanos) {
 			return false;
