--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -30,7 +30,7 @@
 	 * The newest time at which a host that waits for it no longer was known to wait,
 	 * nanoseconds since the Unix epoch.
 	 */
-	private long formerlyWantedNanos;
+	private long formerlyWaitedNanos;
 
 	/** The tasks of each step, by step number. */
 	private final List<List<TaskEntity>> steps = new ArrayList<>();
@@ -117,11 +117,11 @@
 
 	// Returns when a host was last known to wait for it, nanoseconds since the Unix
 	// epoch.
-	long lastWantedNanos(OriginHeartbeats heartbeats, long nowNanos) {
-		long newestNanos = this.formerlyWantedNanos;
+	long lastWaitedNanos(OriginHeartbeats heartbeats, long nowNanos) {
+		long newestNanos = this.formerlyWaitedNanos;
 		if (!this.ended) {
 			for (HostId origin : this.origins) {
-				newestNanos = Math.max(newestNanos, heartbeats.lastNanos(origin, id(), nowNanos));
+				newestNanos = Math.max(newestNanos, heartbeats.lastWaitedNanos(origin, id(), nowNanos));
 			}
 		}
 		return newestNanos;
@@ -129,13 +129,13 @@
 
 	// Removes a host that no longer waits for it; returns false if the host did not wait.
 	boolean removeOrigin(HostId origin, OriginHeartbeats heartbeats, long nowNanos) {
-		this.formerlyWantedNanos = lastWantedNanos(heartbeats, nowNanos);
+		this.formerlyWaitedNanos = lastWaitedNanos(heartbeats, nowNanos);
 		return this.origins.remove(origin);
 	}
 
 	// Ends it; what its hosts do from now on does not prolong the leases of its runs.
 	void end(OriginHeartbeats heartbeats, long nowNanos) {
-		this.formerlyWantedNanos = lastWantedNanos(heartbeats, nowNanos);
+		this.formerlyWaitedNanos = lastWaitedNanos(heartbeats, nowNanos);
 		this.ended = true;
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/LeaseLimits.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/LeaseLimits.java
@@ -57,8 +57,8 @@
 		if (job.spec().stored()) {
 			return Long.MAX_VALUE;
 		}
-		long wantedNanos = job.lastWantedNanos(this.tables.heartbeats, nowNanos);
-		return (wantedNanos > this.tables.suspendedNanos) ? wantedNanos + this.tables.settings.runLimitNanos()
+		long waitedNanos = job.lastWaitedNanos(this.tables.heartbeats, nowNanos);
+		return (waitedNanos > this.tables.suspendedNanos) ? waitedNanos + this.tables.settings.runLimitNanos()
 				: NOT_RENEWABLE;
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/OriginHeartbeats.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/OriginHeartbeats.java
@@ -23,6 +23,6 @@
 	 * @param nowNanos the current time
 	 * @return the time, 0 if the host is not known to wait for the job
 	 */
-	long lastNanos(HostId origin, JobId job, long nowNanos);
+	long lastWaitedNanos(HostId origin, JobId job, long nowNanos);
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
@@ -8,7 +8,7 @@
  * Immutable and thread-safe.
  *
  * @param hostNumber a number of which the low 16 bits differ between hosts
- * @param leaseNanos how long a worker keeps its runs without a renewal, in nanoseconds
+ * @param leaseNanos the longest lease that workers grant, in nanoseconds
  * @param stopNanos how long a worker takes at most to stop a run, in nanoseconds
  * @param remoteFactor the factor on the duration of a task that runs on another rack than
  * its data
@@ -51,7 +51,8 @@
 	private static final long DEFAULT_CALLER_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1300);
 
 	/**
-	 * The time by which the runs of a job have ended before its caller sends it again.
+	 * The time by which the runs of a job have ended, stops included, before its caller
+	 * sends it again.
 	 */
 	private static final long CALLER_RETRY_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
@@ -259,8 +259,7 @@
 	}
 
 	// Resets links as a firewall does, which answers the first frame after an
-	// interruption
-	// instead of the peer.
+	// interruption instead of the peer.
 	private void resetLinks(List<String> side, List<String> others) {
 		for (FleetLink link : List.copyOf(this.network.links())) {
 			if (side.contains(link.opener()) && others.contains(link.acceptor())) {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -339,9 +339,8 @@
 		if (submission != null) {
 			submission.cancel(false);
 		}
-		// While later messages renew the lease of the job, the withdrawal must not be
-		// lost.
-		// There is at most one for each submission.
+		// Later messages renew the lease of the job, so the withdrawal must not be lost
+		// while the link is up. There is at most one for each submission.
 		PeerFrame.Builder message = PeerFrame.newBuilder()
 			.setWithdrawJob(WithdrawJob.newBuilder().setJobId(job.value()));
 		this.links.sendUnlessDown(scheduler, message).whenComplete((sent, failure) -> {
