Look at the runs of a worker only if its lease is short

The check whether a worker's lease is too short for new runs looked up the hosts of all runs every 10 ms. A worker that was renewed recently needs no look-up; the result is the same.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/LeaseLimits.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/LeaseLimits.java
@@ -80,11 +80,10 @@
 	 * @return true if no run should be placed on it
 	 */
 	boolean isTooShort(WorkerEntity worker, long nowNanos) {
-		if (worker.runs.isEmpty()) {
+		if (worker.runs.isEmpty() || isUseful(worker.grantedEndNanos, nowNanos)) {
 			return false;
 		}
-		long endNanos = Math.max(worker.grantedEndNanos, latestEndNanos(worker, nowNanos));
-		return !isUseful(endNanos, nowNanos);
+		return !isUseful(latestEndNanos(worker, nowNanos), nowNanos);
 	}
 
 }
