Compare lease limits without overflow

The limit of a lease that may not be prolonged is the smallest number, from which the current time was subtracted, so that a worker with a run of a released stored job did not count as one whose lease is too short. Best-effort jobs were not affected, since each worker is compared with the limit of the job. The new test passes with and without the change.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/LeaseLimits.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/LeaseLimits.java
@@ -69,7 +69,7 @@
 	 * @return false if the run should not start
 	 */
 	boolean isUseful(long limitNanos, long nowNanos) {
-		return limitNanos - nowNanos >= this.tables.settings.grantNanos() / 2;
+		return limitNanos >= nowNanos + this.tables.settings.grantNanos() / 2;
 	}
 
 	/**
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WithdrawnRunTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WithdrawnRunTests.java
@@ -79,6 +79,17 @@
 		assertThat(millisUntilWithdrawnRunEnds(false)).isLessThan(TimeUnit.NANOSECONDS.toMillis(RETRY_NANOS));
 	}
 
+	/**
+	 * Guards against a job that starts although its host is not known to wait for it.
+	 */
+	@Example
+	void jobOfAHostThatIsNotKnownToWaitDoesNotStart() {
+		this.scheduler.setOriginHeartbeats((origin, job, now) -> 0);
+		submit(WITHDRAWN_JOB);
+		advance(CALLER_WAIT_NANOS, false);
+		assertThat(this.worker.used()).isEqualTo(Capacity.NONE);
+	}
+
 	private long millisUntilWithdrawnRunEnds(boolean withOtherJobs) {
 		submit(WITHDRAWN_JOB);
 		advance(TimeUnit.SECONDS.toNanos(3), withOtherJobs);
