Let the simulation see leases that outlive the retry of the caller

One example checks that the program holds under both, one that the simulation sees the missing limit.

--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
@@ -133,6 +133,26 @@
 		assertInvariantsHold(Trouble.HOST_LOST);
 	}
 
+	/**
+	 * Guards against runs whose host is lost and that no stop reaches before their caller
+	 * sends the job again.
+	 */
+	@Example
+	void keepsItsInvariantsWhenHostsAndOrdersAreLost() {
+		assertInvariantsHold(Trouble.HOST_LOST, Trouble.ORDERS_LOST);
+	}
+
+	/**
+	 * Guards against a simulation that does not see leases which outlive the retry of the
+	 * caller.
+	 */
+	@Example
+	void findsSchedulersThatTakeLostHostsForHeard() {
+		List<String> violations = violations(LeasedSubmissionRules::takingHostsForHeard, Trouble.HOST_LOST,
+				Trouble.ORDERS_LOST);
+		assertThat(violations).anyMatch((violation) -> violation.contains(": TWICE: "));
+	}
+
 	/**
 	 * Guards against faults that show only if several troubles meet.
 	 */
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
@@ -19,17 +19,26 @@
 
 	private final boolean dropsWithdrawals;
 
-	private LeasedSubmissionRules(boolean dropsWithdrawals) {
+	private final boolean takesHostsForHeard;
+
+	private LeasedSubmissionRules(boolean dropsWithdrawals, boolean takesHostsForHeard) {
 		this.dropsWithdrawals = dropsWithdrawals;
+		this.takesHostsForHeard = takesHostsForHeard;
 	}
 
 	LeasedSubmissionRules() {
-		this(false);
+		this(false, false);
 	}
 
 	// Returns rules under which withdrawals are lost on full links, as they once were.
 	static LeasedSubmissionRules droppingWithdrawals() {
-		return new LeasedSubmissionRules(true);
+		return new LeasedSubmissionRules(true, false);
+	}
+
+	// Returns rules under which a host counts as heard until its submission lease ends,
+	// so that the leases of its runs are not limited before.
+	static LeasedSubmissionRules takingHostsForHeard() {
+		return new LeasedSubmissionRules(false, true);
 	}
 
 	@Override
@@ -59,7 +68,7 @@
 
 	@Override
 	public long lastWaitedNanos(HostId origin, JobId job, long nowNanos) {
-		return this.leases.provenNanos(origin, job);
+		return this.takesHostsForHeard ? nowNanos : this.leases.provenNanos(origin, job);
 	}
 
 	@Override
