Let fake workers carry out orders for a former incarnation

Callers saw a task that ran twice at the same time, 15 ms apart. An order names its worker by the id, which the next incarnation shares, but the fake workers compared the incarnation too and rejected such orders, so that no simulation could find the fault. They now check only what the wire carries; a waiting poll fails with the incarnation that received it, as its connection does.

--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashReplay.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashReplay.java
@@ -295,7 +295,8 @@
 				schedule(1, () -> stop(stop));
 			}
 			else if (effect instanceof SchedulingEffect.PollWorker poll) {
-				schedule(1, () -> poll(poll, CrashReplay.this.time.nowNanos() + poll.waitNanos()));
+				schedule(1, () -> poll(poll, worker(poll.worker()).info().incarnationMillis(),
+						CrashReplay.this.time.nowNanos() + poll.waitNanos()));
 			}
 			else if (effect instanceof SchedulingEffect.SaveChange change) {
 				schedule(5, () -> save(change));
@@ -347,15 +348,16 @@
 					stop.run(), stopped, CrashReplay.this.time.nowNanos()));
 		}
 
-		private void poll(SchedulingEffect.PollWorker poll, long waitUntilNanos) {
+		// The connection of a waiting poll ends with the incarnation that received it.
+		private void poll(SchedulingEffect.PollWorker poll, long incarnationMillis, long waitUntilNanos) {
 			long now = CrashReplay.this.time.nowNanos();
 			FakeWorker worker = worker(poll.worker());
 			if (isUnreachable(worker.id())) {
 				receive(ORDER_TIMEOUT_MILLIS, () -> pollFailed(poll, PollFailure.NO_ANSWER));
 				return;
 			}
-			if (poll.worker().incarnationMillis() != worker.info().incarnationMillis()) {
-				receive(1, () -> pollFailed(poll, PollFailure.OTHER_LIFE));
+			if (incarnationMillis != worker.info().incarnationMillis()) {
+				receive(1, () -> pollFailed(poll, PollFailure.NO_ANSWER));
 				return;
 			}
 			WorkerReport report = worker.poll(poll, now);
@@ -370,7 +372,7 @@
 				// The poll was carried out already; only its answer is delayed.
 				SchedulingEffect.PollWorker continuation = new SchedulingEffect.PollWorker(poll.worker(),
 						poll.sequence(), poll.token(), poll.ackNumber(), 0, poll.waitNanos());
-				schedule(5, () -> poll(continuation, waitUntilNanos));
+				schedule(5, () -> poll(continuation, incarnationMillis, waitUntilNanos));
 			}
 		}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashingTaskTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashingTaskTests.java
@@ -481,9 +481,9 @@
 
 	private void poll(SchedulingEffect.PollWorker poll) {
 		Worker worker = worker(poll.worker().id());
-		if (worker.silent || worker.incarnationMillis != poll.worker().incarnationMillis()) {
-			this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(),
-					worker.silent ? PollFailure.NO_ANSWER : PollFailure.OTHER_LIFE, this.nowNanos);
+		if (worker.silent) {
+			this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(), PollFailure.NO_ANSWER,
+					this.nowNanos);
 			return;
 		}
 		worker.ended.removeIf((ended) -> ended.number() <= poll.ackNumber());
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/DrainedDataCentreTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/DrainedDataCentreTests.java
@@ -487,11 +487,9 @@
 
 	private void poll(SchedulingEffect.PollWorker poll) {
 		FakeWorker worker = this.workers.get(poll.worker().id());
-		WorkerReport report = (poll.worker().incarnationMillis() == worker.info().incarnationMillis())
-				? worker.poll(poll, this.nowNanos) : null;
+		WorkerReport report = worker.poll(poll, this.nowNanos);
 		if (report == null) {
-			this.scheduler.pollFailed(worker.id(), poll.sequence(), poll.token(), PollFailure.OTHER_LIFE,
-					this.nowNanos);
+			this.scheduler.pollFailed(worker.id(), poll.sequence(), poll.token(), PollFailure.FENCED, this.nowNanos);
 		}
 		else {
 			this.scheduler.reported(worker.id(), poll.sequence(), poll.token(), report, this.nowNanos);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
@@ -17,8 +17,10 @@
 
 /**
  * A simulated worker in virtual time. It implements fencing tokens, leases, runs and ends
- * as the platform's documentation specifies them, but does not enforce its capacity. Not
- * thread-safe.
+ * as the platform's documentation specifies them, but does not enforce its capacity.
+ * <p>
+ * An order names the worker and not its incarnation, so that every incarnation carries
+ * out what reaches it. Not thread-safe.
  */
 final class FakeWorker {
 
@@ -92,9 +94,6 @@
 	StartAnswer start(SchedulingEffect.StartRun order, Capacity demand, long durationNanos, EndKind endKind,
 			long nowNanos) {
 		advance(nowNanos);
-		if (order.worker().incarnationMillis() != this.incarnationNanos / 1_000_000) {
-			return StartAnswer.OTHER_INCARNATION;
-		}
 		if (order.token().value() < this.highestToken) {
 			return StartAnswer.FENCED;
 		}
@@ -152,11 +151,9 @@
 			return null;
 		}
 		this.highestToken = order.token().value();
-		if (order.worker().incarnationMillis() == this.incarnationNanos / 1_000_000) {
-			acknowledge(order.ackNumber(), nowNanos);
-			if (order.leaseEndMillis() > 0) {
-				extendLease(order.leaseEndMillis(), nowNanos);
-			}
+		acknowledge(order.ackNumber(), nowNanos);
+		if (order.leaseEndMillis() > 0) {
+			extendLease(order.leaseEndMillis(), nowNanos);
 		}
 		return report(nowNanos);
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
@@ -743,15 +743,18 @@
 			}
 			long delayNanos = networkDelayNanos();
 			int senderIncarnation = this.incarnation;
-			schedule(delayNanos,
-					() -> poll(poll, senderIncarnation, SchedulerSimulation.this.time.nowNanos() + poll.waitNanos()));
+			FakeWorker worker = SchedulerSimulation.this.workers.get(id);
+			schedule(delayNanos, () -> poll(poll, senderIncarnation, worker.info().incarnationMillis(),
+					SchedulerSimulation.this.time.nowNanos() + poll.waitNanos()));
 		}
 
-		private void poll(SchedulingEffect.PollWorker poll, int senderIncarnation, long waitUntilNanos) {
+		// The connection of a waiting poll ends with the incarnation that received it.
+		private void poll(SchedulingEffect.PollWorker poll, int senderIncarnation, long incarnationMillis,
+				long waitUntilNanos) {
 			SchedulerSimulation simulation = SchedulerSimulation.this;
 			FakeWorker worker = simulation.workers.get(poll.worker().id());
-			if (poll.worker().incarnationMillis() != worker.info().incarnationMillis()) {
-				receive(senderIncarnation, networkDelayNanos(), () -> pollFailed(poll, PollFailure.OTHER_LIFE));
+			if (incarnationMillis != worker.info().incarnationMillis()) {
+				receive(senderIncarnation, networkDelayNanos(), () -> pollFailed(poll, PollFailure.NO_ANSWER));
 				return;
 			}
 			WorkerReport report = worker.poll(poll, simulation.time.nowNanos());
@@ -766,7 +769,7 @@
 				// The poll was carried out already; only its answer is delayed.
 				SchedulingEffect.PollWorker continuation = new SchedulingEffect.PollWorker(poll.worker(),
 						poll.sequence(), poll.token(), poll.ackNumber(), 0, poll.waitNanos());
-				schedule(5 * MILLI, () -> poll(continuation, senderIncarnation, waitUntilNanos));
+				schedule(5 * MILLI, () -> poll(continuation, senderIncarnation, incarnationMillis, waitUntilNanos));
 			}
 		}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedOrders.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedOrders.java
@@ -81,15 +81,17 @@
 
 	void poll(SchedulingEffect.PollWorker poll) {
 		exchange(poll.worker(), poll.waitNanos() + ORDER_TIMEOUT_NANOS,
-				(worker, reply) -> poll(worker, poll, this.network.time().nowNanos() + poll.waitNanos(), reply),
+				(worker, reply) -> poll(worker, poll, worker.info().incarnationMillis(),
+						this.network.time().nowNanos() + poll.waitNanos(), reply),
 				PollAnswer.of(PollFailure.NO_ANSWER), (answer) -> pollAnswered(poll, answer));
 	}
 
-	private void poll(FakeWorker worker, SchedulingEffect.PollWorker poll, long waitUntilNanos,
+	// The connection of a waiting poll ends with the incarnation that received it.
+	private void poll(FakeWorker worker, SchedulingEffect.PollWorker poll, long incarnationMillis, long waitUntilNanos,
 			Consumer<PollAnswer> reply) {
 		long now = this.network.time().nowNanos();
-		if (poll.worker().incarnationMillis() != worker.info().incarnationMillis()) {
-			reply.accept(PollAnswer.of(PollFailure.OTHER_LIFE));
+		if (incarnationMillis != worker.info().incarnationMillis()) {
+			reply.accept(PollAnswer.of(PollFailure.NO_ANSWER));
 			return;
 		}
 		WorkerReport report = worker.poll(poll, now);
@@ -106,7 +108,8 @@
 			// The poll was carried out already; only its answer is delayed.
 			SchedulingEffect.PollWorker continuation = new SchedulingEffect.PollWorker(poll.worker(), poll.sequence(),
 					poll.token(), poll.ackNumber(), 0, poll.waitNanos());
-			this.network.time().schedule(POLL_CHECK_NANOS, () -> poll(worker, continuation, waitUntilNanos, reply));
+			this.network.time()
+				.schedule(POLL_CHECK_NANOS, () -> poll(worker, continuation, incarnationMillis, waitUntilNanos, reply));
 		}
 	}
 
