Keep an order until the next incarnation of its worker settles it

Callers saw a task that ran twice at the same time. A worker that starts again under its id carries out an order that was meant for its former incarnation. When the list showed the restart, the scheduler gave up every run of the worker without asking the new incarnation, and the task started elsewhere; a report of the new incarnation was thrown away with the runs and ends that it listed.

A run now belongs to an incarnation once a report of that incarnation lists it. The others keep their capacity and their task until the takeover of the next incarnation, under a later token, lists them or shows that the order was not carried out. A report with a later incarnation begins that incarnation; nothing is placed there until it is listed, since it may be of another kind. Ends are acknowledged only right after a report and once, since a cursor of the former incarnation would make the next one forget ends that nobody has seen.

The fake workers have an address each; they shared one, so that each restart counted as the crash of all silent workers. A waiting poll acknowledges once.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
+import org.limpetgate.scheduling.RunListener.RunEnd;
 import org.limpetgate.scheduling.SchedulingEffect.StopRun;
 
 /**
@@ -102,9 +103,21 @@
 	 */
 	boolean alone;
 
+	/**
+	 * Its end if the next incarnation of its worker has not carried out the order to
+	 * start it; null while the incarnation is the one for which the order was meant.
+	 */
+	RunEnd endWithoutReport;
+
 	/** Whether it was started by an earlier owner, at an unknown time. */
 	boolean adopted;
 
+	/**
+	 * Whether the known incarnation of its worker has reported it. Until then a later
+	 * incarnation may carry out the order to start it.
+	 */
+	boolean reported;
+
 	/** Its pace, from the reports since it was started or adopted. */
 	RunPace pace;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -154,6 +154,9 @@
 			}
 			case LEASE_EXPIRED, NO_CAPACITY, REFUSED, OTHER_INCARNATION, NOT_SENT -> {
 				worker.markSuspect(START_FAILURE_SUSPECT_NANOS, nowNanos);
+				if (answer == StartAnswer.OTHER_INCARNATION) {
+					worker.verifySinceNanos = nowNanos;
+				}
 				emitGivenUp(worker, id, RunGivenUp.Reason.START_REJECTED, nowNanos);
 				finish(run, RunEnd.REJECTED, nowNanos);
 			}
@@ -276,6 +279,8 @@
 		for (RunEntity run : List.copyOf(worker.runs.values())) {
 			WorkerReport.Running reportedRun = running.remove(run.id());
 			if (reportedRun != null) {
+				run.reported = true;
+				run.endWithoutReport = null;
 				run.updateProgress(reportedRun.percent(), nowNanos);
 				run.checkpoint(reportedRun.checkpoint(), nowNanos);
 				if (run.state == RunEntity.State.STARTING) {
@@ -283,7 +288,7 @@
 				}
 			}
 			else if (takeover || (complete && mustHaveEnded(run, sentNanos))) {
-				giveUp(run, reason, RunEnd.LOST, nowNanos);
+				giveUp(run, reason, (run.endWithoutReport != null) ? run.endWithoutReport : RunEnd.LOST, nowNanos);
 			}
 		}
 		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
@@ -334,6 +339,7 @@
 	private void addAdoptedRun(WorkerEntity worker, RunId id, TaskEntity task, long nowNanos) {
 		RunEntity run = new RunEntity(id, worker, task.step(), task, nowNanos);
 		run.adopt();
+		run.reported = true;
 		run.enter(RunEntity.State.RUNNING, nowNanos);
 		run.expectedNanos = this.tables.runTimeModel.taskNanos(task.job().spec().queue(), task.step());
 		task.run = run;
@@ -355,16 +361,28 @@
 		finish(run, end, nowNanos);
 	}
 
-	// Gives up the runs of the previous incarnation of a worker. A worker that was
-	// draining has left as planned.
+	// Gives up the runs that the previous incarnation of a worker has reported. The next
+	// one may have carried out the other orders, which its takeover settles. A worker
+	// that was draining has left as planned.
 	void startIncarnation(WorkerEntity worker, WorkerInfo next, long nowNanos) {
 		RunEnd end = worker.info.draining() ? RunEnd.LOST : RunEnd.WORKER_CRASHED;
-		List<RunEntity> lost = List.copyOf(worker.runs.values());
-		lost.forEach((run) -> run.alone = worker.isAlone(run));
+		List<RunEntity> lost = worker.runs.values().stream().filter((run) -> run.reported).toList();
+		List<RunEntity> unsettled = worker.runs.values().stream().filter((run) -> !run.reported).toList();
+		worker.runs.values().forEach((run) -> run.alone = worker.isAlone(run));
 		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
 			giveUpOrphan(worker, run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos);
 		}
 		worker.startIncarnation(next, nowNanos);
+		if (!unsettled.isEmpty()) {
+			unsettled.forEach((run) -> {
+				run.endWithoutReport = (run.endWithoutReport != null) ? run.endWithoutReport : end;
+				worker.add(run);
+			});
+			// Its clock began anew, so that each order may have granted the longest
+			// lease.
+			worker.renewedNanos = nowNanos;
+			worker.inheritedEndNanos = nowNanos + this.tables.settings.leaseEndNanos();
+		}
 		lost.forEach((run) -> giveUp(run, RunGivenUp.Reason.NEW_INCARNATION, end, nowNanos));
 	}
 
@@ -436,7 +454,7 @@
 		long sinceRenewalNanos = nowNanos - worker.renewedNanos;
 		for (RunEntity run : List.copyOf(worker.runs.values())) {
 			boolean settled = run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED
-					|| !worker.listed;
+					|| run.endWithoutReport != null || !worker.listed;
 			if (settled && sinceRenewalNanos >= lossNanos(worker, run.isStored(), nowNanos)) {
 				giveUpOnSilence(run, nowNanos);
 			}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -30,6 +30,12 @@
 	 */
 	private static final int MAX_POLL_FAILURES = 1;
 
+	/**
+	 * The age of the last report up to which ends are acknowledged; a worker takes longer
+	 * to start again.
+	 */
+	private static final long MAX_ACK_REPORT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
 	/** The number of steps in which the load of a cold worker rises. */
 	private static final int COLD_LOAD_STEPS = 4;
 
@@ -38,6 +44,12 @@
 	/** Whether the worker is in the current list of workers. */
 	boolean listed = true;
 
+	/**
+	 * Whether only a report has shown its incarnation, which may be of another kind than
+	 * the listed one.
+	 */
+	boolean entryOutdated;
+
 	/** When the worker left the list, nanoseconds since the Unix epoch. */
 	long unlistedNanos;
 
@@ -81,8 +93,14 @@
 	/** Whether a poll is due to acknowledge ends. */
 	boolean ackDue;
 
-	/** Polls that are not answered yet: the time of sending by sequence number. */
-	final Map<Long, Long> pendingPolls = new HashMap<>();
+	/**
+	 * The sequence number up to which the worker has confirmed the acknowledgement of its
+	 * ends.
+	 */
+	private long confirmedAckNumber;
+
+	/** Polls that are not answered yet, by sequence number. */
+	final Map<Long, PendingPoll> pendingPolls = new HashMap<>();
 
 	/** Whether the worker rejected an order as fenced since the last report. */
 	boolean fenced;
@@ -203,6 +221,7 @@
 	void updateInfo(WorkerInfo next, long nowNanos) {
 		if (next != this.info) {
 			this.info = next;
+			this.entryOutdated = false;
 			readTimes(next, nowNanos);
 		}
 	}
@@ -254,19 +273,21 @@
 
 	// Tests whether new runs may be placed on the worker.
 	boolean isUsable() {
-		return this.listed && !this.info.draining() && !this.drained && !this.dataCentreSilent
-				&& this.ownership == Ownership.OWNED && this.orphanRuns.isEmpty()
+		return isEligible() && this.ownership == Ownership.OWNED && this.orphanRuns.isEmpty()
 				&& this.pollFailures <= MAX_POLL_FAILURES && !this.leaseTooShort;
 	}
 
 	// Tests whether new runs may be placed on the worker once its takeover is complete,
 	// which is expected because it was not found silent.
 	boolean isBeingTakenOver() {
-		return this.listed && !this.info.draining() && !this.drained && !this.dataCentreSilent
-				&& this.pollFailures <= MAX_POLL_FAILURES
+		return isEligible() && this.pollFailures <= MAX_POLL_FAILURES
 				&& (this.ownership != Ownership.OWNED || !this.orphanRuns.isEmpty());
 	}
 
+	private boolean isEligible() {
+		return this.listed && !this.entryOutdated && !this.info.draining() && !this.drained && !this.dataCentreSilent;
+	}
+
 	// Tests whether nothing but the run may be present on the worker.
 	boolean isAlone(RunEntity run) {
 		return this.runs.size() == 1 && this.runs.containsKey(run.id()) && this.orphanRuns.isEmpty() && !this.runsLost;
@@ -276,11 +297,30 @@
 		return !this.runs.isEmpty() || !this.orphanRuns.isEmpty();
 	}
 
-	// Returns the sequence number up to which ends are acknowledged to the worker.
+	// Returns the sequence number up to which ends may be acknowledged to the worker.
 	long ackNumber() {
 		return this.unsavedEnds.isEmpty() ? this.lastEndNumber : this.unsavedEnds.first() - 1;
 	}
 
+	// Records a poll that is sent now and returns the sequence number up to which it
+	// acknowledges ends, 0 for none. The next incarnation numbers its ends anew, so that
+	// an acknowledgement is sent only right after a report, and not again once it is
+	// confirmed.
+	long addPoll(long sequence, long nowNanos) {
+		boolean due = ackNumber() > this.confirmedAckNumber;
+		boolean known = this.pollFailures == 0 && nowNanos - this.lastReportNanos <= MAX_ACK_REPORT_AGE_NANOS;
+		long number = (due && known) ? ackNumber() : 0;
+		this.pendingPolls.put(sequence, new PendingPoll(nowNanos, number));
+		this.ackDue = due && !known;
+		return number;
+	}
+
+	// Records that the known incarnation has answered a poll.
+	void pollAnswered(PendingPoll poll) {
+		this.pollFailures = 0;
+		this.confirmedAckNumber = Math.max(this.confirmedAckNumber, poll.ackNumber());
+	}
+
 	void removeUnsavedEnd(long endNumber) {
 		this.unsavedEnds.remove(endNumber);
 		this.ackDue = true;
@@ -349,6 +389,7 @@
 		this.pendingPolls.clear();
 		this.used = Capacity.NONE;
 		this.lastEndNumber = 0;
+		this.confirmedAckNumber = 0;
 		this.unsavedEnds.clear();
 		this.deferredEnds.clear();
 		this.ownership = Ownership.NOT_OWNED;
@@ -365,4 +406,14 @@
 		return this.info.id().toString();
 	}
 
+	/**
+	 * A poll that is not answered yet.
+	 *
+	 * @param sentNanos when it was sent, nanoseconds since the Unix epoch
+	 * @param ackNumber the sequence number up to which it acknowledges ends, 0 for none
+	 */
+	record PendingPoll(long sentNanos, long ackNumber) {
+
+	}
+
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerInfo.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerInfo.java
@@ -70,6 +70,16 @@
 				this.capacity, this.labels, this.draining, coldMillis, drainMillis);
 	}
 
+	/**
+	 * Returns a copy with another incarnation.
+	 * @param millis the start of the incarnation, in milliseconds since the Unix epoch
+	 * @return the copy, not null
+	 */
+	WorkerInfo withIncarnation(long millis) {
+		return new WorkerInfo(this.id, millis, this.service, this.address, this.dataCentre, this.capacity, this.labels,
+				this.draining, this.coldRemainingMillis, this.drainRemainingMillis);
+	}
+
 	/**
 	 * Returns the address without the result of a name lookup, for comparisons with
 	 * addresses that were saved.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.UpstreamId;
+import org.limpetgate.scheduling.WorkerEntity.PendingPoll;
 
 /**
  * Takes over workers, renews their leases and processes their reports.
@@ -187,17 +188,18 @@
 
 	void applyReport(UpstreamId workerId, long sequence, FencingToken token, WorkerReport report, long nowNanos) {
 		WorkerEntity worker = this.tables.workers.get(workerId);
-		Long sentNanos = (worker != null) ? worker.pendingPolls.remove(sequence) : null;
-		if (sentNanos == null || !this.tables.isActive() || !token.equals(worker.token)) {
+		PendingPoll poll = (worker != null) ? worker.pendingPolls.remove(sequence) : null;
+		if (poll == null || !this.tables.isActive() || !token.equals(worker.token)) {
 			return;
 		}
 		this.tables.changedWorkers.add(worker);
 		this.tables.silentDataCentres.answered(worker, nowNanos);
 		if (report.incarnationMillis() != 0 && report.incarnationMillis() != worker.info.incarnationMillis()) {
-			worker.loseOwnership(nowNanos + MIN_RETRY_NANOS);
+			otherIncarnationReported(worker, report.incarnationMillis(), nowNanos);
 			return;
 		}
-		worker.pollFailures = 0;
+		long sentNanos = poll.sentNanos();
+		worker.pollAnswered(poll);
 		worker.lastReportNanos = nowNanos;
 		worker.updateClock(report.clockMillis(), sentNanos, nowNanos);
 		boolean takeover = worker.ownership == WorkerEntity.Ownership.TAKING_OVER;
@@ -212,16 +214,28 @@
 		if (takeover) {
 			// An earlier owner may have renewed the lease until now.
 			worker.renewedNanos = nowNanos;
-			worker.inheritedEndNanos = nowNanos + this.tables.settings.grantNanos();
+			worker.inheritedEndNanos = Math.max(worker.inheritedEndNanos, nowNanos + this.tables.settings.grantNanos());
 		}
 		worker.verifiedNanos = Math.max(worker.verifiedNanos, sentNanos);
 		this.tables.placementDue = true;
 	}
 
+	// The takeover that follows reads the runs and ends of a later incarnation again,
+	// under a token that fences the orders that were meant for the known one.
+	private void otherIncarnationReported(WorkerEntity worker, long incarnationMillis, long nowNanos) {
+		if (incarnationMillis < worker.info.incarnationMillis()) {
+			worker.loseOwnership(nowNanos + MIN_RETRY_NANOS);
+			return;
+		}
+		this.runs.startIncarnation(worker, worker.info.withIncarnation(incarnationMillis), nowNanos);
+		worker.entryOutdated = true;
+		this.crashes.workerListed(worker.info);
+	}
+
 	void pollFailed(UpstreamId workerId, long sequence, FencingToken token, PollFailure failure, long nowNanos) {
 		WorkerEntity worker = this.tables.workers.get(workerId);
-		Long sentNanos = (worker != null) ? worker.pendingPolls.remove(sequence) : null;
-		if (sentNanos == null || !this.tables.isActive() || !token.equals(worker.token)) {
+		PendingPoll poll = (worker != null) ? worker.pendingPolls.remove(sequence) : null;
+		if (poll == null || !this.tables.isActive() || !token.equals(worker.token)) {
 			return;
 		}
 		this.tables.changedWorkers.add(worker);
@@ -292,7 +306,7 @@
 	private boolean needsVerification(WorkerEntity worker) {
 		long since = Math.max(this.tables.verifySinceNanos, worker.verifySinceNanos);
 		return worker.verifiedNanos < since && worker.pollFailures == 0
-				&& worker.pendingPolls.values().stream().noneMatch((sent) -> sent >= since);
+				&& worker.pendingPolls.values().stream().noneMatch((poll) -> poll.sentNanos() >= since);
 	}
 
 	// Sends a poll that is answered immediately, since a pending one may wait for the
@@ -347,10 +361,9 @@
 
 	private void sendPoll(WorkerEntity worker, long leaseEndMillis, long waitNanos, long nowNanos) {
 		long sequence = this.nextSequence++;
-		worker.pendingPolls.put(sequence, nowNanos);
-		worker.ackDue = false;
-		this.tables.emit(new SchedulingEffect.PollWorker(worker.info, sequence, worker.token, worker.ackNumber(),
-				leaseEndMillis, waitNanos));
+		long ackNumber = worker.addPoll(sequence, nowNanos);
+		this.tables.emit(new SchedulingEffect.PollWorker(worker.info, sequence, worker.token, ackNumber, leaseEndMillis,
+				waitNanos));
 	}
 
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashReplay.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashReplay.java
@@ -371,7 +371,7 @@
 			else {
 				// The poll was carried out already; only its answer is delayed.
 				SchedulingEffect.PollWorker continuation = new SchedulingEffect.PollWorker(poll.worker(),
-						poll.sequence(), poll.token(), poll.ackNumber(), 0, poll.waitNanos());
+						poll.sequence(), poll.token(), 0, 0, poll.waitNanos());
 				schedule(5, () -> poll(continuation, incarnationMillis, waitUntilNanos));
 			}
 		}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
@@ -83,7 +83,7 @@
 
 	WorkerInfo info() {
 		return new WorkerInfo(this.id, this.incarnationNanos / 1_000_000, "service",
-				InetSocketAddress.createUnresolved("worker", 1), this.dataCentre, CAPACITY, Set.of("a", "r1-1"),
+				InetSocketAddress.createUnresolved(this.id.value(), 1), this.dataCentre, CAPACITY, Set.of("a", "r1-1"),
 				this.draining, 0, this.draining ? this.drainMillis : WorkerInfo.UNKNOWN);
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/ReusedWorkerIdTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/ReusedWorkerIdTests.java
@@ -41,6 +41,8 @@
 
 	private JobSpec lastJob;
 
+	private int longJobs;
+
 	private long nowNanos;
 
 	/** Whether the answers of starts are lost. */
@@ -58,6 +60,7 @@
 		this.starts.clear();
 		this.outcomes.clear();
 		this.violations.clear();
+		this.longJobs = 0;
 		this.startAnswersLost = false;
 		this.startsLost = false;
 		this.pollsLost = false;
@@ -253,7 +256,7 @@
 	}
 
 	private void submitLong() {
-		submit(job("long" + this.nowNanos + this.starts.size(), TimeUnit.SECONDS.toMillis(10)));
+		submit(job("long" + this.longJobs++, TimeUnit.SECONDS.toMillis(10)));
 	}
 
 	private void submit(JobSpec job) {
