--- a/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/config/ConfigurationTable.java
@@ -1,26 +1,12 @@
 package org.limpetgate.config;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeMap;
-import java.util.function.BiFunction;
-import java.util.function.Consumer;
-import java.util.function.Function;
 
 import org.limpetgate.DispatchException;
-import org.limpetgate.ErrorKind;
-import org.limpetgate.Outcome;
-import org.limpetgate.PoolName;
-import org.limpetgate.RouteName;
-import org.limpetgate.UpstreamId;
-import org.limpetgate.json.JsonResult;
 
 /**
  * Applies the records of the configuration stream to the two tables.
@@ -47,13 +33,11 @@
 	 */
 	public static final int MAX_RESULTS = 1024;
 
-	private final Map<RouteName, Versioned<Route>> routes = new TreeMap<>();
-
-	private final Map<PoolName, Versioned<Pool>> pools = new TreeMap<>();
-
 	/** The recent edits by id, in the order of their offsets. */
 	private final LinkedHashMap<String, HistoryEntry> edits = new LinkedHashMap<>();
 
+	private ConfigurationRows rows = new ConfigurationRows();
+
 	private long version = NO_VERSION;
 
 	/** The next offset to read; above {@code version + 1} only during a gap. */
@@ -74,9 +58,7 @@
 	 */
 	public Configuration configuration() {
 		if (this.configuration.version() != this.version) {
-			this.configuration = Configuration.of(this.version,
-					this.routes.values().stream().map(Versioned::row).toList(),
-					this.pools.values().stream().map(Versioned::row).toList());
+			this.configuration = this.rows.toConfiguration(this.version);
 		}
 		return this.configuration;
 	}
@@ -154,22 +136,7 @@
 	 * @return the row, empty if there is none
 	 */
 	public Optional<VersionedRow> row(TableName table, String name) {
-		try {
-			return (table == TableName.ROUTES) ? toRow(RouteName.of(name)) : toRow(PoolName.of(name));
-		}
-		catch (IllegalArgumentException ex) {
-			return Optional.empty();
-		}
-	}
-
-	private Optional<VersionedRow> toRow(RouteName name) {
-		return Optional.ofNullable(this.routes.get(name))
-			.map((route) -> new VersionedRow(TableName.ROUTES, name.value(), route.version, route.json));
-	}
-
-	private Optional<VersionedRow> toRow(PoolName name) {
-		return Optional.ofNullable(this.pools.get(name))
-			.map((pool) -> new VersionedRow(TableName.POOLS, name.value(), pool.version, pool.json));
+		return this.rows.row(table, name);
 	}
 
 	/**
@@ -178,14 +145,7 @@
 	 * @return the rows, not null
 	 */
 	public List<VersionedRow> rows(TableName table) {
-		List<VersionedRow> rows = new ArrayList<>();
-		if (table == TableName.ROUTES) {
-			this.routes.keySet().forEach((name) -> rows.add(toRow(name).orElseThrow()));
-		}
-		else {
-			this.pools.keySet().forEach((name) -> rows.add(toRow(name).orElseThrow()));
-		}
-		return rows;
+		return this.rows.rows(table);
 	}
 
 	/**
@@ -193,9 +153,9 @@
 	 * @return the snapshot, not null
 	 */
 	public ConfigurationSnapshot toSnapshot() {
-		List<VersionedRow> rows = new ArrayList<>(rows(TableName.POOLS));
-		rows.addAll(rows(TableName.ROUTES));
-		return new ConfigurationSnapshot(this.version, rows, List.copyOf(this.edits.values()));
+		List<VersionedRow> allRows = new ArrayList<>(rows(TableName.POOLS));
+		allRows.addAll(rows(TableName.ROUTES));
+		return new ConfigurationSnapshot(this.version, allRows, List.copyOf(this.edits.values()));
 	}
 
 	/**
@@ -207,28 +167,7 @@
 	 * @throws DispatchException with the reason for rejecting the edit
 	 */
 	public void check(Edit edit) {
-		long currentVersion = row(edit.table(), edit.name()).map(VersionedRow::version).orElse(NO_VERSION);
-		// Without a base version, the version is checked only when the edit is applied,
-		// since a record that has not been read yet may have removed the row.
-		if (edit.baseVersion() != NO_VERSION && edit.baseVersion() < currentVersion) {
-			checkBase(edit, currentVersion);
-		}
-		if (edit.table() == TableName.ROUTES) {
-			RouteName name = parseName(edit, RouteName::of);
-			checkName(edit, edit.isRemoval() || routeOf(edit).name().equals(name));
-		}
-		else {
-			PoolName name = parseName(edit, PoolName::of);
-			checkName(edit, edit.isRemoval() || poolOf(edit).name().equals(name));
-		}
-	}
-
-	private static Route routeOf(Edit edit) {
-		return rowOrThrow(TableJson.readRoute(describe(edit), bytes(edit)));
-	}
-
-	private static Pool poolOf(Edit edit) {
-		return rowOrThrow(TableJson.readPool(describe(edit), bytes(edit)));
+		this.rows.check(edit);
 	}
 
 	/**
@@ -286,41 +225,18 @@
 	}
 
 	private boolean replaceState(ConfigurationSnapshot snapshot) {
-		Map<RouteName, Versioned<Route>> newRoutes = new TreeMap<>();
-		Map<PoolName, Versioned<Pool>> newPools = new TreeMap<>();
 		try {
-			for (VersionedRow row : snapshot.rows()) {
-				readRow(row, newRoutes, newPools);
-			}
-			Configuration.of(snapshot.version(), newRoutes.values().stream().map(Versioned::row).toList(),
-					newPools.values().stream().map(Versioned::row).toList());
+			this.rows = ConfigurationRows.of(snapshot);
 		}
 		catch (IllegalArgumentException | DispatchException ex) {
 			this.unreadableRecords++;
 			return false;
 		}
-		this.routes.clear();
-		this.routes.putAll(newRoutes);
-		this.pools.clear();
-		this.pools.putAll(newPools);
 		this.edits.clear();
 		snapshot.recentEdits().forEach((entry) -> this.edits.put(entry.result().editId(), entry));
 		return true;
 	}
 
-	private void readRow(VersionedRow row, Map<RouteName, Versioned<Route>> newRoutes,
-			Map<PoolName, Versioned<Pool>> newPools) {
-		byte[] json = row.row().getBytes(StandardCharsets.UTF_8);
-		if (row.table() == TableName.ROUTES) {
-			Route route = TableJson.readRoute(row.name(), json).orThrow(ErrorKind.INVALID_EDIT);
-			newRoutes.put(route.name(), new Versioned<>(row.version(), route, TableJson.write(route)));
-		}
-		else {
-			Pool pool = TableJson.readPool(row.name(), json).orThrow(ErrorKind.INVALID_EDIT);
-			newPools.put(pool.name(), new Versioned<>(row.version(), pool, TableJson.write(pool)));
-		}
-	}
-
 	private void applySnapshot(long offset, ConfigurationSnapshot snapshot) {
 		if (snapshot.version() >= offset) {
 			this.divergentSnapshots++;
@@ -347,12 +263,12 @@
 	 */
 	private void applyReset(long offset, ConfigurationSnapshot reset) {
 		String editId = reset.recentEdits().get(0).result().editId();
-		List<VersionedRow> rows = reset.rows()
+		List<VersionedRow> resetRows = reset.rows()
 			.stream()
 			.map((row) -> new VersionedRow(row.table(), row.name(), offset, row.row()))
 			.toList();
 		HistoryEntry entry = HistoryEntry.withResultOnly(EditResult.accepted(editId, offset));
-		if (replaceState(new ConfigurationSnapshot(offset, rows, List.of(entry)))) {
+		if (replaceState(new ConfigurationSnapshot(offset, resetRows, List.of(entry)))) {
 			this.gapEnd = NO_VERSION;
 		}
 	}
@@ -384,7 +300,7 @@
 		}
 		EditResult result;
 		try {
-			applyOrThrow(offset, edit);
+			this.rows.apply(offset, edit);
 			result = EditResult.accepted(edit.editId(), offset);
 		}
 		catch (DispatchException ex) {
@@ -396,120 +312,6 @@
 		}
 	}
 
-	/**
-	 * Applies an edit, or throws an exception with the reason for rejecting it and
-	 * changes nothing.
-	 * @param offset the offset of the edit, which becomes the version of the row
-	 * @param edit the edit
-	 */
-	private void applyOrThrow(long offset, Edit edit) {
-		if (edit.table() == TableName.ROUTES) {
-			applyTo(this.routes, parseName(edit, RouteName::of), offset, edit, this::readRoute, TableJson::write,
-					(name) -> {
-					});
-		}
-		else {
-			applyTo(this.pools, parseName(edit, PoolName::of), offset, edit, this::readPool, TableJson::write,
-					this::checkPoolRemoval);
-		}
-	}
-
-	private <N, R> void applyTo(Map<N, Versioned<R>> table, N name, long offset, Edit edit,
-			BiFunction<N, Edit, R> reader, Function<R, String> writer, Consumer<N> removalCheck) {
-		Versioned<R> current = table.get(name);
-		checkBase(edit, (current != null) ? current.version : NO_VERSION);
-		if (!edit.isRemoval()) {
-			R row = reader.apply(name, edit);
-			table.put(name, new Versioned<>(offset, row, writer.apply(row)));
-			return;
-		}
-		if (current == null) {
-			throw invalidEdit(describe(edit) + " does not exist and cannot be removed");
-		}
-		removalCheck.accept(name);
-		table.remove(name);
-	}
-
-	private static <N> N parseName(Edit edit, Function<String, N> parser) {
-		try {
-			return parser.apply(edit.name());
-		}
-		catch (IllegalArgumentException ex) {
-			throw invalidEdit(ex.getMessage());
-		}
-	}
-
-	private static void checkBase(Edit edit, long currentVersion) {
-		if (edit.baseVersion() == currentVersion) {
-			return;
-		}
-		String state = (currentVersion == NO_VERSION) ? "does not exist" : "is at version " + currentVersion;
-		String base = (edit.baseVersion() == NO_VERSION) ? "for a row that does not exist"
-				: "from version " + edit.baseVersion();
-		throw DispatchException.of(ErrorKind.VERSION_CONFLICT, Outcome.NOT_RUN,
-				describe(edit) + " " + state + ", the edit was made " + base);
-	}
-
-	private Route readRoute(RouteName name, Edit edit) {
-		Route route = routeOf(edit);
-		checkName(edit, route.name().equals(name));
-		if (!this.pools.containsKey(route.pool())) {
-			throw invalidEdit(describe(edit) + ": $.pool: names pool '" + route.pool()
-					+ "', which does not exist; add the pool or correct the name");
-		}
-		return route;
-	}
-
-	private Pool readPool(PoolName name, Edit edit) {
-		Pool pool = poolOf(edit);
-		checkName(edit, pool.name().equals(name));
-		for (Versioned<Pool> other : this.pools.values()) {
-			if (!other.row.name().equals(name)) {
-				checkUpstreamsDistinct(edit, pool, other.row);
-			}
-		}
-		return pool;
-	}
-
-	private static void checkUpstreamsDistinct(Edit edit, Pool pool, Pool other) {
-		Set<UpstreamId> ids = new HashSet<>();
-		other.upstreams().forEach((upstream) -> ids.add(upstream.id()));
-		for (int index = 0; index < pool.upstreams().size(); index++) {
-			if (ids.contains(pool.upstreams().get(index).id())) {
-				throw invalidEdit(
-						describe(edit) + ": $.upstreams[" + index + "].id: '" + pool.upstreams().get(index).id()
-								+ "' is also in pool '" + other.name() + "'; remove it there first");
-			}
-		}
-	}
-
-	private void checkPoolRemoval(PoolName name) {
-		for (Versioned<Route> route : this.routes.values()) {
-			if (route.row.pool().equals(name)) {
-				throw invalidEdit("pools '" + name + "' is named by route '" + route.row.name()
-						+ "'; change or remove the route first");
-			}
-		}
-	}
-
-	private static <R> R rowOrThrow(JsonResult<R> result) {
-		return result.orThrow(ErrorKind.INVALID_EDIT);
-	}
-
-	private static void checkName(Edit edit, boolean matches) {
-		if (!matches) {
-			throw invalidEdit(describe(edit) + ": $.name: differs from the name of the edited row");
-		}
-	}
-
-	private static byte[] bytes(Edit edit) {
-		return edit.row().getBytes(StandardCharsets.UTF_8);
-	}
-
-	private static String describe(Edit edit) {
-		return edit.table().text() + " '" + edit.name() + "'";
-	}
-
 	/**
 	 * Returns the message of an error without its remedy. Stored results omit the remedy,
 	 * since the response to the operator adds it again.
@@ -522,17 +324,4 @@
 		return message.endsWith(remedy) ? message.substring(0, message.length() - remedy.length()) : message;
 	}
 
-	private static DispatchException invalidEdit(String detail) {
-		return DispatchException.of(ErrorKind.INVALID_EDIT, Outcome.NOT_RUN, detail);
-	}
-
-	/**
-	 * A row with its version and its canonical JSON, which is cached since serialising
-	 * large pools again for each snapshot takes milliseconds.
-	 *
-	 * @param <R> the type of the row
-	 */
-	private record Versioned<R>(long version, R row, String json) {
-	}
-
 }
