Split the drain and the upstreams off EntryHost

HostDrain waits until a leaving host has no work, UpstreamDirectory has the addresses of the upstreams and those that are leaving, and LocalComponents, before an inner class, gives the peer service access to the components. Queries now stand before operations.

No behaviour changes; EntryHostKeysTests, LimpetgateTests and the 9 ClusterTests, which start and stop host processes, are unchanged and pass.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/EntryHost.java
@@ -2,9 +2,7 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,16 +19,12 @@
 import org.limpetgate.ErrorKind;
 import org.limpetgate.Incarnation;
 import org.limpetgate.Outcome;
-import org.limpetgate.PoolName;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.config.Configuration;
-import org.limpetgate.config.Pool;
 import org.limpetgate.config.PoolKind;
-import org.limpetgate.config.Upstream;
 import org.limpetgate.dispatch.AdaptiveDispatcher;
 import org.limpetgate.dispatch.DispatchSettings;
 import org.limpetgate.dispatch.Dispatcher;
-import org.limpetgate.dispatch.PeerLoad;
 import org.limpetgate.dispatch.ShortestWaitSpillPolicy;
 import org.limpetgate.host.configuration.ConfigurationService;
 import org.limpetgate.host.configuration.Timer;
@@ -38,7 +32,6 @@
 import org.limpetgate.host.settings.Endpoint;
 import org.limpetgate.host.settings.HostSettings;
 import org.limpetgate.host.settings.Key;
-import org.limpetgate.membership.DataCentreDigest;
 import org.limpetgate.membership.MemberAddress;
 import org.limpetgate.membership.Membership;
 import org.limpetgate.membership.MembershipTimings;
@@ -58,7 +51,6 @@
 import org.limpetgate.net.platform.HttpWorkerService;
 import org.limpetgate.net.platform.PlatformClientSettings;
 import org.limpetgate.platform.HostListView;
-import org.limpetgate.platform.ListedUpstream;
 import org.limpetgate.proto.PeerFrame;
 import org.limpetgate.submission.DataCentres;
 import org.limpetgate.submission.SubmissionCounts;
@@ -76,14 +68,6 @@
 	/** The prefix of the name of the claims stream of a data centre. */
 	public static final String CLAIMS_STREAM_PREFIX = "claims-";
 
-	/**
-	 * Time for the load balancer to notice that the host is not ready, before the host
-	 * stops listening.
-	 */
-	private static final Duration LOAD_BALANCER_GRACE = Duration.ofSeconds(1);
-
-	private static final long DRAIN_CHECK_INTERVAL_MILLIS = 20;
-
 	private final HostSettings settings;
 
 	private final EpochClock clock = EpochClock.system();
@@ -104,8 +88,6 @@
 
 	private final TaskExecutor taskExecutor;
 
-	private final LeavingUpstreams leavingUpstreams = new LeavingUpstreams();
-
 	private final HttpWorkerService workers;
 
 	private final PeerKeys keys;
@@ -122,6 +104,8 @@
 
 	private final PeerService peers;
 
+	private final UpstreamDirectory upstreams;
+
 	private final ConfigurationService configuration;
 
 	private final VersionTracker versionTracker;
@@ -138,8 +122,6 @@
 
 	private final HttpServer operatorServer;
 
-	private volatile Map<UpstreamId, InetSocketAddress> upstreamAddresses = Map.of();
-
 	private volatile PeerHandler peerHandler = EntryHost::refuseUntilStarted;
 
 	private volatile boolean leaving;
@@ -153,11 +135,9 @@
 		this.dispatcher = AdaptiveDispatcher.of(
 				DispatchSettings.of(settings.host(), settings.dataCentre(), settings.size()),
 				new SplittableRandom(this.random.nextLong()));
-		this.workers = HttpWorkerService.of(this.group, (worker) -> this.upstreamAddresses.get(worker),
-				PlatformClientSettings.DEFAULT);
+		this.workers = HttpWorkerService.of(this.group, this::upstreamAddress, PlatformClientSettings.DEFAULT);
 		this.taskExecutor = new TaskExecutor(this.dispatcher, gateways(), this.control, this.clock, this.events,
 				this.metrics);
-		this.taskExecutor.setLeavingListener((upstream) -> upstreamLeaving(upstream, this.clock.getAsLong()));
 		PeerIdentity self = new PeerIdentity(this.incarnation, settings.dataCentre());
 		List<Key> hostKeys = SettingsMapping.hostKeys(settings);
 		this.keys = PeerKeys.of(hostKeys.get(0).id(), SettingsMapping.secrets(hostKeys));
@@ -169,6 +149,9 @@
 		this.timings = MembershipTimings.forDataCentres(settings.dataCentres().size());
 		this.membership = new Membership(this.incarnation, settings.dataCentre(), this.timings);
 		this.peers = peerService(self);
+		this.upstreams = new UpstreamDirectory(this.dispatcher, this.peers, this.events);
+		this.taskExecutor
+			.setLeavingListener((upstream) -> this.upstreams.reportLeaving(upstream, this.clock.getAsLong()));
 		FailoverLogService log = log();
 		this.configuration = new ConfigurationService(settings.host(), log, this.peers, this.control, timer(),
 				new SplittableRandom(this.random.nextLong()), settings.timings().snapshotInterval());
@@ -179,7 +162,8 @@
 				ShortestWaitSpillPolicy.ofDigestInterval(this.timings.digestNanos()), this.remoteDataCentres,
 				this.control, this.clock, this.events);
 		this.submissions = submissionService(log);
-		this.peers.setLocalHost(new LocalHostView());
+		this.peers.setLocalHost(new LocalComponents(this.submissions, this.configuration, this.taskExecutor,
+				this.dispatcher, this.upstreams));
 		this.callerServer = HttpServer.start(this.group, SettingsMapping.toAddress(settings.callers()),
 				SettingsMapping.callerLimits(this.settings),
 				new CallerApi(this.submissions, new RequestService(this.spillService, this.configuration::configuration,
@@ -239,6 +223,10 @@
 				() -> this.submissions.counts().openRequests());
 	}
 
+	private InetSocketAddress upstreamAddress(UpstreamId upstream) {
+		return this.upstreams.address(upstream);
+	}
+
 	private Map<PoolKind, UpstreamGateway> gateways() {
 		HttpClient client = HttpClient.of(this.group, HttpClientLimits.defaults());
 		return Map.of(PoolKind.RUNNERS, new RunnerGateway(client), PoolKind.WORKERS,
@@ -313,31 +301,11 @@
 		List<MemberAddress> addresses = new ArrayList<>(SettingsMapping.listedMembers(this.settings));
 		addresses.addAll(HostListWatcher.addresses(view));
 		this.peers.setListedHosts(addresses);
-		for (ListedUpstream upstream : view.upstreams()) {
-			if (upstream.leaving()) {
-				upstreamLeaving(upstream.id(), nowNanos);
-			}
-		}
-		this.leavingUpstreams.removeReturned(view, nowNanos)
-			.forEach((upstream) -> this.dispatcher.upstreamReturned(upstream, nowNanos));
-	}
-
-	private void upstreamLeaving(UpstreamId upstream, long nowNanos) {
-		if (this.leavingUpstreams.add(upstream, nowNanos)) {
-			this.events.write(LogEvent.UPSTREAM_LEAVING, upstream);
-			this.dispatcher.upstreamLeaving(upstream, nowNanos);
-			this.peers.announce();
-		}
+		this.upstreams.hostListRead(view, nowNanos);
 	}
 
 	private void configurationChanged(Configuration tables) {
-		Map<UpstreamId, InetSocketAddress> addresses = new HashMap<>();
-		for (Pool pool : tables.pools()) {
-			for (Upstream upstream : pool.upstreams()) {
-				addresses.put(upstream.id(), new InetSocketAddress(upstream.address(), upstream.port()));
-			}
-		}
-		this.upstreamAddresses = addresses;
+		this.upstreams.configure(tables);
 		this.taskExecutor.configure(tables, this.clock.getAsLong());
 		this.peers.announce();
 		this.events.write(LogEvent.CONFIGURATION_APPLIED, tables.version(), tables.routes().size(),
@@ -352,29 +320,6 @@
 		return this.configuration.isReady() && !this.leaving;
 	}
 
-	/**
-	 * Replaces the keys of the links between entry hosts, of the tickets and of the
-	 * operators. Links that were opened with a removed key are closed. Tickets that were
-	 * signed with a removed key can no longer be verified.
-	 * @param newKeys the keys of the entry hosts, the current one first, at least one
-	 * @param newOperatorKeys the keys of the operators, not null
-	 * @throws IllegalArgumentException if there is no key of the entry hosts; nothing is
-	 * replaced then
-	 */
-	public void replaceKeys(List<Key> newKeys, List<Key> newOperatorKeys) {
-		if (newKeys.isEmpty()) {
-			throw new IllegalArgumentException("there is no key of the entry hosts; add at least one to 'keys'");
-		}
-		this.keys.replace(newKeys.get(0).id(), SettingsMapping.secrets(newKeys));
-		this.control.execute(() -> this.ticketAuthority.replaceSecrets(SettingsMapping.ticketSecrets(newKeys)));
-		this.operatorApi.replaceKeys(newOperatorKeys);
-		this.events.write(LogEvent.KEYS_REPLACED, ids(newKeys), ids(newOperatorKeys));
-	}
-
-	private static List<String> ids(List<Key> keys) {
-		return keys.stream().map(Key::id).toList();
-	}
-
 	/**
 	 * Returns the configuration of this host, through which tables are edited.
 	 * @return the service, not null
@@ -407,6 +352,29 @@
 		return this.peerServer.address();
 	}
 
+	/**
+	 * Replaces the keys of the links between entry hosts, of the tickets and of the
+	 * operators. Links that were opened with a removed key are closed. Tickets that were
+	 * signed with a removed key can no longer be verified.
+	 * @param newKeys the keys of the entry hosts, the current one first, at least one
+	 * @param newOperatorKeys the keys of the operators, not null
+	 * @throws IllegalArgumentException if there is no key of the entry hosts; nothing is
+	 * replaced then
+	 */
+	public void replaceKeys(List<Key> newKeys, List<Key> newOperatorKeys) {
+		if (newKeys.isEmpty()) {
+			throw new IllegalArgumentException("there is no key of the entry hosts; add at least one to 'keys'");
+		}
+		this.keys.replace(newKeys.get(0).id(), SettingsMapping.secrets(newKeys));
+		this.control.execute(() -> this.ticketAuthority.replaceSecrets(SettingsMapping.ticketSecrets(newKeys)));
+		this.operatorApi.replaceKeys(newOperatorKeys);
+		this.events.write(LogEvent.KEYS_REPLACED, ids(newKeys), ids(newOperatorKeys));
+	}
+
+	private static List<String> ids(List<Key> keys) {
+		return keys.stream().map(Key::id).toList();
+	}
+
 	/**
 	 * Shuts the host down gracefully: it is not ready from now on, stops listening after
 	 * a second, finishes the requests in flight and closes.
@@ -421,41 +389,24 @@
 			this.submissions.drain();
 		});
 		CompletableFuture<Integer> done = new CompletableFuture<>();
-		long deadline = this.clock.getAsLong() + this.settings.timings().drainBound().toNanos();
-		this.group.schedule(
-				() -> this.callerServer.drain().whenComplete((ended, failure) -> awaitTasks(deadline, done)),
-				LOAD_BALANCER_GRACE.toMillis(), TimeUnit.MILLISECONDS);
-		this.group.schedule(() -> this.control.execute(() -> close(done)),
-				this.settings.timings().drainBound().toMillis(), TimeUnit.MILLISECONDS);
+		new HostDrain(this.group, this.control, this.clock, this::isDrained, () -> close(done)).start(this.callerServer,
+				this.settings.timings().drainBound());
 		return done;
 	}
 
-	private void awaitTasks(long deadlineNanos, CompletableFuture<Integer> done) {
-		this.control.execute(() -> {
-			boolean idle = isDrained();
-			if (idle || this.clock.getAsLong() >= deadlineNanos) {
-				close(done);
-			}
-			else if (!done.isDone()) {
-				this.group.schedule(() -> awaitTasks(deadlineNanos, done), DRAIN_CHECK_INTERVAL_MILLIS,
-						TimeUnit.MILLISECONDS);
-			}
-		});
-	}
-
 	// A job that was accepted asynchronously counts as unfinished until its result is
 	// collected, through this host or another one.
 	private boolean isDrained() {
 		SubmissionCounts counts = this.submissions.counts();
-		return this.taskExecutor.unfinishedTasks() + this.spillService.unfinishedTasks() == 0
-				&& counts.openRequests() == 0 && counts.uncollectedJobs() == 0;
+		return unfinishedTasks() == 0 && counts.openRequests() == 0 && counts.uncollectedJobs() == 0;
+	}
+
+	private int unfinishedTasks() {
+		return this.taskExecutor.unfinishedTasks() + this.spillService.unfinishedTasks();
 	}
 
 	private void close(CompletableFuture<Integer> done) {
-		if (done.isDone()) {
-			return;
-		}
-		int unfinishedTasks = this.taskExecutor.unfinishedTasks() + this.spillService.unfinishedTasks();
+		int unfinishedTasks = unfinishedTasks();
 		this.events.write(LogEvent.STOPPED, this.incarnation, unfinishedTasks);
 		this.configuration.close();
 		this.callerServer.close();
@@ -476,48 +427,4 @@
 			.failedFuture(DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, "the host is starting")));
 	}
 
-	private final class LocalHostView implements LocalHost {
-
-		@Override
-		public SubmissionService submissions() {
-			return EntryHost.this.submissions;
-		}
-
-		@Override
-		public ConfigurationService configuration() {
-			return EntryHost.this.configuration;
-		}
-
-		@Override
-		public TaskService localTasks() {
-			return EntryHost.this.taskExecutor;
-		}
-
-		@Override
-		public Map<PoolName, DataCentreDigest.PoolState> poolStates(long nowNanos) {
-			return EntryHost.this.taskExecutor.poolStates(nowNanos);
-		}
-
-		@Override
-		public Map<PoolName, PeerLoad.Demand> demand() {
-			return EntryHost.this.dispatcher.demand();
-		}
-
-		@Override
-		public List<UpstreamId> leavingUpstreams() {
-			return EntryHost.this.leavingUpstreams.all();
-		}
-
-		@Override
-		public void updatePeerLoads(List<PeerLoad> loads, long nowNanos) {
-			EntryHost.this.dispatcher.updatePeerLoads(loads, nowNanos);
-		}
-
-		@Override
-		public void upstreamLeaving(UpstreamId upstream, long nowNanos) {
-			EntryHost.this.upstreamLeaving(upstream, nowNanos);
-		}
-
-	}
-
 }
