Run edits and resets on the control thread by one method

ConfigurationService.edit and reset passed their calls to the control thread and copied the result by the same ten lines. No behaviour changes; the tests are unchanged and pass.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/configuration/ConfigurationService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/configuration/ConfigurationService.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
@@ -179,16 +180,7 @@
 	 */
 	public CompletableFuture<EditResult> edit(Edit edit) {
 		Objects.requireNonNull(edit, "edit");
-		CompletableFuture<EditResult> resultFuture = new CompletableFuture<>();
-		this.control.execute(() -> submit(edit).whenComplete((result, failure) -> {
-			if (failure != null) {
-				resultFuture.completeExceptionally(failure);
-			}
-			else {
-				resultFuture.complete(result);
-			}
-		}));
-		return resultFuture;
+		return onControlThread(() -> submit(edit));
 	}
 
 	/**
@@ -203,8 +195,12 @@
 	 */
 	public CompletableFuture<EditResult> reset(String editId, Configuration tables) {
 		ConfigurationSnapshot reset = ConfigurationSnapshot.reset(editId, tables);
+		return onControlThread(() -> reset(editId, reset));
+	}
+
+	private CompletableFuture<EditResult> onControlThread(Supplier<CompletableFuture<EditResult>> operation) {
 		CompletableFuture<EditResult> resultFuture = new CompletableFuture<>();
-		this.control.execute(() -> reset(editId, reset).whenComplete((result, failure) -> {
+		this.control.execute(() -> operation.get().whenComplete((result, failure) -> {
 			if (failure != null) {
 				resultFuture.completeExceptionally(failure);
 			}
