Count a crash only for a run that its worker has confirmed

Callers got a signed answer 'failed' for a job whose task had not failed. A start order without an answer counted like a run: its worker, which was down before the order, came back as another incarnation, and since the order in transit was the only entry there, the crash counted as one alone.

An order that no answer and no report has confirmed is now an unconfirmed crash. It keeps the task apart from others as before, but shows nothing of a task alone; three crashes of both kinds end a stored job, whose starts are limited to five, and four a best-effort job. LG1314 and LG1315 tell whether a run was confirmed.

A worker whose address a later one with another id has is lost at once; its runs waited for its entry to expire and for the lease of its former life.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashIsolation.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashIsolation.java
@@ -61,7 +61,7 @@
 
 	// Tests whether the task should rather start on a worker without other runs.
 	static boolean prefersToRunAlone(TaskEntity task) {
-		return !isGangMember(task) && task.crashes.crashes() > 0;
+		return !isGangMember(task) && task.crashes.totalCrashes() > 0;
 	}
 
 	// Tests whether one more worker of a service may be kept for a single run.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
@@ -82,10 +82,10 @@
 		}
 		WorkerInfo worker = run.worker().info;
 		if (end == RunEnd.WORKER_CRASHED) {
-			addCrashes(task, worker.id(), (history) -> history.withCrash(run.alone));
+			addCrashes(task, worker.id(), (history) -> history.withCrash(run.evidence()));
 		}
 		else if (end == RunEnd.WORKER_SILENT) {
-			Loss loss = new Loss(worker.id(), worker.unresolvedAddress(), worker.incarnationMillis(), run.alone,
+			Loss loss = new Loss(worker.id(), worker.unresolvedAddress(), worker.incarnationMillis(), run.evidence(),
 					nowNanos);
 			addLost(loss);
 			change(task, task.crashes.withLoss(loss));
@@ -132,7 +132,7 @@
 	private void track(TaskEntity task) {
 		this.suspects.add(task);
 		this.tables.placementDue = true;
-		if (task.crashes.isDeadly()) {
+		if (task.crashes.isDeadly(task.job().spec().stored())) {
 			this.deadlyTasks.add(task);
 		}
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -293,11 +293,16 @@
 
 	private void giveUp(TaskEntity task, long nowNanos) {
 		if (!task.job().ended) {
-			String reason = "task " + task.name() + " crashed " + task.crashes.crashes() + " workers";
+			String reason = "task " + task.name() + " crashed " + task.crashes.crashes() + " workers"
+					+ unconfirmed(task.crashes);
 			end(task.job(), JobOutcome.FAILED, reason, nowNanos);
 		}
 	}
 
+	private static String unconfirmed(CrashHistory history) {
+		return (history.unconfirmedCrashes() > 0) ? ", and perhaps " + history.unconfirmedCrashes() + " more" : "";
+	}
+
 	private void endLateJobs(long nowNanos) {
 		List<JobEntity> lateJobs = new ArrayList<>();
 		for (JobEntity job : this.tables.waitingJobs) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
@@ -103,6 +103,12 @@
 	 */
 	boolean alone;
 
+	/**
+	 * Whether a worker has confirmed, by its answer or a report, that it carried out the
+	 * order to start it.
+	 */
+	boolean confirmed;
+
 	/**
 	 * Its end if the next incarnation of its worker has not carried out the order to
 	 * start it; null while the incarnation is the one for which the order was meant.
@@ -157,6 +163,13 @@
 		return this.startedNanos;
 	}
 
+	CrashHistory.Evidence evidence() {
+		if (!this.confirmed) {
+			return CrashHistory.Evidence.UNCONFIRMED;
+		}
+		return this.alone ? CrashHistory.Evidence.ALONE : CrashHistory.Evidence.SHARED;
+	}
+
 	// Returns the job for which it was started or adopted, which may have ended since.
 	JobEntity job() {
 		return this.job;
@@ -183,6 +196,13 @@
 	}
 
 	// Marks it as started by an earlier owner.
+	// Records that the known incarnation of its worker lists it.
+	void markReported() {
+		this.reported = true;
+		this.confirmed = true;
+		this.endWithoutReport = null;
+	}
+
 	void adopt() {
 		this.adopted = true;
 		this.pace = new RunPace(0);
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -142,14 +142,17 @@
 			this.tables.silentDataCentres.answered(worker, nowNanos);
 		}
 		switch (answer) {
-			case STARTED -> run.enter(RunEntity.State.RUNNING, nowNanos);
+			case STARTED -> {
+				run.confirmed = true;
+				run.enter(RunEntity.State.RUNNING, nowNanos);
+			}
 			case UNKNOWN -> {
 				worker.markSuspect(START_FAILURE_SUSPECT_NANOS, nowNanos);
 				stop(run, StopRun.Reason.START_UNANSWERED, nowNanos);
 			}
 			case FENCED -> markFenced(worker, nowNanos);
 			case OLD_ATTEMPT -> {
-				emitGivenUp(worker, id, RunGivenUp.Reason.START_REJECTED, nowNanos);
+				emitGivenUp(worker, id, RunGivenUp.Reason.START_REJECTED, false, nowNanos);
 				finish(run, RunEnd.OLD_ATTEMPT, nowNanos);
 			}
 			case LEASE_EXPIRED, NO_CAPACITY, REFUSED, OTHER_INCARNATION, NOT_SENT -> {
@@ -157,7 +160,7 @@
 				if (answer == StartAnswer.OTHER_INCARNATION) {
 					worker.verifySinceNanos = nowNanos;
 				}
-				emitGivenUp(worker, id, RunGivenUp.Reason.START_REJECTED, nowNanos);
+				emitGivenUp(worker, id, RunGivenUp.Reason.START_REJECTED, false, nowNanos);
 				finish(run, RunEnd.REJECTED, nowNanos);
 			}
 		}
@@ -279,8 +282,7 @@
 		for (RunEntity run : List.copyOf(worker.runs.values())) {
 			WorkerReport.Running reportedRun = running.remove(run.id());
 			if (reportedRun != null) {
-				run.reported = true;
-				run.endWithoutReport = null;
+				run.markReported();
 				run.updateProgress(reportedRun.percent(), nowNanos);
 				run.checkpoint(reportedRun.checkpoint(), nowNanos);
 				if (run.state == RunEntity.State.STARTING) {
@@ -339,7 +341,7 @@
 	private void addAdoptedRun(WorkerEntity worker, RunId id, TaskEntity task, long nowNanos) {
 		RunEntity run = new RunEntity(id, worker, task.step(), task, nowNanos);
 		run.adopt();
-		run.reported = true;
+		run.markReported();
 		run.enter(RunEntity.State.RUNNING, nowNanos);
 		run.expectedNanos = this.tables.runTimeModel.taskNanos(task.job().spec().queue(), task.step());
 		task.run = run;
@@ -357,7 +359,7 @@
 
 	// Handles a run that must have ended although the worker has not listed its end.
 	private void giveUp(RunEntity run, RunGivenUp.Reason reason, RunEnd end, long nowNanos) {
-		emitGivenUp(run.worker(), run.id(), reason, nowNanos);
+		emitGivenUp(run.worker(), run.id(), reason, run.confirmed, nowNanos);
 		finish(run, end, nowNanos);
 	}
 
@@ -386,15 +388,28 @@
 		lost.forEach((run) -> giveUp(run, RunGivenUp.Reason.NEW_INCARNATION, end, nowNanos));
 	}
 
+	// Gives up all runs of a worker whose process has ended. No other process carries out
+	// orders for its id.
+	void endIncarnation(WorkerEntity worker, long nowNanos) {
+		RunEnd end = worker.info.draining() ? RunEnd.LOST : RunEnd.WORKER_CRASHED;
+		List<RunEntity> lost = List.copyOf(worker.runs.values());
+		lost.forEach((run) -> run.alone = worker.isAlone(run));
+		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
+			giveUpOrphan(worker, run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos);
+		}
+		lost.forEach((run) -> giveUp(run, RunGivenUp.Reason.NEW_INCARNATION, end, nowNanos));
+	}
+
 	void giveUpOrphan(WorkerEntity worker, RunId run, RunGivenUp.Reason reason, long nowNanos) {
-		emitGivenUp(worker, run, reason, nowNanos);
+		emitGivenUp(worker, run, reason, true, nowNanos);
 		worker.orphanRuns.remove(run);
 		this.tables.removeRun(run.task());
 	}
 
-	private void emitGivenUp(WorkerEntity worker, RunId run, RunGivenUp.Reason reason, long nowNanos) {
+	private void emitGivenUp(WorkerEntity worker, RunId run, RunGivenUp.Reason reason, boolean confirmed,
+			long nowNanos) {
 		long sinceRenewalNanos = (worker.renewedNanos != 0) ? nowNanos - worker.renewedNanos : -1;
-		this.tables.emit(new RunGivenUp(worker.info, run, reason, sinceRenewalNanos, worker.fenced));
+		this.tables.emit(new RunGivenUp(worker.info, run, reason, confirmed, sinceRenewalNanos, worker.fenced));
 	}
 
 	// Applies the time-outs of the runs on a worker.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
@@ -90,13 +90,15 @@
 	 * @param worker the worker
 	 * @param run the run
 	 * @param reason what the conclusion rests on
+	 * @param confirmed whether the worker has confirmed, by its answer or a report, that
+	 * it started the run
 	 * @param sinceRenewalNanos the time since this scheduler last renewed the lease of
 	 * the worker or completed a takeover of it, in nanoseconds, or -1 if it has done
 	 * neither
 	 * @param fenced whether the worker has rejected this scheduler's token since its last
 	 * report
 	 */
-	record RunGivenUp(WorkerInfo worker, RunId run, Reason reason, long sinceRenewalNanos,
+	record RunGivenUp(WorkerInfo worker, RunId run, Reason reason, boolean confirmed, long sinceRenewalNanos,
 			boolean fenced) implements SchedulingEffect {
 
 		/** What the conclusion that a run has ended rests on. */
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -1,8 +1,11 @@
 package org.limpetgate.scheduling;
 
+import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -95,6 +98,7 @@
 			}
 			this.crashes.workerListed(info);
 		}
+		endReplacedWorkers(infos, listedIds, nowNanos);
 		for (WorkerEntity worker : this.tables.workers.values()) {
 			boolean listed = listedIds.contains(worker.info.id());
 			if (worker.listed && !listed) {
@@ -112,6 +116,22 @@
 		this.tables.placementDue = true;
 	}
 
+	// A process has ended if a later one, with another id, has its address. Its entry may
+	// stay in the list for seconds.
+	private void endReplacedWorkers(Collection<WorkerInfo> infos, Set<UpstreamId> listedIds, long nowNanos) {
+		Map<InetSocketAddress, WorkerInfo> latest = new HashMap<>();
+		infos.forEach((info) -> latest.merge(info.address(), info,
+				(one, other) -> (one.incarnationMillis() > other.incarnationMillis()) ? one : other));
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			WorkerInfo successor = latest.get(worker.info.address());
+			if (successor != null && !successor.id().equals(worker.info.id())
+					&& successor.incarnationMillis() > worker.info.incarnationMillis()) {
+				listedIds.remove(worker.info.id());
+				this.runs.endIncarnation(worker, nowNanos);
+			}
+		}
+	}
+
 	// Applies a change of the drained data centres.
 	void drainsChanged() {
 		markDrained();
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashReplay.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashReplay.java
@@ -19,7 +19,8 @@
  * Replays in virtual time what the users described: stored jobs of which some have a task
  * that crashes every worker that starts it. A crashed worker is back some seconds later
  * as another incarnation. Other workers are cut off for a while and come back unchanged.
- * The scheduler is lost in the middle, and the next one reads the jobs from the store.
+ * Some workers crash before they have answered the order to start the task. The scheduler
+ * is lost in the middle, and the next one reads the jobs from the store.
  * <p>
  * Checks at every start that the task is not started three times more after three workers
  * have crashed under it. Not thread-safe.
@@ -51,6 +52,9 @@
 
 	private static final int ORDER_TIMEOUT_MILLIS = 200;
 
+	/** One of so many deadly tasks crashes its worker before the start is answered. */
+	private static final int CRASHES_PER_LOST_ANSWER = 3;
+
 	/** The crashes after which a task may start only so many times. */
 	private static final int CRASH_LIMIT = 3;
 
@@ -226,6 +230,10 @@
 					&& replay.startsAfterLimit.merge(task, 1, Integer::sum) > MAX_STARTS_AFTER_LIMIT) {
 				addViolation("BUDGET: " + run + " started after three workers have crashed under it");
 			}
+			if (replay.random.nextInt(CRASHES_PER_LOST_ANSWER) == 0) {
+				crash(worker);
+				return;
+			}
 			schedule(5 + replay.random.nextInt(100), () -> crash(worker));
 		}
 
@@ -334,6 +342,10 @@
 			long duration = (200 + CrashReplay.this.random.nextInt(400)) * MILLI;
 			StartAnswer answer = worker(start.worker()).start(start, new Capacity(4000, 64, 0), duration, EndKind.DONE,
 					now);
+			if (isUnreachable(start.worker().id())) {
+				receive(ORDER_TIMEOUT_MILLIS, () -> startAnswered(start, StartAnswer.UNKNOWN));
+				return;
+			}
 			receive(1, () -> startAnswered(start, answer));
 		}
 
--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
@@ -0,0 +1,190 @@
+package org.limpetgate.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.limpetgate.HostId;
+import org.limpetgate.JobId;
+import org.limpetgate.UpstreamId;
+import org.limpetgate.scheduling.WorkerReport.EndKind;
+
+/**
+ * A scheduler with fake workers that answer at once, for tests of workers that start
+ * again and of orders that are lost. Each task needs a whole worker. Not thread-safe.
+ */
+final class WorkerFixture {
+
+	static final long RUN_MILLIS = 100;
+
+	/** The duration of the task of a job whose name begins with "long". */
+	static final long LONG_RUN_MILLIS = 10_000;
+
+	private static final HostId HOST = HostId.of("10.0.0.1:1");
+
+	private static final long MILLI = 1_000_000;
+
+	/** One task needs a whole worker. */
+	static final Capacity DEMAND = FakeWorker.CAPACITY;
+
+	final List<FakeWorker> workers = new ArrayList<>();
+
+	final List<SchedulingEffect.StartRun> starts = new ArrayList<>();
+
+	final List<SchedulingEffect.JobEnded> ends = new ArrayList<>();
+
+	final List<String> violations = new ArrayList<>();
+
+	/** Workers that receive nothing. */
+	final Set<UpstreamId> down = new HashSet<>();
+
+	/** Whether starts are lost. */
+	boolean startsLost;
+
+	/** Whether the answers of starts are lost. */
+	boolean startAnswersLost;
+
+	/** Whether the answers of polls are lost. */
+	boolean pollAnswersLost;
+
+	/** Is called after a start was carried out or lost, and before it is answered. */
+	Runnable afterStart = () -> {
+	};
+
+	Scheduler scheduler;
+
+	long nowNanos = TimeUnit.DAYS.toNanos(21_000);
+
+	private final RunChecks checks = new RunChecks(this.workers, (job, text) -> this.violations.add(text));
+
+	private JobSpec lastJob;
+
+	private int nextJob;
+
+	WorkerFixture(String... workers) {
+		for (String id : workers) {
+			this.workers.add(new FakeWorker(id, this.nowNanos - TimeUnit.MINUTES.toNanos(1), 1, this.checks));
+		}
+		activate(7, listedWorkers());
+	}
+
+	// Replaces the scheduler by a new one with a list of workers.
+	void activate(int hostNumber, List<WorkerInfo> infos) {
+		this.scheduler = Scheduler.of(SchedulerSettings.of(hostNumber, 1000, 50, 2));
+		this.scheduler.setOtherSchedulerPossible(false);
+		this.scheduler.workersListed(infos, true, this.nowNanos);
+		this.scheduler.activate(FencingToken.create(this.nowNanos, hostNumber, FencingToken.NONE), this.nowNanos);
+		advance(10);
+	}
+
+	// Lists the workers that are not down.
+	void listWorkers() {
+		this.scheduler.workersListed(listedWorkers(), true, this.nowNanos);
+	}
+
+	List<WorkerInfo> listedWorkers() {
+		return this.workers.stream()
+			.filter((worker) -> !this.down.contains(worker.id()))
+			.map(FakeWorker::info)
+			.toList();
+	}
+
+	void submit() {
+		submit(job(Integer.toString(this.nextJob++), RUN_MILLIS));
+	}
+
+	void submitLong() {
+		submit(job("long" + this.nextJob++, LONG_RUN_MILLIS));
+	}
+
+	private void submit(JobSpec job) {
+		this.lastJob = job;
+		this.scheduler.submit(HOST, job, 0, TimeUnit.SECONDS.toNanos(30), EarlierSubmission.NONE, this.nowNanos);
+	}
+
+	// Submits the last job to a scheduler that does not know it.
+	void resubmit() {
+		this.scheduler.submit(HOST, this.lastJob, 0, TimeUnit.SECONDS.toNanos(30), EarlierSubmission.heldFor(0),
+				this.nowNanos);
+	}
+
+	private static JobSpec job(String id, long runMillis) {
+		StepSpec step = new StepSpec(1, DEMAND, runMillis * MILLI, List.of(), "", "", 0);
+		return new JobSpec(JobId.of(id), "queue", "service", new QueueTerms(0, 3, 3, TimeUnit.SECONDS.toNanos(30)), "",
+				List.of(step));
+	}
+
+	FakeWorker workerOfLastStart() {
+		return worker(this.starts.get(this.starts.size() - 1).worker());
+	}
+
+	private FakeWorker worker(WorkerInfo info) {
+		return this.workers.stream().filter((worker) -> worker.id().equals(info.id())).findFirst().orElseThrow();
+	}
+
+	List<JobOutcome> outcomes() {
+		return this.ends.stream().map(SchedulingEffect.JobEnded::outcome).toList();
+	}
+
+	// Ticks every millisecond and carries out the orders.
+	void advance(long millis) {
+		for (long passed = 0; passed < millis; passed++) {
+			this.nowNanos += MILLI;
+			List<SchedulingEffect> effects = new ArrayList<>();
+			this.scheduler.tick(this.nowNanos, effects::add);
+			effects.forEach(this::execute);
+		}
+	}
+
+	private void execute(SchedulingEffect effect) {
+		if (effect instanceof SchedulingEffect.StartRun start) {
+			start(start);
+		}
+		else if (effect instanceof SchedulingEffect.StopRun stop) {
+			boolean confirmed = !isDown(stop.worker()) && worker(stop.worker()).stop(stop, this.nowNanos);
+			this.scheduler.stopAnswered(stop.worker().id(), stop.run(), confirmed, this.nowNanos);
+		}
+		else if (effect instanceof SchedulingEffect.PollWorker poll) {
+			poll(poll);
+		}
+		else if (effect instanceof SchedulingEffect.JobEnded ended) {
+			this.ends.add(ended);
+		}
+	}
+
+	private boolean isDown(WorkerInfo info) {
+		return this.down.contains(info.id())
+				|| this.workers.stream().noneMatch((worker) -> worker.id().equals(info.id()));
+	}
+
+	private void start(SchedulingEffect.StartRun start) {
+		this.starts.add(start);
+		StartAnswer answer = StartAnswer.UNKNOWN;
+		if (!this.startsLost && !isDown(start.worker())) {
+			answer = worker(start.worker()).start(start, DEMAND, durationNanos(start), EndKind.DONE, this.nowNanos);
+		}
+		this.afterStart.run();
+		this.scheduler.startAnswered(start.worker().id(), start.run(),
+				this.startAnswersLost ? StartAnswer.UNKNOWN : answer, this.nowNanos);
+	}
+
+	private static long durationNanos(SchedulingEffect.StartRun start) {
+		boolean isLong = start.run().task().job().value().startsWith("long");
+		return (isLong ? LONG_RUN_MILLIS : RUN_MILLIS) * MILLI;
+	}
+
+	private void poll(SchedulingEffect.PollWorker poll) {
+		boolean isDown = isDown(poll.worker());
+		WorkerReport report = isDown ? null : worker(poll.worker()).poll(poll, this.nowNanos);
+		if (isDown || this.pollAnswersLost || report == null) {
+			boolean answered = !isDown && !this.pollAnswersLost;
+			this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(),
+					answered ? PollFailure.FENCED : PollFailure.NO_ANSWER, this.nowNanos);
+			return;
+		}
+		this.scheduler.reported(poll.worker().id(), poll.sequence(), poll.token(), report, this.nowNanos);
+	}
+
+}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -65,10 +65,10 @@
 	WORKER_SILENT(1313, "worker=%s failure=%s"),
 
 	/** A run counts as ended although its worker has not listed the end. */
-	RUN_GIVEN_UP(1314, "run=%s worker=%s reason=%s since_renewal_ms=%s fenced=%s"),
+	RUN_GIVEN_UP(1314, "run=%s worker=%s reason=%s confirmed=%s since_renewal_ms=%s fenced=%s"),
 
 	/** A worker crashed while a task may have run on it. */
-	WORKER_CRASHED(1315, "task=%s worker=%s crashes=%s alone=%s unresolved=%s"),
+	WORKER_CRASHED(1315, "task=%s worker=%s crashes=%s alone=%s unconfirmed=%s unresolved=%s"),
 
 	/** No worker of a data centre answers, so that it gets no new runs. */
 	DATA_CENTRE_SILENT(1316, "data_centre=%s since_answer_ms=%s workers=%s"),
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
@@ -104,13 +104,13 @@
 		long sinceRenewalNanos = givenUp.sinceRenewalNanos();
 		long sinceRenewalMillis = (sinceRenewalNanos < 0) ? -1 : TimeUnit.NANOSECONDS.toMillis(sinceRenewalNanos);
 		this.log.write(LogEvent.RUN_GIVEN_UP, givenUp.run(), givenUp.worker().id(), givenUp.reason(),
-				sinceRenewalMillis, givenUp.fenced());
+				givenUp.confirmed(), sinceRenewalMillis, givenUp.fenced());
 	}
 
 	private void logCrash(SchedulingEffect.WorkerCrashed crashed) {
 		CrashHistory history = crashed.history();
 		this.log.write(LogEvent.WORKER_CRASHED, crashed.task(), crashed.worker(), history.crashes(),
-				history.crashedAlone(), history.losses().size());
+				history.crashedAlone(), history.unconfirmedCrashes(), history.losses().size());
 	}
 
 	private void logPreempted(SchedulingEffect.RunPreempted preempted) {
