Send exchanges only to the process with the expected identity

Cause: a process may start again at its address, and a request that was meant for the former one reaches the next one, since a connection does not tell which process accepted it.

Change: an exchange may come with an IdentityCheck. The connection sends its call before the first such exchange and keeps the identity of the reply for its life. If another identity answers, the exchange fails as NOT_RUN, and HttpExchange.otherIdentity() tells which one. A refused check is the reply of the exchange; one that fails or is not answered in time is NOT_RUN. The time limit includes the check. Idle connections with another identity are closed when an exchange looks for a connection, since they count towards the limit; a waiting exchange keeps its place meanwhile. Exchanges without a check are sent as before.

--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ClientConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ClientConnection.java
@@ -1,6 +1,7 @@
 package org.limpetgate.net.http;
 
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
@@ -52,8 +53,17 @@
 
 	private ChannelHandlerContext context;
 
-	/** The exchange in flight, null while the connection is idle. */
-	private PendingExchange exchange;
+	/** The request in flight, null while the connection is idle. */
+	private ConnectionRequest inFlight;
+
+	/** The identity of the process that accepted the connection, empty until known. */
+	private OptionalLong identity = OptionalLong.empty();
+
+	/**
+	 * The exchange whose check succeeded and whose request is sent after the current
+	 * read, null if there is none.
+	 */
+	private PendingExchange checkedExchange;
 
 	private HttpResponse response;
 
@@ -96,10 +106,41 @@
 	}
 
 	/**
-	 * Sends the request of an exchange.
+	 * Tests whether the request of an exchange may be sent on this connection as far as
+	 * is known.
+	 * @param next the exchange
+	 * @return false if the connection is known to have another identity than the expected
+	 * one
+	 */
+	boolean accepts(PendingExchange next) {
+		return next.identityCheck() == null || this.identity.isEmpty()
+				|| this.identity.getAsLong() == next.identityCheck().expectedIdentity();
+	}
+
+	void setIdentity(OptionalLong value) {
+		this.identity = value;
+	}
+
+	/**
+	 * Sends the request of an exchange that this connection accepts, after its check if
+	 * it has one and the identity is not known.
 	 * @param next the exchange
 	 */
 	void send(PendingExchange next) {
+		boolean checked = next.identityCheck() == null || this.identity.isPresent();
+		sendRequest(checked ? next : new IdentityCheckRequest(this, next));
+	}
+
+	/**
+	 * Sends the request of an exchange once the response of its check has been read
+	 * completely, since input that follows the response belongs to no request.
+	 * @param next the exchange
+	 */
+	void sendAfterRead(PendingExchange next) {
+		this.checkedExchange = next;
+	}
+
+	private void sendRequest(ConnectionRequest next) {
 		if (next.isDone()) {
 			returnToPool();
 			return;
@@ -110,7 +151,7 @@
 			returnToPool();
 			return;
 		}
-		this.exchange = next;
+		this.inFlight = next;
 		this.requestSent = false;
 		this.informationalCount = 0;
 		this.decoder.expectResponseTo(next.call().method());
@@ -125,7 +166,7 @@
 		});
 	}
 
-	private FullHttpRequest toRequest(PendingExchange next) {
+	private FullHttpRequest toRequest(ConnectionRequest next) {
 		try {
 			return toRequestUnchecked(next.call(), next.number());
 		}
@@ -153,8 +194,8 @@
 	}
 
 	private void writeProgressed() {
-		if (this.exchange != null) {
-			this.exchange.markWritten();
+		if (this.inFlight != null) {
+			this.inFlight.markWritten();
 		}
 	}
 
@@ -169,7 +210,7 @@
 	}
 
 	private void receive(Object message) {
-		if (this.exchange == null) {
+		if (this.inFlight == null) {
 			// Unsolicited input would be read as the response to the next request.
 			this.reusable = false;
 			close();
@@ -198,7 +239,7 @@
 			return;
 		}
 		if ("true".equalsIgnoreCase(head.headers().get(HeaderNames.LEAVING))) {
-			this.exchange.markUpstreamLeaving();
+			this.inFlight.markUpstreamLeaving();
 		}
 		this.body = new BodyBuffer(this.pool.budget(), this.pool.limits().maxBodyBytes());
 	}
@@ -212,7 +253,7 @@
 			return framing;
 		}
 		String number = head.headers().get(HeaderNames.EXCHANGE);
-		if (number != null && !number.equals(Long.toString(this.exchange.number()))) {
+		if (number != null && !number.equals(Long.toString(this.inFlight.number()))) {
 			return "it belongs to another exchange";
 		}
 		int status = head.status().code();
@@ -221,7 +262,7 @@
 			return (status == 101 || this.informationalCount > MAX_INFORMATIONAL)
 					? "it has an unexpected status " + status : null;
 		}
-		boolean noBody = status == 204 || status == 304 || this.exchange.call().method().equals("HEAD");
+		boolean noBody = status == 204 || status == 304 || this.inFlight.call().method().equals("HEAD");
 		boolean framed = HttpUtil.isTransferEncodingChunked(head) || Headers.contentLength(head.headers()) >= 0;
 		// A response delimited by the close of the connection cannot be distinguished
 		// from a truncated one.
@@ -258,12 +299,12 @@
 	private void finishResponse() {
 		long declaredLength = Headers.contentLength(this.response.headers());
 		boolean noBody = this.body.size() == 0
-				&& (this.response.status().code() == 304 || this.exchange.call().method().equals("HEAD"));
+				&& (this.response.status().code() == 304 || this.inFlight.call().method().equals("HEAD"));
 		if (declaredLength >= 0 && declaredLength != this.body.size() && !noBody) {
 			failExchange("the response ended after " + this.body.size() + " of " + declaredLength + " bytes");
 			return;
 		}
-		PendingExchange finished = this.exchange;
+		ConnectionRequest finished = this.inFlight;
 		Map<String, String> headers = Headers.toMap(this.response.headers());
 		headers.remove(HeaderNames.EXCHANGE);
 		HttpReply reply = new HttpReply(this.response.status().code(), headers, this.body.toByteArray());
@@ -276,7 +317,7 @@
 		deliver(finished, reply);
 	}
 
-	private void deliver(PendingExchange finished, HttpReply reply) {
+	private void deliver(ConnectionRequest finished, HttpReply reply) {
 		if (!this.pool.limits().refusalsAsResponses() && reply.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
 				&& reply.header(HeaderNames.OUTCOME).equals(Outcome.NOT_RUN.text())) {
 			finished.fail(refusal(reply));
@@ -303,15 +344,26 @@
 	 */
 	@Override
 	public void channelReadComplete(ChannelHandlerContext ctx) {
-		if (this.exchange == null && this.decoder.bufferedBytes() > 0) {
+		if (this.inFlight == null && this.decoder.bufferedBytes() > 0) {
 			close();
 		}
 		else if (this.reusable) {
 			this.reusable = false;
-			returnToPool();
+			if (this.checkedExchange != null) {
+				sendCheckedExchange();
+			}
+			else {
+				returnToPool();
+			}
 		}
 	}
 
+	private void sendCheckedExchange() {
+		PendingExchange next = this.checkedExchange;
+		this.checkedExchange = null;
+		send(next);
+	}
+
 	private void returnToPool() {
 		if (!isUsable()) {
 			return;
@@ -331,7 +383,7 @@
 
 	// Closes the connection and fails the exchange.
 	private void failExchange(String detail) {
-		PendingExchange failed = this.exchange;
+		ConnectionRequest failed = this.inFlight;
 		clear();
 		close();
 		if (failed == null) {
@@ -349,7 +401,7 @@
 		if (this.body != null) {
 			this.body.release();
 		}
-		this.exchange = null;
+		this.inFlight = null;
 		this.response = null;
 		this.body = null;
 	}
@@ -360,6 +412,11 @@
 		this.reusable = false;
 		this.pool.remove(this);
 		failExchange("the upstream closed the connection before the response was complete");
+		if (this.checkedExchange != null) {
+			this.checkedExchange.fail(ErrorKind.UPSTREAM_FAILED,
+					"the connection to " + this.pool.address() + " closed after the identity check");
+			this.checkedExchange = null;
+		}
 	}
 
 	@Override
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ConnectionPool.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ConnectionPool.java
@@ -23,7 +23,9 @@
  * The connections to one upstream address.
  * <p>
  * All state but the reference count is confined to one event loop, which also serves the
- * connections, so that connections are assigned and returned without locks.
+ * connections, so that connections are assigned and returned without locks. An exchange
+ * with an identity check is never assigned to a connection that is known to have another
+ * identity than the expected one.
  */
 final class ConnectionPool {
 
@@ -85,7 +87,7 @@
 	 * @param exchange the exchange, not done yet
 	 */
 	void assignConnection(PendingExchange exchange) {
-		ClientConnection connection = pollIdle();
+		ClientConnection connection = pollIdle(exchange);
 		if (connection != null) {
 			connection.send(exchange);
 		}
@@ -101,9 +103,12 @@
 		}
 	}
 
-	private ClientConnection pollIdle() {
+	// Closes the idle connections with another identity than the expected one: their
+	// process has usually ended, and they would keep the exchange from opening a
+	// connection when the limit is reached.
+	private ClientConnection pollIdle(PendingExchange exchange) {
 		ClientConnection connection = this.idle.pollFirst();
-		while (connection != null && !connection.isUsable()) {
+		while (connection != null && !(connection.isUsable() && connection.accepts(exchange))) {
 			connection.close();
 			connection = this.idle.pollFirst();
 		}
@@ -190,8 +195,18 @@
 			connection.close();
 			return;
 		}
-		this.idle.addFirst(connection);
-		assignToNextWaiting();
+		PendingExchange next = pollWaiting();
+		if (next == null) {
+			this.idle.addFirst(connection);
+		}
+		else if (connection.accepts(next)) {
+			connection.send(next);
+		}
+		else {
+			// The close assigns a new connection to the exchange, which keeps its place.
+			this.waiting.addFirst(next);
+			connection.close();
+		}
 	}
 
 	void remove(ClientConnection connection) {
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClient.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClient.java
@@ -1,6 +1,7 @@
 package org.limpetgate.net.http;
 
 import java.net.InetSocketAddress;
+import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -72,7 +73,34 @@
 	 * {@link org.limpetgate.ErrorKind#SHUTTING_DOWN} if the event loops are shut down
 	 */
 	public HttpExchange exchange(InetSocketAddress address, HttpCall call, long timeoutNanos) {
-		PendingExchange exchange = new PendingExchange(retainPool(address), call, this.nextExchange.getAndIncrement());
+		return start(new PendingExchange(retainPool(address), call, null, this.nextExchange.getAndIncrement()),
+				timeoutNanos);
+	}
+
+	/**
+	 * Sends a request only on a connection to the process with the expected identity. The
+	 * identity is asked once per connection.
+	 * <p>
+	 * If another identity answers, the exchange fails with
+	 * {@link org.limpetgate.Outcome#NOT_RUN} and {@link HttpExchange#otherIdentity()}
+	 * tells which one. If the check is refused, its reply is the reply of the exchange.
+	 * If it fails or is not answered in time, the exchange fails with
+	 * {@link org.limpetgate.Outcome#NOT_RUN}. The request is not sent in these cases.
+	 * @param address the resolved address of the upstream, not null
+	 * @param call the request, not null; {@code host} is set to the address if missing
+	 * @param check the identity that is expected and how to ask for it, not null
+	 * @param timeoutNanos the time limit for the complete response and the check, in
+	 * nanoseconds
+	 * @return the exchange, not null; it fails as without a check
+	 */
+	public HttpExchange exchange(InetSocketAddress address, HttpCall call, IdentityCheck check, long timeoutNanos) {
+		Objects.requireNonNull(check, "check");
+		// The number before that of the exchange is reserved for its check.
+		long number = this.nextExchange.getAndAdd(2) + 1;
+		return start(new PendingExchange(retainPool(address), call, check, number), timeoutNanos);
+	}
+
+	private static HttpExchange start(PendingExchange exchange, long timeoutNanos) {
 		exchange.start(timeoutNanos);
 		return exchange;
 	}
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpExchange.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpExchange.java
@@ -1,5 +1,6 @@
 package org.limpetgate.net.http;
 
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -33,4 +34,13 @@
 	 */
 	boolean isUpstreamLeaving();
 
+	/**
+	 * Returns the identity that answered the {@link IdentityCheck} of this exchange
+	 * instead of the expected one.
+	 * @return the identity if the exchange failed with
+	 * {@link org.limpetgate.Outcome#NOT_RUN} because of it, else empty; set before
+	 * {@link #reply()} completes
+	 */
+	OptionalLong otherIdentity();
+
 }
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/PendingExchange.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/PendingExchange.java
@@ -1,5 +1,6 @@
 package org.limpetgate.net.http;
 
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -16,18 +17,23 @@
  * All state other than the reply is confined to the event loop of the pool. The exchange
  * completes or fails once; later results are ignored.
  */
-final class PendingExchange implements HttpExchange {
+final class PendingExchange implements HttpExchange, ConnectionRequest {
 
 	private final ConnectionPool pool;
 
 	private final HttpCall call;
 
+	/** Null if the request may be sent on any connection. */
+	private final IdentityCheck identityCheck;
+
 	private final long number;
 
 	private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
 
 	private volatile boolean upstreamLeaving;
 
+	private volatile OptionalLong otherIdentity = OptionalLong.empty();
+
 	private boolean done;
 
 	/** Whether the operating system has accepted a byte of the request. */
@@ -39,9 +45,10 @@
 
 	private ClientConnection connection;
 
-	PendingExchange(ConnectionPool pool, HttpCall call, long number) {
+	PendingExchange(ConnectionPool pool, HttpCall call, IdentityCheck identityCheck, long number) {
 		this.pool = pool;
 		this.call = call;
+		this.identityCheck = identityCheck;
 		this.number = number;
 	}
 
@@ -109,15 +116,40 @@
 		return this.upstreamLeaving;
 	}
 
-	HttpCall call() {
+	@Override
+	public OptionalLong otherIdentity() {
+		return this.otherIdentity;
+	}
+
+	@Override
+	public HttpCall call() {
 		return this.call;
 	}
 
-	long number() {
+	@Override
+	public long number() {
 		return this.number;
 	}
 
-	boolean isDone() {
+	/**
+	 * Returns the number of the request that asks for the identity, which differs from
+	 * those of all exchanges.
+	 * @return the number
+	 */
+	long checkNumber() {
+		return this.number - 1;
+	}
+
+	/**
+	 * Returns the check.
+	 * @return the check, null for none
+	 */
+	IdentityCheck identityCheck() {
+		return this.identityCheck;
+	}
+
+	@Override
+	public boolean isDone() {
 		return this.done;
 	}
 
@@ -125,27 +157,28 @@
 		this.connecting = future;
 	}
 
-	void attach(ClientConnection client) {
+	@Override
+	public void attach(ClientConnection client) {
 		this.connection = client;
 	}
 
-	void markWritten() {
+	@Override
+	public void markWritten() {
 		this.written = true;
 	}
 
-	boolean isWritten() {
+	@Override
+	public boolean isWritten() {
 		return this.written;
 	}
 
-	void markUpstreamLeaving() {
+	@Override
+	public void markUpstreamLeaving() {
 		this.upstreamLeaving = true;
 	}
 
-	/**
-	 * Retries on another connection after an idle one was found closed before any byte
-	 * was written to it.
-	 */
-	void retryOnAnotherConnection() {
+	@Override
+	public void retryOnAnotherConnection() {
 		this.connection = null;
 		this.pool.assignConnection(this);
 	}
@@ -156,11 +189,27 @@
 	 * @param kind the kind of error
 	 * @param detail what went wrong
 	 */
-	void fail(ErrorKind kind, String detail) {
+	@Override
+	public void fail(ErrorKind kind, String detail) {
 		fail(errorFor(kind, detail));
 	}
 
-	void fail(DispatchException error) {
+	/**
+	 * Fails the exchange, which was not sent, because another identity than the expected
+	 * one answered the check.
+	 * @param identity the identity that answered
+	 */
+	void failWithOtherIdentity(OptionalLong identity) {
+		if (this.done) {
+			return;
+		}
+		this.otherIdentity = identity;
+		fail(ErrorKind.UPSTREAM_FAILED, "the upstream " + this.pool.address() + " has the identity "
+				+ identity.getAsLong() + " instead of " + this.identityCheck.expectedIdentity());
+	}
+
+	@Override
+	public void fail(DispatchException error) {
 		if (markDone()) {
 			failReply(error);
 		}
@@ -175,7 +224,8 @@
 		this.reply.completeExceptionally(error);
 	}
 
-	void complete(HttpReply response) {
+	@Override
+	public void complete(HttpReply response) {
 		if (markDone()) {
 			this.pool.metrics().exchangeEnded(this.pool.address(), Outcome.COMPLETE);
 			this.reply.complete(response);
