Bind the loss of a link between hosts to the incarnation it led to

Cause: the listener of the links got the loss of a link under the id of the host only. The scheduler's own link to a host that has started again may break after the next incarnation has connected and submitted jobs: its close was held up by the network, or the machine was lost and the heartbeat times out after 700 ms. The scheduler then ended all jobs of that host id, stopped their runs, answered them as moved and counted the host as lost. Ruled out: a second run, since the resubmission waits for all workers.

Change: the events of a link carry the incarnation that its handshake proved. PeerIncarnations keeps the present one of each host. An incarnation counts as ended when the handshake of the next one is seen, in either direction and before its first message is carried out; a link that still leads to the former one is closed then, and its loss concerns nothing else any more.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeerListener.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeerListener.java
@@ -115,6 +115,11 @@
 	@Override
 	public void linkLost(HostId peer) {
 		this.log.write(LogEvent.HOST_LOST, peer);
+		incarnationEnded(peer);
+	}
+
+	@Override
+	public void incarnationEnded(HostId peer) {
 		this.election.peerLost(peer);
 		this.scheduler.hostLost(peer, this.clock.getAsLong());
 		this.host.peers().answerAll(peer, JobMessages.toMessage(JobOutcome.MOVED, "the link to the peer was lost", 0));
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -87,6 +87,8 @@
 
 	private final HeartbeatPlan heartbeatPlan = new HeartbeatPlan();
 
+	private final PeerIncarnations incarnations = new PeerIncarnations();
+
 	/** The submissions of this host that have no reply yet. */
 	private final Map<JobId, CompletableFuture<PeerFrame>> submissions = new HashMap<>();
 
@@ -210,6 +212,7 @@
 	private Optional<CompletableFuture<PeerFrame.Builder>> handle(InboundLink link, PeerFrame frame) {
 		HostId peer = link.host();
 		addHosts(List.of(peer));
+		incarnationSeen(link.peer().incarnation());
 		// Before the renewal, so that a message cannot revive a lease that has expired.
 		long now = this.clock.getAsLong();
 		expireLeases(now);
@@ -244,6 +247,17 @@
 		}
 	}
 
+	// Ends what concerns the former incarnation of a host before the first message of the
+	// present one is carried out, since the loss of the link to the former one may be
+	// noticed much later.
+	private void incarnationSeen(Incarnation incarnation) {
+		if (this.incarnations.seen(incarnation)) {
+			this.heartbeatPlan.peerLost(incarnation.host());
+			this.listener.incarnationEnded(incarnation.host());
+			this.links.reopenToIncarnation(incarnation);
+		}
+	}
+
 	private CompletableFuture<PeerFrame.Builder> handleSubmit(InboundLink link, PeerFrame frame) {
 		CompletableFuture<PeerFrame.Builder> reply = new CompletableFuture<>();
 		HostId peer = link.host();
@@ -409,8 +423,13 @@
 		// Called with all known hosts when some were added.
 		void peersAdded(Set<HostId> known);
 
+		// Called when the link to the present incarnation of a host is lost.
 		void linkLost(HostId peer);
 
+		// Called before the first message of an incarnation that has replaced another
+		// one.
+		void incarnationEnded(HostId peer);
+
 		// Called when this host must not act any longer on jobs of another host.
 		void leaseExpired(SubmissionLeases.Link link, List<JobId> jobs);
 
@@ -442,8 +461,9 @@
 		// A host that starts learns from the replies which host schedules, so it does not
 		// wait for the next round of heartbeats.
 		@Override
-		public void linkUp(HostId peer) {
-			sendHeartbeat(peer, FleetPeers.this.listener.heartbeat(OMIT_CONFIGURATION));
+		public void linkUp(Incarnation peer) {
+			incarnationSeen(peer);
+			sendHeartbeat(peer.host(), FleetPeers.this.listener.heartbeat(OMIT_CONFIGURATION));
 		}
 
 		@Override
@@ -456,9 +476,11 @@
 		}
 
 		@Override
-		public void linkDown(HostId peer) {
-			FleetPeers.this.heartbeatPlan.peerLost(peer);
-			FleetPeers.this.listener.linkLost(peer);
+		public void linkDown(Incarnation peer) {
+			if (FleetPeers.this.incarnations.isPresent(peer)) {
+				FleetPeers.this.heartbeatPlan.peerLost(peer.host());
+				FleetPeers.this.listener.linkLost(peer.host());
+			}
 		}
 
 	}
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FleetNetworkFailureTests.java
@@ -338,6 +338,26 @@
 		assertThat(fleet.log()).as("log").contains("JOB_TAKEN_BACK");
 	}
 
+	/**
+	 * Guards against a scheduler that ends the jobs of the next incarnation of a host
+	 * when its own link to the former one breaks late.
+	 */
+	@Example
+	void lateLossOfAFormerIncarnationDoesNotStopTheJobsOfTheNextOne() {
+		try (TestFleet fleet = TestFleet.start(TASK_MILLIS, SMALLER_THAN_THIRD)) {
+			fleet.relay().silenceOpenConnections(fleet.scheduler().id(), fleet.entry().id());
+			TestHost next = fleet.restart(fleet.entry());
+			assertThat(TestFleet.await(CALLER_PATIENCE, next::knowsScheduler)).as("scheduler is known").isTrue();
+			CompletableFuture<JobAnswer> answer = next.submit(job(TASKS, new Capacity(4000, 1024, 0)),
+					CALLER_PATIENCE.toNanos());
+			awaitStartsBy(fleet, fleet.scheduler());
+			fleet.relay().deliverOpenConnections(fleet.scheduler().id(), fleet.entry().id());
+			assertRunsOnceAndCompletes(fleet, answer);
+			assertThat(fleet.log()).as("log").doesNotContain("STOP_ORDERED", "JOB_TAKEN_BACK");
+			assertThat(fleet.workers().starts()).as("starts; log:%n%s", fleet.log()).hasSize(TASKS);
+		}
+	}
+
 	// The entry host opens a new connection when the scheduler has not answered for 700
 	// ms.
 	private static void silenceConnectionToScheduler(TestFleet fleet) {
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestPeer.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestPeer.java
@@ -143,6 +143,10 @@
 		public void linkLost(HostId peer) {
 		}
 
+		@Override
+		public void incarnationEnded(HostId peer) {
+		}
+
 		@Override
 		public void leaseExpired(SubmissionLeases.Link link, List<JobId> expired) {
 			TestPeer.this.jobs.removeAll(expired);
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLink.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLink.java
@@ -158,7 +158,7 @@
 		this.connection = opened;
 		this.linkUp = true;
 		this.failures = 0;
-		this.settings.metrics().linkUp(host());
+		this.settings.metrics().linkUp(this.incarnation);
 		LOG.atInfo().log("LG5103 PEER_LINK_UP link to %s is up", opened.peer().incarnation());
 	}
 
@@ -167,7 +167,7 @@
 		if (this.connection == ended) {
 			this.connection = null;
 			this.linkUp = false;
-			this.settings.metrics().linkDown(host());
+			this.settings.metrics().linkDown(ended.peer().incarnation());
 			LOG.atInfo().log("LG5104 PEER_LINK_DOWN link to %s is down: %s", host(), reason);
 		}
 	}
@@ -290,6 +290,22 @@
 		execute(() -> closeConnection(reason));
 	}
 
+	/**
+	 * Closes a connection to an incarnation that another one has replaced, and opens a
+	 * new one.
+	 * @param present the incarnation that has replaced the earlier ones
+	 */
+	void reopenToIncarnation(Incarnation present) {
+		execute(() -> {
+			if (this.connection != null && !this.connection.peer().incarnation().equals(present)) {
+				closeConnection("the host has started again as " + present);
+				// After the requests have failed, so that their sender learns that the
+				// incarnation ended.
+				this.endedNanos = this.settings.clock().getAsLong();
+			}
+		});
+	}
+
 	private void closeConnection(String reason) {
 		if (this.connection != null) {
 			this.connection.close(reason);
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerLinks.java
@@ -201,6 +201,19 @@
 		}
 	}
 
+	/**
+	 * Closes the link to a host if it leads to another incarnation than the present one,
+	 * and connects it again. Requests without a reply fail.
+	 * @param present the incarnation that is known to have replaced the earlier ones, not
+	 * null
+	 */
+	public void reopenToIncarnation(Incarnation present) {
+		PeerLink link = this.links.get(present.host());
+		if (link != null) {
+			link.reopenToIncarnation(present);
+		}
+	}
+
 	/**
 	 * Closes a link and prevents it from reconnecting, to simulate a network failure in
 	 * tests.
--- a/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerMetrics.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/peer/PeerMetrics.java
@@ -1,6 +1,7 @@
 package org.limpetgate.net.peer;
 
 import org.limpetgate.HostId;
+import org.limpetgate.Incarnation;
 import org.limpetgate.proto.PeerFrame;
 
 /**
@@ -17,16 +18,17 @@
 
 	/**
 	 * Counts an outgoing link that passed the handshake.
-	 * @param peer the other host
+	 * @param peer the incarnation that accepted it
 	 */
-	default void linkUp(HostId peer) {
+	default void linkUp(Incarnation peer) {
 	}
 
 	/**
 	 * Counts an outgoing link that was lost after the handshake.
-	 * @param peer the other host
+	 * @param peer the incarnation that had accepted it, which the next one may have
+	 * replaced
 	 */
-	default void linkDown(HostId peer) {
+	default void linkDown(Incarnation peer) {
 	}
 
 	/** Counts an accepted connection that was refused. */
--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
@@ -128,7 +128,7 @@
 			}
 
 			@Override
-			public void linkDown(HostId peer) {
+			public void linkDown(Incarnation peer) {
 				PeerLinksTests.this.linkDowns.incrementAndGet();
 			}
 		});
