Let the fake transport of the pending jobs know when a host ended

Cause: JobTransport.hasEndedSince takes the time of the loss, so that the end of an earlier incarnation of a scheduler does not release a job that the next one took. The fake ignored the time and answered for the host, so that no test could tell the two apart.

Change: the fake keeps the time of the end for each host, as PeerLink does. The new test endOfAnEarlierIncarnationReleasesNoJob covers the case.

--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
@@ -1,10 +1,9 @@
 package org.limpetgate.host.fleet;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -140,13 +139,30 @@
 		submit("1");
 		this.transport.heldUntilNanos = this.now + 500 * NANOS_PER_MILLI;
 		this.transport.fail(0, Outcome.UNKNOWN);
-		this.transport.endedHosts.add(FIRST);
+		this.transport.endedNanos.put(FIRST, this.now);
 		this.now += 50 * NANOS_PER_MILLI;
 		this.pendingJobs.tick(SECOND, this.now);
 		assertThat(this.transport.jobs.get(1).getResubmitted()).isTrue();
 		assertThat(this.transport.jobs.get(1).getHeldMillis()).isZero();
 	}
 
+	/**
+	 * Guards against a second run because an earlier incarnation of the scheduler has
+	 * ended, while the one that took the job may still act on it.
+	 */
+	@Example
+	void endOfAnEarlierIncarnationReleasesNoJob() {
+		this.transport.endedNanos.put(FIRST, this.now);
+		this.now += 50 * NANOS_PER_MILLI;
+		this.pendingJobs.tick(FIRST, this.now);
+		submit("1");
+		this.transport.heldUntilNanos = this.now + 500 * NANOS_PER_MILLI;
+		this.transport.fail(0, Outcome.UNKNOWN);
+		this.now += 50 * NANOS_PER_MILLI;
+		this.pendingJobs.tick(SECOND, this.now);
+		assertThat(this.transport.jobs.get(1).getHeldMillis()).isEqualTo(450);
+	}
+
 	/**
 	 * Guards against a second run of a job that is moved twice while its first scheduler
 	 * still acts on it.
@@ -262,7 +278,8 @@
 
 		private final List<JobId> withdrawn = new ArrayList<>();
 
-		private final Set<HostId> endedHosts = new HashSet<>();
+		/** When an incarnation of a host was last found to have ended. */
+		private final Map<HostId, Long> endedNanos = new HashMap<>();
 
 		private long heldUntilNanos;
 
@@ -287,7 +304,7 @@
 
 		@Override
 		public boolean hasEndedSince(HostId scheduler, long sinceNanos) {
-			return this.endedHosts.contains(scheduler);
+			return this.endedNanos.getOrDefault(scheduler, 0L) >= sinceNanos;
 		}
 
 		void complete(int number, JobResult.State state) {
