Test that only a link to an earlier incarnation is reopened

Guards PeerLinks.reopenToIncarnation: a link to the present incarnation and its requests are left alone; one to an earlier incarnation fails its requests as UNKNOWN at once and records that the process has ended.

--- a/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
+++ b/limpetgate-net/src/test/java/org/limpetgate/net/peer/PeerLinksTests.java
@@ -334,6 +334,26 @@
 		assertThat(this.received.poll(20, TimeUnit.SECONDS).getQuerySubmission().getKey()).isEqualTo("one-way");
 	}
 
+	/**
+	 * Guards against requests that wait for their time limit on a half-open link to an
+	 * incarnation that has ended, and against closing the link to the present one.
+	 */
+	@Example
+	void onlyALinkToAnEarlierIncarnationIsReopened() throws Exception {
+		startBoth();
+		CompletableFuture<PeerFrame> inFlight = request("held", LONG_NANOS);
+		this.heldReplies.poll(20, TimeUnit.SECONDS);
+		this.links.reopenToIncarnation(B.incarnation());
+		assertThat(result(request("x", LONG_NANOS))).isEqualTo("x");
+		assertThat(inFlight).isNotDone();
+		assertThat(this.links.endedNanos(B.host())).isZero();
+		long beforeNanos = System.nanoTime();
+		this.links.reopenToIncarnation(Incarnation.of(B.host(), 6));
+		assertThat(result(inFlight)).isEqualTo(Outcome.UNKNOWN + " " + ErrorKind.HOLDER_UNREACHABLE);
+		await(() -> this.links.endedNanos(B.host()) >= beforeNanos);
+		awaitUp();
+	}
+
 	/**
 	 * Guards against a message that is dropped although later messages arrive on the same
 	 * link (second incident TWICE), or that counts as sent although the link was down.
