--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkers.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeWorkers.java
@@ -49,6 +49,20 @@
 		this.workers.put(worker.info().id(), worker);
 	}
 
+	// Starts a worker again, under its id and with nothing that it had before.
+	synchronized void restart(UpstreamId id) {
+		long now = this.clock.getAsLong();
+		this.workers.computeIfPresent(id, (key, worker) -> {
+			worker.advance(now);
+			return new FakeWorker(id.value(), worker.info().dataCentre(), this.doneTasks, now);
+		});
+	}
+
+	// Returns the present incarnation of a worker.
+	synchronized long incarnationMillis(UpstreamId worker) {
+		return this.workers.get(worker).info().incarnationMillis();
+	}
+
 	synchronized List<WorkerInfo> infos() {
 		return this.workers.values().stream().map(FakeWorker::info).toList();
 	}
