Stop polling workers whose address a later one has

A worker that has ended was kept for six seconds and polled. The worker is now removed with its runs.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -98,7 +98,7 @@
 			}
 			this.crashes.workerListed(info);
 		}
-		endReplacedWorkers(infos, listedIds, nowNanos);
+		removeReplacedWorkers(infos, nowNanos);
 		for (WorkerEntity worker : this.tables.workers.values()) {
 			boolean listed = listedIds.contains(worker.info.id());
 			if (worker.listed && !listed) {
@@ -118,16 +118,17 @@
 
 	// A process has ended if a later one, with another id, has its address. Its entry may
 	// stay in the list for seconds.
-	private void endReplacedWorkers(Collection<WorkerInfo> infos, Set<UpstreamId> listedIds, long nowNanos) {
+	private void removeReplacedWorkers(Collection<WorkerInfo> infos, long nowNanos) {
 		Map<InetSocketAddress, WorkerInfo> latest = new HashMap<>();
 		infos.forEach((info) -> latest.merge(info.address(), info,
 				(one, other) -> (one.incarnationMillis() > other.incarnationMillis()) ? one : other));
-		for (WorkerEntity worker : this.tables.workers.values()) {
+		for (WorkerEntity worker : List.copyOf(this.tables.workers.values())) {
 			WorkerInfo successor = latest.get(worker.info.address());
 			if (successor != null && !successor.id().equals(worker.info.id())
 					&& successor.incarnationMillis() > worker.info.incarnationMillis()) {
-				listedIds.remove(worker.info.id());
 				this.runs.endIncarnation(worker, nowNanos);
+				this.tables.workers.remove(worker.info.id());
+				this.tables.changedWorkers.remove(worker);
 			}
 		}
 	}
