Split the losses of workers off RunSystem

No change of behaviour: LossSystem gives up the runs of lost workers, by a later incarnation or by silence.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -358,48 +358,11 @@
 	}
 
 	// Handles a run that must have ended although the worker has not listed its end.
-	private void giveUp(RunEntity run, RunGivenUp.Reason reason, RunEnd end, long nowNanos) {
+	void giveUp(RunEntity run, RunGivenUp.Reason reason, RunEnd end, long nowNanos) {
 		emitGivenUp(run.worker(), run.id(), reason, run.confirmed, nowNanos);
 		finish(run, end, nowNanos);
 	}
 
-	// Gives up the runs that the previous incarnation of a worker has reported. The next
-	// one may have carried out the other orders, which its takeover settles. A worker
-	// that was draining has left as planned.
-	void startIncarnation(WorkerEntity worker, WorkerInfo next, long nowNanos) {
-		RunEnd end = worker.info.draining() ? RunEnd.LOST : RunEnd.WORKER_CRASHED;
-		List<RunEntity> lost = worker.runs.values().stream().filter((run) -> run.reported).toList();
-		List<RunEntity> unsettled = worker.runs.values().stream().filter((run) -> !run.reported).toList();
-		worker.runs.values().forEach((run) -> run.alone = worker.isAlone(run));
-		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
-			giveUpOrphan(worker, run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos);
-		}
-		worker.startIncarnation(next, nowNanos);
-		if (!unsettled.isEmpty()) {
-			unsettled.forEach((run) -> {
-				run.endWithoutReport = (run.endWithoutReport != null) ? run.endWithoutReport : end;
-				worker.add(run);
-			});
-			// Its clock began anew, so that each order may have granted the longest
-			// lease.
-			worker.renewedNanos = nowNanos;
-			worker.inheritedEndNanos = nowNanos + this.tables.settings.leaseEndNanos();
-		}
-		lost.forEach((run) -> giveUp(run, RunGivenUp.Reason.NEW_INCARNATION, end, nowNanos));
-	}
-
-	// Gives up all runs of a worker whose process has ended. No other process carries out
-	// orders for its id.
-	void endIncarnation(WorkerEntity worker, long nowNanos) {
-		RunEnd end = worker.info.draining() ? RunEnd.LOST : RunEnd.WORKER_CRASHED;
-		List<RunEntity> lost = List.copyOf(worker.runs.values());
-		lost.forEach((run) -> run.alone = worker.isAlone(run));
-		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
-			giveUpOrphan(worker, run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos);
-		}
-		lost.forEach((run) -> giveUp(run, RunGivenUp.Reason.NEW_INCARNATION, end, nowNanos));
-	}
-
 	void giveUpOrphan(WorkerEntity worker, RunId run, RunGivenUp.Reason reason, long nowNanos) {
 		emitGivenUp(worker, run, reason, true, nowNanos);
 		worker.orphanRuns.remove(run);
@@ -418,7 +381,6 @@
 		retryStops(worker, nowNanos);
 		stopOrphanRuns(worker, nowNanos);
 		stopHanging(worker, nowNanos);
-		expireLease(worker, nowNanos);
 	}
 
 	private void retryStops(WorkerEntity worker, long nowNanos) {
@@ -459,61 +421,4 @@
 		}
 	}
 
-	// Counts runs on a worker that does not report as lost, once no owner can have
-	// renewed their lease. Orders without an answer stay unresolved, since they may still
-	// arrive.
-	private void expireLease(WorkerEntity worker, long nowNanos) {
-		if (worker.pollFailures == 0 || !worker.isBusy()) {
-			return;
-		}
-		long sinceRenewalNanos = nowNanos - worker.renewedNanos;
-		for (RunEntity run : List.copyOf(worker.runs.values())) {
-			boolean settled = run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED
-					|| run.endWithoutReport != null || !worker.listed;
-			if (settled && sinceRenewalNanos >= lossNanos(worker, run.isStored(), nowNanos)) {
-				giveUpOnSilence(run, nowNanos);
-			}
-		}
-		// An orphan run may belong to a stored job.
-		if (sinceRenewalNanos >= lossNanos(worker, true, nowNanos)) {
-			for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
-				giveUpOrphan(worker, run, RunGivenUp.Reason.LEASE_EXPIRED, nowNanos);
-			}
-		}
-	}
-
-	private void giveUpOnSilence(RunEntity run, long nowNanos) {
-		WorkerEntity worker = run.worker();
-		run.alone = worker.isAlone(run);
-		worker.runsLost = true;
-		RunEnd end = worker.info.draining() ? RunEnd.LOST : RunEnd.WORKER_SILENT;
-		giveUp(run, RunGivenUp.Reason.LEASE_EXPIRED, end, nowNanos);
-	}
-
-	/**
-	 * Returns how long after the last renewal by this scheduler a run on a worker that
-	 * does not report must have ended. Another scheduler renews its lease only after
-	 * adopting it.
-	 * @param worker the worker
-	 * @param stored whether the run may belong to a stored job
-	 * @param nowNanos the current time
-	 * @return the time in nanoseconds
-	 */
-	private long lossNanos(WorkerEntity worker, boolean stored, long nowNanos) {
-		SchedulerSettings settings = this.tables.settings;
-		if (worker.fenced) {
-			return SchedulerSettings.MAX_GUARD_NANOS;
-		}
-		if (!this.tables.otherSchedulerPossible) {
-			return settings.leaseEndNanos();
-		}
-		// A best-effort job that its host has submitted to another scheduler is
-		// withdrawn here by then, since the loss of that host is noticed.
-		if (!stored) {
-			return settings.storedGuardNanos();
-		}
-		boolean removed = !worker.listed && nowNanos - worker.unlistedNanos > settings.storedGuardNanos();
-		return removed ? settings.leaseEndNanos() : SchedulerSettings.MAX_GUARD_NANOS;
-	}
-
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -68,6 +68,8 @@
 
 	private final RunSystem runs;
 
+	private final LossSystem losses;
+
 	private final CrashSystem crashes;
 
 	private long nextSequence;
@@ -80,6 +82,7 @@
 	WorkerSystem(SchedulerTables tables, RunSystem runs, CrashSystem crashes) {
 		this.tables = tables;
 		this.runs = runs;
+		this.losses = new LossSystem(tables, runs);
 		this.crashes = crashes;
 	}
 
@@ -126,7 +129,7 @@
 			WorkerInfo successor = latest.get(worker.info.address());
 			if (successor != null && !successor.id().equals(worker.info.id())
 					&& successor.incarnationMillis() > worker.info.incarnationMillis()) {
-				this.runs.endIncarnation(worker, nowNanos);
+				this.losses.endIncarnation(worker, nowNanos);
 				this.tables.workers.remove(worker.info.id());
 				this.tables.changedWorkers.remove(worker);
 			}
@@ -154,7 +157,7 @@
 			worker.updateInfo(info, nowNanos);
 			return;
 		}
-		this.runs.startIncarnation(worker, info, nowNanos);
+		this.losses.startIncarnation(worker, info, nowNanos);
 	}
 
 	void activate(long nowNanos) {
@@ -248,7 +251,7 @@
 			worker.loseOwnership(nowNanos + MIN_RETRY_NANOS);
 			return;
 		}
-		this.runs.startIncarnation(worker, worker.info.withIncarnation(incarnationMillis), nowNanos);
+		this.losses.startIncarnation(worker, worker.info.withIncarnation(incarnationMillis), nowNanos);
 		worker.entryOutdated = true;
 		this.crashes.workerListed(worker.info);
 	}
@@ -307,6 +310,7 @@
 
 	private void process(WorkerEntity worker, long nowNanos) {
 		this.runs.process(worker, nowNanos);
+		this.losses.expireLease(worker, nowNanos);
 		poll(worker, nowNanos);
 	}
 
