Take the incarnation of a connection from the report of a plain poll

A takeover of all workers sent two polls on each new connection, the question for the incarnation and the poll itself, whose report tells the same. A poll without lease and acknowledgement may reach any incarnation, so it is sent at once, and its report identifies the connection for the orders that follow.

--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ClientConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ClientConnection.java
@@ -113,7 +113,7 @@
 	 * one
 	 */
 	boolean accepts(PendingExchange next) {
-		return next.identityCheck() == null || this.identity.isEmpty()
+		return !next.isBound() || this.identity.isEmpty()
 				|| this.identity.getAsLong() == next.identityCheck().expectedIdentity();
 	}
 
@@ -127,7 +127,7 @@
 	 * @param next the exchange
 	 */
 	void send(PendingExchange next) {
-		boolean checked = next.identityCheck() == null || this.identity.isPresent();
+		boolean checked = !next.isBound() || this.identity.isPresent();
 		sendRequest(checked ? next : new IdentityCheckRequest(this, next));
 	}
 
@@ -314,6 +314,9 @@
 		if (!this.reusable) {
 			close();
 		}
+		if (this.identity.isEmpty()) {
+			this.identity = finished.identity(reply);
+		}
 		deliver(finished, reply);
 	}
 
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ConnectionRequest.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ConnectionRequest.java
@@ -1,5 +1,7 @@
 package org.limpetgate.net.http;
 
+import java.util.OptionalLong;
+
 import org.limpetgate.DispatchException;
 import org.limpetgate.ErrorKind;
 
@@ -43,6 +45,13 @@
 	 */
 	void retryOnAnotherConnection();
 
+	/**
+	 * Reads the identity of the process from the response, if the response tells it.
+	 * @param response the response
+	 * @return the identity, empty if it is not told
+	 */
+	OptionalLong identity(HttpReply response);
+
 	void complete(HttpReply response);
 
 	void fail(ErrorKind kind, String detail);
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClient.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/HttpClient.java
@@ -73,7 +73,7 @@
 	 * {@link org.limpetgate.ErrorKind#SHUTTING_DOWN} if the event loops are shut down
 	 */
 	public HttpExchange exchange(InetSocketAddress address, HttpCall call, long timeoutNanos) {
-		return start(new PendingExchange(retainPool(address), call, null, this.nextExchange.getAndIncrement()),
+		return start(new PendingExchange(retainPool(address), call, null, false, this.nextExchange.getAndIncrement()),
 				timeoutNanos);
 	}
 
@@ -97,7 +97,24 @@
 		Objects.requireNonNull(check, "check");
 		// The number before that of the exchange is reserved for its check.
 		long number = this.nextExchange.getAndAdd(2) + 1;
-		return start(new PendingExchange(retainPool(address), call, check, number), timeoutNanos);
+		return start(new PendingExchange(retainPool(address), call, check, true, number), timeoutNanos);
+	}
+
+	/**
+	 * Sends a request whose response tells the identity of the process, like the response
+	 * to an {@link IdentityCheck}. It is sent to any process; exchanges with a check on
+	 * the same connection need not ask for the identity again.
+	 * @param address the resolved address of the upstream, not null
+	 * @param call the request, not null; {@code host} is set to the address if missing
+	 * @param check reads the identity from the response, not null
+	 * @param timeoutNanos the time limit for the complete response, in nanoseconds
+	 * @return the exchange, not null; it fails as without a check
+	 */
+	public HttpExchange identifyingExchange(InetSocketAddress address, HttpCall call, IdentityCheck check,
+			long timeoutNanos) {
+		Objects.requireNonNull(check, "check");
+		return start(new PendingExchange(retainPool(address), call, check, false, this.nextExchange.getAndIncrement()),
+				timeoutNanos);
 	}
 
 	private static HttpExchange start(PendingExchange exchange, long timeoutNanos) {
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/IdentityCheckRequest.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/IdentityCheckRequest.java
@@ -75,6 +75,12 @@
 		this.exchange.retryOnAnotherConnection();
 	}
 
+	// The identity is set when the check completes, which tells a refusal apart.
+	@Override
+	public OptionalLong identity(HttpReply response) {
+		return OptionalLong.empty();
+	}
+
 	@Override
 	public void complete(HttpReply response) {
 		OptionalLong identity;
--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/PendingExchange.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/PendingExchange.java
@@ -23,9 +23,12 @@
 
 	private final HttpCall call;
 
-	/** Null if the request may be sent on any connection. */
+	/** Null if neither the request nor its response has to do with the identity. */
 	private final IdentityCheck identityCheck;
 
+	/** Whether the request may be sent only to the expected identity. */
+	private final boolean bound;
+
 	private final long number;
 
 	private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
@@ -45,10 +48,11 @@
 
 	private ClientConnection connection;
 
-	PendingExchange(ConnectionPool pool, HttpCall call, IdentityCheck identityCheck, long number) {
+	PendingExchange(ConnectionPool pool, HttpCall call, IdentityCheck identityCheck, boolean bound, long number) {
 		this.pool = pool;
 		this.call = call;
 		this.identityCheck = identityCheck;
+		this.bound = bound;
 		this.number = number;
 	}
 
@@ -148,6 +152,24 @@
 		return this.identityCheck;
 	}
 
+	boolean isBound() {
+		return this.bound;
+	}
+
+	@Override
+	public OptionalLong identity(HttpReply response) {
+		if (this.identityCheck == null) {
+			return OptionalLong.empty();
+		}
+		try {
+			return this.identityCheck.identity(response);
+		}
+		catch (RuntimeException ex) {
+			// The receiver of the response finds that it cannot be read.
+			return OptionalLong.empty();
+		}
+	}
+
 	@Override
 	public boolean isDone() {
 		return this.done;
