Verify the next incarnation of a worker before a task starts again

Cause: a worker that has answered under the token of this scheduler counts as verified: it rejects the orders of an earlier scheduler. The next incarnation has seen no token, but kept the time of the answer of the former one. An earlier scheduler that is not aware of its loss may take over the next incarnation and start a task of a stored job there, while this one starts it elsewhere.

Change: the time is reset with the incarnation, so that a job that was handed over waits until the next incarnation has answered, as for a new worker.

Measured: ReusedWorkerIdTests#answerOfTheFormerIncarnationDoesNotVerifyTheNextOne failed with "TWICE: long0.0.0.0#2 on w2 while present on [w1#2]" and passes, as do the other eight tests of the class.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -393,6 +393,7 @@
 		this.unsavedEnds.clear();
 		this.deferredEnds.clear();
 		this.ownership = Ownership.NOT_OWNED;
+		this.verifiedNanos = 0;
 		this.retryNanos = 0;
 		this.grantedEndNanos = 0;
 		this.inheritedEndNanos = 0;
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/ReusedWorkerIdTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/ReusedWorkerIdTests.java
@@ -13,6 +13,9 @@
  */
 class ReusedWorkerIdTests {
 
+	/** Until a list of workers counts as complete. */
+	private static final long FULL_LIST_MILLIS = 6500;
+
 	private WorkerFixture fixture;
 
 	@BeforeTry
@@ -158,6 +161,33 @@
 		assertThat(this.fixture.violations).isEmpty();
 	}
 
+	/**
+	 * Guards against a task of a stored job that starts elsewhere while an earlier
+	 * scheduler, which is not aware of its loss, has started it on the next incarnation
+	 * of its worker: only the former incarnation has seen the token that fences it.
+	 */
+	@Example
+	void answerOfTheFormerIncarnationDoesNotVerifyTheNextOne() {
+		this.fixture.advance(FULL_LIST_MILLIS);
+		FencingToken earlierToken = FencingToken.create(this.fixture.nowNanos, 7, FencingToken.NONE);
+		this.fixture.activate(8, this.fixture.listedWorkers());
+		this.fixture.advance(FULL_LIST_MILLIS);
+		this.fixture.loadStoredLong();
+		this.fixture.advance(500);
+		FakeWorker worker = this.fixture.workerOfLastStart();
+		worker.restart(this.fixture.nowNanos);
+		RunId run = this.fixture.starts.get(0).run();
+		worker.start(
+				new SchedulingEffect.StartRun(worker.info(), new RunId(run.task(), run.attempt() + 1), "", "", 1000,
+						earlierToken),
+				WorkerFixture.DEMAND, WorkerFixture.LONG_RUN_MILLIS * 1_000_000, WorkerReport.EndKind.DONE,
+				this.fixture.nowNanos);
+		this.fixture.listWorkers();
+		this.fixture.advance(500);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).hasSize(1);
+	}
+
 	// Begins the next incarnation of a worker that has run a task, whose end was
 	// acknowledged, and has been idle since.
 	private FakeWorker restartIdleWorker() {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
@@ -26,6 +26,8 @@
 
 	private static final long MILLI = 1_000_000;
 
+	private static final QueueTerms TERMS = new QueueTerms(0, 3, 3, TimeUnit.SECONDS.toNanos(30));
+
 	/** One task needs a whole worker. */
 	static final Capacity DEMAND = FakeWorker.CAPACITY;
 
@@ -35,6 +37,8 @@
 
 	final List<SchedulingEffect.JobEnded> ends = new ArrayList<>();
 
+	final List<SchedulingEffect.WorkerCrashed> crashes = new ArrayList<>();
+
 	final List<String> violations = new ArrayList<>();
 
 	/** Workers that receive nothing. */
@@ -110,10 +114,25 @@
 				this.nowNanos);
 	}
 
+	// Submits a job whose task leaves room for another one on its worker.
+	void submitLongHalf() {
+		StepSpec step = new StepSpec(1, new Capacity(DEMAND.cpuMillis() / 2, DEMAND.memoryMb() / 2, 0),
+				LONG_RUN_MILLIS * MILLI, List.of(), "", "", 0);
+		submit(new JobSpec(JobId.of("long" + this.nextJob++), "queue", "service", TERMS, "", List.of(step)));
+	}
+
+	// Lets a scheduler that has taken over all workers read a stored job from the store.
+	void loadStoredLong() {
+		JobSpec job = job("long" + this.nextJob++, LONG_RUN_MILLIS);
+		JobSpec stored = new JobSpec(job.id(), job.queue(), job.service(), job.terms(), job.payload(), job.steps(),
+				true);
+		this.scheduler.loadStoredJobs(
+				List.of(new StoredJob(stored.id(), stored, this.nowNanos / MILLI, JobProgress.NONE)), this.nowNanos);
+	}
+
 	private static JobSpec job(String id, long runMillis) {
 		StepSpec step = new StepSpec(1, DEMAND, runMillis * MILLI, List.of(), "", "", 0);
-		return new JobSpec(JobId.of(id), "queue", "service", new QueueTerms(0, 3, 3, TimeUnit.SECONDS.toNanos(30)), "",
-				List.of(step));
+		return new JobSpec(JobId.of(id), "queue", "service", TERMS, "", List.of(step));
 	}
 
 	FakeWorker workerOfLastStart() {
@@ -152,6 +171,9 @@
 		else if (effect instanceof SchedulingEffect.JobEnded ended) {
 			this.ends.add(ended);
 		}
+		else if (effect instanceof SchedulingEffect.WorkerCrashed crashed) {
+			this.crashes.add(crashed);
+		}
 	}
 
 	private boolean isDown(WorkerInfo info) {
