Count the end of an unsettled run for the incarnation it was meant for

Cause: a run that the worker has confirmed but not listed waits for the takeover of the next incarnation. If that one is silent until the lease has expired, or is lost too, the run was given up as a loss of the next incarnation, with what shared that one. The loss was forgotten when the next incarnation reported, so that a task that crashes its workers started without a bound; or the task was blamed alone although another one had run beside it.

Change: giving up on silence uses the end that was kept when the next incarnation began, and the runs that shared the worker are judged only then.

Measured: two new tests of CrashEvidenceTests failed (no job had failed after six crashes; crashedAlone=true for a task beside another) and pass, as do the other tests of CrashEvidenceTests, CrashingTaskTests, ReusedWorkerIdTests and CrashReplayTests (36).

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -370,7 +370,10 @@
 		RunEnd end = worker.info.draining() ? RunEnd.LOST : RunEnd.WORKER_CRASHED;
 		List<RunEntity> lost = worker.runs.values().stream().filter((run) -> run.reported).toList();
 		List<RunEntity> unsettled = worker.runs.values().stream().filter((run) -> !run.reported).toList();
-		worker.runs.values().forEach((run) -> run.alone = worker.isAlone(run));
+		worker.runs.values()
+			.stream()
+			.filter((run) -> run.endWithoutReport == null)
+			.forEach((run) -> run.alone = worker.isAlone(run));
 		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
 			giveUpOrphan(worker, run, RunGivenUp.Reason.NEW_INCARNATION, nowNanos);
 		}
@@ -482,11 +485,16 @@
 		}
 	}
 
+	// A run that no report has listed ended with the incarnation for which the order was
+	// meant, not with the one that is silent now.
 	private void giveUpOnSilence(RunEntity run, long nowNanos) {
 		WorkerEntity worker = run.worker();
-		run.alone = worker.isAlone(run);
+		RunEnd end = run.endWithoutReport;
+		if (end == null) {
+			run.alone = worker.isAlone(run);
+			end = worker.info.draining() ? RunEnd.LOST : RunEnd.WORKER_SILENT;
+		}
 		worker.runsLost = true;
-		RunEnd end = worker.info.draining() ? RunEnd.LOST : RunEnd.WORKER_SILENT;
 		giveUp(run, RunGivenUp.Reason.LEASE_EXPIRED, end, nowNanos);
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashEvidenceTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashEvidenceTests.java
@@ -135,6 +135,60 @@
 		assertThat(this.fixture.violations).isEmpty();
 	}
 
+	/**
+	 * Guards against a task that is started again without a bound, because the crash of a
+	 * worker that confirmed it counts as a loss of the next incarnation, which is silent
+	 * at first and then reports.
+	 */
+	@Example
+	void crashOfAWorkerWhoseNextIncarnationIsSilentCounts() {
+		this.fixture.afterStart = () -> this.fixture.down.add(this.fixture.workerOfLastStart().id());
+		this.fixture.submitLong();
+		for (int crash = 0; crash <= MAX_STARTS && this.fixture.ends.isEmpty(); crash++) {
+			this.fixture.advance(20);
+			this.fixture.workerOfLastStart().restart(this.fixture.nowNanos);
+			listAllWorkers();
+			this.fixture.advance(LOSS_MILLIS);
+			this.fixture.down.clear();
+			this.fixture.advance(1000);
+		}
+		assertThat(this.fixture.outcomes()).containsExactly(JobOutcome.FAILED);
+		assertThat(this.fixture.starts.size()).isLessThanOrEqualTo(MAX_STARTS);
+	}
+
+	/**
+	 * Guards against a task that is blamed alone for the crash of a worker on which
+	 * another one ran: only the order whose run the worker had not listed is left when
+	 * the next incarnation is lost too.
+	 */
+	@Example
+	void taskBesideAnotherIsNotBlamedAloneIfTheNextIncarnationIsLostToo() {
+		for (boolean silent : List.of(false, true)) {
+			this.fixture = new WorkerFixture("w1");
+			this.fixture.submitLongHalf();
+			this.fixture.advance(20);
+			this.fixture.afterStart = () -> this.fixture.down.add(this.fixture.workerOfLastStart().id());
+			this.fixture.submitLongHalf();
+			this.fixture.advance(20);
+			assertThat(this.fixture.starts).hasSize(2);
+			this.fixture.workerOfLastStart().restart(this.fixture.nowNanos);
+			listAllWorkers();
+			this.fixture.advance(silent ? LOSS_MILLIS : 20);
+			this.fixture.workerOfLastStart().restart(this.fixture.nowNanos);
+			listAllWorkers();
+			this.fixture.down.clear();
+			this.fixture.advance(1000);
+			assertThat(this.fixture.crashes).as("silent: " + silent).hasSize(2);
+			assertThat(this.fixture.crashes).as("silent: " + silent)
+				.noneMatch((crash) -> crash.history().crashedAlone());
+		}
+	}
+
+	private void listAllWorkers() {
+		this.fixture.scheduler.workersListed(this.fixture.workers.stream().map(FakeWorker::info).toList(), true,
+				this.fixture.nowNanos);
+	}
+
 	private void crashWorkerOfLastStart() {
 		this.fixture.workerOfLastStart().restart(this.fixture.nowNanos);
 		this.fixture.listWorkers();
