Take over an incarnation of a worker whose clock was set back

Cause: an incarnation that started earlier, by the clock of its machine, than the known one was taken for a former one. Its reports were thrown away, and the poll counted as answered, so that the runs of the former incarnation were never given up and the worker was never used again.

Change: a report of another incarnation answers a poll that was sent when the known one was known already, so that it begins a new incarnation whichever start is later. The list may show the former incarnation a little longer; it is ignored.

Measured: ReusedWorkerIdTests#incarnationAfterAClockThatWasSetBackReplacesTheFormerOne failed (one start after 1 s, where two were expected) and passes, as do the 103 tests of CrashEvidenceTests, CrashingTaskTests, ReusedWorkerIdTests, CrashReplayTests, SchedulerTests and StoredJobTests.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -50,6 +50,12 @@
 	 */
 	boolean entryOutdated;
 
+	/**
+	 * The incarnation that the known one has replaced, 0 for none. It may have a later
+	 * start, since the clock of a machine may be set back.
+	 */
+	long formerIncarnationMillis;
+
 	/** When the worker left the list, nanoseconds since the Unix epoch. */
 	long unlistedNanos;
 
@@ -377,6 +383,7 @@
 	// Resets the state for a new incarnation, which has no tokens, runs or ends of the
 	// previous one.
 	void startIncarnation(WorkerInfo next, long nowNanos) {
+		this.formerIncarnationMillis = this.info.incarnationMillis();
 		this.speed.reset();
 		this.factorRefreshSample = 0;
 		this.clockOffsetNanos = Long.MAX_VALUE;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -146,7 +146,8 @@
 	}
 
 	private void updateInfo(WorkerEntity worker, WorkerInfo info, long nowNanos) {
-		if (info.incarnationMillis() < worker.info.incarnationMillis()) {
+		if (info.incarnationMillis() < worker.info.incarnationMillis()
+				|| info.incarnationMillis() == worker.formerIncarnationMillis) {
 			return;
 		}
 		boolean newIncarnation = info.incarnationMillis() > worker.info.incarnationMillis();
@@ -241,13 +242,11 @@
 		this.tables.placementDue = true;
 	}
 
-	// The takeover that follows reads the runs and ends of a later incarnation again,
-	// under a token that fences the orders that were meant for the known one.
+	// The report answers a poll that was sent when the known incarnation was known
+	// already, so that its incarnation is later, even if the clock of its machine was
+	// set back. The takeover that follows reads its runs and ends again, under a token
+	// that fences the orders for the known one.
 	private void otherIncarnationReported(WorkerEntity worker, long incarnationMillis, long nowNanos) {
-		if (incarnationMillis < worker.info.incarnationMillis()) {
-			worker.loseOwnership(nowNanos + MIN_RETRY_NANOS);
-			return;
-		}
 		this.runs.startIncarnation(worker, worker.info.withIncarnation(incarnationMillis), nowNanos);
 		worker.entryOutdated = true;
 		this.crashes.workerListed(worker.info);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/ReusedWorkerIdTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/ReusedWorkerIdTests.java
@@ -1,6 +1,7 @@
 package org.limpetgate.scheduling;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.BeforeTry;
@@ -188,6 +189,30 @@
 		assertThat(this.fixture.starts).hasSize(1);
 	}
 
+	/**
+	 * Guards against a task that waits forever, and a worker that is never used again,
+	 * because the clock of the worker's machine was set back before it started again.
+	 */
+	@Example
+	void incarnationAfterAClockThatWasSetBackReplacesTheFormerOne() {
+		List<WorkerInfo> oldList = this.fixture.listedWorkers();
+		this.fixture.submitLong();
+		this.fixture.advance(500);
+		FakeWorker worker = this.fixture.workerOfLastStart();
+		worker.restart(this.fixture.nowNanos - TimeUnit.MINUTES.toNanos(2));
+		this.fixture.listWorkers();
+		this.fixture.advance(1000);
+		assertThat(this.fixture.starts).hasSize(2);
+		this.fixture.scheduler.workersListed(oldList, true, this.fixture.nowNanos);
+		this.fixture.advance(100);
+		this.fixture.listWorkers();
+		this.fixture.submitLong();
+		this.fixture.advance(100);
+		assertThat(this.fixture.starts).hasSize(3);
+		assertThat(this.fixture.workerOfLastStart()).isSameAs(worker);
+		assertThat(this.fixture.violations).isEmpty();
+	}
+
 	// Begins the next incarnation of a worker that has run a task, whose end was
 	// acknowledged, and has been idle since.
 	private FakeWorker restartIdleWorker() {
