Ignore answers to polls from before a worker was lost

Cause: the answer to a poll made the scheduler the owner of a worker also if it had lost the worker since the poll was sent. After a start was rejected as fenced, the answer to the poll that was pending ended the wait of two seconds, without the report of a takeover and the check of the stored jobs that follows it, and starts went to a worker of another owner. After another activation, the answer to a poll of the earlier one made the worker owned under the earlier token, which does not fence a scheduler that was active in between.

Change: such a report is not applied. The takeover that follows reads the same lists.

Measured: both tests of LateAnswerTests failed (a start under the earlier token; a second start on a fenced worker) and pass, as do the other 103 tests of CrashEvidenceTests, CrashingTaskTests, ReusedWorkerIdTests, CrashReplayTests, SchedulerTests and StoredJobTests.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -220,6 +220,10 @@
 			otherIncarnationReported(worker, report.incarnationMillis(), nowNanos);
 			return;
 		}
+		if (worker.ownership == WorkerEntity.Ownership.NOT_OWNED) {
+			// Another owner may have taken the worker over since the poll was answered.
+			return;
+		}
 		long sentNanos = poll.sentNanos();
 		worker.pollAnswered(poll);
 		worker.lastReportNanos = nowNanos;
