Test failures and answers that count for a later scheduler

A failed run of a stored job counts twice if its end is saved but not acknowledged before the next scheduler reads the job. The answer to a start of an earlier activation of the scheduler ends the run that the present one has started under the same attempt number.

--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/LateAnswerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/LateAnswerTests.java
@@ -75,6 +75,29 @@
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
 	}
 
+	/**
+	 * Guards against a second run because the answer to a start of the earlier activation
+	 * is taken for that of the present one, which has the same attempt number.
+	 */
+	@Example
+	void answerToAStartOfTheEarlierActivationDoesNotEndARun() {
+		answer(lastPoll());
+		submit("1");
+		SchedulingEffect.StartRun earlier = effectsOf(SchedulingEffect.StartRun.class).get(0);
+		this.scheduler.deactivate();
+		this.effects.clear();
+		this.nowNanos += 50 * MILLI;
+		activate();
+		tick();
+		answer(lastPoll());
+		submit("1");
+		SchedulingEffect.StartRun start = effectsOf(SchedulingEffect.StartRun.class).get(0);
+		assertThat(start.run()).isEqualTo(earlier.run());
+		this.scheduler.startAnswered(this.worker.id(), earlier.run(), StartAnswer.NOT_SENT, this.nowNanos);
+		tick();
+		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
+	}
+
 	private FencingToken activate() {
 		FencingToken token = FencingToken.create(this.nowNanos, 7, FencingToken.NONE);
 		this.scheduler.activate(token, this.nowNanos);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -147,6 +148,32 @@
 		assertThat(started).extracting((run) -> run.task().index()).containsExactly(1);
 	}
 
+	/**
+	 * Guards against a job that fails because a failed run counts twice: the scheduler
+	 * that saved it was lost before it acknowledged the end, which the worker lists
+	 * again.
+	 */
+	@Example
+	void failureInSavedProgressIsNotCountedAgain() {
+		activate("w1");
+		submit("1", step(1));
+		save();
+		RunId failed = starts().get(0).run();
+		reportEnd(0, EndKind.FAILED);
+		List<SchedulingEffect.SaveChange> changes = effectsOf(SchedulingEffect.SaveChange.class);
+		JobProgress saved = ((StoredChange.Progressed) changes.get(changes.size() - 1).change()).progress();
+		this.effects.clear();
+		this.scheduler = Scheduler.of(SchedulerSettings.of(8, 1000, 50, 2));
+		this.scheduler.workersListed(List.of(worker("w1")), true, this.nowNanos);
+		this.scheduler.activate(FencingToken.create(this.nowNanos, 8, FencingToken.NONE), this.nowNanos);
+		this.scheduler.loadStoredJobs(
+				List.of(new StoredJob(JobId.of("1"), spec("1", step(1)), this.nowNanos / MILLI, saved)), this.nowNanos);
+		tick();
+		report(lastPoll(), List.of(), List.of(new WorkerReport.Ended(1, failed, EndKind.FAILED, "")));
+		save();
+		assertThat(this.scheduler.state(JobId.of("1"))).isNotEqualTo(Optional.of(JobState.FAILED));
+	}
+
 	private StoredChange.Progressed firstTaskDone() {
 		submit("1", step(2));
 		save();
