--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/LossSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/LossSystem.java
@@ -29,7 +29,7 @@
 		RunEnd end = endOfLostRun(worker, RunEnd.WORKER_CRASHED);
 		List<RunEntity> lost = worker.runs.values().stream().filter((run) -> run.reported).toList();
 		List<RunEntity> unsettled = worker.runs.values().stream().filter((run) -> !run.reported).toList();
-		worker.runs.values().forEach((run) -> run.alone = worker.isAlone(run));
+		recordWhichAreAlone(worker);
 		giveUpOrphans(worker, RunGivenUp.Reason.NEW_INCARNATION, nowNanos);
 		worker.startIncarnation(next, nowNanos);
 		if (!unsettled.isEmpty()) {
@@ -50,9 +50,10 @@
 	void endIncarnation(WorkerEntity worker, long nowNanos) {
 		RunEnd end = endOfLostRun(worker, RunEnd.WORKER_CRASHED);
 		List<RunEntity> lost = List.copyOf(worker.runs.values());
-		lost.forEach((run) -> run.alone = worker.isAlone(run));
+		recordWhichAreAlone(worker);
 		giveUpOrphans(worker, RunGivenUp.Reason.NEW_INCARNATION, nowNanos);
-		lost.forEach((run) -> this.runs.giveUp(run, RunGivenUp.Reason.NEW_INCARNATION, end, nowNanos));
+		lost.forEach((run) -> this.runs.giveUp(run, RunGivenUp.Reason.NEW_INCARNATION,
+				(run.endWithoutReport != null) ? run.endWithoutReport : end, nowNanos));
 	}
 
 	// Counts runs on a worker that does not report as lost, once no owner can have
@@ -76,11 +77,17 @@
 		}
 	}
 
+	// A run that no report has listed ended with the incarnation for which the order was
+	// meant, not with the one that is silent now.
 	private void giveUpOnSilence(RunEntity run, long nowNanos) {
 		WorkerEntity worker = run.worker();
-		run.alone = worker.isAlone(run);
+		RunEnd end = run.endWithoutReport;
+		if (end == null) {
+			run.alone = worker.isAlone(run);
+			end = endOfLostRun(worker, RunEnd.WORKER_SILENT);
+		}
 		worker.runsLost = true;
-		this.runs.giveUp(run, RunGivenUp.Reason.LEASE_EXPIRED, endOfLostRun(worker, RunEnd.WORKER_SILENT), nowNanos);
+		this.runs.giveUp(run, RunGivenUp.Reason.LEASE_EXPIRED, end, nowNanos);
 	}
 
 	/**
@@ -115,6 +122,14 @@
 		}
 	}
 
+	// What is known of a run from a former incarnation stays.
+	private static void recordWhichAreAlone(WorkerEntity worker) {
+		worker.runs.values()
+			.stream()
+			.filter((run) -> run.endWithoutReport == null)
+			.forEach((run) -> run.alone = worker.isAlone(run));
+	}
+
 	// A worker that was draining has left as planned.
 	private static RunEnd endOfLostRun(WorkerEntity worker, RunEnd unplanned) {
 		return worker.info.draining() ? RunEnd.LOST : unplanned;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PollFailure.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PollFailure.java
@@ -5,7 +5,7 @@
 
 	/** The worker has received a higher fencing token. */
 	FENCED,
-	/** Another incarnation of the worker answered. */
+	/** Another worker, with another id, has the address. */
 	OTHER_LIFE,
 	/** No answer arrived, or an invalid one. */
 	NO_ANSWER
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
@@ -104,8 +104,9 @@
 	boolean alone;
 
 	/**
-	 * Whether a worker has confirmed, by its answer or a report, that it carried out the
-	 * order to start it.
+	 * Whether any incarnation of its worker has confirmed, by its answer or a report,
+	 * that it carried out the order to start it. Unlike {@link #reported}, an answer
+	 * suffices, which does not tell the incarnation.
 	 */
 	boolean confirmed;
 
@@ -195,7 +196,6 @@
 		this.stateSinceNanos = nowNanos;
 	}
 
-	// Marks it as started by an earlier owner.
 	// Records that the known incarnation of its worker lists it.
 	void markReported() {
 		this.reported = true;
@@ -203,6 +203,7 @@
 		this.endWithoutReport = null;
 	}
 
+	// Marks it as started by an earlier owner.
 	void adopt() {
 		this.adopted = true;
 		this.pace = new RunPace(0);
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -50,6 +50,12 @@
 	 */
 	boolean entryOutdated;
 
+	/**
+	 * The incarnation that the known one has replaced, 0 for none. It may have a later
+	 * start, since the clock of a machine may be set back.
+	 */
+	long formerIncarnationMillis;
+
 	/** When the worker left the list, nanoseconds since the Unix epoch. */
 	long unlistedNanos;
 
@@ -90,7 +96,10 @@
 	/** Ends of earlier owners' runs that are processed once the stored jobs are read. */
 	final List<WorkerReport.Ended> deferredEnds = new ArrayList<>();
 
-	/** Whether a poll is due to acknowledge ends. */
+	/**
+	 * Whether a poll is due to acknowledge ends, which may be saved only now or could not
+	 * be acknowledged by the last poll.
+	 */
 	boolean ackDue;
 
 	/**
@@ -304,8 +313,8 @@
 
 	// Records a poll that is sent now and returns the sequence number up to which it
 	// acknowledges ends, 0 for none. The next incarnation numbers its ends anew, so that
-	// an acknowledgement is sent only right after a report, and not again once it is
-	// confirmed.
+	// an acknowledgement is sent only right after a report, and not again once a report
+	// has confirmed it.
 	long addPoll(long sequence, long nowNanos) {
 		boolean due = ackNumber() > this.confirmedAckNumber;
 		boolean known = this.pollFailures == 0 && nowNanos - this.lastReportNanos <= MAX_ACK_REPORT_AGE_NANOS;
@@ -375,8 +384,10 @@
 	}
 
 	// Resets the state for a new incarnation, which has no tokens, runs or ends of the
-	// previous one.
+	// previous one. Whether the previous one was fenced stays, since its other owner may
+	// have acknowledged ends there, and failed polls count until the new one reports.
 	void startIncarnation(WorkerInfo next, long nowNanos) {
+		this.formerIncarnationMillis = this.info.incarnationMillis();
 		this.speed.reset();
 		this.factorRefreshSample = 0;
 		this.clockOffsetNanos = Long.MAX_VALUE;
@@ -393,6 +404,7 @@
 		this.unsavedEnds.clear();
 		this.deferredEnds.clear();
 		this.ownership = Ownership.NOT_OWNED;
+		this.verifiedNanos = 0;
 		this.retryNanos = 0;
 		this.grantedEndNanos = 0;
 		this.inheritedEndNanos = 0;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -149,7 +149,8 @@
 	}
 
 	private void updateInfo(WorkerEntity worker, WorkerInfo info, long nowNanos) {
-		if (info.incarnationMillis() < worker.info.incarnationMillis()) {
+		if (info.incarnationMillis() < worker.info.incarnationMillis()
+				|| info.incarnationMillis() == worker.formerIncarnationMillis) {
 			return;
 		}
 		boolean newIncarnation = info.incarnationMillis() > worker.info.incarnationMillis();
@@ -222,6 +223,10 @@
 			otherIncarnationReported(worker, report.incarnationMillis(), nowNanos);
 			return;
 		}
+		if (worker.ownership == WorkerEntity.Ownership.NOT_OWNED) {
+			// Another owner may have taken the worker over since the poll was answered.
+			return;
+		}
 		long sentNanos = poll.sentNanos();
 		worker.pollAnswered(poll);
 		worker.lastReportNanos = nowNanos;
@@ -244,13 +249,11 @@
 		this.tables.placementDue = true;
 	}
 
-	// The takeover that follows reads the runs and ends of a later incarnation again,
-	// under a token that fences the orders that were meant for the known one.
+	// The report answers a poll that was sent when the known incarnation was known
+	// already, so that its incarnation is later, even if the clock of its machine was
+	// set back. The takeover that follows reads its runs and ends again, under a token
+	// that fences the orders for the known one.
 	private void otherIncarnationReported(WorkerEntity worker, long incarnationMillis, long nowNanos) {
-		if (incarnationMillis < worker.info.incarnationMillis()) {
-			worker.loseOwnership(nowNanos + MIN_RETRY_NANOS);
-			return;
-		}
 		this.losses.startIncarnation(worker, worker.info.withIncarnation(incarnationMillis), nowNanos);
 		worker.entryOutdated = true;
 		this.crashes.workerListed(worker.info);
