Compare answers to starts by the token of their order

A scheduler that was activated again within the time limit of an order took the answer to a start of the earlier activation for that of the present one, which has the same attempt number: NOT_SENT gave the run up while it ran, and the task started elsewhere. An answer now counts only for the order with its token.

LateAnswerTests#answerToAStartOfTheEarlierActivationDoesNotEndARun failed before and passes.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
@@ -59,6 +59,9 @@
 
 	State state = State.STARTING;
 
+	/** The token of the order to start it. */
+	FencingToken token = FencingToken.NONE;
+
 	/** The expected duration, in nanoseconds. */
 	double expectedNanos;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -88,6 +88,7 @@
 		this.tables.addRun(task.name());
 		this.tables.runTimeModel.recordStart(worker, nowNanos);
 		extendLease(worker, nowNanos);
+		run.token = worker.token;
 		this.tables.changedWorkers.add(worker);
 		this.tables.emit(new SchedulingEffect.StartRun(worker.info, run.id(), task.job().spec().payload(),
 				task.checkpoint, worker.clockMillis(worker.grantedEndNanos), worker.token));
@@ -131,10 +132,13 @@
 		this.tables.emit(new StopRun(run.worker().info, run.id(), run.worker().token, run.stopReason));
 	}
 
-	void startAnswered(UpstreamId workerId, RunId id, StartAnswer answer, long nowNanos) {
-		WorkerEntity worker = this.tables.workers.get(workerId);
+	// The order is compared by its token too, since a run of an earlier activation may
+	// have had the same attempt number.
+	void startAnswered(SchedulingEffect.StartRun order, StartAnswer answer, long nowNanos) {
+		RunId id = order.run();
+		WorkerEntity worker = this.tables.workers.get(order.worker().id());
 		RunEntity run = (worker != null) ? worker.runs.get(id) : null;
-		if (run == null || run.state != RunEntity.State.STARTING) {
+		if (run == null || run.state != RunEntity.State.STARTING || !order.token().equals(run.token)) {
 			return;
 		}
 		this.tables.changedWorkers.add(worker);
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -158,13 +158,12 @@
 
 	/**
 	 * Reports the answer to {@link SchedulingEffect.StartRun}.
-	 * @param worker the worker, not null
-	 * @param run the run, not null
+	 * @param order the order, not null
 	 * @param answer the answer, not null
 	 * @param nowNanos the current time
 	 */
-	public void startAnswered(UpstreamId worker, RunId run, StartAnswer answer, long nowNanos) {
-		this.jobs.runs().startAnswered(worker, run, answer, nowNanos);
+	public void startAnswered(SchedulingEffect.StartRun order, StartAnswer answer, long nowNanos) {
+		this.jobs.runs().startAnswered(order, answer, nowNanos);
 	}
 
 	/**
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashReplay.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashReplay.java
@@ -350,7 +350,7 @@
 		}
 
 		private void startAnswered(SchedulingEffect.StartRun start, StartAnswer answer) {
-			this.scheduler.startAnswered(start.worker().id(), start.run(), answer, CrashReplay.this.time.nowNanos());
+			this.scheduler.startAnswered(start, answer, CrashReplay.this.time.nowNanos());
 		}
 
 		private void stop(SchedulingEffect.StopRun stop) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashingTaskTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashingTaskTests.java
@@ -458,8 +458,7 @@
 	private void execute(SchedulingEffect effect) {
 		if (effect instanceof SchedulingEffect.StartRun start) {
 			this.starts.add(start);
-			this.scheduler.startAnswered(start.worker().id(), start.run(), worker(start.worker().id()).start(start),
-					this.nowNanos);
+			this.scheduler.startAnswered(start, worker(start.worker().id()).start(start), this.nowNanos);
 		}
 		else if (effect instanceof SchedulingEffect.StopRun stop) {
 			worker(stop.worker().id()).running.remove(stop.run());
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/DrainedDataCentreTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/DrainedDataCentreTests.java
@@ -468,7 +468,7 @@
 			StepSpec step = this.jobs.get(start.run().task().job()).steps().get(0);
 			StartAnswer answer = this.workers.get(start.worker().id())
 				.start(start, step.demand(), step.estimatedNanos(), EndKind.DONE, this.nowNanos);
-			this.scheduler.startAnswered(start.worker().id(), start.run(), answer, this.nowNanos);
+			this.scheduler.startAnswered(start, answer, this.nowNanos);
 		}
 		else if (effect instanceof SchedulingEffect.StopRun stop) {
 			boolean confirmed = this.workers.get(stop.worker().id()).stop(stop, this.nowNanos);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/LateAnswerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/LateAnswerTests.java
@@ -69,7 +69,7 @@
 		submit("1");
 		SchedulingEffect.StartRun start = effectsOf(SchedulingEffect.StartRun.class).get(0);
 		SchedulingEffect.PollWorker pending = lastPoll();
-		this.scheduler.startAnswered(this.worker.id(), start.run(), StartAnswer.FENCED, this.nowNanos);
+		this.scheduler.startAnswered(start, StartAnswer.FENCED, this.nowNanos);
 		answer(pending);
 		submit("2");
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
@@ -93,7 +93,7 @@
 		submit("1");
 		SchedulingEffect.StartRun start = effectsOf(SchedulingEffect.StartRun.class).get(0);
 		assertThat(start.run()).isEqualTo(earlier.run());
-		this.scheduler.startAnswered(this.worker.id(), earlier.run(), StartAnswer.NOT_SENT, this.nowNanos);
+		this.scheduler.startAnswered(earlier, StartAnswer.NOT_SENT, this.nowNanos);
 		tick();
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/LostPollsLeaseTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/LostPollsLeaseTests.java
@@ -140,8 +140,7 @@
 			after(LATENCY_NANOS, () -> {
 				StartAnswer answer = this.worker.start(start, new Capacity(1000, 64, 0), TimeUnit.SECONDS.toNanos(20),
 						EndKind.DONE, this.nowNanos);
-				after(LATENCY_NANOS,
-						() -> this.scheduler.startAnswered(start.worker().id(), start.run(), answer, this.nowNanos));
+				after(LATENCY_NANOS, () -> this.scheduler.startAnswered(start, answer, this.nowNanos));
 			});
 		}
 		else if (order instanceof SchedulingEffect.PollWorker lost && this.pollsToLose > 0) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/PlacementExperiment.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/PlacementExperiment.java
@@ -382,7 +382,7 @@
 		StartAnswer answer = this.fakeWorkers.get(start.worker().id())
 			.start(start, Capacity.NONE, (long) (millis * MILLI), EndKind.DONE, this.nowNanos);
 		schedule(MILLI / 2, () -> {
-			scheduler.startAnswered(start.worker().id(), start.run(), answer, this.nowNanos);
+			scheduler.startAnswered(start, answer, this.nowNanos);
 			tick(scheduler);
 		});
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/PlacementTiming.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/PlacementTiming.java
@@ -118,7 +118,7 @@
 			this.starts++;
 			this.waiting--;
 			this.unstarted.merge(name.job(), -1, Integer::sum);
-			this.scheduler.startAnswered(start.worker().id(), start.run(), StartAnswer.STARTED, this.nowNanos);
+			this.scheduler.startAnswered(start, StartAnswer.STARTED, this.nowNanos);
 		}
 		else if (effect instanceof SchedulingEffect.StopRun stop) {
 			this.scheduler.stopAnswered(stop.worker().id(), stop.run(), true, this.nowNanos);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/PreemptionSystemTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/PreemptionSystemTests.java
@@ -242,6 +242,7 @@
 	}
 
 	private void tick() {
+		List<SchedulingEffect.StartRun> started = new ArrayList<>();
 		this.scheduler.tick(this.nowNanos, (effect) -> {
 			this.effects.add(effect);
 			if (effect instanceof SchedulingEffect.PollWorker sent) {
@@ -249,11 +250,10 @@
 			}
 			else if (effect instanceof SchedulingEffect.StartRun start) {
 				this.present.add(start.run());
+				started.add(start);
 			}
 		});
-		for (RunId run : this.present) {
-			this.scheduler.startAnswered(WORKER, run, StartAnswer.STARTED, this.nowNanos);
-		}
+		started.forEach((start) -> this.scheduler.startAnswered(start, StartAnswer.STARTED, this.nowNanos));
 	}
 
 	private void advance(long millis) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/ProjectedRefusalTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/ProjectedRefusalTests.java
@@ -363,7 +363,7 @@
 			if (!this.lostWorkers.contains(start.worker().id())) {
 				StartAnswer answer = this.workers.get(start.worker().id())
 					.start(start, TASK, this.durations.get(job), EndKind.DONE, this.nowNanos);
-				this.scheduler.startAnswered(start.worker().id(), start.run(), answer, this.nowNanos);
+				this.scheduler.startAnswered(start, answer, this.nowNanos);
 			}
 		}
 		else if (effect instanceof SchedulingEffect.StopRun stop) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/RunMoveTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/RunMoveTests.java
@@ -349,7 +349,7 @@
 	}
 
 	private void confirm(SchedulingEffect.StartRun start) {
-		this.scheduler.startAnswered(start.worker().id(), start.run(), StartAnswer.STARTED, this.nowNanos);
+		this.scheduler.startAnswered(start, StartAnswer.STARTED, this.nowNanos);
 		tick();
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
@@ -732,8 +732,7 @@
 		}
 
 		private void startAnswered(SchedulingEffect.StartRun start, StartAnswer answer) {
-			this.scheduler.startAnswered(start.worker().id(), start.run(), answer,
-					SchedulerSimulation.this.time.nowNanos());
+			this.scheduler.startAnswered(start, answer, SchedulerSimulation.this.time.nowNanos());
 		}
 
 		private void carryOut(SchedulingEffect.StopRun stop) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
@@ -257,7 +257,7 @@
 		submit("1", 1, false);
 		tick();
 		SchedulingEffect.StartRun start = effectsOf(SchedulingEffect.StartRun.class).get(0);
-		this.scheduler.startAnswered(start.worker().id(), start.run(), StartAnswer.UNKNOWN, this.nowNanos);
+		this.scheduler.startAnswered(start, StartAnswer.UNKNOWN, this.nowNanos);
 		tick();
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
 		this.nowNanos += MILLI;
@@ -277,7 +277,7 @@
 		submit("1", 1, false);
 		tick();
 		SchedulingEffect.StartRun start = effectsOf(SchedulingEffect.StartRun.class).get(0);
-		this.scheduler.startAnswered(start.worker().id(), start.run(), StartAnswer.UNKNOWN, this.nowNanos);
+		this.scheduler.startAnswered(start, StartAnswer.UNKNOWN, this.nowNanos);
 		for (int i = 0; i < 5; i++) {
 			advance(125);
 		}
@@ -292,7 +292,7 @@
 		submit("1", 1, false);
 		tick();
 		SchedulingEffect.StartRun first = effectsOf(SchedulingEffect.StartRun.class).get(0);
-		this.scheduler.startAnswered(first.worker().id(), first.run(), StartAnswer.OLD_ATTEMPT, this.nowNanos);
+		this.scheduler.startAnswered(first, StartAnswer.OLD_ATTEMPT, this.nowNanos);
 		tick();
 		assertThat(effectsOf(SchedulingEffect.StartRun.class).get(1).run().attempt())
 			.isGreaterThan(first.run().attempt());
@@ -828,7 +828,7 @@
 	}
 
 	private RunId confirmStart(SchedulingEffect.StartRun start) {
-		this.scheduler.startAnswered(start.worker().id(), start.run(), StartAnswer.STARTED, this.nowNanos);
+		this.scheduler.startAnswered(start, StartAnswer.STARTED, this.nowNanos);
 		return start.run();
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SilentDataCentresTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SilentDataCentresTests.java
@@ -110,7 +110,7 @@
 		this.unanswered.removeIf((start) -> {
 			boolean answers = !start.worker().id().value().equals("b0");
 			if (answers) {
-				this.scheduler.startAnswered(start.worker().id(), start.run(), StartAnswer.STARTED, this.nowNanos);
+				this.scheduler.startAnswered(start, StartAnswer.STARTED, this.nowNanos);
 			}
 			return answers;
 		});
@@ -131,7 +131,7 @@
 		answerPolls("b"::equals);
 		this.effects.removeIf(SchedulingEffect.DataCentreSilent.class::isInstance);
 		advance(100, (dataCentre) -> true);
-		this.scheduler.startAnswered(late.worker().id(), late.run(), StartAnswer.STARTED, this.nowNanos);
+		this.scheduler.startAnswered(late, StartAnswer.STARTED, this.nowNanos);
 		advance(20, (dataCentre) -> true);
 		assertThat(silences()).isEmpty();
 	}
@@ -207,7 +207,7 @@
 			.findFirst()
 			.ifPresent((start) -> {
 				this.unanswered.remove(start);
-				this.scheduler.startAnswered(start.worker().id(), start.run(), StartAnswer.STARTED, this.nowNanos);
+				this.scheduler.startAnswered(start, StartAnswer.STARTED, this.nowNanos);
 			});
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedOrders.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedOrders.java
@@ -68,8 +68,7 @@
 				traceRenewal(worker, start.token(), "start of " + start.run());
 			}
 			reply.accept(answer);
-		}, StartAnswer.UNKNOWN, (answer) -> this.scheduler.startAnswered(start.worker().id(), start.run(), answer,
-				this.host.clockNanos()));
+		}, StartAnswer.UNKNOWN, (answer) -> this.scheduler.startAnswered(start, answer, this.host.clockNanos()));
 	}
 
 	private long durationNanos(StepSpec step) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/StaleClockLeaseTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/StaleClockLeaseTests.java
@@ -95,7 +95,7 @@
 			if (order instanceof SchedulingEffect.StartRun start) {
 				StartAnswer answer = this.worker.start(start, new Capacity(1000, 64, 0), TimeUnit.SECONDS.toNanos(20),
 						EndKind.DONE, this.nowNanos);
-				this.scheduler.startAnswered(start.worker().id(), start.run(), answer, this.nowNanos);
+				this.scheduler.startAnswered(start, answer, this.nowNanos);
 			}
 			else if (order instanceof SchedulingEffect.PollWorker poll && !this.pollsLost) {
 				WorkerReport report = this.worker.poll(poll, this.nowNanos);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
@@ -257,7 +257,7 @@
 		submit("1", step(1));
 		save();
 		SchedulingEffect.StartRun start = starts().get(0);
-		this.scheduler.startAnswered(start.worker().id(), start.run(), StartAnswer.STARTED, this.nowNanos);
+		this.scheduler.startAnswered(start, StartAnswer.STARTED, this.nowNanos);
 		SchedulingEffect.PollWorker poll = pollOf(start.worker().id());
 		this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(), PollFailure.NO_ANSWER,
 				this.nowNanos);
@@ -300,7 +300,7 @@
 		submit("1", step(1));
 		save();
 		RunId run = starts().get(0).run();
-		this.scheduler.startAnswered(starts().get(0).worker().id(), run, StartAnswer.STARTED, this.nowNanos);
+		this.scheduler.startAnswered(starts().get(0), StartAnswer.STARTED, this.nowNanos);
 		this.scheduler.releaseStoredJobs(this.nowNanos);
 		SchedulingEffect.PollWorker sentBefore = lastPoll();
 		this.effects.clear();
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WithdrawnRunTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WithdrawnRunTests.java
@@ -131,7 +131,7 @@
 				boolean withdrawn = start.run().task().job().equals(WITHDRAWN_JOB);
 				StartAnswer answer = this.worker.start(start, new Capacity(1000, 64, 0),
 						withdrawn ? LONG_RUN_NANOS : OTHER_RUN_NANOS, EndKind.DONE, this.nowNanos);
-				this.scheduler.startAnswered(start.worker().id(), start.run(), answer, this.nowNanos);
+				this.scheduler.startAnswered(start, answer, this.nowNanos);
 			}
 			else if (order instanceof SchedulingEffect.PollWorker poll) {
 				WorkerReport report = this.worker.poll(poll, this.nowNanos);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
@@ -188,8 +188,7 @@
 			answer = worker(start.worker()).start(start, DEMAND, durationNanos(start), EndKind.DONE, this.nowNanos);
 		}
 		this.afterStart.run();
-		this.scheduler.startAnswered(start.worker().id(), start.run(),
-				this.startAnswersLost ? StartAnswer.UNKNOWN : answer, this.nowNanos);
+		this.scheduler.startAnswered(start, this.startAnswersLost ? StartAnswer.UNKNOWN : answer, this.nowNanos);
 	}
 
 	private static long durationNanos(SchedulingEffect.StartRun start) {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
@@ -133,7 +133,7 @@
 	private void start(SchedulingEffect.StartRun start) {
 		this.log.write(LogEvent.RUN_ORDERED, start.run(), start.worker().id(), start.token().value());
 		this.orders.start(start).thenAccept((answer) -> {
-			this.scheduler.startAnswered(start.worker().id(), start.run(), answer, this.clock.getAsLong());
+			this.scheduler.startAnswered(start, answer, this.clock.getAsLong());
 			this.requestTick.run();
 		});
 	}
