Show that tasks start again whose ends a takeover does not see (review, case 2)

Rule: TWICE, a start after a run has ended done.

Cause: a runner lists 500 ends at a time, and the report of a takeover counts as complete (WorkerSystem.applyReport, RunSystem.applyRunning).

--- /dev/null
+++ b/review/src/review/TruncatedEnds.java
@@ -0,0 +1,97 @@
+package review;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * TWICE: tasks of a stored job start again after they have ended as done. The store turns
+ * the machine away that schedules, so that ends are not saved and the runners list more
+ * than 500 of them; then that machine is killed.
+ */
+public final class TruncatedEnds extends Trial {
+
+	private static final int JOBS = 4;
+
+	private static final int TASKS = 600;
+
+	private static final int BUSY_MILLIS = 7_000;
+
+	/** More ends than a runner returns at once. */
+	private static final int MANY_ENDS = 512;
+
+	private static final int KILL_AFTER_MILLIS = 5_500;
+
+	private static final int DOWN_MILLIS = 3_500;
+
+	private static final int FINISH_MILLIS = 14_000;
+
+	public static void main(String[] arguments) throws Exception {
+		main(new TruncatedEnds(), arguments);
+	}
+
+	@Override
+	int runnersPerZone() {
+		return 1;
+	}
+
+	@Override
+	int play() throws Exception {
+		warmUp();
+		this.record.say("traffic: %d jobs of %d tasks", JOBS, TASKS);
+		String body = Client.job("ms=100", TASKS, 1000, 100, false);
+		for (int number = 0; number < JOBS; number++) {
+			String id = newId();
+			this.threads.execute(() -> submit(id, body, 4_000));
+		}
+		pause(300);
+		if (this.accepted.size() < JOBS) {
+			pause(1_000);
+		}
+		if (this.trouble) {
+			Fleet.Machine machine = leader();
+			this.record.say("the store turns %s away", machine.name);
+			this.store.setBusy(machine.name, true);
+			long start = this.record.millis();
+			while (this.record.millis() - start < KILL_AFTER_MILLIS
+					&& this.runners.stream().anyMatch((runner) -> runner.unacknowledgedEnds() < MANY_ENDS)) {
+				pause(20);
+			}
+			this.record.say("ends that are not taken note of: %s",
+					this.runners.stream().map(Runner::unacknowledgedEnds).toList());
+			machine.signal("KILL");
+			machine.awaitEnd();
+			pause(DOWN_MILLIS);
+			machine.start();
+			pause(Math.max(0, BUSY_MILLIS - (this.record.millis() - start)));
+			this.store.setBusy(machine.name, false);
+			this.record.say("the store serves %s again", machine.name);
+		}
+		else {
+			pause(BUSY_MILLIS);
+		}
+		pause(FINISH_MILLIS);
+		return check();
+	}
+
+	/** Some jobs before, so that the code of the scheduling machine is compiled. */
+	private void warmUp() {
+		String body = Client.job("ms=20", 8, 1000, 20, false);
+		for (int number = 0; number < 60; number++) {
+			String id = newId();
+			this.threads.execute(() -> submit(id, body, 4_000));
+			pause(50);
+		}
+		pause(1_000);
+	}
+
+	private int check() {
+		Map<String, Integer> states = new TreeMap<>();
+		this.accepted.keySet().forEach((id) -> states.merge(String.valueOf(state(id)), 1, Integer::sum));
+		List<String> twice = this.events.twice();
+		twice.forEach((line) -> this.record.add("TWICE: %s", line));
+		this.record.say("%d jobs accepted; states %s; %d starts break TWICE", this.accepted.size(), states, twice.size());
+		return twice.isEmpty() ? 0 : 1;
+	}
+
+}
