--- a/review/src/review/Trial.java
+++ b/review/src/review/Trial.java
@@ -236,7 +236,7 @@
 
 	static void pause(long millis) {
 		try {
-			Thread.sleep(millis);
+			Thread.sleep(Math.max(0, millis));
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
