Show that a job fails for runners that crashed after its runs had lapsed (review, case 3)

Rule: LOST, a stored job shown as failed without cause.

Cause: a run that is given up because its lease has ended stays a loss, and any later incarnation of its runner makes a crash under the task of it (LossSystem.giveUpOnSilence, CrashHistory.withIncarnation).

--- a/review/src/review/Runner.java
+++ b/review/src/review/Runner.java
@@ -56,6 +56,9 @@
 
 	private boolean up;
 
+	/** Whether it is cut off from all machines of the system. */
+	private boolean cut;
+
 	/** Whether it is unhealthy and answers each start with 503, having done nothing. */
 	private volatile boolean shedding;
 
@@ -136,6 +139,15 @@
 		stopped.stop(0);
 	}
 
+	/**
+	 * It is cut off from the machines of the system, or reached again. It runs on, and its
+	 * entry in the store stays fresh.
+	 */
+	synchronized void setCut(boolean value) {
+		this.cut = value;
+		notifyAll();
+	}
+
 	void setShedding(boolean value) {
 		this.shedding = value;
 	}
@@ -191,6 +203,7 @@
 			int status;
 			Map<String, Object> reply = new LinkedHashMap<>();
 			synchronized (this) {
+				awaitPath(servedLife);
 				if (!this.up || this.life != servedLife) {
 					return;
 				}
@@ -201,6 +214,7 @@
 				else {
 					status = carryOut(servedLife, exchange.getRequestURI().getPath(), body, reply);
 				}
+				awaitPath(servedLife);
 				if (!this.up || this.life != servedLife) {
 					return;
 				}
@@ -216,6 +230,13 @@
 		}
 	}
 
+	/** Holds a request or an answer back while it can't pass; it is lost with the process. */
+	private void awaitPath(int servedLife) throws InterruptedException {
+		while (this.cut && this.up && this.life == servedLife) {
+			wait();
+		}
+	}
+
 	private int carryOut(int servedLife, String path, Map<String, Object> body, Map<String, Object> reply)
 			throws InterruptedException {
 		long orderToken = Json.integer(body, "fencingToken", 0);
