--- a/review/src/review/TruncatedEnds.java
+++ b/review/src/review/TruncatedEnds.java
@@ -7,22 +7,23 @@
 /**
  * TWICE: tasks of a stored job start again after they have ended as done. The store turns
  * the machine away that schedules, so that ends are not saved and the runners list more
- * than 500 of them; then that machine is killed.
+ * than 500 of them; then that machine is stopped with SIGTERM and started again.
  */
 public final class TruncatedEnds extends Trial {
 
-	private static final int JOBS = 4;
+	private static final int JOBS = 3;
 
-	private static final int TASKS = 600;
+	private static final int TASKS = 610;
 
 	private static final int BUSY_MILLIS = 7_000;
 
 	/** More ends than a runner returns at once. */
 	private static final int MANY_ENDS = 512;
 
-	private static final int KILL_AFTER_MILLIS = 5_500;
+	private static final int STOP_AFTER_MILLIS = 5_500;
 
-	private static final int DOWN_MILLIS = 3_500;
+	/** graceS: the platform kills a process that has not ended by then. */
+	private static final int GRACE_MILLIS = 6_000;
 
 	private static final int FINISH_MILLIS = 14_000;
 
@@ -53,15 +54,17 @@
 			this.record.say("the store turns %s away", machine.name);
 			this.store.setBusy(machine.name, true);
 			long start = this.record.millis();
-			while (this.record.millis() - start < KILL_AFTER_MILLIS
+			while (this.record.millis() - start < STOP_AFTER_MILLIS
 					&& this.runners.stream().anyMatch((runner) -> runner.unacknowledgedEnds() < MANY_ENDS)) {
 				pause(20);
 			}
 			this.record.say("ends that are not taken note of: %s",
 					this.runners.stream().map(Runner::unacknowledgedEnds).toList());
-			machine.signal("KILL");
-			machine.awaitEnd();
-			pause(DOWN_MILLIS);
+			machine.signal("TERM");
+			if (!machine.awaitEnd(GRACE_MILLIS)) {
+				machine.signal("KILL");
+				machine.awaitEnd();
+			}
 			machine.start();
 			pause(Math.max(0, BUSY_MILLIS - (this.record.millis() - start)));
 			this.store.setBusy(machine.name, false);
