--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 repository="$(cd ../.. && pwd)"
-[ -f ../target/classes/review/CutRunners.class ] && [ -f "$repository/platform/target/limpetgate-platform.jar" ] || exit 2
+[ -f ../target/classes/review/TruncatedEnds.class ] && [ -f "$repository/platform/target/limpetgate-platform.jar" ] || exit 2
 TROUBLE="${TROUBLE:-1}" exec java -Xmx400m -Dsun.net.httpserver.nodelay=true \
-	-Djdk.httpclient.allowRestrictedHeaders=host -cp ../target/classes review.CutRunners "$PWD" "$repository"
+	-Djdk.httpclient.allowRestrictedHeaders=host -cp ../target/classes review.TruncatedEnds "$PWD" "$repository"
--- a/review/src/review/CancelElsewhere.java
+++ b/review/src/review/CancelElsewhere.java
@@ -1,5 +1,6 @@
 package review;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,11 +15,15 @@
 
 	private static final int JOBS = 20;
 
-	private static final int FIRST_STEP_MILLIS = 5_000;
+	private static final int STEPS = 4;
 
-	private static final int SECOND_STEP_MILLIS = 500;
+	private static final int STEP_MILLIS = 3_000;
+
+	private static final int CANCEL_AFTER_MILLIS = 700;
+
+	/** ackMs, cancel_ms and stopTimeoutMs of the site files. */
+	private static final long ACK_MILLIS = 4_000;
 
-	/** cancel_ms and stopTimeoutMs of the site files. */
 	private static final long CANCEL_MILLIS = 3_000;
 
 	private static final long STOP_MILLIS = 50;
@@ -48,27 +53,32 @@
 			}
 			pause(100);
 		}
-		pause(FIRST_STEP_MILLIS * 2 + 2_000);
+		pause(STEPS * STEP_MILLIS * 5 / 4 + 2_000);
 		return check();
 	}
 
 	private static String job() {
-		Map<String, Object> first = new LinkedHashMap<>();
-		first.put("count", 1);
-		first.put("cpu", 2000);
-		first.put("memMb", 64);
-		first.put("estDurationMs", FIRST_STEP_MILLIS);
-		Map<String, Object> second = new LinkedHashMap<>(first);
-		second.put("after", List.of(0));
+		List<Object> steps = new ArrayList<>();
+		for (int number = 0; number < STEPS; number++) {
+			Map<String, Object> step = new LinkedHashMap<>();
+			step.put("count", 1);
+			step.put("cpu", 2000);
+			step.put("memMb", 64);
+			step.put("estDurationMs", STEP_MILLIS);
+			if (number > 0) {
+				step.put("after", List.of(number - 1));
+			}
+			steps.add(step);
+		}
 		Map<String, Object> job = new LinkedHashMap<>();
-		job.put("taskSpec", "ms=" + FIRST_STEP_MILLIS);
-		job.put("steps", List.of(first, second));
+		job.put("taskSpec", "ms=" + STEP_MILLIS);
+		job.put("steps", steps);
 		job.put("bestEffort", true);
 		return Json.write(job);
 	}
 
 	private void cancel(String id, Fleet.Machine submittedTo) {
-		pause(700);
+		pause(CANCEL_AFTER_MILLIS);
 		Client.Answer answer = this.client.send("DELETE", anyMachine(submittedTo), PREFIX + id, null, 4_000);
 		if (answer.status() == 410 || answer.status() / 100 == 2) {
 			synchronized (this.cancelled) {
@@ -80,7 +90,8 @@
 	private int check() {
 		int broken = 0;
 		for (Map.Entry<String, Long> entry : this.cancelled.entrySet()) {
-			long startLimit = entry.getValue() + CANCEL_MILLIS * 1_000_000;
+			// As late as if the answer were no acknowledgement.
+			long startLimit = entry.getValue() + (ACK_MILLIS + CANCEL_MILLIS) * 1_000_000;
 			long endLimit = startLimit + STOP_MILLIS * 1_000_000;
 			for (Map.Entry<String, List<Events.Run>> task : this.events.runs().entrySet()) {
 				if (!task.getKey().startsWith(entry.getKey() + ".")) {
--- a/review/src/review/Runner.java
+++ b/review/src/review/Runner.java
@@ -59,9 +59,6 @@
 	/** Whether it is cut off from all machines of the system. */
 	private boolean cut;
 
-	/** Whether it is unhealthy and answers each start with 503, having done nothing. */
-	private volatile boolean shedding;
-
 	private int life;
 
 	private long born;
@@ -104,6 +101,10 @@
 		return this.id;
 	}
 
+	synchronized String address() {
+		return "127.0.0.1:" + this.port;
+	}
+
 	synchronized void start() throws IOException {
 		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), this.port), 100);
 		this.port = this.server.getAddress().getPort();
@@ -148,10 +149,6 @@
 		notifyAll();
 	}
 
-	void setShedding(boolean value) {
-		this.shedding = value;
-	}
-
 	synchronized List<String> runningTasks() {
 		return List.copyOf(this.running.keySet());
 	}
@@ -246,7 +243,7 @@
 		}
 		this.token = orderToken;
 		return switch (path) {
-			case "/api/run-start" -> this.shedding ? 503 : startRun(body, reply);
+			case "/api/run-start" -> startRun(body, reply);
 			case "/api/run-stop" -> stopRun(body);
 			case "/api/hold" -> hold(servedLife, body, reply);
 			default -> 404;
--- a/review/src/review/Trial.java
+++ b/review/src/review/Trial.java
@@ -123,15 +123,11 @@
 		return 16_000;
 	}
 
-	List<String> labels(int zone, int number) {
-		return List.of("a", "r" + zone + "-1");
-	}
-
 	private void addRunners() throws IOException {
 		for (int zone = 0; zone < ZONES.size(); zone++) {
 			for (int number = 1; number <= runnersPerZone(); number++) {
 				String id = String.format("i-%x%07x", zone + 10, number);
-				Runner runner = new Runner(id, ZONES.get(zone), SERVICE, runnerCpu(), labels(zone, number),
+				Runner runner = new Runner(id, ZONES.get(zone), SERVICE, runnerCpu(), List.of("a", "r" + zone + "-1"),
 						this.store, this.events, this.threads, this.timers);
 				this.runners.add(runner);
 				runner.start();
