--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashSystem.java
@@ -92,23 +92,16 @@
 		}
 	}
 
-	// Resolves the losses of workers that a worker in the list has replaced.
-	void workerListed(WorkerInfo worker) {
-		if (!this.lostWorkers.contains(worker.id()) && !this.lostAddresses.contains(worker.unresolvedAddress())) {
-			return;
-		}
-		for (TaskEntity task : this.suspects) {
-			addCrashes(task, worker.id(), (history) -> history.withIncarnation(worker));
-		}
-	}
-
-	// Resolves the losses of the incarnation of a worker that has reported.
+	// Resolves the losses of the worker that has reported, and of those that it has
+	// replaced.
 	void workerReported(WorkerInfo worker) {
-		if (!this.lostWorkers.contains(worker.id())) {
+		if (!this.lostWorkers.contains(worker.id())
+				&& (this.lostAddresses.isEmpty() || !this.lostAddresses.contains(worker.unresolvedAddress()))) {
 			return;
 		}
 		for (TaskEntity task : this.suspects) {
 			change(task, task.crashes.withReport(worker.id(), worker.incarnationMillis()));
+			addCrashes(task, worker.id(), (history) -> history.withIncarnation(worker));
 		}
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PollFailure.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PollFailure.java
@@ -5,8 +5,8 @@
 
 	/** The worker has received a higher fencing token. */
 	FENCED,
-	/** Another worker, with another id, has the address. */
-	OTHER_LIFE,
+	/** The process at the address is another worker, with another id. */
+	OTHER_PROCESS,
 	/** No answer arrived, or an invalid one. */
 	NO_ANSWER
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -103,7 +103,7 @@
 	 */
 	public void workersListed(Collection<WorkerInfo> infos, boolean allDataCentres, long nowNanos) {
 		this.tables.allDataCentres = allDataCentres;
-		this.workers.replaceWorkers(infos, nowNanos);
+		this.workers.list().replace(infos, nowNanos);
 	}
 
 	/**
@@ -117,7 +117,7 @@
 			return;
 		}
 		this.tables.drainedDataCentres = Set.copyOf(dataCentres);
-		this.workers.drainsChanged();
+		this.workers.list().drainsChanged();
 		this.jobs.drainsChanged(nowNanos);
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
@@ -119,6 +119,17 @@
 
 	}
 
+	/**
+	 * Tells that an entry names another process in the place of a worker whose process
+	 * answers. It requires no action and is meant for the log.
+	 *
+	 * @param worker the worker
+	 * @param entry the entry, of the same worker or of another one with its address
+	 */
+	record EntryRefuted(WorkerInfo worker, WorkerInfo entry) implements SchedulingEffect {
+
+	}
+
 	/**
 	 * Tells that a run is stopped for a more urgent job. It requires no action and is
 	 * meant for the log; the order to stop the run is an effect of its own.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -36,6 +36,9 @@
 	 */
 	private static final long MAX_ACK_REPORT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+	/** The interval at which it is polled while another process has its address. */
+	private static final long ENDED_POLL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
+
 	/** The number of steps in which the load of a cold worker rises. */
 	private static final int COLD_LOAD_STEPS = 4;
 
@@ -56,6 +59,21 @@
 	 */
 	long formerIncarnationMillis;
 
+	/** Whether the process that {@link #info} names has answered this owner. */
+	boolean proven;
+
+	/** Whether another process was found to listen at its address. */
+	boolean processEnded;
+
+	/** The entry that names another process in its place, null if none does. */
+	private WorkerInfo claim;
+
+	/** When it was listed, nanoseconds since the Unix epoch. */
+	private long claimedNanos;
+
+	/** The incarnation of the last claim that its process has refuted, 0 if none. */
+	private long refutedMillis;
+
 	/** When the worker left the list, nanoseconds since the Unix epoch. */
 	long unlistedNanos;
 
@@ -235,6 +253,61 @@
 		}
 	}
 
+	// Tests whether only its process can tell that it has ended. A process that has not
+	// answered, or is silent and has no runs, is replaced by a listed one.
+	boolean isWordOfItsProcessNeeded() {
+		return this.proven && (this.pollFailures == 0 || isBusy());
+	}
+
+	// Has its process asked because an entry names another one in its place.
+	void claim(WorkerInfo entry, long nowNanos) {
+		boolean refuted = entry.incarnationMillis() == this.refutedMillis;
+		if (refuted || (this.claim != null && this.claim.incarnationMillis() >= entry.incarnationMillis())) {
+			return;
+		}
+		this.claim = entry;
+		this.claimedNanos = nowNanos;
+		this.verifySinceNanos = nowNanos;
+		this.retryNanos = this.fenced ? this.retryNanos : nowNanos;
+	}
+
+	// Returns the entry of the same worker that names an incarnation in its place, null
+	// if none does.
+	WorkerInfo claimOf(long incarnationMillis) {
+		boolean found = this.claim != null && this.claim.isSameLocation(this.info)
+				&& this.claim.incarnationMillis() == incarnationMillis;
+		return found ? this.claim : null;
+	}
+
+	/**
+	 * Drops the claim if its process has answered a poll that was sent since.
+	 * @param sentNanos when the poll was sent
+	 * @return the entry that made the claim, null if there is none
+	 */
+	WorkerInfo refuteClaim(long sentNanos) {
+		if (this.claim == null || sentNanos < this.claimedNanos) {
+			return null;
+		}
+		WorkerInfo refuted = this.claim;
+		this.refutedMillis = refuted.incarnationMillis();
+		this.claim = null;
+		return refuted;
+	}
+
+	// Records that another process has its address. It is polled rarely from then on.
+	void processEnded(long nowNanos) {
+		this.proven = false;
+		this.processEnded = true;
+		this.claim = null;
+		loseOwnership(nowNanos + ENDED_POLL_INTERVAL_NANOS);
+	}
+
+	// Tests whether it has answered a poll that was sent at or after a time, or has no
+	// process that could have runs.
+	boolean isVerified(long sinceNanos) {
+		return this.processEnded || this.verifiedNanos >= sinceNanos;
+	}
+
 	private void readTimes(WorkerInfo next, long nowNanos) {
 		long coldNanos = TimeUnit.MILLISECONDS.toNanos(next.coldRemainingMillis());
 		if (coldNanos > 0 && !isCold(nowNanos)) {
@@ -294,7 +367,8 @@
 	}
 
 	private boolean isEligible() {
-		return this.listed && !this.entryOutdated && !this.info.draining() && !this.drained && !this.dataCentreSilent;
+		return this.listed && !this.entryOutdated && this.claim == null && !this.processEnded && !this.info.draining()
+				&& !this.drained && !this.dataCentreSilent;
 	}
 
 	// Tests whether nothing but the run may be present on the worker.
@@ -387,7 +461,12 @@
 	// previous one. Whether the previous one was fenced stays, since its other owner may
 	// have acknowledged ends there, and failed polls count until the new one reports.
 	void startIncarnation(WorkerInfo next, long nowNanos) {
-		this.formerIncarnationMillis = this.info.incarnationMillis();
+		if (next.incarnationMillis() != this.info.incarnationMillis()) {
+			this.formerIncarnationMillis = this.info.incarnationMillis();
+		}
+		this.proven = false;
+		this.processEnded = false;
+		this.claim = null;
 		this.speed.reset();
 		this.factorRefreshSample = 0;
 		this.clockOffsetNanos = Long.MAX_VALUE;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerInfo.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerInfo.java
@@ -80,6 +80,26 @@
 				this.draining, this.coldRemainingMillis, this.drainRemainingMillis);
 	}
 
+	/**
+	 * Tests whether another entry may be one of the same process, whose address, service
+	 * and data centre do not change.
+	 * @param other the other entry, not null
+	 * @return true if it may be
+	 */
+	boolean isSameProcess(WorkerInfo other) {
+		return isSameLocation(other) && this.incarnationMillis == other.incarnationMillis
+				&& this.service.equals(other.service) && Objects.equals(this.dataCentre, other.dataCentre);
+	}
+
+	/**
+	 * Tests whether another entry names the same worker at the same address.
+	 * @param other the other entry, not null
+	 * @return true if it does
+	 */
+	boolean isSameLocation(WorkerInfo other) {
+		return this.id.equals(other.id) && this.address.equals(other.address);
+	}
+
 	/**
 	 * Returns the address without the result of a name lookup, for comparisons with
 	 * addresses that were saved.
--- /dev/null
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
@@ -0,0 +1,162 @@
+package org.limpetgate.scheduling;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.limpetgate.UpstreamId;
+
+/**
+ * Applies the list of workers.
+ * <p>
+ * Invariant: an entry neither ends a process that has answered this owner nor changes
+ * what identifies it. An entry that names another process in its place is a claim, which
+ * the next answer from the address of the worker settles. Not thread-safe.
+ */
+final class WorkerListSystem {
+
+	/** A worker that left the list may still be running for this long. */
+	private static final long UNLISTED_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+	private final SchedulerTables tables;
+
+	private final LossSystem losses;
+
+	/** When the first worker was listed, nanoseconds since the Unix epoch, 0 before. */
+	private long firstListedNanos;
+
+	WorkerListSystem(SchedulerTables tables, LossSystem losses) {
+		this.tables = tables;
+		this.losses = losses;
+	}
+
+	// Replaces the list of workers.
+	void replace(Collection<WorkerInfo> entries, long nowNanos) {
+		this.tables.scanDue = true;
+		Set<UpstreamId> listedIds = new HashSet<>();
+		for (WorkerInfo entry : entries) {
+			listedIds.add(entry.id());
+			WorkerEntity worker = this.tables.workers.get(entry.id());
+			if (worker == null) {
+				this.tables.workers.put(entry.id(), new WorkerEntity(entry, nowNanos));
+			}
+			else {
+				apply(entry, worker, nowNanos);
+			}
+		}
+		claimSharedAddresses(entries, nowNanos);
+		markListed(listedIds, nowNanos);
+		markDrained();
+		this.tables.workers.values()
+			.removeIf((worker) -> !worker.listed && nowNanos - worker.unlistedNanos > UNLISTED_RETENTION_NANOS
+					&& !worker.isBusy());
+		if (this.firstListedNanos == 0 && !entries.isEmpty()) {
+			this.firstListedNanos = nowNanos;
+		}
+		this.tables.placementDue = true;
+	}
+
+	private void apply(WorkerInfo entry, WorkerEntity worker, long nowNanos) {
+		if (entry.incarnationMillis() < worker.info.incarnationMillis()
+				|| entry.incarnationMillis() == worker.formerIncarnationMillis) {
+			return;
+		}
+		boolean sameIncarnation = entry.incarnationMillis() == worker.info.incarnationMillis();
+		if (!worker.isWordOfItsProcessNeeded()) {
+			adopt(entry, worker, nowNanos);
+		}
+		else if (!sameIncarnation) {
+			worker.claim(entry, nowNanos);
+		}
+		else if (worker.info.isSameProcess(entry)) {
+			worker.updateInfo(entry, nowNanos);
+		}
+	}
+
+	// Takes the entry for the worker, about which nothing else is known. A process keeps
+	// its address, so that another address is one of another process too.
+	private void adopt(WorkerInfo entry, WorkerEntity worker, long nowNanos) {
+		if (entry.incarnationMillis() > worker.info.incarnationMillis()
+				|| !entry.address().equals(worker.info.address())) {
+			this.losses.startIncarnation(worker, entry, nowNanos);
+		}
+		else {
+			worker.updateInfo(entry, nowNanos);
+		}
+	}
+
+	// A process has ended if another one has its address. Its entry may stay in the list
+	// for seconds, and the entry of the later one may be wrong.
+	private void claimSharedAddresses(Collection<WorkerInfo> entries, long nowNanos) {
+		Map<InetSocketAddress, WorkerInfo> latest = new HashMap<>();
+		entries.forEach((entry) -> latest.merge(entry.address(), entry,
+				(one, other) -> (one.incarnationMillis() > other.incarnationMillis()) ? one : other));
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			WorkerInfo successor = latest.get(worker.info.address());
+			if (successor != null && !successor.id().equals(worker.info.id())
+					&& successor.incarnationMillis() > worker.info.incarnationMillis() && !worker.processEnded) {
+				worker.claim(successor, nowNanos);
+			}
+		}
+	}
+
+	private void markListed(Set<UpstreamId> listedIds, long nowNanos) {
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			boolean listed = listedIds.contains(worker.info.id());
+			if (worker.listed && !listed) {
+				worker.unlistedNanos = nowNanos;
+			}
+			worker.listed = listed;
+		}
+	}
+
+	// Applies a change of the drained data centres.
+	void drainsChanged() {
+		markDrained();
+		this.tables.placementDue = true;
+	}
+
+	private void markDrained() {
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			worker.drained = this.tables.drainedDataCentres.contains(worker.info.dataCentre());
+		}
+	}
+
+	// Records that the process of a worker has answered a poll from its address.
+	void processAnswered(WorkerEntity worker, long sentNanos) {
+		worker.proven = true;
+		worker.processEnded = false;
+		WorkerInfo refuted = worker.refuteClaim(sentNanos);
+		if (refuted != null) {
+			this.tables.emit(new SchedulingEffect.EntryRefuted(worker.info, refuted));
+		}
+	}
+
+	// Records that another process has answered a poll from the address of a worker.
+	void otherProcessAnswered(WorkerEntity worker, long nowNanos) {
+		if (worker.proven || isProvenAt(worker.info.address(), worker)) {
+			this.losses.endIncarnation(worker, nowNanos);
+			worker.processEnded(nowNanos);
+			this.tables.placementDue = true;
+		}
+	}
+
+	// The address in an entry may be wrong until a process has answered there.
+	private boolean isProvenAt(InetSocketAddress address, WorkerEntity except) {
+		return this.tables.workers.values()
+			.stream()
+			.anyMatch((worker) -> worker != except && worker.proven && worker.info.address().equals(address));
+	}
+
+	// Tests whether the list has been known for so long that every worker that an earlier
+	// scheduler may have used is or was in it.
+	boolean isComplete(long nowNanos) {
+		return this.tables.allDataCentres && this.firstListedNanos != 0
+				&& nowNanos - this.firstListedNanos > UNLISTED_RETENTION_NANOS;
+	}
+
+}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -1,12 +1,6 @@
 package org.limpetgate.scheduling;
 
-import java.net.InetSocketAddress;
-import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.UpstreamId;
@@ -36,9 +30,6 @@
 
 	private static final long MAX_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
-	/** A worker that left the list may still be running for this long. */
-	private static final long UNLISTED_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(6);
-
 	/**
 	 * The interval at which the time-outs of all workers are checked. Workers with an
 	 * event are checked in the next tick.
@@ -70,95 +61,24 @@
 
 	private final LossSystem losses;
 
+	private final WorkerListSystem list;
+
 	private final CrashSystem crashes;
 
 	private long nextSequence;
 
 	private long lastScanNanos;
 
-	/** When the first worker was listed, nanoseconds since the Unix epoch, 0 before. */
-	private long firstListedNanos;
-
 	WorkerSystem(SchedulerTables tables, RunSystem runs, CrashSystem crashes) {
 		this.tables = tables;
 		this.runs = runs;
 		this.losses = new LossSystem(tables, runs);
+		this.list = new WorkerListSystem(tables, this.losses);
 		this.crashes = crashes;
 	}
 
-	// Replaces the list of workers.
-	void replaceWorkers(Collection<WorkerInfo> infos, long nowNanos) {
-		this.tables.scanDue = true;
-		Set<UpstreamId> listedIds = new HashSet<>();
-		for (WorkerInfo info : infos) {
-			listedIds.add(info.id());
-			WorkerEntity worker = this.tables.workers.get(info.id());
-			if (worker == null) {
-				this.tables.workers.put(info.id(), new WorkerEntity(info, nowNanos));
-			}
-			else {
-				updateInfo(worker, info, nowNanos);
-			}
-			this.crashes.workerListed(info);
-		}
-		removeReplacedWorkers(infos, nowNanos);
-		for (WorkerEntity worker : this.tables.workers.values()) {
-			boolean listed = listedIds.contains(worker.info.id());
-			if (worker.listed && !listed) {
-				worker.unlistedNanos = nowNanos;
-			}
-			worker.listed = listed;
-		}
-		markDrained();
-		this.tables.workers.values()
-			.removeIf((worker) -> !worker.listed && nowNanos - worker.unlistedNanos > UNLISTED_RETENTION_NANOS
-					&& !worker.isBusy());
-		if (this.firstListedNanos == 0 && !infos.isEmpty()) {
-			this.firstListedNanos = nowNanos;
-		}
-		this.tables.placementDue = true;
-	}
-
-	// A process has ended if a later one, with another id, has its address. Its entry may
-	// stay in the list for seconds.
-	private void removeReplacedWorkers(Collection<WorkerInfo> infos, long nowNanos) {
-		Map<InetSocketAddress, WorkerInfo> latest = new HashMap<>();
-		infos.forEach((info) -> latest.merge(info.address(), info,
-				(one, other) -> (one.incarnationMillis() > other.incarnationMillis()) ? one : other));
-		for (WorkerEntity worker : List.copyOf(this.tables.workers.values())) {
-			WorkerInfo successor = latest.get(worker.info.address());
-			if (successor != null && !successor.id().equals(worker.info.id())
-					&& successor.incarnationMillis() > worker.info.incarnationMillis()) {
-				this.losses.endIncarnation(worker, nowNanos);
-				this.tables.workers.remove(worker.info.id());
-				this.tables.changedWorkers.remove(worker);
-			}
-		}
-	}
-
-	// Applies a change of the drained data centres.
-	void drainsChanged() {
-		markDrained();
-		this.tables.placementDue = true;
-	}
-
-	private void markDrained() {
-		for (WorkerEntity worker : this.tables.workers.values()) {
-			worker.drained = this.tables.drainedDataCentres.contains(worker.info.dataCentre());
-		}
-	}
-
-	private void updateInfo(WorkerEntity worker, WorkerInfo info, long nowNanos) {
-		if (info.incarnationMillis() < worker.info.incarnationMillis()
-				|| info.incarnationMillis() == worker.formerIncarnationMillis) {
-			return;
-		}
-		boolean newIncarnation = info.incarnationMillis() > worker.info.incarnationMillis();
-		if (!newIncarnation) {
-			worker.updateInfo(info, nowNanos);
-			return;
-		}
-		this.losses.startIncarnation(worker, info, nowNanos);
+	WorkerListSystem list() {
+		return this.list;
 	}
 
 	void activate(long nowNanos) {
@@ -168,6 +88,8 @@
 			worker.ownership = WorkerEntity.Ownership.NOT_OWNED;
 			worker.retryNanos = nowNanos;
 			worker.pollFailures = 0;
+			worker.proven = false;
+			worker.processEnded = false;
 		}
 		this.tables.silentDataCentres.clear();
 	}
@@ -184,6 +106,7 @@
 	void deactivate() {
 		for (WorkerEntity worker : this.tables.workers.values()) {
 			worker.ownership = WorkerEntity.Ownership.NOT_OWNED;
+			worker.proven = false;
 			List.copyOf(worker.runs.values()).forEach(worker::remove);
 			worker.orphanRuns.clear();
 		}
@@ -197,9 +120,8 @@
 	// it must also have had the list for some time.
 	@Override
 	public boolean areAllVerified(long sinceNanos, long nowNanos) {
-		return this.tables.allDataCentres && this.firstListedNanos != 0
-				&& nowNanos - this.firstListedNanos > UNLISTED_RETENTION_NANOS
-				&& this.tables.workers.values().stream().allMatch((worker) -> worker.verifiedNanos >= sinceNanos);
+		return this.list.isComplete(nowNanos)
+				&& this.tables.workers.values().stream().allMatch((worker) -> worker.isVerified(sinceNanos));
 	}
 
 	@Override
@@ -207,7 +129,7 @@
 		long maxUnlistedNanos = this.tables.settings.storedGuardNanos();
 		return this.tables.workers.values()
 			.stream()
-			.allMatch((worker) -> worker.verifiedNanos >= sinceNanos
+			.allMatch((worker) -> worker.isVerified(sinceNanos)
 					|| (!worker.listed && nowNanos - worker.unlistedNanos > maxUnlistedNanos));
 	}
 
@@ -223,6 +145,7 @@
 			otherIncarnationReported(worker, report.incarnationMillis(), nowNanos);
 			return;
 		}
+		this.list.processAnswered(worker, poll.sentNanos());
 		if (worker.ownership == WorkerEntity.Ownership.NOT_OWNED) {
 			// Another owner may have taken the worker over since the poll was answered.
 			return;
@@ -254,9 +177,12 @@
 	// set back. The takeover that follows reads its runs and ends again, under a token
 	// that fences the orders for the known one.
 	private void otherIncarnationReported(WorkerEntity worker, long incarnationMillis, long nowNanos) {
-		this.losses.startIncarnation(worker, worker.info.withIncarnation(incarnationMillis), nowNanos);
-		worker.entryOutdated = true;
-		this.crashes.workerListed(worker.info);
+		WorkerInfo entry = worker.claimOf(incarnationMillis);
+		this.losses.startIncarnation(worker, (entry != null) ? entry : worker.info.withIncarnation(incarnationMillis),
+				nowNanos);
+		worker.entryOutdated = entry == null;
+		worker.proven = true;
+		this.crashes.workerReported(worker.info);
 	}
 
 	void pollFailed(UpstreamId workerId, long sequence, FencingToken token, PollFailure failure, long nowNanos) {
@@ -270,7 +196,11 @@
 		if (failure == PollFailure.FENCED) {
 			handleFenced(worker, nowNanos);
 		}
-		else if (failure == PollFailure.OTHER_LIFE || worker.ownership != WorkerEntity.Ownership.OWNED) {
+		else if (failure == PollFailure.OTHER_PROCESS) {
+			worker.loseOwnership(nowNanos + retryNanos(worker));
+			this.list.otherProcessAnswered(worker, nowNanos);
+		}
+		else if (worker.ownership != WorkerEntity.Ownership.OWNED) {
 			worker.loseOwnership(nowNanos + retryNanos(worker));
 		}
 		else if (worker.pollFailures > 1) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashEvidenceTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashEvidenceTests.java
@@ -1,11 +1,9 @@
 package org.limpetgate.scheduling;
 
-import java.util.ArrayList;
 import java.util.List;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.BeforeTry;
-import org.limpetgate.UpstreamId;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -113,22 +111,15 @@
 
 	/**
 	 * Guards against a task that waits for the entry of a crashed worker to expire
-	 * although a later worker has its address.
+	 * although a later worker answers at its address.
 	 */
 	@Example
 	void workerWhoseAddressALaterOneHasIsLostAtOnce() {
 		this.fixture.submitLong();
 		this.fixture.advance(20);
 		FakeWorker worker = this.fixture.workerOfLastStart();
-		this.fixture.down.add(worker.id());
-		WorkerInfo former = worker.info();
-		WorkerInfo successor = new WorkerInfo(UpstreamId.of("successor"), former.incarnationMillis() + 70_000,
-				former.service(), former.address(), former.dataCentre(), former.capacity(), former.labels(), true);
-		List<WorkerInfo> infos = new ArrayList<>(this.fixture.listedWorkers());
-		infos.add(former);
-		infos.add(successor);
-		worker.restart(this.fixture.nowNanos);
-		this.fixture.scheduler.workersListed(infos, true, this.fixture.nowNanos);
+		this.fixture.replace(worker, "successor");
+		this.fixture.listWorkers();
 		this.fixture.advance(2);
 		assertThat(this.fixture.starts).hasSize(2);
 		assertThat(this.fixture.workerOfLastStart()).isNotSameAs(worker);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
@@ -34,6 +34,8 @@
 
 	private final DataCentreId dataCentre;
 
+	private final InetSocketAddress address;
+
 	/** Nanoseconds of the worker's clock for each nanosecond of real time. */
 	private final double clockRate;
 
@@ -73,18 +75,28 @@
 		this(id, DataCentreId.of("dc"), nowNanos, clockRate, observer);
 	}
 
+	// Creates a worker that listens at the address of another one, which has ended.
+	FakeWorker(String id, FakeWorker former, long nowNanos, RunObserver observer) {
+		this(id, former.dataCentre, former.address, nowNanos, 1, observer);
+	}
+
 	FakeWorker(String id, DataCentreId dataCentre, long nowNanos, double clockRate, RunObserver observer) {
+		this(id, dataCentre, InetSocketAddress.createUnresolved(id, 1), nowNanos, clockRate, observer);
+	}
+
+	private FakeWorker(String id, DataCentreId dataCentre, InetSocketAddress address, long nowNanos, double clockRate,
+			RunObserver observer) {
 		this.id = UpstreamId.of(id);
 		this.dataCentre = dataCentre;
+		this.address = address;
 		this.incarnationNanos = nowNanos;
 		this.clockRate = clockRate;
 		this.observer = observer;
 	}
 
 	WorkerInfo info() {
-		return new WorkerInfo(this.id, this.incarnationNanos / 1_000_000, "service",
-				InetSocketAddress.createUnresolved(this.id.value(), 1), this.dataCentre, CAPACITY, Set.of("a", "r1-1"),
-				this.draining, 0, this.draining ? this.drainMillis : WorkerInfo.UNKNOWN);
+		return new WorkerInfo(this.id, this.incarnationNanos / 1_000_000, "service", this.address, this.dataCentre,
+				CAPACITY, Set.of("a", "r1-1"), this.draining, 0, this.draining ? this.drainMillis : WorkerInfo.UNKNOWN);
 	}
 
 	private long clockMillis(long nowNanos) {
@@ -240,6 +252,10 @@
 		return this.id;
 	}
 
+	InetSocketAddress address() {
+		return this.address;
+	}
+
 	/** Observes every start and end on every worker. */
 	interface RunObserver {
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
@@ -337,6 +337,8 @@
 		this.scheduler.workersListed(List.of(worker("w1")), true, this.nowNanos);
 		tick();
 		report(lastPoll(), List.of(), List.of());
+		tick();
+		report(lastPoll(), List.of(), List.of());
 		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(2);
 	}
 
@@ -821,7 +823,7 @@
 	private void report(SchedulingEffect.PollWorker poll, List<RunId> running, List<WorkerReport.Ended> ended) {
 		this.nowNanos += MILLI;
 		this.scheduler.reported(poll.worker().id(), poll.sequence(), poll.token(),
-				new WorkerReport(poll.worker().incarnationMillis(), 1000,
+				new WorkerReport(this.incarnationMillis, 1000,
 						running.stream().map((run) -> new WorkerReport.Running(run, 10, "")).toList(), ended),
 				this.nowNanos);
 		tick();
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -39,11 +41,16 @@
 
 	final List<SchedulingEffect.WorkerCrashed> crashes = new ArrayList<>();
 
+	final List<SchedulingEffect.EntryRefuted> refutedEntries = new ArrayList<>();
+
 	final List<String> violations = new ArrayList<>();
 
 	/** Workers that receive nothing. */
 	final Set<UpstreamId> down = new HashSet<>();
 
+	/** Entries of other writers, which are listed beside those of the workers. */
+	final List<WorkerInfo> otherEntries = new ArrayList<>();
+
 	/** Whether starts are lost. */
 	boolean startsLost;
 
@@ -89,10 +96,23 @@
 	}
 
 	List<WorkerInfo> listedWorkers() {
-		return this.workers.stream()
+		Map<UpstreamId, WorkerInfo> entries = new LinkedHashMap<>();
+		this.workers.stream()
 			.filter((worker) -> !this.down.contains(worker.id()))
-			.map(FakeWorker::info)
-			.toList();
+			.forEach((worker) -> entries.put(worker.id(), worker.info()));
+		this.otherEntries.forEach((entry) -> entries.put(entry.id(), entry));
+		return List.copyOf(entries.values());
+	}
+
+	// Starts a worker with another id at the address of one that has ended, whose entry
+	// may stay in the list.
+	FakeWorker replace(FakeWorker ended, String id) {
+		FakeWorker successor = new FakeWorker(id, ended, this.nowNanos, this.checks);
+		ended.restart(this.nowNanos);
+		this.otherEntries.add(ended.info());
+		this.workers.remove(ended);
+		this.workers.add(successor);
+		return successor;
 	}
 
 	void submit() {
@@ -136,11 +156,20 @@
 	}
 
 	FakeWorker workerOfLastStart() {
-		return worker(this.starts.get(this.starts.size() - 1).worker());
+		return processAt(this.starts.get(this.starts.size() - 1).worker());
 	}
 
-	private FakeWorker worker(WorkerInfo info) {
-		return this.workers.stream().filter((worker) -> worker.id().equals(info.id())).findFirst().orElseThrow();
+	// Returns the process that receives what is sent to a worker, null if there is none.
+	private FakeWorker processAt(WorkerInfo info) {
+		return this.workers.stream()
+			.filter((worker) -> worker.address().equals(info.address()))
+			.findFirst()
+			.orElse(null);
+	}
+
+	// Tests whether the process at the address of a worker is another one.
+	private boolean isOther(WorkerInfo info) {
+		return !processAt(info).id().equals(info.id());
 	}
 
 	List<JobOutcome> outcomes() {
@@ -162,7 +191,8 @@
 			start(start);
 		}
 		else if (effect instanceof SchedulingEffect.StopRun stop) {
-			boolean confirmed = !isDown(stop.worker()) && worker(stop.worker()).stop(stop, this.nowNanos);
+			boolean confirmed = !isDown(stop.worker()) && !isOther(stop.worker())
+					&& processAt(stop.worker()).stop(stop, this.nowNanos);
 			this.scheduler.stopAnswered(stop.worker().id(), stop.run(), confirmed, this.nowNanos);
 		}
 		else if (effect instanceof SchedulingEffect.PollWorker poll) {
@@ -174,18 +204,22 @@
 		else if (effect instanceof SchedulingEffect.WorkerCrashed crashed) {
 			this.crashes.add(crashed);
 		}
+		else if (effect instanceof SchedulingEffect.EntryRefuted refuted) {
+			this.refutedEntries.add(refuted);
+		}
 	}
 
 	private boolean isDown(WorkerInfo info) {
-		return this.down.contains(info.id())
-				|| this.workers.stream().noneMatch((worker) -> worker.id().equals(info.id()));
+		FakeWorker process = processAt(info);
+		return process == null || this.down.contains(process.id());
 	}
 
 	private void start(SchedulingEffect.StartRun start) {
 		this.starts.add(start);
 		StartAnswer answer = StartAnswer.UNKNOWN;
 		if (!this.startsLost && !isDown(start.worker())) {
-			answer = worker(start.worker()).start(start, DEMAND, durationNanos(start), EndKind.DONE, this.nowNanos);
+			answer = isOther(start.worker()) ? StartAnswer.OTHER_INCARNATION
+					: processAt(start.worker()).start(start, DEMAND, durationNanos(start), EndKind.DONE, this.nowNanos);
 		}
 		this.afterStart.run();
 		this.scheduler.startAnswered(start, this.startAnswersLost ? StartAnswer.UNKNOWN : answer, this.nowNanos);
@@ -198,11 +232,13 @@
 
 	private void poll(SchedulingEffect.PollWorker poll) {
 		boolean isDown = isDown(poll.worker());
-		WorkerReport report = isDown ? null : worker(poll.worker()).poll(poll, this.nowNanos);
+		boolean isOther = !isDown && isOther(poll.worker());
+		WorkerReport report = (isDown || isOther) ? null : processAt(poll.worker()).poll(poll, this.nowNanos);
 		if (isDown || this.pollAnswersLost || report == null) {
 			boolean answered = !isDown && !this.pollAnswersLost;
+			PollFailure refusal = isOther ? PollFailure.OTHER_PROCESS : PollFailure.FENCED;
 			this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(),
-					answered ? PollFailure.FENCED : PollFailure.NO_ANSWER, this.nowNanos);
+					answered ? refusal : PollFailure.NO_ANSWER, this.nowNanos);
 			return;
 		}
 		this.scheduler.reported(poll.worker().id(), poll.sequence(), poll.token(), report, this.nowNanos);
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -76,6 +76,9 @@
 	/** A worker of a silent data centre has answered, so that it gets new runs again. */
 	DATA_CENTRE_ANSWERS(1317, "data_centre=%s since_answer_ms=%s"),
 
+	/** An entry names another process in the place of a worker that answers. */
+	WORKER_ENTRY_REFUTED(1318, "worker=%s incarnation=%s entry=%s entry_incarnation=%s service=%s address=%s"),
+
 	/** The stored jobs were taken over from the platform's store. */
 	STORED_JOBS_READ(1320, "epoch=%s jobs=%s"),
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
@@ -11,6 +11,7 @@
 import org.limpetgate.scheduling.CrashHistory;
 import org.limpetgate.scheduling.Scheduler;
 import org.limpetgate.scheduling.SchedulingEffect;
+import org.limpetgate.scheduling.WorkerInfo;
 
 /**
  * Executes the effects that the scheduler requests and reports their results back to it.
@@ -74,6 +75,11 @@
 		else if (effect instanceof SchedulingEffect.WorkerCrashed crashed) {
 			logCrash(crashed);
 		}
+		else if (effect instanceof SchedulingEffect.EntryRefuted refuted) {
+			WorkerInfo entry = refuted.entry();
+			this.log.write(LogEvent.WORKER_ENTRY_REFUTED, refuted.worker().id(), refuted.worker().incarnationMillis(),
+					entry.id(), entry.incarnationMillis(), entry.service(), entry.address());
+		}
 		else if (effect instanceof SchedulingEffect.DataCentreSilent silence) {
 			logSilence(silence);
 		}
