--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
@@ -244,7 +244,7 @@
 	// Tasks of one kind can use the same workers, as far as these have room.
 	private static int kind(TaskEntity task) {
 		int interference = task.step().has(StepTrait.FILLER) ? 1 : (task.step().latencyTargetMillis() > 0) ? 2 : 0;
-		return (task.failures > 0) ? interference + 3 : interference;
+		return task.failures.isEmpty() ? interference : interference + 3;
 	}
 
 	// While capacity is scarce, tasks that a slow worker completes in time leave the
@@ -271,7 +271,7 @@
 		if (worker.latestLeaseEndNanos() > task.job().leaseLimitNanos) {
 			return false;
 		}
-		if (worker.suspectUntilNanos > nowNanos && (task.failures > 0 || !worker.runs.isEmpty())) {
+		if (worker.suspectUntilNanos > nowNanos && (!task.failures.isEmpty() || !worker.runs.isEmpty())) {
 			return false;
 		}
 		if (interferes(step, worker) || !CrashIsolation.permits(task, worker, nowNanos)) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -123,6 +123,9 @@
 	/** Whether the acceptance of a stored job is saved. */
 	boolean acceptanceSaved;
 
+	/** The sequence number of the last change that saves its progress, 0 for none. */
+	long progressChange;
+
 	/** The sequence number of the change that saves the end of a stored job. */
 	long endChange;
 
@@ -236,7 +239,10 @@
 		for (int number = 0; number < Math.min(progress.steps().size(), this.steps.size()); number++) {
 			StepProgress step = progress.steps().get(number);
 			List<TaskEntity> tasks = this.steps.get(number);
-			step.failures().forEach((index, failures) -> tasks.get(index).failures = failures);
+			step.failures().forEach((index, failures) -> {
+				tasks.get(index).failures = failures;
+				tasks.get(index).attemptKnown(failures.highestAttempt());
+			});
 			step.checkpoints().forEach((index, checkpoint) -> tasks.get(index).checkpoint = checkpoint);
 			step.crashes().forEach((index, crashes) -> tasks.get(index).crashes = crashes);
 			step.done().stream().forEach((index) -> {
@@ -256,7 +262,7 @@
 
 	private static StepProgress progress(List<TaskEntity> tasks) {
 		BitSet done = new BitSet();
-		Map<Integer, Integer> failures = new HashMap<>();
+		Map<Integer, FailedRuns> failures = new HashMap<>();
 		Map<Integer, String> checkpoints = new HashMap<>();
 		Map<Integer, CrashHistory> crashes = new HashMap<>();
 		for (TaskEntity task : tasks) {
@@ -265,7 +271,7 @@
 				done.set(index);
 				continue;
 			}
-			if (task.failures > 0) {
+			if (!task.failures.isEmpty()) {
 				failures.put(index, task.failures);
 			}
 			if (!task.checkpoint.isEmpty()) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -338,8 +338,8 @@
 		TaskEntity task = run.task;
 		run.task = null;
 		this.preemptions.runEnded(run, end, nowNanos);
-		if (task != null && task.job().ended) {
-			this.storedJobs.runOfEndedJobEnded(task.job(), run.worker(), run.endSequence);
+		if (task == null || task.job().ended) {
+			this.storedJobs.endRepeated(run.job(), run.worker(), run.endSequence);
 		}
 		if (task == null || task.run != run || task.job().ended) {
 			return;
@@ -399,19 +399,23 @@
 		requeue(task);
 	}
 
+	private static TaskEntity holderOfFailures(JobEntity job, TaskEntity task) {
+		return task.step().has(StepTrait.GANG) ? job.steps().get(task.name().step()).get(0) : task;
+	}
+
 	// Counts a failed run and returns whether the job failed as a result. A gang counts
 	// one failure for each attempt.
 	private boolean countFailure(JobEntity job, TaskEntity task, int attempt, long nowNanos) {
-		TaskEntity counted = task.step().has(StepTrait.GANG) ? job.steps().get(task.name().step()).get(0) : task;
-		if (counted.step().has(StepTrait.GANG) && attempt <= counted.failedAttempt) {
+		TaskEntity counted = holderOfFailures(job, task);
+		FailedRuns failures = counted.failures.plus(attempt);
+		if (failures == counted.failures) {
 			return false;
 		}
-		counted.failedAttempt = attempt;
-		counted.failures++;
-		if (counted.failures < job.spec().terms().attempts()) {
+		counted.failures = failures;
+		if (failures.count() < job.spec().terms().attempts()) {
 			return false;
 		}
-		end(job, JobOutcome.FAILED, "task " + task.name() + " failed " + counted.failures + " times", nowNanos);
+		end(job, JobOutcome.FAILED, "task " + task.name() + " failed " + failures.count() + " times", nowNanos);
 		return true;
 	}
 
@@ -419,8 +423,12 @@
 	public void earlierRunEnded(WorkerEntity worker, WorkerReport.Ended ended, long nowNanos) {
 		JobEntity job = this.tables.jobs.get(ended.run().task().job());
 		TaskEntity task = (job != null) ? job.find(ended.run().task()) : null;
-		if (task == null || job.ended || !job.spec().stored() || task.state == TaskEntity.State.DONE
-				|| task.step().has(StepTrait.PERPETUAL)) {
+		if (task == null || !job.spec().stored()) {
+			return;
+		}
+		task.attemptKnown(ended.run().attempt());
+		if (job.ended || isApplied(job, task, ended)) {
+			this.storedJobs.endRepeated(job, worker, ended.number());
 			return;
 		}
 		this.storedJobs.taskEnded(job, worker, ended.number());
@@ -441,6 +449,12 @@
 		taskDone(job, task, nowNanos);
 	}
 
+	private static boolean isApplied(JobEntity job, TaskEntity task, WorkerReport.Ended ended) {
+		return task.state == TaskEntity.State.DONE || task.step().has(StepTrait.PERPETUAL)
+				|| (ended.kind() == WorkerReport.EndKind.FAILED
+						&& holderOfFailures(job, task).failures.includes(ended.run().attempt()));
+	}
+
 	private void taskDone(JobEntity job, TaskEntity task, long nowNanos) {
 		job.taskDone(task);
 		if (task.step().has(StepTrait.GANG)) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -267,7 +267,7 @@
 
 	// The failure of a task that has failed before does not count against the worker.
 	private void countFailure(WorkerEntity worker, RunEntity run, long nowNanos) {
-		if (run.task == null || run.task.failures > 0) {
+		if (run.task == null || !run.task.failures.isEmpty()) {
 			return;
 		}
 		worker.consecutiveFailures++;
@@ -350,7 +350,7 @@
 		run.expectedNanos = this.tables.runTimeModel.taskNanos(task.job().spec().queue(), task.step());
 		task.run = run;
 		task.state = TaskEntity.State.ACTIVE;
-		task.nextAttempt = id.attempt() + 1;
+		task.attemptKnown(id.attempt());
 		worker.add(run);
 		this.tables.addRun(id.task());
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunTimeModel.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunTimeModel.java
@@ -192,7 +192,7 @@
 	// The longer no short task came, the longer it may be.
 	private boolean isSuitableAsProbe(TaskEntity task, WorkerEntity worker, long nowNanos) {
 		JobEntity job = task.job();
-		if (job.spec().stored() || job.spec().steps().size() > 1 || task.failures > 0 || task.moves > 0) {
+		if (job.spec().stored() || job.spec().steps().size() > 1 || !task.failures.isEmpty() || task.moves > 0) {
 			return false;
 		}
 		double taskNanos = taskNanos(job.spec().queue(), task.step());
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/StepProgress.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/StepProgress.java
@@ -9,12 +9,12 @@
  * Immutable and thread-safe; the bit set is copied by the constructor and the accessor.
  *
  * @param done the indexes of the tasks that are done, not null
- * @param failures the number of failed runs of tasks that have any, by index, not null
+ * @param failures the failed runs of tasks that have any, by index, not null
  * @param checkpoints the last checkpoints of tasks that have any, by index, not null
  * @param crashes the crashes and losses of workers under tasks that have any, by index,
  * not null
  */
-public record StepProgress(BitSet done, Map<Integer, Integer> failures, Map<Integer, String> checkpoints,
+public record StepProgress(BitSet done, Map<Integer, FailedRuns> failures, Map<Integer, String> checkpoints,
 		Map<Integer, CrashHistory> crashes) {
 
 	/** The progress of a step without done tasks, failures, checkpoints or crashes. */
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
@@ -37,6 +37,9 @@
 
 	private long lastSequence;
 
+	/** The sequence number of the last change that is saved. */
+	private long savedSequence;
+
 	StoredJobSystem(SchedulerTables tables) {
 		this.tables = tables;
 	}
@@ -72,13 +75,19 @@
 		this.changedJobs.add(job);
 	}
 
-	// Records the end of a run of a job that has ended. It is not acknowledged to the
-	// worker until the end of the job is saved, since another scheduler may find the job
-	// open.
-	void runOfEndedJobEnded(JobEntity job, WorkerEntity worker, long endNumber) {
-		if (job.spec().stored() && isLoaded() && this.tables.jobs.get(job.id()) == job) {
+	// Records the end of a run that changes nothing more, since its task or its job has
+	// ended or it was counted before. It is not acknowledged to the worker until that is
+	// saved, since another scheduler may find the task open.
+	void endRepeated(JobEntity job, WorkerEntity worker, long endNumber) {
+		if (!job.spec().stored() || !isLoaded() || this.tables.jobs.get(job.id()) != job) {
+			return;
+		}
+		if (job.ended) {
 			addUnsavedEnd(job, worker, endNumber);
 		}
+		else if (this.changedJobs.contains(job) || job.progressChange > this.savedSequence) {
+			taskEnded(job, worker, endNumber);
+		}
 	}
 
 	private static void addUnsavedEnd(JobEntity job, WorkerEntity worker, long endNumber) {
@@ -123,6 +132,7 @@
 	// Runs the actions that depend on the changes up to a sequence number, all of which
 	// are saved.
 	void changesSaved(long sequence, long nowNanos) {
+		this.savedSequence = Math.max(this.savedSequence, sequence);
 		while (!this.pendingSaves.isEmpty() && this.pendingSaves.peek().sequence() <= sequence) {
 			this.pendingSaves.poll().onSaved().saved(nowNanos);
 		}
@@ -134,7 +144,7 @@
 		for (JobEntity job : this.changedJobs) {
 			List<UnsavedEnd> unsavedEnds = List.copyOf(job.unsavedEnds);
 			job.unsavedEnds.clear();
-			save(new StoredChange.Progressed(job.id(), job.progress()),
+			job.progressChange = save(new StoredChange.Progressed(job.id(), job.progress()),
 					(savedNanos) -> unsavedEnds.forEach(UnsavedEnd::markSaved));
 		}
 		this.changedJobs.clear();
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/TaskEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/TaskEntity.java
@@ -26,14 +26,8 @@
 
 	State state = State.BLOCKED;
 
-	/** The number of failed runs. */
-	int failures;
-
-	/**
-	 * The highest attempt number that was counted as failed; used for the first task of a
-	 * gang.
-	 */
-	int failedAttempt;
+	/** The failed runs; those of a gang are kept with its first task. */
+	FailedRuns failures = FailedRuns.NONE;
 
 	/** The number of consecutive restarts of a perpetual task. */
 	int restarts;
@@ -77,6 +71,11 @@
 		this.step = step;
 	}
 
+	// Records that a run with an attempt number may have been started.
+	void attemptKnown(int attempt) {
+		this.nextAttempt = Math.max(this.nextAttempt, attempt + 1);
+	}
+
 	JobEntity job() {
 		return this.job;
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/PlacementPassTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/PlacementPassTests.java
@@ -160,7 +160,7 @@
 		job.leaseLimitNanos = (random.nextInt(3) == 0) ? NOW + random.nextInt(1500) * MILLI : Long.MAX_VALUE;
 		if (random.nextInt(10) == 0) {
 			TaskEntity task = job.steps().get(0).get(0);
-			task.failures = random.nextInt(2);
+			task.failures = (random.nextInt(2) == 0) ? FailedRuns.NONE : FailedRuns.NONE.plus(1);
 			for (int crash = random.nextInt(3); crash > 0; crash--) {
 				task.crashes = task.crashes.withCrash(CrashHistory.Evidence.SHARED);
 			}
@@ -188,7 +188,7 @@
 		Collection<WorkerEntity> workers = fleet.values();
 		JobEntity job = randomJob(1, random);
 		TaskEntity task = job.steps().get(0).get(0);
-		task.failures = 1;
+		task.failures = FailedRuns.NONE.plus(1);
 		task.failedOn = List.copyOf(workers).get(random.nextInt(workers.size()));
 		double taskNanos = random.nextInt(800) * MILLI / 50.0;
 		FinishTimePlacement indexed = new FinishTimePlacement(this.model, REMOTE_FACTOR);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/ScanningPlacement.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/ScanningPlacement.java
@@ -109,7 +109,7 @@
 		if (worker.latestLeaseEndNanos() > task.job().leaseLimitNanos) {
 			return false;
 		}
-		if (worker.suspectUntilNanos > nowNanos && (task.failures > 0 || !worker.runs.isEmpty())) {
+		if (worker.suspectUntilNanos > nowNanos && (!task.failures.isEmpty() || !worker.runs.isEmpty())) {
 			return false;
 		}
 		if (interferes(step, worker) || !CrashIsolation.permits(task, worker, nowNanos)) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
@@ -160,18 +160,119 @@
 		save();
 		RunId failed = starts().get(0).run();
 		reportEnd(0, EndKind.FAILED);
-		List<SchedulingEffect.SaveChange> changes = effectsOf(SchedulingEffect.SaveChange.class);
-		JobProgress saved = ((StoredChange.Progressed) changes.get(changes.size() - 1).change()).progress();
+		restoreAtNextScheduler("1", step(1));
+		report(lastPoll(), List.of(), List.of(new WorkerReport.Ended(1, failed, EndKind.FAILED, "")));
+		assertThat(changes()).isEmpty();
+		assertThat(this.scheduler.state(JobId.of("1"))).isNotEqualTo(Optional.of(JobState.FAILED));
+	}
+
+	/** Guards against the same for a gang, whose failures count by attempt. */
+	@Example
+	void failureOfAGangInSavedProgressIsNotCountedAgain() {
+		activate("w1");
+		submit("1", gangStep(2));
+		save();
+		RunId failed = starts().get(1).run();
+		reportEnd(1, EndKind.FAILED);
+		restoreAtNextScheduler("1", gangStep(2));
+		report(lastPoll(), List.of(), List.of(new WorkerReport.Ended(1, failed, EndKind.FAILED, "")));
+		assertThat(changes()).isEmpty();
+		assertThat(this.scheduler.state(JobId.of("1"))).isNotEqualTo(Optional.of(JobState.FAILED));
+	}
+
+	/**
+	 * Guards against a task that is tried too often because its next run has the attempt
+	 * of one whose failure was counted by an earlier scheduler.
+	 */
+	@Example
+	void failureOfTheNextRunCountsAfterATakeover() {
+		activate("w1");
+		submit("1", step(1));
+		save();
+		reportEnd(0, EndKind.FAILED);
+		restoreAtNextScheduler("1", step(1));
+		report(lastPoll(), List.of(), List.of());
+		advance(4000);
+		report(lastPoll(), List.of(), List.of());
+		advance(4000);
+		assertThat(starts()).extracting((start) -> start.run().attempt()).containsExactly(2);
+		this.endNumber = 1;
+		reportEnd(0, EndKind.FAILED);
+		save();
+		assertThat(this.scheduler.state(JobId.of("1"))).contains(JobState.FAILED);
+	}
+
+	/**
+	 * Guards against a second run of a task: an end that repeats what is not saved yet is
+	 * acknowledged, and the scheduler is lost before it is saved.
+	 */
+	@Example
+	void endOfAnotherRunOfADoneTaskIsAcknowledgedOnlyAfterThatIsSaved() {
+		activate("w1", "w2");
+		submit("1", step(2));
+		save();
+		SchedulingEffect.StartRun start = starts().get(0);
+		UpstreamId other = UpstreamId.of(start.worker().id().value().equals("w1") ? "w2" : "w1");
+		RunId earlier = new RunId(start.run().task(), 7);
+		SchedulingEffect.PollWorker poll = effectsOf(SchedulingEffect.PollWorker.class).stream()
+			.filter((sent) -> sent.worker().id().equals(other))
+			.findFirst()
+			.orElseGet(() -> pollAfterIdleTime(other));
+		report(poll, List.of(), List.of(new WorkerReport.Ended(1, earlier, EndKind.DONE, "")));
+		List<RunId> present = starts().stream()
+			.filter((sent) -> sent.worker().id().equals(start.worker().id()) && sent != start)
+			.map(SchedulingEffect.StartRun::run)
+			.toList();
+		List<WorkerReport.Ended> ended = List.of(new WorkerReport.Ended(1, start.run(), EndKind.DONE, ""));
+		report(pollOf(start.worker().id()), present, ended);
+		advance(20);
+		assertThat(pollOf(start.worker().id()).ackNumber()).isZero();
+		save();
+		report(pollOf(start.worker().id()), present, ended);
+		advance(20);
+		assertThat(pollOf(start.worker().id()).ackNumber()).isEqualTo(1);
+	}
+
+	// Lets the time pass after which an idle worker is polled.
+	private SchedulingEffect.PollWorker pollAfterIdleTime(UpstreamId worker) {
+		advance(11_000);
+		return pollOf(worker);
+	}
+
+	/**
+	 * Guards against a second run of a task of a job whose end is not saved yet: the end
+	 * of a run of an earlier scheduler is acknowledged, and the next scheduler finds the
+	 * job open.
+	 */
+	@Example
+	void endOfAnEarlierRunOfACancelledJobIsAcknowledgedOnlyAfterItsEndIsSaved() {
+		activate("w1");
+		submit("1", step(2));
+		save();
+		List<RunId> runs = starts().stream().map(SchedulingEffect.StartRun::run).toList();
+		this.scheduler.cancel(JobId.of("1"), this.nowNanos);
+		tick();
+		RunId earlier = new RunId(runs.get(0).task(), 7);
+		report(lastPoll(), runs, List.of(new WorkerReport.Ended(1, earlier, EndKind.DONE, "")));
+		advance(20);
+		assertThat(lastPoll().ackNumber()).isZero();
+	}
+
+	// Lets the next scheduler read a job with the progress that was emitted last, and
+	// take the worker over.
+	private void restoreAtNextScheduler(String id, StepSpec step) {
+		JobProgress saved = ((StoredChange.Progressed) changes().get(changes().size() - 1).change()).progress();
 		this.effects.clear();
 		this.scheduler = Scheduler.of(SchedulerSettings.of(8, 1000, 50, 2));
 		this.scheduler.workersListed(List.of(worker("w1")), true, this.nowNanos);
 		this.scheduler.activate(FencingToken.create(this.nowNanos, 8, FencingToken.NONE), this.nowNanos);
 		this.scheduler.loadStoredJobs(
-				List.of(new StoredJob(JobId.of("1"), spec("1", step(1)), this.nowNanos / MILLI, saved)), this.nowNanos);
+				List.of(new StoredJob(JobId.of(id), spec(id, step), this.nowNanos / MILLI, saved)), this.nowNanos);
 		tick();
-		report(lastPoll(), List.of(), List.of(new WorkerReport.Ended(1, failed, EndKind.FAILED, "")));
-		save();
-		assertThat(this.scheduler.state(JobId.of("1"))).isNotEqualTo(Optional.of(JobState.FAILED));
+	}
+
+	private List<SchedulingEffect.SaveChange> changes() {
+		return effectsOf(SchedulingEffect.SaveChange.class);
 	}
 
 	private StoredChange.Progressed firstTaskDone() {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredRecords.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredRecords.java
@@ -13,11 +13,13 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.limpetgate.JobId;
 import org.limpetgate.fleet.JobLog;
+import org.limpetgate.proto.AttemptsRecord;
 import org.limpetgate.proto.JobProgressRecord;
 import org.limpetgate.proto.JobStatus;
 import org.limpetgate.proto.StepProgressRecord;
 import org.limpetgate.proto.StoredJobRecord;
 import org.limpetgate.scheduling.CrashHistory;
+import org.limpetgate.scheduling.FailedRuns;
 import org.limpetgate.scheduling.JobProgress;
 import org.limpetgate.scheduling.StepProgress;
 import org.limpetgate.scheduling.StoredChange;
@@ -68,8 +70,12 @@
 		for (StepProgress step : progress.steps()) {
 			StepProgressRecord.Builder stepRecord = StepProgressRecord.newBuilder()
 				.setDone(ByteString.copyFrom(step.done().toByteArray()))
-				.putAllFailures(step.failures())
 				.putAllCheckpoints(step.checkpoints());
+			step.failures().forEach((index, failures) -> {
+				stepRecord.putFailures(index, failures.count());
+				stepRecord.putFailedAttempts(index,
+						AttemptsRecord.newBuilder().addAllAttempts(failures.attempts()).build());
+			});
 			step.crashes().forEach((index, history) -> stepRecord.putCrashes(index, CrashRecords.toRecord(history)));
 			record.addSteps(stepRecord);
 		}
@@ -134,8 +140,12 @@
 	private static StepProgress toProgress(StepProgressRecord record) {
 		Map<Integer, CrashHistory> crashes = new HashMap<>();
 		record.getCrashesMap().forEach((index, history) -> crashes.put(index, CrashRecords.toHistory(history)));
-		return new StepProgress(BitSet.valueOf(record.getDone().toByteArray()), record.getFailuresMap(),
-				record.getCheckpointsMap(), crashes);
+		Map<Integer, FailedRuns> failures = new HashMap<>();
+		record.getFailuresMap()
+			.forEach((index, count) -> failures.put(index, new FailedRuns(count, Set.copyOf(
+					record.getFailedAttemptsOrDefault(index, AttemptsRecord.getDefaultInstance()).getAttemptsList()))));
+		return new StepProgress(BitSet.valueOf(record.getDone().toByteArray()), failures, record.getCheckpointsMap(),
+				crashes);
 	}
 
 }
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/JobJournalTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/JobJournalTests.java
@@ -16,6 +16,7 @@
 import org.limpetgate.proto.StepProgressRecord;
 import org.limpetgate.scheduling.Capacity;
 import org.limpetgate.scheduling.CrashHistory;
+import org.limpetgate.scheduling.FailedRuns;
 import org.limpetgate.scheduling.JobProgress;
 import org.limpetgate.scheduling.JobSpec;
 import org.limpetgate.scheduling.QueueTerms;
@@ -83,8 +84,8 @@
 		open(1);
 		BitSet done = new BitSet();
 		done.set(2);
-		JobProgress progress = new JobProgress(StoredState.OPEN, 0,
-				List.of(new StepProgress(done, Map.of(0, 1), Map.of(1, "cp"), Map.of(0, crashes()))));
+		JobProgress progress = new JobProgress(StoredState.OPEN, 0, List.of(new StepProgress(done,
+				Map.of(0, FailedRuns.NONE.plus(3).plus(1)), Map.of(1, "cp"), Map.of(0, crashes()))));
 		this.journal.save(1, accepted("a"));
 		this.journal.save(2, new StoredChange.Progressed(JobId.of("a"), progress));
 		this.journal.save(3, accepted("b"));
@@ -121,7 +122,8 @@
 		List<StoredJob> jobs = StoredRecords.toJobs(Map.of("progress/a", record));
 		assertThat(jobs).singleElement()
 			.extracting((job) -> job.progress().steps())
-			.isEqualTo(List.of(new StepProgress(new BitSet(), Map.of(0, 1), Map.of(), Map.of())));
+			.isEqualTo(List
+				.of(new StepProgress(new BitSet(), Map.of(0, new FailedRuns(1, Set.of())), Map.of(), Map.of())));
 	}
 
 	/** Guards against a separate call to the store for each change. */
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/StepProgressRecord.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/StepProgressRecord.java
@@ -52,6 +52,8 @@
         return internalGetCheckpoints();
       case 4:
         return internalGetCrashes();
+      case 5:
+        return internalGetFailedAttempts();
       default:
         throw new RuntimeException(
             "Invalid map field number: " + number);
@@ -315,6 +317,101 @@
     return map.get(key);
   }
 
+  public static final int FAILED_ATTEMPTS_FIELD_NUMBER = 5;
+  private static final class FailedAttemptsDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.Integer, org.limpetgate.proto.AttemptsRecord> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.Integer, org.limpetgate.proto.AttemptsRecord>newDefaultInstance(
+                org.limpetgate.proto.Limpetgate.internal_static_limpetgate_StepProgressRecord_FailedAttemptsEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.UINT32,
+                0,
+                com.google.protobuf.WireFormat.FieldType.MESSAGE,
+                org.limpetgate.proto.AttemptsRecord.getDefaultInstance());
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.Integer, org.limpetgate.proto.AttemptsRecord> failedAttempts_;
+  private com.google.protobuf.MapField<java.lang.Integer, org.limpetgate.proto.AttemptsRecord>
+  internalGetFailedAttempts() {
+    if (failedAttempts_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          FailedAttemptsDefaultEntryHolder.defaultEntry);
+    }
+    return failedAttempts_;
+  }
+  public int getFailedAttemptsCount() {
+    return internalGetFailedAttempts().getMap().size();
+  }
+  /**
+   * <pre>
+   * The attempts of the failed runs; a host of an earlier version writes their number only.
+   * </pre>
+   *
+   * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+   */
+  @java.lang.Override
+  public boolean containsFailedAttempts(
+      int key) {
+
+    return internalGetFailedAttempts().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getFailedAttemptsMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecord> getFailedAttempts() {
+    return getFailedAttemptsMap();
+  }
+  /**
+   * <pre>
+   * The attempts of the failed runs; a host of an earlier version writes their number only.
+   * </pre>
+   *
+   * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecord> getFailedAttemptsMap() {
+    return internalGetFailedAttempts().getMap();
+  }
+  /**
+   * <pre>
+   * The attempts of the failed runs; a host of an earlier version writes their number only.
+   * </pre>
+   *
+   * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+   */
+  @java.lang.Override
+  public /* nullable */
+org.limpetgate.proto.AttemptsRecord getFailedAttemptsOrDefault(
+      int key,
+      /* nullable */
+org.limpetgate.proto.AttemptsRecord defaultValue) {
+
+    java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecord> map =
+        internalGetFailedAttempts().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * The attempts of the failed runs; a host of an earlier version writes their number only.
+   * </pre>
+   *
+   * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+   */
+  @java.lang.Override
+  public org.limpetgate.proto.AttemptsRecord getFailedAttemptsOrThrow(
+      int key) {
+
+    java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecord> map =
+        internalGetFailedAttempts().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -350,6 +447,12 @@
         internalGetCrashes(),
         CrashesDefaultEntryHolder.defaultEntry,
         4);
+    com.google.protobuf.GeneratedMessage
+      .serializeIntegerMapTo(
+        output,
+        internalGetFailedAttempts(),
+        FailedAttemptsDefaultEntryHolder.defaultEntry,
+        5);
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -388,6 +491,16 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(4, crashes__);
     }
+    for (java.util.Map.Entry<java.lang.Integer, org.limpetgate.proto.AttemptsRecord> entry
+         : internalGetFailedAttempts().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.Integer, org.limpetgate.proto.AttemptsRecord>
+      failedAttempts__ = FailedAttemptsDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, failedAttempts__);
+    }
     return size;
   }
   @java.lang.Override
@@ -420,6 +533,8 @@
         other.internalGetCheckpoints())) return false;
     if (!internalGetCrashes().equals(
         other.internalGetCrashes())) return false;
+    if (!internalGetFailedAttempts().equals(
+        other.internalGetFailedAttempts())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -445,6 +560,10 @@
       hash = (37 * hash) + CRASHES_FIELD_NUMBER;
       hash = (53 * hash) + internalGetCrashes().hashCode();
     }
+    if (!internalGetFailedAttempts().getMap().isEmpty()) {
+      hash = (37 * hash) + FAILED_ATTEMPTS_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetFailedAttempts().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -564,6 +683,8 @@
           return internalGetCheckpoints();
         case 4:
           return internalGetCrashes();
+        case 5:
+          return internalGetFailedAttempts();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -579,6 +700,8 @@
           return internalGetMutableCheckpoints();
         case 4:
           return internalGetMutableCrashes();
+        case 5:
+          return internalGetMutableFailedAttempts();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -610,6 +733,7 @@
       internalGetMutableFailures().clear();
       internalGetMutableCheckpoints().clear();
       internalGetMutableCrashes().clear();
+      internalGetMutableFailedAttempts().clear();
       return this;
     }
 
@@ -657,6 +781,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.crashes_ = internalGetCrashes().build(CrashesDefaultEntryHolder.defaultEntry);
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.failedAttempts_ = internalGetFailedAttempts().build(FailedAttemptsDefaultEntryHolder.defaultEntry);
+      }
     }
 
     @java.lang.Override
@@ -683,6 +810,9 @@
       internalGetMutableCrashes().mergeFrom(
           other.internalGetCrashes());
       bitField0_ |= 0x00000008;
+      internalGetMutableFailedAttempts().mergeFrom(
+          other.internalGetFailedAttempts());
+      bitField0_ |= 0x00000010;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -739,6 +869,15 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 42: {
+              com.google.protobuf.MapEntry<java.lang.Integer, org.limpetgate.proto.AttemptsRecord>
+              failedAttempts__ = input.readMessage(
+                  FailedAttemptsDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableFailedAttempts().ensureBuilderMap().put(
+                  failedAttempts__.getKey(), failedAttempts__.getValue());
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1206,6 +1345,192 @@
       return (org.limpetgate.proto.CrashHistoryRecord.Builder) entry;
     }
 
+    private static final class FailedAttemptsConverter implements com.google.protobuf.MapFieldBuilder.Converter<java.lang.Integer, org.limpetgate.proto.AttemptsRecordOrBuilder, org.limpetgate.proto.AttemptsRecord> {
+      @java.lang.Override
+      public org.limpetgate.proto.AttemptsRecord build(org.limpetgate.proto.AttemptsRecordOrBuilder val) {
+        if (val instanceof org.limpetgate.proto.AttemptsRecord) { return (org.limpetgate.proto.AttemptsRecord) val; }
+        return ((org.limpetgate.proto.AttemptsRecord.Builder) val).build();
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.MapEntry<java.lang.Integer, org.limpetgate.proto.AttemptsRecord> defaultEntry() {
+        return FailedAttemptsDefaultEntryHolder.defaultEntry;
+      }
+    };
+    private static final FailedAttemptsConverter failedAttemptsConverter = new FailedAttemptsConverter();
+
+    private com.google.protobuf.MapFieldBuilder<
+        java.lang.Integer, org.limpetgate.proto.AttemptsRecordOrBuilder, org.limpetgate.proto.AttemptsRecord, org.limpetgate.proto.AttemptsRecord.Builder> failedAttempts_;
+    private com.google.protobuf.MapFieldBuilder<java.lang.Integer, org.limpetgate.proto.AttemptsRecordOrBuilder, org.limpetgate.proto.AttemptsRecord, org.limpetgate.proto.AttemptsRecord.Builder>
+        internalGetFailedAttempts() {
+      if (failedAttempts_ == null) {
+        return new com.google.protobuf.MapFieldBuilder<>(failedAttemptsConverter);
+      }
+      return failedAttempts_;
+    }
+    private com.google.protobuf.MapFieldBuilder<java.lang.Integer, org.limpetgate.proto.AttemptsRecordOrBuilder, org.limpetgate.proto.AttemptsRecord, org.limpetgate.proto.AttemptsRecord.Builder>
+        internalGetMutableFailedAttempts() {
+      if (failedAttempts_ == null) {
+        failedAttempts_ = new com.google.protobuf.MapFieldBuilder<>(failedAttemptsConverter);
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return failedAttempts_;
+    }
+    public int getFailedAttemptsCount() {
+      return internalGetFailedAttempts().ensureBuilderMap().size();
+    }
+    /**
+     * <pre>
+     * The attempts of the failed runs; a host of an earlier version writes their number only.
+     * </pre>
+     *
+     * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+     */
+    @java.lang.Override
+    public boolean containsFailedAttempts(
+        int key) {
+
+      return internalGetFailedAttempts().ensureBuilderMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getFailedAttemptsMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecord> getFailedAttempts() {
+      return getFailedAttemptsMap();
+    }
+    /**
+     * <pre>
+     * The attempts of the failed runs; a host of an earlier version writes their number only.
+     * </pre>
+     *
+     * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecord> getFailedAttemptsMap() {
+      return internalGetFailedAttempts().getImmutableMap();
+    }
+    /**
+     * <pre>
+     * The attempts of the failed runs; a host of an earlier version writes their number only.
+     * </pre>
+     *
+     * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+     */
+    @java.lang.Override
+    public /* nullable */
+org.limpetgate.proto.AttemptsRecord getFailedAttemptsOrDefault(
+        int key,
+        /* nullable */
+org.limpetgate.proto.AttemptsRecord defaultValue) {
+
+      java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecordOrBuilder> map = internalGetMutableFailedAttempts().ensureBuilderMap();
+      return map.containsKey(key) ? failedAttemptsConverter.build(map.get(key)) : defaultValue;
+    }
+    /**
+     * <pre>
+     * The attempts of the failed runs; a host of an earlier version writes their number only.
+     * </pre>
+     *
+     * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+     */
+    @java.lang.Override
+    public org.limpetgate.proto.AttemptsRecord getFailedAttemptsOrThrow(
+        int key) {
+
+      java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecordOrBuilder> map = internalGetMutableFailedAttempts().ensureBuilderMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return failedAttemptsConverter.build(map.get(key));
+    }
+    public Builder clearFailedAttempts() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      internalGetMutableFailedAttempts().clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * The attempts of the failed runs; a host of an earlier version writes their number only.
+     * </pre>
+     *
+     * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+     */
+    public Builder removeFailedAttempts(
+        int key) {
+
+      internalGetMutableFailedAttempts().ensureBuilderMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecord>
+        getMutableFailedAttempts() {
+      bitField0_ |= 0x00000010;
+      return internalGetMutableFailedAttempts().ensureMessageMap();
+    }
+    /**
+     * <pre>
+     * The attempts of the failed runs; a host of an earlier version writes their number only.
+     * </pre>
+     *
+     * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+     */
+    public Builder putFailedAttempts(
+        int key,
+        org.limpetgate.proto.AttemptsRecord value) {
+
+      java.util.Objects.requireNonNull(value, "map value");
+      internalGetMutableFailedAttempts().ensureBuilderMap()
+          .put(key, value);
+      bitField0_ |= 0x00000010;
+      return this;
+    }
+    /**
+     * <pre>
+     * The attempts of the failed runs; a host of an earlier version writes their number only.
+     * </pre>
+     *
+     * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+     */
+    public Builder putAllFailedAttempts(
+        java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecord> values) {
+      for (java.util.Map.Entry<java.lang.Integer, org.limpetgate.proto.AttemptsRecord> e : values.entrySet()) {
+        java.util.Objects.requireNonNull(e.getKey());
+        java.util.Objects.requireNonNull(e.getValue());
+      }
+      internalGetMutableFailedAttempts().ensureBuilderMap()
+          .putAll(values);
+      bitField0_ |= 0x00000010;
+      return this;
+    }
+    /**
+     * <pre>
+     * The attempts of the failed runs; a host of an earlier version writes their number only.
+     * </pre>
+     *
+     * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+     */
+    public org.limpetgate.proto.AttemptsRecord.Builder putFailedAttemptsBuilderIfAbsent(
+        int key) {
+      java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecordOrBuilder> builderMap = internalGetMutableFailedAttempts().ensureBuilderMap();
+      org.limpetgate.proto.AttemptsRecordOrBuilder entry = builderMap.get(key);
+      if (entry == null) {
+        entry = org.limpetgate.proto.AttemptsRecord.newBuilder();
+        builderMap.put(key, entry);
+      }
+      if (entry instanceof org.limpetgate.proto.AttemptsRecord) {
+        entry = ((org.limpetgate.proto.AttemptsRecord) entry).toBuilder();
+        builderMap.put(key, entry);
+      }
+      return (org.limpetgate.proto.AttemptsRecord.Builder) entry;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.StepProgressRecord)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/StepProgressRecordOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/StepProgressRecordOrBuilder.java
@@ -119,4 +119,58 @@
    */
   org.limpetgate.proto.CrashHistoryRecord getCrashesOrThrow(
       int key);
+
+  /**
+   * <pre>
+   * The attempts of the failed runs; a host of an earlier version writes their number only.
+   * </pre>
+   *
+   * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+   */
+  int getFailedAttemptsCount();
+  /**
+   * <pre>
+   * The attempts of the failed runs; a host of an earlier version writes their number only.
+   * </pre>
+   *
+   * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+   */
+  boolean containsFailedAttempts(
+      int key);
+  /**
+   * Use {@link #getFailedAttemptsMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecord>
+  getFailedAttempts();
+  /**
+   * <pre>
+   * The attempts of the failed runs; a host of an earlier version writes their number only.
+   * </pre>
+   *
+   * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+   */
+  java.util.Map<java.lang.Integer, org.limpetgate.proto.AttemptsRecord>
+  getFailedAttemptsMap();
+  /**
+   * <pre>
+   * The attempts of the failed runs; a host of an earlier version writes their number only.
+   * </pre>
+   *
+   * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+   */
+  /* nullable */
+org.limpetgate.proto.AttemptsRecord getFailedAttemptsOrDefault(
+      int key,
+      /* nullable */
+org.limpetgate.proto.AttemptsRecord defaultValue);
+  /**
+   * <pre>
+   * The attempts of the failed runs; a host of an earlier version writes their number only.
+   * </pre>
+   *
+   * <code>map&lt;uint32, .limpetgate.AttemptsRecord&gt; failed_attempts = 5;</code>
+   */
+  org.limpetgate.proto.AttemptsRecord getFailedAttemptsOrThrow(
+      int key);
 }
