--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -134,13 +134,17 @@
 			this.tables.verifySinceNanos = nowNanos;
 			this.tables.scanDue = true;
 		}
-		if (this.verification.areAllVerified(job.handedOverNanos, nowNanos)) {
-			return true;
-		}
 		long waited = nowNanos - job.handedOverNanos;
 		SchedulerSettings settings = this.tables.settings;
 		if (!job.spec().stored()) {
-			return waited > settings.resubmitGuardNanos();
+			return this.verification.areRunsVerified(job.handedOverNanos, nowNanos)
+					|| waited > settings.resubmitGuardNanos();
+		}
+		if (this.verification.areAllVerified(job.handedOverNanos, nowNanos)) {
+			return true;
+		}
+		if (this.verification.mayHaveUnreadEnds(nowNanos)) {
+			return false;
 		}
 		// Another scheduler may keep renewing the lease of a worker that this host
 		// cannot reach. The worker reports the ends of its runs once it is reachable.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -35,9 +35,6 @@
 	 */
 	private static final int MAX_STOP_ATTEMPTS = 3;
 
-	/** A report with this many ends may be truncated. */
-	private static final int MAX_REPORTED_ENDS = 500;
-
 	private static final long SUSPECT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	private static final long START_FAILURE_SUSPECT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
@@ -190,14 +187,14 @@
 	}
 
 	// Applies a report. The first one under a new token completes the takeover.
-	void applyReport(WorkerEntity worker, WorkerReport report, boolean takeover, long sentNanos, long nowNanos) {
+	void applyReport(WorkerEntity worker, WorkerReport report, long sentNanos, long nowNanos) {
 		for (WorkerReport.Ended ended : report.ended()) {
 			if (ended.number() > worker.lastEndNumber) {
 				worker.lastEndNumber = ended.number();
 				applyEnd(worker, ended, nowNanos);
 			}
 		}
-		applyRunning(worker, report, takeover, sentNanos, nowNanos);
+		applyRunning(worker, report, sentNanos, nowNanos);
 		worker.runsLost = false;
 	}
 
@@ -276,13 +273,9 @@
 		}
 	}
 
-	private void applyRunning(WorkerEntity worker, WorkerReport report, boolean takeover, long sentNanos,
-			long nowNanos) {
+	private void applyRunning(WorkerEntity worker, WorkerReport report, long sentNanos, long nowNanos) {
 		Map<RunId, WorkerReport.Running> running = new HashMap<>();
 		report.running().forEach((reportedRun) -> running.put(reportedRun.run(), reportedRun));
-		boolean complete = report.ended().size() < MAX_REPORTED_ENDS;
-		RunGivenUp.Reason reason = takeover ? RunGivenUp.Reason.NOT_IN_TAKEOVER_REPORT
-				: RunGivenUp.Reason.NOT_IN_REPORT;
 		for (RunEntity run : List.copyOf(worker.runs.values())) {
 			WorkerReport.Running reportedRun = running.remove(run.id());
 			if (reportedRun != null) {
@@ -293,13 +286,16 @@
 					run.enter(RunEntity.State.RUNNING, nowNanos);
 				}
 			}
-			else if (takeover || (complete && mustHaveEnded(run, sentNanos))) {
-				giveUp(run, reason, (run.endWithoutReport != null) ? run.endWithoutReport : RunEnd.LOST, nowNanos);
+			else if (isProvenLost(run, report, sentNanos)) {
+				giveUp(run,
+						isOrderedBeforeTakeover(run) ? RunGivenUp.Reason.NOT_IN_TAKEOVER_REPORT
+								: RunGivenUp.Reason.NOT_IN_REPORT,
+						(run.endWithoutReport != null) ? run.endWithoutReport : RunEnd.LOST, nowNanos);
 			}
 		}
 		for (RunId run : List.copyOf(worker.orphanRuns.keySet())) {
 			if (!running.containsKey(run)) {
-				giveUpOrphan(worker, run, reason, nowNanos);
+				giveUpOrphan(worker, run, RunGivenUp.Reason.NOT_IN_REPORT, nowNanos);
 			}
 		}
 		for (WorkerReport.Running reportedRun : running.values()) {
@@ -307,6 +303,22 @@
 		}
 	}
 
+	// Tests whether a report that lists neither a run nor its end shows that it has ended
+	// without a result. The result of a run of a stored job may be among the ends that a
+	// report does not list. A task of another job may start again in any case, since
+	// the list of present runs is always complete.
+	private static boolean isProvenLost(RunEntity run, WorkerReport report, long pollSentNanos) {
+		if (isOrderedBeforeTakeover(run)) {
+			return report.endsComplete() || !run.isStored();
+		}
+		return report.endsComplete() && mustHaveEnded(run, pollSentNanos);
+	}
+
+	// Tests whether the present token fences the order to start a run.
+	private static boolean isOrderedBeforeTakeover(RunEntity run) {
+		return !run.token.equals(run.worker().token);
+	}
+
 	private static boolean mustHaveEnded(RunEntity run, long pollSentNanos) {
 		return (run.state == RunEntity.State.RUNNING || run.state == RunEntity.State.STOPPED)
 				&& run.stateSinceNanos <= pollSentNanos;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -136,10 +136,20 @@
 	long verifySinceNanos;
 
 	/**
-	 * When the latest poll that the worker answered under this owner's token was sent.
+	 * When the latest poll was sent that the worker answered under this owner's token
+	 * with all of its runs and ends.
 	 */
 	long verifiedNanos;
 
+	/** The same for its list of present runs alone, which is always complete. */
+	private long runsVerifiedNanos;
+
+	/** Whether the newest report does not list all of its ends. */
+	boolean endsTruncated;
+
+	/** When the poll was sent that the newest report answers. */
+	private long listedNanos;
+
 	/** The number of consecutive failed polls. */
 	int pollFailures;
 
@@ -308,6 +318,33 @@
 		return this.processEnded || this.verifiedNanos >= sinceNanos;
 	}
 
+	boolean areRunsVerified(long sinceNanos) {
+		return this.processEnded || this.runsVerifiedNanos >= sinceNanos;
+	}
+
+	// Records what a report under this owner's token proves.
+	void verify(WorkerReport report, long sentNanos) {
+		this.runsVerifiedNanos = Math.max(this.runsVerifiedNanos, sentNanos);
+		if (report.endsComplete()) {
+			this.verifiedNanos = Math.max(this.verifiedNanos, sentNanos);
+		}
+		if (sentNanos >= this.listedNanos) {
+			this.listedNanos = sentNanos;
+			this.endsTruncated = !report.endsComplete();
+		}
+	}
+
+	// Tests whether it may have ends that its reports do not list yet and that count,
+	// since its lease has not run out since.
+	boolean mayHaveUnreadEnds(long nowNanos) {
+		return this.endsTruncated && (this.pollFailures == 0 || nowNanos < latestLeaseEndNanos());
+	}
+
+	// Tests whether an acknowledgement would make room for ends that are not listed yet.
+	boolean isAckUrgent() {
+		return this.endsTruncated && ackNumber() > this.confirmedAckNumber;
+	}
+
 	private void readTimes(WorkerInfo next, long nowNanos) {
 		long coldNanos = TimeUnit.MILLISECONDS.toNanos(next.coldRemainingMillis());
 		if (coldNanos > 0 && !isCold(nowNanos)) {
@@ -484,6 +521,9 @@
 		this.deferredEnds.clear();
 		this.ownership = Ownership.NOT_OWNED;
 		this.verifiedNanos = 0;
+		this.runsVerifiedNanos = 0;
+		this.endsTruncated = false;
+		this.listedNanos = 0;
 		this.retryNanos = 0;
 		this.grantedEndNanos = 0;
 		this.inheritedEndNanos = 0;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerReport.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerReport.java
@@ -13,14 +13,30 @@
  * @param running the runs that are present
  * @param ended the ended runs that are not acknowledged yet, in the order of their
  * sequence numbers
+ * @param endsComplete whether these are all of them; otherwise the absence of an end
+ * proves nothing, and the others are listed once these are acknowledged
  */
-public record WorkerReport(long incarnationMillis, long clockMillis, List<Running> running, List<Ended> ended) {
+public record WorkerReport(long incarnationMillis, long clockMillis, List<Running> running, List<Ended> ended,
+		boolean endsComplete) {
 
 	public WorkerReport {
 		running = List.copyOf(running);
 		ended = List.copyOf(ended);
 	}
 
+	/**
+	 * Creates a report that lists all ends.
+	 * @param incarnationMillis the start of the answering incarnation, in milliseconds
+	 * since the Unix epoch, or 0 if unknown
+	 * @param clockMillis the worker's clock, in milliseconds
+	 * @param running the runs that are present
+	 * @param ended the ended runs that are not acknowledged yet, in the order of their
+	 * sequence numbers
+	 */
+	public WorkerReport(long incarnationMillis, long clockMillis, List<Running> running, List<Ended> ended) {
+		this(incarnationMillis, clockMillis, running, ended, true);
+	}
+
 	/**
 	 * A run that is present.
 	 *
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -124,6 +124,17 @@
 				&& this.tables.workers.values().stream().allMatch((worker) -> worker.isVerified(sinceNanos));
 	}
 
+	@Override
+	public boolean areRunsVerified(long sinceNanos, long nowNanos) {
+		return this.list.isComplete(nowNanos)
+				&& this.tables.workers.values().stream().allMatch((worker) -> worker.areRunsVerified(sinceNanos));
+	}
+
+	@Override
+	public boolean mayHaveUnreadEnds(long nowNanos) {
+		return this.tables.workers.values().stream().anyMatch((worker) -> worker.mayHaveUnreadEnds(nowNanos));
+	}
+
 	@Override
 	public boolean areRemainingVerified(long sinceNanos, long nowNanos) {
 		long maxUnlistedNanos = this.tables.settings.storedGuardNanos();
@@ -156,7 +167,7 @@
 		worker.updateClock(report.clockMillis(), sentNanos, nowNanos);
 		boolean takeover = worker.ownership == WorkerEntity.Ownership.TAKING_OVER;
 		worker.ownership = WorkerEntity.Ownership.OWNED;
-		this.runs.applyReport(worker, report, takeover, sentNanos, nowNanos);
+		this.runs.applyReport(worker, report, sentNanos, nowNanos);
 		this.tables.runTimeModel.recordProgress(worker, nowNanos);
 		if (takeover && worker.fenced) {
 			this.tables.retakenNanos = nowNanos;
@@ -168,7 +179,7 @@
 			worker.renewedNanos = nowNanos;
 			worker.inheritedEndNanos = Math.max(worker.inheritedEndNanos, nowNanos + this.tables.settings.grantNanos());
 		}
-		worker.verifiedNanos = Math.max(worker.verifiedNanos, sentNanos);
+		worker.verify(report, sentNanos);
 		this.tables.placementDue = true;
 	}
 
@@ -261,9 +272,12 @@
 		}
 	}
 
+	// The remaining ends of a worker are read with renewals, which keep the lease of its
+	// runs.
 	private boolean needsVerification(WorkerEntity worker) {
 		long since = Math.max(this.tables.verifySinceNanos, worker.verifySinceNanos);
-		return worker.verifiedNanos < since && worker.pollFailures == 0
+		boolean verified = worker.endsTruncated ? worker.areRunsVerified(since) : worker.isVerified(since);
+		return !verified && worker.pollFailures == 0
 				&& worker.pendingPolls.values().stream().noneMatch((poll) -> poll.sentNanos() >= since);
 	}
 
@@ -278,7 +292,7 @@
 		if (!worker.unsavedEnds.isEmpty() && nowNanos - worker.lastReportNanos < unsavedEndsPollIntervalNanos(worker)) {
 			return false;
 		}
-		boolean due = worker.isBusy() || worker.ackDue || worker.pollFailures > 0
+		boolean due = worker.isBusy() || worker.ackDue || worker.isAckUrgent() || worker.pollFailures > 0
 				|| nowNanos - worker.lastReportNanos > IDLE_POLL_INTERVAL_NANOS;
 		return due && (worker.pollFailures < 2 || nowNanos >= worker.retryNanos);
 	}
@@ -303,7 +317,7 @@
 	// The wait for the ends of orphan runs is short, since until then the worker's free
 	// capacity is unknown and its lease is not renewed.
 	private long pollWaitNanos(WorkerEntity worker) {
-		if (worker.pollFailures > 0) {
+		if (worker.pollFailures > 0 || worker.endsTruncated) {
 			return 0;
 		}
 		return worker.orphanRuns.isEmpty() ? this.tables.settings.pollWaitNanos() : ORPHAN_RUNS_POLL_WAIT_NANOS;
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
@@ -65,6 +65,9 @@
 	/** How much longer it serves its runs while draining, in milliseconds. */
 	long drainMillis = WorkerInfo.UNKNOWN;
 
+	/** The number of ends that it lists at most in one report. */
+	int maxListedEnds = 500;
+
 	/** Whether its reports tell the progress of its runs. */
 	boolean reportsProgress = true;
 
@@ -193,7 +196,8 @@
 					.map((entry) -> new WorkerReport.Running(entry.getKey(),
 							this.reportsProgress ? entry.getValue().percent(nowNanos) : 0, ""))
 					.toList(),
-				this.ended);
+				this.ended.subList(0, Math.min(this.maxListedEnds, this.ended.size())),
+				this.ended.size() < this.maxListedEnds);
 	}
 
 	boolean hasEnds(long nowNanos) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
@@ -1,6 +1,7 @@
 package org.limpetgate.scheduling;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -60,6 +61,14 @@
 	/** Whether the answers of polls are lost. */
 	boolean pollAnswersLost;
 
+	/** Whether the store does not answer. */
+	boolean storeAway;
+
+	/** The stored jobs as the store has them. */
+	private final Map<JobId, StoredJob> storedJobs = new LinkedHashMap<>();
+
+	private final Map<JobId, JobSpec> jobs = new HashMap<>();
+
 	/** Is called after a start was carried out or lost, and before it is answered. */
 	Runnable afterStart = () -> {
 	};
@@ -123,8 +132,38 @@
 		submit(job("long" + this.nextJob++, LONG_RUN_MILLIS));
 	}
 
+	// Submits a stored job of short tasks, which all fit on one worker.
+	JobId submitStored(int tasks) {
+		StepSpec step = new StepSpec(tasks, new Capacity(100, 64, 0), RUN_MILLIS * MILLI, List.of(), "", "", 0);
+		JobSpec job = new JobSpec(JobId.of("stored" + this.nextJob++), "queue", "service", TERMS, "", List.of(step),
+				true);
+		submit(job);
+		return job.id();
+	}
+
+	// Lets the scheduler read the stored jobs from the store.
+	void loadStored() {
+		this.scheduler.loadStoredJobs(List.copyOf(this.storedJobs.values()), this.nowNanos);
+	}
+
+	private void save(SchedulingEffect.SaveChange effect) {
+		if (this.storeAway) {
+			return;
+		}
+		if (effect.change() instanceof StoredChange.Accepted accepted) {
+			this.storedJobs.put(accepted.job(),
+					new StoredJob(accepted.job(), accepted.spec(), accepted.acceptedMillis(), JobProgress.NONE));
+		}
+		else if (effect.change() instanceof StoredChange.Progressed progressed) {
+			this.storedJobs.computeIfPresent(progressed.job(),
+					(id, job) -> new StoredJob(id, job.spec(), job.acceptedMillis(), progressed.progress()));
+		}
+		this.scheduler.changesSaved(effect.sequence(), this.nowNanos);
+	}
+
 	private void submit(JobSpec job) {
 		this.lastJob = job;
+		this.jobs.put(job.id(), job);
 		this.scheduler.submit(HOST, job, 0, TimeUnit.SECONDS.toNanos(30), EarlierSubmission.NONE, this.nowNanos);
 	}
 
@@ -146,6 +185,7 @@
 		JobSpec job = job("long" + this.nextJob++, LONG_RUN_MILLIS);
 		JobSpec stored = new JobSpec(job.id(), job.queue(), job.service(), job.terms(), job.payload(), job.steps(),
 				true);
+		this.jobs.put(stored.id(), stored);
 		this.scheduler.loadStoredJobs(
 				List.of(new StoredJob(stored.id(), stored, this.nowNanos / MILLI, JobProgress.NONE)), this.nowNanos);
 	}
@@ -198,6 +238,9 @@
 		else if (effect instanceof SchedulingEffect.PollWorker poll) {
 			poll(poll);
 		}
+		else if (effect instanceof SchedulingEffect.SaveChange change) {
+			save(change);
+		}
 		else if (effect instanceof SchedulingEffect.JobEnded ended) {
 			this.ends.add(ended);
 		}
@@ -218,13 +261,17 @@
 		this.starts.add(start);
 		StartAnswer answer = StartAnswer.UNKNOWN;
 		if (!this.startsLost && !isDown(start.worker())) {
-			answer = isOther(start.worker()) ? StartAnswer.OTHER_INCARNATION
-					: processAt(start.worker()).start(start, DEMAND, durationNanos(start), EndKind.DONE, this.nowNanos);
+			answer = isOther(start.worker()) ? StartAnswer.OTHER_INCARNATION : processAt(start.worker()).start(start,
+					demand(start), durationNanos(start), EndKind.DONE, this.nowNanos);
 		}
 		this.afterStart.run();
 		this.scheduler.startAnswered(start, this.startAnswersLost ? StartAnswer.UNKNOWN : answer, this.nowNanos);
 	}
 
+	private Capacity demand(SchedulingEffect.StartRun start) {
+		return this.jobs.get(start.run().task().job()).steps().get(0).demand();
+	}
+
 	private static long durationNanos(SchedulingEffect.StartRun start) {
 		boolean isLong = start.run().task().job().value().startsWith("long");
 		return (isLong ? LONG_RUN_MILLIS : RUN_MILLIS) * MILLI;
