Let the scheduler simulation cut lists of ends, repeat ends and list wrong entries

Workers now list three ends in a report, one append in 20 is answered up to 1.5 s late, stored runs fail more often, and entries of another writer name a worker's address, a later start or another address. A failed job needs a task with as many failed runs as its queue allows, or two lost ones.

--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
@@ -1,5 +1,6 @@
 package org.limpetgate.scheduling;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,15 +24,16 @@
  * Simulates schedulers and workers in virtual time with random faults: orders whose
  * answers are lost or that are carried out late, network partitions, restarted workers,
  * workers that turn slow or leave, paused and killed schedulers, two active schedulers at
- * the same time, and drained data centres. A third of the jobs are stored, in a log that
- * has one writer at a time and is sometimes unavailable.
+ * the same time, drained data centres, and entries of other writers. Workers list few
+ * ends in a report. A third of the jobs are stored, in a log that has one writer at a
+ * time, is sometimes unavailable, and answers some appends late.
  * <p>
  * Checks at every start that the capacity of no worker is exceeded, that no task runs
  * twice at the same time and that its data centre is not drained; at a refusal, that no
  * task of the job has started; at a completion, that every task is done. For stored jobs
  * it checks that no task starts before the job is stored or after its end was
- * acknowledged, and that no accepted job is lost. The policy depends on the seed. Not
- * thread-safe.
+ * acknowledged, and that no accepted job is lost or fails without cause. The policy
+ * depends on the seed. Not thread-safe.
  */
 final class SchedulerSimulation {
 
@@ -51,6 +53,18 @@
 	/** Nothing starts in a data centre that has been drained for longer. */
 	private static final long DRAIN_BOUND_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+	/** The number of ends that a worker lists in a report; few, so that lists are cut. */
+	private static final int MAX_LISTED_ENDS = 3;
+
+	/** One of so many runs of stored jobs fails, so that some jobs fail. */
+	private static final int FAILURE_INTERVAL = 8;
+
+	/** One of so many appends is answered late. */
+	private static final int LATE_ANSWER_INTERVAL = 20;
+
+	/** A job may fail if so many workers were lost under one of its tasks. */
+	private static final int DEADLY_LOSSES = 2;
+
 	/** The time after which a host considers a silent scheduler lost. */
 	private static final long HEARTBEAT_TIMEOUT_NANOS = 700 * MILLI;
 
@@ -100,6 +114,18 @@
 
 	private final List<String> violations = new ArrayList<>();
 
+	/** The runs of each task that failed, by the worker and its incarnation. */
+	private final Map<TaskName, Set<String>> failedRuns = new HashMap<>();
+
+	/** The number of runs of each task that ended with their lease or their worker. */
+	private final Map<TaskName, Integer> lostRuns = new HashMap<>();
+
+	/** Entries of other writers that are listed at present, by their ids. */
+	private final Map<UpstreamId, WorkerInfo> otherEntries = new TreeMap<>();
+
+	/** Drives these entries and the store, so that the other faults stay the same. */
+	private final Random storeRandom;
+
 	private int nextJob;
 
 	/** Drives the drains, so that the other faults of a seed stay the same. */
@@ -126,10 +152,12 @@
 	SchedulerSimulation(long seed) {
 		this.random = new Random(seed);
 		this.drainRandom = new Random(~seed);
+		this.storeRandom = new Random(seed + 1_000_003);
 		this.policy = policy(seed);
 		for (int number = 0; number < WORKERS; number++) {
 			FakeWorker worker = new FakeWorker("w" + number, DataCentreId.of("dc" + number % DATA_CENTRES),
 					START - 100_000 * MILLI, 1 - 0.02 * this.random.nextDouble(), new Observer());
+			worker.maxListedEnds = MAX_LISTED_ENDS;
 			this.workers.put(worker.id(), worker);
 		}
 		for (int number = 0; number < SCHEDULERS; number++) {
@@ -140,6 +168,7 @@
 		schedule(10 * MILLI, this::injectFault);
 		schedule(400 * MILLI, this::publishWorkers);
 		schedule(1000 * MILLI, this::drain);
+		schedule(1500 * MILLI, this::writeOtherEntry);
 	}
 
 	// Odd seeds have tracked speeds and preemption; every other pair of seeds has the
@@ -167,6 +196,7 @@
 		this.log.unavailable = false;
 		this.partitions.clear();
 		this.unlisted.clear();
+		this.otherEntries.clear();
 		this.drainedSinceNanos.clear();
 		this.hosts.forEach(Host::learnDrains);
 		this.workers.values().forEach((worker) -> worker.draining = false);
@@ -213,11 +243,61 @@
 	}
 
 	private List<WorkerInfo> listedWorkers() {
-		return this.workers.values()
+		Map<UpstreamId, WorkerInfo> entries = new TreeMap<>();
+		this.workers.values()
 			.stream()
 			.filter((worker) -> !this.unlisted.contains(worker.id()))
-			.map(FakeWorker::info)
-			.toList();
+			.forEach((worker) -> entries.put(worker.id(), worker.info()));
+		entries.putAll(this.otherEntries);
+		return List.copyOf(entries.values());
+	}
+
+	// Lists an entry of another writer for a while: at the address of a worker, or in the
+	// place of its own entry, with a later start or another address.
+	private void writeOtherEntry() {
+		if (this.settling) {
+			return;
+		}
+		WorkerInfo info = this.workers.get(UpstreamId.of("w" + this.storeRandom.nextInt(WORKERS))).info();
+		long nowMillis = this.time.nowNanos() / MILLI;
+		InetSocketAddress nobody = InetSocketAddress.createUnresolved("nobody", 1);
+		WorkerInfo entry = switch (this.storeRandom.nextInt(3)) {
+			case 0 -> entry(UpstreamId.of("agent"), nowMillis, info, info.address());
+			case 1 -> entry(info.id(), nowMillis, info, info.address());
+			default -> entry(info.id(), info.incarnationMillis(), info, nobody);
+		};
+		this.otherEntries.put(entry.id(), entry);
+		schedule((200 + this.storeRandom.nextInt(1500)) * MILLI, () -> this.otherEntries.remove(entry.id(), entry));
+		schedule((500 + this.storeRandom.nextInt(2500)) * MILLI, this::writeOtherEntry);
+	}
+
+	private static WorkerInfo entry(UpstreamId id, long incarnationMillis, WorkerInfo info, InetSocketAddress address) {
+		return new WorkerInfo(id, incarnationMillis, info.service(), address, info.dataCentre(), info.capacity(),
+				info.labels(), false);
+	}
+
+	// Returns the process at the address of a worker, null if there is none.
+	private FakeWorker processAt(WorkerInfo info) {
+		return this.workers.values()
+			.stream()
+			.filter((worker) -> worker.address().equals(info.address()))
+			.findFirst()
+			.orElse(null);
+	}
+
+	private void checkFailed(JobId job) {
+		JobSpec spec = this.jobs.get(job);
+		int failures = 0;
+		int losses = 0;
+		for (int index = 0; index < spec.steps().get(0).count(); index++) {
+			TaskName task = new TaskName(job, 0, 0, index);
+			failures = Math.max(failures, this.failedRuns.getOrDefault(task, Set.of()).size());
+			losses = Math.max(losses, this.lostRuns.getOrDefault(task, 0));
+		}
+		if (failures < spec.terms().attempts() && losses < DEADLY_LOSSES) {
+			addViolation("LOST: job " + job + " is shown as failed after " + failures + " failures and " + losses
+					+ " lost runs of a task");
+		}
 	}
 
 	private void submitNewJob() {
@@ -427,6 +507,13 @@
 				SchedulerSimulation.this.doneRuns.computeIfAbsent(run.task(), (key) -> new HashSet<>())
 					.add(describe(worker, run));
 			}
+			else if (kind == EndKind.FAILED) {
+				SchedulerSimulation.this.failedRuns.computeIfAbsent(run.task(), (key) -> new HashSet<>())
+					.add(describe(worker, run));
+			}
+			else if (kind == EndKind.LEASE_EXPIRED) {
+				SchedulerSimulation.this.lostRuns.merge(run.task(), 1, Integer::sum);
+			}
 		}
 
 	}
@@ -529,10 +616,15 @@
 				if (accepted) {
 					batch.forEach((change) -> simulation.log.apply(change.change()));
 				}
-				receive(senderIncarnation, networkDelayNanos(), () -> appended(batch, accepted, appendEpoch));
+				receive(senderIncarnation, answerDelayNanos(), () -> appended(batch, accepted, appendEpoch));
 			});
 		}
 
+		private long answerDelayNanos() {
+			boolean late = SchedulerSimulation.this.storeRandom.nextInt(LATE_ANSWER_INTERVAL) == 0;
+			return networkDelayNanos() + (late ? SchedulerSimulation.this.storeRandom.nextInt(1500) * MILLI : 0);
+		}
+
 		private void appended(List<SchedulingEffect.SaveChange> batch, boolean accepted, long appendEpoch) {
 			if (appendEpoch != this.epoch) {
 				return;
@@ -685,7 +777,7 @@
 			int senderIncarnation = this.incarnation;
 			UpstreamId id = start.worker().id();
 			boolean delayed = simulation.random.nextInt(25) == 0;
-			if (isPartitioned(id)) {
+			if (isUnreachable(start.worker())) {
 				receive(senderIncarnation, 200 * MILLI, () -> startAnswered(start, StartAnswer.UNKNOWN));
 				return;
 			}
@@ -705,6 +797,15 @@
 			return ConnectionCheck.of(simulation.workers.get(target.id()), target, token, simulation.time.nowNanos());
 		}
 
+		private boolean isUnreachable(WorkerInfo worker) {
+			return isPartitioned(worker.id()) || SchedulerSimulation.this.processAt(worker) == null;
+		}
+
+		// Tests whether the process at the address of a worker has another id.
+		private boolean isOther(WorkerInfo worker) {
+			return !SchedulerSimulation.this.processAt(worker).id().equals(worker.id());
+		}
+
 		// The incarnation that accepts an order is the only one that can carry it out.
 		private void startLate(SchedulingEffect.StartRun order, long delayNanos) {
 			FakeWorker worker = SchedulerSimulation.this.workers.get(order.worker().id());
@@ -720,13 +821,19 @@
 
 		private StartAnswer start(SchedulingEffect.StartRun order) {
 			SchedulerSimulation simulation = SchedulerSimulation.this;
+			if (isOther(order.worker())) {
+				return StartAnswer.OTHER_INCARNATION;
+			}
 			ConnectionCheck check = check(order.worker(), order.token());
 			if (!check.passed()) {
 				return check.startAnswer();
 			}
 			Capacity demand = simulation.jobs.get(order.run().task().job()).steps().get(0).demand();
 			long duration = (10 + simulation.random.nextInt(300)) * MILLI;
-			EndKind end = (simulation.random.nextInt(40) == 0) ? EndKind.FAILED : EndKind.DONE;
+			boolean fails = simulation.random.nextInt(40) == 0
+					|| (simulation.jobs.get(order.run().task().job()).stored()
+							&& simulation.storeRandom.nextInt(FAILURE_INTERVAL) == 0);
+			EndKind end = fails ? EndKind.FAILED : EndKind.DONE;
 			return simulation.workers.get(order.worker().id())
 				.start(order, demand, duration, end, simulation.time.nowNanos());
 		}
@@ -743,13 +850,13 @@
 			}
 			int senderIncarnation = this.incarnation;
 			UpstreamId id = stop.worker().id();
-			if (isPartitioned(id) || simulation.random.nextInt(20) == 0) {
+			if (isUnreachable(stop.worker()) || simulation.random.nextInt(20) == 0) {
 				receive(senderIncarnation, 200 * MILLI,
 						() -> this.scheduler.stopAnswered(id, stop.run(), false, simulation.time.nowNanos()));
 				return;
 			}
 			schedule(networkDelayNanos(), () -> {
-				boolean confirmed = check(stop.worker(), stop.token()).passed()
+				boolean confirmed = !isOther(stop.worker()) && check(stop.worker(), stop.token()).passed()
 						&& simulation.workers.get(id).stop(stop, simulation.time.nowNanos());
 				receive(senderIncarnation, networkDelayNanos(),
 						() -> this.scheduler.stopAnswered(id, stop.run(), confirmed, simulation.time.nowNanos()));
@@ -758,7 +865,7 @@
 
 		private void carryOut(SchedulingEffect.PollWorker poll) {
 			UpstreamId id = poll.worker().id();
-			if (isPartitioned(id)) {
+			if (isUnreachable(poll.worker())) {
 				receive(this.incarnation, poll.waitNanos() + 200 * MILLI,
 						() -> pollFailed(poll, PollFailure.NO_ANSWER));
 				return;
@@ -767,6 +874,10 @@
 			int senderIncarnation = this.incarnation;
 			FakeWorker worker = SchedulerSimulation.this.workers.get(id);
 			schedule(delayNanos, () -> {
+				if (isOther(poll.worker())) {
+					receive(senderIncarnation, networkDelayNanos(), () -> pollFailed(poll, PollFailure.OTHER_PROCESS));
+					return;
+				}
 				ConnectionCheck check = check(poll.worker(), poll.token());
 				if (check.passed()) {
 					poll(poll, senderIncarnation, worker.info().incarnationMillis(),
@@ -872,6 +983,9 @@
 				if (progressed.progress().state() == StoredState.COMPLETED) {
 					checkAllTasksDone(change.job());
 				}
+				else if (progressed.progress().state() == StoredState.FAILED) {
+					checkFailed(change.job());
+				}
 			}
 		}
 
