Acknowledge the end of an unknown job only as the owner of the stored jobs

Cause: a scheduler that had lost the stored jobs without knowing it took workers back from their owner and acknowledged the ends of jobs that it did not know. That a job is unknown proves that it is not stored only for the owner.

Change: such an end is deferred until the store has confirmed the ownership after the worker was taken over; the confirmation is requested at once. Deferred ends are handled in each tick, not only when the jobs are read.

Evidence: both new tests of StoredJobTests failed before.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -277,6 +277,7 @@
 		if (!this.tables.isActive()) {
 			return;
 		}
+		this.runs.applyDeferredEnds(nowNanos);
 		this.crashes.tick(nowNanos);
 		this.crashes.takeDeadlyTasks().forEach((task) -> giveUp(task, nowNanos));
 		if (!this.tables.waitingJobs.isEmpty()) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -226,29 +226,37 @@
 		}
 	}
 
-	// While the stored jobs are not read yet, or another scheduler owns them, the end
-	// of one of their runs must not be acknowledged.
+	// While the stored jobs are not read yet, or another scheduler may own them, an
+	// unknown
+	// job may be a stored one, and the end of its run must not be acknowledged.
 	private void applyEndOfEarlierRun(WorkerEntity worker, WorkerReport.Ended ended, long nowNanos) {
 		if (ended.kind() != EndKind.DONE && ended.kind() != EndKind.FAILED) {
 			return;
 		}
-		if (this.tables.storedJobsLoaded) {
+		boolean known = this.tables.storedJobsLoaded && this.tables.jobs.containsKey(ended.run().task().job());
+		if (known || this.tables.isOwnershipConfirmed(worker)) {
 			this.listener.earlierRunEnded(worker, ended, nowNanos);
 		}
 		else {
 			worker.unsavedEnds.add(ended.number());
 			worker.deferredEnds.add(ended);
+			this.tables.endsDeferred = true;
 		}
 	}
 
-	// Handles the ends that were deferred until the stored jobs were read.
+	// Handles the deferred ends of which it is certain by now whether their jobs are
+	// stored.
 	void applyDeferredEnds(long nowNanos) {
+		if (!this.tables.endsDeferred || !this.tables.storedJobsLoaded) {
+			return;
+		}
+		this.tables.endsDeferred = false;
 		for (WorkerEntity worker : this.tables.workers.values()) {
 			List<WorkerReport.Ended> ends = List.copyOf(worker.deferredEnds);
 			worker.deferredEnds.clear();
 			for (WorkerReport.Ended ended : ends) {
 				worker.removeUnsavedEnd(ended.number());
-				this.listener.earlierRunEnded(worker, ended, nowNanos);
+				applyEndOfEarlierRun(worker, ended, nowNanos);
 			}
 		}
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -237,6 +237,15 @@
 		this.tables.ownershipConfirmedNanos = provenNanos;
 	}
 
+	/**
+	 * Tests whether ends of runs wait for a confirmation that this host owns the stored
+	 * jobs.
+	 * @return true if they do
+	 */
+	public boolean awaitsOwnership() {
+		return this.tables.endsDeferred;
+	}
+
 	/**
 	 * Releases the stored jobs and stops their runs, since another scheduler may have
 	 * taken them over.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
@@ -88,6 +88,9 @@
 	 */
 	boolean otherSchedulerPossible = true;
 
+	/** Whether a worker has deferred ends. */
+	boolean endsDeferred;
+
 	/** When the hosts of the jobs were last known to wait for them. */
 	OriginHeartbeats heartbeats = OriginHeartbeats.CURRENT;
 
@@ -114,6 +117,12 @@
 		this.runTimeModel = new RunTimeModel(settings.policy().workerSpeeds(), this.speedChanges);
 	}
 
+	// Tests whether this host certainly owned the stored jobs when a worker was taken
+	// over, so that no other owner has run an unknown job there.
+	boolean isOwnershipConfirmed(WorkerEntity worker) {
+		return this.storedJobsLoaded && this.ownershipConfirmedNanos >= worker.takenOverNanos;
+	}
+
 	boolean isActive() {
 		return !this.schedulerToken.isNone();
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -111,7 +111,16 @@
 	 */
 	final TreeSet<Long> unsavedEnds = new TreeSet<>();
 
-	/** Ends of earlier owners' runs that are processed once the stored jobs are read. */
+	/**
+	 * When its last takeover was completed, nanoseconds since the Unix epoch, 0 if never.
+	 * Its earlier owner may have owned the stored jobs until then.
+	 */
+	long takenOverNanos;
+
+	/**
+	 * Ends of earlier owners' runs that are processed once it is certain which stored
+	 * jobs there are.
+	 */
 	final List<WorkerReport.Ended> deferredEnds = new ArrayList<>();
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -167,6 +167,9 @@
 		worker.updateClock(report.clockMillis(), sentNanos, nowNanos);
 		boolean takeover = worker.ownership == WorkerEntity.Ownership.TAKING_OVER;
 		worker.ownership = WorkerEntity.Ownership.OWNED;
+		if (takeover) {
+			worker.takenOverNanos = nowNanos;
+		}
 		this.runs.applyReport(worker, report, sentNanos, nowNanos);
 		this.tables.runTimeModel.recordProgress(worker, nowNanos);
 		if (takeover && worker.fenced) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
@@ -304,6 +304,57 @@
 		assertThat(starts()).isEmpty();
 	}
 
+	/**
+	 * Guards against a task that starts again although it is done: a scheduler that has
+	 * lost the stored jobs without knowing it takes a worker back from their owner and
+	 * acknowledges the end of a job that it does not know.
+	 */
+	@Example
+	void endOfAnUnknownJobIsNotAcknowledgedWhileAnotherSchedulerMayOwnIt() {
+		activate("w1");
+		this.scheduler.ownershipConfirmed(this.nowNanos);
+		RunId run = new RunId(new TaskName(JobId.of("other"), 0, 0, 0), 1);
+		takeBackWithEndOf(run);
+		assertThat(lastPoll().ackNumber()).isZero();
+		this.scheduler.releaseStoredJobs(this.nowNanos);
+		advance(100);
+		report(lastPoll(), List.of(), List.of(new WorkerReport.Ended(1, run, EndKind.DONE, "")));
+		this.scheduler.loadStoredJobs(List
+			.of(new StoredJob(JobId.of("other"), spec("other", step(1)), this.nowNanos / MILLI, JobProgress.NONE)),
+				this.nowNanos);
+		this.scheduler.ownershipConfirmed(this.nowNanos);
+		tick();
+		save();
+		assertThat(this.scheduler.state(JobId.of("other"))).contains(JobState.COMPLETED);
+		assertThat(starts()).isEmpty();
+	}
+
+	/** Guards against ends of jobs that are not stored being listed forever. */
+	@Example
+	void endOfAnUnknownJobIsAcknowledgedOnceTheOwnershipIsConfirmed() {
+		activate("w1");
+		this.scheduler.ownershipConfirmed(this.nowNanos);
+		RunId run = new RunId(new TaskName(JobId.of("other"), 0, 0, 0), 1);
+		takeBackWithEndOf(run);
+		assertThat(this.scheduler.awaitsOwnership()).isTrue();
+		this.scheduler.ownershipConfirmed(this.nowNanos);
+		advance(100);
+		report(lastPoll(), List.of(), List.of(new WorkerReport.Ended(1, run, EndKind.DONE, "")));
+		assertThat(this.scheduler.awaitsOwnership()).isFalse();
+		assertThat(lastPoll().ackNumber()).isEqualTo(1);
+	}
+
+	// Lets another owner take the only worker, and takes it back with the end of a run of
+	// that owner.
+	private void takeBackWithEndOf(RunId run) {
+		advance(11_000);
+		SchedulingEffect.PollWorker poll = lastPoll();
+		this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(), PollFailure.FENCED, this.nowNanos);
+		advance(2_100);
+		report(lastPoll(), List.of(), List.of(new WorkerReport.Ended(1, run, EndKind.DONE, "")));
+		advance(100);
+	}
+
 	/**
 	 * Guards against a host that spends all its processor time on reports that repeat the
 	 * same ends while the store is unavailable.
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobService.java
@@ -114,7 +114,13 @@
 		}
 		this.journal.tick(nowNanos);
 		this.scheduler.ownershipConfirmed(this.journal.ownershipConfirmedNanos());
-		if (!this.scheduler.hasLoadedStoredJobs() || !isInUse(nowNanos)) {
+		if (!this.scheduler.hasLoadedStoredJobs()) {
+			return;
+		}
+		if (this.scheduler.awaitsOwnership()) {
+			this.journal.confirmOwnership();
+		}
+		if (!isInUse(nowNanos)) {
 			return;
 		}
 		long unconfirmedNanos = nowNanos - this.journal.ownershipConfirmedNanos();
