Split the clock and the claims of entries from the state of a worker

WorkerClock has what reports tell of the worker's clock, EntryClaim the claim of an entry; failures are counted by JobEntity.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -256,6 +256,29 @@
 		}
 	}
 
+	// Returns the failed runs that count for a task; those of a gang count for all of its
+	// tasks.
+	FailedRuns failures(TaskEntity task) {
+		return holderOfFailures(task).failures;
+	}
+
+	/**
+	 * Counts a failed run. A gang counts one failure for each attempt.
+	 * @param task its task
+	 * @param attempt its attempt
+	 * @return false if the failure of the attempt was counted before
+	 */
+	boolean countFailure(TaskEntity task, int attempt) {
+		TaskEntity holder = holderOfFailures(task);
+		FailedRuns before = holder.failures;
+		holder.failures = before.plus(attempt);
+		return holder.failures != before;
+	}
+
+	private TaskEntity holderOfFailures(TaskEntity task) {
+		return task.step().has(StepTrait.GANG) ? this.steps.get(task.name().step()).get(0) : task;
+	}
+
 	JobProgress progress() {
 		return new JobProgress(StoredState.OPEN, 0, this.steps.stream().map(JobEntity::progress).toList());
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -400,23 +400,13 @@
 		requeue(task);
 	}
 
-	private static TaskEntity holderOfFailures(JobEntity job, TaskEntity task) {
-		return task.step().has(StepTrait.GANG) ? job.steps().get(task.name().step()).get(0) : task;
-	}
-
-	// Counts a failed run and returns whether the job failed as a result. A gang counts
-	// one failure for each attempt.
+	// Counts a failed run and returns whether the job failed as a result.
 	private boolean countFailure(JobEntity job, TaskEntity task, int attempt, long nowNanos) {
-		TaskEntity counted = holderOfFailures(job, task);
-		FailedRuns failures = counted.failures.plus(attempt);
-		if (failures == counted.failures) {
+		if (!job.countFailure(task, attempt) || job.failures(task).count() < job.spec().terms().attempts()) {
 			return false;
 		}
-		counted.failures = failures;
-		if (failures.count() < job.spec().terms().attempts()) {
-			return false;
-		}
-		end(job, JobOutcome.FAILED, "task " + task.name() + " failed " + failures.count() + " times", nowNanos);
+		end(job, JobOutcome.FAILED, "task " + task.name() + " failed " + job.failures(task).count() + " times",
+				nowNanos);
 		return true;
 	}
 
@@ -452,8 +442,7 @@
 
 	private static boolean isApplied(JobEntity job, TaskEntity task, WorkerReport.Ended ended) {
 		return task.state == TaskEntity.State.DONE || task.step().has(StepTrait.PERPETUAL)
-				|| (ended.kind() == WorkerReport.EndKind.FAILED
-						&& holderOfFailures(job, task).failures.includes(ended.run().attempt()));
+				|| (ended.kind() == WorkerReport.EndKind.FAILED && job.failures(task).includes(ended.run().attempt()));
 	}
 
 	private void taskDone(JobEntity job, TaskEntity task, long nowNanos) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunMover.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunMover.java
@@ -41,7 +41,7 @@
 	 */
 	Move decide(RunEntity run, List<WorkerEntity> candidates, long nowNanos) {
 		WorkerEntity worker = run.worker();
-		if (!isMovable(run) || nowNanos - worker.sampledNanos > this.settings.pollWaitNanos()) {
+		if (!isMovable(run) || nowNanos - worker.clock.sampledNanos() > this.settings.pollWaitNanos()) {
 			return null;
 		}
 		double endHere = endHereNanos(run);
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -88,7 +88,7 @@
 		run.token = worker.token;
 		this.tables.changedWorkers.add(worker);
 		this.tables.emit(new SchedulingEffect.StartRun(worker.info, run.id(), task.job().spec().payload(),
-				task.checkpoint, worker.clockMillis(worker.grantedEndNanos), worker.token));
+				task.checkpoint, worker.clock.millis(worker.grantedEndNanos), worker.token));
 	}
 
 	/**
@@ -227,8 +227,7 @@
 	}
 
 	// While the stored jobs are not read yet, or another scheduler may own them, an
-	// unknown
-	// job may be a stored one, and the end of its run must not be acknowledged.
+	// unknown job may be a stored one, and the end of its run must not be acknowledged.
 	private void applyEndOfEarlierRun(WorkerEntity worker, WorkerReport.Ended ended, long nowNanos) {
 		if (ended.kind() != EndKind.DONE && ended.kind() != EndKind.FAILED) {
 			return;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunTimeModel.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunTimeModel.java
@@ -236,7 +236,7 @@
 			TaskEntity task = run.task;
 			if (task == null || run.state != RunEntity.State.RUNNING || run.startedCold()
 					|| run.step().has(StepTrait.PERPETUAL)
-					|| !run.pace.report(run.progressPercent, worker.sampledNanos)) {
+					|| !run.pace.report(run.progressPercent, worker.clock.sampledNanos())) {
 				continue;
 			}
 			double taskNanos = taskNanos(task.job().spec().queue(), task.step());
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -65,14 +65,8 @@
 	/** Whether another process was found to listen at its address. */
 	boolean processEnded;
 
-	/** The entry that names another process in its place, null if none does. */
-	private WorkerInfo claim;
-
-	/** When it was listed, nanoseconds since the Unix epoch. */
-	private long claimedNanos;
-
-	/** The incarnation of the last claim that its process has refuted, 0 if none. */
-	private long refutedMillis;
+	/** What an entry tells of another process in its place. */
+	final EntryClaim claim = new EntryClaim();
 
 	/** When the worker left the list, nanoseconds since the Unix epoch. */
 	long unlistedNanos;
@@ -167,20 +161,7 @@
 	 */
 	long retryNanos;
 
-	private long clockMillis;
-
-	private long clockReadNanos;
-
-	/**
-	 * The least time by which this host's clock was ahead of the worker's at the arrival
-	 * of a report, allowing for drift; unlimited before the first report.
-	 */
-	private long clockOffsetNanos = Long.MAX_VALUE;
-
-	/**
-	 * When the worker created its latest report, nanoseconds since the Unix epoch.
-	 */
-	long sampledNanos;
+	final WorkerClock clock = new WorkerClock();
 
 	/**
 	 * When the last order that renews the lease was sent, or the report of the last
@@ -280,44 +261,17 @@
 
 	// Has its process asked because an entry names another one in its place.
 	void claim(WorkerInfo entry, long nowNanos) {
-		boolean refuted = entry.incarnationMillis() == this.refutedMillis;
-		if (refuted || (this.claim != null && this.claim.incarnationMillis() >= entry.incarnationMillis())) {
-			return;
+		if (this.claim.raise(entry, nowNanos)) {
+			this.verifySinceNanos = nowNanos;
+			this.retryNanos = this.fenced ? this.retryNanos : nowNanos;
 		}
-		this.claim = entry;
-		this.claimedNanos = nowNanos;
-		this.verifySinceNanos = nowNanos;
-		this.retryNanos = this.fenced ? this.retryNanos : nowNanos;
-	}
-
-	// Returns the entry of the same worker that names an incarnation in its place, null
-	// if none does.
-	WorkerInfo claimOf(long incarnationMillis) {
-		boolean found = this.claim != null && this.claim.isSameLocation(this.info)
-				&& this.claim.incarnationMillis() == incarnationMillis;
-		return found ? this.claim : null;
-	}
-
-	/**
-	 * Drops the claim if its process has answered a poll that was sent since.
-	 * @param sentNanos when the poll was sent
-	 * @return the entry that made the claim, null if there is none
-	 */
-	WorkerInfo refuteClaim(long sentNanos) {
-		if (this.claim == null || sentNanos < this.claimedNanos) {
-			return null;
-		}
-		WorkerInfo refuted = this.claim;
-		this.refutedMillis = refuted.incarnationMillis();
-		this.claim = null;
-		return refuted;
 	}
 
 	// Records that another process has its address. It is polled rarely from then on.
 	void processEnded(long nowNanos) {
 		this.proven = false;
 		this.processEnded = true;
-		this.claim = null;
+		this.claim.drop();
 		loseOwnership(nowNanos + ENDED_POLL_INTERVAL_NANOS);
 	}
 
@@ -413,7 +367,7 @@
 	}
 
 	private boolean isEligible() {
-		return this.listed && !this.entryOutdated && this.claim == null && !this.processEnded && !this.info.draining()
+		return this.listed && !this.entryOutdated && !this.claim.isOpen() && !this.processEnded && !this.info.draining()
 				&& !this.drained && !this.dataCentreSilent;
 	}
 
@@ -469,40 +423,11 @@
 		this.retryNanos = retryAtNanos;
 	}
 
-	/**
-	 * Records the clock of a report and estimates when the worker created it. The delay
-	 * of a report is how much later it arrived, by the worker's clock, than the one with
-	 * the least delay.
-	 * @param millis the clock of the worker
-	 * @param sentNanos when the poll was sent that the report answers
-	 * @param nowNanos the current time
-	 */
-	void updateClock(long millis, long sentNanos, long nowNanos) {
-		long offset = nowNanos - TimeUnit.MILLISECONDS.toNanos(millis);
-		long drift = (long) (SchedulerSettings.CLOCK_DRIFT * (nowNanos - this.clockReadNanos));
-		boolean known = this.clockOffsetNanos < Long.MAX_VALUE;
-		this.clockOffsetNanos = known ? Math.min(offset, this.clockOffsetNanos + drift) : offset;
-		if (nowNanos - (offset - this.clockOffsetNanos) < sentNanos) {
-			// The report answers the poll, so the clock was set back.
-			this.clockOffsetNanos = offset;
-		}
-		this.sampledNanos = nowNanos - (offset - this.clockOffsetNanos);
-		this.clockMillis = millis;
-		this.clockReadNanos = nowNanos;
-	}
-
 	// Returns when its lease ends at the latest, whoever granted it.
 	long latestLeaseEndNanos() {
 		return Math.max(this.grantedEndNanos, this.inheritedEndNanos);
 	}
 
-	// Converts a time to the worker's clock, which shows that or more then, even if it
-	// runs as slow as it may.
-	long clockMillis(long timeNanos) {
-		long sinceReadMillis = (timeNanos - this.clockReadNanos) / 1_000_000;
-		return this.clockMillis + (long) (sinceReadMillis * (1 - SchedulerSettings.CLOCK_DRIFT));
-	}
-
 	// Resets the state for a new incarnation, which has no tokens, runs or ends of the
 	// previous one. Whether the previous one was fenced stays, since its other owner may
 	// have acknowledged ends there, and failed polls count until the new one reports.
@@ -512,10 +437,10 @@
 		}
 		this.proven = false;
 		this.processEnded = false;
-		this.claim = null;
+		this.claim.drop();
 		this.speed.reset();
 		this.factorRefreshSample = 0;
-		this.clockOffsetNanos = Long.MAX_VALUE;
+		this.clock.startIncarnation();
 		this.coldUntilNanos = 0;
 		updateInfo(next, nowNanos);
 		this.runs.clear();
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
@@ -130,7 +130,7 @@
 	void processAnswered(WorkerEntity worker, long sentNanos) {
 		worker.proven = true;
 		worker.processEnded = false;
-		WorkerInfo refuted = worker.refuteClaim(sentNanos);
+		WorkerInfo refuted = worker.claim.refute(sentNanos);
 		if (refuted != null) {
 			this.tables.emit(new SchedulingEffect.EntryRefuted(worker.info, refuted));
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -164,7 +164,7 @@
 		long sentNanos = poll.sentNanos();
 		worker.pollAnswered(poll);
 		worker.lastReportNanos = nowNanos;
-		worker.updateClock(report.clockMillis(), sentNanos, nowNanos);
+		worker.clock.update(report.clockMillis(), sentNanos, nowNanos);
 		boolean takeover = worker.ownership == WorkerEntity.Ownership.TAKING_OVER;
 		worker.ownership = WorkerEntity.Ownership.OWNED;
 		if (takeover) {
@@ -191,7 +191,7 @@
 	// set back. The takeover that follows reads its runs and ends again, under a token
 	// that fences the orders for the known one.
 	private void otherIncarnationReported(WorkerEntity worker, long incarnationMillis, long nowNanos) {
-		WorkerInfo entry = worker.claimOf(incarnationMillis);
+		WorkerInfo entry = worker.claim.entryOf(worker.info, incarnationMillis);
 		this.losses.startIncarnation(worker, (entry != null) ? entry : worker.info.withIncarnation(incarnationMillis),
 				nowNanos);
 		worker.entryOutdated = entry == null;
@@ -312,7 +312,7 @@
 		long leaseEndMillis = 0;
 		boolean renewable = !worker.runs.isEmpty() && worker.pollFailures <= MAX_POLL_FAILURES_BEFORE_RENEWAL;
 		if (renewable && this.runs.extendLease(worker, nowNanos)) {
-			leaseEndMillis = worker.clockMillis(worker.grantedEndNanos);
+			leaseEndMillis = worker.clock.millis(worker.grantedEndNanos);
 		}
 		sendPoll(worker, leaseEndMillis, pollWaitNanos(worker), nowNanos);
 	}
