Log how old the list of workers is, and what settles a handover

The record and our logs could not tell whether the list of a new scheduler lacked a worker, or by which proof a job that was handed over started its tasks. LG3201 now has list_age_ms, from the sending of the newest read; LG1319 HANDOVER_SETTLED tells for each such job whether reports or ended leases were the proof, after how long, and with how many workers. The decision itself is unchanged.

--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/Directory.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/Directory.java
@@ -51,6 +51,13 @@
 		 */
 		void workersListed(Collection<WorkerInfo> workers);
 
+		/**
+		 * Handles that the list of workers was read, after {@link #workersListed} if it
+		 * has changed. It includes every worker that was registered before the read.
+		 * @param ageNanos how long ago the read was sent, in nanoseconds
+		 */
+		void workersRead(long ageNanos);
+
 		/**
 		 * Handles the current list of registered hosts.
 		 * @param hosts the hosts, not null
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -100,6 +100,9 @@
 	 */
 	long handedOverNanos;
 
+	/** The handover whose earlier runs are known or have ended. */
+	long settledHandoverNanos;
+
 	/**
 	 * Until when the lease of its runs may last, as of the last placement pass. It starts
 	 * only on workers whose lease ends before.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -5,6 +5,9 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import org.limpetgate.scheduling.SchedulingEffect.HandoverSettled;
+import org.limpetgate.scheduling.SchedulingEffect.HandoverSettled.Proof;
+
 /**
  * Starts the tasks of waiting jobs in the order given by {@link QueueOrder}.
  * <p>
@@ -78,7 +81,7 @@
 				continue;
 			}
 			if (!this.runs.updateLeaseLimit(job, nowNanos) || mayBelongToAnother(job)
-					|| (job.resubmitted && !isSafeToPlace(job, nowNanos))) {
+					|| (job.resubmitted && !isHandoverSettled(job, nowNanos))) {
 				this.tables.placementDue = true;
 				continue;
 			}
@@ -126,7 +129,9 @@
 		return job.spec().stored() && this.tables.ownershipConfirmedNanos < this.tables.retakenNanos;
 	}
 
-	private boolean isSafeToPlace(JobEntity job, long nowNanos) {
+	// Tests whether the runs that an earlier scheduler may have started are known or have
+	// ended.
+	private boolean isHandoverSettled(JobEntity job, long nowNanos) {
 		if (nowNanos < job.handedOverNanos) {
 			return false;
 		}
@@ -134,14 +139,31 @@
 			this.tables.verifySinceNanos = nowNanos;
 			this.tables.scanDue = true;
 		}
+		boolean reported = areRunsReported(job, nowNanos);
+		if (!reported && !haveLeasesEnded(job, nowNanos)) {
+			return false;
+		}
+		if (job.settledHandoverNanos != job.handedOverNanos) {
+			job.settledHandoverNanos = job.handedOverNanos;
+			this.tables.emit(new HandoverSettled(job.id(), reported ? Proof.REPORTS : Proof.LEASES,
+					nowNanos - job.handedOverNanos, this.tables.workers.size(),
+					nowNanos - this.tables.listProvenNanos));
+		}
+		return true;
+	}
+
+	private boolean areRunsReported(JobEntity job, long nowNanos) {
+		return job.spec().stored() ? this.verification.areAllVerified(job.handedOverNanos, nowNanos)
+				: this.verification.areRunsVerified(job.handedOverNanos, nowNanos);
+	}
+
+	// Tests whether the leases of the runs have ended, and no end is left unread that
+	// would show that a task of a stored job is done.
+	private boolean haveLeasesEnded(JobEntity job, long nowNanos) {
 		long waited = nowNanos - job.handedOverNanos;
 		SchedulerSettings settings = this.tables.settings;
 		if (!job.spec().stored()) {
-			return this.verification.areRunsVerified(job.handedOverNanos, nowNanos)
-					|| waited > settings.resubmitGuardNanos();
-		}
-		if (this.verification.areAllVerified(job.handedOverNanos, nowNanos)) {
-			return true;
+			return waited > settings.resubmitGuardNanos();
 		}
 		if (this.verification.mayHaveUnreadEnds(nowNanos)) {
 			return false;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -106,6 +106,15 @@
 		this.workers.list().replace(infos, nowNanos);
 	}
 
+	/**
+	 * Reports how current the list of workers is.
+	 * @param provenNanos the time before which every worker that has registered is in the
+	 * list or was; unlimited until set
+	 */
+	public void workerListProven(long provenNanos) {
+		this.tables.listProvenNanos = provenNanos;
+	}
+
 	/**
 	 * Sets the data centres in which no run may start. Present runs continue. Waiting
 	 * jobs that the remaining workers cannot serve are refused.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
@@ -58,6 +58,12 @@
 	/** The data centres in which no run may start. */
 	Set<DataCentreId> drainedDataCentres = Set.of();
 
+	/**
+	 * Every worker that registered before this time, nanoseconds since the Unix epoch, is
+	 * in the list of workers or was.
+	 */
+	long listProvenNanos = Long.MAX_VALUE;
+
 	/** Each worker must answer a poll sent at or after this time. */
 	long verifySinceNanos;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulingEffect.java
@@ -207,6 +207,32 @@
 
 	}
 
+	/**
+	 * Tells why a job that an earlier scheduler may have started may start tasks now. It
+	 * requires no action and is meant for the log.
+	 *
+	 * @param job the job
+	 * @param proof what shows that its earlier runs are known or have ended
+	 * @param waitedNanos the time since no earlier scheduler acts on it, in nanoseconds
+	 * @param workers the number of workers that the scheduler keeps track of
+	 * @param listAgeNanos how long ago the list of workers was certainly complete, in
+	 * nanoseconds
+	 */
+	record HandoverSettled(JobId job, Proof proof, long waitedNanos, int workers,
+			long listAgeNanos) implements SchedulingEffect {
+
+		/** What shows that the earlier runs of a job are known or have ended. */
+		public enum Proof {
+
+			/** All workers have reported their runs since the handover. */
+			REPORTS,
+			/** All leases that were granted before the handover have ended. */
+			LEASES
+
+		}
+
+	}
+
 	/**
 	 * Saves a change of a stored job. Changes are saved in the order of the effects.
 	 *
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -79,6 +79,9 @@
 	/** An entry names another process in the place of a worker that answers. */
 	WORKER_ENTRY_REFUTED(1318, "worker=%s incarnation=%s entry=%s entry_incarnation=%s service=%s address=%s"),
 
+	/** A job that an earlier scheduler may have started may start tasks here. */
+	HANDOVER_SETTLED(1319, "job=%s proof=%s waited_ms=%s workers=%s list_age_ms=%s"),
+
 	/** The stored jobs were taken over from the platform's store. */
 	STORED_JOBS_READ(1320, "epoch=%s jobs=%s"),
 
@@ -117,7 +120,7 @@
 	PLATFORM_UNREACHABLE(3101, "%s cannot be reached: %s"),
 
 	/** This host has become the scheduler. */
-	SCHEDULING_STARTED(3201, "host=%s claim=%s whole=%s workers=%s"),
+	SCHEDULING_STARTED(3201, "host=%s claim=%s whole=%s workers=%s list_age_ms=%s"),
 
 	/** This host is no longer the scheduler. */
 	SCHEDULING_ENDED(3202, "host=%s successor=%s"),
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/EffectExecutor.java
@@ -80,6 +80,11 @@
 			this.log.write(LogEvent.WORKER_ENTRY_REFUTED, refuted.worker().id(), refuted.worker().incarnationMillis(),
 					entry.id(), entry.incarnationMillis(), entry.service(), entry.address());
 		}
+		else if (effect instanceof SchedulingEffect.HandoverSettled settled) {
+			this.log.write(LogEvent.HANDOVER_SETTLED, settled.job(), settled.proof(),
+					TimeUnit.NANOSECONDS.toMillis(settled.waitedNanos()), settled.workers(),
+					TimeUnit.NANOSECONDS.toMillis(settled.listAgeNanos()));
+		}
 		else if (effect instanceof SchedulingEffect.DataCentreSilent silence) {
 			logSilence(silence);
 		}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -104,6 +104,12 @@
 
 	private boolean workersKnown;
 
+	/**
+	 * When the newest read of the workers was sent, nanoseconds since the Unix epoch, 0
+	 * before the first one.
+	 */
+	private long workersReadNanos;
+
 	/** Whether the directory has listed the hosts of the fleet. */
 	private boolean hostsKnown;
 
@@ -145,6 +151,7 @@
 		this.metrics = metrics;
 		this.self = Incarnation.of(settings.host(), clock.getAsLong() / 1_000_000);
 		this.scheduler = Scheduler.of(settings.scheduler());
+		this.scheduler.workerListProven(this.workersReadNanos);
 		this.drains = new DrainService(this.scheduler, settings.dataCentre(), clock, log, metrics);
 		this.election = new SchedulerElection();
 		this.transport = new SchedulerTransport(this.self.host(), new LocalScheduler(), () -> this.peers);
@@ -392,7 +399,7 @@
 		this.schedulerToken = FencingToken.create(nowNanos, this.settings.scheduler().hostNumber(),
 				this.election.highestSchedulerToken());
 		this.log.write(LogEvent.SCHEDULING_STARTED, this.self, this.schedulerToken.value(), this.allDataCentres,
-				this.workers.size());
+				this.workers.size(), TimeUnit.NANOSECONDS.toMillis(nowNanos - this.workersReadNanos));
 		this.scheduler.workersListed(workersInScope(), this.allDataCentres, nowNanos);
 		this.scheduler.activate(this.schedulerToken, nowNanos);
 		this.directory.setScheduling(true);
@@ -486,6 +493,12 @@
 			requestTick();
 		}
 
+		@Override
+		public void workersRead(long ageNanos) {
+			FleetHost.this.workersReadNanos = FleetHost.this.clock.getAsLong() - ageNanos;
+			FleetHost.this.scheduler.workerListProven(FleetHost.this.workersReadNanos);
+		}
+
 		@Override
 		public void hostsListed(List<HostId> hosts) {
 			FleetHost.this.hostsKnown = true;
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeDirectory.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeDirectory.java
@@ -28,6 +28,7 @@
 
 	void listWorkers(List<WorkerInfo> workers) {
 		this.listener.workersListed(workers);
+		this.listener.workersRead(0);
 	}
 
 	// Hands over the drained data centres of a version, as a read of the store does.
