Show that a task starts again that runs on a worker which the next scheduler has not read yet (red)

A worker registers and gets a task; the scheduler is replaced by one whose list is 0.5 s old. All workers that it knows show their runs, and it starts the task on another worker beside the run: TWICE for best-effort jobs, a start after an end that is noted later for stored ones.

--- /dev/null
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
@@ -0,0 +1,139 @@
+package org.limpetgate.scheduling;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of a handover to a scheduler whose list of workers lacks one that the earlier
+ * scheduler has used.
+ */
+class UnlistedWorkerTests {
+
+	private static final int NEXT_HOST = 8;
+
+	private static final long STEP_MILLIS = 10;
+
+	/** The list of a scheduler that has had one for as long as this may be complete. */
+	private static final long LIST_HISTORY_MILLIS = 7_000;
+
+	/** How much older the list of the next scheduler is than that of the first one. */
+	private static final long LIST_AGE_MILLIS = 500;
+
+	/** An orphan run that keeps a worker from new runs has been stopped after this. */
+	private static final long ORPHAN_STOPPED_MILLIS = 400;
+
+	/** Leases that were granted before a handover have not all ended before this. */
+	private static final long LEASE_MILLIS = 1_000;
+
+	/** They have ended after this. */
+	private static final long LEASE_END_MILLIS = 1_300;
+
+	/** Owners of stored jobs notice within this time that they lost them. */
+	private static final long STORED_GUARD_MILLIS = 3_000;
+
+	private final WorkerFixture fixture = new WorkerFixture("w1");
+
+	/**
+	 * Guards against a second run of a task whose first one is on a worker that has
+	 * registered after the last read of the next scheduler.
+	 */
+	@Example
+	void taskOnAWorkerThatTheNextSchedulerHasNotReadYetIsNotStartedAgain() {
+		Scheduler next = newScheduler(this.fixture.listedWorkers());
+		this.fixture.submitLong();
+		startOnNewWorker(this.fixture::submitLong);
+
+		handOverTo(next);
+		this.fixture.resubmit();
+		this.fixture.advance(ORPHAN_STOPPED_MILLIS);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).hasSize(2);
+
+		listWorkers(next);
+		this.fixture.advance(LEASE_END_MILLIS);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).as("the run on w2 is adopted").hasSize(2);
+	}
+
+	/**
+	 * Guards against a job that is never served after a handover because the store does
+	 * not answer the next scheduler.
+	 */
+	@Example
+	void jobStartsOnceAllLeasesHaveEndedAlthoughTheListStaysOld() {
+		Scheduler next = newScheduler(this.fixture.listedWorkers());
+		this.fixture.submitLong();
+		this.fixture.submitLong();
+		this.fixture.advance(STEP_MILLIS);
+
+		handOverTo(next);
+		this.fixture.resubmit();
+		this.fixture.advance(LEASE_MILLIS);
+		assertThat(this.fixture.starts).hasSize(1);
+		this.fixture.advance(LEASE_END_MILLIS - LEASE_MILLIS);
+		assertThat(this.fixture.starts).hasSize(2);
+	}
+
+	/**
+	 * Guards against a task of a stored job that starts again although it is done, on a
+	 * worker that has registered after the last read of the next scheduler.
+	 */
+	@Example
+	void storedTaskThatIsDoneOnAWorkerThatWasNotReadYetIsNotStartedAgain() {
+		Scheduler next = newScheduler(this.fixture.listedWorkers());
+		this.fixture.loadStored();
+		this.fixture.submitLong();
+		startOnNewWorker(() -> this.fixture.submitStored(1));
+		this.fixture.storeAway = true;
+		this.fixture.advance(2 * WorkerFixture.RUN_MILLIS);
+		this.fixture.storeAway = false;
+
+		handOverTo(next);
+		this.fixture.loadStored();
+		this.fixture.advance(STORED_GUARD_MILLIS);
+		assertThat(this.fixture.starts).hasSize(2);
+
+		listWorkers(next);
+		this.fixture.advance(LEASE_END_MILLIS);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).as("the end on w2 is read").hasSize(2);
+	}
+
+	// Starts a job on a worker that the present scheduler has just read from the list.
+	private void startOnNewWorker(Runnable submission) {
+		this.fixture.advance(STEP_MILLIS);
+		this.fixture.addWorker("w2");
+		this.fixture.listWorkers();
+		this.fixture.advance(STEP_MILLIS);
+		submission.run();
+		this.fixture.advance(STEP_MILLIS);
+		assertThat(this.fixture.workerOfLastStart().id().value()).isEqualTo("w2");
+	}
+
+	// Returns a scheduler that is not active yet and has read a list for some time.
+	private Scheduler newScheduler(List<WorkerInfo> list) {
+		Scheduler scheduler = Scheduler.of(SchedulerSettings.of(NEXT_HOST, 1000, 50, 2));
+		scheduler.setOtherSchedulerPossible(false);
+		scheduler.workersListed(list, true, this.fixture.nowNanos);
+		this.fixture.advance(LIST_HISTORY_MILLIS);
+		scheduler.workersListed(list, true, this.fixture.nowNanos);
+		return scheduler;
+	}
+
+	// Replaces the scheduler by one that read the list of workers some time ago.
+	private void handOverTo(Scheduler next) {
+		next.workerListProven(this.fixture.nowNanos - TimeUnit.MILLISECONDS.toNanos(LIST_AGE_MILLIS));
+		this.fixture.activate(next, NEXT_HOST);
+	}
+
+	// Lets the scheduler read the list of workers again.
+	private void listWorkers(Scheduler scheduler) {
+		this.fixture.listWorkers();
+		scheduler.workerListProven(this.fixture.nowNanos);
+	}
+
+}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
@@ -92,13 +92,24 @@
 
 	// Replaces the scheduler by a new one with a list of workers.
 	void activate(int hostNumber, List<WorkerInfo> infos) {
-		this.scheduler = Scheduler.of(SchedulerSettings.of(hostNumber, 1000, 50, 2));
-		this.scheduler.setOtherSchedulerPossible(false);
-		this.scheduler.workersListed(infos, true, this.nowNanos);
+		Scheduler next = Scheduler.of(SchedulerSettings.of(hostNumber, 1000, 50, 2));
+		next.setOtherSchedulerPossible(false);
+		next.workersListed(infos, true, this.nowNanos);
+		activate(next, hostNumber);
+	}
+
+	// Replaces the scheduler by one that has a list of workers.
+	void activate(Scheduler next, int hostNumber) {
+		this.scheduler = next;
 		this.scheduler.activate(FencingToken.create(this.nowNanos, hostNumber, FencingToken.NONE), this.nowNanos);
 		advance(10);
 	}
 
+	// Starts a worker that is listed from the next list on.
+	void addWorker(String id) {
+		this.workers.add(new FakeWorker(id, this.nowNanos, 1, this.checks));
+	}
+
 	// Lists the workers that are not down.
 	void listWorkers() {
 		this.scheduler.workersListed(listedWorkers(), true, this.nowNanos);
