Start handed-over tasks only with a list of workers that was read after the handover

Cause: a worker that is missing in a host's copy of the list counted as one without runs, however old that copy was. A host reads the list every 1.0 s, or not at all while the store refuses it, and the scheduler before it every 0.4 s, so that a worker can be in use that the next scheduler does not know. That one found all workers verified that it knew. Whether it is what happened to the users is likely, not proved. Why it works: a worker that an earlier scheduler used had registered before its permission ended. A read that was sent after that lists the worker or its leaving, and its own report then settles the run. After reads that are 3 s apart the list counts as new, since a worker may have come and left between them. The new scheduler reads the list at once instead of after up to 1 s.

--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/Directory.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/Directory.java
@@ -36,6 +36,12 @@
 	 */
 	void setScheduling(boolean scheduling);
 
+	/**
+	 * Reads the list of workers now rather than at the next interval, unless the store
+	 * has not answered the last read.
+	 */
+	void readWorkers();
+
 	/** Receives changes of the store. */
 	interface Listener {
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -139,6 +139,7 @@
 			this.tables.verifySinceNanos = nowNanos;
 			this.tables.scanDue = true;
 		}
+		this.tables.listNeededNanos = Math.max(this.tables.listNeededNanos, job.handedOverNanos);
 		boolean reported = areRunsReported(job, nowNanos);
 		if (!reported && !haveLeasesEnded(job, nowNanos)) {
 			return false;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -112,7 +112,15 @@
 	 * list or was; unlimited until set
 	 */
 	public void workerListProven(long provenNanos) {
-		this.tables.listProvenNanos = provenNanos;
+		this.workers.list().proven(provenNanos);
+	}
+
+	/**
+	 * Tests whether jobs that were handed over wait for a newer list of workers.
+	 * @return true if they do, and the list should be read now
+	 */
+	public boolean awaitsWorkerList() {
+		return this.tables.isActive() && this.tables.listProvenNanos < this.tables.listNeededNanos;
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
@@ -64,6 +64,9 @@
 	 */
 	long listProvenNanos = Long.MAX_VALUE;
 
+	/** The latest handover whose earlier runs may be on workers that are not listed. */
+	long listNeededNanos;
+
 	/** Each worker must answer a poll sent at or after this time. */
 	long verifySinceNanos;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Verification.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Verification.java
@@ -30,9 +30,10 @@
 	boolean mayHaveUnreadEnds(long nowNanos);
 
 	/**
-	 * Tests whether every worker that this scheduler keeps track of has answered a poll
-	 * that was sent at or after a time, except workers that left the list so long ago
-	 * that their leases have expired.
+	 * Tests whether every worker in a list that was read at or after a time, and every
+	 * other one that this scheduler keeps track of, has answered a poll that was sent at
+	 * or after that time, except workers that left the list so long ago that their leases
+	 * have expired.
 	 * @param sinceNanos the time, nanoseconds since the Unix epoch
 	 * @param nowNanos the current time
 	 * @return true if each has
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
@@ -22,11 +22,17 @@
 	/** A worker that left the list may still be running for this long. */
 	private static final long UNLISTED_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(6);
 
+	/** An entry stays in the list for longer after its worker was last heard. */
+	private static final long MAX_READ_GAP_NANOS = TimeUnit.SECONDS.toNanos(3);
+
 	private final SchedulerTables tables;
 
 	private final LossSystem losses;
 
-	/** When the first worker was listed, nanoseconds since the Unix epoch, 0 before. */
+	/**
+	 * Since when every change of the list has been seen, nanoseconds since the Unix
+	 * epoch, 0 before the first worker was listed.
+	 */
 	private long firstListedNanos;
 
 	WorkerListSystem(SchedulerTables tables, LossSystem losses) {
@@ -152,10 +158,21 @@
 			.anyMatch((worker) -> worker != except && worker.proven && worker.info.address().equals(address));
 	}
 
-	// Tests whether the list has been known for so long that every worker that an earlier
-	// scheduler may have used is or was in it.
-	boolean isComplete(long nowNanos) {
-		return this.tables.allDataCentres && this.firstListedNanos != 0
+	// Records that the list includes every worker that registered before a time. A worker
+	// that came and left between two reads that are far apart was never listed, so that
+	// the list counts as new after them.
+	void proven(long provenNanos) {
+		if (provenNanos - this.tables.listProvenNanos > MAX_READ_GAP_NANOS) {
+			this.firstListedNanos = provenNanos;
+		}
+		this.tables.listProvenNanos = provenNanos;
+	}
+
+	// Tests whether every worker that an earlier scheduler may have used until a time is
+	// known: the list was read since then, and has been followed for so long that a
+	// worker which is no longer listed has no runs.
+	boolean isComplete(long sinceNanos, long nowNanos) {
+		return this.tables.allDataCentres && this.tables.listProvenNanos >= sinceNanos && this.firstListedNanos != 0
 				&& nowNanos - this.firstListedNanos > UNLISTED_RETENTION_NANOS;
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -116,17 +116,18 @@
 	// A worker that has answered under this owner's token since the given time
 	// rejects orders of earlier owners that are still in transit. Workers that left
 	// the list recently are included, since their entries expire while the store is
-	// unavailable. A new host has not seen entries that expired before it started, so
-	// it must also have had the list for some time.
+	// unavailable. A worker that is missing here proves nothing: the earlier owner may
+	// have read a newer list, and a new host has not seen entries that expired before it
+	// started.
 	@Override
 	public boolean areAllVerified(long sinceNanos, long nowNanos) {
-		return this.list.isComplete(nowNanos)
+		return this.list.isComplete(sinceNanos, nowNanos)
 				&& this.tables.workers.values().stream().allMatch((worker) -> worker.isVerified(sinceNanos));
 	}
 
 	@Override
 	public boolean areRunsVerified(long sinceNanos, long nowNanos) {
-		return this.list.isComplete(nowNanos)
+		return this.list.isComplete(sinceNanos, nowNanos)
 				&& this.tables.workers.values().stream().allMatch((worker) -> worker.areRunsVerified(sinceNanos));
 	}
 
@@ -138,7 +139,7 @@
 	@Override
 	public boolean areRemainingVerified(long sinceNanos, long nowNanos) {
 		long maxUnlistedNanos = this.tables.settings.storedGuardNanos();
-		return this.tables.workers.values()
+		return this.tables.listProvenNanos >= sinceNanos && this.tables.workers.values()
 			.stream()
 			.allMatch((worker) -> worker.isVerified(sinceNanos)
 					|| (!worker.listed && nowNanos - worker.unlistedNanos > maxUnlistedNanos));
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -359,6 +359,9 @@
 		List<SchedulingEffect> effects = new ArrayList<>();
 		this.scheduler.tick(now, effects::add);
 		effects.forEach(this.effectExecutor::execute);
+		if (this.scheduler.awaitsWorkerList()) {
+			this.directory.readWorkers();
+		}
 		this.pendingJobs.tick(this.schedulingHost, this.clock.getAsLong());
 		scheduleCheck(now);
 	}
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeDirectory.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeDirectory.java
@@ -10,14 +10,19 @@
 import org.limpetgate.scheduling.WorkerInfo;
 
 /**
- * A directory with a fixed configuration, whose workers are listed when the test asks for
- * it. A host stands for election only after that. Confined to the event loop of the host,
- * apart from {@link #isScheduling}.
+ * A directory with a fixed configuration, whose workers are listed when the test or the
+ * host asks for it. A host stands for election only after that. Confined to the event
+ * loop of the host, apart from {@link #isScheduling}.
  */
 final class FakeDirectory implements Directory {
 
 	private Listener listener;
 
+	/** The workers that the store lists now. */
+	private List<WorkerInfo> storedWorkers = List.of();
+
+	private boolean storeAway;
+
 	private volatile boolean scheduling;
 
 	@Override
@@ -27,8 +32,17 @@
 	}
 
 	void listWorkers(List<WorkerInfo> workers) {
-		this.listener.workersListed(workers);
-		this.listener.workersRead(0);
+		store(workers);
+		readWorkers();
+	}
+
+	// Changes what the next read finds.
+	void store(List<WorkerInfo> workers) {
+		this.storedWorkers = workers;
+	}
+
+	void setStoreAway(boolean value) {
+		this.storeAway = value;
 	}
 
 	// Hands over the drained data centres of a version, as a read of the store does.
@@ -51,6 +65,14 @@
 		this.scheduling = value;
 	}
 
+	@Override
+	public void readWorkers() {
+		if (!this.storeAway) {
+			this.listener.workersListed(this.storedWorkers);
+			this.listener.workersRead(0);
+		}
+	}
+
 	boolean isScheduling() {
 		return this.scheduling;
 	}
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestHost.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestHost.java
@@ -66,6 +66,17 @@
 		this.group.next().execute(() -> this.directory.listWorkers(workers));
 	}
 
+	// Changes the workers in the store, which the host does not read before its next
+	// read.
+	void storeWorkers(List<WorkerInfo> workers) {
+		this.group.next().execute(() -> this.directory.store(workers));
+	}
+
+	// Lets the store refuse the host.
+	void setStoreAway() {
+		this.group.next().execute(() -> this.directory.setStoreAway(true));
+	}
+
 	// Lets the host read the drained data centres of a version from the store.
 	void readDrains(long version, DataCentreId... dataCentres) {
 		this.group.next().submit(() -> this.directory.drain(version, Set.of(dataCentres))).syncUninterruptibly();
