Show that a task starts again that runs on a worker which only an outdated list names (red)

A scheduler that the store refuses goes on with its old list, and uses a worker whose entry has expired; the next scheduler has forgotten that worker 6 s after it left the list. It reads the list after the handover, finds all workers verified that it knows and starts the task beside the run.

--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
@@ -20,6 +20,9 @@
 	/** The list of a scheduler that has had one for as long as this may be complete. */
 	private static final long LIST_HISTORY_MILLIS = 7_000;
 
+	/** A worker that left the list this long ago is no longer kept track of. */
+	private static final long FORGOTTEN_MILLIS = 8_000;
+
 	/** How much older the list of the next scheduler is than that of the first one. */
 	private static final long LIST_AGE_MILLIS = 500;
 
@@ -59,6 +62,32 @@
 		assertThat(this.fixture.starts).as("the run on w2 is adopted").hasSize(2);
 	}
 
+	/**
+	 * Guards against a second run of a task whose first one is on a worker that left the
+	 * list of the next scheduler long ago, while the store refused the first scheduler.
+	 */
+	@Example
+	void taskOnAWorkerThatOnlyAnOutdatedListNamesIsNotStartedAgain() {
+		this.fixture.addWorker("w2");
+		this.fixture.listWorkers();
+		Scheduler next = newScheduler(this.fixture.listedWorkers());
+		next.workersListed(this.fixture.listedWorkers().subList(0, 1), true, this.fixture.nowNanos);
+		this.fixture.advance(FORGOTTEN_MILLIS);
+		next.workersListed(this.fixture.listedWorkers().subList(0, 1), true, this.fixture.nowNanos);
+		this.fixture.submitLong();
+		this.fixture.submitLong();
+		this.fixture.advance(STEP_MILLIS);
+		assertThat(this.fixture.starts).hasSize(2);
+
+		next.workerListProven(this.fixture.nowNanos);
+		this.fixture.activate(next, NEXT_HOST);
+		next.workerListProven(this.fixture.nowNanos);
+		this.fixture.resubmit(FORGOTTEN_MILLIS);
+		this.fixture.advance(LEASE_END_MILLIS + LEASE_MILLIS);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).as("the task starts again after its lease").hasSize(3);
+	}
+
 	/**
 	 * Guards against a job that is never served after a handover because the store does
 	 * not answer the next scheduler.
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
@@ -184,6 +184,12 @@
 				this.nowNanos);
 	}
 
+	// Submits it with the age of the list of workers that its earlier scheduler used.
+	void resubmit(long listAgeMillis) {
+		this.scheduler.submit(HOST, this.lastJob, 0, TimeUnit.SECONDS.toNanos(30),
+				EarlierSubmission.heldFor(0).withListAge(listAgeMillis * MILLI), this.nowNanos);
+	}
+
 	// Submits a job whose task leaves room for another one on its worker.
 	void submitLongHalf() {
 		StepSpec step = new StepSpec(1, new Capacity(DEMAND.cpuMillis() / 2, DEMAND.memoryMb() / 2, 0),
