--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/EarlierSubmission.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/EarlierSubmission.java
@@ -10,12 +10,12 @@
  * @param mayHaveRun whether another scheduler may have started tasks of the job
  * @param heldNanos how much longer that scheduler may start tasks and renew their leases
  * without having learned that it lost the job, in nanoseconds, at least 0
- * @param listAgeNanos how long ago at most that scheduler read the list of workers that
- * it used last, in nanoseconds, at least 0, {@link #UNKNOWN_AGE} if that is not known
+ * @param listAgeNanos how long ago at most all workers that it used were listed, in
+ * nanoseconds, at least 0, {@link #UNKNOWN_AGE} if that is not known
  */
 public record EarlierSubmission(boolean mayHaveRun, long heldNanos, long listAgeNanos) {
 
-	/** The age of a list of which nothing is known. */
+	/** The age if nothing is known. */
 	public static final long UNKNOWN_AGE = TimeUnit.DAYS.toNanos(1);
 
 	/** No scheduler can have received the job before. */
@@ -29,8 +29,8 @@
 	}
 
 	/**
-	 * Returns an earlier submission whose tasks may have started, to a scheduler that has
-	 * just read the list of workers.
+	 * Returns an earlier submission whose tasks may have started, to a scheduler whose
+	 * workers are all listed.
 	 * @param nanos how much longer the earlier scheduler may act on the job, in
 	 * nanoseconds, at least 0
 	 * @return the submission, not null
@@ -40,9 +40,9 @@
 	}
 
 	/**
-	 * Returns a copy with another age of the list of workers.
-	 * @param nanos how long ago at most the earlier scheduler read it, in nanoseconds, at
-	 * least 0
+	 * Returns a copy for a scheduler that used workers which may have left the list.
+	 * @param nanos how long ago at most all of them were listed, in nanoseconds, at least
+	 * 0
 	 * @return the copy, not null
 	 */
 	public EarlierSubmission withListAge(long nanos) {
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -100,6 +100,12 @@
 	 */
 	long handedOverNanos;
 
+	/**
+	 * When all workers that the earlier schedulers used were listed, nanoseconds since
+	 * the Unix epoch.
+	 */
+	long earlierListNanos = Long.MAX_VALUE;
+
 	/** The handover whose earlier runs are known or have ended. */
 	long settledHandoverNanos;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -133,6 +133,7 @@
 		if (earlier.mayHaveRun()) {
 			job.resubmitted = true;
 			job.handedOverNanos = Math.max(job.handedOverNanos, nowNanos + earlier.heldNanos());
+			job.earlierListNanos = Math.min(job.earlierListNanos, nowNanos - earlier.listAgeNanos());
 			verifyWorkers(nowNanos);
 		}
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -155,7 +155,7 @@
 
 	private boolean areRunsReported(JobEntity job, long nowNanos) {
 		return job.spec().stored() ? this.verification.areAllVerified(job.handedOverNanos, nowNanos)
-				: this.verification.areRunsVerified(job.handedOverNanos, nowNanos);
+				: this.verification.areRunsVerified(job.handedOverNanos, job.earlierListNanos, nowNanos);
 	}
 
 	// Tests whether the leases of the runs have ended, and no end is left unread that
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -115,6 +115,16 @@
 		this.workers.list().proven(provenNanos);
 	}
 
+	/**
+	 * Returns when all workers that this scheduler uses, or used when it was active last,
+	 * were listed. A later scheduler that has forgotten some of them cannot find their
+	 * runs.
+	 * @return the time in nanoseconds since the Unix epoch
+	 */
+	public long usedWorkersListedNanos() {
+		return this.workers.list().usedWorkersListedNanos();
+	}
+
 	/**
 	 * Tests whether jobs that were handed over wait for a newer list of workers.
 	 * @return true if they do, and the list should be read now
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Verification.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Verification.java
@@ -13,13 +13,16 @@
 	boolean areAllVerified(long sinceNanos, long nowNanos);
 
 	/**
-	 * Tests whether every worker of the fleet has listed its present runs since a poll
-	 * that was sent at or after a time, but perhaps not all of its ends.
+	 * Tests whether every worker that earlier schedulers may have used has listed its
+	 * present runs since a poll that was sent at or after a time, but perhaps not all of
+	 * its ends.
 	 * @param sinceNanos the time, nanoseconds since the Unix epoch
+	 * @param earlierListNanos when all workers that the earlier schedulers used were
+	 * listed, nanoseconds since the Unix epoch
 	 * @param nowNanos the current time
 	 * @return true if each has, under a token that fences earlier owners
 	 */
-	boolean areRunsVerified(long sinceNanos, long nowNanos);
+	boolean areRunsVerified(long sinceNanos, long earlierListNanos, long nowNanos);
 
 	/**
 	 * Tests whether a worker may have ends that its reports do not list yet. However long
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -71,6 +71,9 @@
 	/** When the worker left the list, nanoseconds since the Unix epoch. */
 	long unlistedNanos;
 
+	/** A time at which it was still in the list, nanoseconds since the Unix epoch. */
+	long lastListedNanos;
+
 	/** Whether its data centre is drained, so that no run may start on it. */
 	boolean drained;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
@@ -22,6 +22,12 @@
 	/** A worker that left the list may still be running for this long. */
 	private static final long UNLISTED_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(6);
 
+	/**
+	 * The age of the heartbeat and of the submission that tell when the workers of an
+	 * earlier scheduler were listed; each is refused when it is 0.7 s old.
+	 */
+	private static final long MAX_MESSAGE_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
+
 	/** An entry stays in the list for longer after its worker was last heard. */
 	private static final long MAX_READ_GAP_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -35,6 +41,11 @@
 	 */
 	private long firstListedNanos;
 
+	/**
+	 * What {@link #usedWorkersListedNanos} returned when this scheduler was active last.
+	 */
+	private long formerlyListedNanos = Long.MAX_VALUE;
+
 	WorkerListSystem(SchedulerTables tables, LossSystem losses) {
 		this.tables = tables;
 		this.losses = losses;
@@ -115,6 +126,7 @@
 			boolean listed = listedIds.contains(worker.info.id());
 			if (worker.listed && !listed) {
 				worker.unlistedNanos = nowNanos;
+				worker.lastListedNanos = this.tables.listProvenNanos;
 			}
 			worker.listed = listed;
 		}
@@ -168,6 +180,34 @@
 		this.tables.listProvenNanos = provenNanos;
 	}
 
+	// Tests whether every worker that was listed at a time is kept track of, although it
+	// may have left the list since. An earlier scheduler may go on renewing runs on such
+	// workers, and use them if the store refuses it.
+	boolean includesWorkersListedAt(long listedNanos, long nowNanos) {
+		return nowNanos - listedNanos <= UNLISTED_RETENTION_NANOS - MAX_MESSAGE_AGE_NANOS;
+	}
+
+	// Returns when all workers on which this scheduler has runs, or had some when it was
+	// active last, and all that it may use were listed.
+	long usedWorkersListedNanos() {
+		long listedNanos = Math.min(this.tables.listProvenNanos, this.formerlyListedNanos);
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			if (!worker.listed && worker.isBusy()) {
+				listedNanos = Math.min(listedNanos, worker.lastListedNanos);
+			}
+		}
+		return listedNanos;
+	}
+
+	void activate() {
+		this.formerlyListedNanos = Long.MAX_VALUE;
+	}
+
+	// Keeps what the hosts of the jobs that are handed over have to know.
+	void deactivate() {
+		this.formerlyListedNanos = usedWorkersListedNanos();
+	}
+
 	// Tests whether every worker that an earlier scheduler may have used until a time is
 	// known: the list was read since then, and has been followed for so long that a
 	// worker which is no longer listed has no runs.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -83,6 +83,7 @@
 
 	void activate(long nowNanos) {
 		this.tables.scanDue = true;
+		this.list.activate();
 		this.runs.forgetUnsavedEnds();
 		for (WorkerEntity worker : this.tables.workers.values()) {
 			worker.ownership = WorkerEntity.Ownership.NOT_OWNED;
@@ -104,6 +105,7 @@
 	}
 
 	void deactivate() {
+		this.list.deactivate();
 		for (WorkerEntity worker : this.tables.workers.values()) {
 			worker.ownership = WorkerEntity.Ownership.NOT_OWNED;
 			worker.proven = false;
@@ -126,8 +128,9 @@
 	}
 
 	@Override
-	public boolean areRunsVerified(long sinceNanos, long nowNanos) {
+	public boolean areRunsVerified(long sinceNanos, long earlierListNanos, long nowNanos) {
 		return this.list.isComplete(sinceNanos, nowNanos)
+				&& this.list.includesWorkersListedAt(earlierListNanos, nowNanos)
 				&& this.tables.workers.values().stream().allMatch((worker) -> worker.areRunsVerified(sinceNanos));
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
@@ -38,6 +38,9 @@
 	/** Owners of stored jobs notice within this time that they lost them. */
 	private static final long STORED_GUARD_MILLIS = 3_000;
 
+	/** A host that does not schedule reads the list at this interval. */
+	private static final long READ_INTERVAL_MILLIS = 1_000;
+
 	private final WorkerFixture fixture = new WorkerFixture("w1");
 
 	/**
@@ -70,6 +73,7 @@
 	void taskOnAWorkerThatOnlyAnOutdatedListNamesIsNotStartedAgain() {
 		this.fixture.addWorker("w2");
 		this.fixture.listWorkers();
+		this.fixture.scheduler.workerListProven(this.fixture.nowNanos);
 		Scheduler next = newScheduler(this.fixture.listedWorkers());
 		next.workersListed(this.fixture.listedWorkers().subList(0, 1), true, this.fixture.nowNanos);
 		this.fixture.advance(FORGOTTEN_MILLIS);
@@ -82,7 +86,7 @@
 		next.workerListProven(this.fixture.nowNanos);
 		this.fixture.activate(next, NEXT_HOST);
 		next.workerListProven(this.fixture.nowNanos);
-		this.fixture.resubmit(FORGOTTEN_MILLIS);
+		this.fixture.resubmit();
 		this.fixture.advance(LEASE_END_MILLIS + LEASE_MILLIS);
 		assertThat(this.fixture.violations).isEmpty();
 		assertThat(this.fixture.starts).as("the task starts again after its lease").hasSize(3);
@@ -132,6 +136,34 @@
 		assertThat(this.fixture.starts).as("the end on w2 is read").hasSize(2);
 	}
 
+	/**
+	 * Guards against a second run of a task whose first one is on a worker that the
+	 * earlier scheduler still keeps although its entry has expired. A worker that cannot
+	 * reach the store, or is in a data centre that was cut off from it, is in that state
+	 * for as long as that lasts.
+	 */
+	@Example
+	void taskOnAWorkerWhoseEntryExpiredLongAgoIsNotStartedAgain() {
+		this.fixture.addWorker("w2");
+		this.fixture.listWorkers();
+		Scheduler next = newScheduler(this.fixture.listedWorkers());
+		this.fixture.submitLong();
+		this.fixture.submitLong();
+		this.fixture.advance(STEP_MILLIS);
+		assertThat(this.fixture.workerOfLastStart().id().value()).isEqualTo("w2");
+
+		expireEntryOfSecondWorker(next);
+		followList(next, FORGOTTEN_MILLIS);
+
+		this.fixture.activate(next, NEXT_HOST);
+		next.workerListProven(this.fixture.nowNanos);
+		this.fixture.resubmit();
+		next.workerListProven(this.fixture.nowNanos);
+		this.fixture.advance(ORPHAN_STOPPED_MILLIS);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).as("the run on w2 may last until its lease ends").hasSize(2);
+	}
+
 	// Starts a job on a worker that the present scheduler has just read from the list.
 	private void startOnNewWorker(Runnable submission) {
 		this.fixture.advance(STEP_MILLIS);
@@ -165,4 +197,22 @@
 		scheduler.workerListProven(this.fixture.nowNanos);
 	}
 
+	// Lets both schedulers read a list without the second worker, which works on.
+	private void expireEntryOfSecondWorker(Scheduler next) {
+		List<WorkerInfo> remaining = this.fixture.listedWorkers().subList(0, 1);
+		this.fixture.scheduler.workerListProven(this.fixture.nowNanos);
+		this.fixture.scheduler.workersListed(remaining, true, this.fixture.nowNanos);
+		next.workersListed(remaining, true, this.fixture.nowNanos);
+	}
+
+	// Lets the next scheduler read an unchanged list of one worker at the usual interval.
+	private void followList(Scheduler next, long millis) {
+		List<WorkerInfo> listed = this.fixture.listedWorkers().subList(0, 1);
+		for (long passed = 0; passed < millis; passed += READ_INTERVAL_MILLIS) {
+			this.fixture.advance(READ_INTERVAL_MILLIS);
+			next.workersListed(listed, true, this.fixture.nowNanos);
+			next.workerListProven(this.fixture.nowNanos);
+		}
+	}
+
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
@@ -77,6 +77,9 @@
 
 	long nowNanos = TimeUnit.DAYS.toNanos(21_000);
 
+	/** When all workers that the scheduler before this one used were listed. */
+	private long earlierListedNanos;
+
 	private final RunChecks checks = new RunChecks(this.workers, (job, text) -> this.violations.add(text));
 
 	private JobSpec lastJob;
@@ -100,6 +103,7 @@
 
 	// Replaces the scheduler by one that has a list of workers.
 	void activate(Scheduler next, int hostNumber) {
+		this.earlierListedNanos = (this.scheduler != null) ? this.scheduler.usedWorkersListedNanos() : this.nowNanos;
 		this.scheduler = next;
 		this.scheduler.activate(FencingToken.create(this.nowNanos, hostNumber, FencingToken.NONE), this.nowNanos);
 		advance(10);
@@ -178,16 +182,12 @@
 		this.scheduler.submit(HOST, job, 0, TimeUnit.SECONDS.toNanos(30), EarlierSubmission.NONE, this.nowNanos);
 	}
 
-	// Submits the last job to a scheduler that does not know it.
+	// Submits the last job to a scheduler that does not know it, as the host of the job
+	// does.
 	void resubmit() {
-		this.scheduler.submit(HOST, this.lastJob, 0, TimeUnit.SECONDS.toNanos(30), EarlierSubmission.heldFor(0),
-				this.nowNanos);
-	}
-
-	// Submits it with the age of the list of workers that its earlier scheduler used.
-	void resubmit(long listAgeMillis) {
+		long listAgeNanos = Math.max(0, this.nowNanos - this.earlierListedNanos);
 		this.scheduler.submit(HOST, this.lastJob, 0, TimeUnit.SECONDS.toNanos(30),
-				EarlierSubmission.heldFor(0).withListAge(listAgeMillis * MILLI), this.nowNanos);
+				EarlierSubmission.heldFor(0).withListAge(listAgeNanos), this.nowNanos);
 	}
 
 	// Submits a job whose task leaves room for another one on its worker.
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -460,6 +460,12 @@
 		requestTick();
 	}
 
+	// Returns when all workers that this host used last while it scheduled were listed, 0
+	// before the first list.
+	long workersListedNanos() {
+		return this.scheduler.usedWorkersListedNanos();
+	}
+
 	/** The scheduler of this host, for the jobs of its own callers. */
 	private final class LocalScheduler implements SchedulerTransport.LocalScheduler {
 
@@ -473,6 +479,11 @@
 			FleetHost.this.withdraw(origin, job);
 		}
 
+		@Override
+		public long workersListedNanos() {
+			return FleetHost.this.workersListedNanos();
+		}
+
 	}
 
 	private final class DirectoryListener implements Directory.Listener {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeerListener.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeerListener.java
@@ -77,6 +77,11 @@
 		if (peerVersion != FleetPeers.OMIT_CONFIGURATION && peerVersion < version && isOfferDue(peerVersion)) {
 			heartbeat.setConfiguration(FleetPeers.toByteString(this.directory.configurationText()));
 		}
+		long workersListedNanos = this.host.workersListedNanos();
+		if (workersListedNanos != 0) {
+			heartbeat
+				.setWorkerListAgeMillis(TimeUnit.NANOSECONDS.toMillis(this.clock.getAsLong() - workersListedNanos) + 1);
+		}
 		HeartbeatDrains.write(this.drains.drains(), heartbeat);
 		return heartbeat.build();
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -97,6 +97,9 @@
 	/** The replies that have not been sent to other hosts yet, by host and job. */
 	private final Map<HostId, Map<JobId, CompletableFuture<PeerFrame.Builder>>> pendingReplies = new HashMap<>();
 
+	/** When all workers that each host used last were listed. */
+	private final Map<HostId, Long> workersListedNanos = new HashMap<>();
+
 	private FleetPeers(EventLoopGroup group, FleetSettings settings, Incarnation self, LongSupplier clock,
 			Listener listener) {
 		this.settings = settings;
@@ -180,6 +183,7 @@
 
 	private void handleHeartbeatReply(HostBeat heartbeat, long sentNanos) {
 		HostState state = stateOf(heartbeat);
+		workersListed(state.host(), heartbeat);
 		this.listener.drainsReceived(HeartbeatDrains.read(heartbeat));
 		this.heartbeatPlan.stateReceived(state);
 		addHosts(heartbeat.getKnownHostsList().stream().map(HostId::of).toList());
@@ -199,6 +203,7 @@
 
 	private HostBeat handleHeartbeat(HostBeat heartbeat) {
 		HostState state = stateOf(heartbeat);
+		workersListed(state.host(), heartbeat);
 		this.listener.drainsReceived(HeartbeatDrains.read(heartbeat));
 		this.heartbeatPlan.stateReceived(state);
 		this.listener.heartbeatReceived(state, this.clock.getAsLong());
@@ -289,6 +294,19 @@
 		return this.leases.provenNanos(origin, job);
 	}
 
+	// Returns when a host has sent its newest known read of the list of workers, 0 if
+	// none
+	// is known.
+	@Override
+	public long workersListedNanos(HostId host) {
+		return this.workersListedNanos.getOrDefault(host, 0L);
+	}
+
+	private void workersListed(HostId host, HostBeat heartbeat) {
+		this.workersListedNanos.put(host, heartbeat.hasWorkerListAgeMillis()
+				? this.clock.getAsLong() - TimeUnit.MILLISECONDS.toNanos(heartbeat.getWorkerListAgeMillis()) : 0);
+	}
+
 	// Ends the jobs of hosts that this host has not heard for too long, since they may
 	// have submitted them to another scheduler.
 	void expireLeases(long nowNanos) {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobMessages.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobMessages.java
@@ -70,9 +70,13 @@
 	}
 
 	static EarlierSubmission earlierSubmission(SubmitJob message) {
-		return message.getResubmitted()
-				? EarlierSubmission.heldFor(TimeUnit.MILLISECONDS.toNanos(message.getHeldMillis()))
-				: EarlierSubmission.NONE;
+		if (!message.getResubmitted()) {
+			return EarlierSubmission.NONE;
+		}
+		long listAgeNanos = message.hasEarlierListAgeMillis()
+				? TimeUnit.MILLISECONDS.toNanos(message.getEarlierListAgeMillis()) : EarlierSubmission.UNKNOWN_AGE;
+		return EarlierSubmission.heldFor(TimeUnit.MILLISECONDS.toNanos(message.getHeldMillis()))
+			.withListAge(listAgeNanos);
 	}
 
 	private static StepSpec toStep(JobStep message) {
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobTransport.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobTransport.java
@@ -38,6 +38,14 @@
 	 */
 	long heldUntilNanos(HostId scheduler);
 
+	/**
+	 * Returns when all workers that a host used last while it scheduled were listed, as
+	 * far as this host knows.
+	 * @param scheduler the host, not null
+	 * @return the time in nanoseconds since the Unix epoch, 0 if nothing is known
+	 */
+	long workersListedNanos(HostId scheduler);
+
 	/**
 	 * Tests whether the process of a host is known to have ended, so that it does not act
 	 * on any job that was submitted to it before.
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/PendingJobs.java
@@ -17,6 +17,7 @@
 import org.limpetgate.RequestId;
 import org.limpetgate.net.http.ErrorReply;
 import org.limpetgate.proto.JobResult;
+import org.limpetgate.proto.SubmitJob;
 import org.limpetgate.scheduling.JobOutcome;
 import org.limpetgate.scheduling.JobSpec;
 import org.limpetgate.scheduling.QueueTerms;
@@ -195,20 +196,19 @@
 		HostId target = this.scheduler;
 		job.submittedTo = target;
 		long remaining = Math.max(1, job.deadlineNanos - nowNanos);
-		this.transport
-			.submit(target,
-					JobMessages.toMessage(job.spec)
-						.setWaitedMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivalNanos))
-						.setRemainingMillis(TimeUnit.NANOSECONDS.toMillis(remaining))
-						.setResubmitted(job.mayHaveRun)
-						.setHeldMillis(heldMillis(job, target, nowNanos))
-						.build(),
-					remaining)
-			.whenComplete((result, failure) -> {
-				if (this.pending.get(job.spec.id()) == job && target.equals(job.submittedTo)) {
-					handleReply(job, result, failure, this.clock.getAsLong());
-				}
-			});
+		SubmitJob.Builder message = JobMessages.toMessage(job.spec)
+			.setWaitedMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivalNanos))
+			.setRemainingMillis(TimeUnit.NANOSECONDS.toMillis(remaining));
+		if (job.mayHaveRun) {
+			message.setResubmitted(true)
+				.setHeldMillis(heldMillis(job, target, nowNanos))
+				.setEarlierListAgeMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos - job.earlierListNanos) + 1);
+		}
+		this.transport.submit(target, message.build(), remaining).whenComplete((result, failure) -> {
+			if (this.pending.get(job.spec.id()) == job && target.equals(job.submittedTo)) {
+				handleReply(job, result, failure, this.clock.getAsLong());
+			}
+		});
 	}
 
 	private void handleReply(PendingJob job, JobResult result, Throwable failure, long nowNanos) {
@@ -255,7 +255,10 @@
 
 	private void scheduleResubmission(PendingJob job, boolean mayHaveRun, String reason, long nowNanos) {
 		this.events.resubmissionScheduled(job.spec.id(), job.submittedTo, reason);
-		job.mayHaveRun |= mayHaveRun;
+		if (mayHaveRun) {
+			job.mayHaveRun = true;
+			job.earlierListNanos = Math.min(job.earlierListNanos, this.transport.workersListedNanos(job.submittedTo));
+		}
 		job.submittedTo = null;
 		job.earliestSubmitNanos = nowNanos + RESUBMIT_DELAY_NANOS;
 	}
@@ -286,6 +289,12 @@
 
 		private long earliestSubmitNanos;
 
+		/**
+		 * When all workers that its earlier schedulers used were listed, nanoseconds
+		 * since the Unix epoch.
+		 */
+		private long earlierListNanos = Long.MAX_VALUE;
+
 		PendingJob(JobSpec spec, long arrivalNanos, long deadlineNanos) {
 			this.spec = spec;
 			this.arrivalNanos = arrivalNanos;
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/SchedulerTransport.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/SchedulerTransport.java
@@ -71,6 +71,12 @@
 		return host.equals(this.self) ? 0 : this.peers.get().heldUntilNanos(host);
 	}
 
+	@Override
+	public long workersListedNanos(HostId host) {
+		return host.equals(this.self) ? this.localScheduler.workersListedNanos()
+				: this.peers.get().workersListedNanos(host);
+	}
+
 	@Override
 	public boolean hasEndedSince(HostId host, long sinceNanos) {
 		return !host.equals(this.self) && this.peers.get().hasEndedSince(host, sinceNanos);
@@ -102,6 +108,13 @@
 		 */
 		void withdraw(HostId origin, JobId job);
 
+		/**
+		 * Returns when all workers that this host used last while it scheduled were
+		 * listed.
+		 * @return the time in nanoseconds since the Unix epoch, 0 before the first list
+		 */
+		long workersListedNanos();
+
 	}
 
 }
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/PendingJobsTests.java
@@ -21,6 +21,7 @@
 import org.limpetgate.proto.JobResult;
 import org.limpetgate.proto.SubmitJob;
 import org.limpetgate.scheduling.Capacity;
+import org.limpetgate.scheduling.EarlierSubmission;
 import org.limpetgate.scheduling.JobOutcome;
 import org.limpetgate.scheduling.JobSpec;
 import org.limpetgate.scheduling.QueueTerms;
@@ -105,6 +106,37 @@
 		assertThat(answer.join().outcome()).isEqualTo(JobOutcome.COMPLETED);
 	}
 
+	/**
+	 * Guards against a scheduler that does not learn that an earlier one used workers of
+	 * an outdated list, although a later one that had a new list has had the job since.
+	 */
+	@Example
+	void resubmissionTellsTheOldestListOfItsEarlierSchedulers() {
+		this.transport.workersListedNanos.put(FIRST, this.now - 9_000 * NANOS_PER_MILLI);
+		this.transport.workersListedNanos.put(SECOND, this.now);
+		this.pendingJobs.tick(FIRST, this.now);
+		submit("1");
+		this.transport.complete(0, JobResult.State.MOVED);
+		this.now += 50 * NANOS_PER_MILLI;
+		this.pendingJobs.tick(SECOND, this.now);
+		this.transport.fail(1, Outcome.UNKNOWN);
+		this.now += 50 * NANOS_PER_MILLI;
+		this.pendingJobs.tick(SECOND, this.now);
+		assertThat(this.transport.jobs).hasSize(3);
+		assertThat(this.transport.jobs.get(0).hasEarlierListAgeMillis()).isFalse();
+		assertThat(this.transport.jobs.get(2).getEarlierListAgeMillis()).isBetween(9_100L, 9_101L);
+	}
+
+	/**
+	 * Guards against a list of which nothing is known that counts as new, since its
+	 * scheduler is of an earlier version.
+	 */
+	@Example
+	void submissionWithoutTheAgeOfAListTellsThatItIsUnknown() {
+		EarlierSubmission earlier = JobMessages.earlierSubmission(SubmitJob.newBuilder().setResubmitted(true).build());
+		assertThat(earlier.listAgeNanos()).isEqualTo(EarlierSubmission.UNKNOWN_AGE);
+	}
+
 	/**
 	 * Guards against a scheduler that continues to run a job after its caller was
 	 * answered; the caller may send the job again at another host.
@@ -281,6 +313,8 @@
 		/** When an incarnation of a host was last found to have ended. */
 		private final Map<HostId, Long> endedNanos = new HashMap<>();
 
+		private final Map<HostId, Long> workersListedNanos = new HashMap<>();
+
 		private long heldUntilNanos;
 
 		@Override
@@ -302,6 +336,11 @@
 			return this.heldUntilNanos;
 		}
 
+		@Override
+		public long workersListedNanos(HostId scheduler) {
+			return this.workersListedNanos.getOrDefault(scheduler, 0L);
+		}
+
 		@Override
 		public boolean hasEndedSince(HostId scheduler, long sinceNanos) {
 			return this.endedNanos.getOrDefault(scheduler, 0L) >= sinceNanos;
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/HostBeat.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/HostBeat.java
@@ -372,6 +372,35 @@
     return drainedDataCentres_.getByteString(index);
   }
 
+  public static final int WORKER_LIST_AGE_MILLIS_FIELD_NUMBER = 15;
+  private long workerListAgeMillis_ = 0L;
+  /**
+   * <pre>
+   * How long ago at most all workers that the sender uses, or used while it scheduled, were listed, in milliseconds; not set
+   * before it has read the list.
+   * </pre>
+   *
+   * <code>optional uint64 worker_list_age_millis = 15;</code>
+   * @return Whether the workerListAgeMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasWorkerListAgeMillis() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * How long ago at most all workers that the sender uses, or used while it scheduled, were listed, in milliseconds; not set
+   * before it has read the list.
+   * </pre>
+   *
+   * <code>optional uint64 worker_list_age_millis = 15;</code>
+   * @return The workerListAgeMillis.
+   */
+  @java.lang.Override
+  public long getWorkerListAgeMillis() {
+    return workerListAgeMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -428,6 +457,9 @@
     for (int i = 0; i < drainedDataCentres_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 14, drainedDataCentres_.getRaw(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeUInt64(15, workerListAgeMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -495,6 +527,10 @@
       size += dataSize;
       size += 1 * getDrainedDataCentresList().size();
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(15, workerListAgeMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -550,6 +586,11 @@
         != other.getDrainVersion()) return false;
     if (!getDrainedDataCentresList()
         .equals(other.getDrainedDataCentresList())) return false;
+    if (hasWorkerListAgeMillis() != other.hasWorkerListAgeMillis()) return false;
+    if (hasWorkerListAgeMillis()) {
+      if (getWorkerListAgeMillis()
+          != other.getWorkerListAgeMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -602,6 +643,11 @@
       hash = (37 * hash) + DRAINED_DATA_CENTRES_FIELD_NUMBER;
       hash = (53 * hash) + getDrainedDataCentresList().hashCode();
     }
+    if (hasWorkerListAgeMillis()) {
+      hash = (37 * hash) + WORKER_LIST_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getWorkerListAgeMillis());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -763,6 +809,7 @@
       drainVersion_ = 0L;
       drainedDataCentres_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      workerListAgeMillis_ = 0L;
       return this;
     }
 
@@ -844,6 +891,10 @@
         drainedDataCentres_.makeImmutable();
         result.drainedDataCentres_ = drainedDataCentres_;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.workerListAgeMillis_ = workerListAgeMillis_;
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -917,6 +968,9 @@
         }
         onChanged();
       }
+      if (other.hasWorkerListAgeMillis()) {
+        setWorkerListAgeMillis(other.getWorkerListAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1013,6 +1067,11 @@
               drainedDataCentres_.add(input.readStringRequireUtf8());
               break;
             } // case 114
+            case 120: {
+              workerListAgeMillis_ = input.readUInt64();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 120
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1931,6 +1990,66 @@
       return this;
     }
 
+    private long workerListAgeMillis_ ;
+    /**
+     * <pre>
+     * How long ago at most all workers that the sender uses, or used while it scheduled, were listed, in milliseconds; not set
+     * before it has read the list.
+     * </pre>
+     *
+     * <code>optional uint64 worker_list_age_millis = 15;</code>
+     * @return Whether the workerListAgeMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkerListAgeMillis() {
+      return ((bitField0_ & 0x00004000) != 0);
+    }
+    /**
+     * <pre>
+     * How long ago at most all workers that the sender uses, or used while it scheduled, were listed, in milliseconds; not set
+     * before it has read the list.
+     * </pre>
+     *
+     * <code>optional uint64 worker_list_age_millis = 15;</code>
+     * @return The workerListAgeMillis.
+     */
+    @java.lang.Override
+    public long getWorkerListAgeMillis() {
+      return workerListAgeMillis_;
+    }
+    /**
+     * <pre>
+     * How long ago at most all workers that the sender uses, or used while it scheduled, were listed, in milliseconds; not set
+     * before it has read the list.
+     * </pre>
+     *
+     * <code>optional uint64 worker_list_age_millis = 15;</code>
+     * @param value The workerListAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkerListAgeMillis(long value) {
+
+      workerListAgeMillis_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long ago at most all workers that the sender uses, or used while it scheduled, were listed, in milliseconds; not set
+     * before it has read the list.
+     * </pre>
+     *
+     * <code>optional uint64 worker_list_age_millis = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkerListAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      workerListAgeMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.HostBeat)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/HostBeatOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/HostBeatOrBuilder.java
@@ -210,4 +210,25 @@
    */
   com.google.protobuf.ByteString
       getDrainedDataCentresBytes(int index);
+
+  /**
+   * <pre>
+   * How long ago at most all workers that the sender uses, or used while it scheduled, were listed, in milliseconds; not set
+   * before it has read the list.
+   * </pre>
+   *
+   * <code>optional uint64 worker_list_age_millis = 15;</code>
+   * @return Whether the workerListAgeMillis field is set.
+   */
+  boolean hasWorkerListAgeMillis();
+  /**
+   * <pre>
+   * How long ago at most all workers that the sender uses, or used while it scheduled, were listed, in milliseconds; not set
+   * before it has read the list.
+   * </pre>
+   *
+   * <code>optional uint64 worker_list_age_millis = 15;</code>
+   * @return The workerListAgeMillis.
+   */
+  long getWorkerListAgeMillis();
 }
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -366,7 +366,7 @@
       " \001(\t\022\r\n\005table\030\006 \001(\t\022\014\n\004name\030\007 \001(\t\022\024\n\014bas" +
       "e_version\030\010 \001(\022\022\017\n\007removal\030\t \001(\010\022\027\n\017issu" +
       "ed_at_nanos\030\n \001(\006\022\031\n\021appended_at_nanos\030\013" +
-      " \001(\006\"\341\002\n\010HostBeat\022.\n\013incarnation\030\001 \001(\0132\031" +
+      " \001(\006\"\241\003\n\010HostBeat\022.\n\013incarnation\030\001 \001(\0132\031" +
       ".limpetgate.IncarnationId\022\023\n\013data_centre" +
       "\030\002 \001(\t\022\017\n\007leaving\030\003 \001(\010\022\r\n\005ready\030\004 \001(\010\022\022" +
       "\n\noverloaded\030\005 \001(\010\022\022\n\ncpu_millis\030\006 \001(\r\022\027" +
@@ -375,65 +375,69 @@
       "on_version\030\n \001(\003\022\025\n\rconfiguration\030\013 \001(\014\022" +
       "\032\n\022known_hosts_digest\030\014 \001(\007\022\025\n\rdrain_ver" +
       "sion\030\r \001(\003\022\034\n\024drained_data_centres\030\016 \003(\t" +
-      "\"\207\002\n\007JobStep\022\r\n\005count\030\001 \001(\r\022\022\n\ncpu_milli" +
-      "s\030\002 \001(\r\022\021\n\tmemory_mb\030\003 \001(\r\022\024\n\014accelerato" +
-      "rs\030\004 \001(\r\022\030\n\020estimated_millis\030\005 \001(\004\022\r\n\005af" +
-      "ter\030\006 \003(\r\022\026\n\016required_label\030\007 \001(\t\022\021\n\tdat" +
-      "a_rack\030\010 \001(\t\022\026\n\016max_per_worker\030\t \001(\r\022\035\n\025" +
-      "latency_target_millis\030\n \001(\r\022%\n\006traits\030\013 " +
-      "\003(\0162\025.limpetgate.StepTrait\"\252\002\n\tSubmitJob" +
-      "\022\016\n\006job_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010pri" +
-      "ority\030\003 \001(\r\022\020\n\010attempts\030\004 \001(\r\022\017\n\007stretch" +
-      "\030\005 \001(\001\022\030\n\020objective_millis\030\006 \001(\004\022\025\n\rwait" +
-      "ed_millis\030\007 \001(\004\022\030\n\020remaining_millis\030\010 \001(" +
-      "\004\022\017\n\007payload\030\t \001(\t\022\"\n\005steps\030\n \003(\0132\023.limp" +
-      "etgate.JobStep\022\023\n\013resubmitted\030\013 \001(\010\022\r\n\005q" +
-      "ueue\030\014 \001(\t\022\016\n\006stored\030\r \001(\010\022\023\n\013held_milli" +
-      "s\030\016 \001(\004\"\315\001\n\tJobResult\022*\n\005state\030\001 \001(\0162\033.l" +
-      "impetgate.JobResult.State\022\016\n\006reason\030\002 \001(" +
-      "\t\022\032\n\022retry_after_millis\030\003 \001(\004\"h\n\005State\022\017" +
-      "\n\013UNSPECIFIED\020\000\022\r\n\tCOMPLETED\020\001\022\n\n\006FAILED" +
-      "\020\002\022\013\n\007REFUSED\020\003\022\t\n\005MOVED\020\004\022\r\n\tABANDONED\020" +
-      "\005\022\014\n\010ACCEPTED\020\006\"\035\n\013WithdrawJob\022\016\n\006job_id" +
-      "\030\001 \001(\t\"*\n\010QueryJob\022\016\n\006job_id\030\001 \001(\t\022\016\n\006ca" +
-      "ncel\030\002 \001(\010\"\240\001\n\tJobStatus\022*\n\005state\030\001 \001(\0162" +
-      "\033.limpetgate.JobStatus.State\"g\n\005State\022\017\n" +
-      "\013UNAVAILABLE\020\000\022\013\n\007UNKNOWN\020\001\022\n\n\006QUEUED\020\002\022" +
-      "\013\n\007RUNNING\020\003\022\r\n\tCOMPLETED\020\004\022\n\n\006FAILED\020\005\022" +
-      "\014\n\010CANCELED\020\006\"\033\n\nQueryQueue\022\r\n\005queue\030\001 \001" +
-      "(\t\"6\n\013QueueStatus\022\021\n\tavailable\030\001 \001(\010\022\024\n\014" +
-      "pending_jobs\030\002 \001(\r\"N\n\017StoredJobRecord\022\"\n" +
-      "\003job\030\001 \001(\0132\025.limpetgate.SubmitJob\022\027\n\017acc" +
-      "epted_millis\030\002 \001(\004\"\204\001\n\021JobProgressRecord" +
-      "\022*\n\005state\030\001 \001(\0162\033.limpetgate.JobStatus.S" +
-      "tate\022\024\n\014ended_millis\030\002 \001(\004\022-\n\005steps\030\003 \003(" +
-      "\0132\036.limpetgate.StepProgressRecord\"\273\004\n\022St" +
-      "epProgressRecord\022\014\n\004done\030\001 \001(\014\022>\n\010failur" +
-      "es\030\002 \003(\0132,.limpetgate.StepProgressRecord" +
-      ".FailuresEntry\022D\n\013checkpoints\030\003 \003(\0132/.li" +
-      "mpetgate.StepProgressRecord.CheckpointsE" +
-      "ntry\022<\n\007crashes\030\004 \003(\0132+.limpetgate.StepP" +
-      "rogressRecord.CrashesEntry\022K\n\017failed_att" +
-      "empts\030\005 \003(\01322.limpetgate.StepProgressRec" +
-      "ord.FailedAttemptsEntry\032/\n\rFailuresEntry" +
-      "\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\0322\n\020Chec" +
-      "kpointsEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\t" +
-      ":\0028\001\032N\n\014CrashesEntry\022\013\n\003key\030\001 \001(\r\022-\n\005val" +
-      "ue\030\002 \001(\0132\036.limpetgate.CrashHistoryRecord" +
-      ":\0028\001\032Q\n\023FailedAttemptsEntry\022\013\n\003key\030\001 \001(\r" +
-      "\022)\n\005value\030\002 \001(\0132\032.limpetgate.AttemptsRec" +
-      "ord:\0028\001\"\"\n\016AttemptsRecord\022\020\n\010attempts\030\001 " +
-      "\003(\r\"\207\001\n\022CrashHistoryRecord\022\017\n\007crashes\030\001 " +
-      "\001(\r\022\025\n\rcrashed_alone\030\002 \001(\010\022,\n\006losses\030\003 \003" +
-      "(\0132\034.limpetgate.WorkerLossRecord\022\033\n\023unco" +
-      "nfirmed_crashes\030\004 \001(\r\"\223\001\n\020WorkerLossReco" +
-      "rd\022\016\n\006worker\030\001 \001(\t\022\032\n\022incarnation_millis" +
-      "\030\002 \001(\004\022\r\n\005alone\030\003 \001(\010\022\023\n\013lost_millis\030\004 \001" +
-      "(\004\022\014\n\004host\030\005 \001(\t\022\014\n\004port\030\006 \001(\r\022\023\n\013unconf" +
-      "irmed\030\007 \001(\010*h\n\tStepTrait\022\025\n\021TRAIT_UNSPEC" +
-      "IFIED\020\000\022\010\n\004GANG\020\001\022\r\n\tSAME_RACK\020\002\022\020\n\014CHEC" +
-      "KPOINTED\020\003\022\r\n\tPERPETUAL\020\004\022\n\n\006FILLER\020\005B\030\n" +
-      "\024org.limpetgate.protoP\001b\006proto3"
+      "\022#\n\026worker_list_age_millis\030\017 \001(\004H\000\210\001\001B\031\n" +
+      "\027_worker_list_age_millis\"\207\002\n\007JobStep\022\r\n\005" +
+      "count\030\001 \001(\r\022\022\n\ncpu_millis\030\002 \001(\r\022\021\n\tmemor" +
+      "y_mb\030\003 \001(\r\022\024\n\014accelerators\030\004 \001(\r\022\030\n\020esti" +
+      "mated_millis\030\005 \001(\004\022\r\n\005after\030\006 \003(\r\022\026\n\016req" +
+      "uired_label\030\007 \001(\t\022\021\n\tdata_rack\030\010 \001(\t\022\026\n\016" +
+      "max_per_worker\030\t \001(\r\022\035\n\025latency_target_m" +
+      "illis\030\n \001(\r\022%\n\006traits\030\013 \003(\0162\025.limpetgate" +
+      ".StepTrait\"\354\002\n\tSubmitJob\022\016\n\006job_id\030\001 \001(\t" +
+      "\022\017\n\007service\030\002 \001(\t\022\020\n\010priority\030\003 \001(\r\022\020\n\010a" +
+      "ttempts\030\004 \001(\r\022\017\n\007stretch\030\005 \001(\001\022\030\n\020object" +
+      "ive_millis\030\006 \001(\004\022\025\n\rwaited_millis\030\007 \001(\004\022" +
+      "\030\n\020remaining_millis\030\010 \001(\004\022\017\n\007payload\030\t \001" +
+      "(\t\022\"\n\005steps\030\n \003(\0132\023.limpetgate.JobStep\022\023" +
+      "\n\013resubmitted\030\013 \001(\010\022\r\n\005queue\030\014 \001(\t\022\016\n\006st" +
+      "ored\030\r \001(\010\022\023\n\013held_millis\030\016 \001(\004\022$\n\027earli" +
+      "er_list_age_millis\030\017 \001(\004H\000\210\001\001B\032\n\030_earlie" +
+      "r_list_age_millis\"\315\001\n\tJobResult\022*\n\005state" +
+      "\030\001 \001(\0162\033.limpetgate.JobResult.State\022\016\n\006r" +
+      "eason\030\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(\004\"" +
+      "h\n\005State\022\017\n\013UNSPECIFIED\020\000\022\r\n\tCOMPLETED\020\001" +
+      "\022\n\n\006FAILED\020\002\022\013\n\007REFUSED\020\003\022\t\n\005MOVED\020\004\022\r\n\t" +
+      "ABANDONED\020\005\022\014\n\010ACCEPTED\020\006\"\035\n\013WithdrawJob" +
+      "\022\016\n\006job_id\030\001 \001(\t\"*\n\010QueryJob\022\016\n\006job_id\030\001" +
+      " \001(\t\022\016\n\006cancel\030\002 \001(\010\"\240\001\n\tJobStatus\022*\n\005st" +
+      "ate\030\001 \001(\0162\033.limpetgate.JobStatus.State\"g" +
+      "\n\005State\022\017\n\013UNAVAILABLE\020\000\022\013\n\007UNKNOWN\020\001\022\n\n" +
+      "\006QUEUED\020\002\022\013\n\007RUNNING\020\003\022\r\n\tCOMPLETED\020\004\022\n\n" +
+      "\006FAILED\020\005\022\014\n\010CANCELED\020\006\"\033\n\nQueryQueue\022\r\n" +
+      "\005queue\030\001 \001(\t\"6\n\013QueueStatus\022\021\n\tavailable" +
+      "\030\001 \001(\010\022\024\n\014pending_jobs\030\002 \001(\r\"N\n\017StoredJo" +
+      "bRecord\022\"\n\003job\030\001 \001(\0132\025.limpetgate.Submit" +
+      "Job\022\027\n\017accepted_millis\030\002 \001(\004\"\204\001\n\021JobProg" +
+      "ressRecord\022*\n\005state\030\001 \001(\0162\033.limpetgate.J" +
+      "obStatus.State\022\024\n\014ended_millis\030\002 \001(\004\022-\n\005" +
+      "steps\030\003 \003(\0132\036.limpetgate.StepProgressRec" +
+      "ord\"\273\004\n\022StepProgressRecord\022\014\n\004done\030\001 \001(\014" +
+      "\022>\n\010failures\030\002 \003(\0132,.limpetgate.StepProg" +
+      "ressRecord.FailuresEntry\022D\n\013checkpoints\030" +
+      "\003 \003(\0132/.limpetgate.StepProgressRecord.Ch" +
+      "eckpointsEntry\022<\n\007crashes\030\004 \003(\0132+.limpet" +
+      "gate.StepProgressRecord.CrashesEntry\022K\n\017" +
+      "failed_attempts\030\005 \003(\01322.limpetgate.StepP" +
+      "rogressRecord.FailedAttemptsEntry\032/\n\rFai" +
+      "luresEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\002" +
+      "8\001\0322\n\020CheckpointsEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005v" +
+      "alue\030\002 \001(\t:\0028\001\032N\n\014CrashesEntry\022\013\n\003key\030\001 " +
+      "\001(\r\022-\n\005value\030\002 \001(\0132\036.limpetgate.CrashHis" +
+      "toryRecord:\0028\001\032Q\n\023FailedAttemptsEntry\022\013\n" +
+      "\003key\030\001 \001(\r\022)\n\005value\030\002 \001(\0132\032.limpetgate.A" +
+      "ttemptsRecord:\0028\001\"\"\n\016AttemptsRecord\022\020\n\010a" +
+      "ttempts\030\001 \003(\r\"\207\001\n\022CrashHistoryRecord\022\017\n\007" +
+      "crashes\030\001 \001(\r\022\025\n\rcrashed_alone\030\002 \001(\010\022,\n\006" +
+      "losses\030\003 \003(\0132\034.limpetgate.WorkerLossReco" +
+      "rd\022\033\n\023unconfirmed_crashes\030\004 \001(\r\"\223\001\n\020Work" +
+      "erLossRecord\022\016\n\006worker\030\001 \001(\t\022\032\n\022incarnat" +
+      "ion_millis\030\002 \001(\004\022\r\n\005alone\030\003 \001(\010\022\023\n\013lost_" +
+      "millis\030\004 \001(\004\022\014\n\004host\030\005 \001(\t\022\014\n\004port\030\006 \001(\r" +
+      "\022\023\n\013unconfirmed\030\007 \001(\010*h\n\tStepTrait\022\025\n\021TR" +
+      "AIT_UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\r\n\tSAME_RACK" +
+      "\020\002\022\020\n\014CHECKPOINTED\020\003\022\r\n\tPERPETUAL\020\004\022\n\n\006F" +
+      "ILLER\020\005B\030\n\024org.limpetgate.protoP\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -606,7 +610,7 @@
     internal_static_limpetgate_HostBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_HostBeat_descriptor,
-        new java.lang.String[] { "Incarnation", "DataCentre", "Leaving", "Ready", "Overloaded", "CpuMillis", "SchedulerToken", "WholeScope", "KnownHosts", "ConfigurationVersion", "Configuration", "KnownHostsDigest", "DrainVersion", "DrainedDataCentres", });
+        new java.lang.String[] { "Incarnation", "DataCentre", "Leaving", "Ready", "Overloaded", "CpuMillis", "SchedulerToken", "WholeScope", "KnownHosts", "ConfigurationVersion", "Configuration", "KnownHostsDigest", "DrainVersion", "DrainedDataCentres", "WorkerListAgeMillis", });
     internal_static_limpetgate_JobStep_descriptor =
       getDescriptor().getMessageType(26);
     internal_static_limpetgate_JobStep_fieldAccessorTable = new
@@ -618,7 +622,7 @@
     internal_static_limpetgate_SubmitJob_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_SubmitJob_descriptor,
-        new java.lang.String[] { "JobId", "Service", "Priority", "Attempts", "Stretch", "ObjectiveMillis", "WaitedMillis", "RemainingMillis", "Payload", "Steps", "Resubmitted", "Queue", "Stored", "HeldMillis", });
+        new java.lang.String[] { "JobId", "Service", "Priority", "Attempts", "Stretch", "ObjectiveMillis", "WaitedMillis", "RemainingMillis", "Payload", "Steps", "Resubmitted", "Queue", "Stored", "HeldMillis", "EarlierListAgeMillis", });
     internal_static_limpetgate_JobResult_descriptor =
       getDescriptor().getMessageType(28);
     internal_static_limpetgate_JobResult_fieldAccessorTable = new
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJob.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJob.java
@@ -57,6 +57,7 @@
             org.limpetgate.proto.SubmitJob.class, org.limpetgate.proto.SubmitJob.Builder.class);
   }
 
+  private int bitField0_;
   public static final int JOB_ID_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object jobId_ = "";
@@ -381,6 +382,33 @@
     return heldMillis_;
   }
 
+  public static final int EARLIER_LIST_AGE_MILLIS_FIELD_NUMBER = 15;
+  private long earlierListAgeMillis_ = 0L;
+  /**
+   * <pre>
+   * How long ago at most all workers that earlier schedulers used were listed, in milliseconds; not set if unknown.
+   * </pre>
+   *
+   * <code>optional uint64 earlier_list_age_millis = 15;</code>
+   * @return Whether the earlierListAgeMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasEarlierListAgeMillis() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * How long ago at most all workers that earlier schedulers used were listed, in milliseconds; not set if unknown.
+   * </pre>
+   *
+   * <code>optional uint64 earlier_list_age_millis = 15;</code>
+   * @return The earlierListAgeMillis.
+   */
+  @java.lang.Override
+  public long getEarlierListAgeMillis() {
+    return earlierListAgeMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -437,6 +465,9 @@
     if (heldMillis_ != 0L) {
       output.writeUInt64(14, heldMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt64(15, earlierListAgeMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -498,6 +529,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(14, heldMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(15, earlierListAgeMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -551,6 +586,11 @@
         != other.getStored()) return false;
     if (getHeldMillis()
         != other.getHeldMillis()) return false;
+    if (hasEarlierListAgeMillis() != other.hasEarlierListAgeMillis()) return false;
+    if (hasEarlierListAgeMillis()) {
+      if (getEarlierListAgeMillis()
+          != other.getEarlierListAgeMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -599,6 +639,11 @@
     hash = (37 * hash) + HELD_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getHeldMillis());
+    if (hasEarlierListAgeMillis()) {
+      hash = (37 * hash) + EARLIER_LIST_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEarlierListAgeMillis());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -754,6 +799,7 @@
       queue_ = "";
       stored_ = false;
       heldMillis_ = 0L;
+      earlierListAgeMillis_ = 0L;
       return this;
     }
 
@@ -839,6 +885,12 @@
       if (((from_bitField0_ & 0x00002000) != 0)) {
         result.heldMillis_ = heldMillis_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.earlierListAgeMillis_ = earlierListAgeMillis_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -926,6 +978,9 @@
       if (other.getHeldMillis() != 0L) {
         setHeldMillis(other.getHeldMillis());
       }
+      if (other.hasEarlierListAgeMillis()) {
+        setEarlierListAgeMillis(other.getEarlierListAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1028,6 +1083,11 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 112
+            case 120: {
+              earlierListAgeMillis_ = input.readUInt64();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 120
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1935,6 +1995,62 @@
       return this;
     }
 
+    private long earlierListAgeMillis_ ;
+    /**
+     * <pre>
+     * How long ago at most all workers that earlier schedulers used were listed, in milliseconds; not set if unknown.
+     * </pre>
+     *
+     * <code>optional uint64 earlier_list_age_millis = 15;</code>
+     * @return Whether the earlierListAgeMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasEarlierListAgeMillis() {
+      return ((bitField0_ & 0x00004000) != 0);
+    }
+    /**
+     * <pre>
+     * How long ago at most all workers that earlier schedulers used were listed, in milliseconds; not set if unknown.
+     * </pre>
+     *
+     * <code>optional uint64 earlier_list_age_millis = 15;</code>
+     * @return The earlierListAgeMillis.
+     */
+    @java.lang.Override
+    public long getEarlierListAgeMillis() {
+      return earlierListAgeMillis_;
+    }
+    /**
+     * <pre>
+     * How long ago at most all workers that earlier schedulers used were listed, in milliseconds; not set if unknown.
+     * </pre>
+     *
+     * <code>optional uint64 earlier_list_age_millis = 15;</code>
+     * @param value The earlierListAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEarlierListAgeMillis(long value) {
+
+      earlierListAgeMillis_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long ago at most all workers that earlier schedulers used were listed, in milliseconds; not set if unknown.
+     * </pre>
+     *
+     * <code>optional uint64 earlier_list_age_millis = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEarlierListAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      earlierListAgeMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetgate.SubmitJob)
   }
 
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJobOrBuilder.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/SubmitJobOrBuilder.java
@@ -163,4 +163,23 @@
    * @return The heldMillis.
    */
   long getHeldMillis();
+
+  /**
+   * <pre>
+   * How long ago at most all workers that earlier schedulers used were listed, in milliseconds; not set if unknown.
+   * </pre>
+   *
+   * <code>optional uint64 earlier_list_age_millis = 15;</code>
+   * @return Whether the earlierListAgeMillis field is set.
+   */
+  boolean hasEarlierListAgeMillis();
+  /**
+   * <pre>
+   * How long ago at most all workers that earlier schedulers used were listed, in milliseconds; not set if unknown.
+   * </pre>
+   *
+   * <code>optional uint64 earlier_list_age_millis = 15;</code>
+   * @return The earlierListAgeMillis.
+   */
+  long getEarlierListAgeMillis();
 }
