Take the list of workers for new when the scope of a scheduler becomes wider

Cause: the list of one data centre was followed for 6 s and then counted as complete for all of them, although a worker of another one may have left the list before. Evidence: taskOnAWorkerThatLeftTheListBeforeTheScopeBecameWiderIsNotStartedAgain, found by the reviewer and red before this change. It works because only the end of all leases settles handovers for the next 6 s.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -102,6 +102,9 @@
 	 * @param nowNanos the current time
 	 */
 	public void workersListed(Collection<WorkerInfo> infos, boolean allDataCentres, long nowNanos) {
+		if (allDataCentres && !this.tables.allDataCentres) {
+			this.workers.list().scopeWidened(nowNanos);
+		}
 		this.tables.allDataCentres = allDataCentres;
 		this.workers.list().replace(infos, nowNanos);
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
@@ -170,6 +170,12 @@
 			.anyMatch((worker) -> worker != except && worker.proven && worker.info.address().equals(address));
 	}
 
+	// Records that the list has been that of one data centre until now. A worker of another
+	// one that left the list before is not known.
+	void scopeWidened(long nowNanos) {
+		this.firstListedNanos = nowNanos;
+	}
+
 	// Records that the list includes every worker that registered before a time. A worker
 	// that came and left between two reads that are far apart was never listed, so that
 	// the list counts as new after them.
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
@@ -164,6 +164,29 @@
 		assertThat(this.fixture.starts).as("the run on w2 may last until its lease ends").hasSize(2);
 	}
 
+	/**
+	 * Guards against a list that counts as complete for all data centres because it was
+	 * complete for one: a worker of another data centre that has left the list before the
+	 * scope became wider was never known.
+	 */
+	@Example
+	void taskOnAWorkerThatLeftTheListBeforeTheScopeBecameWiderIsNotStartedAgain() {
+		List<WorkerInfo> dataCentre = this.fixture.listedWorkers();
+		Scheduler next = newScheduler(dataCentre);
+		next.workersListed(dataCentre, false, this.fixture.nowNanos);
+		next.workerListProven(this.fixture.nowNanos);
+		this.fixture.submitLong();
+		startOnNewWorker(this.fixture::submitLong);
+
+		next.workersListed(dataCentre, true, this.fixture.nowNanos);
+		this.fixture.activate(next, NEXT_HOST);
+		this.fixture.resubmit();
+		next.workerListProven(this.fixture.nowNanos);
+		this.fixture.advance(ORPHAN_STOPPED_MILLIS);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).as("the run on w2 may last until its lease ends").hasSize(2);
+	}
+
 	// Starts a job on a worker that the present scheduler has just read from the list.
 	private void startOnNewWorker(Runnable submission) {
 		this.fixture.advance(STEP_MILLIS);
