Take the list of workers for new after a suspension of the machine

Cause: the gap between two reads of the list is measured on a clock that stands still meanwhile. Evidence: taskOnAWorkerThatCameAndLeftDuringASuspensionIsNotStartedAgain, found by the reviewer and red before this change. It works because a suspension that is detected restarts the history of the list.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -103,7 +103,7 @@
 	 */
 	public void workersListed(Collection<WorkerInfo> infos, boolean allDataCentres, long nowNanos) {
 		if (allDataCentres && !this.tables.allDataCentres) {
-			this.workers.list().scopeWidened(nowNanos);
+			this.workers.list().historyLost(nowNanos);
 		}
 		this.tables.allDataCentres = allDataCentres;
 		this.workers.list().replace(infos, nowNanos);
@@ -323,6 +323,7 @@
 	public void machineSuspended(long nowNanos) {
 		this.tables.suspendedNanos = nowNanos;
 		this.workers.forgetGrants(nowNanos);
+		this.workers.list().historyLost(nowNanos);
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
@@ -170,9 +170,9 @@
 			.anyMatch((worker) -> worker != except && worker.proven && worker.info.address().equals(address));
 	}
 
-	// Records that the list has been that of one data centre until now. A worker of another
-	// one that left the list before is not known.
-	void scopeWidened(long nowNanos) {
+	// Records that workers may have left the list unseen until now: those of other data
+	// centres before the scope became wider, or any while the machine was suspended.
+	void historyLost(long nowNanos) {
 		this.firstListedNanos = nowNanos;
 	}
 
@@ -181,7 +181,7 @@
 	// the list counts as new after them.
 	void proven(long provenNanos) {
 		if (provenNanos - this.tables.listProvenNanos > MAX_READ_GAP_NANOS) {
-			this.firstListedNanos = provenNanos;
+			historyLost(provenNanos);
 		}
 		this.tables.listProvenNanos = provenNanos;
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
@@ -187,6 +187,28 @@
 		assertThat(this.fixture.starts).as("the run on w2 may last until its lease ends").hasSize(2);
 	}
 
+	/**
+	 * Guards against a list that counts as followed all along although the machine of the
+	 * next scheduler was suspended: its clock does not show how far two reads are apart.
+	 */
+	@Example
+	void taskOnAWorkerThatCameAndLeftDuringASuspensionIsNotStartedAgain() {
+		List<WorkerInfo> before = this.fixture.listedWorkers();
+		Scheduler next = newScheduler(before);
+		next.workerListProven(this.fixture.nowNanos);
+		this.fixture.submitLong();
+		startOnNewWorker(this.fixture::submitLong);
+
+		next.machineSuspended(this.fixture.nowNanos);
+		next.workersListed(before, true, this.fixture.nowNanos);
+		this.fixture.activate(next, NEXT_HOST);
+		this.fixture.resubmit();
+		next.workerListProven(this.fixture.nowNanos);
+		this.fixture.advance(ORPHAN_STOPPED_MILLIS);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).as("the run on w2 may last until its lease ends").hasSize(2);
+	}
+
 	// Starts a job on a worker that the present scheduler has just read from the list.
 	private void startOnNewWorker(Runnable submission) {
 		this.fixture.advance(STEP_MILLIS);
