Split submissions and the ends of jobs off JobSystem

Cause: JobSystem had 521 lines and did four jobs: it took jobs, had their tasks placed, handled the ends of runs, and ended jobs.

Change, without one of behaviour: SubmissionSystem takes jobs from hosts and from the job store, with the sequence numbers of jobs and the limit of stored jobs. JobEndSystem ends jobs, stops their runs and answers their hosts; SubmissionSystem and JobSystem both use it.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -3,18 +3,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.HostId;
 import org.limpetgate.JobId;
 import org.limpetgate.scheduling.SchedulingEffect.StopRun;
 
 /**
- * Admits jobs, has their tasks placed, handles the ends of their runs, and ends the jobs.
+ * Has the tasks of open jobs placed, handles the ends of their runs, and decides when a
+ * job ends.
  * <p>
- * Invariants: a task starts only while no other run of it may be present on any worker;
- * no task of a refused job has started; a job that is not stored ends exactly once; a
- * stored job starts only after its acceptance is saved. Not thread-safe.
+ * Invariants: a task starts only while no other run of it may be present on any worker; a
+ * job that is not stored ends exactly once. Not thread-safe.
  */
 final class JobSystem implements RunListener {
 
@@ -22,12 +21,6 @@
 	// an earlier scheduler are unknown, so several numbers are skipped at once.
 	private static final int ATTEMPT_INCREMENT = 4;
 
-	/**
-	 * The limit of open jobs above which stored jobs are refused; more would not fit into
-	 * the memory of a host.
-	 */
-	private static final int MAX_STORED_JOBS = 20_000;
-
 	private final SchedulerTables tables;
 
 	private final Admission admission;
@@ -48,7 +41,9 @@
 
 	private final MoveSystem moves;
 
-	private long nextSequence;
+	private final JobEndSystem jobEnds;
+
+	private final SubmissionSystem submissions;
 
 	JobSystem(SchedulerTables tables, Placement placement, QueueOrder order) {
 		this.tables = tables;
@@ -62,6 +57,9 @@
 		this.preemptions = new PreemptionSystem(tables, this.runs, (job, endNanos) -> job.cost.ofEndAt(endNanos));
 		this.placements = new PlacementSystem(tables, placement, order, this.runs, this.gangs, this.preemptions);
 		this.moves = new MoveSystem(tables, placement, this.runs);
+		this.jobEnds = new JobEndSystem(tables, this.storedJobs, this.runs);
+		this.submissions = new SubmissionSystem(tables, this.admission, this.refusals, this.storedJobs, this.runs,
+				this.crashes, this.jobEnds);
 	}
 
 	void connect(Verification verification) {
@@ -80,6 +78,10 @@
 		return this.moves;
 	}
 
+	SubmissionSystem submissions() {
+		return this.submissions;
+	}
+
 	StoredJobSystem storedJobs() {
 		return this.storedJobs;
 	}
@@ -93,132 +95,15 @@
 		this.preemptions.clear();
 		for (JobEntity job : openJobs) {
 			job.ended = true;
-			notifyOrigins(job, JobOutcome.MOVED, "the host is no longer the active scheduler", 0);
-		}
-	}
-
-	void submit(HostId origin, JobSpec spec, long waitedNanos, long remainingNanos, EarlierSubmission earlier,
-			long nowNanos) {
-		JobEntity existing = this.tables.jobs.get(spec.id());
-		if (spec.stored()) {
-			submitStored(origin, spec, existing, waitedNanos, nowNanos);
-			return;
-		}
-		if (existing != null) {
-			existing.origins.add(origin);
-			recordEarlierSubmission(existing, earlier, nowNanos);
-			return;
-		}
-		JobEntity job = new JobEntity(spec, this.nextSequence++, nowNanos - waitedNanos);
-		job.origins.add(origin);
-		boolean resubmitted = earlier.mayHaveRun();
-		this.admission.computeTimes(job, remainingNanos, nowNanos);
-		if (!resubmitted && !this.admission.isFeasible(spec)) {
-			refuseInfeasible(job);
-			return;
-		}
-		RefusalRule.Refusal refusal = resubmitted ? null : this.refusals.onSubmission(job, nowNanos);
-		if (refusal != null) {
-			notifyOrigins(job, JobOutcome.REFUSED, refusal.message(), refusal.retryAfterNanos());
-			return;
-		}
-		this.tables.jobs.put(spec.id(), job);
-		this.tables.waitingJobs.add(job);
-		recordEarlierSubmission(job, earlier, nowNanos);
-		this.runs.adoptRuns(job, nowNanos);
-		this.tables.placementDue = true;
-	}
-
-	private void recordEarlierSubmission(JobEntity job, EarlierSubmission earlier, long nowNanos) {
-		if (earlier.mayHaveRun()) {
-			job.resubmitted = true;
-			job.handedOverNanos = Math.max(job.handedOverNanos, nowNanos + earlier.heldNanos());
-			verifyWorkers(nowNanos);
+			this.jobEnds.notifyOrigins(job, JobOutcome.MOVED, "the host is no longer the active scheduler", 0);
 		}
 	}
 
-	private void refuseInfeasible(JobEntity job) {
-		notifyOrigins(job, JobOutcome.REFUSED, Admission.INFEASIBLE, Admission.MAX_RETRY_AFTER_NANOS);
-	}
-
 	// Refuses the waiting jobs that can no longer be served after the drains have
 	// changed.
 	void drainsChanged(long nowNanos) {
 		if (this.tables.isActive()) {
-			this.admission.reevaluate(nowNanos).forEach((refusal) -> refuse(refusal, nowNanos));
-		}
-	}
-
-	private void verifyWorkers(long nowNanos) {
-		this.tables.verifySinceNanos = nowNanos;
-		this.tables.scanDue = true;
-	}
-
-	private void submitStored(HostId origin, JobSpec spec, JobEntity existing, long waitedNanos, long nowNanos) {
-		JobEntity job = (existing != null) ? existing
-				: new JobEntity(spec, this.nextSequence++, nowNanos - waitedNanos);
-		job.origins.add(origin);
-		if (this.storedJobs.hasEnded(spec.id()) || job.acceptanceSaved) {
-			notifyAccepted(job);
-		}
-		else if (!this.storedJobs.isLoaded()) {
-			notifyOrigins(job, JobOutcome.REFUSED, "the job store is unavailable", TimeUnit.SECONDS.toNanos(1));
-		}
-		else if (existing == null && this.tables.jobs.size() >= MAX_STORED_JOBS) {
-			notifyOrigins(job, JobOutcome.REFUSED, "too many jobs are open", Admission.MAX_RETRY_AFTER_NANOS);
-		}
-		else if (existing == null && !this.admission.isFeasible(spec)) {
-			refuseInfeasible(job);
-		}
-		else if (existing == null) {
-			this.admission.computeTimes(job, 0, nowNanos);
-			this.tables.jobs.put(spec.id(), job);
-			this.storedJobs.saveAcceptance(job, (savedNanos) -> acceptanceSaved(job));
-		}
-	}
-
-	private void acceptanceSaved(JobEntity job) {
-		if (!job.acceptanceSaved && !job.ended) {
-			this.tables.waitingJobs.add(job);
-			this.tables.placementDue = true;
-		}
-		job.acceptanceSaved = true;
-		notifyAccepted(job);
-	}
-
-	private void notifyAccepted(JobEntity job) {
-		notifyOrigins(job, JobOutcome.ACCEPTED, "", 0);
-		job.origins.clear();
-	}
-
-	// Takes over the stored jobs that an earlier scheduler left.
-	void loadStoredJobs(List<StoredJob> stored, long nowNanos) {
-		this.storedJobs.load(stored.stream().filter((job) -> job.progress().state() != StoredState.OPEN).toList(),
-				nowNanos);
-		for (StoredJob storedJob : stored) {
-			if (storedJob.progress().state() == StoredState.OPEN && storedJob.spec() != null) {
-				restore(storedJob, nowNanos);
-			}
-		}
-		this.runs.applyDeferredEnds(nowNanos);
-		verifyWorkers(nowNanos);
-		this.tables.placementDue = true;
-	}
-
-	private void restore(StoredJob storedJob, long nowNanos) {
-		JobEntity job = new JobEntity(storedJob.spec(), this.nextSequence++,
-				TimeUnit.MILLISECONDS.toNanos(storedJob.acceptedMillis()));
-		job.restore(storedJob.progress());
-		job.acceptanceSaved = true;
-		job.resubmitted = true;
-		job.handedOverNanos = nowNanos;
-		this.admission.computeTimes(job, 0, nowNanos);
-		this.tables.jobs.put(job.id(), job);
-		this.tables.waitingJobs.add(job);
-		this.crashes.restored(job, nowNanos);
-		this.runs.adoptRuns(job, nowNanos);
-		if (job.isDone()) {
-			end(job, JobOutcome.COMPLETED, "", nowNanos);
+			this.admission.reevaluate(nowNanos).forEach((refusal) -> this.jobEnds.refuse(refusal, nowNanos));
 		}
 	}
 
@@ -232,8 +117,8 @@
 				this.tables.waitingJobs.remove(job);
 				job.ended = true;
 				job.runs().forEach((run) -> run.released = true);
-				stopRuns(job, StopRun.Reason.JOB_RELEASED, nowNanos);
-				notifyOrigins(job, JobOutcome.MOVED, "the host has lost ownership of the stored jobs", 0);
+				this.jobEnds.stopRuns(job, StopRun.Reason.JOB_RELEASED, nowNanos);
+				this.jobEnds.notifyOrigins(job, JobOutcome.MOVED, "the host has lost ownership of the stored jobs", 0);
 			}
 		}
 	}
@@ -242,7 +127,7 @@
 		JobEntity job = this.tables.jobs.get(id);
 		if (job != null && job.removeOrigin(origin, this.tables.heartbeats, nowNanos) && job.origins.isEmpty()
 				&& !job.spec().stored()) {
-			end(job, null, "", nowNanos);
+			this.jobEnds.end(job, null, "", nowNanos);
 		}
 	}
 
@@ -268,7 +153,7 @@
 			return OptionalLong.empty();
 		}
 		if (!job.ended) {
-			endStored(job, StoredState.CANCELED, nowNanos);
+			this.jobEnds.endStored(job, StoredState.CANCELED, nowNanos);
 		}
 		return OptionalLong.of(job.endChange);
 	}
@@ -286,7 +171,7 @@
 				this.tables.placementDue = false;
 				this.placements.place(nowNanos);
 			}
-			this.refusals.afterPlacement(nowNanos).forEach((refusal) -> refuse(refusal, nowNanos));
+			this.refusals.afterPlacement(nowNanos).forEach((refusal) -> this.jobEnds.refuse(refusal, nowNanos));
 		}
 		this.moves.tick(nowNanos);
 		this.storedJobs.tick(nowNanos);
@@ -296,7 +181,7 @@
 		if (!task.job().ended) {
 			String reason = "task " + task.name() + " crashed " + task.crashes.crashes() + " workers"
 					+ unconfirmed(task.crashes);
-			end(task.job(), JobOutcome.FAILED, reason, nowNanos);
+			this.jobEnds.end(task.job(), JobOutcome.FAILED, reason, nowNanos);
 		}
 	}
 
@@ -314,10 +199,10 @@
 		for (JobEntity job : lateJobs) {
 			RefusalRule.Refusal refusal = this.refusals.onLateness(job, nowNanos);
 			if (refusal != null) {
-				refuse(refusal, nowNanos);
+				this.jobEnds.refuse(refusal, nowNanos);
 			}
 			else if (Admission.shouldAbandon(job, nowNanos)) {
-				end(job, JobOutcome.ABANDONED, "no worker had free capacity in time", nowNanos);
+				this.jobEnds.end(job, JobOutcome.ABANDONED, "no worker had free capacity in time", nowNanos);
 			}
 		}
 	}
@@ -405,8 +290,8 @@
 		if (!job.countFailure(task, attempt) || job.failures(task).count() < job.spec().terms().attempts()) {
 			return false;
 		}
-		end(job, JobOutcome.FAILED, "task " + task.name() + " failed " + job.failures(task).count() + " times",
-				nowNanos);
+		this.jobEnds.end(job, JobOutcome.FAILED,
+				"task " + task.name() + " failed " + job.failures(task).count() + " times", nowNanos);
 		return true;
 	}
 
@@ -451,7 +336,7 @@
 			this.gangs.markDone(job, job.steps().get(task.name().step()));
 		}
 		if (job.isDone()) {
-			end(job, JobOutcome.COMPLETED, "", nowNanos);
+			this.jobEnds.end(job, JobOutcome.COMPLETED, "", nowNanos);
 		}
 		else if (job.waitingTasks > 0) {
 			this.tables.waitingJobs.add(job);
@@ -459,45 +344,6 @@
 		}
 	}
 
-	private void refuse(RefusalRule.Refusal refusal, long nowNanos) {
-		end(refusal.job(), JobOutcome.REFUSED, refusal.message(), refusal.retryAfterNanos(), nowNanos);
-	}
-
-	private void end(JobEntity job, JobOutcome outcome, String reason, long nowNanos) {
-		end(job, outcome, reason, 0, nowNanos);
-	}
-
-	private void end(JobEntity job, JobOutcome outcome, String reason, long retryAfterNanos, long nowNanos) {
-		if (job.spec().stored()) {
-			endStored(job, (outcome == JobOutcome.FAILED) ? StoredState.FAILED : StoredState.COMPLETED, nowNanos);
-			return;
-		}
-		this.tables.jobs.remove(job.id());
-		this.tables.waitingJobs.remove(job);
-		job.end(this.tables.heartbeats, nowNanos);
-		stopRuns(job, (outcome != null) ? StopRun.Reason.JOB_ENDED : StopRun.Reason.JOB_WITHDRAWN, nowNanos);
-		if (outcome != null) {
-			notifyOrigins(job, outcome, reason, retryAfterNanos);
-		}
-	}
-
-	private void endStored(JobEntity job, StoredState state, long nowNanos) {
-		this.tables.waitingJobs.remove(job);
-		job.end(this.tables.heartbeats, nowNanos);
-		stopRuns(job, StopRun.Reason.JOB_ENDED, nowNanos);
-		job.endChange = this.storedJobs.jobEnded(job, state, nowNanos);
-	}
-
-	private void stopRuns(JobEntity job, StopRun.Reason reason, long nowNanos) {
-		job.runs().forEach((run) -> this.runs.stop(run, reason, nowNanos));
-	}
-
-	private void notifyOrigins(JobEntity job, JobOutcome outcome, String reason, long retryAfterNanos) {
-		for (HostId origin : job.origins) {
-			this.tables.emit(new SchedulingEffect.JobEnded(origin, job.id(), outcome, reason, retryAfterNanos));
-		}
-	}
-
 	long nextCheckNanos() {
 		return this.refusals.nextCheckNanos();
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -150,7 +150,7 @@
 	 */
 	public void submit(HostId origin, JobSpec spec, long waitedNanos, long remainingNanos, EarlierSubmission earlier,
 			long nowNanos) {
-		this.jobs.submit(origin, spec, waitedNanos, remainingNanos, earlier, nowNanos);
+		this.jobs.submissions().submit(origin, spec, waitedNanos, remainingNanos, earlier, nowNanos);
 	}
 
 	/**
@@ -242,7 +242,7 @@
 	 * @param nowNanos the current time
 	 */
 	public void loadStoredJobs(List<StoredJob> stored, long nowNanos) {
-		this.jobs.loadStoredJobs(stored, nowNanos);
+		this.jobs.submissions().loadStoredJobs(stored, nowNanos);
 	}
 
 	/**
