Split the tests of leases off SchedulerTests

Change: SchedulerLeaseTests has the tests of leases that another owner may renew, and of wall clocks that were set back. The lines of the tests are unchanged.

--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerTests.java
@@ -1,7 +1,5 @@
 package org.limpetgate.scheduling;
 
-import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -9,8 +7,6 @@
 import java.util.stream.IntStream;
 
 import net.jqwik.api.Example;
-import net.jqwik.api.lifecycle.BeforeTry;
-import org.limpetgate.DataCentreId;
 import org.limpetgate.HostId;
 import org.limpetgate.JobId;
 import org.limpetgate.UpstreamId;
@@ -21,36 +17,13 @@
 /**
  * Tests of {@link Scheduler} that report single answers and check the resulting orders.
  */
-class SchedulerTests {
-
-	private static final HostId HOST = HostId.of("10.0.0.1:1");
+class SchedulerTests extends SchedulerFixture {
 
 	private static final HostId OTHER_HOST = HostId.of("10.0.0.2:1");
 
-	private static final long MILLI = 1_000_000;
-
 	/** How long an earlier scheduler may act on a job. */
 	private static final long HELD_MILLIS = 600;
 
-	/** The interval between ticks, in milliseconds. */
-	private static final long STEP_MILLIS = 20;
-
-	private final List<SchedulingEffect> effects = new ArrayList<>();
-
-	private Scheduler scheduler;
-
-	private long nowNanos;
-
-	private long incarnationMillis;
-
-	@BeforeTry
-	void reset() {
-		this.effects.clear();
-		this.nowNanos = TimeUnit.DAYS.toNanos(21_000);
-		this.incarnationMillis = this.nowNanos / MILLI - 60_000;
-		this.scheduler = Scheduler.of(SchedulerSettings.of(7, 1000, 50, 2));
-	}
-
 	// --- takeover of workers
 
 	@Example
@@ -383,250 +356,6 @@
 		assertThat(effectsOf(SchedulingEffect.RunGivenUp.class)).isEmpty();
 	}
 
-	// --- leases that another owner may renew
-
-	/**
-	 * Guards against a second run of a task. Another scheduler has taken over the worker,
-	 * may have adopted the run and may renew its lease.
-	 */
-	@Example
-	void runOnAFencedWorkerIsNotStartedElsewhereBeforeTheWorkerReports() {
-		activate("w1", "w2");
-		this.scheduler.setOtherSchedulerPossible(false);
-		SchedulingEffect.StartRun start = startOneRun();
-		failPoll(lastPollOf(start), PollFailure.FENCED);
-		advanceInSteps(1_980);
-		assertThat(effectsOf(SchedulingEffect.RunGivenUp.class)).isEmpty();
-		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
-		advanceInSteps(40);
-		report(lastPollOf(start), List.of(start.run()), List.of());
-		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
-		report(lastPollOf(start), List.of(), List.of(end(1, start.run(), EndKind.STOPPED)));
-		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(2);
-	}
-
-	/**
-	 * Guards against a second run of a task whose worker is not reachable any more after
-	 * another scheduler has taken it over, and against a task that waits for it forever.
-	 */
-	@Example
-	void runOnAFencedWorkerThatBecomesUnreachableIsGivenUpAfterTheLongestGuard() {
-		activate("w1", "w2");
-		this.scheduler.setOtherSchedulerPossible(false);
-		SchedulingEffect.StartRun start = startOneRun();
-		failPoll(lastPollOf(start), PollFailure.FENCED);
-		leaveUnreachable(start.worker().id(), 9_900);
-		assertThat(effectsOf(SchedulingEffect.RunGivenUp.class)).isEmpty();
-		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
-		leaveUnreachable(start.worker().id(), 200);
-		assertThat(effectsOf(SchedulingEffect.RunGivenUp.class)).extracting(SchedulingEffect.RunGivenUp::reason)
-			.containsExactly(SchedulingEffect.RunGivenUp.Reason.LEASE_EXPIRED);
-	}
-
-	/**
-	 * Guards against a second run of a task whose worker another scheduler can reach. The
-	 * host that submitted the job may have submitted it there too, which this scheduler
-	 * notices only after the heartbeats of that host are missing.
-	 */
-	@Example
-	void runOnAnUnreachableWorkerIsNotStartedElsewhereWhileAnotherSchedulerMayHaveAdoptedIt() {
-		activate("w1", "w2");
-		this.scheduler.setOtherSchedulerPossible(true);
-		SchedulingEffect.StartRun start = startOneRun();
-		failPoll(lastPollOf(start), PollFailure.NO_ANSWER);
-		advance(2_400);
-		assertThat(effectsOf(SchedulingEffect.RunGivenUp.class)).isEmpty();
-		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
-	}
-
-	/** Guards against a task that waits long for a crashed worker. */
-	@Example
-	void runOnAnUnreachableWorkerIsGivenUpWhenAnyOwnerMustHaveNoticed() {
-		activate("w1", "w2");
-		this.scheduler.setOtherSchedulerPossible(true);
-		SchedulingEffect.StartRun start = startOneRun();
-		failPoll(lastPollOf(start), PollFailure.NO_ANSWER);
-		advance(2_430);
-		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(2);
-	}
-
-	/** Guards against a task that waits for a crashed worker beyond its lease. */
-	@Example
-	void runOnAnUnreachableWorkerIsGivenUpAfterItsLeaseIfNoOtherSchedulerIsPossible() {
-		activate("w1", "w2");
-		this.scheduler.setOtherSchedulerPossible(false);
-		SchedulingEffect.StartRun start = startOneRun();
-		failPoll(lastPollOf(start), PollFailure.NO_ANSWER);
-		advance(1_060);
-		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(1);
-		failPoll(lastPollOf(start), PollFailure.NO_ANSWER);
-		advance(1_071);
-		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(2);
-	}
-
-	/**
-	 * Guards against an orphan run that outlives the lease of its owner, on which other
-	 * hosts rely, because a run of another job on the same worker was adopted.
-	 */
-	@Example
-	void leaseIsNotRenewedWhileOrphanRunsArePresent() {
-		activateWith("w1", run("1", 3), run("f", 1));
-		submit("1", 1, true);
-		advanceInSteps(40);
-		report(lastPoll(), List.of(run("1", 3), run("f", 1)), List.of());
-		advanceInSteps(40);
-		assertThat(polls()).hasSizeGreaterThan(2).allMatch((poll) -> poll.leaseEndMillis() == 0);
-		report(lastPoll(), List.of(run("1", 3)), List.of(end(1, run("f", 1), EndKind.STOPPED)));
-		assertThat(lastPoll().leaseEndMillis()).isPositive();
-	}
-
-	/**
-	 * Guards against an adopted run that counts as lost at the first failed poll, while
-	 * the lease of its earlier owner lasts.
-	 */
-	@Example
-	void adoptedRunIsNotGivenUpBeforeTheLeaseOfItsEarlierOwnerEnds() {
-		activateWith("w1", run("1", 3), run("f", 1));
-		this.scheduler.setOtherSchedulerPossible(false);
-		submit("1", 1, true);
-		tick();
-		failPoll(lastPoll(), PollFailure.NO_ANSWER);
-		leaveUnreachable(UpstreamId.of("w1"), 1_040);
-		assertThat(effectsOf(SchedulingEffect.RunGivenUp.class)).isEmpty();
-	}
-
-	/**
-	 * Guards against a second run of a task whose runs on two workers have the same
-	 * attempt number, since two schedulers started it: the end of one is not the end of
-	 * the other.
-	 */
-	@Example
-	void endOfARunDoesNotEndTheRunWithTheSameIdOnAnotherWorker() {
-		activate("w1", "w2");
-		SchedulingEffect.StartRun start = startOneRun();
-		this.scheduler.submit(HOST, job("2", 1), 0, TimeUnit.SECONDS.toNanos(5), EarlierSubmission.heldFor(0),
-				this.nowNanos);
-		tick();
-		SchedulingEffect.PollWorker otherPoll = polls().stream()
-			.filter((poll) -> !poll.worker().id().equals(start.worker().id()))
-			.findFirst()
-			.orElseThrow();
-		report(otherPoll, List.of(start.run()), List.of());
-		advanceInSteps(40);
-		report(lastPollOf(otherPoll.worker().id()), List.of(), List.of(end(1, start.run(), EndKind.STOPPED)));
-		advanceInSteps(40);
-		report(lastPollOf(otherPoll.worker().id()), List.of(), List.of());
-		assertThat(starts("1")).hasSize(1);
-		report(lastPollOf(start), List.of(), List.of(end(1, start.run(), EndKind.STOPPED)));
-		assertThat(starts("1")).hasSize(2);
-	}
-
-	/**
-	 * Guards against a run that counts as ended because an older poll, which the worker
-	 * answered before the run started, is overtaken by the answer to a later one.
-	 */
-	@Example
-	void overtakenReportDoesNotEndARunThatALaterOneShows() {
-		activate("w1", "w2");
-		submit("1", 1, false);
-		tick();
-		SchedulingEffect.StartRun start = lastStart();
-		SchedulingEffect.PollWorker earlier = lastPollOf(start);
-		this.nowNanos += MILLI;
-		submit("2", 1, true);
-		tick();
-		SchedulingEffect.PollWorker later = lastPollOf(start);
-		assertThat(later.sequence()).isGreaterThan(earlier.sequence());
-		report(later, List.of(start.run()), List.of());
-		report(earlier, List.of(), List.of());
-		assertThat(starts("1")).hasSize(1);
-		assertThat(effectsOf(SchedulingEffect.RunGivenUp.class)).isEmpty();
-	}
-
-	/**
-	 * Guards against a second run of a task because an answer that still shows its ended
-	 * run arrives after the answer that lists the end.
-	 */
-	@Example
-	void overtakenReportThatShowsAnEndedRunStartsNoOther() {
-		activate("w1", "w2");
-		SchedulingEffect.StartRun start = startOneRun();
-		SchedulingEffect.PollWorker earlier = lastPollOf(start);
-		submit("2", 1, true);
-		tick();
-		report(lastPollOf(start), List.of(), List.of(end(1, start.run(), EndKind.FAILED)));
-		assertThat(starts("1")).hasSize(2);
-		RunId second = starts("1").get(1).run();
-		report(earlier, List.of(start.run()), List.of());
-		advanceInSteps(100);
-		assertThat(starts("1")).hasSize(2);
-		assertThat(effectsOf(SchedulingEffect.StopRun.class)).extracting(SchedulingEffect.StopRun::run)
-			.doesNotContain(second);
-	}
-
-	/**
-	 * Guards against a task that never starts again, since a run of an earlier owner on
-	 * an unreachable worker counts as present for ever.
-	 */
-	@Example
-	void orphanRunOnAnUnreachableWorkerIsForgottenAfterItsLease() {
-		activateWith("w1", run("f", 1));
-		this.scheduler.setOtherSchedulerPossible(false);
-		failPoll(lastPoll(), PollFailure.NO_ANSWER);
-		leaveUnreachable(UpstreamId.of("w1"), 3_000);
-		assertThat(effectsOf(SchedulingEffect.RunGivenUp.class)).extracting(SchedulingEffect.RunGivenUp::run)
-			.containsExactly(run("f", 1));
-	}
-
-	/**
-	 * Guards against a task that waits for a crashed worker because renewals without an
-	 * answer postpone the end of its lease.
-	 */
-	@Example
-	void renewalsWithoutAnAnswerDoNotPostponeTheEndOfTheLeaseForEver() {
-		activate("w1", "w2");
-		this.scheduler.setOtherSchedulerPossible(false);
-		SchedulingEffect.StartRun start = startOneRun();
-		leaveUnreachable(start.worker().id(), 3_000);
-		assertThat(effectsOf(SchedulingEffect.StartRun.class)).hasSize(2);
-	}
-
-	// --- wall clocks that were set back
-
-	/**
-	 * Guards against workers without an owner after all hosts have restarted, since the
-	 * wall clock was set back meanwhile and new tokens are lower than earlier ones.
-	 */
-	@Example
-	void workerIsTakenOverWithinALeaseAfterTheClockWasSetBack() {
-		FencingToken earlier = FencingToken.create(this.nowNanos + 2_400 * MILLI, 3, FencingToken.NONE);
-		this.scheduler.setOtherSchedulerPossible(false);
-		this.scheduler.workersListed(List.of(worker("w1")), true, this.nowNanos);
-		this.scheduler.activate(newToken(), this.nowNanos);
-		tick();
-		long leaseEnd = this.nowNanos + 1_000 * MILLI;
-		while (lastPoll().token().compareTo(earlier) < 0 && this.nowNanos < leaseEnd) {
-			failPoll(lastPoll(), PollFailure.FENCED);
-			advance(STEP_MILLIS);
-		}
-		assertThat(lastPoll().token()).isGreaterThan(earlier);
-	}
-
-	/**
-	 * Guards against two schedulers that take a worker from each other in quick
-	 * succession.
-	 */
-	@Example
-	void fencedTakeoverIsNotRepeatedSoonWhileAnotherSchedulerIsPossible() {
-		this.scheduler.setOtherSchedulerPossible(true);
-		this.scheduler.workersListed(List.of(worker("w1")), true, this.nowNanos);
-		this.scheduler.activate(newToken(), this.nowNanos);
-		tick();
-		failPoll(lastPoll(), PollFailure.FENCED);
-		advanceInSteps(1_980);
-		assertThat(polls()).hasSize(1);
-	}
-
 	// --- overload
 
 	/**
@@ -750,68 +479,20 @@
 		assertThat(lastStart().worker().id().value()).isEqualTo("w2");
 	}
 
-	private SchedulingEffect.StartRun lastStart() {
-		List<SchedulingEffect.StartRun> starts = effectsOf(SchedulingEffect.StartRun.class);
-		return starts.get(starts.size() - 1);
-	}
-
 	// --- helpers
 
-	private void activate(String... workers) {
-		this.scheduler.workersListed(List.of(workers).stream().map(this::worker).toList(), true, this.nowNanos);
-		this.scheduler.activate(newToken(), this.nowNanos);
-		tick();
-		polls().forEach((poll) -> report(poll, List.of(), List.of()));
-		this.effects.clear();
-	}
-
-	private FencingToken newToken() {
-		return FencingToken.create(this.nowNanos, 7, FencingToken.NONE);
-	}
-
-	private WorkerInfo worker(String id) {
-		return new WorkerInfo(UpstreamId.of(id), this.incarnationMillis, "service",
-				InetSocketAddress.createUnresolved("w", 1), DataCentreId.of("dc"), FakeWorker.CAPACITY, Set.of("a"),
-				false);
-	}
-
-	private static QueueTerms terms() {
-		return new QueueTerms(0, 2, 1.6, 60 * MILLI);
-	}
-
-	private static StepSpec step(int count, List<Integer> after) {
-		return new StepSpec(count, new Capacity(6_800, 64, 0), 100 * MILLI, after, "", "", 0);
-	}
-
-	private static JobSpec job(String id, int tasks) {
-		return new JobSpec(JobId.of(id), "q", "service", terms(), "payload", List.of(step(tasks, List.of())));
-	}
-
 	// Submits a job of one task that an earlier scheduler may hold.
 	private void submitHeld(HostId origin) {
 		this.scheduler.submit(origin, job("1", 1), 0, TimeUnit.SECONDS.toNanos(5),
 				EarlierSubmission.heldFor(HELD_MILLIS * MILLI), this.nowNanos);
 	}
 
-	private void submit(String id, int tasks, boolean resubmitted) {
-		this.scheduler.submit(HOST, job(id, tasks), 0, TimeUnit.SECONDS.toNanos(5),
-				resubmitted ? EarlierSubmission.heldFor(0) : EarlierSubmission.NONE, this.nowNanos);
-	}
-
 	// Submits a job that has waited for a scheduler.
 	private void submitDelayed(String id, int tasks, long waitedMillis) {
 		this.scheduler.submit(HOST, job(id, tasks), waitedMillis * MILLI, TimeUnit.SECONDS.toNanos(5),
 				EarlierSubmission.NONE, this.nowNanos);
 	}
 
-	private static RunId run(String job, int attempt) {
-		return new RunId(new TaskName(JobId.of(job), 0, 0, 0), attempt);
-	}
-
-	private static WorkerReport.Ended end(long number, RunId run, EndKind kind) {
-		return new WorkerReport.Ended(number, run, kind, "");
-	}
-
 	// Answers all polls of an idle worker.
 	private void reportAllOf(String worker) {
 		polls().stream()
@@ -820,97 +501,6 @@
 			.forEach((poll) -> report(poll, List.of(), List.of()));
 	}
 
-	private void report(SchedulingEffect.PollWorker poll, List<RunId> running, List<WorkerReport.Ended> ended) {
-		this.nowNanos += MILLI;
-		this.scheduler.reported(poll.worker().id(), poll.sequence(), poll.token(),
-				new WorkerReport(this.incarnationMillis, 1000,
-						running.stream().map((run) -> new WorkerReport.Running(run, 10, "")).toList(), ended),
-				this.nowNanos);
-		tick();
-	}
-
-	private RunId confirmStart(SchedulingEffect.StartRun start) {
-		this.scheduler.startAnswered(start, StartAnswer.STARTED, this.nowNanos);
-		return start.run();
-	}
-
-	private void activateWith(String worker, RunId... runs) {
-		this.scheduler.workersListed(List.of(worker(worker)), true, this.nowNanos);
-		this.scheduler.activate(newToken(), this.nowNanos);
-		tick();
-		report(lastPoll(), List.of(runs), List.of());
-	}
-
-	// Starts the only task of a job and confirms the start.
-	private SchedulingEffect.StartRun startOneRun() {
-		submit("1", 1, false);
-		tick();
-		SchedulingEffect.StartRun start = lastStart();
-		this.nowNanos += MILLI;
-		confirmStart(start);
-		tick();
-		return start;
-	}
-
-	private List<SchedulingEffect.StartRun> starts(String job) {
-		return effectsOf(SchedulingEffect.StartRun.class).stream()
-			.filter((start) -> start.run().task().job().value().equals(job))
-			.toList();
-	}
-
-	private SchedulingEffect.PollWorker lastPollOf(SchedulingEffect.StartRun start) {
-		return lastPollOf(start.worker().id());
-	}
-
-	private SchedulingEffect.PollWorker lastPollOf(UpstreamId worker) {
-		return polls().stream()
-			.filter((poll) -> poll.worker().id().equals(worker))
-			.reduce((first, second) -> second)
-			.orElseThrow();
-	}
-
-	private void failPoll(SchedulingEffect.PollWorker poll, PollFailure failure) {
-		this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(), failure, this.nowNanos);
-	}
-
-	// Lets time pass while no poll of a worker is answered; each fails after a time-out.
-	private void leaveUnreachable(UpstreamId worker, long millis) {
-		long timeoutMillis = 200;
-		for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
-			advance(STEP_MILLIS);
-			if (passed % timeoutMillis == 0) {
-				failPoll(lastPollOf(worker), PollFailure.NO_ANSWER);
-			}
-		}
-	}
-
-	private void advanceInSteps(long millis) {
-		for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
-			advance(STEP_MILLIS);
-		}
-	}
-
-	private void advance(long millis) {
-		this.nowNanos += millis * MILLI;
-		tick();
-	}
-
-	private void tick() {
-		this.scheduler.tick(this.nowNanos, this.effects::add);
-	}
-
-	private <T extends SchedulingEffect> List<T> effectsOf(Class<T> type) {
-		return this.effects.stream().filter(type::isInstance).map(type::cast).toList();
-	}
-
-	private List<SchedulingEffect.PollWorker> polls() {
-		return effectsOf(SchedulingEffect.PollWorker.class);
-	}
-
-	private SchedulingEffect.PollWorker lastPoll() {
-		return polls().get(polls().size() - 1);
-	}
-
 	private List<SchedulingEffect.JobEnded> jobEnds() {
 		return effectsOf(SchedulingEffect.JobEnded.class);
 	}
