Split the tests of placement off StoredJobTests

Change: StoredJobPlacementTests has the tests of gangs, of capacity that changes, of perpetual and filler tasks, and of a large task among small ones.

--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/StoredJobTests.java
@@ -1,17 +1,11 @@
 package org.limpetgate.scheduling;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
 
 import net.jqwik.api.Example;
-import net.jqwik.api.lifecycle.BeforeTry;
-import org.limpetgate.DataCentreId;
-import org.limpetgate.HostId;
 import org.limpetgate.JobId;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.scheduling.WorkerReport.EndKind;
@@ -19,32 +13,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests of {@link Scheduler} with stored jobs and with steps that have traits.
+ * Tests of how {@link Scheduler} accepts, saves, restores and ends stored jobs.
  */
-class StoredJobTests {
-
-	private static final HostId HOST = HostId.of("10.0.0.1:1");
-
-	private static final long MILLI = 1_000_000;
-
-	private final List<SchedulingEffect> effects = new ArrayList<>();
-
-	private final List<RunId> endedRuns = new ArrayList<>();
-
-	private Scheduler scheduler;
-
-	private long nowNanos;
-
-	private long endNumber;
-
-	@BeforeTry
-	void reset() {
-		this.effects.clear();
-		this.endedRuns.clear();
-		this.endNumber = 0;
-		this.nowNanos = TimeUnit.DAYS.toNanos(21_000);
-		this.scheduler = Scheduler.of(SchedulerSettings.of(7, 1000, 50, 2));
-	}
+class StoredJobTests extends StoredJobFixture {
 
 	// --- stored jobs
 
@@ -233,12 +204,6 @@
 		assertThat(pollOf(start.worker().id()).ackNumber()).isEqualTo(1);
 	}
 
-	// Lets the time pass after which an idle worker is polled.
-	private SchedulingEffect.PollWorker pollAfterIdleTime(UpstreamId worker) {
-		advance(11_000);
-		return pollOf(worker);
-	}
-
 	/**
 	 * Guards against a second run of a task of a job whose end is not saved yet: the end
 	 * of a run of an earlier scheduler is acknowledged, and the next scheduler finds the
@@ -258,31 +223,6 @@
 		assertThat(lastPoll().ackNumber()).isZero();
 	}
 
-	// Lets the next scheduler read a job with the progress that was emitted last, and
-	// take the worker over.
-	private void restoreAtNextScheduler(String id, StepSpec step) {
-		JobProgress saved = ((StoredChange.Progressed) changes().get(changes().size() - 1).change()).progress();
-		this.effects.clear();
-		this.scheduler = Scheduler.of(SchedulerSettings.of(8, 1000, 50, 2));
-		this.scheduler.workersListed(List.of(worker("w1")), true, this.nowNanos);
-		this.scheduler.activate(FencingToken.create(this.nowNanos, 8, FencingToken.NONE), this.nowNanos);
-		this.scheduler.loadStoredJobs(
-				List.of(new StoredJob(JobId.of(id), spec(id, step), this.nowNanos / MILLI, saved)), this.nowNanos);
-		tick();
-	}
-
-	private List<SchedulingEffect.SaveChange> changes() {
-		return effectsOf(SchedulingEffect.SaveChange.class);
-	}
-
-	private StoredChange.Progressed firstTaskDone() {
-		submit("1", step(2));
-		save();
-		reportEnd(0, EndKind.DONE);
-		List<SchedulingEffect.SaveChange> changes = effectsOf(SchedulingEffect.SaveChange.class);
-		return (StoredChange.Progressed) changes.get(changes.size() - 1).change();
-	}
-
 	/**
 	 * Guards against an end that is lost because it was reported before the stored jobs
 	 * were read.
@@ -344,17 +284,6 @@
 		assertThat(lastPoll().ackNumber()).isEqualTo(1);
 	}
 
-	// Lets another owner take the only worker, and takes it back with the end of a run of
-	// that owner.
-	private void takeBackWithEndOf(RunId run) {
-		advance(11_000);
-		SchedulingEffect.PollWorker poll = lastPoll();
-		this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(), PollFailure.FENCED, this.nowNanos);
-		advance(2_100);
-		report(lastPoll(), List.of(), List.of(new WorkerReport.Ended(1, run, EndKind.DONE, "")));
-		advance(100);
-	}
-
 	/**
 	 * Guards against a host that spends all its processor time on reports that repeat the
 	 * same ends while the store is unavailable.
@@ -421,13 +350,6 @@
 		assertThat(starts()).hasSize(2);
 	}
 
-	private SchedulingEffect.PollWorker pollOf(UpstreamId worker) {
-		return effectsOf(SchedulingEffect.PollWorker.class).stream()
-			.filter((sent) -> sent.worker().id().equals(worker))
-			.reduce((first, second) -> second)
-			.orElseThrow();
-	}
-
 	/** Guards against two schedulers that run the tasks of the same job. */
 	@Example
 	void runsAreStoppedWhenTheStoredJobsAreReleased() {
@@ -462,31 +384,6 @@
 			.allMatch((poll) -> poll.leaseEndMillis() == 0);
 	}
 
-	/**
-	 * Guards against starvation: a steady load of small jobs would use up all capacity in
-	 * which a large task of an overdue job could start.
-	 */
-	@Example
-	void largeTaskIsNotStarvedBySmallOnes() {
-		activate("w1", "w2");
-		IntStream.range(0, 8).forEach((number) -> submit("s" + number, smallStep(1)));
-		submit("large", new StepSpec(1, new Capacity(15_000, 64, 0), 100 * MILLI, List.of(), "", "", 0));
-		save();
-		int next = 8;
-		for (int round = 0; round < 40 && !isStarted("large"); round++) {
-			advance(200);
-			List<SchedulingEffect.StartRun> started = starts();
-			reportEnd(started.get(Math.min(round, started.size() - 1)).run(), EndKind.DONE);
-			submit("s" + next++, smallStep(1));
-			save();
-		}
-		assertThat(isStarted("large")).isTrue();
-	}
-
-	private boolean isStarted(String job) {
-		return starts().stream().anyMatch((start) -> start.run().task().job().value().equals(job));
-	}
-
 	/** Guards against an ended job that is kept forever. */
 	@Example
 	void endedJobsAreRemovedAfterTheirRetention() {
@@ -521,259 +418,52 @@
 		assertThat(this.scheduler.state(JobId.of("1"))).isEmpty();
 	}
 
-	// --- gangs
-
-	/** Guards against members of a gang that occupy capacity while others have none. */
-	@Example
-	void gangStartsCompletelyOrNotAtAll() {
-		activate("w1");
-		submit("1", gangStep(3));
-		save();
-		assertThat(starts()).isEmpty();
-		this.scheduler.workersListed(List.of(worker("w1"), worker("w2")), true, this.nowNanos);
-		tick();
-		report(lastPoll(), List.of(), List.of());
-		assertThat(starts()).hasSize(3);
-		assertThat(starts()).extracting((start) -> start.run().attempt()).containsOnly(1);
-	}
-
-	/** Guards against a gang whose members run under different attempts. */
-	@Example
-	void gangRestartsWithOneAttemptAndCheckpoint() {
-		activate("w1");
-		submit("1", gangStep(2));
-		save();
-		List<RunId> members = starts().stream().map(SchedulingEffect.StartRun::run).toList();
-		report(lastPoll(), List.of(members.get(1)),
-				List.of(new WorkerReport.Ended(1, members.get(0), EndKind.FAILED, "cp")));
-		assertThat(effectsOf(SchedulingEffect.StopRun.class)).extracting(SchedulingEffect.StopRun::run)
-			.containsExactly(members.get(1));
-		assertThat(starts()).hasSize(2);
-		save();
-		advance(20);
-		report(lastPoll(), List.of(),
-				List.of(new WorkerReport.Ended(2, members.get(1), EndKind.GANG_MEMBER_ENDED, "")));
-		assertThat(starts()).hasSize(4);
-		assertThat(starts().subList(2, 4)).allSatisfy((start) -> {
-			assertThat(start.run().attempt()).isEqualTo(2);
-			assertThat(start.checkpoint()).isEqualTo("cp");
-		});
-	}
-
-	/**
-	 * Guards against a gang that runs again because the ends of some members are not
-	 * reported yet.
-	 */
-	@Example
-	void completionOfOneMemberCompletesTheGang() {
-		activate("w1");
-		submit("1", gangStep(2));
-		save();
-		reportEnd(0, EndKind.DONE);
-		save();
-		assertThat(this.scheduler.state(JobId.of("1"))).contains(JobState.COMPLETED);
-	}
-
-	// --- capacity that changes
-
-	/**
-	 * Guards against a worker that is given more than its capacity after it has shrunk.
-	 */
-	@Example
-	void workerWhoseCapacityHasShrunkGetsNoMoreThanItHolds() {
-		activate("w1");
-		submit("1", smallStep(1));
-		save();
-		listWithCpu(7_000);
-		submit("2", smallStep(2));
-		save();
-		assertThat(starts()).hasSize(1);
-		reportEnd(0, EndKind.DONE);
-		save();
-		assertThat(starts()).hasSize(2);
-		listWithCpu(16_000);
-		assertThat(starts()).hasSize(3);
-	}
-
-	/** Guards against runs on a worker whose capacity is already exceeded. */
-	@Example
-	void workerWithMoreRunsThanItsCapacityGetsNone() {
-		activate("w1");
-		submit("1", smallStep(2));
-		save();
-		listWithCpu(5_000);
-		submit("2", new StepSpec(1, new Capacity(0, 64, 0), 100 * MILLI, List.of(), "", "", 0));
-		save();
-		assertThat(starts()).hasSize(2);
-	}
+	// --- helpers
 
-	/** Guards against a gang that gets more capacity than its workers still have. */
-	@Example
-	void gangGetsNoMoreThanAShrunkenWorkerHolds() {
-		activate("w1");
-		listWithCpu(13_000);
-		submit("1", gangStep(2));
-		save();
-		assertThat(starts()).isEmpty();
-		listWithCpu(14_000);
-		assertThat(starts()).hasSize(2);
+	// Lets the time pass after which an idle worker is polled.
+	private SchedulingEffect.PollWorker pollAfterIdleTime(UpstreamId worker) {
+		advance(11_000);
+		return pollOf(worker);
 	}
 
-	private void listWithCpu(int cpuMillis) {
-		this.scheduler.workersListed(List.of(worker("w1", new Capacity(cpuMillis, 32_768, 0))), true, this.nowNanos);
+	// Lets the next scheduler read a job with the progress that was emitted last, and
+	// take the worker over.
+	private void restoreAtNextScheduler(String id, StepSpec step) {
+		JobProgress saved = ((StoredChange.Progressed) changes().get(changes().size() - 1).change()).progress();
+		this.effects.clear();
+		this.scheduler = Scheduler.of(SchedulerSettings.of(8, 1000, 50, 2));
+		this.scheduler.workersListed(List.of(worker("w1")), true, this.nowNanos);
+		this.scheduler.activate(FencingToken.create(this.nowNanos, 8, FencingToken.NONE), this.nowNanos);
+		this.scheduler.loadStoredJobs(
+				List.of(new StoredJob(JobId.of(id), spec(id, step), this.nowNanos / MILLI, saved)), this.nowNanos);
 		tick();
 	}
 
-	// --- perpetual and filler tasks
-
-	/**
-	 * Guards against a perpetual task that is not restarted, and against one whose
-	 * restarts use up the limit of failed runs.
-	 */
-	@Example
-	void perpetualTasksAreRestartedHoweverTheyEnd() {
-		activate("w1");
-		submit("1", stepWith(StepTrait.PERPETUAL));
-		save();
-		for (EndKind kind : List.of(EndKind.FAILED, EndKind.DONE, EndKind.FAILED, EndKind.LEASE_EXPIRED,
-				EndKind.FAILED)) {
-			int before = starts().size();
-			reportEnd(starts().get(before - 1).run(), kind);
-			advance(2000);
-			assertThat(starts()).hasSize(before + 1);
-		}
-		assertThat(this.scheduler.state(JobId.of("1"))).contains(JobState.RUNNING);
+	private List<SchedulingEffect.SaveChange> changes() {
+		return effectsOf(SchedulingEffect.SaveChange.class);
 	}
 
-	/** Guards against filler tasks that slow down the answers to users. */
-	@Example
-	void fillerTasksDoNotShareAWorkerWithTasksThatServeUsers() {
-		activate("w1", "w2");
-		submit("1", new StepSpec(1, new Capacity(1000, 64, 0), 100 * MILLI, List.of(), "", "", 0, 40, Set.of()));
-		save();
-		submit("2", new StepSpec(4, new Capacity(0, 64, 0), 100 * MILLI, List.of(), "", "", 0, 0,
-				Set.of(StepTrait.FILLER)));
+	private StoredChange.Progressed firstTaskDone() {
+		submit("1", step(2));
 		save();
-		UpstreamId servingWorker = starts().get(0).worker().id();
-		assertThat(starts()).hasSize(5);
-		assertThat(starts().subList(1, 5)).noneMatch((start) -> start.worker().id().equals(servingWorker));
-	}
-
-	// --- helpers
-
-	private void activate(String... workers) {
-		this.scheduler.workersListed(List.of(workers).stream().map(this::worker).toList(), true, this.nowNanos);
-		this.scheduler.activate(FencingToken.create(this.nowNanos, 7, FencingToken.NONE), this.nowNanos);
-		answerPolls();
-		this.scheduler.loadStoredJobs(List.of(), this.nowNanos);
-		answerPolls();
-	}
-
-	private void answerPolls() {
-		tick();
-		List<SchedulingEffect.PollWorker> polls = effectsOf(SchedulingEffect.PollWorker.class);
-		this.effects.clear();
-		polls.forEach((poll) -> report(poll, List.of(), List.of()));
-		this.effects.clear();
-	}
-
-	private WorkerInfo worker(String id) {
-		return worker(id, FakeWorker.CAPACITY);
+		reportEnd(0, EndKind.DONE);
+		List<SchedulingEffect.SaveChange> changes = effectsOf(SchedulingEffect.SaveChange.class);
+		return (StoredChange.Progressed) changes.get(changes.size() - 1).change();
 	}
 
-	private WorkerInfo worker(String id, Capacity capacity) {
-		return new WorkerInfo(UpstreamId.of(id), 1, "service", InetSocketAddress.createUnresolved("w", 1),
-				DataCentreId.of("dc"), capacity, Set.of("a"), false);
+	// Lets another owner take the only worker, and takes it back with the end of a run of
+	// that owner.
+	private void takeBackWithEndOf(RunId run) {
+		advance(11_000);
+		SchedulingEffect.PollWorker poll = lastPoll();
+		this.scheduler.pollFailed(poll.worker().id(), poll.sequence(), poll.token(), PollFailure.FENCED, this.nowNanos);
+		advance(2_100);
+		report(lastPoll(), List.of(), List.of(new WorkerReport.Ended(1, run, EndKind.DONE, "")));
+		advance(100);
 	}
 
 	private static StepSpec step(int count) {
 		return new StepSpec(count, new Capacity(6_800, 64, 0), 100 * MILLI, List.of(), "", "", 0);
 	}
 
-	private static StepSpec smallStep(int count) {
-		return new StepSpec(count, new Capacity(4_000, 64, 0), 100 * MILLI, List.of(), "", "", 0);
-	}
-
-	private static StepSpec stepWith(StepTrait... traits) {
-		return new StepSpec(1, new Capacity(6_800, 64, 0), 100 * MILLI, List.of(), "", "", 0, 0, Set.of(traits));
-	}
-
-	private static StepSpec gangStep(int count) {
-		return new StepSpec(count, new Capacity(6_800, 64, 0), 100 * MILLI, List.of(), "", "", 0, 0,
-				Set.of(StepTrait.GANG, StepTrait.CHECKPOINTED));
-	}
-
-	private static JobSpec spec(String id, StepSpec step) {
-		return new JobSpec(JobId.of(id), "q", "service", new QueueTerms(0, 2, 1.6, 60 * MILLI), "payload",
-				List.of(step), true);
-	}
-
-	private void submit(String id, StepSpec step) {
-		this.scheduler.submit(HOST, spec(id, step), 0, TimeUnit.SECONDS.toNanos(5), EarlierSubmission.NONE,
-				this.nowNanos);
-		tick();
-	}
-
-	// Reports all changes as saved.
-	private void save() {
-		List<SchedulingEffect.SaveChange> changes = effectsOf(SchedulingEffect.SaveChange.class);
-		this.scheduler.changesSaved(changes.get(changes.size() - 1).sequence(), this.nowNanos);
-		tick();
-	}
-
-	private void reportEnd(int start, EndKind kind) {
-		reportEnd(starts().get(start).run(), kind);
-	}
-
-	// Reports the end of a run from its worker, with the worker's other runs still
-	// present.
-	private void reportEnd(RunId run, EndKind kind) {
-		UpstreamId worker = starts().stream()
-			.filter((start) -> start.run().equals(run))
-			.findFirst()
-			.orElseThrow()
-			.worker()
-			.id();
-		SchedulingEffect.PollWorker poll = pollOf(worker);
-		List<RunId> others = starts().stream()
-			.filter((start) -> start.worker().id().equals(worker))
-			.map(SchedulingEffect.StartRun::run)
-			.filter((other) -> !other.equals(run) && !this.endedRuns.contains(other))
-			.toList();
-		this.endedRuns.add(run);
-		this.endNumber++;
-		report(poll, others, List.of(new WorkerReport.Ended(this.endNumber, run, kind, "")));
-	}
-
-	private void report(SchedulingEffect.PollWorker poll, List<RunId> running, List<WorkerReport.Ended> ended) {
-		this.nowNanos += MILLI;
-		this.scheduler.reported(
-				poll.worker().id(), poll.sequence(), poll.token(), new WorkerReport(1, 1000,
-						running.stream().map((run) -> new WorkerReport.Running(run, 10, "")).toList(), ended),
-				this.nowNanos);
-		tick();
-	}
-
-	private void advance(long millis) {
-		this.nowNanos += millis * MILLI;
-		tick();
-	}
-
-	private void tick() {
-		this.scheduler.tick(this.nowNanos, this.effects::add);
-	}
-
-	private SchedulingEffect.PollWorker lastPoll() {
-		List<SchedulingEffect.PollWorker> polls = effectsOf(SchedulingEffect.PollWorker.class);
-		return polls.get(polls.size() - 1);
-	}
-
-	private List<SchedulingEffect.StartRun> starts() {
-		return effectsOf(SchedulingEffect.StartRun.class);
-	}
-
-	private <T extends SchedulingEffect> List<T> effectsOf(Class<T> type) {
-		return this.effects.stream().filter(type::isInstance).map(type::cast).toList();
-	}
-
 }
