Split incoming requests and the encoding of replies off ServerConnection

Change, without one of behaviour: IncomingRequest has the head of the request that is being received and as much of its body as has arrived, the checks of the head, and the conversion to a call. ResponseEncoder converts replies to responses of Netty.

--- a/limpetgate-net/src/main/java/org/limpetgate/net/http/ServerConnection.java
+++ b/limpetgate-net/src/main/java/org/limpetgate/net/http/ServerConnection.java
@@ -1,17 +1,13 @@
 package org.limpetgate.net.http;
 
 import java.io.IOException;
-import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Pattern;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -22,7 +18,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -44,17 +39,9 @@
 
 	private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
-	private static final Pattern HOST = Pattern.compile("[A-Za-z0-9._~!$&'()*+;=%:\\[\\]-]*");
-
 	/** The retry delay sent when memory or connections are exhausted. */
 	private static final long OVERLOAD_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-	/** The memory of a request and its header map, without the characters. */
-	private static final int REQUEST_OVERHEAD_BYTES = 512;
-
-	/** Lower statuses are informational and do not end an exchange. */
-	private static final int MIN_FINAL_STATUS = 200;
-
 	private final HttpServer server;
 
 	private final StrictRequestDecoder decoder;
@@ -66,9 +53,7 @@
 	private ChannelHandlerContext context;
 
 	/** The request that is being received, null between requests. */
-	private HttpRequest request;
-
-	private BodyBuffer body;
+	private IncomingRequest request;
 
 	/**
 	 * The exchange whose response is being produced or written, null if there is none.
@@ -134,7 +119,7 @@
 			refuseDecoding(head.decoderResult());
 			return;
 		}
-		String fault = headFault(head);
+		String fault = IncomingRequest.fault(head);
 		if (fault != null) {
 			refuse(DispatchException.of(ErrorKind.MALFORMED_REQUEST, Outcome.NOT_RUN, fault));
 			return;
@@ -143,69 +128,23 @@
 			refuseBodyTooLarge();
 			return;
 		}
-		this.body = new BodyBuffer(this.server.budget(), this.server.limits().maxBodyBytes());
-		if (!this.body.reserve(headBytes(head))) {
+		this.request = new IncomingRequest(head, this.server.budget(), this.server.limits().maxBodyBytes());
+		if (!this.request.reserveHead()) {
 			refuseOverloaded("the memory limit for buffered requests is reached");
 			return;
 		}
-		this.request = head;
 		if (head.headers().contains(HttpHeaderNames.EXPECT) && this.current == null) {
 			this.context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
 		}
 	}
 
-	private static String headFault(HttpRequest head) {
-		String framing = Headers.framingFault(head.headers());
-		if (framing != null) {
-			return framing;
-		}
-		var hosts = head.headers().getAll(HttpHeaderNames.HOST);
-		if (hosts.size() != 1) {
-			return "the head must have exactly one Host header";
-		}
-		if (!HOST.matcher(hosts.get(0)).matches()) {
-			return "the Host header has a character that is not allowed";
-		}
-		if (head.headers()
-			.getAll(HttpHeaderNames.EXPECT)
-			.stream()
-			.anyMatch((e) -> !e.equalsIgnoreCase("100-continue"))) {
-			return "Expect has a value other than 100-continue";
-		}
-		return targetFault(head.method(), head.uri());
-	}
-
-	private static String targetFault(HttpMethod method, String target) {
-		if (target.startsWith("/") || (target.equals("*") && method.equals(HttpMethod.OPTIONS))) {
-			return null;
-		}
-		return isAbsolute(target) ? null : "the request target is neither a path nor an http URL";
-	}
-
-	private static boolean isAbsolute(String target) {
-		try {
-			return target.startsWith("http://") && URI.create(target).getHost() != null;
-		}
-		catch (IllegalArgumentException ex) {
-			return false;
-		}
-	}
-
-	private static long headBytes(HttpRequest head) {
-		long bytes = REQUEST_OVERHEAD_BYTES + head.uri().length();
-		for (Map.Entry<String, String> header : head.headers()) {
-			bytes += header.getKey().length() + header.getValue().length();
-		}
-		return bytes;
-	}
-
 	private void appendContent(HttpContent content) {
 		if (content.decoderResult().isFailure()) {
 			refuseDecoding(content.decoderResult());
 			return;
 		}
-		switch (this.body.append(content.content())) {
+		switch (this.request.append(content.content())) {
 			case BODY_TOO_LARGE -> refuseBodyTooLarge();
 			case BUDGET_EXHAUSTED -> refuseOverloaded("the memory limit for buffered requests is reached");
 			case APPENDED -> {
@@ -217,11 +156,10 @@
 	}
 
 	private void finishRequest() {
-		boolean keepAlive = !Headers.hasConnectionOption(this.request.headers(), "close");
-		HttpCall call = toCall(this.request, this.body.toByteArray());
-		long reserved = this.body.detachReservation();
+		boolean keepAlive = this.request.keepAlive();
+		HttpCall call = this.request.toCall();
+		long reserved = this.request.detachReservation();
 		this.request = null;
-		this.body = null;
 		cancelRequestTimer();
 		if (!keepAlive) {
 			endInput();
@@ -229,19 +167,6 @@
 		enqueue(new Exchange(call, null, keepAlive, reserved));
 	}
 
-	private static HttpCall toCall(HttpRequest request, byte[] body) {
-		Map<String, String> headers = Headers.toMap(request.headers());
-		String target = request.uri();
-		if (target.startsWith("http://")) {
-			// RFC 9112, 3.2.2: the authority of the target replaces the Host header.
-			URI uri = URI.create(target);
-			headers.put("host", uri.getRawAuthority());
-			String path = uri.getRawPath().isEmpty() ? "/" : uri.getRawPath();
-			target = (uri.getRawQuery() != null) ? path + "?" + uri.getRawQuery() : path;
-		}
-		return new HttpCall(request.method().name(), target, headers, body);
-	}
-
 	private void refuseDecoding(DecoderResult result) {
 		ErrorKind kind = (result.cause() instanceof TooLongHttpHeaderException) ? ErrorKind.HEAD_TOO_LARGE
 				: ErrorKind.MALFORMED_REQUEST;
@@ -268,11 +193,10 @@
 	}
 
 	private void dropPartialRequest() {
-		if (this.body != null) {
-			this.body.release();
+		if (this.request != null) {
+			this.request.release();
 		}
 		this.request = null;
-		this.body = null;
 		cancelRequestTimer();
 	}
 
@@ -352,7 +276,7 @@
 
 	private static FullHttpResponse toResponse(Exchange exchange, HttpReply reply) {
 		try {
-			return toResponseUnchecked(exchange, reply);
+			return ResponseEncoder.encode(exchange.call(), reply);
 		}
 		catch (RuntimeException ex) {
 			// A header that cannot be encoded must not split the response or suppress it.
@@ -360,24 +284,8 @@
 				.atMostEvery(1, TimeUnit.SECONDS)
 				.withCause(ex)
 				.log("LG5002 ANSWER_NOT_ENCODABLE the response cannot be encoded");
-			return toResponseUnchecked(exchange, ErrorReply.of(ex));
-		}
-	}
-
-	private static FullHttpResponse toResponseUnchecked(Exchange exchange, HttpReply reply) {
-		if (reply.status() < MIN_FINAL_STATUS) {
-			throw new IllegalArgumentException("status " + reply.status() + " does not end an exchange");
-		}
-		boolean isHead = exchange.call() != null && exchange.call().method().equals("HEAD");
-		ByteBuf content = isHead ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(reply.body());
-		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-				HttpResponseStatus.valueOf(reply.status()), content);
-		Headers.addAll(reply.headers(), response.headers());
-		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
-		if (!response.headers().contains(HeaderNames.OUTCOME)) {
-			response.headers().set(HeaderNames.OUTCOME, Outcome.COMPLETE.text());
+			return ResponseEncoder.encode(exchange.call(), ErrorReply.of(ex));
 		}
-		return response;
 	}
 
 	private void onResponseWritten(boolean success, boolean close) {
