Split the state of the directory off FleetHost

Change, without one of behaviour: DirectoryState, the former inner class DirectoryListener, has the queues, the workers, the time of their newest read, whether the hosts are known, and which data centres' workers the scheduler gets. FleetPeerListener asks it instead of the host.

FleetNetworkFailureTests (17), FleetPeersTests (3), UnlistedWorkerTests (3 in core, 2 in host), FleetSimulationTests (16), DrainedDataCentreTests (15 and 8), PendingJobsTests (15), StoredJobServiceTests (8) and JobJournalTests (10) pass.

--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -1,7 +1,6 @@
 package org.limpetgate.host.fleet;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
@@ -13,7 +12,6 @@
 import org.limpetgate.Incarnation;
 import org.limpetgate.JobId;
 import org.limpetgate.RequestId;
-import org.limpetgate.fleet.DataCentreDrains;
 import org.limpetgate.fleet.Directory;
 import org.limpetgate.fleet.HostState;
 import org.limpetgate.fleet.JobLog;
@@ -33,7 +31,6 @@
 import org.limpetgate.scheduling.JobSpec;
 import org.limpetgate.scheduling.Scheduler;
 import org.limpetgate.scheduling.SchedulingEffect;
-import org.limpetgate.scheduling.WorkerInfo;
 
 /**
  * An entry host of a fleet. It accepts jobs from callers, and schedules the jobs of all
@@ -47,9 +44,6 @@
 
 	private static final long HEARTBEAT_INTERVAL_MILLIS = 200;
 
-	/** The configuration version of a host that has no configuration yet. */
-	static final long NO_VERSION = -1;
-
 	/**
 	 * The tick interval while jobs are open or this host schedules. It bounds the delay
 	 * with which a timeout is detected.
@@ -89,38 +83,19 @@
 
 	private final DrainService drains;
 
+	private final DirectoryState directoryState;
+
 	private final EffectExecutor effectExecutor;
 
 	private final SchedulerTransport transport;
 
 	private FleetPeers peers;
 
-	private QueueTable queues;
-
-	/** When it received the present queues, nanoseconds since the Unix epoch. */
-	private long configurationSinceNanos;
-
-	private Collection<WorkerInfo> workers = List.of();
-
-	private boolean workersKnown;
-
-	/**
-	 * When the newest read of the workers was sent, nanoseconds since the Unix epoch, 0
-	 * before the first one.
-	 */
-	private long workersReadNanos;
-
-	/** Whether the directory has listed the hosts of the fleet. */
-	private boolean hostsKnown;
-
 	private boolean readinessAnnounced;
 
 	/** The token with which this host schedules, NONE if it does not schedule. */
 	private FencingToken schedulerToken = FencingToken.NONE;
 
-	/** Whether this host may schedule on the workers of all data centres. */
-	private boolean allDataCentres = true;
-
 	private boolean leaving;
 
 	/** The host that schedules, null if none is known. */
@@ -151,9 +126,10 @@
 		this.metrics = metrics;
 		this.self = Incarnation.of(settings.host(), clock.getAsLong() / 1_000_000);
 		this.scheduler = Scheduler.of(settings.scheduler());
-		this.scheduler.workerListProven(this.workersReadNanos);
 		this.drains = new DrainService(this.scheduler, settings.dataCentre(), clock, log, metrics);
 		this.election = new SchedulerElection();
+		this.directoryState = new DirectoryState(this, settings.dataCentre(), this.scheduler, this.election,
+				this.drains, clock, log);
 		this.transport = new SchedulerTransport(this.self.host(), new LocalScheduler(), () -> this.peers);
 		JobEvents jobEvents = new JobEvents(log, metrics);
 		this.pendingJobs = new PendingJobs(this.transport, clock, jobEvents);
@@ -168,17 +144,8 @@
 		metrics.gauge("limpetgate.log.dropped", "Log lines that were dropped", log::dropped);
 		metrics.gauge("limpetgate.ready", "1 while this host takes jobs", () -> isReady() ? 1 : 0);
 		metrics.gauge("limpetgate.configuration.version", "Version of the queues in force, -1 for none",
-				this::configurationVersion);
-		metrics.gauge("limpetgate.workers.listed", "Workers on the platform's list", () -> this.workers.size());
-	}
-
-	long configurationSinceNanos() {
-		return this.configurationSinceNanos;
-	}
-
-	long configurationVersion() {
-		QueueTable table = this.queues;
-		return (table != null) ? table.version() : NO_VERSION;
+				this.directoryState::configurationVersion);
+		metrics.gauge("limpetgate.workers.listed", "Workers on the platform's list", this.directoryState::workerCount);
 	}
 
 	/**
@@ -196,13 +163,14 @@
 	public static FleetHost start(FleetSettings settings, EventLoopGroup group, HostClock clock, Directory directory,
 			JobLog jobLog, WorkerOrders orders, EventLog log, HostMetrics metrics) {
 		FleetHost host = new FleetHost(settings, group, clock, directory, jobLog, orders, log, metrics);
-		host.peers = FleetPeers.start(group, settings, host.self, clock, new FleetPeerListener(host, host.election,
-				host.scheduler, directory, host.drains, host.queries, clock, log, metrics));
+		host.peers = FleetPeers.start(group, settings, host.self, clock,
+				new FleetPeerListener(host, host.directoryState, host.election, host.scheduler, directory, host.drains,
+						host.queries, clock, log, metrics));
 		host.scheduler.setOriginHeartbeats(host::lastWaitedNanos);
 		host.scheduler.setHostDataCentres(host.peers::dataCentreOf);
 		host.loop.execute(() -> {
 			host.peers.addHosts(settings.seeds());
-			directory.start(host.new DirectoryListener());
+			directory.start(host.directoryState);
 			host.scheduleTick();
 			host.loop.scheduleAtFixedRate(host::sendHeartbeats, HEARTBEAT_INTERVAL_MILLIS, HEARTBEAT_INTERVAL_MILLIS,
 					TimeUnit.MILLISECONDS);
@@ -250,7 +218,7 @@
 
 	@Override
 	public QueueTable queues() {
-		return this.queues;
+		return this.directoryState.queues();
 	}
 
 	/**
@@ -258,7 +226,7 @@
 	 * @return true if it can accept jobs
 	 */
 	public boolean isReady() {
-		return !this.leaving && this.queues != null && this.schedulingHost != null;
+		return !this.leaving && this.directoryState.queues() != null && this.schedulingHost != null;
 	}
 
 	/**
@@ -277,12 +245,12 @@
 
 	// Tests whether this host can become the scheduler, once its start-up delay is over.
 	private boolean isCandidate() {
-		return this.queues != null && this.workersKnown;
+		return this.directoryState.queues() != null && this.directoryState.workersKnown();
 	}
 
 	// Tells the peers of this host's readiness, since the start-up delay ends early when
 	// they have answered.
-	private void announceReadiness() {
+	void announceReadiness() {
 		if (isCandidate() && !this.readinessAnnounced) {
 			this.readinessAnnounced = true;
 			runElection();
@@ -294,10 +262,6 @@
 		return this.peers;
 	}
 
-	boolean hostsKnown() {
-		return this.hostsKnown;
-	}
-
 	/**
 	 * Closes the links to the other hosts.
 	 */
@@ -307,7 +271,8 @@
 
 	HostState state() {
 		return new HostState(this.self, this.settings.dataCentre(), this.leaving, isCandidate(),
-				this.overload.isOverloaded(), this.settings.cpuMillis(), this.schedulerToken, this.allDataCentres);
+				this.overload.isOverloaded(), this.settings.cpuMillis(), this.schedulerToken,
+				this.directoryState.allDataCentres());
 	}
 
 	private void scheduleTick() {
@@ -383,8 +348,7 @@
 			this.peers.endedHosts().forEach(this.election::peerEnded);
 		}
 		SchedulerElection.Decision decision = this.election.decide(state(), now);
-		boolean scopeChanged = decision.allDataCentres() != this.allDataCentres;
-		this.allDataCentres = decision.allDataCentres();
+		boolean scopeChanged = this.directoryState.setAllDataCentres(decision.allDataCentres());
 		if (decision.activate() && this.schedulerToken.isNone()) {
 			startScheduling(now);
 			return;
@@ -393,7 +357,7 @@
 			stopScheduling(decision.scheduler());
 		}
 		else if (!this.schedulerToken.isNone() && scopeChanged) {
-			this.scheduler.workersListed(workersInScope(), this.allDataCentres, now);
+			this.directoryState.listWorkers(now);
 		}
 		setSchedulingHost(decision.scheduler());
 	}
@@ -401,9 +365,10 @@
 	private void startScheduling(long nowNanos) {
 		this.schedulerToken = FencingToken.create(nowNanos, this.settings.scheduler().hostNumber(),
 				this.election.highestSchedulerToken());
-		this.log.write(LogEvent.SCHEDULING_STARTED, this.self, this.schedulerToken.value(), this.allDataCentres,
-				this.workers.size(), TimeUnit.NANOSECONDS.toMillis(nowNanos - this.workersReadNanos));
-		this.scheduler.workersListed(workersInScope(), this.allDataCentres, nowNanos);
+		this.log.write(LogEvent.SCHEDULING_STARTED, this.self, this.schedulerToken.value(),
+				this.directoryState.allDataCentres(), this.directoryState.workerCount(),
+				TimeUnit.NANOSECONDS.toMillis(nowNanos - this.directoryState.workersReadNanos()));
+		this.directoryState.listWorkers(nowNanos);
 		this.scheduler.activate(this.schedulerToken, nowNanos);
 		this.directory.setScheduling(true);
 		setSchedulingHost(this.self.host());
@@ -424,12 +389,6 @@
 		this.schedulingHost = host;
 	}
 
-	private List<WorkerInfo> workersInScope() {
-		return this.workers.stream()
-			.filter((worker) -> this.allDataCentres || this.settings.dataCentre().equals(worker.dataCentre()))
-			.toList();
-	}
-
 	private void jobEnded(SchedulingEffect.JobEnded ended) {
 		JobResult result = JobMessages.toMessage(ended.outcome(), ended.reason(), ended.retryAfterNanos());
 		if (ended.origin().equals(this.self.host())) {
@@ -475,52 +434,4 @@
 
 	}
 
-	private final class DirectoryListener implements Directory.Listener {
-
-		@Override
-		public void configurationChanged(QueueTable table) {
-			FleetHost.this.queues = table;
-			FleetHost.this.configurationSinceNanos = FleetHost.this.clock.getAsLong();
-			FleetHost.this.log.write(LogEvent.CONFIGURATION_APPLIED, table.version(), table.size(), 0);
-			announceReadiness();
-		}
-
-		@Override
-		public void workersListed(Collection<WorkerInfo> listed) {
-			FleetHost.this.workers = List.copyOf(listed);
-			FleetHost.this.workersKnown = true;
-			FleetHost.this.drains.workersListed(listed);
-			FleetHost.this.scheduler.workersListed(workersInScope(), FleetHost.this.allDataCentres,
-					FleetHost.this.clock.getAsLong());
-			announceReadiness();
-			requestTick();
-		}
-
-		@Override
-		public void workersRead(long ageNanos) {
-			FleetHost.this.workersReadNanos = FleetHost.this.clock.getAsLong() - ageNanos;
-			FleetHost.this.scheduler.workerListProven(FleetHost.this.workersReadNanos);
-		}
-
-		@Override
-		public void hostsListed(List<HostId> hosts) {
-			FleetHost.this.hostsKnown = true;
-			FleetHost.this.peers.addHosts(hosts);
-			FleetHost.this.election.setKnownPeers(FleetHost.this.peers.knownHosts());
-		}
-
-		@Override
-		public void drainsChanged(DataCentreDrains state, long maxAgeNanos) {
-			if (FleetHost.this.drains.adopt(state, DrainService.Source.STORE, maxAgeNanos)) {
-				requestTick();
-			}
-		}
-
-		@Override
-		public void drainRecordIgnored(String record, String reason) {
-			FleetHost.this.drains.ignored(record, reason);
-		}
-
-	}
-
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeerListener.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeerListener.java
@@ -41,6 +41,8 @@
 
 	private final FleetHost host;
 
+	private final DirectoryState directoryState;
+
 	private final SchedulerElection election;
 
 	private final Scheduler scheduler;
@@ -57,9 +59,11 @@
 
 	private final HostMetrics metrics;
 
-	FleetPeerListener(FleetHost host, SchedulerElection election, Scheduler scheduler, Directory directory,
-			DrainService drains, JobQueries queries, LongSupplier clock, EventLog log, HostMetrics metrics) {
+	FleetPeerListener(FleetHost host, DirectoryState directoryState, SchedulerElection election, Scheduler scheduler,
+			Directory directory, DrainService drains, JobQueries queries, LongSupplier clock, EventLog log,
+			HostMetrics metrics) {
 		this.host = host;
+		this.directoryState = directoryState;
 		this.election = election;
 		this.scheduler = scheduler;
 		this.directory = directory;
@@ -72,7 +76,7 @@
 
 	@Override
 	public HostBeat heartbeat(long peerVersion) {
-		long version = this.host.configurationVersion();
+		long version = this.directoryState.configurationVersion();
 		HostBeat.Builder heartbeat = this.host.peers().newHeartbeat(this.host.state()).setConfigurationVersion(version);
 		if (peerVersion != FleetPeers.OMIT_CONFIGURATION && peerVersion < version && isOfferDue(peerVersion)) {
 			heartbeat.setConfiguration(FleetPeers.toByteString(this.directory.configurationText()));
@@ -82,8 +86,8 @@
 	}
 
 	private boolean isOfferDue(long peerVersion) {
-		return peerVersion == FleetHost.NO_VERSION
-				|| this.clock.getAsLong() - this.host.configurationSinceNanos() >= OFFER_DELAY_NANOS;
+		return peerVersion == DirectoryState.NO_VERSION
+				|| this.clock.getAsLong() - this.directoryState.configurationSinceNanos() >= OFFER_DELAY_NANOS;
 	}
 
 	@Override
@@ -107,7 +111,7 @@
 
 	@Override
 	public void peersAdded(Set<HostId> known) {
-		if (this.host.hostsKnown()) {
+		if (this.directoryState.hostsKnown()) {
 			this.election.setKnownPeers(known);
 		}
 	}
