Let the simulated hosts read the list of workers from a store

WorkerListFaults takes the store away, lets it refuse hosts, cuts workers or data centres off from it, and lets workers join, leave and return under a new id or the same one. WorkerListSequences lets these meet at the same jobs. Existing examples keep their list and their random numbers.

--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CorrelatedFaults.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CorrelatedFaults.java
@@ -138,7 +138,7 @@
 	}
 
 	private List<String> workers(Predicate<String> condition) {
-		return this.fleet.workerNames().stream().filter(condition).toList();
+		return this.fleet.workerPlaces().stream().filter(condition).toList();
 	}
 
 	/** What meets the job of a sequence beside a partition and the loss of its caller. */
@@ -250,7 +250,7 @@
 			this.side = List.of(this.first);
 			List<String> others = hosts((name) -> !name.equals(this.first));
 			outer.faults.interrupt("host", this.side,
-					outer.random.nextBoolean() ? join(others, outer.fleet.workerNames()) : others, true, nanos);
+					outer.random.nextBoolean() ? join(others, outer.fleet.workerPlaces()) : others, true, nanos);
 		}
 
 		private static List<String> join(List<String> names, List<String> others) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetFaults.java
@@ -103,7 +103,7 @@
 
 	private List<String> select(Predicate<String> condition) {
 		List<String> names = new ArrayList<>(this.fleet.hostNames());
-		names.addAll(this.fleet.workerNames());
+		names.addAll(this.fleet.workerPlaces());
 		return names.stream().filter(condition).toList();
 	}
 
@@ -193,6 +193,17 @@
 		impair(Impairment.UNRELIABLE, workers, hosts, true, nanos);
 	}
 
+	/**
+	 * Makes orders that meet an interruption get lost, as the connections of orders are
+	 * closed when they time out.
+	 * @param hosts the hosts
+	 * @param workers the workers
+	 * @param nanos the duration
+	 */
+	void loseInterruptedOrders(List<String> hosts, List<String> workers, long nanos) {
+		impair(Impairment.LOSSY, hosts, workers, false, nanos);
+	}
+
 	/**
 	 * Fills the write buffers of the links from one host to others. What is written
 	 * nevertheless waits behind the bytes in the buffers.
@@ -297,13 +308,19 @@
 	}
 
 	private void killHost() {
-		String name = anyHost();
-		if (!this.fleet.host(name).isUp()) {
-			return;
+		endHost(anyHost());
+	}
+
+	/**
+	 * Kills the process of a host unless it is down already.
+	 * @param name the host
+	 */
+	void endHost(String name) {
+		if (this.fleet.host(name).isUp()) {
+			kill(name);
+			endLinks(name);
+			restartLater(name);
 		}
-		kill(name);
-		endLinks(name);
-		restartLater(name);
 	}
 
 	private void kill(String name) {
@@ -342,7 +359,7 @@
 	private void restartWorker() {
 		String name = anyWorker();
 		this.trace.event("RESTARTED worker " + name);
-		this.fleet.worker(name).restart(this.network.time().nowNanos());
+		this.fleet.restartWorker(name);
 	}
 
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetNetwork.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetNetwork.java
@@ -127,6 +127,8 @@
 
 		/** Nothing is delivered. */
 		INTERRUPTED,
+		/** Orders to workers that meet an interruption are lost, and never late. */
+		LOSSY,
 		/** Orders to workers, and their answers, are lost or late. */
 		UNRELIABLE,
 		/** The write buffers of the links are full. */
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulation.java
@@ -16,6 +16,7 @@
 import org.limpetgate.scheduling.CorrelatedFaults.Trouble;
 import org.limpetgate.scheduling.FleetLink.LinkEnd;
 import org.limpetgate.scheduling.SimulatedHost.Place;
+import org.limpetgate.scheduling.WorkerListSequences.Kind;
 import org.limpetgate.scheduling.WorkerReport.EndKind;
 
 /**
@@ -24,7 +25,8 @@
  * send jobs again. The faults are random: partitions that delay messages, links that are
  * reset or go silent, hosts that pause or are killed, and orders that workers carry out
  * late. They are independent of each other, or correlated as {@link CorrelatedFaults}
- * tells.
+ * tells. All hosts have the same list of workers, unless they read it from a
+ * {@link SimulatedWorkerList}, which then has faults too.
  * <p>
  * Checks that no task has two runs at the same time, that no worker is overcommitted,
  * that no task of a refused job has started, that every task of a completed job is done
@@ -44,6 +46,9 @@
 
 	private static final int WORKERS_PER_DATA_CENTRE = 3;
 
+	/** Workers of each data centre that may join later. */
+	private static final int SPARE_WORKERS_PER_DATA_CENTRE = 8;
+
 	private static final int MAX_CLOCK_OFFSET_MILLIS = 40;
 
 	/** How far the wall clock of a host may jump, in both directions. */
@@ -69,8 +74,12 @@
 
 	private final FleetNetwork network;
 
+	/** The workers that run. */
 	private final Map<UpstreamId, FakeWorker> workers = new TreeMap<>();
 
+	/** The names of all workers, which may run or not. */
+	private final List<String> workerPlaces = new ArrayList<>();
+
 	private final Map<String, Place> places = new TreeMap<>();
 
 	private final Map<String, SimulatedHost> hosts = new HashMap<>();
@@ -91,14 +100,23 @@
 	/** Null unless the faults are correlated. */
 	private CorrelatedFaults correlatedFaults;
 
+	/** Null unless the hosts read the list of workers from a store. */
+	private final SimulatedWorkerList workerList;
+
+	/** Null unless the hosts read the list of workers from a store. */
+	private final WorkerListFaults listFaults;
+
+	/** Null unless the faults of the list are correlated. */
+	private WorkerListSequences listSequences;
+
 	FleetSimulation(long seed, Supplier<SubmissionRules> rules) {
-		this(seed, rules, 0, false);
+		this(seed, rules, 0, false, false);
 		this.faults.start();
 	}
 
 	// Returns a simulation in which data centres are drained besides the other faults.
 	static FleetSimulation withDrains(long seed, Supplier<SubmissionRules> rules) {
-		FleetSimulation fleet = new FleetSimulation(seed, rules, 0, true);
+		FleetSimulation fleet = new FleetSimulation(seed, rules, 0, true, false);
 		fleet.faults.start();
 		fleet.drains.start();
 		return fleet;
@@ -108,13 +126,33 @@
 	// several hosts.
 	static FleetSimulation withCorrelatedFaults(long seed, Supplier<SubmissionRules> rules, Set<Trouble> troubles) {
 		FleetSimulation fleet = new FleetSimulation(seed, rules, EXTRA_HOSTS,
-				troubles.contains(Trouble.DATA_CENTRE_DRAINED));
+				troubles.contains(Trouble.DATA_CENTRE_DRAINED), false);
 		fleet.correlatedFaults = new CorrelatedFaults(fleet, fleet.faults, fleet.network, troubles);
 		fleet.correlatedFaults.start();
 		return fleet;
 	}
 
-	private FleetSimulation(long seed, Supplier<SubmissionRules> rules, int extraHosts, boolean draining) {
+	// Returns a simulation whose hosts read the list of workers from a store that has
+	// faults, besides the other faults.
+	static FleetSimulation withWorkerList(long seed, Supplier<SubmissionRules> rules) {
+		FleetSimulation fleet = new FleetSimulation(seed, rules, EXTRA_HOSTS, false, true);
+		fleet.faults.start();
+		fleet.listFaults.start();
+		return fleet;
+	}
+
+	// Returns a simulation whose hosts read the list of workers from a store, with
+	// sequences of faults that meet at the same jobs.
+	static FleetSimulation withWorkerList(long seed, Supplier<SubmissionRules> rules, List<Kind> sequences) {
+		FleetSimulation fleet = new FleetSimulation(seed, rules, EXTRA_HOSTS, false, true);
+		fleet.listSequences = new WorkerListSequences(fleet, fleet.faults, fleet.listFaults, fleet.network,
+				fleet.workerList, sequences);
+		fleet.listSequences.start();
+		return fleet;
+	}
+
+	private FleetSimulation(long seed, Supplier<SubmissionRules> rules, int extraHosts, boolean draining,
+			boolean listing) {
 		this.random = new Random(seed);
 		this.rules = rules;
 		this.network = new FleetNetwork(this.time, this.random);
@@ -122,8 +160,12 @@
 		this.callers = new SimulatedCallers(this.network, this.trace, this::anyHost, this.checks, this::addViolation);
 		this.faults = new FleetFaults(this, this.network, this.trace);
 		this.drains = draining ? new SimulatedDrains(this, this.time, this.trace, seed) : null;
+		this.workerList = listing ? new SimulatedWorkerList(this.network, this.trace, this.workers) : null;
+		this.listFaults = listing ? new WorkerListFaults(this, this.faults, this.network, this.workerList) : null;
 		createPlaces(extraHosts);
-		publishWorkers();
+		if (!listing) {
+			publishWorkers();
+		}
 		this.callers.start();
 	}
 
@@ -132,10 +174,11 @@
 		int dataCentreCount = 2 + this.random.nextInt(2);
 		for (int number = 0; number < WORKERS_PER_DATA_CENTRE * dataCentreCount; number++) {
 			DataCentreId dataCentre = DataCentreId.of("dc" + number % dataCentreCount);
-			FakeWorker worker = new FakeWorker("w" + number, dataCentre, START_NANOS - WORKER_AGE_NANOS,
-					1 - MAX_CLOCK_DRIFT * this.random.nextDouble(), new TracedRuns(this.trace, new DrainChecks()));
-			this.workers.put(worker.id(), worker);
-			this.dataCentres.put(worker.id().value(), dataCentre.value());
+			addWorkerPlace("w" + number, dataCentre);
+			startWorkerAt("w" + number, START_NANOS - WORKER_AGE_NANOS);
+		}
+		for (int number = 0; isListing() && number < SPARE_WORKERS_PER_DATA_CENTRE * dataCentreCount; number++) {
+			addWorkerPlace("new" + number, DataCentreId.of("dc" + number % dataCentreCount));
 		}
 		for (int number = 0; number < hostCount; number++) {
 			DataCentreId dataCentre = DataCentreId.of("dc" + number % dataCentreCount);
@@ -147,6 +190,67 @@
 		this.places.keySet().forEach(this::startHost);
 	}
 
+	private boolean isListing() {
+		return this.workerList != null;
+	}
+
+	private void addWorkerPlace(String name, DataCentreId dataCentre) {
+		this.workerPlaces.add(name);
+		this.dataCentres.put(name, dataCentre.value());
+	}
+
+	private void startWorkerAt(String name, long nanos) {
+		FakeWorker worker = new FakeWorker(name, DataCentreId.of(dataCentre(name)), nanos,
+				1 - MAX_CLOCK_DRIFT * this.random.nextDouble(), new TracedRuns(this.trace, new DrainChecks()));
+		this.workers.put(worker.id(), worker);
+		if (isListing()) {
+			this.workerList.register(worker);
+		}
+	}
+
+	/**
+	 * Starts a worker that has not run recently.
+	 * @param dataCentre its data centre
+	 * @return its name, null if all workers of the data centre run
+	 */
+	String startWorker(String dataCentre) {
+		String name = this.workerPlaces.stream()
+			.filter((place) -> dataCentre(place).equals(dataCentre) && worker(place) == null)
+			.findFirst()
+			.orElse(null);
+		if (name != null) {
+			// The worker that has been down for the longest time is the next one.
+			this.workerPlaces.remove(name);
+			this.workerPlaces.add(name);
+			this.trace.writer("net").event("STARTED worker " + name);
+			startWorkerAt(name, this.time.nowNanos());
+		}
+		return name;
+	}
+
+	/**
+	 * Ends the process of a worker, with its runs, unless no other one would be left in
+	 * its data centre.
+	 * @param name the worker, which runs
+	 */
+	void endWorker(String name) {
+		boolean last = this.workers.keySet()
+			.stream()
+			.noneMatch((id) -> !id.value().equals(name) && dataCentre(id.value()).equals(dataCentre(name)));
+		if (!last) {
+			this.trace.writer("net").event("ENDED worker " + name);
+			this.workers.remove(UpstreamId.of(name)).restart(this.time.nowNanos());
+		}
+	}
+
+	// Starts a worker again under its id, at the same address.
+	void restartWorker(String name) {
+		worker(name).restart(this.time.nowNanos());
+		if (isListing()) {
+			this.workerList.register(worker(name));
+		}
+	}
+
 	// Starts a host again whose wall clock has jumped meanwhile. The clock of a process
 	// follows the monotonic clock, so that a jump shows at the next start only.
 	void restartHost(String name) {
@@ -164,6 +268,9 @@
 			host.requireDrains();
 			this.drains.read(host);
 		}
+		if (isListing()) {
+			host.readWorkers(this.workerList);
+		}
 	}
 
 	private LinkEnd accept(FleetLink link) {
@@ -189,14 +296,21 @@
 		return List.copyOf(this.places.keySet());
 	}
 
+	// Returns the names of the workers that run.
 	List<String> workerNames() {
 		return this.workers.keySet().stream().map(UpstreamId::value).toList();
 	}
 
+	// Returns the names of all workers, whether they run or not.
+	List<String> workerPlaces() {
+		return List.copyOf(this.workerPlaces);
+	}
+
 	SimulatedHost host(String name) {
 		return this.hosts.get(name);
 	}
 
+	// Returns a worker, null if it does not run.
 	FakeWorker worker(String name) {
 		return this.workers.get(UpstreamId.of(name));
 	}
@@ -247,6 +361,12 @@
 		if (this.correlatedFaults != null) {
 			this.correlatedFaults.stop();
 		}
+		if (this.listSequences != null) {
+			this.listSequences.stop();
+		}
+		if (isListing()) {
+			this.listFaults.stop();
+		}
 		runEvents(SETTLE_NANOS);
 		return this;
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
@@ -8,6 +8,7 @@
 
 import net.jqwik.api.Example;
 import org.limpetgate.scheduling.CorrelatedFaults.Trouble;
+import org.limpetgate.scheduling.WorkerListSequences.Kind;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -200,6 +201,73 @@
 		assertInvariantsHold(Trouble.values());
 	}
 
+	/**
+	 * Guards against tasks that run twice because workers join, leave or are cut off, and
+	 * hosts read the list of workers late or not at all.
+	 */
+	@Example
+	void keepsItsInvariantsWhileHostsReadTheListOfWorkers() {
+		for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+			FleetSimulation simulation = FleetSimulation.withWorkerList(seed, LeasedSubmissionRules::new)
+				.run(RUN_NANOS)
+				.settle();
+			int submitted = simulation.callers().submitted();
+			int completed = simulation.callers().completed();
+			simulation.run(COUNT_NANOS);
+			assertThat(simulation.violations()).as("seed %s", seed).isEmpty();
+			assertThat(2 * (simulation.callers().completed() - completed)).as("completed jobs of seed %s", seed)
+				.isGreaterThan(simulation.callers().submitted() - submitted);
+		}
+	}
+
+	/**
+	 * Guards against tasks that start again while they run on a worker that the next
+	 * scheduler has not read yet (incident TWICE on kauri-cards).
+	 */
+	@Example
+	void keepsItsInvariantsWhenTheSchedulerIsLostAfterAWorkerJoined() {
+		assertThat(listViolations(LeasedSubmissionRules::new, Kind.SCHEDULER_LOST_AFTER_JOIN)).isEmpty();
+	}
+
+	/**
+	 * Guards against the same while the store refuses the next scheduler.
+	 */
+	@Example
+	void keepsItsInvariantsWhenAHostSchedulesThatTheStoreRefuses() {
+		assertThat(listViolations(LeasedSubmissionRules::new, Kind.REFUSED_HOST_SCHEDULES)).isEmpty();
+	}
+
+	/**
+	 * Guards against tasks that start again while they run on workers that were cut off
+	 * for so long that the scheduler has forgotten them.
+	 */
+	@Example
+	void keepsItsInvariantsWhenADataCentreReturns() {
+		assertThat(listViolations(LeasedSubmissionRules::new, Kind.DATA_CENTRE_RETURNS)).isEmpty();
+	}
+
+	/**
+	 * Guards against a simulation that does not see schedulers which take their list of
+	 * workers for the present one.
+	 */
+	@Example
+	void findsSchedulersThatTakeTheirListOfWorkersForNew() {
+		assertThat(listViolations(LeasedSubmissionRules::takingWorkerListForNew, Kind.REFUSED_HOST_SCHEDULES))
+			.anyMatch((violation) -> violation.contains(": TWICE: "));
+	}
+
+	private static List<String> listViolations(Supplier<SubmissionRules> rules, Kind... sequences) {
+		List<String> violations = new ArrayList<>();
+		for (int seed = FIRST_SEED; seed < FIRST_SEED + CORRELATED_SEEDS; seed++) {
+			String prefix = "seed " + seed + " ";
+			FleetSimulation.withWorkerList(seed, rules, List.of(sequences))
+				.run(CORRELATED_RUN_NANOS)
+				.violations()
+				.forEach((violation) -> violations.add(prefix + violation));
+		}
+		return violations;
+	}
+
 	private static void assertInvariantsHold(Trouble... troubles) {
 		assertThat(violations(LeasedSubmissionRules::new, troubles)).isEmpty();
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/LeasedSubmissionRules.java
@@ -21,24 +21,33 @@
 
 	private final boolean takesHostsForHeard;
 
-	private LeasedSubmissionRules(boolean dropsWithdrawals, boolean takesHostsForHeard) {
+	private final boolean takesWorkerListForNew;
+
+	private LeasedSubmissionRules(boolean dropsWithdrawals, boolean takesHostsForHeard, boolean takesWorkerListForNew) {
 		this.dropsWithdrawals = dropsWithdrawals;
 		this.takesHostsForHeard = takesHostsForHeard;
+		this.takesWorkerListForNew = takesWorkerListForNew;
 	}
 
 	LeasedSubmissionRules() {
-		this(false, false);
+		this(false, false, false);
 	}
 
 	// Returns rules under which withdrawals are lost on full links, as they once were.
 	static LeasedSubmissionRules droppingWithdrawals() {
-		return new LeasedSubmissionRules(true, false);
+		return new LeasedSubmissionRules(true, false, false);
 	}
 
 	// Returns rules under which a host counts as heard until its submission lease ends,
 	// so that the leases of its runs are not limited before.
 	static LeasedSubmissionRules takingHostsForHeard() {
-		return new LeasedSubmissionRules(false, true);
+		return new LeasedSubmissionRules(false, true, false);
+	}
+
+	// Returns rules under which a scheduler does not wait for a read of the list of
+	// workers that was sent after a handover.
+	static LeasedSubmissionRules takingWorkerListForNew() {
+		return new LeasedSubmissionRules(false, false, true);
 	}
 
 	@Override
@@ -96,4 +105,9 @@
 		return nanos > SubmissionLeases.DURATION_NANOS;
 	}
 
+	@Override
+	public boolean takesWorkerListForNew() {
+		return this.takesWorkerListForNew;
+	}
+
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
@@ -78,6 +78,9 @@
 	/** The specifications of the jobs that were submitted to the scheduler. */
 	private final Map<JobId, JobSpec> specs = new HashMap<>();
 
+	/** Null unless the hosts read the list of workers from a store. */
+	private SimulatedListReader listReader;
+
 	private Collection<WorkerInfo> workers = List.of();
 
 	private boolean workersKnown;
@@ -223,6 +226,13 @@
 		}
 	}
 
+	// Lets the host read the list of workers from a store from now on.
+	void readWorkers(SimulatedWorkerList list) {
+		this.scheduler.workerListProven(0);
+		this.listReader = new SimulatedListReader(this, list, new ListListener());
+		this.listReader.start();
+	}
+
 	void workersListed(Collection<WorkerInfo> listed) {
 		this.workers = List.copyOf(listed);
 		this.workersKnown = true;
@@ -291,9 +301,15 @@
 			return;
 		}
 		expireLeases();
+		if (this.listReader != null && this.rules.takesWorkerListForNew()) {
+			this.scheduler.workerListProven(clockNanos());
+		}
 		List<SchedulingEffect> effects = new ArrayList<>();
 		this.scheduler.tick(clockNanos(), effects::add);
 		effects.forEach(this::execute);
+		if (this.listReader != null && this.scheduler.awaitsWorkerList()) {
+			this.listReader.readNow();
+		}
 		this.pendingJobs.tick(this.schedulingHost, clockNanos());
 	}
 
@@ -323,6 +339,9 @@
 		else if (effect instanceof SchedulingEffect.JobEnded ended) {
 			jobEnded(ended);
 		}
+		else if (effect instanceof SchedulingEffect.HandoverSettled settled) {
+			this.trace.job(settled.job(), "HANDOVER_SETTLED " + settled);
+		}
 	}
 
 	private void runElection() {
@@ -354,6 +373,7 @@
 			.event("SCHEDULING_STARTED " + this.schedulerToken.value() + ", all data centres " + this.allDataCentres);
 		this.scheduler.workersListed(workersInScope(), this.allDataCentres, nowNanos);
 		this.scheduler.activate(this.schedulerToken, nowNanos);
+		readList(true);
 		setSchedulingHost(id());
 		sendHeartbeats();
 	}
@@ -362,6 +382,13 @@
 		this.schedulerToken = FencingToken.NONE;
 		this.trace.event("SCHEDULING_ENDED, successor " + successor);
 		this.scheduler.deactivate();
+		readList(false);
+	}
+
+	private void readList(boolean scheduling) {
+		if (this.listReader != null) {
+			this.listReader.setScheduling(scheduling);
+		}
 	}
 
 	private void setSchedulingHost(HostId host) {
@@ -481,6 +508,20 @@
 
 	}
 
+	private final class ListListener implements SimulatedListReader.Listener {
+
+		@Override
+		public void workersListed(Collection<WorkerInfo> listed) {
+			SimulatedHost.this.workersListed(listed);
+		}
+
+		@Override
+		public void workersRead(long sentNanos) {
+			SimulatedHost.this.scheduler.workerListProven(sentNanos);
+		}
+
+	}
+
 	private final class PeerListener implements SimulatedPeers.Listener {
 
 		@Override
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedOrders.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedOrders.java
@@ -200,8 +200,10 @@
 			this.answered = answered;
 		}
 
+		// A worker that has ended accepts nothing.
 		void accept() {
-			if (this.acceptedBy == 0) {
+			boolean running = this.worker != null && SimulatedOrders.this.workers.get(this.worker.id()) == this.worker;
+			if (this.acceptedBy == 0 && running) {
 				this.acceptedBy = this.worker.info().incarnationMillis();
 			}
 		}
@@ -210,13 +212,14 @@
 		void deliver(boolean lostInPartition) {
 			SimulatedOrders outer = SimulatedOrders.this;
 			accept();
-			if (this.acceptedBy != this.worker.info().incarnationMillis()) {
+			if (this.acceptedBy == 0 || this.acceptedBy != this.worker.info().incarnationMillis()) {
 				return;
 			}
 			if (outer.network.isOpen(outer.host.name(), this.worker.id().value())) {
 				this.order.carryOut(this.worker, this::reply);
 			}
-			else if (!lostInPartition) {
+			else if (!lostInPartition
+					&& !outer.network.isImpaired(Impairment.LOSSY, outer.host.name(), this.worker.id().value())) {
 				outer.network.time().schedule(RETRANSMISSION_NANOS, () -> deliver(false));
 			}
 		}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SubmissionRules.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SubmissionRules.java
@@ -98,6 +98,13 @@
 	 */
 	boolean isPauseTooLong(long nanos);
 
+	/**
+	 * Tests whether this host takes its copy of the list of workers for the present one,
+	 * whenever it was read.
+	 * @return true if it does
+	 */
+	boolean takesWorkerListForNew();
+
 	/** Obeys every message whenever it arrives. */
 	final class Unlimited implements SubmissionRules {
 
@@ -153,6 +160,11 @@
 			return false;
 		}
 
+		@Override
+		public boolean takesWorkerListForNew() {
+			return true;
+		}
+
 	}
 
 }
