--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulation.java
@@ -15,7 +15,6 @@
 import org.limpetgate.UpstreamId;
 import org.limpetgate.scheduling.CorrelatedFaults.Trouble;
 import org.limpetgate.scheduling.FleetLink.LinkEnd;
-import org.limpetgate.scheduling.SimulatedHost.Place;
 import org.limpetgate.scheduling.WorkerListSequences.Kind;
 import org.limpetgate.scheduling.WorkerReport.EndKind;
 
@@ -80,7 +79,7 @@
 	/** The names of all workers, which may run or not. */
 	private final List<String> workerPlaces = new ArrayList<>();
 
-	private final Map<String, Place> places = new TreeMap<>();
+	private final Map<String, HostPlace> places = new TreeMap<>();
 
 	private final Map<String, SimulatedHost> hosts = new HashMap<>();
 
@@ -183,7 +182,7 @@
 		for (int number = 0; number < hostCount; number++) {
 			DataCentreId dataCentre = DataCentreId.of("dc" + number % dataCentreCount);
 			long offset = this.random.nextInt(MAX_CLOCK_OFFSET_MILLIS) * FleetNetwork.MILLI;
-			Place place = new Place(number, dataCentre, offset);
+			HostPlace place = new HostPlace(number, dataCentre, offset);
 			this.places.put(place.name(), place);
 			this.dataCentres.put(place.name(), dataCentre.value());
 		}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
@@ -30,6 +30,9 @@
 	 */
 	private static final List<Integer> LONG_LEASE_SEEDS = List.of(16, 29, 41, 51, 52);
 
+	/** Seeds at which the next scheduler has not read the entry of a new worker. */
+	private static final List<Integer> NEW_WORKER_SEEDS = List.of(34, 110);
+
 	/** Runs with correlated faults are short, so that there can be more of them. */
 	private static final int CORRELATED_SEEDS = Integer.getInteger("limpetgate.seeds", 20);
 
@@ -246,9 +249,18 @@
 		assertThat(listViolations(LeasedSubmissionRules::new, Kind.DATA_CENTRE_RETURNS)).isEmpty();
 	}
 
+	/**
+	 * Guards against tasks that start again while they run on workers which only the
+	 * former scheduler still used, as the store refused it.
+	 */
+	@Example
+	void keepsItsInvariantsWhenASchedulerIsLostThatTheStoreRefuses() {
+		assertThat(listViolations(LeasedSubmissionRules::new, Kind.REFUSED_SCHEDULER_LOST)).isEmpty();
+	}
+
 	/**
 	 * Guards against a simulation that does not see schedulers which take their list of
-	 * workers for the present one.
+	 * workers for the present one although the store refuses them.
 	 */
 	@Example
 	void findsSchedulersThatTakeTheirListOfWorkersForNew() {
@@ -256,18 +268,35 @@
 			.anyMatch((violation) -> violation.contains(": TWICE: "));
 	}
 
-	private static List<String> listViolations(Supplier<SubmissionRules> rules, Kind... sequences) {
+	/**
+	 * Guards against a simulation that does not see schedulers which take their list of
+	 * workers for the present one until they have read it again.
+	 */
+	@Example
+	void findsSchedulersThatHaveNotReadTheEntryOfANewWorker() {
+		List<String> violations = new ArrayList<>();
+		NEW_WORKER_SEEDS.forEach((seed) -> violations.addAll(
+				listViolations(seed, LeasedSubmissionRules::takingWorkerListForNew, Kind.SCHEDULER_LOST_AFTER_JOIN)));
+		assertThat(violations).anyMatch((violation) -> violation.contains(": TWICE: "));
+	}
+
+	private static List<String> listViolations(Supplier<SubmissionRules> rules, Kind sequence) {
 		List<String> violations = new ArrayList<>();
 		for (int seed = FIRST_SEED; seed < FIRST_SEED + CORRELATED_SEEDS; seed++) {
-			String prefix = "seed " + seed + " ";
-			FleetSimulation.withWorkerList(seed, rules, List.of(sequences))
-				.run(CORRELATED_RUN_NANOS)
-				.violations()
-				.forEach((violation) -> violations.add(prefix + violation));
+			violations.addAll(listViolations(seed, rules, sequence));
 		}
 		return violations;
 	}
 
+	private static List<String> listViolations(int seed, Supplier<SubmissionRules> rules, Kind sequence) {
+		return FleetSimulation.withWorkerList(seed, rules, List.of(sequence))
+			.run(CORRELATED_RUN_NANOS)
+			.violations()
+			.stream()
+			.map((violation) -> "seed " + seed + " " + violation)
+			.toList();
+	}
+
 	private static void assertInvariantsHold(Trouble... troubles) {
 		assertThat(violations(LeasedSubmissionRules::new, troubles)).isEmpty();
 	}
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
@@ -5,18 +5,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
-import org.limpetgate.DataCentreId;
-import org.limpetgate.DispatchException;
-import org.limpetgate.ErrorKind;
 import org.limpetgate.HostId;
 import org.limpetgate.Incarnation;
 import org.limpetgate.JobId;
-import org.limpetgate.Outcome;
 import org.limpetgate.UpstreamId;
 import org.limpetgate.fleet.DataCentreDrains;
 import org.limpetgate.fleet.HostState;
@@ -51,7 +46,7 @@
 
 	private static final double REMOTE_FACTOR = 2;
 
-	private final Place place;
+	private final HostPlace place;
 
 	private final VirtualTime time;
 
@@ -73,7 +68,7 @@
 
 	private final SimulatedOrders orders;
 
-	private final Transport transport = new Transport();
+	private final SimulatedTransport transport;
 
 	/** The specifications of the jobs that were submitted to the scheduler. */
 	private final Map<JobId, JobSpec> specs = new HashMap<>();
@@ -116,7 +111,7 @@
 
 	private final List<Runnable> queue = new ArrayList<>();
 
-	SimulatedHost(Place place, List<String> peers, FleetNetwork network, Map<UpstreamId, FakeWorker> workers,
+	SimulatedHost(HostPlace place, List<String> peers, FleetNetwork network, Map<UpstreamId, FakeWorker> workers,
 			SubmissionRules rules, FleetTrace trace) {
 		this.place = place;
 		this.time = network.time();
@@ -126,6 +121,7 @@
 		this.rules = rules;
 		this.scheduler.setOriginHeartbeats(this::lastWaitedNanos);
 		this.orders = new SimulatedOrders(this, network, workers, this.scheduler);
+		this.transport = new SimulatedTransport(this, rules);
 		this.pendingJobs = new SimulatedPendingJobs(this.transport, this::clockNanos, this.trace);
 		this.peers = new SimulatedPeers(this, peers, network, rules, new PeerListener());
 		this.lastTickNanos = clockNanos();
@@ -159,6 +155,10 @@
 		return this.time.nowNanos() + this.place.clockOffsetNanos();
 	}
 
+	SimulatedPeers peers() {
+		return this.peers;
+	}
+
 	boolean isUp() {
 		return !this.killed;
 	}
@@ -229,7 +229,7 @@
 	// Lets the host read the list of workers from a store from now on.
 	void readWorkers(SimulatedWorkerList list) {
 		this.scheduler.workerListProven(0);
-		this.listReader = new SimulatedListReader(this, list, new ListListener());
+		this.listReader = new SimulatedListReader(this, list);
 		this.listReader.start();
 	}
 
@@ -239,6 +239,11 @@
 		this.scheduler.workersListed(workersInScope(), this.allDataCentres, clockNanos());
 	}
 
+	// Records that the list was read; everything written before the time is in it.
+	void workersRead(long sentNanos) {
+		this.scheduler.workerListProven(sentNanos);
+	}
+
 	private void sendHeartbeatsPeriodically() {
 		sendHeartbeats();
 		// Heartbeats that were missed are sent too, as scheduleAtFixedRate does.
@@ -414,7 +419,7 @@
 		}
 	}
 
-	private boolean accept(HostId origin, SubmitJob message) {
+	boolean accept(HostId origin, SubmitJob message) {
 		if (!this.scheduler.isActive()) {
 			return false;
 		}
@@ -433,95 +438,11 @@
 		return origin.equals(id()) ? this.inputProcessedNanos : this.rules.lastWaitedNanos(origin, job, nowNanos);
 	}
 
-	private void withdraw(HostId origin, JobId job) {
+	void withdraw(HostId origin, JobId job) {
 		this.scheduler.withdraw(origin, job, clockNanos());
 		requestTick();
 	}
 
-	/**
-	 * The properties of a host that do not change while its process runs.
-	 *
-	 * @param number the number of the host
-	 * @param dataCentre its data centre
-	 * @param clockOffsetNanos how far its clock is ahead, in nanoseconds
-	 */
-	record Place(int number, DataCentreId dataCentre, long clockOffsetNanos) {
-
-		String name() {
-			return "h" + this.number;
-		}
-
-		Place withClockOffset(long offsetNanos) {
-			return new Place(this.number, this.dataCentre, offsetNanos);
-		}
-
-	}
-
-	/** Submits jobs to the scheduler of this host or to that of a peer. */
-	private final class Transport implements SimulatedPendingJobs.Transport {
-
-		private final Map<JobId, CompletableFuture<JobResult>> localResults = new TreeMap<>();
-
-		@Override
-		public CompletableFuture<JobResult> submit(HostId host, SubmitJob job, long timeoutNanos) {
-			if (!host.equals(id())) {
-				return SimulatedHost.this.peers.submit(host, job, timeoutNanos);
-			}
-			CompletableFuture<JobResult> result = new CompletableFuture<>();
-			this.localResults.put(job.spec().id(), result);
-			if (!accept(host, job)) {
-				this.localResults.remove(job.spec().id());
-				result.completeExceptionally(
-						DispatchException.of(ErrorKind.NOT_READY, Outcome.NOT_RUN, "this host is not the scheduler"));
-			}
-			return result;
-		}
-
-		@Override
-		public void withdraw(HostId host, JobId job) {
-			if (host.equals(id())) {
-				this.localResults.remove(job);
-				SimulatedHost.this.withdraw(host, job);
-			}
-			else {
-				SimulatedHost.this.peers.withdraw(host, job);
-			}
-		}
-
-		@Override
-		public boolean withdrawsOverdueJobs() {
-			return SimulatedHost.this.rules.withdrawsOverdueJobs();
-		}
-
-		@Override
-		public long heldNanos(HostId host, long nowNanos) {
-			return host.equals(id()) ? 0
-					: SimulatedHost.this.rules.heldNanos(SimulatedHost.this.peers.newestReplyNanos(host), nowNanos);
-		}
-
-		void complete(JobId job, JobResult result) {
-			CompletableFuture<JobResult> pending = this.localResults.remove(job);
-			if (pending != null) {
-				pending.complete(result);
-			}
-		}
-
-	}
-
-	private final class ListListener implements SimulatedListReader.Listener {
-
-		@Override
-		public void workersListed(Collection<WorkerInfo> listed) {
-			SimulatedHost.this.workersListed(listed);
-		}
-
-		@Override
-		public void workersRead(long sentNanos) {
-			SimulatedHost.this.scheduler.workerListProven(sentNanos);
-		}
-
-	}
-
 	private final class PeerListener implements SimulatedPeers.Listener {
 
 		@Override
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedListReader.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedListReader.java
@@ -1,6 +1,5 @@
 package org.limpetgate.scheduling;
 
-import java.util.Collection;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -23,8 +22,6 @@
 
 	private final SimulatedWorkerList list;
 
-	private final Listener listener;
-
 	private boolean scheduling;
 
 	/** Counts the reads, including those that were scheduled and cancelled. */
@@ -40,10 +37,9 @@
 
 	private long appliedVersion = -1;
 
-	SimulatedListReader(SimulatedHost host, SimulatedWorkerList list, Listener listener) {
+	SimulatedListReader(SimulatedHost host, SimulatedWorkerList list) {
 		this.host = host;
 		this.list = list;
-		this.listener = listener;
 	}
 
 	void start() {
@@ -89,9 +85,9 @@
 		}
 		if (contents.version() != this.appliedVersion) {
 			this.appliedVersion = contents.version();
-			this.listener.workersListed(contents.workers());
+			this.host.workersListed(contents.workers());
 		}
-		this.listener.workersRead(sentNanos);
+		this.host.workersRead(sentNanos);
 		if (this.readAgain) {
 			read();
 		}
@@ -109,15 +105,4 @@
 		});
 	}
 
-	/** Receives what was read. */
-	interface Listener {
-
-		// Called if the list has changed since the last read.
-		void workersListed(Collection<WorkerInfo> workers);
-
-		// Called after each read with the time at which it was sent.
-		void workersRead(long sentNanos);
-
-	}
-
 }
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerListSequences.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerListSequences.java
@@ -134,6 +134,7 @@
 				yield lead + MAX_CHECKS * CHECK_NANOS + MAX_SURVIVAL_MILLIS * FleetNetwork.MILLI;
 			}
 			case DATA_CENTRE_RETURNS -> returnDataCentre();
+			case REFUSED_SCHEDULER_LOST -> loseRefusedScheduler();
 		};
 	}
 
@@ -222,6 +223,23 @@
 		return nanos;
 	}
 
+	// Cuts workers off from the store, which refuses the scheduler meanwhile, so that
+	// this
+	// one goes on to use workers that the others have forgotten.
+	private long loseRefusedScheduler() {
+		long nanos = randomNanos(MIN_CUT_MILLIS, MAX_CUT_MILLIS);
+		String scheduler = scheduler();
+		List<String> workers = this.fleet.workerNames().stream().filter((name) -> this.random.nextBoolean()).toList();
+		this.list.refuse(scheduler, nanos);
+		this.faults.interrupt("workers from the store", workers, List.of(SimulatedWorkerList.NAME), true, nanos);
+		List<String> others = survivors();
+		for (int jobs = MIN_JOBS + this.random.nextInt(MAX_JOBS - MIN_JOBS); jobs > 0; jobs--) {
+			this.time.schedule(nanos - randomNanos(0, MAX_JOB_LEAD_MILLIS), () -> sendJob(others));
+		}
+		this.time.schedule(nanos - randomNanos(0, MAX_SHORT_SURVIVAL_MILLIS), () -> loseScheduler(scheduler));
+		return nanos;
+	}
+
 	/** What makes the list of the next scheduler incomplete. */
 	enum Kind {
 
@@ -233,7 +251,12 @@
 		 * A data centre is cut off from the store and the others until its entries have
 		 * expired, and has a scheduler of its own, whose jobs are then handed over.
 		 */
-		DATA_CENTRE_RETURNS
+		DATA_CENTRE_RETURNS,
+		/**
+		 * Workers are cut off from the store until their entries have expired, while the
+		 * store refuses the scheduler, which uses them until it is lost.
+		 */
+		REFUSED_SCHEDULER_LOST
 
 	}
 
