--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetSimulationTests.java
@@ -8,6 +8,7 @@
 
 import net.jqwik.api.Example;
 import org.limpetgate.scheduling.CorrelatedFaults.Trouble;
+import org.limpetgate.scheduling.WorkerListSequences.Kind;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -29,6 +30,9 @@
 	 */
 	private static final List<Integer> LONG_LEASE_SEEDS = List.of(16, 29, 41, 51, 52);
 
+	/** Seeds at which the next scheduler has not read the entry of a new worker. */
+	private static final List<Integer> NEW_WORKER_SEEDS = List.of(34, 110);
+
 	/** Runs with correlated faults are short, so that there can be more of them. */
 	private static final int CORRELATED_SEEDS = Integer.getInteger("limpetgate.seeds", 20);
 
@@ -200,6 +204,99 @@
 		assertInvariantsHold(Trouble.values());
 	}
 
+	/**
+	 * Guards against tasks that run twice because workers join, leave or are cut off, and
+	 * hosts read the list of workers late or not at all.
+	 */
+	@Example
+	void keepsItsInvariantsWhileHostsReadTheListOfWorkers() {
+		for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+			FleetSimulation simulation = FleetSimulation.withWorkerList(seed, LeasedSubmissionRules::new)
+				.run(RUN_NANOS)
+				.settle();
+			int submitted = simulation.callers().submitted();
+			int completed = simulation.callers().completed();
+			simulation.run(COUNT_NANOS);
+			assertThat(simulation.violations()).as("seed %s", seed).isEmpty();
+			assertThat(2 * (simulation.callers().completed() - completed)).as("completed jobs of seed %s", seed)
+				.isGreaterThan(simulation.callers().submitted() - submitted);
+		}
+	}
+
+	/**
+	 * Guards against tasks that start again while they run on a worker that the next
+	 * scheduler has not read yet (incident TWICE on kauri-cards).
+	 */
+	@Example
+	void keepsItsInvariantsWhenTheSchedulerIsLostAfterAWorkerJoined() {
+		assertThat(listViolations(LeasedSubmissionRules::new, Kind.SCHEDULER_LOST_AFTER_JOIN)).isEmpty();
+	}
+
+	/**
+	 * Guards against the same while the store refuses the next scheduler.
+	 */
+	@Example
+	void keepsItsInvariantsWhenAHostSchedulesThatTheStoreRefuses() {
+		assertThat(listViolations(LeasedSubmissionRules::new, Kind.REFUSED_HOST_SCHEDULES)).isEmpty();
+	}
+
+	/**
+	 * Guards against tasks that start again while they run on workers that were cut off
+	 * for so long that the scheduler has forgotten them.
+	 */
+	@Example
+	void keepsItsInvariantsWhenADataCentreReturns() {
+		assertThat(listViolations(LeasedSubmissionRules::new, Kind.DATA_CENTRE_RETURNS)).isEmpty();
+	}
+
+	/**
+	 * Guards against tasks that start again while they run on workers which only the
+	 * former scheduler still used, as the store refused it.
+	 */
+	@Example
+	void keepsItsInvariantsWhenASchedulerIsLostThatTheStoreRefuses() {
+		assertThat(listViolations(LeasedSubmissionRules::new, Kind.REFUSED_SCHEDULER_LOST)).isEmpty();
+	}
+
+	/**
+	 * Guards against a simulation that does not see schedulers which take their list of
+	 * workers for the present one although the store refuses them.
+	 */
+	@Example
+	void findsSchedulersThatTakeTheirListOfWorkersForNew() {
+		assertThat(listViolations(LeasedSubmissionRules::takingWorkerListForNew, Kind.REFUSED_HOST_SCHEDULES))
+			.anyMatch((violation) -> violation.contains(": TWICE: "));
+	}
+
+	/**
+	 * Guards against a simulation that does not see schedulers which take their list of
+	 * workers for the present one until they have read it again.
+	 */
+	@Example
+	void findsSchedulersThatHaveNotReadTheEntryOfANewWorker() {
+		List<String> violations = new ArrayList<>();
+		NEW_WORKER_SEEDS.forEach((seed) -> violations.addAll(
+				listViolations(seed, LeasedSubmissionRules::takingWorkerListForNew, Kind.SCHEDULER_LOST_AFTER_JOIN)));
+		assertThat(violations).anyMatch((violation) -> violation.contains(": TWICE: "));
+	}
+
+	private static List<String> listViolations(Supplier<SubmissionRules> rules, Kind sequence) {
+		List<String> violations = new ArrayList<>();
+		for (int seed = FIRST_SEED; seed < FIRST_SEED + CORRELATED_SEEDS; seed++) {
+			violations.addAll(listViolations(seed, rules, sequence));
+		}
+		return violations;
+	}
+
+	private static List<String> listViolations(int seed, Supplier<SubmissionRules> rules, Kind sequence) {
+		return FleetSimulation.withWorkerList(seed, rules, List.of(sequence))
+			.run(CORRELATED_RUN_NANOS)
+			.violations()
+			.stream()
+			.map((violation) -> "seed " + seed + " " + violation)
+			.toList();
+	}
+
 	private static void assertInvariantsHold(Trouble... troubles) {
 		assertThat(violations(LeasedSubmissionRules::new, troubles)).isEmpty();
 	}
