--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetMessage.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FleetMessage.java
@@ -23,8 +23,10 @@
 	 *
 	 * @param state the state of the sender
 	 * @param drains the drained data centres that the sender knows
+	 * @param listAgeNanos how long ago all workers that the sender uses, or used while it
+	 * scheduled, were listed, in nanoseconds
 	 */
-	record Heartbeat(HostState state, DataCentreDrains drains) implements FleetMessage {
+	record Heartbeat(HostState state, DataCentreDrains drains, long listAgeNanos) implements FleetMessage {
 
 	}
 
@@ -36,9 +38,11 @@
 	 * @param remainingNanos how much longer its caller waits, in nanoseconds
 	 * @param resubmitted whether an earlier scheduler may have started tasks of it
 	 * @param heldNanos how much longer an earlier scheduler may act on it, in nanoseconds
+	 * @param earlierListAgeNanos how long ago all workers that earlier schedulers used
+	 * were listed, in nanoseconds
 	 */
-	record SubmitJob(JobSpec spec, long waitedNanos, long remainingNanos, boolean resubmitted,
-			long heldNanos) implements FleetMessage {
+	record SubmitJob(JobSpec spec, long waitedNanos, long remainingNanos, boolean resubmitted, long heldNanos,
+			long earlierListAgeNanos) implements FleetMessage {
 
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedHost.java
@@ -155,6 +155,11 @@
 		return this.time.nowNanos() + this.place.clockOffsetNanos();
 	}
 
+	// Returns when all workers that this host used last were listed.
+	long workersListedNanos() {
+		return this.scheduler.usedWorkersListedNanos();
+	}
+
 	SimulatedPeers peers() {
 		return this.peers;
 	}
@@ -426,7 +431,8 @@
 		JobId job = message.spec().id();
 		this.trace.job(job, "accepts the job of " + origin + ", resubmitted " + message.resubmitted());
 		this.specs.put(job, message.spec());
-		EarlierSubmission earlier = message.resubmitted() ? EarlierSubmission.heldFor(message.heldNanos())
+		EarlierSubmission earlier = message.resubmitted()
+				? EarlierSubmission.heldFor(message.heldNanos()).withListAge(message.earlierListAgeNanos())
 				: EarlierSubmission.NONE;
 		this.scheduler.submit(origin, message.spec(), message.waitedNanos(), message.remainingNanos(), earlier,
 				clockNanos());
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPeers.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPeers.java
@@ -51,6 +51,9 @@
 
 	private long nextLinkNumber;
 
+	/** When all workers that each host used last were listed. */
+	private final Map<HostId, Long> workersListedNanos = new HashMap<>();
+
 	SimulatedPeers(SimulatedHost host, List<String> peers, FleetNetwork network, SubmissionRules rules,
 			Listener listener) {
 		this.host = host;
@@ -74,16 +77,29 @@
 		this.links.forEach((peer, link) -> {
 			targets.add(HostId.of(peer));
 			if (link.isUp()) {
-				link.request(new Heartbeat(state, this.listener.drains()), HEARTBEAT_TIMEOUT_NANOS)
-					.thenAccept((reply) -> {
-						this.listener.drainsReceived(((Heartbeat) reply).drains());
-						this.listener.heartbeatAnswered(((Heartbeat) reply).state(), sentNanos);
-					});
+				link.request(newHeartbeat(state), HEARTBEAT_TIMEOUT_NANOS).thenAccept((reply) -> {
+					heartbeatReceived((Heartbeat) reply);
+					this.listener.heartbeatAnswered(((Heartbeat) reply).state(), sentNanos);
+				});
 			}
 		});
 		return targets;
 	}
 
+	private Heartbeat newHeartbeat(HostState state) {
+		return new Heartbeat(state, this.listener.drains(), this.host.clockNanos() - this.host.workersListedNanos());
+	}
+
+	private void heartbeatReceived(Heartbeat heartbeat) {
+		this.listener.drainsReceived(heartbeat.drains());
+		this.workersListedNanos.put(heartbeat.state().host(), this.host.clockNanos() - heartbeat.listAgeNanos());
+	}
+
+	// Returns when all workers that a host used last were listed, 0 if nothing is known.
+	long workersListedNanos(HostId peer) {
+		return this.workersListedNanos.getOrDefault(peer, 0L);
+	}
+
 	CompletableFuture<JobResult> submit(HostId scheduler, SubmitJob job, long timeoutNanos) {
 		JobId id = job.spec().id();
 		CompletableFuture<FleetMessage> reply = this.links.get(scheduler.value()).request(job, timeoutNanos);
@@ -234,10 +250,9 @@
 			SimulatedPeers.this.listener.expireLeases();
 			SimulatedPeers.this.rules.renew(this.accepted, frame.echoedNanos());
 			if (frame.message() instanceof Heartbeat heartbeat) {
-				SimulatedPeers.this.listener.drainsReceived(heartbeat.drains());
+				SimulatedPeers.this.heartbeatReceived(heartbeat);
 				SimulatedPeers.this.listener.heartbeatReceived(heartbeat.state());
-				write(new Heartbeat(SimulatedPeers.this.listener.state(), SimulatedPeers.this.listener.drains()),
-						frame.correlationId());
+				write(newHeartbeat(SimulatedPeers.this.listener.state()), frame.correlationId());
 			}
 			else if (frame.message() instanceof SubmitJob job) {
 				handleSubmit(frame, job);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPendingJobs.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedPendingJobs.java
@@ -117,7 +117,9 @@
 		long held = job.heldNanos(target, nowNanos);
 		this.trace.job(job.spec.id(), "submits to " + target + ", resubmitted " + job.mayHaveRun + ", held " + held);
 		this.transport
-			.submit(target, new SubmitJob(job.spec, nowNanos - job.arrivalNanos, remaining, job.mayHaveRun, held),
+			.submit(target,
+					new SubmitJob(job.spec, nowNanos - job.arrivalNanos, remaining, job.mayHaveRun, held,
+							Math.max(0, nowNanos - job.earlierListNanos)),
 					remaining)
 			.whenComplete((result, failure) -> {
 				if (this.pending.get(job.spec.id()) == job && target.equals(job.submittedTo)) {
@@ -151,7 +153,10 @@
 
 	private void scheduleResubmission(PendingJob job, boolean mayHaveRun, String reason, long nowNanos) {
 		this.trace.job(job.spec.id(), "JOB_TAKEN_BACK from " + job.submittedTo + ": " + reason);
-		job.mayHaveRun |= mayHaveRun;
+		if (mayHaveRun) {
+			job.mayHaveRun = true;
+			job.earlierListNanos = Math.min(job.earlierListNanos, this.transport.workersListedNanos(job.submittedTo));
+		}
 		job.submittedTo = null;
 		job.earliestSubmitNanos = nowNanos + RESUBMIT_DELAY_NANOS;
 	}
@@ -178,6 +183,10 @@
 		// submitted to it.
 		long heldNanos(HostId scheduler, long nowNanos);
 
+		// Returns when all workers that a host used last were listed, 0 if nothing is
+		// known.
+		long workersListedNanos(HostId scheduler);
+
 	}
 
 	private static final class PendingJob {
@@ -197,6 +206,9 @@
 
 		private long earliestSubmitNanos;
 
+		/** When all workers that its earlier schedulers used were listed. */
+		private long earlierListNanos = Long.MAX_VALUE;
+
 		/** Until when each earlier scheduler may act on the job. */
 		private final Map<HostId, Long> heldUntilNanos = new HashMap<>();
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedTransport.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SimulatedTransport.java
@@ -66,6 +66,12 @@
 				: this.rules.heldNanos(this.host.peers().newestReplyNanos(target), nowNanos);
 	}
 
+	@Override
+	public long workersListedNanos(HostId target) {
+		return target.equals(this.host.id()) ? this.host.workersListedNanos()
+				: this.host.peers().workersListedNanos(target);
+	}
+
 	void complete(JobId job, JobResult result) {
 		CompletableFuture<JobResult> pending = this.localResults.remove(job);
 		if (pending != null) {
