--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
@@ -39,7 +39,7 @@
 	 * Since when every change of the list has been seen, nanoseconds since the Unix
 	 * epoch, 0 before the first worker was listed.
 	 */
-	private long firstListedNanos;
+	private long followedSinceNanos;
 
 	/**
 	 * What {@link #usedWorkersListedNanos} returned when this scheduler was active last.
@@ -71,8 +71,8 @@
 		this.tables.workers.values()
 			.removeIf((worker) -> !worker.listed && nowNanos - worker.unlistedNanos > UNLISTED_RETENTION_NANOS
 					&& !worker.isBusy());
-		if (this.firstListedNanos == 0 && !entries.isEmpty()) {
-			this.firstListedNanos = nowNanos;
+		if (this.followedSinceNanos == 0 && !entries.isEmpty()) {
+			this.followedSinceNanos = nowNanos;
 		}
 		this.tables.placementDue = true;
 	}
@@ -173,7 +173,7 @@
 	// Records that workers may have left the list unseen until now: those of other data
 	// centres before the scope became wider, or any while the machine was suspended.
 	void historyLost(long nowNanos) {
-		this.firstListedNanos = nowNanos;
+		this.followedSinceNanos = nowNanos;
 	}
 
 	// Records that the list includes every worker that registered before a time. A worker
@@ -218,8 +218,8 @@
 	// known: the list was read since then, and has been followed for so long that a
 	// worker which is no longer listed has no runs.
 	boolean isComplete(long sinceNanos, long nowNanos) {
-		return this.tables.allDataCentres && this.tables.listProvenNanos >= sinceNanos && this.firstListedNanos != 0
-				&& nowNanos - this.firstListedNanos > UNLISTED_RETENTION_NANOS;
+		return this.tables.allDataCentres && this.tables.listProvenNanos >= sinceNanos && this.followedSinceNanos != 0
+				&& nowNanos - this.followedSinceNanos > UNLISTED_RETENTION_NANOS;
 	}
 
 }
