--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
@@ -209,6 +209,28 @@
 		assertThat(this.fixture.starts).as("the run on w2 may last until its lease ends").hasSize(2);
 	}
 
+	/**
+	 * Guards against an entry of another writer that ends a worker which the next
+	 * scheduler does not know: it names the address of another worker, whose process
+	 * answers there under its own id.
+	 */
+	@Example
+	void taskOnAWorkerThatOnlyAnEntryWithAWrongAddressNamesIsNotStartedAgain() {
+		Scheduler next = newScheduler(this.fixture.listedWorkers());
+		this.fixture.submitLong();
+		startOnNewWorker(this.fixture::submitLong);
+
+		this.fixture.otherEntries
+			.add(entryAtAddressOf(this.fixture.workers.get(0).info(), this.fixture.workers.get(1).info()));
+		next.workersListed(this.fixture.listedWorkers(), true, this.fixture.nowNanos);
+		this.fixture.activate(next, NEXT_HOST);
+		this.fixture.resubmit();
+		next.workerListProven(this.fixture.nowNanos);
+		this.fixture.advance(ORPHAN_STOPPED_MILLIS);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).as("the run on w2 may last until its lease ends").hasSize(2);
+	}
+
 	// Starts a job on a worker that the present scheduler has just read from the list.
 	private void startOnNewWorker(Runnable submission) {
 		this.fixture.advance(STEP_MILLIS);
@@ -260,4 +282,11 @@
 		}
 	}
 
+	// Returns the entry of a worker with the address of another one.
+	private static WorkerInfo entryAtAddressOf(WorkerInfo other, WorkerInfo worker) {
+		return new WorkerInfo(worker.id(), worker.incarnationMillis(), worker.service(), other.address(),
+				worker.dataCentre(), worker.capacity(), worker.labels(), worker.draining(),
+				worker.coldRemainingMillis(), worker.drainRemainingMillis());
+	}
+
 }
