Tell a silent connection from a quiet topic, and log how old a version of the queues is

A pending read left no trace until it failed after 3.5 s, and LG2001 did not tell how old a version was or who gave it. No decision changes.

--- a/limpetgate-core/src/main/java/org/limpetgate/fleet/Directory.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/fleet/Directory.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Locale;
 
 import org.limpetgate.HostId;
 import org.limpetgate.scheduling.WorkerInfo;
@@ -12,6 +13,9 @@
  */
 public interface Directory {
 
+	/** An age that is unknown, in place of nanoseconds. */
+	long UNKNOWN_AGE = -1;
+
 	/**
 	 * Starts to watch the store.
 	 * @param listener the listener, called on the thread of the event loop, not null
@@ -30,6 +34,13 @@
 	 */
 	byte[] configurationText();
 
+	/**
+	 * Returns how long ago the store answered the last read of the configuration. A
+	 * configuration that was written after that may be unknown to this host.
+	 * @return the time in nanoseconds, {@link #UNKNOWN_AGE} before the first answer
+	 */
+	long configurationAgeNanos();
+
 	/**
 	 * Sets how frequently the list of workers is refreshed.
 	 * @param scheduling whether this host is the active scheduler
@@ -42,14 +53,35 @@
 	 */
 	void readWorkers();
 
+	/** Where a state comes from. */
+	enum Source {
+
+		/** This host has read it from the store. */
+		STORE,
+		/** Another host has sent it. */
+		PEER;
+
+		/**
+		 * Returns the name for log lines.
+		 * @return the name in lower case, not null
+		 */
+		public String text() {
+			return name().toLowerCase(Locale.ROOT);
+		}
+
+	}
+
 	/** Receives changes of the store. */
 	interface Listener {
 
 		/**
 		 * Handles a newer configuration.
 		 * @param table the queues, not null
+		 * @param source where it comes from, not null
+		 * @param maxAgeNanos how long ago it can have been written at most, in
+		 * nanoseconds, or {@link #UNKNOWN_AGE}
 		 */
-		void configurationChanged(QueueTable table);
+		void configurationChanged(QueueTable table, Source source, long maxAgeNanos);
 
 		/**
 		 * Handles the current list of workers.
@@ -74,7 +106,7 @@
 		 * Handles the current drains, before a configuration that was read with them.
 		 * @param drains the drained data centres, not null
 		 * @param maxAgeNanos how long ago the newest record can have been written at
-		 * most, in nanoseconds, or -1 if unknown
+		 * most, in nanoseconds, or {@link #UNKNOWN_AGE}
 		 */
 		void drainsChanged(DataCentreDrains drains, long maxAgeNanos);
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -110,6 +110,9 @@
 	/** A new configuration is in force. */
 	CONFIGURATION_APPLIED(2001, "configuration version=%s routes=%s pools=%s"),
 
+	/** Another version of the queues has come into force. */
+	QUEUES_APPLIED(2002, "version=%s queues=%s source=%s max_age_ms=%s"),
+
 	/** The state of a peer changed. */
 	MEMBER_CHANGED(3001, "peer=%s state=%s incarnation=%s"),
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/DirectoryState.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/DirectoryState.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import org.limpetgate.DataCentreId;
@@ -84,6 +85,11 @@
 		return this.configurationSinceNanos;
 	}
 
+	// Returns an age in milliseconds; an unknown one remains unknown.
+	static long ageMillis(long ageNanos) {
+		return (ageNanos < 0) ? Directory.UNKNOWN_AGE : TimeUnit.NANOSECONDS.toMillis(ageNanos);
+	}
+
 	long configurationVersion() {
 		QueueTable table = this.queues;
 		return (table != null) ? table.version() : NO_VERSION;
@@ -129,10 +135,10 @@
 	}
 
 	@Override
-	public void configurationChanged(QueueTable table) {
+	public void configurationChanged(QueueTable table, Directory.Source source, long maxAgeNanos) {
 		this.queues = table;
 		this.configurationSinceNanos = this.clock.getAsLong();
-		this.log.write(LogEvent.CONFIGURATION_APPLIED, table.version(), table.size(), 0);
+		this.log.write(LogEvent.QUEUES_APPLIED, table.version(), table.size(), source.text(), ageMillis(maxAgeNanos));
 		this.host.announceReadiness();
 	}
 
@@ -161,7 +167,7 @@
 
 	@Override
 	public void drainsChanged(DataCentreDrains state, long maxAgeNanos) {
-		if (this.drains.adopt(state, DrainService.Source.STORE, maxAgeNanos)) {
+		if (this.drains.adopt(state, Directory.Source.STORE, maxAgeNanos)) {
 			this.host.requestTick();
 		}
 	}
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/DrainService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/DrainService.java
@@ -2,13 +2,12 @@
 
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import org.limpetgate.DataCentreId;
 import org.limpetgate.fleet.DataCentreDrains;
+import org.limpetgate.fleet.Directory;
 import org.limpetgate.host.EventLog;
 import org.limpetgate.host.HostMetrics;
 import org.limpetgate.host.LogEvent;
@@ -26,9 +25,6 @@
  */
 final class DrainService {
 
-	/** The age of a state whose records may have any age. */
-	static final long UNKNOWN_AGE = -1;
-
 	private final Scheduler scheduler;
 
 	private final LongSupplier clock;
@@ -38,7 +34,7 @@
 	private volatile DataCentreDrains drains = DataCentreDrains.NONE;
 
 	/** Where the present state comes from. */
-	private Source source = Source.STORE;
+	private Directory.Source source = Directory.Source.STORE;
 
 	/** The data centres that a worker or a host has named since this host started. */
 	private final Set<DataCentreId> known = new HashSet<>();
@@ -71,10 +67,11 @@
 	 * Adopts a state unless it is older than the present one.
 	 * @param state the state
 	 * @param stateSource where it comes from
-	 * @param maxAgeNanos how old it is at most, in nanoseconds, or {@link #UNKNOWN_AGE}
+	 * @param maxAgeNanos how old it is at most, in nanoseconds, or
+	 * {@link Directory#UNKNOWN_AGE}
 	 * @return true if it is newer than the present one
 	 */
-	boolean adopt(DataCentreDrains state, Source stateSource, long maxAgeNanos) {
+	boolean adopt(DataCentreDrains state, Directory.Source stateSource, long maxAgeNanos) {
 		DataCentreDrains newest = this.drains.newest(state);
 		if (newest == this.drains) {
 			return false;
@@ -98,13 +95,13 @@
 			changed |= this.known.add(worker.dataCentre());
 		}
 		if (changed || !this.drains.dataCentres().isEmpty()) {
-			report(UNKNOWN_AGE);
+			report(Directory.UNKNOWN_AGE);
 		}
 	}
 
 	void hostSeen(DataCentreId dataCentre) {
 		if (this.known.add(dataCentre)) {
-			report(UNKNOWN_AGE);
+			report(Directory.UNKNOWN_AGE);
 		}
 	}
 
@@ -133,16 +130,8 @@
 	}
 
 	private void write(LogEvent event, DataCentreId dataCentre, long maxAgeNanos) {
-		long maxAgeMillis = (maxAgeNanos < 0) ? UNKNOWN_AGE : TimeUnit.NANOSECONDS.toMillis(maxAgeNanos);
-		this.log.write(event, dataCentre, this.drains.version(), this.source.name().toLowerCase(Locale.ROOT),
-				maxAgeMillis);
-	}
-
-	/** Where a state comes from. */
-	enum Source {
-
-		STORE, PEER
-
+		this.log.write(event, dataCentre, this.drains.version(), this.source.text(),
+				DirectoryState.ageMillis(maxAgeNanos));
 	}
 
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetHost.java
@@ -145,6 +145,9 @@
 		metrics.gauge("limpetgate.ready", "1 while this host takes jobs", () -> isReady() ? 1 : 0);
 		metrics.gauge("limpetgate.configuration.version", "Version of the queues in force, -1 for none",
 				this.directoryState::configurationVersion);
+		metrics.gauge("limpetgate.configuration.age.ms",
+				"Time since the store last answered a read of the configuration, -1 before",
+				() -> DirectoryState.ageMillis(directory.configurationAgeNanos()));
 		metrics.gauge("limpetgate.workers.listed", "Workers on the platform's list", this.directoryState::workerCount);
 	}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeerListener.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeerListener.java
@@ -109,7 +109,7 @@
 
 	@Override
 	public void drainsReceived(DataCentreDrains received) {
-		if (this.drains.adopt(received, DrainService.Source.PEER, DrainService.UNKNOWN_AGE)) {
+		if (this.drains.adopt(received, Directory.Source.PEER, Directory.UNKNOWN_AGE)) {
 			this.host.requestTick();
 		}
 	}
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeDirectory.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/FakeDirectory.java
@@ -28,7 +28,7 @@
 	@Override
 	public void start(Listener startedListener) {
 		this.listener = startedListener;
-		startedListener.configurationChanged(QueueTable.of(1, List.of()));
+		startedListener.configurationChanged(QueueTable.of(1, List.of()), Source.STORE, UNKNOWN_AGE);
 	}
 
 	void listWorkers(List<WorkerInfo> workers) {
@@ -60,6 +60,11 @@
 		return null;
 	}
 
+	@Override
+	public long configurationAgeNanos() {
+		return 0;
+	}
+
 	@Override
 	public void setScheduling(boolean value) {
 		this.scheduling = value;
