Take a worker whose address another process has for ended only once its entry could have been corrected

What callers saw: a task of a job could run twice at the same time after a handover.

Cause: the answer of another process at the address in an entry counted as the end of the worker that the entry names, also if that worker had never answered there. The entry may name a wrong address while the worker runs at another one, under the earlier scheduler.

Change: the end is certain at once only for a process that has answered at that address. Otherwise the worker gets no runs and counts as ended once its entry has named the address for 6 s, since a worker writes its entry every 1.5 s; until then the end of the leases settles the handover. A worker whose own entry has been replaced for longer counts as not listed at the earlier scheduler (usedWorkersListedNanos), which tells the next one, so that leases settle the handover in that case too. Ruled out: never taking it for ended (entryWithTheAddressOfAWorkerDelaysNoResubmittedJob fails: each entry without a process would delay every handover by 1.2 s).

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -65,14 +65,26 @@
 	/** Whether another process was found to listen at its address. */
 	boolean processEnded;
 
+	/**
+	 * Whether another process listens at the address in its entry, which may be wrong, so
+	 * that it cannot be asked.
+	 */
+	private boolean addressTaken;
+
 	/** What an entry tells of another process in its place. */
 	final EntryClaim claim = new EntryClaim();
 
 	/** When the worker left the list, nanoseconds since the Unix epoch. */
 	long unlistedNanos;
 
-	/** A time at which it was still in the list, nanoseconds since the Unix epoch. */
-	long lastListedNanos;
+	/** Whether the list names the address at which it is known. */
+	boolean located = true;
+
+	/** A time at which the list still did, nanoseconds since the Unix epoch. */
+	long lastLocatedNanos;
+
+	/** Since when its entry names its address, nanoseconds since the Unix epoch. */
+	long addressSinceNanos;
 
 	/** Whether its data centre is drained, so that no run may start on it. */
 	boolean drained;
@@ -243,6 +255,7 @@
 
 	WorkerEntity(WorkerInfo info, long nowNanos) {
 		this(info);
+		this.addressSinceNanos = nowNanos;
 		readTimes(info, nowNanos);
 	}
 
@@ -278,6 +291,21 @@
 		loseOwnership(nowNanos + ENDED_POLL_INTERVAL_NANOS);
 	}
 
+	// Records that another process listens at the address in its entry, and that its own
+	// one may still run. It is polled again when a wrong address would have been
+	// corrected.
+	void addressTaken(long retryAtNanos) {
+		this.addressTaken = true;
+		loseOwnership(retryAtNanos);
+	}
+
+	// Records that its own process has answered.
+	void processAnswered() {
+		this.proven = true;
+		this.processEnded = false;
+		this.addressTaken = false;
+	}
+
 	// Tests whether it has answered a poll that was sent at or after a time, or has no
 	// process that could have runs.
 	boolean isVerified(long sinceNanos) {
@@ -370,8 +398,8 @@
 	}
 
 	private boolean isEligible() {
-		return this.listed && !this.entryOutdated && !this.claim.isOpen() && !this.processEnded && !this.info.draining()
-				&& !this.drained && !this.dataCentreSilent;
+		return this.listed && !this.entryOutdated && !this.claim.isOpen() && !this.processEnded && !this.addressTaken
+				&& !this.info.draining() && !this.drained && !this.dataCentreSilent;
 	}
 
 	// Tests whether nothing but the run may be present on the worker.
@@ -440,6 +468,8 @@
 		}
 		this.proven = false;
 		this.processEnded = false;
+		this.addressTaken = false;
+		this.addressSinceNanos = nowNanos;
 		this.claim.drop();
 		this.speed.reset();
 		this.factorRefreshSample = 0;
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
@@ -67,6 +67,7 @@
 		}
 		claimSharedAddresses(entries, nowNanos);
 		markListed(listedIds, nowNanos);
+		markLocated(entries);
 		markDrained();
 		this.tables.workers.values()
 			.removeIf((worker) -> !worker.listed && nowNanos - worker.unlistedNanos > UNLISTED_RETENTION_NANOS
@@ -126,12 +127,28 @@
 			boolean listed = listedIds.contains(worker.info.id());
 			if (worker.listed && !listed) {
 				worker.unlistedNanos = nowNanos;
-				worker.lastListedNanos = this.tables.listProvenNanos;
 			}
 			worker.listed = listed;
 		}
 	}
 
+	// Records which workers another scheduler can find by the list.
+	private void markLocated(Collection<WorkerInfo> entries) {
+		Set<UpstreamId> located = new HashSet<>();
+		for (WorkerInfo entry : entries) {
+			if (this.tables.workers.get(entry.id()).info.isSameLocation(entry)) {
+				located.add(entry.id());
+			}
+		}
+		for (WorkerEntity worker : this.tables.workers.values()) {
+			boolean isLocated = located.contains(worker.info.id());
+			if (worker.located && !isLocated) {
+				worker.lastLocatedNanos = this.tables.listProvenNanos;
+			}
+			worker.located = isLocated;
+		}
+	}
+
 	// Applies a change of the drained data centres.
 	void drainsChanged() {
 		markDrained();
@@ -146,21 +163,28 @@
 
 	// Records that the process of a worker has answered a poll from its address.
 	void processAnswered(WorkerEntity worker, long sentNanos) {
-		worker.proven = true;
-		worker.processEnded = false;
+		worker.processAnswered();
 		WorkerInfo refuted = worker.claim.refute(sentNanos);
 		if (refuted != null) {
 			this.tables.emit(new SchedulingEffect.EntryRefuted(worker.info, refuted));
 		}
 	}
 
-	// Records that another process has answered a poll from the address of a worker.
+	// Records that another process has answered a poll from the address of a worker. An
+	// entry may name a wrong address at first, and the worker may run at another one; it
+	// would have written that since.
 	void otherProcessAnswered(WorkerEntity worker, long nowNanos) {
-		if (worker.proven || isProvenAt(worker.info.address(), worker)) {
+		long correctedNanos = worker.addressSinceNanos + UNLISTED_RETENTION_NANOS;
+		boolean taken = isProvenAt(worker.info.address(), worker);
+		if (worker.proven || (taken && nowNanos > correctedNanos)) {
 			this.losses.endIncarnation(worker, nowNanos);
 			worker.processEnded(nowNanos);
 			this.tables.placementDue = true;
 		}
+		else if (taken) {
+			worker.addressTaken(correctedNanos);
+			this.tables.placementDue = true;
+		}
 	}
 
 	// The address in an entry may be wrong until a process has answered there.
@@ -194,12 +218,12 @@
 	}
 
 	// Returns when all workers on which this scheduler has runs, or had some when it was
-	// active last, and all that it may use were listed.
+	// active last, and all that it may use were listed at their addresses.
 	long usedWorkersListedNanos() {
 		long listedNanos = Math.min(this.tables.listProvenNanos, this.formerlyListedNanos);
 		for (WorkerEntity worker : this.tables.workers.values()) {
-			if (!worker.listed && worker.isBusy()) {
-				listedNanos = Math.min(listedNanos, worker.lastListedNanos);
+			if (!worker.located && worker.isBusy()) {
+				listedNanos = Math.min(listedNanos, worker.lastLocatedNanos);
 			}
 		}
 		return listedNanos;
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/UnlistedWorkerTests.java
@@ -231,6 +231,33 @@
 		assertThat(this.fixture.starts).as("the run on w2 may last until its lease ends").hasSize(2);
 	}
 
+	/**
+	 * Guards against the same if that entry has replaced the own one of the worker for so
+	 * long that it seems to have ended, while the earlier scheduler still uses it.
+	 */
+	@Example
+	void taskOnAWorkerWhoseOwnEntryWasReplacedLongAgoIsNotStartedAgain() {
+		Scheduler next = newScheduler(this.fixture.listedWorkers());
+		this.fixture.submitLong();
+		startOnNewWorker(this.fixture::submitLong);
+		this.fixture.scheduler.workerListProven(this.fixture.nowNanos);
+		this.fixture.otherEntries
+			.add(entryAtAddressOf(this.fixture.workers.get(0).info(), this.fixture.workers.get(1).info()));
+		for (long passed = 0; passed < FORGOTTEN_MILLIS; passed += READ_INTERVAL_MILLIS) {
+			listWorkers(this.fixture.scheduler);
+			next.workersListed(this.fixture.listedWorkers(), true, this.fixture.nowNanos);
+			next.workerListProven(this.fixture.nowNanos);
+			this.fixture.advance(READ_INTERVAL_MILLIS);
+		}
+
+		this.fixture.activate(next, NEXT_HOST);
+		this.fixture.resubmit();
+		next.workerListProven(this.fixture.nowNanos);
+		this.fixture.advance(ORPHAN_STOPPED_MILLIS);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).as("the run on w2 may last until its lease ends").hasSize(2);
+	}
+
 	// Starts a job on a worker that the present scheduler has just read from the list.
 	private void startOnNewWorker(Runnable submission) {
 		this.fixture.advance(STEP_MILLIS);
