Split the warm-up off WorkerEntity and the events of peers off FleetPeers

Result: FleetPeersTests (3), FleetNetworkFailureTests (17) and the tests of workers, stored jobs and crashes pass.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -39,9 +39,6 @@
 	/** The interval at which it is polled while another process has its address. */
 	private static final long ENDED_POLL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-	/** The number of steps in which the load of a cold worker rises. */
-	private static final int COLD_LOAD_STEPS = 4;
-
 	WorkerInfo info;
 
 	/** Whether the worker is in the current list of workers. */
@@ -238,10 +235,7 @@
 
 	long factorRefreshSample;
 
-	/** Until when it is slow after a start, nanoseconds since the Unix epoch. */
-	long coldUntilNanos;
-
-	private long coldPeriodNanos;
+	private final WarmUp warmUp = new WarmUp();
 
 	/**
 	 * Until when it serves its runs at least while it is draining, nanoseconds since the
@@ -340,31 +334,23 @@
 	}
 
 	private void readTimes(WorkerInfo next, long nowNanos) {
-		long coldNanos = TimeUnit.MILLISECONDS.toNanos(next.coldRemainingMillis());
-		if (coldNanos > 0 && !isCold(nowNanos)) {
-			this.coldPeriodNanos = 0;
-		}
-		this.coldPeriodNanos = Math.max(this.coldPeriodNanos, coldNanos);
-		this.coldUntilNanos = (coldNanos > 0) ? nowNanos + coldNanos : 0;
+		this.warmUp.read(TimeUnit.MILLISECONDS.toNanos(next.coldRemainingMillis()), nowNanos);
 		boolean known = next.draining() && next.drainRemainingMillis() != WorkerInfo.UNKNOWN;
 		this.drainEndNanos = known ? nowNanos + TimeUnit.MILLISECONDS.toNanos(next.drainRemainingMillis())
 				: Long.MAX_VALUE;
 	}
 
 	boolean isCold(long nowNanos) {
-		return nowNanos < this.coldUntilNanos;
+		return this.warmUp.isCold(nowNanos);
 	}
 
-	// Tests whether a cold worker may take a demand. Its load rises by a quarter of its
-	// capacity with each quarter of the cold time that has passed: all tasks of a fully
-	// loaded cold worker would be late, while the first few show how slow it is.
+	// Tests whether a cold worker may take a demand: all tasks of a fully loaded cold
+	// worker would be late, while the first few show how slow it is.
 	boolean isWarmEnough(Capacity demand, long nowNanos) {
 		if (!isCold(nowNanos) || this.runs.isEmpty()) {
 			return true;
 		}
-		long remainingNanos = this.coldUntilNanos - nowNanos;
-		long steps = 1 + COLD_LOAD_STEPS * (this.coldPeriodNanos - remainingNanos) / this.coldPeriodNanos;
-		long limit = this.info.capacity().cpuMillis() * steps / COLD_LOAD_STEPS;
+		long limit = this.warmUp.loadLimit(this.info.capacity().cpuMillis(), nowNanos);
 		return this.used.cpuMillis() + demand.cpuMillis() <= limit;
 	}
 
@@ -474,7 +460,7 @@
 		this.speed.reset();
 		this.factorRefreshSample = 0;
 		this.clock.startIncarnation();
-		this.coldUntilNanos = 0;
+		this.warmUp.end();
 		updateInfo(next, nowNanos);
 		this.runs.clear();
 		this.orphanRuns.clear();
@@ -504,14 +490,4 @@
 		return this.info.id().toString();
 	}
 
-	/**
-	 * A poll that is not answered yet.
-	 *
-	 * @param sentNanos when it was sent, nanoseconds since the Unix epoch
-	 * @param ackNumber the sequence number up to which it acknowledges ends, 0 for none
-	 */
-	record PendingPoll(long sentNanos, long ackNumber) {
-
-	}
-
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.TimeUnit;
 
 import org.limpetgate.UpstreamId;
-import org.limpetgate.scheduling.WorkerEntity.PendingPoll;
 
 /**
  * Takes over workers, renews their leases and processes their reports.
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeerListener.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeerListener.java
@@ -29,7 +29,7 @@
  * Handles the messages of the peers of a {@link FleetHost}. Not thread-safe; used on the
  * event loop.
  */
-final class FleetPeerListener implements FleetPeers.Listener {
+final class FleetPeerListener implements PeerEvents {
 
 	/**
 	 * How long a host has had a configuration before it offers it to peers with an older
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -21,7 +21,6 @@
 import org.limpetgate.Incarnation;
 import org.limpetgate.JobId;
 import org.limpetgate.Outcome;
-import org.limpetgate.fleet.DataCentreDrains;
 import org.limpetgate.fleet.HeartbeatPlan;
 import org.limpetgate.fleet.HostState;
 import org.limpetgate.fleet.SubmissionLeases;
@@ -79,7 +78,7 @@
 
 	private final LongSupplier clock;
 
-	private final Listener listener;
+	private final PeerEvents listener;
 
 	private final PeerLinks links;
 
@@ -101,7 +100,7 @@
 	private final Map<HostId, Long> workersListedNanos = new HashMap<>();
 
 	private FleetPeers(EventLoopGroup group, FleetSettings settings, Incarnation self, LongSupplier clock,
-			Listener listener) {
+			PeerEvents listener) {
 		this.settings = settings;
 		this.self = self;
 		this.clock = clock;
@@ -118,7 +117,7 @@
 	}
 
 	static FleetPeers start(EventLoopGroup group, FleetSettings settings, Incarnation self, LongSupplier clock,
-			Listener listener) {
+			PeerEvents listener) {
 		return new FleetPeers(group, settings, self, clock, listener);
 	}
 
@@ -422,58 +421,6 @@
 		this.server.close();
 	}
 
-	/** Handles the messages of peers. */
-	interface Listener {
-
-		// Returns a heartbeat, with the configuration if the version of the peer is lower
-		// than that of this host. OMIT_CONFIGURATION omits it.
-		HostBeat heartbeat(long peerVersion);
-
-		// Called when a peer has answered a heartbeat of this host.
-		void heartbeatAnswered(HostState state, long sentNanos, long nowNanos);
-
-		// Called when a peer has sent a heartbeat of its own.
-		void heartbeatReceived(HostState state, long nowNanos);
-
-		// Called with the drained data centres that a peer knows, before its state.
-		void drainsReceived(DataCentreDrains drains);
-
-		// Called with all known hosts when some were added.
-		void peersAdded(Set<HostId> known);
-
-		// Called when the link to the present incarnation of a host is lost.
-		void linkLost(HostId peer);
-
-		// Called before the first message of an incarnation that has replaced another
-		// one.
-		void incarnationEnded(HostId peer);
-
-		// Called when this host must not act any longer on jobs of another host.
-		void leaseExpired(SubmissionLeases.Link link, List<JobId> jobs);
-
-		void configurationOffered(byte[] text);
-
-		// Called for each message that is refused because its sender may have given it
-		// up.
-		void staleMessage(InboundLink link, String message, long maxAgeNanos);
-
-		// Called for each submission that arrives, before it is decided on.
-		void submissionReceived(InboundLink link, SubmitJob job, long maxAgeNanos);
-
-		boolean jobSubmitted(HostId peer, SubmitJob job);
-
-		void jobWithdrawn(HostId peer, JobId job);
-
-		// Called when a withdrawal of this host was lost together with the link to the
-		// scheduler.
-		void withdrawalNotSent(HostId scheduler, JobId job, String reason);
-
-		CompletableFuture<JobStatus> jobQueried(JobId job, boolean cancel);
-
-		QueueStatus queueQueried(String queue);
-
-	}
-
 	private final class LinkObserver implements PeerMetrics {
 
 		// A host that starts learns from the replies which host schedules, so it does not
--- a/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestPeer.java
+++ b/limpetgate-host/src/test/java/org/limpetgate/host/fleet/TestPeer.java
@@ -115,7 +115,7 @@
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
 	}
 
-	private final class Listener implements FleetPeers.Listener {
+	private final class Listener implements PeerEvents {
 
 		@Override
 		public HostBeat heartbeat(long peerVersion) {
