--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/FleetPeers.java
@@ -293,9 +293,7 @@
 		return this.leases.provenNanos(origin, job);
 	}
 
-	// Returns when a host has sent its newest known read of the list of workers, 0 if
-	// none
-	// is known.
+	// Returns when a host sent its newest read of the list of workers, 0 if unknown.
 	@Override
 	public long workersListedNanos(HostId host) {
 		return this.workersListedNanos.getOrDefault(host, 0L);
