--- a/review/stand-ins-2/Cases.java
+++ b/review/stand-ins-2/Cases.java
@@ -5,25 +5,29 @@
 /** The cases, each a small deployment and what happens to it. */
 final class Cases {
 
+	private static final int CORES_16 = 16_000;
+
+	private static final int CORES_64 = 64_000;
+
 	private Cases() {
 	}
 
 	static Main open(String name, Path record, Path folder) throws Exception {
 		return switch (name) {
-			case "mix", "backlog" -> new Main(record, folder, 6, 12, 16_000);
-			case "crash", "gang", "cancel" -> new Main(record, folder, 3, 15, 16_000);
-			default -> throw new IllegalArgumentException("there is no case " + name);
+			case "crash", "starved", "fills", "cancel" -> new Main(record, folder, 3, 15, CORES_16);
+			case "gang" -> new Main(record, folder, 3, 15, CORES_64);
+			default -> Explorations.open(name, record, folder);
 		};
 	}
 
 	static void run(String name, Main main, boolean trouble) throws Exception {
 		switch (name) {
 			case "crash" -> crash(main, trouble);
+			case "starved" -> starved(main, trouble);
 			case "gang" -> gang(main, trouble);
+			case "fills" -> fills(main, trouble);
 			case "cancel" -> cancel(main, trouble);
-			case "backlog" -> backlog(main, trouble);
-			case "mix" -> mix(main, trouble);
-			default -> throw new IllegalArgumentException(name);
+			default -> Explorations.run(name, main, trouble);
 		}
 	}
 
@@ -76,14 +80,54 @@
 		main.record.finish(await(main, List.of(job), 20_000));
 	}
 
+	// Each runner has a task that lasts. The runner of another job crashes twice, each time beside
+	// such a task.
+	private static void starved(Main main, boolean trouble) throws Exception {
+		main.start(4);
+		Job lasting = main.job(false).lasting(main.workers.size(), 1000);
+		lasting.maxPerServer = 1;
+		main.submit(lasting);
+		main.awaitAccepted(List.of(lasting), 10_000);
+		awaitLoad(main, 1);
+		Job job = main.job(false).step(1, 2000, 8000);
+		main.submit(job);
+		main.awaitAccepted(List.of(job), 10_000);
+		for (int round = 0; trouble && round < 2; round++) {
+			long until = Main.now() + 12_000;
+			Worker at = null;
+			while (at == null && Main.now() < until) {
+				Main.sleep(20);
+				at = main.workers.stream().filter((worker) -> worker.runs(job.id)).findFirst().orElse(null);
+			}
+			if (at == null) {
+				break;
+			}
+			Main.sleep(2000);
+			at.crash();
+			Main.sleep(4500);
+			at.start();
+		}
+		main.record.finish(await(main, List.of(job), 50_000));
+	}
+
+	// The hosts have run for a while before the case begins.
+	private static void warmUp(Main main) {
+		for (int round = 0; round < 20; round++) {
+			main.submit(main.job(false).step(15, 20_000, 60));
+			Main.sleep(200);
+		}
+		Main.sleep(1000);
+	}
+
 	// While other jobs use most of each runner, two gangs of small tasks start on several runners,
 	// one that ends and one that lasts. A runner of each crashes; by then the other jobs have ended,
 	// and the gangs have to start again.
 	private static void gang(Main main, boolean trouble) throws Exception {
 		main.start(4);
+		warmUp(main);
 		List<Job> jobs = new ArrayList<>();
 		for (int number = 0; number < main.workers.size(); number++) {
-			Job other = main.job(false).step(1, 12_500, 8000);
+			Job other = main.job(false).step(1, 50_000, 8000);
 			jobs.add(other);
 			main.submit(other);
 		}
@@ -92,8 +136,8 @@
 		while (main.workers.stream().anyMatch((worker) -> worker.load() == 0) && Main.now() < until) {
 			Main.sleep(20);
 		}
-		Job gang = main.job(false).gang(48, 250, 14_000);
-		Job lasting = main.job(false).lastingGang(48, 250);
+		Job gang = main.job(false).gang(48, 1000, 14_000);
+		Job lasting = main.job(false).lastingGang(48, 1000);
 		main.submit(gang);
 		main.submit(lasting);
 		main.awaitAccepted(List.of(gang, lasting), 5000);
@@ -116,7 +160,25 @@
 		}
 		jobs.add(gang);
 		main.record.finish(await(main, jobs, 45_000));
-		Main.sleep(Math.max(0, main.startedMs + 85_000 - Main.now()));
+		Main.sleep(Math.max(0, main.startedMs + 80_000 - Main.now()));
+	}
+
+	// A job that fills runs on the only runner that has no task with a target. That runner is lost.
+	private static void fills(Main main, boolean trouble) throws Exception {
+		main.start(4);
+		Job serving = main.job(false).lasting(main.workers.size() - 1, 1000).with("\"targetMs\":40");
+		serving.maxPerServer = 1;
+		main.submit(serving);
+		main.awaitAccepted(List.of(serving), 10_000);
+		Main.sleep(3000);
+		Job job = main.job(false).step(1, 2000, 8000).with("\"fills\":true");
+		main.submit(job);
+		main.awaitAccepted(List.of(job), 10_000);
+		Main.sleep(3000);
+		if (trouble) {
+			main.workers.stream().filter((worker) -> worker.runs(job.id)).findFirst().orElseThrow().crash();
+		}
+		main.record.finish(await(main, List.of(job), 40_000));
 	}
 
 	// A client that waits for a job which needn't be kept cancels it on a new connection. With
@@ -135,184 +197,11 @@
 		main.record.finish(List.of());
 	}
 
-	private static void backlog(Main main, boolean trouble) throws Exception {
-		main.start(4);
-		int n = Integer.getInteger("n", 4000);
-		java.util.concurrent.ExecutorService pool = java.util.concurrent.Executors.newFixedThreadPool(60, Main::daemon);
-		java.util.concurrent.atomic.AtomicInteger accepted = new java.util.concurrent.atomic.AtomicInteger();
-		String pad = "/" + "x".repeat(Integer.getInteger("pad", 100));
-		for (int number = 0; number < n; number++) {
-			Job job = main.job(false).step(Integer.getInteger("w", 8), 6800, 200);
-			job.pad = pad;
-			main.record.created(job);
-			pool.execute(() -> {
-				Client.Answer answer = Client.call(main.any().callers, "POST", Main.PREFIX + job.id, job.body(), 10_000);
-				if (answer.status() == 200) {
-					accepted.incrementAndGet();
-				}
-			});
-			Main.sleep(number % 4 == 0 ? Integer.getInteger("ms", 17) : 0);
-			if (number % 500 == 0) {
-				main.record.note("SENT %d ACCEPTED %d", number, accepted.get());
-			}
-		}
-		for (int k = 0; k < 20; k++) {
-			Main.sleep(1000);
-			main.record.note("ACCEPTED %d", accepted.get());
+	private static void awaitLoad(Main main, int load) {
+		long until = Main.now() + 8000;
+		while (main.workers.stream().anyMatch((worker) -> worker.load() < load) && Main.now() < until) {
+			Main.sleep(50);
 		}
 	}
 
-	// Trouble of all kinds beside stored jobs.
-	private static void mix(Main main, boolean trouble) throws Exception {
-		main.start(2);
-		java.util.Random random = main.random;
-		long seed = Long.getLong("seed", random.nextLong());
-		random.setSeed(seed);
-		main.record.note("SEED %d", seed);
-		long end = Main.now() + 75_000;
-		List<Job> jobs = new ArrayList<>();
-		List<Job> toCancel = new ArrayList<>();
-		Thread traffic = Main.daemon(() -> {
-			while (Main.now() < end) {
-				Job job = main.job(false);
-				switch (random.nextInt(8)) {
-					case 0 -> job.step(4, 2000, 200).step(3, 2000, 600, 0);
-					case 1 -> job.step(2, 6800, 1500);
-					case 2 -> job.step(2, 6800, 300).step(2, 3000, 3000, 0);
-					case 3 -> job.step(3, 2000, 500).failing(1);
-					case 4 -> job.step(1, 4000, 700).failing(2);
-					case 5 -> job.gang(6, 2000, 1200);
-					case 6 -> job.step(1, 6800, 6000);
-					default -> job.step(8, 3000, 50);
-				}
-				main.submit(job);
-				jobs.add(job);
-				if (random.nextInt(5) == 0) {
-					Main.daemon(() -> {
-						Main.sleep(500 + random.nextInt(2500));
-						if (main.record.isAccepted(job)) {
-							for (int tries = 0; tries < 20; tries++) {
-								int status = main.cancel(job, main.any());
-								if (status / 100 == 2 || status == 410) {
-									break;
-								}
-								Main.sleep(400);
-							}
-						}
-					}).start();
-				}
-				else if (random.nextInt(6) == 0) {
-					Main.daemon(() -> {
-						Main.sleep(2000 + random.nextInt(3000));
-						main.submitOnce(job, main.any());
-					}).start();
-				}
-				Main.sleep(150 + random.nextInt(250));
-			}
-		});
-		List<Job> lasting = new ArrayList<>();
-		for (int number = 0; number < 6; number++) {
-			Job job = main.job(false).lasting(2, 1500);
-			lasting.add(job);
-			main.submit(job);
-		}
-		traffic.start();
-		Thread looks = Main.daemon(() -> {
-			while (Main.now() < end) {
-				Job job = jobs.isEmpty() ? null : jobs.get(random.nextInt(jobs.size()));
-				if (job != null && main.record.isAccepted(job)) {
-					main.show(job, main.any());
-				}
-				Main.sleep(60);
-			}
-		});
-		looks.start();
-		String only = System.getProperty("only", "");
-		while (trouble && Main.now() < end) {
-			Main.sleep(1500 + random.nextInt(5000));
-			int kinds = 1 + random.nextInt(2);
-			for (int kind = 0; kind < kinds; kind++) {
-				int choice = random.nextInt(12);
-				main.record.note("TROUBLE %d", choice);
-				Worker worker = main.workers.get(random.nextInt(main.workers.size()));
-				Host host = (random.nextInt(3) > 0) ? main.scheduler() : main.any();
-				Main.daemon(() -> {
-					try {
-						trouble(main, choice, worker, host);
-					}
-					catch (Exception ex) {
-						main.record.note("TROUBLE FAILED %s", ex);
-					}
-				}).start();
-			}
-		}
-		traffic.join();
-		Main.sleep(16_000);
-		List<Job> accepted = jobs.stream().filter(main.record::isAccepted).toList();
-		main.record.finish(await(main, accepted, 14_000));
-		for (Job job : lasting) {
-			String state = main.show(job, main.any());
-			main.record.note("LASTING %s %s runs %d", job.id, state, main.record.runningOf(job));
-			if (main.record.isAccepted(job) && main.record.runningOf(job) < 2 && !state.equals("failed")) {
-				main.record.broken("LOST", "lasting job %s has %d of 2 tasks at work", job.id, main.record.runningOf(job));
-			}
-		}
-	}
-
-	private static void trouble(Main main, int choice, Worker worker, Host host) throws Exception {
-		java.util.Random random = main.random;
-		switch (choice) {
-			case 0, 1 -> {
-				if (host.isAlive()) {
-					host.kill();
-					Main.sleep(500 + random.nextInt(3000));
-					host.start();
-				}
-			}
-			case 2, 3 -> {
-				if (host.isAlive()) {
-					host.signal("STOP");
-					Main.sleep(800 + random.nextInt(3200));
-					host.signal("CONT");
-				}
-			}
-			case 4 -> {
-				if (host.isAlive()) {
-					host.terminate();
-					Main.sleep(300);
-					host.start();
-				}
-			}
-			case 5 -> store(main, List.of(host), Store.Mode.BUSY, 4500);
-			case 6 -> store(main, List.of(host), Store.Mode.SILENT, 4500 + random.nextInt(7500));
-			case 7 -> store(main, main.hosts, Store.Mode.SILENT, 4500);
-			case 8 -> store(main, main.hosts, Store.Mode.ANSWER_LOST, 1000 + random.nextInt(3500));
-			case 9 -> store(main, List.of(host), Store.Mode.ANSWER_LOST, 1000 + random.nextInt(3500));
-			case 10 -> {
-				worker.setCut(true);
-				Main.sleep(1000 + random.nextInt(4500));
-				worker.setCut(false);
-			}
-			default -> {
-				worker.crash();
-				Main.sleep(500 + random.nextInt(4300));
-				worker.start();
-			}
-		}
-	}
-
-	private static void store(Main main, List<Host> hosts, Store.Mode mode, long millis) {
-		main.record.note("STORE %s for %s", mode, hosts.stream().map((host) -> host.name).toList());
-		hosts.forEach((host) -> {
-			main.store.setMode(host.number, mode);
-			host.disturb();
-		});
-		Main.sleep(millis);
-		hosts.forEach((host) -> {
-			main.store.setMode(host.number, Store.Mode.SERVED);
-			host.disturb();
-		});
-		main.record.note("STORE SERVED again");
-	}
-
 }
--- a/review/stand-ins-2/Job.java
+++ b/review/stand-ins-2/Job.java
@@ -23,6 +23,9 @@
 
 	int failures;
 
+	/** Further fields of each step, by its number, each after a comma. */
+	final java.util.Map<Integer, String> extras = new java.util.HashMap<>();
+
 	int memMb = 64;
 
 	String pad = "";
@@ -42,6 +45,12 @@
 		return this;
 	}
 
+	/** The field maxPerServer of each step that lasts, 0 to omit it. */
+	int maxPerServer;
+
+	/** The field mayMiss of each step that lasts, 0 to omit it. */
+	int mayMiss;
+
 	Job gang(int count, int cpu, long millis) {
 		this.steps.add(new Step(count, cpu, millis, List.of(), false, true));
 		return this;
@@ -52,6 +61,11 @@
 		return this;
 	}
 
+	Job with(String fields) {
+		this.extras.merge(this.steps.size() - 1, "," + fields, String::concat);
+		return this;
+	}
+
 	Job failing(int runs) {
 		this.failures = runs;
 		return this;
@@ -85,7 +99,9 @@
 				text.append(",\"gang\":true");
 			}
 			if (step.perpetual()) {
-				text.append(",\"perpetual\":true");
+				text.append(",\"perpetual\":true")
+					.append((this.maxPerServer > 0) ? ",\"maxPerServer\":" + this.maxPerServer : "")
+					.append((this.mayMiss > 0) ? ",\"mayMiss\":" + this.mayMiss : "");
 			}
 			else {
 				text.append(",\"estDurationMs\":" + step.millis());
@@ -93,7 +109,7 @@
 			if (!step.after().isEmpty()) {
 				text.append(",\"after\":" + step.after());
 			}
-			text.append("}");
+			text.append(this.extras.getOrDefault(number, "")).append("}");
 		}
 		return text.append("]}").toString();
 	}
--- a/review/stand-ins-2/Main.java
+++ b/review/stand-ins-2/Main.java
@@ -213,6 +213,16 @@
 		return state.isEmpty() ? Integer.toString(answer.status()) : state;
 	}
 
+	void showPending(Host host) {
+		Client.Answer answer = Client.call(host.callers, "GET", PREFIX, "", 2000);
+		if (answer.status() == 200) {
+			this.record.pendingShown((int) Json.number(answer.body(), "pendingJobs", -1), host.name, host.inTouch());
+		}
+		else {
+			this.record.note("CLIENT GET pendingJobs at %s answered %d", host.name, answer.status());
+		}
+	}
+
 	int cancel(Job job, Host host) {
 		this.record.cancelSent(job);
 		Client.Answer answer = Client.call(host.callers, "DELETE", PREFIX + job.id, "", 4000);
--- a/review/stand-ins-2/Record.java
+++ b/review/stand-ins-2/Record.java
@@ -65,6 +65,8 @@
 
 	private static final long VISIBLE_MS = 3000;
 
+	private static final long IDLE_MS = 3000;
+
 	private static final long CONTACT_MS = 3000;
 
 	private static final long CANCEL_MS = 3000;
@@ -171,6 +173,21 @@
 		}
 	}
 
+	// Checks a number of pending jobs against the accepted jobs of which no task has started.
+	synchronized void pendingShown(int pending, String host, boolean hostInTouch) {
+		long waiting = this.jobs.values()
+			.stream()
+			.filter((log) -> !log.job.bestEffort && log.acceptedMs >= 0 && log.cancelSentMs < 0
+					&& Main.now() - log.acceptedMs > VISIBLE_MS + 2000 && startsOf(log.job) == 0)
+			.count();
+		note("CLIENT GET pendingJobs at %s answered %d; accepted over 5 s before and not begun: %d", host, pending,
+				waiting);
+		if (hostInTouch && 2 * pending < waiting) {
+			broken("MIXED", "%s gives %d as pendingJobs, and %d jobs that were accepted over visible_ms + 2 s before"
+					+ " haven't begun", host, pending, waiting);
+		}
+	}
+
 	private long failedEnds(String task) {
 		return this.runs.stream().filter((run) -> run.task.equals(task) && run.how.equals("failed")).count();
 	}
@@ -316,7 +333,30 @@
 				broken("REFUSED", "a task of %s has started, and all attempts to hand it in were rejected", log.job.id);
 			}
 		}
-		stuck.forEach((job) -> broken("LOST", "accepted job %s isn't known, gets no answer or doesn't go on", job.id));
+		stuck.forEach(this::checkGoesOn);
+	}
+
+	// A job that isn't shown as ended has to be known, and must not wait for 3 s with nothing at
+	// work; the runners of the cases have room for it many times over.
+	private void checkGoesOn(Job job) {
+		JobLog log = this.jobs.get(job.id);
+		if (!log.shown.containsKey("running") && !log.shown.containsKey("queued")) {
+			broken("LOST", "accepted job %s isn't known, or gets no answer in time", job.id);
+			return;
+		}
+		long since = log.acceptedMs;
+		for (Run run : this.runs) {
+			if (run.task.startsWith(job.id + ".")) {
+				if (run.endMs < 0) {
+					return;
+				}
+				since = Math.max(since, run.endMs);
+			}
+		}
+		if (Main.now() - since > IDLE_MS) {
+			broken("LOST", "accepted job %s has had nothing running for %d ms, although a task's turn has come", job.id,
+					Main.now() - since);
+		}
 	}
 
 	synchronized boolean isAccepted(Job job) {
--- a/review/stand-ins-2/Worker.java
+++ b/review/stand-ins-2/Worker.java
@@ -64,6 +64,9 @@
 
 	private boolean draining;
 
+	/** The share of the orders that are carried out late, and not answered. */
+	private volatile double lateShare;
+
 	/** Whether it neither answers nor reaches the store; what it runs goes on. */
 	private boolean cut;
 
@@ -91,6 +94,7 @@
 		this.token = 0;
 		this.leaseEndMs = 0;
 		this.nextEnd = 1;
+		this.draining = false;
 		this.running.clear();
 		this.ended.clear();
 		this.highest.clear();
@@ -132,6 +136,10 @@
 		notifyAll();
 	}
 
+	void setLateShare(double share) {
+		this.lateShare = share;
+	}
+
 	synchronized void drain() {
 		this.main.record.note("RUNNER %s drains", this.id);
 		this.draining = true;
@@ -167,7 +175,7 @@
 		String entry = "{\"service\":\"" + Main.SERVICE + "\",\"address\":\"" + Main.text(this.address)
 				+ "\",\"zone\":\"" + this.zone + "\",\"configVersion\":\"v1\",\"slots\":8,\"state\":\""
 				+ (this.draining ? "draining" : "ready") + "\",\"coldRemainingMs\":0,\"capacity\":{\"cpu\":" + this.cpu
-				+ ",\"memMb\":32768,\"gpu\":0},\"labels\":[\"a\",\"" + this.rack + "\"],\"clockMs\":" + clock()
+				+ ",\"memMb\":" + 2 * this.cpu + ",\"gpu\":0},\"labels\":[\"a\",\"" + this.rack + "\"],\"clockMs\":" + clock()
 				+ ",\"seqNo\":" + this.sequence++ + ",\"born\":" + this.bornMs + "}";
 		this.main.store.putWorker(this.id, entry.getBytes(StandardCharsets.UTF_8));
 	}
@@ -224,6 +232,17 @@
 	private void handle(int served, HttpExchange exchange) throws IOException {
 		String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
 		String path = exchange.getRequestURI().getPath();
+		if (this.lateShare > 0 && this.main.random.nextDouble() < this.lateShare) {
+			String target = exchange.getRequestHeaders().getFirst("X-Target-Instance");
+			this.main.record.note("RUNNER %s carries out %s later %s", this.id, path, body);
+			Main.sleep(2000 + this.main.random.nextInt(10_000));
+			synchronized (this) {
+				if (this.life == served) {
+					carryOut(served, path, target, body);
+				}
+			}
+			return;
+		}
 		Store.Reply reply;
 		synchronized (this) {
 			if (awaitReach(served)) {
