--- a/review/stand-ins-2/Explorations.java
+++ b/review/stand-ins-2/Explorations.java
@@ -11,7 +11,7 @@
 	static Main open(String name, Path record, Path folder) throws Exception {
 		return switch (name) {
 			case "mix", "backlog" -> new Main(record, folder, Integer.getInteger("hosts", 4), 12, 16_000);
-			case "pending", "fuzz" -> new Main(record, folder, 3, 15, 16_000);
+			case "pending", "fuzz", "copies" -> new Main(record, folder, 3, 15, 16_000);
 			case "stops", "large" -> new Main(record, folder, 3, 15, 64_000);
 			default -> throw new IllegalArgumentException("there is no case " + name);
 		};
@@ -21,6 +21,7 @@
 		switch (name) {
 			case "mix" -> mix(main, trouble);
 			case "fuzz" -> fuzz(main);
+			case "copies" -> copies(main);
 			case "pending" -> pending(main, trouble);
 			case "stops" -> stops(main, trouble);
 			case "large" -> large(main, trouble);
@@ -196,6 +197,41 @@
 		main.record.note("STORE SERVED again");
 	}
 
+	// Jobs are cancelled, the scheduler is killed, and copies of their requests arrive seconds later.
+	private static void copies(Main main) throws Exception {
+		main.start(2);
+		for (int round = 0; round < 6; round++) {
+			List<Job> jobs = new ArrayList<>();
+			for (int number = 0; number < 8; number++) {
+				Job job = main.job(false).step(2, 2000, 1500).step(2, 2000, 1500, 0);
+				jobs.add(job);
+				main.submit(job);
+				Main.sleep(30);
+			}
+			Main.sleep(1500);
+			for (Job job : jobs) {
+				if (main.record.isAccepted(job)) {
+					for (int tries = 0; tries < 20 && main.cancel(job, main.any()) == 503; tries++) {
+						Main.sleep(300);
+					}
+				}
+			}
+			Host scheduler = main.scheduler();
+			scheduler.kill();
+			Main.sleep(1500);
+			scheduler.start();
+			for (Job job : jobs) {
+				main.submitOnce(job, main.any());
+				main.show(job, main.any());
+			}
+			Main.sleep(4000);
+			for (Job job : jobs) {
+				main.show(job, main.any());
+			}
+		}
+		main.record.finish(List.of());
+	}
+
 	private static void fuzz(Main main) throws Exception {
 		main.start(3);
 		java.util.Random random = main.random;
