--- a/review/stand-ins-2/Cases.java
+++ b/review/stand-ins-2/Cases.java
@@ -14,7 +14,7 @@
 
 	static Main open(String name, Path record, Path folder) throws Exception {
 		return switch (name) {
-			case "crash", "starved", "fills", "cancel" -> new Main(record, folder, 3, 15, CORES_16);
+			case "starved", "fills", "pending", "foreign" -> new Main(record, folder, 3, 15, CORES_16);
 			case "gang" -> new Main(record, folder, 3, 15, CORES_64);
 			default -> Explorations.open(name, record, folder);
 		};
@@ -22,11 +22,11 @@
 
 	static void run(String name, Main main, boolean trouble) throws Exception {
 		switch (name) {
-			case "crash" -> crash(main, trouble);
 			case "starved" -> starved(main, trouble);
 			case "gang" -> gang(main, trouble);
 			case "fills" -> fills(main, trouble);
-			case "cancel" -> cancel(main, trouble);
+			case "pending" -> pending(main, trouble);
+			case "foreign" -> foreign(main, trouble);
 			default -> Explorations.run(name, main, trouble);
 		}
 	}
@@ -46,51 +46,17 @@
 		return open;
 	}
 
-	// The runners of two stored jobs crash, twice. No run of either job ends 'failed'.
-	private static void crash(Main main, boolean trouble) throws Exception {
-		main.start(4);
-		Job job = main.job(false).step(1, 6800, 8000);
-		Job lasting = main.job(false).lasting(1, 6800);
-		main.submit(job);
-		main.submit(lasting);
-		main.awaitAccepted(List.of(job, lasting), 10_000);
-		for (int round = 0; trouble && round < 2; round++) {
-			List<Worker> crashed = new ArrayList<>();
-			long until = Main.now() + 12_000;
-			while (crashed.size() < 2 && Main.now() < until) {
-				Main.sleep(20);
-				crashed.clear();
-				for (Job crashing : List.of(job, lasting)) {
-					main.workers.stream().filter((worker) -> worker.runs(crashing.id)).findFirst().ifPresent(crashed::add);
-				}
-			}
-			Main.sleep(2000);
-			crashed.stream().distinct().forEach(Worker::crash);
-			Main.sleep(4500);
-			for (Worker worker : crashed.stream().distinct().toList()) {
-				worker.start();
-			}
-		}
-		long until = Main.now() + 20_000;
-		while (Main.now() < until) {
-			main.show(job, main.any());
-			main.show(lasting, main.any());
-			Main.sleep(500);
-		}
-		main.record.finish(await(main, List.of(job), 20_000));
-	}
-
-	// Each runner has a task that lasts. The runner of another job crashes twice, each time beside
-	// such a task.
+	// Each runner has a task that lasts. The runner of another job is cut off, so that what it runs
+	// lapses, and starts again behind the cut; then the same on the runner where the job goes on.
 	private static void starved(Main main, boolean trouble) throws Exception {
 		main.start(4);
 		Job lasting = main.job(false).lasting(main.workers.size(), 1000);
 		lasting.maxPerServer = 1;
-		main.submit(lasting);
+		main.submitUntilAccepted(lasting);
 		main.awaitAccepted(List.of(lasting), 10_000);
 		awaitLoad(main, 1);
-		Job job = main.job(false).step(1, 2000, 8000);
-		main.submit(job);
+		Job job = main.job(false).step(1, 2000, 20_000);
+		main.submitUntilAccepted(job);
 		main.awaitAccepted(List.of(job), 10_000);
 		for (int round = 0; trouble && round < 2; round++) {
 			long until = Main.now() + 12_000;
@@ -103,11 +69,17 @@
 				break;
 			}
 			Main.sleep(2000);
+			at.setCut(true);
+			Main.sleep(4000);
 			at.crash();
-			Main.sleep(4500);
 			at.start();
+			Main.sleep(1400);
+			at.setCut(false);
+			if (round == 0) {
+				awaitLoad(main, 1);
+			}
 		}
-		main.record.finish(await(main, List.of(job), 50_000));
+		main.record.finish(await(main, List.of(job), 30_000));
 	}
 
 	// The hosts have run for a while before the case begins.
@@ -119,48 +91,34 @@
 		Main.sleep(1000);
 	}
 
-	// While other jobs use most of each runner, two gangs of small tasks start on several runners,
-	// one that ends and one that lasts. A runner of each crashes; by then the other jobs have ended,
-	// and the gangs have to start again.
+	// While other jobs use most of each runner, a gang of small tasks that lasts starts on several
+	// runners. One of them crashes; by then the other jobs have ended, and the gang has to start
+	// again.
 	private static void gang(Main main, boolean trouble) throws Exception {
 		main.start(4);
 		warmUp(main);
 		List<Job> jobs = new ArrayList<>();
 		for (int number = 0; number < main.workers.size(); number++) {
-			Job other = main.job(false).step(1, 50_000, 8000);
+			Job other = main.job(false).step(1, 58_000, 10_000);
 			jobs.add(other);
-			main.submit(other);
+			main.submitUntilAccepted(other);
 		}
-		main.awaitAccepted(jobs, 10_000);
-		long until = Main.now() + 5000;
-		while (main.workers.stream().anyMatch((worker) -> worker.load() == 0) && Main.now() < until) {
-			Main.sleep(20);
-		}
-		Job gang = main.job(false).gang(48, 1000, 14_000);
-		Job lasting = main.job(false).lastingGang(48, 1000);
-		main.submit(gang);
-		main.submit(lasting);
-		main.awaitAccepted(List.of(gang, lasting), 5000);
-		Main.sleep(10_000);
+		main.awaitAccepted(jobs, 15_000);
+		awaitLoad(main, 1);
+		Job gang = main.job(false).lastingGang(48, 1000);
+		main.submitUntilAccepted(gang);
+		main.awaitAccepted(List.of(gang), 10_000);
+		Main.sleep(12_000);
 		if (trouble) {
-			List<Worker> crashed = new ArrayList<>();
-			for (Job job : List.of(gang, lasting)) {
-				main.workers.stream()
-					.filter((worker) -> worker.runs(job.id) && !crashed.contains(worker))
-					.findFirst()
-					.ifPresent(crashed::add);
-			}
-			crashed.forEach(Worker::crash);
+			Worker at = main.workers.stream().filter((worker) -> worker.runs(gang.id)).findFirst().orElseThrow();
+			at.crash();
 			main.record.disturbed();
 			Main.sleep(4500);
-			for (Worker worker : crashed) {
-				worker.start();
-			}
+			at.start();
 			main.record.disturbed();
 		}
-		jobs.add(gang);
-		main.record.finish(await(main, jobs, 45_000));
-		Main.sleep(Math.max(0, main.startedMs + 80_000 - Main.now()));
+		main.record.finish(await(main, jobs, 15_000));
+		Main.sleep(Math.max(0, main.startedMs + 60_000 - Main.now()));
 	}
 
 	// A job that fills runs on the only runner that has no task with a target. That runner is lost.
@@ -181,27 +139,69 @@
 		main.record.finish(await(main, List.of(job), 40_000));
 	}
 
-	// A client that waits for a job which needn't be kept cancels it on a new connection. With
-	// trouble that reaches another host than the one at which the client waits.
-	private static void cancel(Main main, boolean trouble) throws Exception {
-		main.start(4);
-		Job job = main.job(true).step(1, 6800, 5000).step(1, 6800, 5000, 0);
-		main.record.created(job);
-		Host waitsAt = main.any();
-		Thread waiting = Main.daemon(() -> main.submitOnce(job, waitsAt));
-		waiting.start();
-		Main.sleep(1500);
-		Host other = main.hosts.stream().filter((host) -> host != waitsAt).findFirst().orElseThrow();
-		main.cancel(job, trouble ? other : waitsAt);
-		Main.sleep(12_000);
-		main.record.finish(List.of());
+	private static void awaitLoad(Main main, int load) {
+		long until = Main.now() + 12_000;
+		while (main.workers.stream().anyMatch((worker) -> worker.load() < load) && Main.now() < until) {
+			Main.sleep(50);
+		}
 	}
 
-	private static void awaitLoad(Main main, int load) {
+	// All runners but one are taken by a job that lasts. The one that is free is lost for good, and
+	// clients hand jobs in, which wait. The hosts are asked how many do.
+	private static void pending(Main main, boolean trouble) throws Exception {
+		main.start(4);
+		Job lasting = main.job(false).lasting(main.workers.size() - 1, 15_900);
+		main.submit(lasting);
+		main.awaitAccepted(List.of(lasting), 10_000);
 		long until = Main.now() + 8000;
-		while (main.workers.stream().anyMatch((worker) -> worker.load() < load) && Main.now() < until) {
+		while (main.workers.stream().filter((worker) -> worker.load() > 0).count() < main.workers.size() - 1
+				&& Main.now() < until) {
 			Main.sleep(50);
 		}
+		Worker free = main.workers.stream().filter((worker) -> worker.load() == 0).findFirst().orElseThrow();
+		Main.sleep(1000);
+		if (trouble) {
+			free.setCut(true);
+			main.record.note("RUNNER %s is lost for good, and silent", free.id);
+		}
+		List<Job> waiting = new ArrayList<>();
+		for (int number = 0; number < 16; number++) {
+			Job job = main.job(false).step(1, 500, 1000);
+			waiting.add(job);
+			main.submit(job);
+			Main.sleep(8);
+		}
+		main.awaitAccepted(waiting, 10_000);
+		for (int look = 0; look < 20; look++) {
+			Main.sleep(1000);
+			main.hosts.forEach(main::showPending);
+		}
+		main.record.finish(List.of());
+	}
+
+	// An entry of another writer, of a service that no configuration names and with an address at
+	// which nobody answers, stands in the list. The host that schedules freezes.
+	private static void foreign(Main main, boolean trouble) throws Exception {
+		main.start(4);
+		Job lasting = main.job(false).lasting(6, 1000);
+		main.submit(lasting);
+		main.awaitAccepted(List.of(lasting), 10_000);
+		if (trouble) {
+			Main.daemon(main::writeForeignEntry).start();
+		}
+		Main.sleep(6000);
+		if (trouble) {
+			Host scheduler = main.scheduler();
+			scheduler.signal("STOP");
+			Main.sleep(2000);
+			scheduler.signal("CONT");
+			main.record.disturbed();
+		}
+		for (int look = 0; look < 20; look++) {
+			Main.sleep(1000);
+			main.show(lasting, main.any());
+		}
+		main.record.finish(List.of());
 	}
 
 }
--- a/review/stand-ins-2/Explorations.java
+++ b/review/stand-ins-2/Explorations.java
@@ -11,7 +11,7 @@
 	static Main open(String name, Path record, Path folder) throws Exception {
 		return switch (name) {
 			case "mix", "backlog" -> new Main(record, folder, Integer.getInteger("hosts", 4), 12, 16_000);
-			case "pending", "fuzz", "copies" -> new Main(record, folder, 3, 15, 16_000);
+			case "crash", "cancel", "fuzz", "copies" -> new Main(record, folder, 3, 15, 16_000);
 			case "stops", "large" -> new Main(record, folder, 3, 15, 64_000);
 			default -> throw new IllegalArgumentException("there is no case " + name);
 		};
@@ -22,7 +22,8 @@
 			case "mix" -> mix(main, trouble);
 			case "fuzz" -> fuzz(main);
 			case "copies" -> copies(main);
-			case "pending" -> pending(main, trouble);
+			case "crash" -> crash(main, trouble);
+			case "cancel" -> cancel(main, trouble);
 			case "stops" -> stops(main, trouble);
 			case "large" -> large(main, trouble);
 			case "backlog" -> backlog(main, trouble);
@@ -271,39 +272,6 @@
 		main.record.finish(Cases.await(main, jobs.stream().filter((job) -> !job.bestEffort && main.record.isAccepted(job)).toList(), 30_000));
 	}
 
-	// All runners but one are taken by a job that lasts. The one that is free is lost for good, and
-	// clients hand jobs in, which wait. The hosts are asked how many do.
-	private static void pending(Main main, boolean trouble) throws Exception {
-		main.start(4);
-		Job lasting = main.job(false).lasting(main.workers.size() - 1, 15_900);
-		main.submit(lasting);
-		main.awaitAccepted(List.of(lasting), 10_000);
-		long until = Main.now() + 8000;
-		while (main.workers.stream().filter((worker) -> worker.load() > 0).count() < main.workers.size() - 1
-				&& Main.now() < until) {
-			Main.sleep(50);
-		}
-		Worker free = main.workers.stream().filter((worker) -> worker.load() == 0).findFirst().orElseThrow();
-		Main.sleep(1000);
-		if (trouble) {
-			free.setCut(true);
-			main.record.note("RUNNER %s is lost for good, and silent", free.id);
-		}
-		List<Job> waiting = new ArrayList<>();
-		for (int number = 0; number < 16; number++) {
-			Job job = main.job(false).step(1, 500, 1000);
-			waiting.add(job);
-			main.submit(job);
-			Main.sleep(8);
-		}
-		main.awaitAccepted(waiting, 10_000);
-		for (int look = 0; look < 20; look++) {
-			Main.sleep(1000);
-			main.hosts.forEach(main::showPending);
-		}
-		main.record.finish(List.of());
-	}
-
 	// Many jobs of many small tasks are cancelled at once, beside a job that lasts.
 	private static void stops(Main main, boolean trouble) throws Exception {
 		main.start(4);
@@ -383,4 +351,54 @@
 		}
 	}
 
+	// The runners of two stored jobs crash, twice. No run of either job ends 'failed'.
+	private static void crash(Main main, boolean trouble) throws Exception {
+		main.start(4);
+		Job job = main.job(false).step(1, 6800, 8000);
+		Job lasting = main.job(false).lasting(1, 6800);
+		main.submit(job);
+		main.submit(lasting);
+		main.awaitAccepted(List.of(job, lasting), 10_000);
+		for (int round = 0; trouble && round < 2; round++) {
+			List<Worker> crashed = new ArrayList<>();
+			long until = Main.now() + 12_000;
+			while (crashed.size() < 2 && Main.now() < until) {
+				Main.sleep(20);
+				crashed.clear();
+				for (Job crashing : List.of(job, lasting)) {
+					main.workers.stream().filter((worker) -> worker.runs(crashing.id)).findFirst().ifPresent(crashed::add);
+				}
+			}
+			Main.sleep(2000);
+			crashed.stream().distinct().forEach(Worker::crash);
+			Main.sleep(4500);
+			for (Worker worker : crashed.stream().distinct().toList()) {
+				worker.start();
+			}
+		}
+		long until = Main.now() + 20_000;
+		while (Main.now() < until) {
+			main.show(job, main.any());
+			main.show(lasting, main.any());
+			Main.sleep(500);
+		}
+		main.record.finish(Cases.await(main, List.of(job), 20_000));
+	}
+
+	// A client that waits for a job which needn't be kept cancels it on a new connection. With
+	// trouble that reaches another host than the one at which the client waits.
+	private static void cancel(Main main, boolean trouble) throws Exception {
+		main.start(4);
+		Job job = main.job(true).step(1, 6800, 5000).step(1, 6800, 5000, 0);
+		main.record.created(job);
+		Host waitsAt = main.any();
+		Thread waiting = Main.daemon(() -> main.submitOnce(job, waitsAt));
+		waiting.start();
+		Main.sleep(1500);
+		Host other = main.hosts.stream().filter((host) -> host != waitsAt).findFirst().orElseThrow();
+		main.cancel(job, trouble ? other : waitsAt);
+		Main.sleep(12_000);
+		main.record.finish(List.of());
+	}
+
 }
--- a/review/stand-ins-2/Main.java
+++ b/review/stand-ins-2/Main.java
@@ -169,6 +169,18 @@
 		}
 	}
 
+	// Writes an entry every heartbeat interval, as its writer would.
+	void writeForeignEntry() {
+		while (true) {
+			String entry = "{\"service\":\"printers\",\"address\":\"" + text(address(102, 1, this.port))
+					+ "\",\"zone\":\"zone-a\",\"configVersion\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,"
+					+ "\"capacity\":{\"cpu\":1000,\"memMb\":1024,\"gpu\":0},\"labels\":[\"p\"],\"clockMs\":" + now()
+					+ ",\"seqNo\":" + now() + ",\"born\":1700000000000}";
+			this.store.putWorker("printer-7", entry.getBytes(StandardCharsets.UTF_8));
+			sleep(Worker.HEARTBEAT_MS);
+		}
+	}
+
 	boolean isReady(Host host) {
 		return host.isAlive() && Client.call(new InetSocketAddress(host.callers.getAddress(), host.callers.getPort() + 1),
 				"GET", "/api/ready", "", 900).status() == 200;
@@ -194,6 +206,18 @@
 		}).start();
 	}
 
+	// Hands a job in until it is accepted, also after a rejection; the cases begin with such jobs.
+	void submitUntilAccepted(Job job) {
+		this.record.created(job);
+		this.jobs.add(job);
+		daemon(() -> {
+			for (int attempt = 0; attempt < 12 && !this.record.isAccepted(job); attempt++) {
+				submitOnce(job, any());
+				sleep(this.record.isAccepted(job) ? 0 : RESEND_MS);
+			}
+		}).start();
+	}
+
 	Client.Answer submitOnce(Job job, Host host) {
 		Client.Answer answer = Client.call(host.callers, "POST", PREFIX + job.id, job.body(), 10_000);
 		this.record.submitted(job, answer.status(), "by " + host.name + " " + answer.body());
--- a/review/stand-ins-2/Record.java
+++ b/review/stand-ins-2/Record.java
@@ -67,6 +67,10 @@
 
 	private static final long IDLE_MS = 3000;
 
+	private static final long LASTING_RESTART_MS = 6000;
+
+	private static final long CALM_BEFORE_MS = 4000;
+
 	private static final long CONTACT_MS = 3000;
 
 	private static final long CANCEL_MS = 3000;
@@ -236,6 +240,9 @@
 				}
 			}
 		}
+		if (log.job.steps.get(step(task)).perpetual()) {
+			checkLasting(log, task);
+		}
 		long failed = this.runs.stream()
 			.filter((run) -> run.task.equals(task) && run.how.equals("failed") && run.noted)
 			.count();
@@ -258,6 +265,28 @@
 		return (asked != null && asked.gang()) ? asked.count() : 0;
 	}
 
+	// A task that lasts must not wait for 3 s, from 6 s after its last run, in calm time of which 4 s
+	// have passed before.
+	private void checkLasting(JobLog log, String task) {
+		long ended = -1;
+		for (Run run : this.runs) {
+			if (run.task.equals(task)) {
+				if (run.endMs < 0) {
+					return;
+				}
+				ended = Math.max(ended, run.endMs);
+			}
+		}
+		if (ended < 0 || log.cancelSentMs >= 0) {
+			return;
+		}
+		long from = Math.max(ended + LASTING_RESTART_MS, this.disturbedMs + CALM_BEFORE_MS);
+		if (Main.now() - from > IDLE_MS) {
+			broken("LOST", "task %s, which lasts, has not run for %d ms since its last run, %d ms of them after the last"
+					+ " disruption", task, Main.now() - ended, Main.now() - Math.max(ended, this.disturbedMs));
+		}
+	}
+
 	private static int step(String task) {
 		return Integer.parseInt(task.split("\\.")[2]);
 	}
@@ -326,6 +355,11 @@
 	// not run.
 	synchronized void finish(List<Job> stuck) {
 		for (JobLog log : this.jobs.values()) {
+			for (String task : tasks(log.job)) {
+				if (log.job.steps.get(step(task)).perpetual() && !log.shown.containsKey("failed")) {
+					checkLasting(log, task);
+				}
+			}
 			boolean ran = this.runs.stream().anyMatch((run) -> run.task.startsWith(log.job.id + "."));
 			boolean rejected = !log.submitAnswers.isEmpty()
 					&& log.submitAnswers.stream().allMatch((status) -> status == 503 || status == 429);
