--- a/review/stand-ins-2/Cases.java
+++ b/review/stand-ins-2/Cases.java
@@ -113,7 +113,7 @@
 			Worker at = main.workers.stream().filter((worker) -> worker.runs(gang.id)).findFirst().orElseThrow();
 			at.crash();
 			main.record.disturbed();
-			Main.sleep(4500);
+			Main.sleep(4300);
 			at.start();
 			main.record.disturbed();
 		}
