--- a/review/stand-ins-3/src/Fleet.java
+++ b/review/stand-ins-3/src/Fleet.java
@@ -28,6 +28,9 @@
 
 	private static final int HOSTS = 6;
 
+	/** "Traffic starts 15 s after the machines do." */
+	private static final long LEAD_MILLIS = 15_000;
+
 	/** Named by deploy/settings.json. */
 	private static final int METRICS_PORT = 9464;
 
@@ -80,8 +83,12 @@
 
 	/** Writes the configuration: one queue for the service of the runners. */
 	void configure(int attempts, String terms) {
+		configure(attempts, terms, 1500);
+	}
+
+	void configure(int attempts, String terms, long timeoutMillis) {
 		String config = "{\"configVersion\":7,\"routes\":[{\"name\":\"r-3hwrr6x\",\"host\":\"nony24.example\","
-				+ "\"pathPrefix\":\"" + PREFIX + "\",\"routeType\":\"non_idempotent\",\"timeoutMs\":1500," + terms
+				+ "\"pathPrefix\":\"" + PREFIX + "\",\"routeType\":\"non_idempotent\",\"timeoutMs\":" + timeoutMillis + "," + terms
 				+ "\"priority\":0,\"service\":\"rondas\",\"attempts\":" + attempts + ",\"stretch\":1.6}],"
 				+ "\"services\":[{\"name\":\"rondas\",\"healthPath\":\"/health\",\"maxConns\":64,\"protocol\":\"h1\","
 				+ "\"tls\":false,\"rejectsOverload\":false,\"spare\":false}],\"limits\":{\"maxHeaderBytes\":16384,"
@@ -118,10 +125,11 @@
 			host.writeSettings(String.join(",", seeds));
 			host.start();
 		}
+		long startMillis = this.record.millis();
 		for (Host host : this.hosts) {
-			await(40_000, host.name + " to be ready",
-					() -> host.get("/api/ready") == 200);
+			await(40_000, host.name + " to be ready", () -> host.get("/api/ready") == 200);
 		}
+		sleep(Math.max(0, LEAD_MILLIS - (this.record.millis() - startMillis)));
 	}
 
 	// ---- what happened ----
--- a/review/stand-ins-3/src/Runner.java
+++ b/review/stand-ins-3/src/Runner.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.BindException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -18,6 +19,8 @@
 
 	private static final long HEARTBEAT_MILLIS = 1500;
 
+	private static final int BIND_TRIES = 25;
+
 	private static final int MAX_LISTED = 500;
 
 	private final Fleet fleet;
@@ -62,6 +65,9 @@
 
 	private final Map<String, Integer> highest = new HashMap<>();
 
+	/** Whether the store does not hear it, while the hosts reach it. */
+	volatile boolean cutFromStore;
+
 	/** An unhealthy runner answers each start with 503 and does nothing. */
 	volatile boolean refusesStarts;
 
@@ -88,13 +94,26 @@
 		this.ended.clear();
 		this.highest.clear();
 		int servedLife = this.life;
-		this.server = new Server("127.0.0.1", this.port, (exchange, body) -> handle(servedLife,
-				exchange.getRequestURI().getPath(), exchange.getRequestHeaders().getFirst("X-Target-Instance"), body));
+		this.server = listen((exchange, body) -> handle(servedLife, exchange.getRequestURI().getPath(),
+				exchange.getRequestHeaders().getFirst("X-Target-Instance"), body));
 		this.port = this.server.port();
 		this.fleet.record.write("RUNNER %s (%s) up at port %d, born %d", this.name, this.id, this.port, this.bornMillis);
 		heartbeat();
 	}
 
+	// Listens at the port that it had, or at another one if a connection of this machine uses it meanwhile.
+	private Server listen(Server.Handler handler) throws IOException {
+		for (int tries = 0; tries < BIND_TRIES; tries++) {
+			try {
+				return new Server("127.0.0.1", this.port, handler);
+			}
+			catch (BindException ex) {
+				Fleet.sleep(20);
+			}
+		}
+		return new Server("127.0.0.1", 0, handler);
+	}
+
 	/** The process ends without a word: all that runs is gone, and connections are refused. */
 	synchronized void crash() {
 		this.fleet.record.write("FAULT runner %s crashes", this.name);
@@ -142,7 +161,7 @@
 			return;
 		}
 		long now = System.nanoTime();
-		if (now - this.heartbeatNanos > HEARTBEAT_MILLIS * 1_000_000) {
+		if (!this.cutFromStore && now - this.heartbeatNanos > HEARTBEAT_MILLIS * 1_000_000) {
 			heartbeat();
 		}
 		boolean lapsed = clock() >= this.leaseEnd;
