--- a/review/stand-ins-3/src/Cases.java
+++ b/review/stand-ins-3/src/Cases.java
@@ -17,8 +17,7 @@
 
 	}
 
-	private static final Map<String, Case> CASES = Map.of("11", Case11::run, "12", Case12::run, "13", Case13::run, "14", Case14::run,
-			"15", Case15::run);
+	private static final Map<String, Case> CASES = Map.of("11", UnlistedRunner::run, "13", ServingBesideFilling::run);
 
 	private Cases() {
 	}
--- a/review/stand-ins-3/src/Fleet.java
+++ b/review/stand-ins-3/src/Fleet.java
@@ -24,6 +24,8 @@
 
 	static final String PREFIX = "/lohu930/";
 
+	static final String OTHER_PREFIX = "/pufi791/";
+
 	private static final String[] ZONES = { "oviedo", "gijon", "aviles" };
 
 	private static final int HOSTS = 6;
@@ -74,8 +76,12 @@
 	// ---- the parts ----
 
 	Runner addRunner(int cpu) throws IOException {
+		return addRunner(cpu, "a", 1);
+	}
+
+	Runner addRunner(int cpu, String kind, double speed) throws IOException {
 		int number = this.runners.size();
-		Runner runner = new Runner(this, "runner-" + (number + 1), ZONES[number % 3], "r1-" + (1 + number / 8), cpu);
+		Runner runner = new Runner(this, "runner-" + (number + 1), ZONES[number % 3], "r1-" + (1 + number / 8), cpu, kind, speed);
 		this.runners.add(runner);
 		runner.start();
 		return runner;
@@ -87,9 +93,11 @@
 	}
 
 	void configure(int attempts, String terms, long timeoutMillis) {
+		String tail = "\",\"routeType\":\"non_idempotent\",\"timeoutMs\":" + timeoutMillis + "," + terms
+				+ "\"priority\":0,\"service\":\"rondas\",\"attempts\":" + attempts + ",\"stretch\":1.6}";
 		String config = "{\"configVersion\":7,\"routes\":[{\"name\":\"r-3hwrr6x\",\"host\":\"nony24.example\","
-				+ "\"pathPrefix\":\"" + PREFIX + "\",\"routeType\":\"non_idempotent\",\"timeoutMs\":" + timeoutMillis + "," + terms
-				+ "\"priority\":0,\"service\":\"rondas\",\"attempts\":" + attempts + ",\"stretch\":1.6}],"
+				+ "\"pathPrefix\":\"" + PREFIX + tail + ",{\"name\":\"r-73d3zji\",\"host\":\"nony24.example\","
+				+ "\"pathPrefix\":\"" + OTHER_PREFIX + tail + "],"
 				+ "\"services\":[{\"name\":\"rondas\",\"healthPath\":\"/health\",\"maxConns\":64,\"protocol\":\"h1\","
 				+ "\"tls\":false,\"rejectsOverload\":false,\"spare\":false}],\"limits\":{\"maxHeaderBytes\":16384,"
 				+ "\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
@@ -214,8 +222,12 @@
 
 	/** Submits a job until it is accepted, as a client does whose request got no answer. */
 	void submit(Host host, String id, String body) {
+		submit(host, PREFIX, id, body);
+	}
+
+	void submit(Host host, String prefix, String id, String body) {
 		for (int tries = 0; tries < 20; tries++) {
-			Client.Answer answer = send(host, "POST", PREFIX + id, body, 1500);
+			Client.Answer answer = send(host, "POST", prefix + id, body, 1500);
 			if (answer.status() == 200) {
 				return;
 			}
--- a/review/stand-ins-3/src/Runner.java
+++ b/review/stand-ins-3/src/Runner.java
@@ -35,6 +35,10 @@
 
 	private final int cpu;
 
+	private final String kind;
+
+	private final double speed;
+
 	private int port;
 
 	private Server server;
@@ -71,13 +75,15 @@
 	/** An unhealthy runner answers each start with 503 and does nothing. */
 	volatile boolean refusesStarts;
 
-	Runner(Fleet fleet, String name, String zone, String rack, int cpu) {
+	Runner(Fleet fleet, String name, String zone, String rack, int cpu, String kind, double speed) {
 		this.fleet = fleet;
 		this.name = name;
 		this.id = "i-" + Long.toHexString(0x5a000000L + fleet.runners.size() * 7919L);
 		this.zone = zone;
 		this.rack = rack;
 		this.cpu = cpu;
+		this.kind = kind;
+		this.speed = speed;
 	}
 
 	synchronized void start() throws IOException {
@@ -147,7 +153,7 @@
 		String entry = "{\"service\":\"rondas\",\"address\":\"127.0.0.1:" + this.port + "\",\"zone\":\"" + this.zone
 				+ "\",\"configVersion\":\"v1\",\"slots\":8,\"state\":\"" + (this.draining ? "draining" : "ready")
 				+ "\",\"coldRemainingMs\":0,\"capacity\":{\"cpu\":" + this.cpu
-				+ ",\"memMb\":32768,\"gpu\":0},\"labels\":[\"a\",\"" + this.rack + "\"],\"clockMs\":" + clock()
+				+ ",\"memMb\":32768,\"gpu\":0},\"labels\":[\"" + this.kind + "\",\"" + this.rack + "\"],\"clockMs\":" + clock()
 				+ ",\"seqNo\":" + this.seqNo++ + ",\"born\":" + this.bornMillis + "}";
 		this.fleet.store.heartbeat(this.id, entry.getBytes(java.nio.charset.StandardCharsets.UTF_8));
 	}
@@ -241,7 +247,7 @@
 			return reply(409, ",\"reason\":\"late\"");
 		}
 		extend(order);
-		Run run = new Run(task, attempt, Json.text(order, "taskSpec"));
+		Run run = new Run(task, attempt, Json.text(order, "taskSpec"), this.speed);
 		this.running.put(task, run);
 		this.fleet.started(this, run, Json.number(order, "fencingToken"));
 		return reply(200, "");
@@ -314,11 +320,11 @@
 
 		private String how = "done";
 
-		Run(String task, int attempt, String spec) {
+		Run(String task, int attempt, String spec, double speed) {
 			this.task = task;
 			this.attempt = attempt;
 			this.cpu = (int) Fleet.field(spec, "cpu");
-			long millis = Fleet.field(spec, "ms");
+			long millis = Math.round(Fleet.field(spec, "ms") / speed);
 			this.lasting = millis == 0;
 			this.workNanos = (this.lasting ? 200 : millis) * 1_000_000;
 			this.dueNanos = this.lasting ? Long.MAX_VALUE : this.startNanos + this.workNanos;
--- a/review/stand-ins-3/src/Case14.java
+++ b/review/stand-ins-3/src/ServingBesideFilling.java
@@ -1,9 +1,9 @@
 /** A lasting job that serves users loses a runner, while a lasting job that fills has a task on each other runner. */
-final class Case14 {
+final class ServingBesideFilling {
 
-	private static final String SERVING = "a100000000000014";
+	private static final String SERVING = "a100000000000013";
 
-	private static final String FILLING = "a200000000000014";
+	private static final String FILLING = "a200000000000013";
 
 	private static final int RUNNERS = 8;
 
@@ -22,7 +22,7 @@
 
 	private static final long WATCH_MILLIS = 45_000;
 
-	private Case14() {
+	private ServingBesideFilling() {
 	}
 
 	static Cases.Result run(Fleet fleet, boolean trouble) throws Exception {
--- a/review/stand-ins-3/src/Case15.java
+++ b/review/stand-ins-3/src/UnlistedRunner.java
@@ -1,9 +1,9 @@
 import java.util.List;
 
 /** A runner that the store doesn't hear runs a task of a stored job while the scheduling host is stopped with SIGTERM. */
-final class Case15 {
+final class UnlistedRunner {
 
-	private static final String JOB = "a100000000000015";
+	private static final String JOB = "a100000000000011";
 
 	private static final int RUNNERS = 8;
 
@@ -20,7 +20,7 @@
 	/** `graceS`, after which the platform sends SIGKILL. */
 	private static final long GRACE_MILLIS = 6000;
 
-	private Case15() {
+	private UnlistedRunner() {
 	}
 
 	static Cases.Result run(Fleet fleet, boolean trouble) throws Exception {
