Review case 12: a host that is stopped cuts off requests that wait for room

Cause: PlatformMain.drain halts the process 0.3 s before the end of graceS, whatever is open; nothing answers, refuses or withdraws the jobs that PendingJobs holds. Change: adds the script and its claim.

--- a/review/stand-ins-3/src/Cases.java
+++ b/review/stand-ins-3/src/Cases.java
@@ -17,7 +17,8 @@
 
 	}
 
-	private static final Map<String, Case> CASES = Map.of("11", UnlistedRunner::run, "13", ServingBesideFilling::run);
+	private static final Map<String, Case> CASES = Map.of("11", UnlistedRunner::run, "12",
+			StopWithOpenRequests::run, "13", ServingBesideFilling::run);
 
 	private Cases() {
 	}
