--- a/review/stand-ins-3/src/Fleet.java
+++ b/review/stand-ins-3/src/Fleet.java
@@ -61,7 +61,7 @@
 	Fleet(Path caseFolder) throws IOException {
 		this.record = new Record(caseFolder.resolve("record.txt"));
 		this.folder = Files.createTempDirectory("review-3-");
-		Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
+		Runtime.getRuntime().addShutdownHook(new Thread(this::end));
 		Thread ticker = new Thread(() -> {
 			while (!this.closed) {
 				this.runners.forEach(Runner::tick);
@@ -288,16 +288,8 @@
 		}
 	}
 
-	private void endProcesses() {
-		this.hosts.forEach((host) -> {
-			if (host.process != null) {
-				host.process.destroyForcibly();
-			}
-		});
-	}
-
-	@Override
-	public void close() throws IOException {
+	// Ends all processes that were started, and removes the temporary folder; also when the case is ended by a signal.
+	private synchronized void end() {
 		this.closed = true;
 		for (Host host : this.hosts) {
 			if (host.process != null) {
@@ -306,15 +298,25 @@
 					host.process.waitFor();
 				}
 				catch (InterruptedException ex) {
-					throw new IOException(ex);
+					Thread.currentThread().interrupt();
 				}
 			}
 		}
-		try (var files = Files.walk(this.folder)) {
-			files.sorted((one, other) -> other.compareTo(one)).map(Path::toFile).forEach(File::delete);
+		if (Files.exists(this.folder)) {
+			try (var files = Files.walk(this.folder)) {
+				files.sorted((one, other) -> other.compareTo(one)).map(Path::toFile).forEach(File::delete);
+			}
+			catch (IOException ex) {
+				ex.printStackTrace();
+			}
 		}
 	}
 
+	@Override
+	public void close() {
+		end();
+	}
+
 	/** A run of a task on a runner. */
 	static final class Attempt {
 
