--- a/review/stand-ins-3/src/Cases.java
+++ b/review/stand-ins-3/src/Cases.java
@@ -18,7 +18,7 @@
 	}
 
 	private static final Map<String, Case> CASES = Map.of("11", UnlistedRunner::run, "12",
-			StopWithOpenRequests::run, "13", ServingBesideFilling::run, "14", WaitsForBusyRunners::run);
+			StopWithOpenRequests::run, "13", WaitsForBusyRunners::run);
 
 	private Cases() {
 	}
--- a/review/stand-ins-3/src/Fleet.java
+++ b/review/stand-ins-3/src/Fleet.java
@@ -138,6 +138,11 @@
 			await(40_000, host.name + " to be ready", () -> host.get("/api/ready") == 200);
 		}
 		sleep(Math.max(0, LEAD_MILLIS - (this.record.millis() - startMillis)));
+		// A client asks for the number of pending jobs first, so that the stored jobs have been read.
+		for (Host host : this.hosts) {
+			await(10_000, host.name + " to know the stored jobs",
+					() -> send(host, "GET", PREFIX, "", 1500).status() == 200);
+		}
 	}
 
 	// ---- what happened ----
@@ -220,7 +225,7 @@
 
 	// ---- clients ----
 
-	/** Submits a job until it is accepted, as a client does whose request got no answer. */
+	/** Submits a job, again after no answer, 502 or 504 only. */
 	void submit(Host host, String id, String body) {
 		submit(host, PREFIX, id, body);
 	}
@@ -231,6 +236,9 @@
 			if (answer.status() == 200) {
 				return;
 			}
+			if (answer.status() == 429 || answer.status() == 503) {
+				throw new IllegalStateException("job " + id + " was rejected");
+			}
 			sleep(500);
 		}
 		throw new IllegalStateException("job " + id + " was not accepted");
--- a/review/stand-ins-3/src/Runner.java
+++ b/review/stand-ins-3/src/Runner.java
@@ -70,7 +70,7 @@
 	private final Map<String, Integer> highest = new HashMap<>();
 
 	/** Whether the store does not hear it, while the hosts reach it. */
-	volatile boolean cutFromStore;
+	private volatile int cuts;
 
 	/** An unhealthy runner answers each start with 503 and does nothing. */
 	volatile boolean refusesStarts;
@@ -167,7 +167,7 @@
 			return;
 		}
 		long now = System.nanoTime();
-		if (!this.cutFromStore && now - this.heartbeatNanos > HEARTBEAT_MILLIS * 1_000_000) {
+		if (this.cuts == 0 && now - this.heartbeatNanos > HEARTBEAT_MILLIS * 1_000_000) {
 			heartbeat();
 		}
 		boolean lapsed = clock() >= this.leaseEnd;
@@ -220,8 +220,23 @@
 		};
 	}
 
+	/** Partitions it from the store for a time; cuts may overlap. */
+	void cutFromStore(long millis) {
+		addCut(1);
+		this.fleet.record.write("FAULT %s is partitioned from the store, not from the hosts", this.name);
+		Server.THREADS.execute(() -> {
+			Fleet.sleep(millis);
+			addCut(-1);
+			this.fleet.record.write("FAULT one cut of %s ends", this.name);
+		});
+	}
+
+	private synchronized void addCut(int change) {
+		this.cuts += change;
+	}
+
 	private Server.Reply reply(int status, String fields) {
-		return Server.Reply.json(status, "{\"clockMs\":" + clock() + ",\"born\":" + this.bornMillis + fields + "}");
+		return Server.Reply.json(status, "{\"clockMs\":" + clock() + fields + "}");
 	}
 
 	private void extend(Map<String, Object> order) {
@@ -286,7 +301,7 @@
 		if (servedLife != this.life) {
 			return null;
 		}
-		StringBuilder rows = new StringBuilder(",\"running\":[");
+		StringBuilder rows = new StringBuilder(",\"born\":" + this.bornMillis + ",\"running\":[");
 		String comma = "";
 		for (Run run : this.running.values()) {
 			rows.append(comma).append("[\"" + run.task + "\"," + run.attempt + ",\"\"," + run.percent() + "," + run.cpu + "]");
--- a/review/stand-ins-3/src/UnlistedRunner.java
+++ b/review/stand-ins-3/src/UnlistedRunner.java
@@ -10,7 +10,7 @@
 	/** Three cuts of this length, each of which begins just before the one before ends. */
 	private static final int CUTS = 3;
 
-	private static final long CUT_MILLIS = 5000;
+	private static final long CUT_MILLIS = 4950;
 
 	private static final long OVERLAP_MILLIS = 100;
 
@@ -34,20 +34,20 @@
 		fleet.await(10_000, "a run of the job", () -> fleet.isRunning(JOB));
 		Runner runner = fleet.runners.stream().filter((one) -> one.runs(JOB)).findFirst().orElseThrow();
 		long cutMillis = CUTS * CUT_MILLIS - (CUTS - 1) * OVERLAP_MILLIS;
-		if (trouble) {
-			fleet.record.write("FAULT %s is partitioned from the store, not from the hosts: %d cuts of %d ms", runner.name,
-					CUTS, CUT_MILLIS);
-			runner.cutFromStore = true;
+		long begin = fleet.record.millis();
+		for (int cut = 0; cut < CUTS; cut++) {
+			Fleet.sleep(Math.max(0, begin + cut * (CUT_MILLIS - OVERLAP_MILLIS) - fleet.record.millis()));
+			if (trouble) {
+				runner.cutFromStore(CUT_MILLIS);
+			}
 		}
-		Fleet.sleep(cutMillis - STOP_LEAD_MILLIS);
+		Fleet.sleep(begin + cutMillis - STOP_LEAD_MILLIS - fleet.record.millis());
 		Fleet.Host scheduler = fleet.scheduler();
 		if (trouble) {
 			scheduler.terminate();
 		}
 		Fleet.sleep(STOP_LEAD_MILLIS);
 		if (trouble) {
-			runner.cutFromStore = false;
-			fleet.record.write("FAULT ends; %s reaches the store", runner.name);
 			for (long waited = STOP_LEAD_MILLIS; scheduler.isAlive() && waited < GRACE_MILLIS; waited += 10) {
 				Fleet.sleep(10);
 			}
--- a/review/stand-ins-3/src/WaitsForBusyRunners.java
+++ b/review/stand-ins-3/src/WaitsForBusyRunners.java
@@ -1,9 +1,9 @@
 /** A task that lost its runner waits for faster runners, which lasting tasks fill for ever, while slower ones are idle. */
 final class WaitsForBusyRunners {
 
-	private static final String LASTING = "a100000000000014";
+	private static final String LASTING = "a100000000000013";
 
-	private static final String JOB = "a200000000000014";
+	private static final String JOB = "a200000000000013";
 
 	private static final int SLOW_RUNNERS = 6;
 
