Save the unlisted workers that stored jobs use, so that the next owner finds their runs

Cause: the next owner settled the hand-over by the reports of the workers that it knew (WorkerSystem.areAllVerified), and took a worker that had left its list 6 s ago for one without runs. The owner before renews runs there for as long as it reaches the worker, as it must. For best-effort jobs the age of the earlier scheduler's knowledge is handed on; for stored jobs nothing told it.

Change: the owner saves each worker that it uses for stored jobs and that the list does not name at its address, in the log of the jobs (WorkerRecordSystem), and the next owner reads these records with the jobs, polls the workers and adopts the runs. A stored task starts only on a worker that the list or a saved record names. A host that has followed the list for less than the time for which an owner may be without a saved record (9.2 s, from SchedulerSettings) settles by the end of the leases. Why it works: the records are in the log that fences the owner before, so that what is read is all that it may go on renewing, whichever hosts were owners in between.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/FinishTimePlacement.java
@@ -265,6 +265,9 @@
 		if (worker.reserved || !step.demand().fits(worker.freeCapacity())) {
 			return false;
 		}
+		if (!worker.findable && task.job().spec().stored()) {
+			return false;
+		}
 		if (!worker.isWarmEnough(step.demand(), nowNanos) || this.model.isTooSlow(task, worker, nowNanos)) {
 			return false;
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -29,6 +29,8 @@
 
 	private final StoredJobSystem storedJobs;
 
+	private final WorkerRecordSystem workerRecords;
+
 	private final RunSystem runs;
 
 	private final GangSystem gangs;
@@ -51,6 +53,7 @@
 		this.refusals = (tables.settings.policy().refusal() == SchedulingPolicy.RefusalKind.PROJECTED)
 				? new ProjectedRefusal(tables, order) : new LatestStartRefusal(tables, this.admission);
 		this.storedJobs = new StoredJobSystem(tables);
+		this.workerRecords = new WorkerRecordSystem(tables, this.storedJobs);
 		this.crashes = new CrashSystem(tables, this.storedJobs::progressChanged);
 		this.runs = new RunSystem(tables, this);
 		this.gangs = new GangSystem(tables, placement, this.runs);
@@ -86,11 +89,16 @@
 		return this.storedJobs;
 	}
 
+	WorkerRecordSystem workerRecords() {
+		return this.workerRecords;
+	}
+
 	void deactivate() {
 		List<JobEntity> openJobs = List.copyOf(this.tables.jobs.values());
 		this.tables.jobs.clear();
 		this.tables.waitingJobs.clear();
 		this.storedJobs.clear();
+		this.workerRecords.clear();
 		this.crashes.clear();
 		this.preemptions.clear();
 		for (JobEntity job : openJobs) {
@@ -110,6 +118,7 @@
 	// Releases the stored jobs; another scheduler may take them over from now on.
 	void releaseStoredJobs(long nowNanos) {
 		this.storedJobs.clear();
+		this.workerRecords.clear();
 		this.runs.forgetUnsavedEnds();
 		for (JobEntity job : List.copyOf(this.tables.jobs.values())) {
 			if (job.spec().stored()) {
@@ -163,6 +172,7 @@
 			return;
 		}
 		this.runs.applyDeferredEnds(nowNanos);
+		this.workerRecords.tick(nowNanos);
 		this.crashes.tick(nowNanos);
 		this.crashes.takeDeadlyTasks().forEach((task) -> giveUp(task, nowNanos));
 		if (!this.tables.waitingJobs.isEmpty()) {
@@ -361,7 +371,7 @@
 	}
 
 	boolean hasStoredJobs() {
-		return this.tables.jobs.values().stream().anyMatch((job) -> job.spec().stored());
+		return this.tables.hasStoredJobs();
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Scheduler.java
@@ -1,7 +1,6 @@
 package org.limpetgate.scheduling;
 
 import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -251,11 +250,15 @@
 	/**
 	 * Takes over the stored jobs, after other schedulers have been fenced off from saving
 	 * changes.
-	 * @param stored the jobs that are stored, not null
+	 * @param stored what is stored, not null
 	 * @param nowNanos the current time
 	 */
-	public void loadStoredJobs(List<StoredJob> stored, long nowNanos) {
-		this.jobs.submissions().loadStoredJobs(stored, nowNanos);
+	public void loadStoredJobs(StoredSnapshot stored, long nowNanos) {
+		if (stored.hasOpenJobs()) {
+			this.workers.list().trackUsedWorkers(stored.usedWorkers(), nowNanos);
+		}
+		this.jobs.workerRecords().load(stored.usedWorkers(), nowNanos);
+		this.jobs.submissions().loadStoredJobs(stored.jobs(), nowNanos);
 	}
 
 	/**
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerSettings.java
@@ -41,6 +41,17 @@
 	/** Allows for orders of the earlier scheduler that are still in transit. */
 	private static final long GUARD_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
+	/**
+	 * The longest time for which a host keeps the stored jobs without a confirmation that
+	 * it owns them. Shorter than the time for which hosts remember lost peers.
+	 */
+	public static final long MAX_UNCONFIRMED_OWNERSHIP_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+	/**
+	 * A list of workers that was read longer ago may miss changes that other hosts know.
+	 */
+	static final long MAX_LIST_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
 	/**
 	 * The longest time that an earlier owner of the stored jobs takes to notice that it
 	 * lost them.
@@ -184,4 +195,14 @@
 		return resubmitGuardNanos() + OWNER_LOSS_NANOS;
 	}
 
+	/**
+	 * Returns how long after a worker left the list an owner of the stored jobs may have
+	 * runs there without a saved record of it. An owner requests the record once its list
+	 * is outdated, and releases the jobs if the store does not confirm it.
+	 * @return the time in nanoseconds
+	 */
+	public long unrecordedUseNanos() {
+		return MAX_LIST_AGE_NANOS + MAX_UNCONFIRMED_OWNERSHIP_NANOS + resubmitGuardNanos();
+	}
+
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/SchedulerTables.java
@@ -115,6 +115,9 @@
 	/** Whether the next tick processes all workers. */
 	boolean scanDue;
 
+	/** Whether the next tick decides which workers are saved for the next owner. */
+	boolean workerRecordsDue;
+
 	/** Whether the next tick decides which runs are moved. */
 	boolean movesDue;
 
@@ -132,6 +135,10 @@
 		return this.storedJobsLoaded && this.ownershipConfirmedNanos >= worker.takenOverNanos;
 	}
 
+	boolean hasStoredJobs() {
+		return this.jobs.values().stream().anyMatch((job) -> job.spec().stored());
+	}
+
 	boolean isActive() {
 		return !this.schedulerToken.isNone();
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
@@ -122,7 +122,13 @@
 		});
 	}
 
-	private long save(StoredChange change, SaveAction onSaved) {
+	/**
+	 * Requests that a change be saved.
+	 * @param change the change
+	 * @param onSaved what depends on it
+	 * @return its sequence number
+	 */
+	long save(StoredChange change, SaveAction onSaved) {
 		this.lastSequence++;
 		this.pendingSaves.add(new PendingSave(this.lastSequence, onSaved));
 		this.tables.emit(new SchedulingEffect.SaveChange(this.lastSequence, change));
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerEntity.java
@@ -80,6 +80,12 @@
 	/** A time at which the list still did, nanoseconds since the Unix epoch. */
 	long lastLocatedNanos;
 
+	/**
+	 * Whether the next owner of the stored jobs finds it, by the list or by a saved
+	 * record.
+	 */
+	boolean findable = true;
+
 	/** Since when its entry names its address, nanoseconds since the Unix epoch. */
 	long addressSinceNanos;
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +36,9 @@
 
 	private final LossSystem losses;
 
+	/** Workers that left the list and are no longer kept track of. */
+	private final DepartedWorkers departed = new DepartedWorkers();
+
 	/**
 	 * Since when every change of the list has been seen, nanoseconds since the Unix
 	 * epoch, 0 before the first worker was listed.
@@ -69,13 +73,24 @@
 		markListed(listedIds, nowNanos);
 		markLocated(entries);
 		markDrained();
-		this.tables.workers.values()
-			.removeIf((worker) -> !worker.listed && nowNanos - worker.unlistedNanos > UNLISTED_RETENTION_NANOS
-					&& !worker.isBusy());
+		removeUnlisted(nowNanos);
 		if (this.followedSinceNanos == 0 && !entries.isEmpty()) {
 			this.followedSinceNanos = nowNanos;
 		}
 		this.tables.placementDue = true;
+		this.tables.workerRecordsDue = true;
+	}
+
+	private void removeUnlisted(long nowNanos) {
+		for (WorkerEntity worker : List.copyOf(this.tables.workers.values())) {
+			boolean retained = worker.listed || worker.isBusy()
+					|| nowNanos - worker.unlistedNanos <= UNLISTED_RETENTION_NANOS;
+			if (!retained) {
+				this.tables.workers.remove(worker.info.id());
+				this.departed.add(worker.info, worker.unlistedNanos);
+			}
+		}
+		this.departed.removeBefore(nowNanos - this.tables.settings.unrecordedUseNanos());
 	}
 
 	private void apply(WorkerInfo entry, WorkerEntity worker, long nowNanos) {
@@ -229,6 +244,37 @@
 		return listedNanos;
 	}
 
+	// Keeps track of the workers that an earlier owner of the stored jobs may use
+	// although
+	// the list does not name them: those that it has recorded, and those that left the
+	// list so recently that it may not have recorded them.
+	void trackUsedWorkers(List<WorkerInfo> recorded, long nowNanos) {
+		this.departed.removeBefore(nowNanos - this.tables.settings.unrecordedUseNanos());
+		this.departed.removeAll().forEach((info) -> track(info, nowNanos));
+		recorded.forEach((info) -> track(info, nowNanos));
+		this.tables.scanDue = true;
+	}
+
+	// An earlier owner had its answer from the address where it used the worker, so that
+	// it counts more than an entry.
+	private void track(WorkerInfo info, long nowNanos) {
+		WorkerEntity worker = this.tables.workers.get(info.id());
+		if (worker == null) {
+			worker = new WorkerEntity(info, nowNanos);
+			worker.listed = false;
+			worker.unlistedNanos = nowNanos;
+			this.tables.workers.put(info.id(), worker);
+		}
+		else if (worker.proven || worker.info.isSameLocation(info)) {
+			return;
+		}
+		else {
+			this.losses.startIncarnation(worker, info, nowNanos);
+		}
+		worker.proven = true;
+		worker.located = false;
+	}
+
 	void activate() {
 		this.formerlyListedNanos = Long.MAX_VALUE;
 	}
@@ -242,8 +288,18 @@
 	// known: the list was read since then, and has been followed for so long that a
 	// worker which is no longer listed has no runs.
 	boolean isComplete(long sinceNanos, long nowNanos) {
+		return isFollowed(sinceNanos, UNLISTED_RETENTION_NANOS, nowNanos);
+	}
+
+	// Tests whether every worker that an earlier owner of the stored jobs may have used
+	// until a time is known, by the list or by its record.
+	boolean isCompleteForStoredJobs(long sinceNanos, long nowNanos) {
+		return isFollowed(sinceNanos, this.tables.settings.unrecordedUseNanos(), nowNanos);
+	}
+
+	private boolean isFollowed(long sinceNanos, long durationNanos, long nowNanos) {
 		return this.tables.allDataCentres && this.tables.listProvenNanos >= sinceNanos && this.followedSinceNanos != 0
-				&& nowNanos - this.followedSinceNanos > UNLISTED_RETENTION_NANOS;
+				&& nowNanos - this.followedSinceNanos > durationNanos;
 	}
 
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -122,7 +122,7 @@
 	// started.
 	@Override
 	public boolean areAllVerified(long sinceNanos, long nowNanos) {
-		return this.list.isComplete(sinceNanos, nowNanos)
+		return this.list.isCompleteForStoredJobs(sinceNanos, nowNanos)
 				&& this.tables.workers.values().stream().allMatch((worker) -> worker.isVerified(sinceNanos));
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/FakeWorker.java
@@ -218,6 +218,12 @@
 		}
 	}
 
+	// Completes all runs now.
+	void completeAll(long nowNanos) {
+		advance(nowNanos);
+		List.copyOf(this.running.keySet()).forEach((id) -> endRun(id, EndKind.DONE, nowNanos));
+	}
+
 	private void endRun(RunId id, EndKind kind, long nowNanos) {
 		this.running.remove(id);
 		this.endedAttempts.merge(id.task(), id.attempt(), Math::max);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulationTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulationTests.java
@@ -43,4 +43,19 @@
 		assertThat(moveOrders).as("orders to move a run").isPositive();
 	}
 
+	/**
+	 * Guards against a second run of a stored task whose worker the store does not hear
+	 * when the scheduler is replaced.
+	 */
+	@Example
+	void keepsItsInvariantsWhileTheStoreDoesNotHearWorkersWithLongTasks() {
+		for (int seed = 1; seed <= SEEDS; seed++) {
+			SchedulerSimulation simulation = SchedulerSimulation.withUnheardWorkers(seed)
+				.run(STEPS)
+				.settle(SETTLE_NANOS);
+			assertThat(simulation.violations()).as("seed %s", seed).isEmpty();
+			assertThat(simulation.openStoredJobs()).as("stored jobs of seed %s that have not ended", seed).isZero();
+		}
+	}
+
 }
--- a/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/LogEvent.java
@@ -83,7 +83,7 @@
 	HANDOVER_SETTLED(1319, "job=%s proof=%s waited_ms=%s workers=%s list_age_ms=%s"),
 
 	/** The stored jobs were taken over from the platform's store. */
-	STORED_JOBS_READ(1320, "epoch=%s jobs=%s"),
+	STORED_JOBS_READ(1320, "epoch=%s jobs=%s unlisted_workers=%s"),
 
 	/** This host no longer owns the stored jobs. */
 	STORED_JOBS_LOST(1321, "epoch=%s reason=%s"),
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobJournal.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/JobJournal.java
@@ -10,11 +10,12 @@
 
 import org.limpetgate.fleet.JobLog;
 import org.limpetgate.scheduling.StoredChange;
-import org.limpetgate.scheduling.StoredJob;
+import org.limpetgate.scheduling.StoredSnapshot;
 
 /**
- * Writes the changes of stored jobs to the {@link JobLog} in order and in batches, and
- * reads the jobs when this host takes them over.
+ * Writes the changes of stored jobs, and of the workers that are used for them, to the
+ * {@link JobLog} in order and in batches, and reads both when this host takes the jobs
+ * over.
  * <p>
  * At most one append is in flight. An append without an answer is retried with the same
  * sequence number, which has no effect if it was already applied. Not thread-safe; used
@@ -166,7 +167,7 @@
 	private void read() {
 		beginRequest();
 		long requestSession = this.session;
-		this.log.readNewest().thenApply(StoredRecords::toJobs).whenComplete((jobs, failure) -> {
+		this.log.readNewest().thenApply(StoredRecords::toSnapshot).whenComplete((stored, failure) -> {
 			if (requestSession != this.session) {
 				return;
 			}
@@ -176,7 +177,7 @@
 				return;
 			}
 			this.state = State.OPEN;
-			this.listener.opened(jobs);
+			this.listener.opened(stored);
 		});
 	}
 
@@ -257,7 +258,7 @@
 	interface Listener {
 
 		// Called when the stored jobs have been taken over and read.
-		void opened(List<StoredJob> jobs);
+		void opened(StoredSnapshot stored);
 
 		// Called when all changes up to this sequence number are saved.
 		void saved(long sequence);
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobService.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredJobService.java
@@ -17,9 +17,10 @@
 import org.limpetgate.scheduling.FencingToken;
 import org.limpetgate.scheduling.JobState;
 import org.limpetgate.scheduling.Scheduler;
+import org.limpetgate.scheduling.SchedulerSettings;
 import org.limpetgate.scheduling.SchedulingEffect;
 import org.limpetgate.scheduling.StoredChange;
-import org.limpetgate.scheduling.StoredJob;
+import org.limpetgate.scheduling.StoredSnapshot;
 import org.limpetgate.scheduling.StoredState;
 
 /**
@@ -43,12 +44,6 @@
 	 */
 	private static final long MAX_UNCONFIRMED_MINORITY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-	/**
-	 * How old the last confirmation may be while this host reaches at least half of the
-	 * hosts. Shorter than the time for which hosts remember lost peers.
-	 */
-	private static final long MAX_UNCONFIRMED_NANOS = TimeUnit.SECONDS.toNanos(6);
-
 	private static final long CONFIRM_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
 	/** How long after the last use of stored jobs confirmations are still requested. */
@@ -124,7 +119,7 @@
 			return;
 		}
 		long unconfirmedNanos = nowNanos - this.journal.ownershipConfirmedNanos();
-		if (unconfirmedNanos > MAX_UNCONFIRMED_NANOS
+		if (unconfirmedNanos > SchedulerSettings.MAX_UNCONFIRMED_OWNERSHIP_NANOS
 				|| (unconfirmedNanos > MAX_UNCONFIRMED_MINORITY_NANOS && reachability == Reachability.MINORITY)) {
 			release("the store has not confirmed ownership of the stored jobs for "
 					+ TimeUnit.NANOSECONDS.toMillis(unconfirmedNanos) + " ms", nowNanos);
@@ -213,7 +208,7 @@
 		if (!inUse) {
 			this.journal.confirmOwnership();
 		}
-		return nowNanos - this.journal.ownershipConfirmedNanos() < MAX_UNCONFIRMED_NANOS;
+		return nowNanos - this.journal.ownershipConfirmedNanos() < SchedulerSettings.MAX_UNCONFIRMED_OWNERSHIP_NANOS;
 	}
 
 	private static JobStatus status(JobStatus.State state) {
@@ -233,10 +228,11 @@
 	private final class JournalListener implements JobJournal.Listener {
 
 		@Override
-		public void opened(List<StoredJob> jobs) {
+		public void opened(StoredSnapshot stored) {
 			StoredJobService service = StoredJobService.this;
-			service.log.write(LogEvent.STORED_JOBS_READ, service.epoch.value(), jobs.size());
-			service.scheduler.loadStoredJobs(jobs, service.clock.getAsLong());
+			service.log.write(LogEvent.STORED_JOBS_READ, service.epoch.value(), stored.jobs().size(),
+					stored.usedWorkers().size());
+			service.scheduler.loadStoredJobs(stored, service.clock.getAsLong());
 			service.requestTick.run();
 		}
 
--- a/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredRecords.java
+++ b/limpetgate-host/src/main/java/org/limpetgate/host/fleet/StoredRecords.java
@@ -12,24 +12,29 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.limpetgate.JobId;
+import org.limpetgate.UpstreamId;
 import org.limpetgate.fleet.JobLog;
 import org.limpetgate.proto.AttemptsRecord;
 import org.limpetgate.proto.JobProgressRecord;
 import org.limpetgate.proto.JobStatus;
 import org.limpetgate.proto.StepProgressRecord;
 import org.limpetgate.proto.StoredJobRecord;
+import org.limpetgate.proto.UsedWorkerRecord;
 import org.limpetgate.scheduling.CrashHistory;
 import org.limpetgate.scheduling.FailedRuns;
 import org.limpetgate.scheduling.JobProgress;
 import org.limpetgate.scheduling.StepProgress;
 import org.limpetgate.scheduling.StoredChange;
 import org.limpetgate.scheduling.StoredJob;
+import org.limpetgate.scheduling.StoredSnapshot;
 import org.limpetgate.scheduling.StoredState;
+import org.limpetgate.scheduling.WorkerInfo;
 
 /**
- * Converts changes of stored jobs to and from records of the {@link JobLog}. A job has
- * one record with its specification, which is deleted when the job ends, and one with its
- * progress.
+ * Converts what is stored to and from records of the {@link JobLog}. A job has one record
+ * with its specification, which is deleted when the job ends, and one with its progress.
+ * A worker has one while it is used for stored jobs and the list of workers may not name
+ * it.
  */
 final class StoredRecords {
 
@@ -39,6 +44,8 @@
 
 	private static final String PROGRESS_PREFIX = "progress/";
 
+	private static final String WORKER_PREFIX = "worker/";
+
 	/** The empty value that deletes a key. */
 	private static final byte[] TOMBSTONE = new byte[0];
 
@@ -46,6 +53,17 @@
 	}
 
 	static List<JobLog.Entry> toRecords(StoredChange change) {
+		if (change instanceof StoredChange.WorkerUsed used) {
+			return List.of(new JobLog.Entry(WORKER_PREFIX + used.worker().id().value(),
+					UsedWorkerRecords.toRecord(used.worker()).toByteArray()));
+		}
+		if (change instanceof StoredChange.WorkerReleased released) {
+			return List.of(new JobLog.Entry(WORKER_PREFIX + released.worker().value(), TOMBSTONE));
+		}
+		return toRecords((StoredChange.OfJob) change);
+	}
+
+	private static List<JobLog.Entry> toRecords(StoredChange.OfJob change) {
 		String id = change.job().value();
 		if (change instanceof StoredChange.Accepted accepted) {
 			StoredJobRecord record = StoredJobRecord.newBuilder()
@@ -92,13 +110,14 @@
 	}
 
 	/**
-	 * Decodes all stored jobs.
+	 * Decodes all that is stored.
 	 * @param records the newest value of each key
-	 * @return the jobs; records that cannot be decoded are logged and skipped
+	 * @return the jobs and workers; records that cannot be decoded are logged and skipped
 	 */
-	static List<StoredJob> toJobs(Map<String, byte[]> records) {
+	static StoredSnapshot toSnapshot(Map<String, byte[]> records) {
 		Map<String, StoredJobRecord> specifications = new HashMap<>();
 		Map<String, JobProgress> progress = new HashMap<>();
+		List<WorkerInfo> usedWorkers = new ArrayList<>();
 		records.forEach((key, value) -> {
 			try {
 				if (key.startsWith(SPECIFICATION_PREFIX)) {
@@ -108,11 +127,20 @@
 					progress.put(key.substring(PROGRESS_PREFIX.length()),
 							toProgress(JobProgressRecord.parseFrom(value)));
 				}
+				else if (key.startsWith(WORKER_PREFIX)) {
+					usedWorkers.add(UsedWorkerRecords.toInfo(UpstreamId.of(key.substring(WORKER_PREFIX.length())),
+							UsedWorkerRecord.parseFrom(value)));
+				}
 			}
 			catch (InvalidProtocolBufferException ex) {
 				logger.atSevere().log("LG1322 STORED_JOB_UNREADABLE key=%s reason=%s", key, ex.getMessage());
 			}
 		});
+		return new StoredSnapshot(toJobs(specifications, progress), usedWorkers);
+	}
+
+	private static List<StoredJob> toJobs(Map<String, StoredJobRecord> specifications,
+			Map<String, JobProgress> progress) {
 		Set<String> ids = new HashSet<>(specifications.keySet());
 		ids.addAll(progress.keySet());
 		List<StoredJob> jobs = new ArrayList<>(ids.size());
--- a/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
+++ b/limpetgate-proto/src/main/java/org/limpetgate/proto/Limpetgate.java
@@ -246,6 +246,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_limpetgate_AttemptsRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetgate_UsedWorkerRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_limpetgate_UsedWorkerRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_limpetgate_CrashHistoryRecord_descriptor;
   static final 
@@ -426,18 +431,23 @@
       "toryRecord:\0028\001\032Q\n\023FailedAttemptsEntry\022\013\n" +
       "\003key\030\001 \001(\r\022)\n\005value\030\002 \001(\0132\032.limpetgate.A" +
       "ttemptsRecord:\0028\001\"\"\n\016AttemptsRecord\022\020\n\010a" +
-      "ttempts\030\001 \003(\r\"\207\001\n\022CrashHistoryRecord\022\017\n\007" +
-      "crashes\030\001 \001(\r\022\025\n\rcrashed_alone\030\002 \001(\010\022,\n\006" +
-      "losses\030\003 \003(\0132\034.limpetgate.WorkerLossReco" +
-      "rd\022\033\n\023unconfirmed_crashes\030\004 \001(\r\"\223\001\n\020Work" +
-      "erLossRecord\022\016\n\006worker\030\001 \001(\t\022\032\n\022incarnat" +
-      "ion_millis\030\002 \001(\004\022\r\n\005alone\030\003 \001(\010\022\023\n\013lost_" +
-      "millis\030\004 \001(\004\022\014\n\004host\030\005 \001(\t\022\014\n\004port\030\006 \001(\r" +
-      "\022\023\n\013unconfirmed\030\007 \001(\010*h\n\tStepTrait\022\025\n\021TR" +
-      "AIT_UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\r\n\tSAME_RACK" +
-      "\020\002\022\020\n\014CHECKPOINTED\020\003\022\r\n\tPERPETUAL\020\004\022\n\n\006F" +
-      "ILLER\020\005B\030\n\024org.limpetgate.protoP\001b\006proto" +
-      "3"
+      "ttempts\030\001 \003(\r\"\317\001\n\020UsedWorkerRecord\022\032\n\022in" +
+      "carnation_millis\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022" +
+      "\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(\r\022\023\n\013data_cent" +
+      "re\030\005 \001(\t\022\022\n\ncpu_millis\030\006 \001(\r\022\021\n\tmemory_m" +
+      "b\030\007 \001(\r\022\024\n\014accelerators\030\010 \001(\r\022\016\n\006labels\030" +
+      "\t \003(\t\022\020\n\010draining\030\n \001(\010\"\207\001\n\022CrashHistory" +
+      "Record\022\017\n\007crashes\030\001 \001(\r\022\025\n\rcrashed_alone" +
+      "\030\002 \001(\010\022,\n\006losses\030\003 \003(\0132\034.limpetgate.Work" +
+      "erLossRecord\022\033\n\023unconfirmed_crashes\030\004 \001(" +
+      "\r\"\223\001\n\020WorkerLossRecord\022\016\n\006worker\030\001 \001(\t\022\032" +
+      "\n\022incarnation_millis\030\002 \001(\004\022\r\n\005alone\030\003 \001(" +
+      "\010\022\023\n\013lost_millis\030\004 \001(\004\022\014\n\004host\030\005 \001(\t\022\014\n\004" +
+      "port\030\006 \001(\r\022\023\n\013unconfirmed\030\007 \001(\010*h\n\tStepT" +
+      "rait\022\025\n\021TRAIT_UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\r\n" +
+      "\tSAME_RACK\020\002\022\020\n\014CHECKPOINTED\020\003\022\r\n\tPERPET" +
+      "UAL\020\004\022\n\n\006FILLER\020\005B\030\n\024org.limpetgate.prot" +
+      "oP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -707,14 +717,20 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_AttemptsRecord_descriptor,
         new java.lang.String[] { "Attempts", });
-    internal_static_limpetgate_CrashHistoryRecord_descriptor =
+    internal_static_limpetgate_UsedWorkerRecord_descriptor =
       getDescriptor().getMessageType(38);
+    internal_static_limpetgate_UsedWorkerRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_limpetgate_UsedWorkerRecord_descriptor,
+        new java.lang.String[] { "IncarnationMillis", "Service", "Host", "Port", "DataCentre", "CpuMillis", "MemoryMb", "Accelerators", "Labels", "Draining", });
+    internal_static_limpetgate_CrashHistoryRecord_descriptor =
+      getDescriptor().getMessageType(39);
     internal_static_limpetgate_CrashHistoryRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_CrashHistoryRecord_descriptor,
         new java.lang.String[] { "Crashes", "CrashedAlone", "Losses", "UnconfirmedCrashes", });
     internal_static_limpetgate_WorkerLossRecord_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_limpetgate_WorkerLossRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetgate_WorkerLossRecord_descriptor,
