Tell a run that has begun from an order that was sent, for pendingJobs and the state of a job

Cause: JobEntity.started stood for two facts. It was set when an order to start was sent. Refusals and the order of the queue ask whether anything may have run; pendingJobs and the states queued and running ask whether a run has begun.

Change: mayHaveBegun is set when an order is sent; hasBegun when a worker acknowledges a start or lists a run or an end, or when the store shows one: done, failures, checkpoints, crashes under a confirmed run. Why it works: both only become true, each on its own evidence, so that nothing has to be taken back when an order is rejected, fenced or given up.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/Admission.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/Admission.java
@@ -111,7 +111,7 @@
 			double capacity = capacities.computeIfAbsent(service, (key) -> this.tables.usableCpuMillis(key, nowNanos));
 			double ahead = workAhead.getOrDefault(service, 0.0);
 			long waitNanos = (capacity > 0) ? (long) (ahead / capacity) : 0;
-			boolean refusable = !job.spec().stored() && !job.started && !job.resubmitted;
+			boolean refusable = !job.spec().stored() && !job.mayHaveBegun() && !job.resubmitted;
 			if (refusable && !isFeasible(job.spec())) {
 				refusals.add(new RefusalRule.Refusal(job, INFEASIBLE, MAX_RETRY_AFTER_NANOS));
 			}
@@ -187,7 +187,7 @@
 	// A late answer is worth less than one in time but more than none, so a late job is
 	// refused only after a further wait.
 	static boolean shouldRefuse(JobEntity job, long nowNanos) {
-		return !job.started && !job.resubmitted && nowNanos > job.refusalNanos;
+		return !job.mayHaveBegun() && !job.resubmitted && nowNanos > job.refusalNanos;
 	}
 
 	// A job is abandoned once it is of no use and its caller has stopped waiting.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CostOrder.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CostOrder.java
@@ -95,7 +95,7 @@
 				job.rankKey = -remainingDensity(job);
 			}
 		}
-		else if ((job.started || job.withinShare) && canBeUseful(job, nowNanos)) {
+		else if ((job.mayHaveBegun() || job.withinShare) && canBeUseful(job, nowNanos)) {
 			job.rank = job.withinShare ? LATE_WITHIN_SHARE_RANK : SURPLUS_RANK;
 			job.rankKey = -(1 - JobCost.LATE_LOSS_SHARE) * remainingDensity(job);
 		}
@@ -113,7 +113,7 @@
 	// work of the other tasks is lost if the job is not completed.
 	private static double remainingDensity(JobEntity job) {
 		double density = job.cost.density();
-		return job.started ? density * job.spec().taskCount() / Math.max(1, job.waitingTasks) : density;
+		return job.mayHaveBegun() ? density * job.spec().taskCount() / Math.max(1, job.waitingTasks) : density;
 	}
 
 	// The next step may start later than the job had to if earlier steps are done.
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashHistory.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/CrashHistory.java
@@ -150,6 +150,11 @@
 		return totalCrashes() > 0 || !this.losses.isEmpty();
 	}
 
+	// Tests whether it shows that a run of the task has begun.
+	boolean showsRun() {
+		return this.crashes > 0 || this.losses.stream().anyMatch((loss) -> loss.evidence() != Evidence.UNCONFIRMED);
+	}
+
 	/**
 	 * Returns the number of crashes of both kinds.
 	 * @return the number, at least 0
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/GangSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/GangSystem.java
@@ -48,7 +48,7 @@
 		if (reserved.isEmpty()) {
 			return;
 		}
-		tasks.get(0).job().started = true;
+		tasks.get(0).job().startSent();
 		tasks.get(0).job().waitingTasks -= tasks.size();
 		reserved.forEach((run) -> this.runs.sendStart(run, nowNanos));
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobEntity.java
@@ -119,10 +119,15 @@
 	boolean resubmitted;
 
 	/**
-	 * Whether a start of one of its tasks was sent, or a worker or the store reported
-	 * that one had started.
+	 * Whether a run of one of its tasks may have begun: an order to start one was sent.
 	 */
-	boolean started;
+	private boolean mayHaveBegun;
+
+	/**
+	 * Whether a run of one of its tasks has begun: a worker has confirmed its start or
+	 * reported it or its end, or the store has what it left.
+	 */
+	private boolean begun;
 
 	boolean ended;
 
@@ -243,10 +248,32 @@
 		return true;
 	}
 
+	// Records that an order to start one of its tasks is sent.
+	void startSent() {
+		this.mayHaveBegun = true;
+	}
+
+	// Records that a run of one of its tasks has begun.
+	void runBegan() {
+		this.mayHaveBegun = true;
+		this.begun = true;
+	}
+
+	boolean mayHaveBegun() {
+		return this.mayHaveBegun;
+	}
+
+	boolean hasBegun() {
+		return this.begun;
+	}
+
 	// Applies the progress that an earlier scheduler saved.
 	void restore(JobProgress progress) {
 		for (int number = 0; number < Math.min(progress.steps().size(), this.steps.size()); number++) {
 			StepProgress step = progress.steps().get(number);
+			if (step.showsRun()) {
+				runBegan();
+			}
 			List<TaskEntity> tasks = this.steps.get(number);
 			step.failures().forEach((index, failures) -> {
 				tasks.get(index).failures = failures;
@@ -260,7 +287,6 @@
 					this.waitingTasks--;
 				}
 				taskDone(task);
-				this.started = true;
 			});
 		}
 	}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/JobSystem.java
@@ -224,7 +224,7 @@
 		if (task == null || task.state != TaskEntity.State.WAITING) {
 			return null;
 		}
-		job.started = true;
+		job.runBegan();
 		job.waitingTasks--;
 		return task;
 	}
@@ -318,7 +318,7 @@
 			return;
 		}
 		this.storedJobs.taskEnded(job, worker, ended.number());
-		job.started = true;
+		job.runBegan();
 		if (ended.kind() == WorkerReport.EndKind.FAILED) {
 			countFailure(job, task, ended.run().attempt(), nowNanos);
 			return;
@@ -366,7 +366,7 @@
 	int pendingJobs(String queue) {
 		return (int) this.tables.jobs.values()
 			.stream()
-			.filter((job) -> job.acceptanceSaved && !job.started && !job.ended && job.spec().queue().equals(queue))
+			.filter((job) -> job.acceptanceSaved && !job.hasBegun() && !job.ended && job.spec().queue().equals(queue))
 			.count();
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/PlacementSystem.java
@@ -211,7 +211,7 @@
 		if (worker == null) {
 			return task.crashes.isSuspect();
 		}
-		task.job().started = true;
+		task.job().startSent();
 		task.job().waitingTasks--;
 		boolean isolated = isolationPossible && worker.runs.isEmpty();
 		this.runs.start(task, worker, taskNanos * this.tables.runTimeModel.factor(worker, nowNanos), nowNanos);
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/ProjectedRefusal.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/ProjectedRefusal.java
@@ -125,7 +125,7 @@
 	}
 
 	private static boolean isRefusable(JobEntity job) {
-		return !job.started && !job.resubmitted && !job.spec().stored();
+		return !job.mayHaveBegun() && !job.resubmitted && !job.spec().stored();
 	}
 
 	// Returns the latest start with which a job is not refused. A job that was late when
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunEntity.java
@@ -199,10 +199,16 @@
 		this.stateSinceNanos = nowNanos;
 	}
 
+	// Records that an incarnation of its worker has carried out the order to start it.
+	void confirm() {
+		this.confirmed = true;
+		this.job.runBegan();
+	}
+
 	// Records that the known incarnation of its worker lists it.
 	void markReported() {
 		this.reported = true;
-		this.confirmed = true;
+		confirm();
 		this.endWithoutReport = null;
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/RunSystem.java
@@ -144,7 +144,7 @@
 		}
 		switch (answer) {
 			case STARTED -> {
-				run.confirmed = true;
+				run.confirm();
 				run.enter(RunEntity.State.RUNNING, nowNanos);
 			}
 			case UNKNOWN -> {
@@ -210,6 +210,7 @@
 			}
 			return;
 		}
+		run.confirm();
 		run.checkpoint(ended.checkpoint(), nowNanos);
 		run.endSequence = ended.number();
 		if (ended.kind() == EndKind.DONE) {
@@ -229,10 +230,14 @@
 	// While the stored jobs are not read yet, or another scheduler may own them, an
 	// unknown job may be a stored one, and the end of its run must not be acknowledged.
 	private void applyEndOfEarlierRun(WorkerEntity worker, WorkerReport.Ended ended, long nowNanos) {
+		JobEntity job = this.tables.jobs.get(ended.run().task().job());
+		if (job != null) {
+			job.runBegan();
+		}
 		if (ended.kind() != EndKind.DONE && ended.kind() != EndKind.FAILED) {
 			return;
 		}
-		boolean known = this.tables.storedJobsLoaded && this.tables.jobs.containsKey(ended.run().task().job());
+		boolean known = this.tables.storedJobsLoaded && job != null;
 		if (known || this.tables.isOwnershipConfirmed(worker)) {
 			this.listener.earlierRunEnded(worker, ended, nowNanos);
 		}
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/StepProgress.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/StepProgress.java
@@ -32,4 +32,10 @@
 		return (BitSet) this.done.clone();
 	}
 
+	// Tests whether it shows that a run of a task of the step has begun.
+	boolean showsRun() {
+		return !this.done.isEmpty() || !this.failures.isEmpty() || !this.checkpoints.isEmpty()
+				|| this.crashes.values().stream().anyMatch(CrashHistory::showsRun);
+	}
+
 }
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/StoredJobSystem.java
@@ -190,7 +190,7 @@
 		if (job == null || !job.spec().stored()) {
 			return null;
 		}
-		return job.started ? JobState.RUNNING : JobState.QUEUED;
+		return job.hasBegun() ? JobState.RUNNING : JobState.QUEUED;
 	}
 
 	/** An action that runs once a change is saved. */
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CostOrderTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CostOrderTests.java
@@ -38,7 +38,9 @@
 			JobEntity job = job(number, random.nextInt(3), (random.nextInt(3) == 0) ? 0 : random.nextInt(3));
 			job.latestStartNanos = NOW + (random.nextInt(4) - 1) * MILLI;
 			job.withinShare = random.nextBoolean();
-			job.started = random.nextInt(4) == 0;
+			if (random.nextInt(4) == 0) {
+				job.startSent();
+			}
 			job.waitingTasks = random.nextInt(3);
 			jobs.add(job);
 		}
@@ -85,7 +87,7 @@
 	@Example
 	void startedJobCountsTheWorkThatRemains() {
 		JobEntity started = job(0, 1, 30);
-		started.started = true;
+		started.startSent();
 		started.waitingTasks = 1;
 		JobEntity fresh = job(1, 1, 30);
 		assertThat(sorted(List.of(fresh, started))).containsExactly(started, fresh);
@@ -104,7 +106,7 @@
 		job.latestStartNanos = job.objectiveEndNanos - 200 * MILLI - SchedulerSettings.OVERHEAD_NANOS;
 		job.cost = JobCost.of(terms, NOW, 380 * MILLI, 0.2, 1);
 		job.withinShare = true;
-		job.started = true;
+		job.startSent();
 		job.taskDone(job.steps().get(0).get(0));
 		this.order.sort(new ArrayList<>(List.of(job)), NOW);
 		assertThat(job.nextStartNanos).isEqualTo(job.latestStartNanos + 100 * MILLI);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
@@ -106,6 +106,9 @@
 	/** Stored jobs whose acceptance was reported. */
 	private final Set<JobId> accepted = new HashSet<>();
 
+	/** Compares the numbers of pending jobs with the jobs that have not begun. */
+	private final PendingJobChecks pendingJobs = new PendingJobChecks();
+
 	/** Tasks of stored jobs whose end was acknowledged. */
 	private final Set<TaskName> acknowledgedTasks = new HashSet<>();
 
@@ -175,6 +178,19 @@
 		schedule(400 * MILLI, this::publishWorkers);
 		schedule(1000 * MILLI, this::drain);
 		schedule(1500 * MILLI, this::writeOtherEntry);
+		schedule(250 * MILLI, this::checkPendingJobs);
+	}
+
+	private void checkPendingJobs() {
+		for (Host host : this.hosts) {
+			if (host.ownsStoredJobs()) {
+				String violation = this.pendingJobs.violation(host.scheduler.pendingJobs("q"), this.time.nowNanos());
+				if (violation != null) {
+					addViolation(violation);
+				}
+			}
+		}
+		schedule(250 * MILLI, this::checkPendingJobs);
 	}
 
 	// Returns a simulation in which, besides the other faults, the store does not hear
@@ -514,6 +530,7 @@
 		public void started(FakeWorker worker, RunId run, long nowNanos) {
 			SchedulerSimulation simulation = SchedulerSimulation.this;
 			simulation.checks.started(worker, run, nowNanos);
+			simulation.pendingJobs.begun(run.task().job());
 			Long since = simulation.drainedSinceNanos.get(worker.info().dataCentre());
 			if (since != null && nowNanos - since >= DRAIN_BOUND_NANOS) {
 				addViolation("DRAINED: " + run + " on " + worker.id() + ", drained for " + (nowNanos - since) / MILLI
@@ -597,6 +614,12 @@
 			schedule(0, this::maintainLogOwnership);
 		}
 
+		// Tests whether this host answers questions for the stored jobs.
+		boolean ownsStoredJobs() {
+			return isUp() && this.epoch != 0 && this.epoch == SchedulerSimulation.this.log.epoch
+					&& this.scheduler.hasLoadedStoredJobs();
+		}
+
 		// Reads the drained data centres once this host is not paused.
 		void learnDrains() {
 			if (!isUp()) {
@@ -991,6 +1014,7 @@
 			}
 			if (ended.outcome() == JobOutcome.ACCEPTED) {
 				simulation.accepted.add(ended.job());
+				simulation.pendingJobs.accepted(ended.job(), simulation.time.nowNanos());
 				if (!simulation.log.jobs.containsKey(ended.job())) {
 					addViolation("LOST: job " + ended.job() + " was accepted and is not stored");
 				}
