Save no records of workers while no stored job is open

Cause: a takeover on a site of best-effort jobs alone could save a record of an unlisted worker with runs that no job had adopted yet. Nobody reads it, and each write to the store is priced. Change: a record needs an open stored job.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerRecordSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerRecordSystem.java
@@ -69,8 +69,8 @@
 			}
 		}
 		if (!unnamed.isEmpty()) {
-			boolean startsPossible = this.tables.hasStoredJobs();
-			unnamed.forEach((worker) -> worker.findable = isRecordSaved(worker, startsPossible));
+			boolean jobsOpen = this.tables.hasStoredJobs();
+			unnamed.forEach((worker) -> worker.findable = isRecordSaved(worker, jobsOpen));
 		}
 		releaseForgotten();
 	}
@@ -86,10 +86,10 @@
 
 	// Tests whether the record of a worker that the list may not name is saved, and
 	// requests that it be saved or deleted.
-	private boolean isRecordSaved(WorkerEntity worker, boolean startsPossible) {
+	private boolean isRecordSaved(WorkerEntity worker, boolean jobsOpen) {
 		WorkerRecord record = this.records.get(worker.info.id());
 		boolean unverified = record != null && !worker.isVerified(record.unverifiedSinceNanos);
-		if (!unverified && !mayHoldStoredWork(worker) && !(startsPossible && worker.listed)) {
+		if (!jobsOpen || !(worker.listed || unverified || mayHoldStoredWork(worker))) {
 			release(worker.info.id());
 			return false;
 		}
