--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashReplay.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/CrashReplay.java
@@ -77,7 +77,7 @@
 	/** Workers that the scheduler cannot reach. */
 	private final Set<UpstreamId> cut = new HashSet<>();
 
-	private final Map<JobId, StoredJob> store = new TreeMap<>();
+	private final StoredContents store = new StoredContents(new TreeMap<>());
 
 	private final Map<TaskName, Integer> crashes = new HashMap<>();
 
@@ -165,7 +165,7 @@
 
 	// Submits a job until it is stored.
 	private void submit(JobSpec job) {
-		if (this.store.containsKey(job.id())) {
+		if (this.store.job(job.id()) != null) {
 			return;
 		}
 		this.host.scheduler.submit(HostId.of("10.0.0.9:1"), job, 0, TimeUnit.SECONDS.toNanos(5), EarlierSubmission.NONE,
@@ -207,7 +207,7 @@
 
 	private void checkOutcomes() {
 		for (int number = 0; number < JOBS; number++) {
-			StoredJob job = this.store.get(JobId.of("j" + number));
+			StoredJob job = this.store.job(JobId.of("j" + number));
 			StoredState state = (job != null) ? job.progress().state() : null;
 			StoredState expected = isDeadly(JobId.of("j" + number)) ? StoredState.FAILED : StoredState.COMPLETED;
 			if (state != expected) {
@@ -268,8 +268,7 @@
 			this.scheduler.workersListed(listedWorkers(), true, replay.time.nowNanos());
 			this.scheduler.activate(FencingToken.create(replay.time.nowNanos(), this.number, FencingToken.NONE),
 					replay.time.nowNanos());
-			receive(20, () -> this.scheduler.loadStoredJobs(
-					new StoredSnapshot(List.copyOf(replay.store.values()), List.of()), replay.time.nowNanos()));
+			receive(20, () -> this.scheduler.loadStoredJobs(replay.store.read(), replay.time.nowNanos()));
 		}
 
 		void tick() {
@@ -315,24 +314,11 @@
 			if (this.lost) {
 				return;
 			}
-			apply(change.change());
+			CrashReplay.this.store.apply(change.change());
 			this.scheduler.changesSaved(change.sequence(), CrashReplay.this.time.nowNanos());
 			tick();
 		}
 
-		private void apply(StoredChange change) {
-			Map<JobId, StoredJob> store = CrashReplay.this.store;
-			if (change instanceof StoredChange.Accepted accepted) {
-				store.putIfAbsent(accepted.job(),
-						new StoredJob(accepted.job(), accepted.spec(), accepted.acceptedMillis(), JobProgress.NONE));
-			}
-			else if (change instanceof StoredChange.Progressed progressed) {
-				StoredJob job = store.get(progressed.job());
-				store.put(progressed.job(),
-						new StoredJob(job.id(), job.spec(), job.acceptedMillis(), progressed.progress()));
-			}
-		}
-
 		private void start(SchedulingEffect.StartRun start) {
 			long now = CrashReplay.this.time.nowNanos();
 			if (isUnreachable(start.worker().id())) {
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/SchedulerSimulation.java
@@ -514,11 +514,11 @@
 
 	// Returns the number of stored jobs that have not ended.
 	long openStoredJobs() {
-		return this.log.jobs.values().stream().filter((job) -> job.progress().state() == StoredState.OPEN).count();
+		return this.log.contents.jobs().stream().filter((job) -> job.progress().state() == StoredState.OPEN).count();
 	}
 
 	int completedStoredJobs() {
-		return (int) this.log.jobs.values()
+		return (int) this.log.contents.jobs()
 			.stream()
 			.filter((job) -> job.progress().state() == StoredState.COMPLETED)
 			.count();
@@ -543,7 +543,7 @@
 
 		private void checkStoredStart(FakeWorker worker, RunId run) {
 			SchedulerSimulation simulation = SchedulerSimulation.this;
-			if (!simulation.log.jobs.containsKey(run.task().job())) {
+			if (simulation.log.contents.job(run.task().job()) == null) {
 				addViolation("UNSTORED: " + run + " of a job that is not stored");
 			}
 			if (simulation.acknowledgedTasks.contains(run.task())) {
@@ -653,7 +653,7 @@
 			simulation.log.epoch++;
 			this.epoch = simulation.log.epoch;
 			this.scheduler.ownershipConfirmed(simulation.time.nowNanos());
-			StoredSnapshot stored = simulation.log.read();
+			StoredSnapshot stored = simulation.log.contents.read();
 			long readEpoch = this.epoch;
 			receive(this.incarnation, networkDelayNanos(), () -> {
 				if (this.epoch == readEpoch && this.scheduler.isActive()) {
@@ -1015,7 +1015,7 @@
 			if (ended.outcome() == JobOutcome.ACCEPTED) {
 				simulation.accepted.add(ended.job());
 				simulation.pendingJobs.accepted(ended.job(), simulation.time.nowNanos());
-				if (!simulation.log.jobs.containsKey(ended.job())) {
+				if (simulation.log.contents.job(ended.job()) == null) {
 					addViolation("LOST: job " + ended.job() + " was accepted and is not stored");
 				}
 			}
@@ -1037,42 +1037,28 @@
 
 	}
 
-	/** The log of stored jobs in the platform's store. Records are never deleted here. */
+	/** The log of stored jobs in the platform's store. */
 	private final class StoredLog {
 
-		private final Map<JobId, StoredJob> jobs = new HashMap<>();
-
-		private final Map<UpstreamId, WorkerInfo> usedWorkers = new TreeMap<>();
+		private final StoredContents contents = new StoredContents(new HashMap<>());
 
 		private long epoch;
 
 		private boolean unavailable;
 
-		StoredSnapshot read() {
-			return new StoredSnapshot(List.copyOf(this.jobs.values()), List.copyOf(this.usedWorkers.values()));
-		}
-
 		void apply(StoredChange change) {
-			if (change instanceof StoredChange.Accepted acceptance) {
-				this.jobs.putIfAbsent(acceptance.job(), new StoredJob(acceptance.job(), acceptance.spec(),
-						acceptance.acceptedMillis(), JobProgress.NONE));
-			}
-			else if (change instanceof StoredChange.Progressed progressed) {
-				StoredJob job = this.jobs.get(progressed.job());
-				this.jobs.put(progressed.job(),
-						new StoredJob(job.id(), job.spec(), job.acceptedMillis(), progressed.progress()));
-				if (progressed.progress().state() == StoredState.COMPLETED) {
-					checkAllTasksDone(progressed.job());
-				}
-				else if (progressed.progress().state() == StoredState.FAILED) {
-					checkFailed(progressed.job());
-				}
+			this.contents.apply(change);
+			if (change instanceof StoredChange.Progressed progressed) {
+				checkEnd(progressed);
 			}
-			else if (change instanceof StoredChange.WorkerUsed used) {
-				this.usedWorkers.put(used.worker().id(), used.worker());
+		}
+
+		private void checkEnd(StoredChange.Progressed progressed) {
+			if (progressed.progress().state() == StoredState.COMPLETED) {
+				checkAllTasksDone(progressed.job());
 			}
-			else if (change instanceof StoredChange.WorkerReleased released) {
-				this.usedWorkers.remove(released.worker());
+			else if (progressed.progress().state() == StoredState.FAILED) {
+				checkFailed(progressed.job());
 			}
 		}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/UsedWorkerRecordTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/UsedWorkerRecordTests.java
@@ -178,7 +178,7 @@
 		this.fixture.storeAway = true;
 		follow(REMOVED_MILLIS);
 		this.fixture.storeAway = false;
-		assertThat(this.fixture.usedWorkers).isEmpty();
+		assertThat(this.fixture.recordedWorkers()).isEmpty();
 
 		handOverTo(this.next, NEXT_HOST);
 		followWith(this.next, LEASES_ENDED_MILLIS);
@@ -205,7 +205,7 @@
 
 		this.fixture.storeAway = false;
 		this.fixture.advance(STEP_MILLIS);
-		assertThat(this.fixture.usedWorkers).as("all workers are recorded").hasSize(2);
+		assertThat(this.fixture.recordedWorkers()).as("all workers are recorded").hasSize(2);
 		assertThat(this.fixture.starts).hasSize(3);
 	}
 
@@ -219,16 +219,16 @@
 		UpstreamId worker = startLastingTask();
 		this.fixture.unlisted.add(worker);
 		follow(2 * READ_INTERVAL_MILLIS);
-		assertThat(this.fixture.usedWorkers).containsOnlyKeys(worker);
+		assertThat(this.fixture.recordedWorkers()).containsExactly(worker);
 		this.fixture.unlisted.clear();
 		follow(2 * READ_INTERVAL_MILLIS);
-		assertThat(this.fixture.usedWorkers).isEmpty();
+		assertThat(this.fixture.recordedWorkers()).isEmpty();
 
 		this.fixture.unlisted.add(worker);
 		follow(2 * READ_INTERVAL_MILLIS);
 		this.fixture.workerOfLastStart().completeAll(this.fixture.nowNanos);
 		follow(2 * READ_INTERVAL_MILLIS);
-		assertThat(this.fixture.usedWorkers).isEmpty();
+		assertThat(this.fixture.recordedWorkers()).isEmpty();
 		assertThat(this.fixture.starts).hasSize(1);
 	}
 
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
@@ -70,15 +70,11 @@
 	/** Whether the store does not answer. */
 	boolean storeAway;
 
-	/** The stored jobs as the store has them. */
-	private final Map<JobId, StoredJob> storedJobs = new LinkedHashMap<>();
+	private final StoredContents store = new StoredContents(new LinkedHashMap<>());
 
 	/** Changes that are saved once the store answers, unless their owner is replaced. */
 	private final List<SchedulingEffect.SaveChange> unsavedChanges = new ArrayList<>();
 
-	/** The used workers that the store names. */
-	final Map<UpstreamId, WorkerInfo> usedWorkers = new LinkedHashMap<>();
-
 	private final Map<JobId, JobSpec> jobs = new HashMap<>();
 
 	/** Is called after a start was carried out or lost, and before it is answered. */
@@ -179,11 +175,14 @@
 		return job.id();
 	}
 
+	// Returns the used workers that the store names.
+	Set<UpstreamId> recordedWorkers() {
+		return this.store.usedWorkers().keySet();
+	}
+
 	// Lets the scheduler read the stored jobs from the store.
 	void loadStored() {
-		this.scheduler.loadStoredJobs(
-				new StoredSnapshot(List.copyOf(this.storedJobs.values()), List.copyOf(this.usedWorkers.values())),
-				this.nowNanos);
+		this.scheduler.loadStoredJobs(this.store.read(), this.nowNanos);
 	}
 
 	private void save(SchedulingEffect.SaveChange effect) {
@@ -191,20 +190,7 @@
 			this.unsavedChanges.add(effect);
 			return;
 		}
-		if (effect.change() instanceof StoredChange.Accepted accepted) {
-			this.storedJobs.put(accepted.job(),
-					new StoredJob(accepted.job(), accepted.spec(), accepted.acceptedMillis(), JobProgress.NONE));
-		}
-		else if (effect.change() instanceof StoredChange.Progressed progressed) {
-			this.storedJobs.computeIfPresent(progressed.job(),
-					(id, job) -> new StoredJob(id, job.spec(), job.acceptedMillis(), progressed.progress()));
-		}
-		else if (effect.change() instanceof StoredChange.WorkerUsed used) {
-			this.usedWorkers.put(used.worker().id(), used.worker());
-		}
-		else if (effect.change() instanceof StoredChange.WorkerReleased released) {
-			this.usedWorkers.remove(released.worker());
-		}
+		this.store.apply(effect.change());
 		this.scheduler.changesSaved(effect.sequence(), this.nowNanos);
 	}
 
