Ask a recorded worker where it was used, and then where its entry says that it is

An owner whose records the store rejects may use a worker whose entry was overwritten with a wrong address; the next owner had taken that address for the right one, forgot the other, and started the task again (TWICE in storedTaskWhoseWorkerCouldNotBeRecordedAndHasAWrongEntryIsNotStartedAgain before this change). 2. A recorded worker that has started again elsewhere was asked at its former address only, until its entry changed again, so that stored jobs waited for up to 10 s (recordOfAWorkerThatHasStartedAgainElsewhereDoesNotHoldJobsUp failed before this change). Change: a host keeps the address of a worker that an entry of the same incarnation replaces, for as long as it keeps workers that left the list; and after a poll that fails at the recorded address it goes back to the entry.

--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerListSystem.java
@@ -39,6 +39,12 @@
 	/** Workers that left the list and are no longer kept track of. */
 	private final DepartedWorkers departed = new DepartedWorkers();
 
+	/**
+	 * The entries of workers that are asked first where an earlier owner used them, until
+	 * the next list.
+	 */
+	private final Map<UpstreamId, WorkerInfo> displacedEntries = new HashMap<>();
+
 	/**
 	 * Since when every change of the list has been seen, nanoseconds since the Unix
 	 * epoch, 0 before the first worker was listed.
@@ -58,6 +64,7 @@
 	// Replaces the list of workers.
 	void replace(Collection<WorkerInfo> entries, long nowNanos) {
 		this.tables.scanDue = true;
+		this.displacedEntries.clear();
 		Set<UpstreamId> listedIds = new HashSet<>();
 		for (WorkerInfo entry : entries) {
 			listedIds.add(entry.id());
@@ -113,6 +120,10 @@
 	// Takes the entry for the worker, about which nothing else is known. A process keeps
 	// its address, so that another address is one of another process too.
 	private void adopt(WorkerInfo entry, WorkerEntity worker, long nowNanos) {
+		if (entry.incarnationMillis() == worker.info.incarnationMillis() && !entry.isSameLocation(worker.info)) {
+			// One of the addresses is wrong.
+			this.departed.add(worker.info, nowNanos);
+		}
 		if (entry.incarnationMillis() > worker.info.incarnationMillis()
 				|| !entry.address().equals(worker.info.address())) {
 			this.losses.startIncarnation(worker, entry, nowNanos);
@@ -244,8 +255,7 @@
 		return listedNanos;
 	}
 
-	// Keeps track of the workers that an earlier owner of the stored jobs may use
-	// although
+	// Keeps track of the workers that an earlier owner of the stored jobs may use though
 	// the list does not name them: those that it has recorded, and those that left the
 	// list so recently that it may not have recorded them.
 	void trackUsedWorkers(List<WorkerInfo> recorded, long nowNanos) {
@@ -256,7 +266,7 @@
 	}
 
 	// An earlier owner had its answer from the address where it used the worker, so that
-	// it counts more than an entry.
+	// it is asked there first, wherever its entry says that it is.
 	private void track(WorkerInfo info, long nowNanos) {
 		WorkerEntity worker = this.tables.workers.get(info.id());
 		if (worker == null) {
@@ -269,13 +279,27 @@
 			return;
 		}
 		else {
+			this.displacedEntries.put(info.id(), worker.info);
 			this.losses.startIncarnation(worker, info, nowNanos);
 		}
 		worker.proven = true;
 		worker.located = false;
 	}
 
+	// Goes back to the entry of a worker that does not answer where an earlier owner used
+	// it.
+	void pollFailed(WorkerEntity worker, long nowNanos) {
+		if (!worker.isWordOfItsProcessNeeded()) {
+			WorkerInfo entry = this.displacedEntries.remove(worker.info.id());
+			if (entry != null) {
+				adopt(entry, worker, nowNanos);
+				worker.located = true;
+			}
+		}
+	}
+
 	void activate() {
+		this.displacedEntries.clear();
 		this.formerlyListedNanos = Long.MAX_VALUE;
 	}
 
--- a/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
+++ b/limpetgate-core/src/main/java/org/limpetgate/scheduling/WorkerSystem.java
@@ -223,6 +223,7 @@
 		else if (worker.pollFailures > 1) {
 			worker.retryNanos = nowNanos + (worker.isBusy() ? MIN_RETRY_NANOS : MAX_RETRY_NANOS);
 		}
+		this.list.pollFailed(worker, nowNanos);
 	}
 
 	// While no other scheduler is possible, the worker knows the token of an earlier
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/UsedWorkerRecordTests.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/UsedWorkerRecordTests.java
@@ -1,5 +1,6 @@
 package org.limpetgate.scheduling;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 
 import net.jqwik.api.Example;
@@ -35,6 +36,9 @@
 	/** All leases that were granted before a handover have ended after this. */
 	private static final long LEASES_ENDED_MILLIS = 3_000;
 
+	/** A task whose worker has started again is started within this time. */
+	private static final long RESTART_MILLIS = 500;
+
 	private static final long STEP_MILLIS = 60;
 
 	private final WorkerFixture fixture = new WorkerFixture("w1", "w2");
@@ -87,14 +91,7 @@
 	void storedTaskOnAWorkerWhoseEntryWasOverwrittenLongAgoIsNotStartedAgain() {
 		takeOwnership();
 		UpstreamId worker = startLastingTask();
-		WorkerInfo info = this.fixture.workerOfLastStart().info();
-		WorkerInfo other = this.fixture.workers.stream()
-			.map(FakeWorker::info)
-			.filter((candidate) -> !candidate.id().equals(worker))
-			.findFirst()
-			.orElseThrow();
-		this.fixture.otherEntries.add(new WorkerInfo(info.id(), info.incarnationMillis(), info.service(),
-				other.address(), info.dataCentre(), info.capacity(), info.labels(), info.draining()));
+		overwriteEntry(worker);
 		follow(FORGOTTEN_MILLIS);
 
 		handOverTo(this.next, NEXT_HOST);
@@ -186,6 +183,50 @@
 		assertThat(this.fixture.starts).as("the run is adopted").hasSize(1);
 	}
 
+	/**
+	 * Guards against the same if the entry of the worker was overwritten by one with a
+	 * wrong address, which the next owner has taken for the right one.
+	 */
+	@Example
+	void storedTaskWhoseWorkerCouldNotBeRecordedAndHasAWrongEntryIsNotStartedAgain() {
+		takeOwnership();
+		overwriteEntry(startLastingTask());
+		this.fixture.storeAway = true;
+		follow(REMOVED_MILLIS);
+		this.fixture.storeAway = false;
+
+		handOverTo(this.next, NEXT_HOST);
+		this.fixture.advance(LEASES_ENDED_MILLIS);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).as("the run is adopted").hasSize(1);
+	}
+
+	/**
+	 * Guards against jobs that wait for a worker where an earlier owner used it, though
+	 * it has started again elsewhere and its entry says so.
+	 */
+	@Example
+	void recordOfAWorkerThatHasStartedAgainElsewhereDoesNotHoldJobsUp() {
+		takeOwnership();
+		this.fixture.submitStoredLasting(1);
+		this.fixture.advance(1);
+		WorkerInfo info = this.fixture.workers.get(0).info();
+		this.fixture.recordUse(withAddress(info, InetSocketAddress.createUnresolved("nobody", 1)));
+		this.fixture.workers.forEach((worker) -> worker.restart(this.fixture.nowNanos));
+		int starts = this.fixture.starts.size();
+
+		read(this.next);
+		this.fixture.pollAnswersLost = true;
+		this.fixture.activate(this.next, NEXT_HOST);
+		this.fixture.loadStored();
+		this.fixture.pollAnswersLost = false;
+		// A list that has not changed is not applied again.
+		this.next.workerListProven(this.fixture.nowNanos);
+		this.fixture.advance(RESTART_MILLIS);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.starts).hasSize(starts + 1);
+	}
+
 	/**
 	 * Guards against a run of a stored task on a worker that the next owner cannot find,
 	 * since it left the list after the last read of an owner that the store refuses.
@@ -239,6 +280,22 @@
 		follow(FOLLOWED_MILLIS);
 	}
 
+	// Lists a worker with the address of the other one.
+	private void overwriteEntry(UpstreamId worker) {
+		WorkerInfo info = null;
+		WorkerInfo other = null;
+		for (FakeWorker candidate : this.fixture.workers) {
+			info = candidate.id().equals(worker) ? candidate.info() : info;
+			other = candidate.id().equals(worker) ? other : candidate.info();
+		}
+		this.fixture.otherEntries.add(withAddress(info, other.address()));
+	}
+
+	private static WorkerInfo withAddress(WorkerInfo info, InetSocketAddress address) {
+		return new WorkerInfo(info.id(), info.incarnationMillis(), info.service(), address, info.dataCentre(),
+				info.capacity(), info.labels(), info.draining());
+	}
+
 	private UpstreamId startLastingTask() {
 		this.fixture.submitStoredLasting(1);
 		this.fixture.advance(STEP_MILLIS);
--- a/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
+++ b/limpetgate-core/src/test/java/org/limpetgate/scheduling/WorkerFixture.java
@@ -175,6 +175,11 @@
 		return job.id();
 	}
 
+	// Lets the store name a used worker.
+	void recordUse(WorkerInfo worker) {
+		this.store.apply(new StoredChange.WorkerUsed(worker));
+	}
+
 	// Returns the used workers that the store names.
 	Set<UpstreamId> recordedWorkers() {
 		return this.store.usedWorkers().keySet();
